Lay the whole path: callers to endpoints, operators to hosts

Cause: an empty repository; every later part needs types and a place to stand. Change: contracts, error table, log interface, configuration fold, adapters, router, CherryPy server with one loop, command line, stand-ins, demo, features. Conclusion: requests run end to end as separate processes; decisions are thin.

--- /dev/null
+++ b/Makefile
@@ -0,0 +1,40 @@
+VENV ?= .venv
+PYTHON := $(VENV)/bin/python
+STAMP := $(VENV)/.installed
+
+.PHONY: install demo demo-up test check features bench lock clean
+
+install: $(STAMP)
+
+$(STAMP): requirements.lock pyproject.toml
+	test -x $(PYTHON) || python3 -m venv $(VENV)
+	$(PYTHON) -m pip install --quiet --disable-pip-version-check -r requirements.lock
+	$(PYTHON) -m pip install --quiet --disable-pip-version-check --no-deps --editable .
+	touch $(STAMP)
+
+demo: install
+	$(PYTHON) -m examples.demo
+
+demo-up: install
+	$(PYTHON) -m examples.demo --stay-up
+
+check: install
+	$(PYTHON) -m black --check --quiet .
+	$(PYTHON) -m ruff check .
+	$(PYTHON) -m mypy
+	$(VENV)/bin/lint-imports
+
+features: install
+	$(PYTHON) -m scripts.run_features
+
+test: check features
+
+bench: install
+	$(PYTHON) -m bench
+
+lock: install
+	$(PYTHON) -m pip install --quiet --upgrade -r requirements.in
+	$(PYTHON) -m pip freeze --exclude poplarrun --exclude-editable > requirements.lock
+
+clean:
+	rm -rf $(VENV) build *.egg-info
--- /dev/null
+++ b/bench/__init__.py
@@ -0,0 +1,1 @@
+"""Benches: figures with their baselines, measured in one run."""
--- /dev/null
+++ b/examples/__init__.py
@@ -0,0 +1,1 @@
+"""Examples: two firms' documents, and the demo."""
--- /dev/null
+++ b/features/environment.py
@@ -0,0 +1,26 @@
+"""Shared fixtures: a tag ``@fixture.NAME`` on a feature or scenario asks for one."""
+
+from behave import fixture, use_fixture
+
+from standins.fleet import EnginePlan, Fleet, ServicePlan
+
+VERSIONS = {"larch:1": 0.9, "spruce:1": 0.95}
+
+
+@fixture
+def small_fleet(context):
+    """Three zones of one host, one engine and one loan-records endpoint each."""
+    engines = [EnginePlan(f"engine-{zone}", zone, {"quality": VERSIONS}) for zone in "abc"]
+    services = [ServicePlan(f"loan-records-{zone}", zone, "loan-records") for zone in "abc"]
+    with Fleet(engines, services, hosts_per_zone=1) as fleet:
+        context.fleet = fleet
+        yield fleet
+
+
+FIXTURES = {"fixture.small_fleet": small_fleet}
+
+
+def before_tag(context, tag):
+    """Set up the fixture that a tag asks for."""
+    if tag in FIXTURES:
+        use_fixture(FIXTURES[tag], context)
--- /dev/null
+++ b/poplarrun/__init__.py
@@ -0,0 +1,3 @@
+"""A model-aware router for language model versions and cascades."""
+
+__version__ = "0.1.0"
--- /dev/null
+++ b/poplarrun/__main__.py
@@ -0,0 +1,5 @@
+"""Runs the command line: ``python -m poplarrun``."""
+
+from poplarrun.cli import main
+
+main()
--- /dev/null
+++ b/poplarrun/cli/_config.py
@@ -0,0 +1,210 @@
+"""``poplarrun config``: check, publish and show the operators' document."""
+
+import difflib
+import getpass
+import time
+import uuid
+from dataclasses import dataclass
+from pathlib import Path
+from typing import Annotated
+
+import cappa
+
+from poplarrun.config import (
+    CONFIG_STREAM,
+    Accepted,
+    Configuration,
+    Conflict,
+    Ignored,
+    Invalid,
+    Publication,
+    Verdict,
+    decode_record,
+    encode_record,
+    fold_entry,
+)
+from poplarrun.contracts import DocumentProblems, parse_document
+from poplarrun.log import (
+    AppendRefused,
+    AppendUnknown,
+    Entry,
+    Gap,
+    Log,
+    ReadFailed,
+    StreamReader,
+    append_until_known,
+)
+from poplarrun.platform import HttpLog
+
+APPEND_ATTEMPTS = 5
+EXIT_FAILED = 1
+EXIT_INVALID = 2
+EXIT_CONFLICT = 3
+
+LogAddress = Annotated[str, cappa.Arg(long="--log", help="ip:port of the platform's log")]
+
+
+def read_configuration(log: Log) -> tuple[Configuration, list[tuple[Entry, Verdict]]]:
+    """Fold the whole configuration stream."""
+    reader = StreamReader(log, CONFIG_STREAM)
+    state = Configuration()
+    history: list[tuple[Entry, Verdict]] = []
+    while True:
+        match reader.read_new():
+            case ReadFailed(reason=reason):
+                raise cappa.Exit(f"the log did not answer: {reason}", code=EXIT_FAILED)
+            case Gap(horizon=horizon):
+                reader.next_offset = horizon
+            case ():
+                return state, history
+            case entries:
+                for entry in entries:
+                    state, verdict = fold_entry(state, entry)
+                    history.append((entry, verdict))
+
+
+def read_valid(path: Path) -> str:
+    """Read a document; exit with every fault when it has any."""
+    text = path.read_text()
+    match parse_document(text):
+        case DocumentProblems(problems=problems):
+            lines = "\n".join(str(problem) for problem in problems)
+            raise cappa.Exit(f"{path}: {len(problems)} problems\n{lines}", code=EXIT_INVALID)
+        case _:
+            return text
+
+
+@dataclass
+class Check:
+    """Check a document; list every fault."""
+
+    file: Path
+
+    def __call__(self) -> None:
+        """Check the file."""
+        read_valid(self.file)
+        print(f"{self.file}: valid")
+
+
+@dataclass
+class Publish:
+    """Publish a document; it is accepted unless another operator was first."""
+
+    file: Path
+    log: LogAddress
+    based_on: Annotated[int | None, cappa.Arg(long=True)] = None
+
+    def __call__(self) -> None:
+        """Publish the file and tell what became of it."""
+        text = read_valid(self.file)
+        log = HttpLog(self.log)
+        state, _ = read_configuration(log)
+        based_on = state.offset if self.based_on is None else self.based_on
+        record = Publication(uuid.uuid4().hex, based_on, getpass.getuser(), time.time(), text)
+        self._append(log, record)
+        self._tell_verdict(log, record)
+
+    def _append(self, log: Log, record: Publication) -> None:
+        def find() -> int | None:
+            return _find_record(log, record.id)
+
+        outcome = append_until_known(
+            log, CONFIG_STREAM, encode_record(record), find, APPEND_ATTEMPTS
+        )
+        match outcome:
+            case AppendRefused(reason=reason):
+                raise cappa.Exit(f"not published: {reason}", code=EXIT_FAILED)
+            case AppendUnknown(reason=reason):
+                raise cappa.Exit(f"outcome unknown: {reason}; see config history", code=EXIT_FAILED)
+            case _:
+                return
+
+    def _tell_verdict(self, log: Log, record: Publication) -> None:
+        state, history = read_configuration(log)
+        for entry, verdict in history:
+            found = decode_record(entry.data)
+            if found is None or found.id != record.id:
+                continue
+            match verdict:
+                case Accepted(offset=offset):
+                    print(f"accepted at offset {offset}")
+                case Conflict(based_on=based_on, accepted=accepted):
+                    difference = "\n".join(_difference(record.document, state.text))
+                    message = f"conflict: based on {based_on}, accepted is {accepted}\n{difference}"
+                    raise cappa.Exit(message, code=EXIT_CONFLICT)
+                case Invalid() | Ignored():
+                    raise cappa.Exit(f"refused: {verdict}", code=EXIT_FAILED)
+            return
+
+
+@dataclass
+class Show:
+    """Show the accepted document, or the one of an offset."""
+
+    log: LogAddress
+    offset: Annotated[int | None, cappa.Arg(long=True)] = None
+
+    def __call__(self) -> None:
+        """Print the document."""
+        state, history = read_configuration(HttpLog(self.log))
+        if self.offset is None:
+            print(state.text, end="")
+            return
+        print(_text_at(history, self.offset), end="")
+
+
+@dataclass
+class History:
+    """List the publications and what became of each."""
+
+    log: LogAddress
+
+    def __call__(self) -> None:
+        """Print a line for each record."""
+        _, history = read_configuration(HttpLog(self.log))
+        for entry, verdict in history:
+            record = decode_record(entry.data)
+            operator = record.operator if isinstance(record, Publication) else "system"
+            print(f"{entry.offset:>6}  {type(verdict).__name__:<9} {operator}")
+
+
+@dataclass
+class Diff:
+    """Show the difference between the documents of two offsets."""
+
+    a: int
+    b: int
+    log: LogAddress
+
+    def __call__(self) -> None:
+        """Print a unified difference."""
+        _, history = read_configuration(HttpLog(self.log))
+        print("\n".join(_difference(_text_at(history, self.a), _text_at(history, self.b))))
+
+
+@dataclass
+class Config:
+    """Check, publish and show the operators' document."""
+
+    command: cappa.Subcommands[Check | Publish | Show | History | Diff]
+
+
+def _find_record(log: Log, record_id: str) -> int | None:
+    _, history = read_configuration(log)
+    for entry, _verdict in history:
+        record = decode_record(entry.data)
+        if record is not None and record.id == record_id:
+            return entry.offset
+    return None
+
+
+def _text_at(history: list[tuple[Entry, Verdict]], offset: int) -> str:
+    for entry, _verdict in history:
+        record = decode_record(entry.data)
+        if entry.offset == offset and isinstance(record, Publication):
+            return record.document
+    raise cappa.Exit(f"no publication at offset {offset}", code=EXIT_FAILED)
+
+
+def _difference(a: str, b: str) -> list[str]:
+    return list(difflib.unified_diff(a.splitlines(), b.splitlines(), lineterm=""))
--- /dev/null
+++ b/poplarrun/cli/_main.py
@@ -0,0 +1,22 @@
+"""The command ``poplarrun`` and its subcommands."""
+
+from dataclasses import dataclass
+
+import cappa
+
+from poplarrun.cli._ask import Ask
+from poplarrun.cli._config import Config
+from poplarrun.cli._serve import Serve
+from poplarrun.cli._status import Explain, Status
+
+
+@dataclass
+class Poplarrun:
+    """A model-aware router for versions and cascades."""
+
+    command: cappa.Subcommands[Serve | Config | Status | Explain | Ask]
+
+
+def main() -> None:
+    """Run the command line."""
+    cappa.invoke(Poplarrun)
--- /dev/null
+++ b/poplarrun/cli/_serve.py
@@ -0,0 +1,31 @@
+"""``poplarrun serve``: the one daemon."""
+
+from dataclasses import dataclass
+from pathlib import Path
+from typing import Annotated
+
+import cappa
+
+from poplarrun.server import run_daemon
+from poplarrun.settings import SettingsProblems, load_settings
+
+
+@dataclass
+class Serve:
+    """Run an entry host.
+
+    Attributes
+    ----------
+    settings : Path
+        The host's YAML settings.
+    """
+
+    settings: Annotated[Path, cappa.Arg(long=True)]
+
+    def __call__(self) -> None:
+        """Serve until a signal comes."""
+        match load_settings(self.settings):
+            case SettingsProblems(lines=lines):
+                raise cappa.Exit("\n".join(lines), code=2)
+            case settings:
+                raise cappa.Exit(code=run_daemon(settings))
--- /dev/null
+++ b/poplarrun/log/__init__.py
@@ -0,0 +1,31 @@
+"""The platform's append-only log: the interface, an in-memory version, records."""
+
+from poplarrun.log._interface import (
+    Appended,
+    AppendOutcome,
+    AppendRefused,
+    AppendUnknown,
+    Entry,
+    Log,
+    Page,
+    ReadFailed,
+    ReadOutcome,
+)
+from poplarrun.log._memory import MemoryLog
+from poplarrun.log._stream import Gap, StreamReader, append_until_known
+
+__all__ = [
+    "AppendOutcome",
+    "AppendRefused",
+    "AppendUnknown",
+    "Appended",
+    "Entry",
+    "Gap",
+    "Log",
+    "MemoryLog",
+    "Page",
+    "ReadFailed",
+    "ReadOutcome",
+    "StreamReader",
+    "append_until_known",
+]
--- /dev/null
+++ b/poplarrun/log/_memory.py
@@ -0,0 +1,70 @@
+"""A log in memory, for tests and for embedding."""
+
+from dataclasses import dataclass, field
+
+from poplarrun.log._interface import (
+    Appended,
+    AppendOutcome,
+    AppendRefused,
+    AppendUnknown,
+    Entry,
+    Page,
+    ReadFailed,
+    ReadOutcome,
+)
+
+
+@dataclass
+class _Stream:
+    horizon: int = 0
+    records: list[bytes] = field(default_factory=list)
+
+    @property
+    def end(self) -> int:
+        return self.horizon + len(self.records)
+
+
+class MemoryLog:
+    """A ``Log`` that keeps its streams in memory.
+
+    Attributes
+    ----------
+    down : bool
+        While true, appends are refused and reads fail.
+    lost_answers : int
+        That many next appends take effect while their answer is lost.
+    """
+
+    def __init__(self) -> None:
+        self.down = False
+        self.lost_answers = 0
+        self._streams: dict[str, _Stream] = {}
+
+    def append(self, stream: str, data: bytes) -> AppendOutcome:
+        """Append one record to a stream."""
+        if self.down:
+            return AppendRefused("the log is down")
+        target = self._streams.setdefault(stream, _Stream())
+        target.records.append(data)
+        if self.lost_answers > 0:
+            self.lost_answers -= 1
+            return AppendUnknown("the answer was lost")
+        return Appended(target.end - 1)
+
+    def read(self, stream: str, from_offset: int, limit: int) -> ReadOutcome:
+        """Read at most ``limit`` records of a stream from an offset on."""
+        if self.down:
+            return ReadFailed("the log is down")
+        source = self._streams.get(stream, _Stream())
+        first = max(from_offset, source.horizon)
+        index = first - source.horizon
+        records = source.records[index : index + limit]
+        entries = tuple(Entry(first + i, data) for i, data in enumerate(records))
+        return Page(entries, source.horizon, source.end)
+
+    def truncate(self, stream: str, horizon: int) -> None:
+        """Drop the records below an offset, as the retention of the platform does."""
+        source = self._streams.setdefault(stream, _Stream())
+        gone = max(0, horizon - source.horizon)
+        del source.records[:gone]
+        source.horizon = max(source.horizon, horizon)
--- /dev/null
+++ b/poplarrun/logs/_logs.py
@@ -0,0 +1,35 @@
+"""Loggers of the parts. No line may hold a key or a prompt."""
+
+import logging
+from collections.abc import MutableMapping
+from typing import Any
+
+from pythonjsonlogger.json import JsonFormatter
+
+ROOT_NAME = "poplarrun"
+LINE_FIELDS = "%(asctime)s %(levelname)s %(message)s"
+
+
+class _PartLogger(logging.LoggerAdapter[logging.Logger]):
+    """Puts the part's prefix before each message and passes ``extra`` on."""
+
+    def process(
+        self, msg: str, kwargs: MutableMapping[str, Any]
+    ) -> tuple[str, MutableMapping[str, Any]]:
+        assert self.extra is not None
+        return f"{self.extra['prefix']}: {msg}", kwargs
+
+
+def part_logger(part: str) -> logging.LoggerAdapter[logging.Logger]:
+    """Return the logger of a part; its name is the prefix of each line."""
+    return _PartLogger(logging.getLogger(ROOT_NAME), {"prefix": part})
+
+
+def set_up_logs(host: str, level: int = logging.INFO) -> None:
+    """Write JSON lines to standard error, each with the host's name."""
+    handler = logging.StreamHandler()
+    handler.setFormatter(JsonFormatter(LINE_FIELDS, static_fields={"host": host}))
+    logger = logging.getLogger(ROOT_NAME)
+    logger.handlers = [handler]
+    logger.setLevel(level)
+    logger.propagate = False
--- /dev/null
+++ b/poplarrun/metrics/__init__.py
@@ -0,0 +1,5 @@
+"""Counters by reason, and latency quantiles."""
+
+from poplarrun.metrics._registry import Metrics
+
+__all__ = ["Metrics"]
--- /dev/null
+++ b/poplarrun/platform/__init__.py
@@ -0,0 +1,63 @@
+"""Adapters to the outside systems, one small module each."""
+
+from poplarrun.platform._engines import (
+    Answer,
+    Chunk,
+    Engine,
+    EngineCall,
+    EngineFailed,
+    HttpEngine,
+    LoadReport,
+    Usage,
+)
+from poplarrun.platform._hostlist import (
+    HostKind,
+    HostList,
+    HostState,
+    HttpHostList,
+    ListedHost,
+    ListUnavailable,
+)
+from poplarrun.platform._http import close_pool, pool_for
+from poplarrun.platform._log import HttpLog
+from poplarrun.platform._ratings import HttpRatings, RatedAnswer, Ratings, RatingsUnavailable
+from poplarrun.platform._services import (
+    HttpServiceCaller,
+    ServiceAnswer,
+    ServiceCall,
+    ServiceCaller,
+    ServiceNotSent,
+    ServiceOutcome,
+    ServiceUnknown,
+)
+
+__all__ = [
+    "Answer",
+    "Chunk",
+    "Engine",
+    "EngineCall",
+    "EngineFailed",
+    "HostKind",
+    "HostList",
+    "HostState",
+    "HttpEngine",
+    "HttpHostList",
+    "HttpLog",
+    "HttpRatings",
+    "HttpServiceCaller",
+    "ListUnavailable",
+    "ListedHost",
+    "LoadReport",
+    "RatedAnswer",
+    "Ratings",
+    "RatingsUnavailable",
+    "ServiceAnswer",
+    "ServiceCall",
+    "ServiceCaller",
+    "ServiceNotSent",
+    "ServiceOutcome",
+    "ServiceUnknown",
+    "Usage",
+    "close_pool",
+    "pool_for",
+]
--- /dev/null
+++ b/poplarrun/platform/_engines.py
@@ -0,0 +1,219 @@
+"""Model engines: streams of chunks with positions, load reports, orders."""
+
+from collections.abc import Iterator
+from dataclasses import dataclass
+from typing import Protocol
+
+import msgspec
+import urllib3
+
+from poplarrun.contracts import VersionId
+from poplarrun.platform._http import pool_for
+
+CONNECT_TIMEOUT_S = 0.5
+REPORT_TIMEOUT_S = 1.0
+CANCEL_TIMEOUT_S = 1.0
+OK = 200
+# An engine answers these before it starts any work.
+NOT_STARTED_STATUSES = frozenset({404, 409, 429, 503})
+READ_BYTES = 4096
+
+
+@dataclass(frozen=True, slots=True)
+class EngineCall:
+    """One generation asked of an engine.
+
+    Attributes
+    ----------
+    request_id : str
+        The id by which the engine resumes and cancels the stream.
+    version : VersionId
+        What must generate the answer.
+    prompt : str
+        The whole prompt text.
+    max_tokens : int
+        Upper bound of the answer's tokens.
+    priority : int
+        The class's importance.
+    from_position : int
+        Position of the first chunk to send; above 0 it resumes.
+    """
+
+    request_id: str
+    version: VersionId
+    prompt: str
+    max_tokens: int
+    priority: int
+    from_position: int = 0
+
+
+class Chunk(msgspec.Struct, frozen=True, tag="chunk"):
+    """A piece of an answer; ``position`` counts tokens from the answer's start."""
+
+    position: int
+    text: str
+
+
+class Usage(msgspec.Struct, frozen=True, tag="usage"):
+    """The end of a whole answer, with what it took, in tokens."""
+
+    input_tokens: int
+    output_tokens: int
+    cached_tokens: int = 0
+
+
+@dataclass(frozen=True, slots=True)
+class EngineFailed:
+    """A call that broke.
+
+    Attributes
+    ----------
+    started : bool
+        False only when the engine is known not to have begun.
+    reason : str
+        Counter label.
+    """
+
+    started: bool
+    reason: str
+
+
+Answer = Chunk | Usage | EngineFailed
+
+
+class LoadReport(msgspec.Struct, frozen=True):
+    """What an engine says of its load, some time after it was true.
+
+    Attributes
+    ----------
+    versions : list of str
+        Loaded versions, ``model:version``.
+    running, waiting : int
+        Requests in the batch and before it.
+    capacity : int
+        Requests that the batch holds.
+    tokens_per_s : float
+        Tokens a second for one request at this load.
+    age_s : float
+        Age of the figures, in seconds.
+    """
+
+    versions: list[str]
+    running: int
+    waiting: int
+    capacity: int
+    tokens_per_s: float
+    age_s: float = 0.0
+
+
+class Engine(Protocol):
+    """Model engines, by address. Calls block and never raise."""
+
+    def generate(self, address: str, call: EngineCall, timeout_s: float) -> Iterator[Answer]:
+        """Generate an answer; the last item is a ``Usage`` or an ``EngineFailed``."""
+
+    def cancel(self, address: str, request_id: str) -> None:
+        """Ask the engine to stop a stream; a lost ask costs tokens, nothing else."""
+
+    def report_load(self, address: str) -> LoadReport | EngineFailed:
+        """Read the engine's load."""
+
+
+class _GenerateBody(msgspec.Struct):
+    request_id: str
+    version: str
+    prompt: str
+    max_tokens: int
+    priority: int
+    from_position: int
+
+
+_answer_decoder: msgspec.json.Decoder[Chunk | Usage] = msgspec.json.Decoder(Chunk | Usage)
+
+
+class HttpEngine:
+    """An ``Engine`` over HTTP, answers as one JSON object a line."""
+
+    def generate(self, address: str, call: EngineCall, timeout_s: float) -> Iterator[Answer]:
+        """Generate an answer; the last item is a ``Usage`` or an ``EngineFailed``."""
+        body = _GenerateBody(
+            call.request_id,
+            str(call.version),
+            call.prompt,
+            call.max_tokens,
+            call.priority,
+            call.from_position,
+        )
+        try:
+            response = pool_for().request(
+                "POST",
+                f"http://{address}/v1/generate",
+                body=msgspec.json.encode(body),
+                headers={"Content-Type": "application/json"},
+                timeout=urllib3.Timeout(connect=CONNECT_TIMEOUT_S, read=timeout_s),
+                preload_content=False,
+            )
+        except (urllib3.exceptions.NewConnectionError, urllib3.exceptions.ConnectTimeoutError):
+            yield EngineFailed(started=False, reason="connect")
+            return
+        except urllib3.exceptions.HTTPError:
+            yield EngineFailed(started=True, reason="broken")
+            return
+        if response.status != OK:
+            response.drain_conn()
+            response.release_conn()
+            started = response.status not in NOT_STARTED_STATUSES
+            yield EngineFailed(started, f"status_{response.status}")
+            return
+        yield from _read_answers(response)
+
+    def cancel(self, address: str, request_id: str) -> None:
+        """Ask the engine to stop a stream; a lost ask costs tokens, nothing else."""
+        try:
+            pool_for().request(
+                "DELETE", f"http://{address}/v1/generate/{request_id}", timeout=CANCEL_TIMEOUT_S
+            )
+        except urllib3.exceptions.HTTPError:
+            return
+
+    def report_load(self, address: str) -> LoadReport | EngineFailed:
+        """Read the engine's load."""
+        try:
+            response = pool_for().request(
+                "GET", f"http://{address}/v1/load", timeout=REPORT_TIMEOUT_S
+            )
+            return msgspec.json.decode(response.data, type=LoadReport)
+        except (urllib3.exceptions.HTTPError, msgspec.DecodeError) as error:
+            return EngineFailed(started=False, reason=type(error).__name__)
+
+
+def _read_answers(response: urllib3.BaseHTTPResponse) -> Iterator[Answer]:
+    finished = False
+    try:
+        for line in _read_lines(response):
+            answer = _answer_decoder.decode(line)
+            finished = isinstance(answer, Usage)
+            yield answer
+            if finished:
+                break
+        if finished:
+            response.drain_conn()
+    except (urllib3.exceptions.HTTPError, msgspec.DecodeError, OSError):
+        finished = False
+    finally:
+        # A connection with an unread rest must not serve the next call: its
+        # caller would read another request's chunks.
+        if finished:
+            response.release_conn()
+        else:
+            response.close()
+    if not finished:
+        yield EngineFailed(started=True, reason="broken")
+
+
+def _read_lines(response: urllib3.BaseHTTPResponse) -> Iterator[bytes]:
+    rest = b""
+    while piece := response.read1(READ_BYTES):
+        rest += piece
+        *lines, rest = rest.split(b"\n")
+        yield from lines
--- /dev/null
+++ b/poplarrun/platform/_hostlist.py
@@ -0,0 +1,106 @@
+"""The platform's lagging list of live and leaving hosts."""
+
+import enum
+from dataclasses import dataclass
+from typing import Protocol
+
+import msgspec
+import urllib3
+
+from poplarrun.platform._http import pool_for
+
+TIMEOUT_S = 2.0
+OK = 200
+
+
+class HostKind(enum.Enum):
+    """What runs on a listed host."""
+
+    ENTRY = "entry"
+    MODEL_ENGINE = "model-engine"
+    PLAIN_SERVICE = "plain-service"
+
+
+class HostState(enum.Enum):
+    """What the platform says of a host; a dead one is simply gone from the list."""
+
+    LIVE = "live"
+    LEAVING = "leaving"
+
+
+@dataclass(frozen=True, slots=True)
+class ListedHost:
+    """One line of the host list.
+
+    Attributes
+    ----------
+    name : str
+        The platform's name of the host.
+    kind : HostKind
+        What runs there.
+    zone : str
+        Its availability zone.
+    address : str
+        ``ip:port`` of what runs there.
+    state : HostState
+        Live or leaving.
+    service : str, optional
+        Name of the plain service that runs there.
+    """
+
+    name: str
+    kind: HostKind
+    zone: str
+    address: str
+    state: HostState
+    service: str | None = None
+
+
+@dataclass(frozen=True, slots=True)
+class ListUnavailable:
+    """The host list gave no answer."""
+
+    reason: str
+
+
+class HostList(Protocol):
+    """The platform's host list. Calls block and never raise."""
+
+    def read(self) -> tuple[ListedHost, ...] | ListUnavailable:
+        """Read the whole list."""
+
+
+class _HostBody(msgspec.Struct):
+    name: str
+    kind: HostKind
+    zone: str
+    address: str
+    state: HostState
+    service: str | None = None
+
+
+class _ListBody(msgspec.Struct):
+    hosts: list[_HostBody]
+
+
+class HttpHostList:
+    """A ``HostList`` over the platform's HTTP interface."""
+
+    def __init__(self, address: str) -> None:
+        self._url = f"http://{address}/v1/hosts"
+
+    def read(self) -> tuple[ListedHost, ...] | ListUnavailable:
+        """Read the whole list."""
+        try:
+            response = pool_for().request("GET", self._url, timeout=TIMEOUT_S)
+        except urllib3.exceptions.HTTPError as error:
+            return ListUnavailable(type(error).__name__)
+        if response.status != OK:
+            return ListUnavailable(f"the host list answered {response.status}")
+        try:
+            body = msgspec.json.decode(response.data, type=_ListBody)
+        except msgspec.DecodeError:
+            return ListUnavailable("the host list could not be read")
+        return tuple(
+            ListedHost(h.name, h.kind, h.zone, h.address, h.state, h.service) for h in body.hosts
+        )
--- /dev/null
+++ b/poplarrun/platform/_http.py
@@ -0,0 +1,24 @@
+"""One urllib3 pool manager for all adapters of a process."""
+
+import urllib3
+
+CONNECTIONS_PER_ADDRESS = 64
+ADDRESSES = 2000
+
+_manager = urllib3.PoolManager(
+    num_pools=ADDRESSES, maxsize=CONNECTIONS_PER_ADDRESS, block=False, retries=False
+)
+
+
+def pool_for() -> urllib3.PoolManager:
+    """Return the pool manager; it repeats nothing on its own.
+
+    Library retries stay off: a repeat that the retry budget does not see
+    would add load in an outage, and could run an operation twice.
+    """
+    return _manager
+
+
+def close_pool() -> None:
+    """Close all idle connections."""
+    _manager.clear()
--- /dev/null
+++ b/poplarrun/platform/_ratings.py
@@ -0,0 +1,80 @@
+"""The rating service: answers go in, ratings come out late."""
+
+from dataclasses import dataclass
+from typing import Protocol
+
+import msgspec
+import urllib3
+
+from poplarrun.platform._http import pool_for
+
+TIMEOUT_S = 2.0
+OK = 200
+
+
+class RatedAnswer(msgspec.Struct, frozen=True):
+    """A rating of an answer, 0 (useless) to 1."""
+
+    request_id: str
+    quality: float
+
+
+@dataclass(frozen=True, slots=True)
+class RatingsUnavailable:
+    """The rating service gave no answer."""
+
+    reason: str
+
+
+class Ratings(Protocol):
+    """The rating service. Calls block and never raise."""
+
+    def submit(self, request_id: str, answer: str) -> bool:
+        """Hand in an answer to be rated; false when it was not taken."""
+
+    def collect(self, request_ids: list[str]) -> list[RatedAnswer] | RatingsUnavailable:
+        """Read the ratings that are ready among the requests asked for."""
+
+
+class _SubmitBody(msgspec.Struct):
+    request_id: str
+    answer: str
+
+
+class _CollectBody(msgspec.Struct):
+    request_ids: list[str]
+
+
+class HttpRatings:
+    """``Ratings`` over HTTP."""
+
+    def __init__(self, address: str) -> None:
+        self._base = f"http://{address}/v1"
+
+    def submit(self, request_id: str, answer: str) -> bool:
+        """Hand in an answer to be rated; false when it was not taken."""
+        status, _ = self._post("answers", _SubmitBody(request_id, answer))
+        return status == OK
+
+    def collect(self, request_ids: list[str]) -> list[RatedAnswer] | RatingsUnavailable:
+        """Read the ratings that are ready among the requests asked for."""
+        status, data = self._post("ratings", _CollectBody(request_ids))
+        if status != OK:
+            return RatingsUnavailable(f"status {status}")
+        try:
+            return msgspec.json.decode(data, type=list[RatedAnswer])
+        except msgspec.DecodeError:
+            return RatingsUnavailable("the ratings could not be read")
+
+    def _post(self, path: str, body: msgspec.Struct) -> tuple[int, bytes]:
+        try:
+            response = pool_for().request(
+                "POST",
+                f"{self._base}/{path}",
+                body=msgspec.json.encode(body),
+                headers={"Content-Type": "application/json"},
+                timeout=TIMEOUT_S,
+            )
+        except urllib3.exceptions.HTTPError:
+            return 0, b""
+        return response.status, response.data
--- /dev/null
+++ b/poplarrun/router/__init__.py
@@ -0,0 +1,31 @@
+"""The decisions about one request, from its arrival to its bill."""
+
+from poplarrun.router._messages import (
+    AttemptFailed,
+    BeginChat,
+    BeginOperation,
+    Bill,
+    CallFailed,
+    ChatGrant,
+    EndChat,
+    EndOperation,
+    Explanation,
+    FirstToken,
+    OperationGrant,
+)
+from poplarrun.router._router import Router
+
+__all__ = [
+    "AttemptFailed",
+    "BeginChat",
+    "BeginOperation",
+    "Bill",
+    "CallFailed",
+    "ChatGrant",
+    "EndChat",
+    "EndOperation",
+    "Explanation",
+    "FirstToken",
+    "OperationGrant",
+    "Router",
+]
--- /dev/null
+++ b/poplarrun/router/_messages.py
@@ -0,0 +1,176 @@
+"""The messages by which a worker thread asks the loop for decisions."""
+
+from dataclasses import dataclass, field
+
+from poplarrun.contracts import Operation, VersionId
+from poplarrun.platform import Usage
+
+
+@dataclass(frozen=True, slots=True)
+class BeginChat:
+    """A caller's chat request arrived.
+
+    Attributes
+    ----------
+    api_key : str
+        The caller's key, as presented.
+    class_name : str
+        The class of work asked for.
+    prompt_tokens, max_tokens : int
+        Length of the prompt, bound of the answer, in tokens.
+    session : str, optional
+        The caller's session id.
+    """
+
+    request_id: str
+    api_key: str
+    class_name: str
+    prompt_tokens: int
+    max_tokens: int
+    session: str | None = None
+
+
+@dataclass(frozen=True, slots=True)
+class ChatGrant:
+    """Where the worker must send the request now.
+
+    Attributes
+    ----------
+    endpoint : str
+        Name of the model engine.
+    address : str
+        Its ``ip:port``.
+    version : VersionId
+        What must generate the answer.
+    priority : int
+        Engine priority.
+    timeout_s : float
+        Seconds left until the request's deadline.
+    """
+
+    endpoint: str
+    address: str
+    version: VersionId
+    priority: int
+    timeout_s: float
+
+
+@dataclass(frozen=True, slots=True)
+class FirstToken:
+    """The first token of an answer reached the worker."""
+
+    request_id: str
+
+
+@dataclass(frozen=True, slots=True)
+class AttemptFailed:
+    """An attempt broke; the worker asks where to go on.
+
+    Attributes
+    ----------
+    started : bool
+        Whether the endpoint may have begun.
+    reason : str
+        Counter label.
+    position : int
+        Tokens already given to the caller.
+    """
+
+    request_id: str
+    started: bool
+    reason: str
+    position: int
+
+
+@dataclass(frozen=True, slots=True)
+class CallFailed:
+    """A call of a plain service broke; the worker asks where to go on.
+
+    Attributes
+    ----------
+    started : bool
+        Whether a byte of the call may have gone out.
+    reason : str
+        Counter label.
+    """
+
+    request_id: str
+    started: bool
+    reason: str
+
+
+@dataclass(frozen=True, slots=True)
+class EndChat:
+    """An answer ended.
+
+    Attributes
+    ----------
+    usage : Usage
+        What was used; for a cut-off answer, what was generated.
+    whole : bool
+        Whether the caller got the whole answer.
+    """
+
+    request_id: str
+    usage: Usage
+    whole: bool
+
+
+@dataclass(frozen=True, slots=True)
+class BeginOperation:
+    """A caller's call of a plain service arrived."""
+
+    request_id: str
+    api_key: str
+    service: str
+    operation: str
+    idempotency_key: str | None = None
+
+
+@dataclass(frozen=True, slots=True)
+class OperationGrant:
+    """Where the worker must send the call now."""
+
+    endpoint: str
+    address: str
+    operation: Operation
+
+
+@dataclass(frozen=True, slots=True)
+class EndOperation:
+    """A call of a plain service ended."""
+
+    request_id: str
+    ran: bool
+
+
+@dataclass(frozen=True, slots=True)
+class Bill:
+    """What one request costs its client account, once.
+
+    Attributes
+    ----------
+    id : str
+        The request's id.
+    amount : float
+        In account currency.
+    """
+
+    id: str
+    account: str
+    item: str
+    amount: float
+
+
+@dataclass
+class Explanation:
+    """Why a request went where it went, for ``poplarrun explain``."""
+
+    request_id: str
+    account: str
+    subject: str
+    config_offset: int
+    considered: list[str] = field(default_factory=list)
+    attempts: list[str] = field(default_factory=list)
+    outcome: str = "in progress"
+    bill: Bill | None = None
--- /dev/null
+++ b/poplarrun/server/__init__.py
@@ -0,0 +1,7 @@
+"""The daemon: HTTP to callers and operators, and the crossing into the loop."""
+
+from poplarrun.server._crossing import Crossing, CrossingClosed
+from poplarrun.server._daemon import Daemon, run_daemon
+from poplarrun.server._host import EntryHost
+
+__all__ = ["Crossing", "CrossingClosed", "Daemon", "EntryHost", "run_daemon"]
--- /dev/null
+++ b/poplarrun/server/_callers.py
@@ -0,0 +1,193 @@
+"""The callers' API, on CherryPy."""
+
+from collections.abc import Iterator
+from typing import Any
+
+import cherrypy
+
+from poplarrun.errors import ErrorKind, Refusal, answer_for
+from poplarrun.platform import (
+    Engine,
+    ServiceAnswer,
+    ServiceCall,
+    ServiceCaller,
+    ServiceNotSent,
+    ServiceUnknown,
+    Usage,
+)
+from poplarrun.router import BeginChat, BeginOperation, CallFailed, EndOperation, OperationGrant
+from poplarrun.server._bodies import (
+    ChatBody,
+    ChunkRenderer,
+    read_chat_body,
+    render_completion,
+    render_error,
+    render_models,
+)
+from poplarrun.server._chats import BrokenAnswer, ChatRun, Piece, new_request_id
+from poplarrun.server._crossing import Crossing
+from poplarrun.server._messages import ListClasses
+
+BEARER = "Bearer "
+JSON = "application/json"
+EVENT_STREAM = "text/event-stream"
+SESSION_HEADER = "X-Session-Id"
+IDEMPOTENCY_HEADER = "Idempotency-Key"
+REQUEST_ID_HEADER = "X-Request-Id"
+VERSION_HEADER = "X-Poplarrun-Version"
+MAX_ID_LENGTH = 200
+FIRST_ERROR_STATUS = 400
+
+
+def send_json(body: bytes, status: int = 200) -> bytes:
+    """Set a JSON answer's head and return its body."""
+    cherrypy.response.status = status
+    cherrypy.response.headers["Content-Type"] = JSON
+    return body
+
+
+def send_refusal(refusal: Refusal) -> bytes:
+    """Set a refusal's head and return its body."""
+    answer = answer_for(refusal.kind)
+    retry_after_s = refusal.retry_after_s
+    if retry_after_s is None:
+        retry_after_s = answer.retry_after_s
+    if retry_after_s is not None:
+        cherrypy.response.headers["Retry-After"] = f"{max(0.0, retry_after_s):.0f}"
+    return send_json(render_error(refusal), answer.status)
+
+
+def read_body(limit: int) -> bytes | Refusal:
+    """Read the request's body, up to a bound."""
+    length = int(cherrypy.request.headers.get("Content-Length") or 0)
+    if length > limit:
+        message = f"the body has {length} bytes, at most {limit} are allowed"
+        return Refusal(ErrorKind.BODY_TOO_LARGE, message, "body")
+    return bytes(cherrypy.request.body.read(limit))
+
+
+def read_key() -> str:
+    """Return the API key of the request; empty when it has none."""
+    header = cherrypy.request.headers.get("Authorization", "")
+    return header[len(BEARER) :] if header.startswith(BEARER) else ""
+
+
+class CallersApi:
+    """``/v1``: chat completions, models and plain services."""
+
+    def __init__(
+        self, crossing: Crossing, engine: Engine, services: ServiceCaller, body_bytes: int
+    ) -> None:
+        self._crossing = crossing
+        self._engine = engine
+        self._services = services
+        self._body_bytes = body_bytes
+
+    @cherrypy.expose
+    def default(self, *path: str, **_: Any) -> bytes | Iterator[bytes]:
+        """Dispatch on method and path."""
+        match (cherrypy.request.method, *path):
+            case ("POST", "chat", "completions"):
+                return self._complete_chat()
+            case ("GET", "models"):
+                return self._list_models()
+            case ("POST", "services", service, operation):
+                return self._call_service(service, operation)
+        return send_json(b'{"error": {"message": "no such path", "code": "not_found"}}', 404)
+
+    def _list_models(self) -> bytes:
+        match self._crossing.ask(ListClasses(read_key())):
+            case Refusal() as refusal:
+                return send_refusal(refusal)
+            case classes:
+                return send_json(render_models(classes))
+
+    def _complete_chat(self) -> bytes | Iterator[bytes]:
+        data = read_body(self._body_bytes)
+        body = data if isinstance(data, Refusal) else read_chat_body(data)
+        session = cherrypy.request.headers.get(SESSION_HEADER)
+        if isinstance(body, ChatBody) and session is not None and len(session) > MAX_ID_LENGTH:
+            message = f"at most {MAX_ID_LENGTH} characters are allowed"
+            body = Refusal(ErrorKind.INVALID_REQUEST, message, SESSION_HEADER)
+        if isinstance(body, Refusal):
+            self._crossing.ask(body)
+            return send_refusal(body)
+        request = BeginChat(
+            request_id=new_request_id(),
+            api_key=read_key(),
+            class_name=body.model,
+            prompt_tokens=len(body.prompt.split()),
+            max_tokens=body.token_bound,
+            session=session,
+        )
+        cherrypy.response.headers[REQUEST_ID_HEADER] = request.request_id
+        run = ChatRun(self._crossing, self._engine, request, body.prompt)
+        first = run.start()
+        if isinstance(first, Refusal):
+            return send_refusal(first)
+        cherrypy.response.headers[VERSION_HEADER] = str(run.version)
+        if body.stream:
+            return self._stream_answer(run, first, request)
+        return self._whole_answer(run, first, request)
+
+    def _stream_answer(self, run: ChatRun, first: Piece, request: BeginChat) -> Iterator[bytes]:
+        cherrypy.response.stream = True
+        cherrypy.response.headers["Content-Type"] = EVENT_STREAM
+        cherrypy.response.headers["Cache-Control"] = "no-cache"
+        return _render_stream(run, first, ChunkRenderer(request.request_id, request.class_name))
+
+    def _whole_answer(self, run: ChatRun, first: Piece, request: BeginChat) -> bytes:
+        texts: list[str] = []
+        for piece in run.pieces(first):
+            match piece:
+                case str():
+                    texts.append(piece)
+                case BrokenAnswer(refusal=refusal):
+                    return send_refusal(refusal)
+                case Usage() as usage:
+                    text = "".join(texts)
+                    return send_json(
+                        render_completion(request.request_id, request.class_name, text, usage)
+                    )
+        raise AssertionError("an answer ends with its usage or its break")
+
+    def _call_service(self, service: str, operation: str) -> bytes:
+        data = read_body(self._body_bytes)
+        if isinstance(data, Refusal):
+            self._crossing.ask(data)
+            return send_refusal(data)
+        key = cherrypy.request.headers.get(IDEMPOTENCY_HEADER)
+        request = BeginOperation(new_request_id(), read_key(), service, operation, key)
+        cherrypy.response.headers[REQUEST_ID_HEADER] = request.request_id
+        content_type = cherrypy.request.headers.get("Content-Type", JSON)
+        granted = self._crossing.ask(request)
+        while isinstance(granted, OperationGrant):
+            call = ServiceCall(
+                request.request_id, operation, data, content_type, granted.operation.timeout_s
+            )
+            match self._services.call(granted.address, call, lambda: True):
+                case ServiceAnswer() as answer:
+                    return self._pass_answer(request, answer)
+                case ServiceNotSent(reason=reason):
+                    granted = self._crossing.ask(CallFailed(request.request_id, False, reason))
+                case ServiceUnknown(reason=reason):
+                    granted = self._crossing.ask(CallFailed(request.request_id, True, reason))
+        return send_refusal(granted)
+
+    def _pass_answer(self, request: BeginOperation, answer: ServiceAnswer) -> bytes:
+        ran = answer.status < FIRST_ERROR_STATUS
+        self._crossing.ask(EndOperation(request.request_id, ran))
+        cherrypy.response.status = answer.status
+        cherrypy.response.headers["Content-Type"] = answer.content_type
+        return answer.body
+
+
+def _render_stream(run: ChatRun, first: Piece, renderer: ChunkRenderer) -> Iterator[bytes]:
+    for piece in run.pieces(first):
+        match piece:
+            case str():
+                yield renderer.render_text(piece)
+            case Usage() as usage:
+                yield renderer.render_end(usage)
+            case BrokenAnswer(refusal=refusal):
+                yield renderer.render_break(refusal)
--- /dev/null
+++ b/scripts/__init__.py
@@ -0,0 +1,1 @@
+"""Scripts of the build."""
--- /dev/null
+++ b/scripts/run_features.py
@@ -0,0 +1,108 @@
+"""Runs all behave features, some at a time, and prints one closing line.
+
+A scenario that KNOWN-RED.txt names (``feature file: scenario name | ...``) is
+run and printed, and does not turn the verdict.
+"""
+
+import json
+import subprocess
+import sys
+from concurrent.futures import ThreadPoolExecutor
+from dataclasses import dataclass
+from pathlib import Path
+
+ROOT = Path(__file__).resolve().parent.parent
+KNOWN_RED = ROOT / "KNOWN-RED.txt"
+AT_A_TIME = 4
+FEATURE_TIMEOUT_S = 280
+
+
+@dataclass(frozen=True)
+class Outcome:
+    """What became of one scenario."""
+
+    name: str
+    passed: bool
+    seconds: float
+
+
+@dataclass(frozen=True)
+class FeatureRun:
+    """What became of one feature file."""
+
+    feature: str
+    outcomes: list[Outcome]
+    output: str
+
+
+def run_feature(path: Path) -> FeatureRun:
+    """Run one feature file in a process of its own."""
+    name = str(path.relative_to(ROOT))
+    command = [sys.executable, "-m", "behave", "--format", "json", "--no-summary", str(path)]
+    try:
+        done = subprocess.run(
+            command, cwd=ROOT, capture_output=True, text=True, timeout=FEATURE_TIMEOUT_S
+        )
+        features = json.loads(done.stdout[done.stdout.index("[") : done.stdout.rindex("]") + 1])
+    except (subprocess.TimeoutExpired, ValueError) as error:
+        return FeatureRun(name, [Outcome(f"{name}: whole file", False, 0.0)], repr(error))
+    outcomes = [
+        _outcome(name, element)
+        for feature in features
+        for element in feature.get("elements", [])
+        if element["type"] == "scenario"
+    ]
+    if not outcomes or (done.returncode != 0 and all(outcome.passed for outcome in outcomes)):
+        outcomes.append(Outcome(f"{name}: whole file", False, 0.0))
+    return FeatureRun(name, outcomes, _failure_text(features) + done.stderr)
+
+
+def _outcome(feature: str, element: dict) -> Outcome:
+    results = [step.get("result", {}) for step in element["steps"]]
+    seconds = sum(result.get("duration", 0.0) for result in results)
+    passed = bool(results) and all(result.get("status") == "passed" for result in results)
+    return Outcome(f"{feature}: {element['name']}", passed, seconds)
+
+
+def _failure_text(features: list[dict]) -> str:
+    lines = []
+    for feature in features:
+        for element in feature.get("elements", []):
+            for step in element["steps"]:
+                result = step.get("result", {})
+                if result.get("status") not in ("passed", "skipped", None):
+                    message = result.get("error_message", "")
+                    text = "\n".join(message) if isinstance(message, list) else str(message)
+                    lines.append(f"{step['location']} {step['keyword']} {step['name']}\n{text}\n")
+    return "\n".join(lines)
+
+
+def read_known_red() -> set[str]:
+    """Return the names of the scenarios that are known to fail."""
+    lines = KNOWN_RED.read_text().splitlines()
+    return {line.split("|")[0].strip() for line in lines if line.strip()}
+
+
+def main() -> int:
+    """Run everything; return the exit code."""
+    arguments = [Path(argument).resolve() for argument in sys.argv[1:]]
+    paths = arguments or sorted(ROOT.glob("features/**/*.feature"))
+    known_red = read_known_red()
+    passed = failed = 0
+    with ThreadPoolExecutor(AT_A_TIME) as pool:
+        for run in pool.map(run_feature, paths):
+            bad = [o for o in run.outcomes if not o.passed]
+            seconds = sum(outcome.seconds for outcome in run.outcomes)
+            print(f"{run.feature}: {len(run.outcomes)} scenarios, {seconds:.1f} s", flush=True)
+            for outcome in bad:
+                print(f"  {'known red' if outcome.name in known_red else 'FAILED'}: {outcome.name}")
+            if bad:
+                print(run.output)
+            passed += len(run.outcomes) - len(bad)
+            failed += sum(outcome.name not in known_red for outcome in bad)
+    print(f"{passed} passed, {failed} failed")
+    return 1 if failed or not passed else 0
+
+
+if __name__ == "__main__":
+    sys.exit(main())
--- /dev/null
+++ b/standins/ratings.py
@@ -0,0 +1,78 @@
+"""Stand-in for the rating service: judges answers, answers late and with noise."""
+
+import random
+import time
+from dataclasses import dataclass
+
+import msgspec
+
+from standins._server import Request, Response, Route, StandIn, json_response
+from standins.engine import judge_text
+
+
+class RatingsFaults(msgspec.Struct):
+    """What the rating service can be told to do wrong.
+
+    Attributes
+    ----------
+    down : bool
+        Answer 503.
+    delay_s : float
+        Time until a rating is ready, in seconds.
+    lost : float
+        Share of answers that never get a rating.
+    noise : float
+        Standard deviation of the error of a rating.
+    bias : float
+        Added to each rating.
+    """
+
+    down: bool = False
+    delay_s: float = 0.2
+    lost: float = 0.0
+    noise: float = 0.05
+    bias: float = 0.0
+
+
+@dataclass(frozen=True)
+class _Rating:
+    ready_at: float
+    quality: float
+
+
+class RatingsStandIn(StandIn):
+    """Rates each answer once; a rating stays until it is collected."""
+
+    def __init__(self, seed: int = 1, **ports: int) -> None:
+        self._random = random.Random(seed)
+        self._ratings: dict[str, _Rating] = {}
+        super().__init__(RatingsFaults(), **ports)
+
+    def routes(self) -> list[Route]:
+        """Return the data port's routes."""
+        return [
+            Route("POST", "/v1/answers", self._submit),
+            Route("POST", "/v1/ratings", self._collect),
+        ]
+
+    def _submit(self, request: Request) -> Response:
+        if self.faults.down:
+            return json_response({"error": "down"}, 503)
+        body = msgspec.json.decode(request.body)
+        if self._random.random() >= self.faults.lost:
+            noise = self._random.gauss(0.0, self.faults.noise) + self.faults.bias
+            quality = min(1.0, max(0.0, judge_text(body["answer"]) + noise))
+            ready_at = time.monotonic() + self.faults.delay_s
+            self._ratings[body["request_id"]] = _Rating(ready_at, quality)
+        return json_response({"taken": True})
+
+    def _collect(self, request: Request) -> Response:
+        if self.faults.down:
+            return json_response({"error": "down"}, 503)
+        ready = []
+        for request_id in msgspec.json.decode(request.body)["request_ids"]:
+            rating = self._ratings.get(request_id)
+            if rating is not None and rating.ready_at <= time.monotonic():
+                ready.append({"request_id": request_id, "quality": rating.quality})
+                del self._ratings[request_id]
+        return json_response(ready)
