Split the decisions and name the seams between the parts

Cause: claims, versions, load and hosts would all have edited one router module. Conclusion: each part now has files of its own.

--- a/Makefile
+++ b/Makefile
@@ -38,3 +38,15 @@
 
 clean:
 	rm -rf $(VENV) build *.egg-info
+
+.PHONY: bench-path bench-versions bench-load bench-hosts check-histories capacity
+
+bench-path bench-versions bench-load bench-hosts: install
+	$(PYTHON) -m bench.$(@:bench-%=%)
+
+SEEDS ?= 200
+check-histories: install
+	$(PYTHON) -m scripts.check_histories --seeds $(SEEDS)
+
+capacity: install
+	$(PYTHON) -m scripts.capacity
--- /dev/null
+++ b/poplarrun/hosts/_rendezvous.py
@@ -0,0 +1,17 @@
+"""Rendezvous hashing: who usually does a job, without asking anyone."""
+
+import hashlib
+from collections.abc import Iterable
+
+
+def rank_hosts(key: str, hosts: Iterable[str]) -> list[str]:
+    """Order hosts by their claim to a key, the usual owner first.
+
+    Two hosts with different views of who is live may name different owners;
+    that costs a repeated append and no more, because the log's fold decides.
+    """
+    return sorted(hosts, key=lambda host: _score(key, host), reverse=True)
+
+
+def _score(key: str, host: str) -> bytes:
+    return hashlib.blake2b(f"{key}\0{host}".encode(), digest_size=8).digest()
--- a/poplarrun/router/__init__.py
+++ b/poplarrun/router/__init__.py
@@ -1,5 +1,6 @@
 """The decisions about one request, from its arrival to its bill."""
 
+from poplarrun.router._context import RouterContext
 from poplarrun.router._messages import (
     AttemptFailed,
     BeginChat,
@@ -28,4 +29,5 @@
     "FirstToken",
     "OperationGrant",
     "Router",
+    "RouterContext",
 ]
--- a/poplarrun/server/_callers.py
+++ b/poplarrun/server/_callers.py
@@ -6,16 +6,8 @@
 import cherrypy
 
 from poplarrun.errors import ErrorKind, Refusal, answer_for
-from poplarrun.platform import (
-    Engine,
-    ServiceAnswer,
-    ServiceCall,
-    ServiceCaller,
-    ServiceNotSent,
-    ServiceUnknown,
-    Usage,
-)
-from poplarrun.router import BeginChat, BeginOperation, CallFailed, EndOperation, OperationGrant
+from poplarrun.platform import Engine, ServiceAnswer, ServiceCaller, Usage
+from poplarrun.router import BeginChat, BeginOperation
 from poplarrun.server._bodies import (
     ChatBody,
     ChunkRenderer,
@@ -27,6 +19,7 @@
 from poplarrun.server._chats import BrokenAnswer, ChatRun, Piece, new_request_id
 from poplarrun.server._crossing import Crossing
 from poplarrun.server._messages import ListClasses
+from poplarrun.server._operations import OperationRun
 
 BEARER = "Bearer "
 JSON = "application/json"
@@ -36,7 +29,6 @@
 REQUEST_ID_HEADER = "X-Request-Id"
 VERSION_HEADER = "X-Poplarrun-Version"
 MAX_ID_LENGTH = 200
-FIRST_ERROR_STATUS = 400
 
 
 def send_json(body: bytes, status: int = 200) -> bytes:
@@ -160,26 +152,13 @@
         request = BeginOperation(new_request_id(), read_key(), service, operation, key)
         cherrypy.response.headers[REQUEST_ID_HEADER] = request.request_id
         content_type = cherrypy.request.headers.get("Content-Type", JSON)
-        granted = self._crossing.ask(request)
-        while isinstance(granted, OperationGrant):
-            call = ServiceCall(
-                request.request_id, operation, data, content_type, granted.operation.timeout_s
-            )
-            match self._services.call(granted.address, call, lambda: True):
-                case ServiceAnswer() as answer:
-                    return self._pass_answer(request, answer)
-                case ServiceNotSent(reason=reason):
-                    granted = self._crossing.ask(CallFailed(request.request_id, False, reason))
-                case ServiceUnknown(reason=reason):
-                    granted = self._crossing.ask(CallFailed(request.request_id, True, reason))
-        return send_refusal(granted)
-
-    def _pass_answer(self, request: BeginOperation, answer: ServiceAnswer) -> bytes:
-        ran = answer.status < FIRST_ERROR_STATUS
-        self._crossing.ask(EndOperation(request.request_id, ran))
-        cherrypy.response.status = answer.status
-        cherrypy.response.headers["Content-Type"] = answer.content_type
-        return answer.body
+        match OperationRun(self._crossing, self._services).run(request, data, content_type):
+            case ServiceAnswer() as answer:
+                cherrypy.response.status = answer.status
+                cherrypy.response.headers["Content-Type"] = answer.content_type
+                return answer.body
+            case Refusal() as refusal:
+                return send_refusal(refusal)
 
 
 def _render_stream(run: ChatRun, first: Piece, renderer: ChunkRenderer) -> Iterator[bytes]:
--- a/poplarrun/server/_host.py
+++ b/poplarrun/server/_host.py
@@ -90,7 +90,7 @@
     @property
     def is_ready(self) -> bool:
         """Whether callers may come: a configuration is in force and endpoints are known."""
-        has_configuration = self.router.configuration.offset >= 0
+        has_configuration = self.router.context.configuration.offset >= 0
         return has_configuration and self._list_seen and not self.stopping
 
     def start_tasks(self) -> None:
@@ -109,25 +109,25 @@
             case BeginChat() | BeginOperation() if not self.is_ready:
                 return self._refuse_unready()
             case BeginChat():
-                return self.router.begin_chat(message, now)
+                return self.router.chats.begin(message, now)
             case BeginOperation():
-                return self.router.begin_operation(message, now)
+                return self.router.operations.begin(message, now)
             case AttemptFailed():
-                return self.router.retry_chat(message, now)
+                return self.router.chats.retry(message, now)
             case CallFailed():
-                return self.router.retry_operation(message, now)
+                return self.router.operations.retry(message, now)
             case FirstToken():
-                return self.router.note_first_token(message, now)
+                return self.router.chats.note_first_token(message, now)
             case EndChat():
-                return self.router.end_chat(message, now)
+                return self.router.chats.end(message, now)
             case EndOperation():
-                return self.router.end_operation(message, now)
+                return self.router.operations.end(message, now)
             case Refusal():
                 return self.metrics.count_refusal(message.kind)
             case ListClasses():
                 return self._list_classes(message)
             case Explain():
-                return self.router.explain(message.request_id)
+                return self.router.context.explanations.find(message.request_id)
             case ReadStatus():
                 return self._read_status(now)
             case ReadMetrics():
@@ -167,8 +167,8 @@
                     self._fold(entry)
 
     def _fold(self, entry: Any) -> None:
-        state, verdict = fold_entry(self.router.configuration, entry)
-        self.router.configuration = state
+        state, verdict = fold_entry(self.router.context.configuration, entry)
+        self.router.context.configuration = state
         match verdict:
             case Accepted(offset=offset):
                 self._log.info("Configuration in force.", extra={"offset": offset})
@@ -203,7 +203,7 @@
         return Refusal(kind, "this host takes no requests now; try another")
 
     def _list_classes(self, message: ListClasses) -> list[str] | Refusal:
-        document = self.router.configuration.document
+        document = self.router.context.configuration.document
         account = document.account_for_key(message.api_key)
         if account is None:
             self.metrics.count_refusal(ErrorKind.UNAUTHENTICATED)
@@ -211,7 +211,7 @@
         return [name for name in document.classes if account.allows_class(name)]
 
     def _read_status(self, now: float) -> HostStatus:
-        configuration: Configuration = self.router.configuration
+        configuration: Configuration = self.router.context.configuration
         return HostStatus(
             host=self.settings.name,
             zone=self.settings.zone,
