--- /dev/null
+++ b/features/claim_fold.feature
@@ -0,0 +1,50 @@
+Feature: The log's order decides who holds an idempotency key
+
+  Scenario: The first claim in offset order wins
+    # Two owners append claims of one key, each believing it owns the shard. Every
+    # reader sees the same order, so all give the key to the same claim.
+    Given the claim records "claim a1 k, claim b1 k"
+    Then claim "a1" is judged "Won"
+    And claim "b1" is judged "Taken"
+
+  Scenario: A claim that was appended twice counts once
+    Given the claim records "claim a1 k, claim b1 k, claim a1 k, release a1 k, claim a1 k"
+    Then claim "a1" is judged "Voided"
+    And claim "b1" is judged "Taken"
+    And key "k" is held by "nobody"
+
+  Scenario: A release lets a later claim win, never an earlier one
+    Given the claim records "claim a1 k, claim b1 k, release a1 k, claim c1 k"
+    Then claim "b1" is judged "Taken"
+    And claim "c1" is judged "Won"
+
+  Scenario: A claim lands after its release
+    # The append of a claim got no answer; its host gave it up and released it.
+    # The claim's record lands later. It must hold nothing, or the key would be
+    # held for ever by a host that will never run it.
+    Given the claim records "release a1 k, claim a1 k, claim b1 k"
+    Then claim "a1" is judged "Voided"
+    And claim "b1" is judged "Won"
+
+  Scenario: A release after the outcome changes nothing
+    Given the claim records "claim a1 k, outcome a1 k, release a1 k, claim b1 k"
+    Then claim "b1" is judged "Taken"
+    And key "k" is held by "a1"
+
+  Scenario: One host's clock is a day ahead
+    # Were its record to end the retention of every key, a repeat of a key that
+    # ran would win and run again.
+    Given the claim records "claim a1 k, outcome a1 k, claim b1 other +86400, claim c1 k"
+    Then claim "c1" is judged "Taken"
+
+  Scenario: Keys older than the retention are forgotten
+    Given 2000 claims of other keys, 4 s apart, after the claim records "claim a1 k"
+    Then key "k" is held by "nobody"
+    And at most 901 keys are held
+
+  Scenario: A host that starts from a snapshot agrees with one that read everything
+    # The log has dropped the first records. A snapshot that was written before
+    # carries the keys that they held.
+    Given a shard with 40 random claims with seed 5, snapshots, and dropped records
+    When a new host reads the shard
+    Then both hosts hold the same keys
--- /dev/null
+++ b/poplarrun/billing/__init__.py
@@ -0,0 +1,1 @@
+"""Billing: each request once."""
--- /dev/null
+++ b/poplarrun/claims/_keeper.py
@@ -0,0 +1,255 @@
+"""A host's claims: made through the shard's usual owner, decided by the log."""
+
+import asyncio
+from collections.abc import Callable
+from dataclasses import dataclass
+
+import msgspec
+
+from poplarrun.claims._fold import RETENTION_S
+from poplarrun.claims._keys import SHARDS, shard_of
+from poplarrun.claims._records import (
+    Claim,
+    ClaimVerdict,
+    Holding,
+    Outcome,
+    Record,
+    Release,
+    Stored,
+    Unsettled,
+    Verdict,
+)
+from poplarrun.claims._shard import Shard
+from poplarrun.hosts import Peers, rank_hosts
+from poplarrun.log import AsyncLog
+
+APPEND_MESSAGE = "claims.append"
+FIND_MESSAGE = "claims.find"
+# An owner that is silent for so long is passed over for a while. Should it
+# append after all, the fold drops the second copy.
+ASK_TIMEOUT_S = 2.0
+ASK_SHARE = 0.4
+SILENT_S = 5.0
+SETTLE_TIMEOUT_S = 2.0
+SETTLE_RETRY_S = 0.5
+# Outcomes and releases that wait for the log, about 1 KB each. At the bound new
+# keyed operations are refused, for their outcome could not be kept.
+MAX_UNSETTLED = 10_000
+SHARD_IDLE_S = 120.0
+
+
+class _Append(msgspec.Struct, frozen=True, array_like=True):
+    record: Record
+    timeout_s: float
+
+
+class _Find(msgspec.Struct, frozen=True, array_like=True):
+    account: str
+    key: str
+
+
+class Found(msgspec.Struct, frozen=True, array_like=True):
+    """What holds a key.
+
+    Attributes
+    ----------
+    is_current : bool
+        Whether the log was read to its end for it.
+    """
+
+    holding: Holding | None
+    is_current: bool
+
+
+@dataclass
+class ClaimCounts:
+    """What a keeper did, for the metrics and the bench."""
+
+    forwarded: int = 0
+    owner_silent: int = 0
+    unsettled: int = 0
+
+
+_encode = msgspec.msgpack.Encoder().encode
+_append_decoder = msgspec.msgpack.Decoder(_Append)
+_find_decoder = msgspec.msgpack.Decoder(_Find)
+_found_decoder = msgspec.msgpack.Decoder(Found)
+_verdict_decoder: msgspec.msgpack.Decoder[Verdict] = msgspec.msgpack.Decoder(Verdict)
+
+
+class ClaimKeeper:
+    """Makes claims, settles them, and finds what holds a key.
+
+    Parameters
+    ----------
+    peers : Peers
+        The other hosts.
+    log : AsyncLog
+        The platform's log.
+    now, wall : callable
+        Seconds, monotonic and since the epoch.
+    """
+
+    def __init__(
+        self,
+        peers: Peers,
+        log: AsyncLog,
+        now: Callable[[], float],
+        wall: Callable[[], float],
+        retention_s: float = RETENTION_S,
+    ) -> None:
+        self.counts = ClaimCounts()
+        self._peers = peers
+        self._log = log
+        self._now = now
+        self._wall = wall
+        self._retention_s = retention_s
+        self._shards: dict[int, Shard] = {}
+        self._unsettled: dict[str, Outcome | Release] = {}
+        self._settling: asyncio.Task[None] | None = None
+        self._silent_until: dict[str, float] = {}
+        peers.serve(APPEND_MESSAGE, self._serve_append)
+        peers.serve(FIND_MESSAGE, self._serve_find)
+
+    @property
+    def is_full(self) -> bool:
+        """Whether no new claim may be made, for its outcome could not be kept."""
+        return len(self._unsettled) >= MAX_UNSETTLED
+
+    @property
+    def unsettled(self) -> int:
+        """Outcomes and releases that the log doesn't hold yet."""
+        return len(self._unsettled)
+
+    @property
+    def appends(self) -> int:
+        """Appends that this host made."""
+        return sum(shard.appends for shard in self._shards.values())
+
+    async def claim(self, claim: Claim, timeout_s: float) -> ClaimVerdict:
+        """Claim a key, and wait until the log has decided.
+
+        On ``Unsettled`` with ``may_stand`` the caller must release the claim.
+        """
+        verdict = await self._append(claim, timeout_s)
+        if isinstance(verdict, Stored):
+            raise TypeError("a claim is judged, not stored")
+        if isinstance(verdict, Unsettled):
+            self.counts.unsettled += 1
+        return verdict
+
+    def settle(self, record: Outcome | Release) -> None:
+        """Put an outcome or a release into the log, however long that takes."""
+        self._unsettled[record.id] = record
+        if self._settling is None:
+            self._settling = asyncio.create_task(self._settle_all())
+
+    def settled_here(self, claim_id: str) -> Outcome | Release | None:
+        """Return what this host decided about a claim and the log doesn't hold yet."""
+        return self._unsettled.get(claim_id)
+
+    async def find(self, account: str, key: str, timeout_s: float = SETTLE_TIMEOUT_S) -> Found:
+        """Return what holds a key, as the log says now."""
+        owner = self._owner_of(shard_of(account, key))
+        if owner != self._peers.me.name:
+            asked = _encode(_Find(account, key))
+            answer = await self._peers.ask(owner, FIND_MESSAGE, asked, timeout_s / 2)
+            if isinstance(answer, bytes):
+                return _found_decoder.decode(answer)
+            self._note_silent(owner)
+        return await self._find_here(account, key)
+
+    async def tend(self) -> None:
+        """Write the snapshots that are due; called now and then."""
+        for number in range(SHARDS):
+            if self._owner_of(number) == self._peers.me.name:
+                shard = self._shard(number)
+                if await shard.refresh():
+                    shard.snapshot_when_due()
+
+    async def _append(self, record: Record, timeout_s: float) -> Verdict:
+        deadline = self._now() + timeout_s
+        shard = shard_of(record.account, record.key)
+        owner = self._owner_of(shard)
+        forwarded: Verdict = Unsettled(may_stand=False)
+        if owner != self._peers.me.name:
+            forwarded = await self._forward(
+                owner, record, min(ASK_TIMEOUT_S, timeout_s * ASK_SHARE)
+            )
+        if not isinstance(forwarded, Unsettled):
+            return forwarded
+        verdict = await self._shard(shard).submit(record, max(0.0, deadline - self._now()))
+        if isinstance(verdict, Unsettled):
+            return Unsettled(verdict.may_stand or forwarded.may_stand)
+        return verdict
+
+    async def _forward(self, owner: str, record: Record, timeout_s: float) -> Verdict:
+        """Let the owner append.
+
+        When it is silent the same record is appended here. If both land, the
+        fold drops the second by its id: the first decides, nothing runs twice.
+        """
+        self.counts.forwarded += 1
+        message = _encode(_Append(record, timeout_s))
+        answer = await self._peers.ask(owner, APPEND_MESSAGE, message, timeout_s)
+        if isinstance(answer, bytes):
+            return _verdict_decoder.decode(answer)
+        self._note_silent(owner)
+        return Unsettled(may_stand=True)
+
+    def _note_silent(self, owner: str) -> None:
+        self.counts.owner_silent += 1
+        self._silent_until[owner] = self._now() + SILENT_S
+
+    async def _settle_all(self) -> None:
+        try:
+            while self._unsettled:
+                records = list(self._unsettled.values())
+                await asyncio.gather(*(self._settle_one(record) for record in records))
+                if all(record.id in self._unsettled for record in records):
+                    await asyncio.sleep(SETTLE_RETRY_S)
+        finally:
+            self._settling = None
+
+    async def _settle_one(self, record: Outcome | Release) -> None:
+        if isinstance(await self._append(record, SETTLE_TIMEOUT_S), Stored):
+            self._unsettled.pop(record.id, None)
+
+    async def _serve_append(self, _: str, payload: bytes) -> bytes:
+        message = _append_decoder.decode(payload)
+        shard = self._shard(shard_of(message.record.account, message.record.key))
+        return _encode(await shard.submit(message.record, message.timeout_s))
+
+    async def _serve_find(self, _: str, payload: bytes) -> bytes:
+        message = _find_decoder.decode(payload)
+        return _encode(await self._find_here(message.account, message.key))
+
+    async def _find_here(self, account: str, key: str) -> Found:
+        shard = self._shard(shard_of(account, key))
+        is_current = await shard.refresh()
+        return Found(shard.fold.find(account, key), is_current)
+
+    def _owner_of(self, shard: int) -> str:
+        now = self._now()
+        names = [
+            peer.name
+            for peer in self._peers.live()
+            if peer == self._peers.me or self._silent_until.get(peer.name, 0.0) <= now
+        ]
+        return rank_hosts(f"claims/{shard}", names)[0]
+
+    def _shard(self, number: int) -> Shard:
+        shard = self._shards.get(number)
+        if shard is None:
+            self._forget_idle()
+            shard = Shard(number, self._log, self._now, self._wall, self._retention_s)
+            self._shards[number] = shard
+        return shard
+
+    def _forget_idle(self) -> None:
+        """Drop shards that another host works on now; the log keeps what they held."""
+        horizon = self._now() - SHARD_IDLE_S
+        for number in range(SHARDS):
+            shard = self._shards.get(number)
+            if shard is not None and shard.is_idle and shard.used_at < horizon:
+                del self._shards[number]
--- /dev/null
+++ b/poplarrun/claims/_keys.py
@@ -0,0 +1,43 @@
+"""Idempotency keys: their shard, their age, and the fingerprint of what they name."""
+
+import hashlib
+import uuid
+
+SHARDS = 32
+FINGERPRINT_BYTES = 16
+UUID_WITH_TIME = 7
+UUID_TIME_SHIFT_BITS = 80
+MILLISECONDS_PER_SECOND = 1000
+
+
+def shard_of(account: str, key: str) -> int:
+    """Return the shard whose stream decides about a key."""
+    digest = hashlib.blake2b(f"{account}\0{key}".encode(), digest_size=4).digest()
+    return int.from_bytes(digest) % SHARDS
+
+
+def stream_of(shard: int) -> str:
+    """Return the name of a shard's stream."""
+    return f"claims-{shard:02d}"
+
+
+def fingerprint_of(service: str, operation: str, body: bytes) -> bytes:
+    """Return a digest that tells two calls under one key apart."""
+    digest = hashlib.blake2b(f"{service}/{operation}\0".encode(), digest_size=FINGERPRINT_BYTES)
+    digest.update(body)
+    return digest.digest()
+
+
+def issued_at(key: str) -> float | None:
+    """Return when a key was made, in seconds since the epoch; None when it doesn't say.
+
+    A UUID of version 7 carries its time. Such a key is known to be too old for
+    ever; any other key can be told from a new one only while its records are kept.
+    """
+    try:
+        parsed = uuid.UUID(key)
+    except ValueError:
+        return None
+    if parsed.version != UUID_WITH_TIME:
+        return None
+    return (parsed.int >> UUID_TIME_SHIFT_BITS) / MILLISECONDS_PER_SECOND
--- /dev/null
+++ b/poplarrun/claims/_records.py
@@ -0,0 +1,158 @@
+"""The records of the claim streams, and the results that hosts tell each other."""
+
+import msgspec
+
+
+class Claim(msgspec.Struct, frozen=True, array_like=True, tag="claim"):
+    """A host wants to run an operation under an idempotency key.
+
+    Attributes
+    ----------
+    id : str
+        Id of the request; the fold drops repeats of it.
+    account, key : str
+        Client account, and its idempotency key.
+    fingerprint : bytes
+        Digest of the operation and its body.
+    host, incarnation
+        The process that alone may send the call.
+    at : float
+        Seconds since the epoch, by that host's clock.
+    """
+
+    id: str
+    account: str
+    key: str
+    fingerprint: bytes
+    host: str
+    incarnation: int
+    at: float
+
+
+class Ran(msgspec.Struct, frozen=True, array_like=True, tag="ran"):
+    """The operation ran and the service answered.
+
+    Attributes
+    ----------
+    body : bytes
+        The answer's body; empty when it was too large to keep.
+    is_kept : bool
+        Whether ``body`` is the whole body.
+    """
+
+    status: int
+    content_type: str
+    body: bytes
+    is_kept: bool = True
+
+
+class Lost(msgspec.Struct, frozen=True, array_like=True, tag="lost"):
+    """The call went out and no answer came: it may have run."""
+
+    reason: str
+
+
+Result = Ran | Lost
+
+
+class Outcome(msgspec.Struct, frozen=True, array_like=True, tag="outcome"):
+    """What became of the call that a claim sent; ``id`` is the claim's."""
+
+    id: str
+    account: str
+    key: str
+    result: Result
+
+
+class Release(msgspec.Struct, frozen=True, array_like=True, tag="release"):
+    """No byte was sent under a claim and none ever will be; ``id`` is the claim's."""
+
+    id: str
+    account: str
+    key: str
+
+
+class Holding(msgspec.Struct, array_like=True):
+    """The claim that holds a key, and its result once there is one."""
+
+    claim: Claim
+    result: Result | None = None
+
+
+class Snapshot(msgspec.Struct, frozen=True, array_like=True, tag="snapshot"):
+    """The state of the fold after the record at offset ``through``.
+
+    Attributes
+    ----------
+    at : float
+        When it was written, in seconds since the epoch.
+    clock : float
+        The fold's own clock, in seconds since the epoch.
+    holdings : list of Holding
+        Every key that is held.
+    seen, voided : dict of str to float
+        Ids of claims, and of released claims, with their times.
+    """
+
+    through: int
+    at: float
+    clock: float
+    holdings: list[Holding]
+    seen: dict[str, float]
+    voided: dict[str, float]
+
+
+Record = Claim | Outcome | Release
+LogRecord = Record | Snapshot
+
+
+class Won(msgspec.Struct, frozen=True, array_like=True, tag="won"):
+    """The claim holds its key; only its host may send the call."""
+
+
+class Taken(msgspec.Struct, frozen=True, array_like=True, tag="taken"):
+    """Another claim of the key stands before this one, which will never hold it."""
+
+    holding: Holding | None
+
+
+class Voided(msgspec.Struct, frozen=True, array_like=True, tag="voided"):
+    """The claim was released, so it can never hold its key."""
+
+
+class Stored(msgspec.Struct, frozen=True, array_like=True, tag="stored"):
+    """An outcome or a release stands in the log."""
+
+
+class Unsettled(msgspec.Struct, frozen=True, array_like=True, tag="unsettled"):
+    """The log did not say what became of a record.
+
+    Attributes
+    ----------
+    may_stand : bool
+        Whether the record may stand in the stream, now or later.
+    """
+
+    may_stand: bool
+
+
+Verdict = Won | Taken | Voided | Stored | Unsettled
+ClaimVerdict = Won | Taken | Voided | Unsettled
+
+_encoder = msgspec.msgpack.Encoder()
+_batch_decoder: msgspec.msgpack.Decoder[list[LogRecord]] = msgspec.msgpack.Decoder(
+    list[Claim | Outcome | Release | Snapshot]
+)
+
+
+def encode_batch(records: list[LogRecord] | list[Record]) -> bytes:
+    """Return the bytes of the records that one append carries."""
+    return _encoder.encode(records)
+
+
+def decode_batch(data: bytes) -> list[LogRecord]:
+    """Read the records of one append; none when the bytes are no batch."""
+    try:
+        return _batch_decoder.decode(data)
+    except (msgspec.DecodeError, UnicodeDecodeError):
+        return []
--- /dev/null
+++ b/poplarrun/claims/_shard.py
@@ -0,0 +1,213 @@
+"""One claim stream as a host works on it: group commit, and reading back."""
+
+import asyncio
+from collections.abc import Callable
+from dataclasses import dataclass
+
+from poplarrun.claims._fold import RETENTION_S, ClaimFold
+from poplarrun.claims._keys import stream_of
+from poplarrun.claims._records import (
+    Claim,
+    LogRecord,
+    Record,
+    Snapshot,
+    Stored,
+    Unsettled,
+    Verdict,
+    decode_batch,
+    encode_batch,
+)
+from poplarrun.log import (
+    Appended,
+    AppendRefused,
+    AppendUnknown,
+    AsyncLog,
+    Entry,
+    Page,
+)
+
+# With 32 shards this bounds the claims of all hosts to 160 appends a second.
+MIN_APPEND_INTERVAL_S = 0.2
+MAX_BATCH_RECORDS = 500
+READ_LIMIT = 500
+READ_ATTEMPTS = 3
+READ_RETRY_S = 0.05
+# Must be well under the time for which the log keeps records.
+SNAPSHOT_INTERVAL_S = 1800.0
+
+
+@dataclass(eq=False)
+class _Waiting:
+    record: Record
+    settled: asyncio.Future[Verdict]
+
+
+class Shard:
+    """Appends records of one shard and tells what became of each.
+
+    One append is under way at a time; what arrives meanwhile goes with the
+    next one. The first record after a quiet time goes at once.
+
+    Parameters
+    ----------
+    number : int
+        The shard's number.
+    log : AsyncLog
+        The platform's log.
+    now, wall : callable
+        Seconds, monotonic and since the epoch.
+    """
+
+    def __init__(
+        self,
+        number: int,
+        log: AsyncLog,
+        now: Callable[[], float],
+        wall: Callable[[], float],
+        retention_s: float = RETENTION_S,
+    ) -> None:
+        self.fold = ClaimFold(retention_s)
+        self.used_at = now()
+        self.appends = 0
+        self._stream = stream_of(number)
+        self._log = log
+        self._now = now
+        self._wall = wall
+        self._snapshot_at = wall()
+        self._snapshot_wanted = False
+        self._next_append_at = 0.0
+        self._waiting: list[_Waiting] = []
+        self._pump: asyncio.Task[None] | None = None
+        self._reading = asyncio.Lock()
+
+    @property
+    def is_idle(self) -> bool:
+        """Whether nothing waits and nothing is under way."""
+        return self._pump is None
+
+    async def submit(self, record: Record, timeout_s: float) -> Verdict:
+        """Append a record and wait for its verdict."""
+        self.used_at = self._now()
+        waiting = _Waiting(record, asyncio.get_running_loop().create_future())
+        self._waiting.append(waiting)
+        self._start()
+        await asyncio.wait([waiting.settled], timeout=timeout_s)
+        if waiting.settled.done():
+            return waiting.settled.result()
+        if waiting in self._waiting:
+            self._waiting.remove(waiting)
+            return Unsettled(may_stand=False)
+        return Unsettled(may_stand=True)
+
+    async def refresh(self) -> bool:
+        """Fold all that the log holds now; tell whether it answered."""
+        self.used_at = self._now()
+        async with self._reading:
+            return await self._read(None)
+
+    def snapshot_when_due(self) -> None:
+        """Write a snapshot when the last one has become old."""
+        is_due = self._wall() - self._snapshot_at >= SNAPSHOT_INTERVAL_S
+        if is_due and self.fold.size and self.is_idle:
+            self._snapshot_wanted = True
+            self._start()
+
+    def _start(self) -> None:
+        if self._pump is None:
+            self._pump = asyncio.create_task(self._append_waiting())
+
+    async def _append_waiting(self) -> None:
+        try:
+            while self._waiting or self._snapshot_wanted:
+                await asyncio.sleep(max(0.0, self._next_append_at - self._now()))
+                batch = self._waiting[:MAX_BATCH_RECORDS]
+                del self._waiting[:MAX_BATCH_RECORDS]
+                if batch or self._snapshot_wanted:
+                    self._next_append_at = self._now() + MIN_APPEND_INTERVAL_S
+                    await self._append(batch)
+        finally:
+            self._pump = None
+
+    async def _append(self, batch: list[_Waiting]) -> None:
+        records: list[LogRecord] = [waiting.record for waiting in batch]
+        if self._snapshot_wanted:
+            self._snapshot_wanted = False
+            records.append(self.fold.take_snapshot(self._wall()))
+        data = encode_batch(records)
+        self.appends += 1
+        outcome = await self._log.append(self._stream, data)
+        async with self._reading:
+            match outcome:
+                case Appended(offset=offset):
+                    caught_up = await self._read_back(offset, data)
+                    self._settle(batch, caught_up, may_stand=True)
+                case AppendUnknown():
+                    caught_up = await self._read(None)
+                    self._settle(batch, caught_up, may_stand=True)
+                case AppendRefused():
+                    self._settle(batch, False, may_stand=False)
+
+    def _settle(self, batch: list[_Waiting], caught_up: bool, may_stand: bool) -> None:
+        for waiting in batch:
+            if waiting.settled.done():
+                continue
+            if not caught_up or not self.fold.knows(waiting.record):
+                waiting.settled.set_result(Unsettled(may_stand))
+            elif isinstance(waiting.record, Claim):
+                waiting.settled.set_result(self.fold.judge(waiting.record))
+            else:
+                waiting.settled.set_result(Stored())
+
+    async def _read_back(self, offset: int, data: bytes) -> bool:
+        """Fold up to the own record; nothing is read when it is the next one."""
+        if self.fold.next_offset == offset:
+            self._fold(Entry(offset, data))
+            return True
+        return await self._read(offset)
+
+    async def _read(self, up_to: int | None) -> bool:
+        """Fold up to an offset, or up to the stream's end."""
+        failures = 0
+        while up_to is None or self.fold.next_offset <= up_to:
+            match await self._log.read(self._stream, self.fold.next_offset, READ_LIMIT):
+                case Page(entries=entries, horizon=horizon, end=end):
+                    if horizon > self.fold.next_offset:
+                        await self._restart(horizon)
+                        continue
+                    for entry in entries:
+                        self._fold(entry)
+                    if self.fold.next_offset >= end:
+                        return up_to is None or self.fold.next_offset > up_to
+                    if not entries:
+                        return False
+                case _:
+                    failures += 1
+                    if failures >= READ_ATTEMPTS:
+                        return False
+                    await asyncio.sleep(READ_RETRY_S)
+        return True
+
+    async def _restart(self, horizon: int) -> None:
+        """Begin at the oldest snapshot that the kept records continue.
+
+        Without one the keys before the horizon are gone: the log's retention
+        must then be longer than that of the keys, as the operators' page asks.
+        """
+        position = horizon
+        while True:
+            page = await self._log.read(self._stream, position, READ_LIMIT)
+            if not isinstance(page, Page) or not page.entries:
+                break
+            for entry in page.entries:
+                for record in decode_batch(entry.data):
+                    if isinstance(record, Snapshot) and record.through + 1 >= horizon:
+                        self.fold.adopt(record)
+                        return
+            position = page.entries[-1].offset + 1
+        self.fold.next_offset = horizon
+
+    def _fold(self, entry: Entry) -> None:
+        self.fold.fold(entry)
+        for record in decode_batch(entry.data):
+            if isinstance(record, Snapshot):
+                self._snapshot_at = record.at
--- a/poplarrun/log/__init__.py
+++ b/poplarrun/log/__init__.py
@@ -1,5 +1,6 @@
 """The platform's append-only log: the interface, an in-memory version, records."""
 
+from poplarrun.log._async import AsyncLog, ThreadedLog
 from poplarrun.log._interface import (
     Appended,
     AppendOutcome,
@@ -19,6 +20,7 @@
     "AppendRefused",
     "AppendUnknown",
     "Appended",
+    "AsyncLog",
     "Entry",
     "Gap",
     "Log",
@@ -27,5 +29,6 @@
     "ReadFailed",
     "ReadOutcome",
     "StreamReader",
+    "ThreadedLog",
     "append_until_known",
 ]
--- a/poplarrun/platform/__init__.py
+++ b/poplarrun/platform/__init__.py
@@ -23,11 +23,11 @@
 from poplarrun.platform._ratings import HttpRatings, RatedAnswer, Ratings, RatingsUnavailable
 from poplarrun.platform._services import (
     HttpServiceCaller,
+    PreparedCall,
     ServiceAnswer,
     ServiceCall,
     ServiceCaller,
     ServiceNotSent,
-    ServiceOutcome,
     ServiceUnknown,
 )
 
@@ -48,6 +48,7 @@
     "ListUnavailable",
     "ListedHost",
     "LoadReport",
+    "PreparedCall",
     "RatedAnswer",
     "Ratings",
     "RatingsUnavailable",
@@ -55,7 +56,6 @@
     "ServiceCall",
     "ServiceCaller",
     "ServiceNotSent",
-    "ServiceOutcome",
     "ServiceUnknown",
     "Usage",
     "close_pool",
--- a/poplarrun/platform/_services.py
+++ b/poplarrun/platform/_services.py
@@ -1,12 +1,14 @@
-"""Plain services: one call, whose outcome is ran, not sent or unknown."""
+"""Plain services: one call, handed over in one step, whose outcome is ran or unknown."""
 
-from collections.abc import Callable
+import contextlib
 from dataclasses import dataclass
-from typing import Protocol
+from typing import Any, Protocol
 
 import urllib3
 
 CONNECT_TIMEOUT_S = 0.5
+# What the loop hands to the socket itself: a new connection's buffer holds it.
+FIRST_PIECE_BYTES = 16_384
 
 
 @dataclass(frozen=True, slots=True)
@@ -17,7 +19,6 @@
     operation: str
     body: bytes
     content_type: str
-    timeout_s: float
 
 
 @dataclass(frozen=True, slots=True)
@@ -43,53 +44,89 @@
     reason: str
 
 
-ServiceOutcome = ServiceAnswer | ServiceNotSent | ServiceUnknown
-SendPermit = Callable[[], bool]
+class PreparedCall(Protocol):
+    """A call whose connection is open and of which no byte was sent."""
+
+    def hand_over(self) -> bool:
+        """Send the first bytes; False when none went. Never blocks, never raises.
+
+        The loop calls this in the step that decides that the call may run.
+        Were the bytes sent by another thread, the process could be stopped
+        between the two, and the call would run long after it was refused.
+        """
+
+    def finish(self, timeout_s: float) -> ServiceAnswer | ServiceUnknown:
+        """Send the rest and wait for the answer. Blocks, never raises."""
+
+    def close(self) -> None:
+        """Close the connection; without ``hand_over`` nothing was sent."""
 
 
 class ServiceCaller(Protocol):
     """Plain services, by address. Calls block and never raise."""
 
-    def call(self, address: str, call: ServiceCall, permit: SendPermit) -> ServiceOutcome:
-        """Connect, ask ``permit``, and send the call only when it says so."""
+    def prepare(self, address: str, call: ServiceCall) -> PreparedCall | ServiceNotSent:
+        """Connect, and make the bytes of the call without sending any."""
+
+
+class _HeldConnection(urllib3.connection.HTTPConnection):
+    """A connection that keeps the bytes it would send."""
+
+    held = b""
+
+    def send(self, data: Any) -> None:
+        self.held += bytes(data)
+
+
+class HttpPreparedCall:
+    """A ``PreparedCall`` over HTTP."""
+
+    def __init__(self, connection: _HeldConnection) -> None:
+        self._connection = connection
+        self._sent = 0
+
+    def hand_over(self) -> bool:
+        """Send the first bytes; False when none went. Never blocks, never raises."""
+        try:
+            self._connection.sock.setblocking(False)
+            self._sent = self._connection.sock.send(self._connection.held[:FIRST_PIECE_BYTES])
+        except OSError:
+            return False
+        return self._sent > 0
+
+    def finish(self, timeout_s: float) -> ServiceAnswer | ServiceUnknown:
+        """Send the rest and wait for the answer. Blocks, never raises."""
+        try:
+            self._connection.sock.settimeout(max(0.001, timeout_s))
+            self._connection.sock.sendall(self._connection.held[self._sent :])
+            response = self._connection.getresponse()
+        except (urllib3.exceptions.HTTPError, OSError) as error:
+            return ServiceUnknown(type(error).__name__)
+        content_type = response.headers.get("Content-Type", "application/octet-stream")
+        return ServiceAnswer(response.status, response.data, content_type)
+
+    def close(self) -> None:
+        """Close the connection; without ``hand_over`` nothing was sent."""
+        with contextlib.suppress(OSError):
+            self._connection.close()
 
 
 class HttpServiceCaller:
     """A ``ServiceCaller`` over HTTP."""
 
-    def call(self, address: str, call: ServiceCall, permit: SendPermit) -> ServiceOutcome:
-        """Connect, ask ``permit``, and send the call only when it says so."""
+    def prepare(self, address: str, call: ServiceCall) -> PreparedCall | ServiceNotSent:
+        """Connect, and make the bytes of the call without sending any."""
         host, _, port = address.rpartition(":")
-        timeout = urllib3.Timeout(connect=CONNECT_TIMEOUT_S, read=call.timeout_s)
-        connection = urllib3.connection.HTTPConnection(host, int(port), timeout=CONNECT_TIMEOUT_S)
+        connection = _HeldConnection(host, int(port), timeout=CONNECT_TIMEOUT_S)
         try:
             connection.connect()
+            connection.request(
+                "POST",
+                f"/v1/operations/{call.operation}",
+                body=call.body,
+                headers={"Content-Type": call.content_type, "X-Request-Id": call.request_id},
+            )
         except (urllib3.exceptions.HTTPError, OSError):
-            return ServiceNotSent("connect")
-        try:
-            if not permit():
-                return ServiceNotSent("permit")
-            return _exchange(connection, call, timeout)
-        finally:
             connection.close()
-
-
-def _exchange(
-    connection: urllib3.connection.HTTPConnection, call: ServiceCall, timeout: urllib3.Timeout
-) -> ServiceOutcome:
-    try:
-        if connection.sock is not None:
-            connection.sock.settimeout(call.timeout_s)
-        connection.request(
-            "POST",
-            f"/v1/operations/{call.operation}",
-            body=call.body,
-            headers={"Content-Type": call.content_type, "X-Request-Id": call.request_id},
-        )
-        response = connection.getresponse()
-        data = response.read()
-    except (urllib3.exceptions.HTTPError, OSError) as error:
-        return ServiceUnknown(type(error).__name__)
-    return ServiceAnswer(
-        response.status, data, response.headers.get("Content-Type", "application/octet-stream")
-    )
+            return ServiceNotSent("connect")
+        return HttpPreparedCall(connection)
--- a/poplarrun/router/__init__.py
+++ b/poplarrun/router/__init__.py
@@ -11,8 +11,12 @@
     EndChat,
     EndOperation,
     Explanation,
+    FindOperation,
     FirstToken,
+    HandedOver,
     OperationGrant,
+    Replay,
+    SendOperation,
 )
 from poplarrun.router._router import Router
 
@@ -26,8 +30,12 @@
     "EndChat",
     "EndOperation",
     "Explanation",
+    "FindOperation",
     "FirstToken",
+    "HandedOver",
     "OperationGrant",
+    "Replay",
     "Router",
     "RouterContext",
+    "SendOperation",
 ]
--- a/poplarrun/router/_messages.py
+++ b/poplarrun/router/_messages.py
@@ -2,8 +2,9 @@
 
 from dataclasses import dataclass, field
 
+from poplarrun.claims import Ran
 from poplarrun.contracts import Operation, VersionId
-from poplarrun.platform import Usage
+from poplarrun.platform import PreparedCall, ServiceAnswer, Usage
 
 
 @dataclass(frozen=True, slots=True)
@@ -88,14 +89,11 @@
 
     Attributes
     ----------
-    started : bool
-        Whether a byte of the call may have gone out.
     reason : str
         Counter label.
     """
 
     request_id: str
-    started: bool
     reason: str
 
 
@@ -118,13 +116,22 @@
 
 @dataclass(frozen=True, slots=True)
 class BeginOperation:
-    """A caller's call of a plain service arrived."""
+    """A caller's call of a plain service arrived.
+
+    Attributes
+    ----------
+    idempotency_key : str, optional
+        The caller's key; a non-idempotent operation runs once under it.
+    fingerprint : bytes
+        Digest of the operation and its body.
+    """
 
     request_id: str
     api_key: str
     service: str
     operation: str
     idempotency_key: str | None = None
+    fingerprint: bytes = b""
 
 
 @dataclass(frozen=True, slots=True)
@@ -136,12 +143,51 @@
     operation: Operation
 
 
+@dataclass(frozen=True, slots=True)
+class Replay:
+    """The answer that an earlier call with the same key got."""
+
+    ran: Ran
+
+
+@dataclass(frozen=True, slots=True)
+class SendOperation:
+    """The call's connection is open; the loop decides and hands the bytes over."""
+
+    request_id: str
+    call: PreparedCall
+
+
+@dataclass(frozen=True, slots=True)
+class HandedOver:
+    """The loop let the call go.
+
+    Attributes
+    ----------
+    is_sent : bool
+        Whether a byte went out.
+    timeout_s : float
+        Seconds left until the call's deadline.
+    """
+
+    is_sent: bool
+    timeout_s: float
+
+
 @dataclass(frozen=True, slots=True)
 class EndOperation:
-    """A call of a plain service ended."""
+    """A call of a plain service was answered."""
 
     request_id: str
-    ran: bool
+    answer: ServiceAnswer
+
+
+@dataclass(frozen=True, slots=True)
+class FindOperation:
+    """Asks what is known of the operation under an idempotency key."""
+
+    api_key: str
+    key: str
 
 
 @dataclass(frozen=True, slots=True)
--- a/poplarrun/router/_operations.py
+++ b/poplarrun/router/_operations.py
@@ -1,9 +1,31 @@
 """The decisions about one call of a plain service."""
 
+import time
+from collections.abc import Callable
 from dataclasses import dataclass, field
 
-from poplarrun.contracts import ClientAccount, Operation
+from poplarrun.claims import (
+    RETENTION_S,
+    Claim,
+    ClaimKeeper,
+    Holding,
+    KnownOutcome,
+    Lost,
+    Outcome,
+    OutcomeKind,
+    Release,
+    Result,
+    Taken,
+    Unsettled,
+    Voided,
+    Won,
+    issued_at,
+    make_ran,
+    read_outcome,
+)
+from poplarrun.contracts import ClientAccount, Operation, WithoutKey
 from poplarrun.errors import ErrorKind, Refusal
+from poplarrun.hosts import Peers
 from poplarrun.router._context import RouterContext
 from poplarrun.router._messages import (
     BeginOperation,
@@ -11,10 +33,17 @@
     CallFailed,
     EndOperation,
     Explanation,
+    FindOperation,
+    HandedOver,
     OperationGrant,
+    Replay,
+    SendOperation,
 )
 
 MAX_ATTEMPTS = 3
+FIRST_ERROR_STATUS = 400
+# Clocks of callers and hosts may differ by so much together.
+CLOCK_MARGIN_S = 120.0
 
 
 @dataclass
@@ -23,84 +52,269 @@
     account: ClientAccount
     operation: Operation
     explanation: Explanation
+    deadline: float
     endpoint: str = ""
     attempts: int = 0
     tried: set[str] = field(default_factory=set)
+    claim: Claim | None = None
+    holds_key_here: bool = False
+    is_sent: bool = False
+
+    @property
+    def claimed_key(self) -> str | None:
+        """The key that the call must hold before it is sent; None when it needs none."""
+        return None if self.operation.idempotent else self.request.idempotency_key
 
 
 class OperationRouter:
-    """Decides about calls of plain services; called on the loop only, never blocks."""
+    """Decides about calls of plain services; called on the loop only.
+
+    Parameters
+    ----------
+    context : RouterContext
+        What all decisions share.
+    now, wall : callable
+        Seconds, monotonic and since the epoch.
 
-    def __init__(self, context: RouterContext) -> None:
+    Attributes
+    ----------
+    keeper : ClaimKeeper, optional
+        The host's claims; without it no keyed operation is taken.
+    """
+
+    def __init__(
+        self,
+        context: RouterContext,
+        now: Callable[[], float] = time.monotonic,
+        wall: Callable[[], float] = time.time,
+    ) -> None:
+        self.keeper: ClaimKeeper | None = None
+        self.peers: Peers | None = None
         self._context = context
+        self._now = now
+        self._wall = wall
         self._calls: dict[str, _Call] = {}
+        self._keys_here: set[tuple[str, str]] = set()
 
     @property
     def open_requests(self) -> int:
         """Calls that have begun and not ended."""
         return len(self._calls)
 
-    def begin(self, request: BeginOperation, now: float) -> OperationGrant | Refusal:
-        """Decide on the endpoint of a call of a plain service."""
-        document = self._context.configuration.document
-        account = self._context.find_account(request.api_key)
-        if isinstance(account, Refusal):
-            return account
-        service = document.services.get(request.service)
-        operation = service.operations.get(request.operation) if service else None
-        if operation is None:
-            message = f"no operation {request.service}/{request.operation}"
-            return self._context.refuse(ErrorKind.SERVICE_UNKNOWN, message)
-        if not account.allows_operation(request.service, request.operation):
-            message = f"client account {account.name} may not call it"
-            return self._context.refuse(ErrorKind.SERVICE_NOT_ALLOWED, message)
-        subject = f"{request.service}/{request.operation}"
-        explanation = self._context.open_explanation(request.request_id, account, subject)
-        call = _Call(request, account, operation, explanation)
+    async def begin(self, request: BeginOperation) -> OperationGrant | Replay | Refusal:
+        """Decide on the endpoint of a call, after its key is claimed where it needs that."""
+        call = self._admit(request)
+        if isinstance(call, Refusal):
+            return call
         self._calls[request.request_id] = call
-        return self._send_call(call, now)
+        if call.claimed_key is None:
+            return self._choose(call)
+        refusal = self._check_key(call, call.claimed_key)
+        if refusal is not None:
+            return self._refuse(call, refusal[0], refusal[1])
+        return await self._claim_and_choose(call, call.claimed_key)
+
+    def send(self, message: SendOperation) -> HandedOver | Refusal:
+        """Check that the call may still run, and hand its bytes over, in one step.
 
-    def retry(self, failure: CallFailed, now: float) -> OperationGrant | Refusal:
+        Nothing runs between the check and the hand-over. A process that was
+        stopped for a minute finds its deadline passed here, and sends nothing
+        that its caller, or a repeat at another host, was told about meanwhile.
+        """
+        call = self._calls[message.request_id]
+        left_s = call.deadline - self._now()
+        if left_s <= 0:
+            self._context.endpoints.note_ended(call.endpoint)
+            kind = ErrorKind.ENDPOINT_FAILED if call.is_sent else ErrorKind.DEADLINE_UNREACHABLE
+            return self._refuse(call, kind, "the deadline passed before it was sent")
+        call.is_sent = message.call.hand_over() or call.is_sent
+        return HandedOver(call.is_sent, left_s)
+
+    def retry(self, failure: CallFailed) -> OperationGrant | Refusal:
         """Decide where a broken call goes on: only if it is safe to send it again."""
         call = self._calls[failure.request_id]
+        now = self._now()
         self._context.endpoints.note_ended(call.endpoint)
         self._context.endpoints.note_failure(call.endpoint, now)
         call.explanation.attempts.append(f"{call.endpoint}: {failure.reason}")
-        if failure.started and not call.operation.idempotent:
-            del self._calls[failure.request_id]
-            call.explanation.outcome = "unknown"
-            message = "the call went out and no answer came; it may have run"
-            return self._context.refuse(ErrorKind.OPERATION_OUTCOME_UNKNOWN, message)
+        if call.is_sent and not call.operation.idempotent:
+            return self._give_up_sent(call, failure.reason)
         if call.attempts >= MAX_ATTEMPTS:
-            del self._calls[failure.request_id]
-            kind = ErrorKind.ENDPOINT_FAILED if failure.started else ErrorKind.NO_ENDPOINT
-            call.explanation.outcome = f"refused: {kind.value}"
-            return self._context.refuse(kind, f"{call.attempts} attempts failed ({failure.reason})")
+            kind = ErrorKind.ENDPOINT_FAILED if call.is_sent else ErrorKind.NO_ENDPOINT
+            return self._refuse(call, kind, f"{call.attempts} attempts failed ({failure.reason})")
         self._context.metrics.count_retry(failure.reason)
-        return self._send_call(call, now)
+        return self._choose(call)
 
-    def end(self, end: EndOperation, now: float) -> Bill | None:
-        """Close a call and make its bill, where it ran."""
-        call = self._calls.pop(end.request_id)
+    def end(self, end: EndOperation) -> Bill | None:
+        """Close a call that was answered: keep its answer, and make its bill."""
+        call = self._close(end.request_id)
         self._context.endpoints.note_ended(call.endpoint)
-        call.explanation.outcome = "ran" if end.ran else "refused by the service"
-        if not end.ran:
+        ran = end.answer.status < FIRST_ERROR_STATUS
+        call.explanation.outcome = "ran" if ran else "refused by the service"
+        if call.claim is not None and self.keeper is not None:
+            answer = make_ran(end.answer.status, end.answer.content_type, end.answer.body)
+            self.keeper.settle(_outcome(call.claim, answer))
+        if not ran:
             return None
         bill = Bill(
             end.request_id, call.account.name, call.explanation.subject, call.operation.price
         )
         return self._context.add_bill(bill, call.explanation)
 
-    def _send_call(self, call: _Call, now: float) -> OperationGrant | Refusal:
-        endpoint = self._context.endpoints.choose_service(call.request.service, now, call.tried)
-        if endpoint is None:
-            del self._calls[call.request.request_id]
-            call.explanation.outcome = f"refused: {ErrorKind.NO_ENDPOINT.value}"
-            return self._context.refuse(
-                ErrorKind.NO_ENDPOINT, f"no endpoint runs {call.request.service}"
+    async def find(self, message: FindOperation) -> KnownOutcome | Refusal:
+        """Tell what is known of the operation under a key."""
+        account = self._context.find_account(message.api_key)
+        if isinstance(account, Refusal):
+            return account
+        if (account.name, message.key) in self._keys_here:
+            return KnownOutcome(OutcomeKind.IN_PROGRESS)
+        if self.keeper is None or self.peers is None:
+            return self._context.refuse(ErrorKind.NOT_READY, "this host keeps no claims yet")
+        found = await self.keeper.find(account.name, message.key)
+        outcome = read_outcome(self._newest(found.holding), self.peers.live())
+        if not found.is_current and outcome.kind is OutcomeKind.NOT_RUN:
+            text = "the log does not answer, so nothing can be told of this key; ask again"
+            return self._context.refuse(ErrorKind.OPERATION_OUTCOME_UNKNOWN, text)
+        return outcome
+
+    def _admit(self, request: BeginOperation) -> _Call | Refusal:
+        """Check the account and the operation."""
+        document = self._context.configuration.document
+        account = self._context.find_account(request.api_key)
+        if isinstance(account, Refusal):
+            return account
+        service = document.services.get(request.service)
+        operation = service.operations.get(request.operation) if service else None
+        if operation is None:
+            message = f"no operation {request.service}/{request.operation}"
+            return self._context.refuse(ErrorKind.SERVICE_UNKNOWN, message)
+        if not account.allows_operation(request.service, request.operation):
+            message = f"client account {account.name} may not call it"
+            return self._context.refuse(ErrorKind.SERVICE_NOT_ALLOWED, message)
+        needs_key = not operation.idempotent and operation.without_key is WithoutKey.REFUSE
+        if needs_key and not request.idempotency_key:
+            message = f"{request.service}/{request.operation} needs an Idempotency-Key header"
+            return self._context.refuse(ErrorKind.IDEMPOTENCY_KEY_REQUIRED, message)
+        subject = f"{request.service}/{request.operation}"
+        explanation = self._context.open_explanation(request.request_id, account, subject)
+        deadline = self._now() + operation.timeout_s
+        return _Call(request, account, operation, explanation, deadline)
+
+    def _check_key(self, call: _Call, key: str) -> tuple[ErrorKind, str] | None:
+        if (call.account.name, key) in self._keys_here:
+            return ErrorKind.OPERATION_IN_PROGRESS, "a call with this key is under way here"
+        made_at = issued_at(key)
+        if made_at is not None and made_at < self._wall() - RETENTION_S + CLOCK_MARGIN_S:
+            return (
+                ErrorKind.IDEMPOTENCY_KEY_EXPIRED,
+                f"the key is older than {RETENTION_S - CLOCK_MARGIN_S:.0f} s; "
+                "look up by other means whether it ran",
             )
-        call.endpoint = endpoint.name
+        if made_at is not None and made_at > self._wall() + CLOCK_MARGIN_S:
+            return ErrorKind.INVALID_REQUEST, "the key's time lies in the future"
+        if self.keeper is None or self.keeper.is_full:
+            return ErrorKind.LOG_UNAVAILABLE, "the log has taken no outcomes for long"
+        if self._choose_endpoint(call) is None:
+            return ErrorKind.NO_ENDPOINT, f"no endpoint runs {call.request.service}"
+        return None
+
+    async def _claim_and_choose(self, call: _Call, key: str) -> OperationGrant | Replay | Refusal:
+        assert self.keeper is not None and self.peers is not None
+        me = self.peers.me
+        request = call.request
+        claim = Claim(
+            request.request_id,
+            call.account.name,
+            key,
+            request.fingerprint,
+            me.name,
+            me.incarnation,
+            self._wall(),
+        )
+        self._keys_here.add((claim.account, claim.key))
+        call.holds_key_here = True
+        call.claim = claim
+        began = self._now()
+        verdict = await self.keeper.claim(claim, call.deadline - began)
+        self._context.metrics.record_latency("claim", request.service, self._now() - began)
+        match verdict:
+            case Won():
+                return self._choose(call)
+            case Taken(holding=holding):
+                call.claim = None
+                if holding is not None and holding.claim.fingerprint != claim.fingerprint:
+                    message = "the key was used for another operation or body"
+                    return self._refuse(call, ErrorKind.IDEMPOTENCY_KEY_REUSED, message)
+                return self._repeat(call, read_outcome(self._newest(holding), self.peers.live()))
+            case Unsettled(may_stand=may_stand):
+                if not may_stand:
+                    call.claim = None
+                message = "the log did not confirm the claim; repeat with the same key"
+                return self._refuse(call, ErrorKind.LOG_UNAVAILABLE, message)
+            case Voided():
+                raise AssertionError("only this host voids its claims, and did not yet")
+
+    def _newest(self, holding: Holding | None) -> Holding | None:
+        """Add an outcome of this host that the log doesn't hold yet."""
+        if holding is None or self.keeper is None:
+            return holding
+        match self.keeper.settled_here(holding.claim.id):
+            case Outcome(result=result):
+                return Holding(holding.claim, result)
+        return holding
+
+    def _repeat(self, call: _Call, outcome: KnownOutcome) -> Replay | Refusal:
+        """Answer a call whose key another claim holds."""
+        match outcome:
+            case KnownOutcome(kind=OutcomeKind.RAN, ran=ran) if ran is not None:
+                self._close(call.request.request_id)
+                call.explanation.outcome = "answered with the recorded outcome"
+                self._context.metrics.count_event("operation_replayed")
+                return Replay(ran)
+            case KnownOutcome(kind=OutcomeKind.UNKNOWN):
+                message = "a call with this key went out and may have run; it is not sent again"
+                return self._refuse(call, ErrorKind.OPERATION_OUTCOME_UNKNOWN, message)
+        message = "a call with this key is under way; ask again"
+        return self._refuse(call, ErrorKind.OPERATION_IN_PROGRESS, message)
+
+    def _choose(self, call: _Call) -> OperationGrant | Refusal:
+        name_and_address = self._choose_endpoint(call)
+        if name_and_address is None:
+            kind = ErrorKind.ENDPOINT_FAILED if call.is_sent else ErrorKind.NO_ENDPOINT
+            return self._refuse(call, kind, f"no endpoint runs {call.request.service}")
+        call.endpoint, address = name_and_address
         call.attempts += 1
-        call.tried.add(endpoint.name)
-        self._context.endpoints.note_sent(endpoint.name)
-        return OperationGrant(endpoint.name, endpoint.address, call.operation)
+        call.tried.add(call.endpoint)
+        self._context.endpoints.note_sent(call.endpoint)
+        return OperationGrant(call.endpoint, address, call.operation)
+
+    def _choose_endpoint(self, call: _Call) -> tuple[str, str] | None:
+        endpoint = self._context.endpoints.choose_service(
+            call.request.service, self._now(), call.tried
+        )
+        return None if endpoint is None else (endpoint.name, endpoint.address)
+
+    def _give_up_sent(self, call: _Call, reason: str) -> Refusal:
+        """End a call that went out and got no answer: it is never sent again."""
+        if call.claim is not None and self.keeper is not None:
+            self.keeper.settle(_outcome(call.claim, Lost(reason)))
+        message = "the call went out and no answer came; it may have run"
+        return self._refuse(call, ErrorKind.OPERATION_OUTCOME_UNKNOWN, message)
+
+    def _refuse(self, call: _Call, kind: ErrorKind, message: str) -> Refusal:
+        """Close a call with a refusal, and release a claim under which nothing was sent."""
+        self._close(call.request.request_id)
+        if call.claim is not None and not call.is_sent and self.keeper is not None:
+            self.keeper.settle(Release(call.claim.id, call.claim.account, call.claim.key))
+        call.explanation.outcome = f"refused: {kind.value}"
+        return self._context.refuse(kind, message)
+
+    def _close(self, request_id: str) -> _Call:
+        call = self._calls.pop(request_id)
+        if call.holds_key_here and call.claimed_key is not None:
+            self._keys_here.discard((call.account.name, call.claimed_key))
+        return call
+
+
+def _outcome(claim: Claim, result: Result) -> Outcome:
+    return Outcome(claim.id, claim.account, claim.key, result)
--- a/poplarrun/server/_bodies.py
+++ b/poplarrun/server/_bodies.py
@@ -6,6 +6,7 @@
 import msgspec
 from pydantic import BaseModel, ConfigDict, Field, ValidationError
 
+from poplarrun.claims import KnownOutcome
 from poplarrun.errors import ErrorKind, Refusal, answer_for
 from poplarrun.platform import Usage
 
@@ -125,6 +126,16 @@
     return msgspec.json.encode({"object": "list", "data": data})
 
 
+def render_outcome(key: str, outcome: KnownOutcome) -> bytes:
+    """Return what is known of an operation."""
+    body: dict[str, Any] = {"key": key, "outcome": outcome.kind.value}
+    if outcome.ran is not None:
+        ran = outcome.ran
+        text = ran.body.decode(errors="replace") if ran.is_kept else None
+        body["answer"] = {"status": ran.status, "content_type": ran.content_type, "body": text}
+    return msgspec.json.encode(body)
+
+
 def _envelope(kind: str, request_id: str, model: str) -> dict[str, Any]:
     return {"id": request_id, "object": kind, "created": int(time.time()), "model": model}
 
--- a/poplarrun/server/_callers.py
+++ b/poplarrun/server/_callers.py
@@ -5,9 +5,10 @@
 
 import cherrypy
 
+from poplarrun.claims import KnownOutcome, OutcomeKind, Ran, fingerprint_of
 from poplarrun.errors import ErrorKind, Refusal, answer_for
 from poplarrun.platform import Engine, ServiceAnswer, ServiceCaller, Usage
-from poplarrun.router import BeginChat, BeginOperation
+from poplarrun.router import BeginChat, BeginOperation, FindOperation
 from poplarrun.server._bodies import (
     ChatBody,
     ChunkRenderer,
@@ -15,6 +16,7 @@
     render_completion,
     render_error,
     render_models,
+    render_outcome,
 )
 from poplarrun.server._chats import BrokenAnswer, ChatRun, Piece, new_request_id
 from poplarrun.server._crossing import Crossing
@@ -27,6 +29,7 @@
 SESSION_HEADER = "X-Session-Id"
 IDEMPOTENCY_HEADER = "Idempotency-Key"
 REQUEST_ID_HEADER = "X-Request-Id"
+REPLAY_HEADER = "X-Poplarrun-Replayed"
 VERSION_HEADER = "X-Poplarrun-Version"
 MAX_ID_LENGTH = 200
 
@@ -85,6 +88,8 @@
                 return self._list_models()
             case ("POST", "services", service, operation):
                 return self._call_service(service, operation)
+            case ("GET", "operations", key):
+                return self._find_operation(key)
         return send_json(b'{"error": {"message": "no such path", "code": "not_found"}}', 404)
 
     def _list_models(self) -> bytes:
@@ -149,17 +154,44 @@
             self._crossing.ask(data)
             return send_refusal(data)
         key = cherrypy.request.headers.get(IDEMPOTENCY_HEADER)
-        request = BeginOperation(new_request_id(), read_key(), service, operation, key)
+        if key is not None and len(key) > MAX_ID_LENGTH:
+            message = f"at most {MAX_ID_LENGTH} characters are allowed"
+            refusal = Refusal(ErrorKind.INVALID_REQUEST, message, IDEMPOTENCY_HEADER)
+            self._crossing.ask(refusal)
+            return send_refusal(refusal)
+        fingerprint = fingerprint_of(service, operation, data) if key else b""
+        request = BeginOperation(new_request_id(), read_key(), service, operation, key, fingerprint)
         cherrypy.response.headers[REQUEST_ID_HEADER] = request.request_id
         content_type = cherrypy.request.headers.get("Content-Type", JSON)
         match OperationRun(self._crossing, self._services).run(request, data, content_type):
             case ServiceAnswer() as answer:
-                cherrypy.response.status = answer.status
-                cherrypy.response.headers["Content-Type"] = answer.content_type
-                return answer.body
+                return _send_answer(answer.status, answer.content_type, answer.body)
+            case Ran() as ran:
+                return _send_replay(key or "", ran)
             case Refusal() as refusal:
                 return send_refusal(refusal)
 
+    def _find_operation(self, key: str) -> bytes:
+        match self._crossing.ask(FindOperation(read_key(), key)):
+            case KnownOutcome() as outcome:
+                return send_json(render_outcome(key, outcome))
+            case refusal:
+                return send_refusal(refusal)
+
+
+def _send_answer(status: int, content_type: str, body: bytes) -> bytes:
+    cherrypy.response.status = status
+    cherrypy.response.headers["Content-Type"] = content_type
+    return body
+
+
+def _send_replay(key: str, ran: Ran) -> bytes:
+    """Give the recorded answer again; an outcome where the answer was too large to keep."""
+    cherrypy.response.headers[REPLAY_HEADER] = "true"
+    if ran.is_kept:
+        return _send_answer(ran.status, ran.content_type, ran.body)
+    return send_json(render_outcome(key, KnownOutcome(OutcomeKind.RAN, ran)), ran.status)
+
 
 def _render_stream(run: ChatRun, first: Piece, renderer: ChunkRenderer) -> Iterator[bytes]:
     for piece in run.pieces(first):
--- a/poplarrun/server/_host.py
+++ b/poplarrun/server/_host.py
@@ -8,10 +8,12 @@
 from concurrent.futures import ThreadPoolExecutor
 from typing import Any, TypeVar
 
+from poplarrun.claims import ClaimKeeper
 from poplarrun.config import CONFIG_STREAM, Accepted, Configuration, Ignored, fold_entry
 from poplarrun.endpoints import Endpoint, EndpointTable
 from poplarrun.errors import ErrorKind, Refusal
-from poplarrun.log import Gap, Log, ReadFailed, StreamReader
+from poplarrun.hosts import MemoryNetwork, MemoryPeers, Peer, Peers
+from poplarrun.log import Gap, Log, ReadFailed, StreamReader, ThreadedLog
 from poplarrun.logs import part_logger
 from poplarrun.metrics import Metrics
 from poplarrun.platform import (
@@ -29,8 +31,10 @@
     CallFailed,
     EndChat,
     EndOperation,
+    FindOperation,
     FirstToken,
     Router,
+    SendOperation,
 )
 from poplarrun.server._messages import (
     EndpointStatus,
@@ -46,6 +50,7 @@
 CONFIG_POLL_S = 0.25
 HOST_LIST_POLL_S = 0.5
 LOAD_POLL_S = 0.25
+TEND_CLAIMS_S = 60.0
 BLOCKING_THREADS = 32
 
 T = TypeVar("T")
@@ -62,6 +67,8 @@
         Adapters to the platform; their blocking calls run on a thread pool.
     clock : callable
         Seconds, monotonic.
+    peers : Peers, optional
+        The other hosts; without it this host takes itself for the only one.
     """
 
     def __init__(
@@ -71,6 +78,7 @@
         host_list: HostList,
         engine: Engine,
         clock: Callable[[], float] = time.monotonic,
+        peers: Peers | None = None,
     ) -> None:
         self.settings = settings
         self.metrics = Metrics()
@@ -82,6 +90,10 @@
         self._endpoints = EndpointTable(settings.zone, random.Random(settings.name))
         self.router = Router(self._endpoints, self.metrics)
         self._pool = ThreadPoolExecutor(BLOCKING_THREADS, thread_name_prefix="platform")
+        self.peers: Peers = peers or _lone_peer(settings)
+        self.claims = ClaimKeeper(self.peers, ThreadedLog(log, self._in_thread), clock, time.time)
+        self.router.operations.keeper = self.claims
+        self.router.operations.peers = self.peers
         self._list_seen = False
         self._log_answered_at = clock()
         self._log = part_logger("host")
@@ -99,6 +111,7 @@
             (self._follow_config, CONFIG_POLL_S),
             (self._follow_host_list, HOST_LIST_POLL_S),
             (self._poll_loads, LOAD_POLL_S),
+            (self.claims.tend, TEND_CLAIMS_S),
         ):
             self._tasks.append(asyncio.get_running_loop().create_task(self._repeat(step, period_s)))
 
@@ -111,17 +124,21 @@
             case BeginChat():
                 return self.router.chats.begin(message, now)
             case BeginOperation():
-                return self.router.operations.begin(message, now)
+                return await self.router.operations.begin(message)
+            case SendOperation():
+                return self.router.operations.send(message)
+            case FindOperation():
+                return await self.router.operations.find(message)
             case AttemptFailed():
                 return self.router.chats.retry(message, now)
             case CallFailed():
-                return self.router.operations.retry(message, now)
+                return self.router.operations.retry(message)
             case FirstToken():
                 return self.router.chats.note_first_token(message, now)
             case EndChat():
                 return self.router.chats.end(message, now)
             case EndOperation():
-                return self.router.operations.end(message, now)
+                return self.router.operations.end(message)
             case Refusal():
                 return self.metrics.count_refusal(message.kind)
             case ListClasses():
@@ -226,6 +243,11 @@
         )
 
 
+def _lone_peer(settings: HostSettings) -> Peers:
+    me = Peer(settings.name, settings.zone, settings.region, time.time_ns())
+    return MemoryPeers(MemoryNetwork(), me)
+
+
 def _endpoint_status(endpoint: Endpoint, now: float) -> EndpointStatus:
     if endpoint.leaving:
         state = "leaving"
--- a/poplarrun/server/_operations.py
+++ b/poplarrun/server/_operations.py
@@ -1,17 +1,28 @@
 """A worker's side of one call of a plain service: bytes only."""
 
+from poplarrun.claims import Ran
 from poplarrun.errors import Refusal
 from poplarrun.platform import (
+    PreparedCall,
     ServiceAnswer,
     ServiceCall,
     ServiceCaller,
     ServiceNotSent,
     ServiceUnknown,
 )
-from poplarrun.router import BeginOperation, CallFailed, EndOperation, OperationGrant
+from poplarrun.router import (
+    BeginOperation,
+    CallFailed,
+    EndOperation,
+    HandedOver,
+    OperationGrant,
+    Replay,
+    SendOperation,
+)
 from poplarrun.server._crossing import Crossing
 
-FIRST_ERROR_STATUS = 400
+# The loop bounds each step by the operation's own deadline.
+ANSWER_BOUND_S = 3600.0
 
 
 class OperationRun:
@@ -23,24 +34,41 @@
 
     def run(
         self, request: BeginOperation, body: bytes, content_type: str
-    ) -> ServiceAnswer | Refusal:
+    ) -> ServiceAnswer | Ran | Refusal:
         """Send the call where the loop says, until it answers or is given up."""
-        granted: OperationGrant | Refusal = self._crossing.ask(request)
-        while isinstance(granted, OperationGrant):
-            call = ServiceCall(
-                request.request_id,
-                request.operation,
-                body,
-                content_type,
-                granted.operation.timeout_s,
-            )
-            match self._services.call(granted.address, call, lambda: True):
-                case ServiceAnswer() as answer:
-                    ran = answer.status < FIRST_ERROR_STATUS
-                    self._crossing.ask(EndOperation(request.request_id, ran))
-                    return answer
+        call = ServiceCall(request.request_id, request.operation, body, content_type)
+        step = self._crossing.ask(request, ANSWER_BOUND_S)
+        while isinstance(step, OperationGrant):
+            match self._services.prepare(step.address, call):
                 case ServiceNotSent(reason=reason):
-                    granted = self._crossing.ask(CallFailed(request.request_id, False, reason))
-                case ServiceUnknown(reason=reason):
-                    granted = self._crossing.ask(CallFailed(request.request_id, True, reason))
-        return granted
+                    step = self._crossing.ask(CallFailed(request.request_id, reason))
+                case prepared:
+                    step = self._exchange(request.request_id, prepared)
+        return step.ran if isinstance(step, Replay) else step
+
+    def _exchange(
+        self, request_id: str, prepared: PreparedCall
+    ) -> ServiceAnswer | OperationGrant | Refusal:
+        try:
+            handed = self._crossing.ask(SendOperation(request_id, prepared))
+            if isinstance(handed, Refusal):
+                return handed
+            return self._finish(request_id, prepared, handed)
+        finally:
+            prepared.close()
+
+    def _finish(
+        self, request_id: str, prepared: PreparedCall, handed: HandedOver
+    ) -> ServiceAnswer | OperationGrant | Refusal:
+        if not handed.is_sent:
+            return self._ask_on(CallFailed(request_id, "connect"))
+        match prepared.finish(handed.timeout_s):
+            case ServiceAnswer() as answer:
+                self._crossing.ask(EndOperation(request_id, answer))
+                return answer
+            case ServiceUnknown(reason=reason):
+                return self._ask_on(CallFailed(request_id, reason))
+
+    def _ask_on(self, failed: CallFailed) -> OperationGrant | Refusal:
+        step: OperationGrant | Refusal = self._crossing.ask(failed)
+        return step
