Bill each request once, kept by two peers until the log has it

Cause: bills lay in a list of the serving host and died with it.

Change: before an answer's last part goes out its bill is held by two peers, in other zones where there are any; else by the log; else, counted, by the host alone.

Conclusion: a bill is lost only when every host that holds it dies within seconds, or its host dies while cut off from peers and log.

--- a/poplarrun/router/_chats.py
+++ b/poplarrun/router/_chats.py
@@ -2,6 +2,7 @@
 
 from dataclasses import dataclass, field
 
+from poplarrun.billing import Bill
 from poplarrun.contracts import ClientAccount, Version, VersionId, WorkClass
 from poplarrun.endpoints import Endpoint
 from poplarrun.errors import ErrorKind, Refusal
@@ -9,7 +10,6 @@
 from poplarrun.router._messages import (
     AttemptFailed,
     BeginChat,
-    Bill,
     ChatGrant,
     EndChat,
     Explanation,
--- a/poplarrun/router/_context.py
+++ b/poplarrun/router/_context.py
@@ -2,13 +2,14 @@
 
 from dataclasses import dataclass, field
 
+from poplarrun.billing import Bill
 from poplarrun.config import Configuration
 from poplarrun.contracts import ClientAccount
 from poplarrun.endpoints import EndpointTable
 from poplarrun.errors import ErrorKind, Refusal
 from poplarrun.metrics import Metrics
 from poplarrun.router._explanations import Explanations
-from poplarrun.router._messages import Bill, Explanation
+from poplarrun.router._messages import Explanation
 
 
 @dataclass
@@ -20,13 +21,20 @@
     configuration : Configuration
         The configuration in force at this host.
     bills : list of Bill
-        Bills that are not handed on yet.
+        Final bills that are not handed on yet; the host keeps them before it
+        answers the message that made them.
+    opened : list of Bill
+        Entries of requests that began, not handed on yet.
+    closed : list of str
+        Ids of requests that ended without a bill, not handed on yet.
     """
 
     endpoints: EndpointTable
     metrics: Metrics
     configuration: Configuration = field(default_factory=Configuration)
     bills: list[Bill] = field(default_factory=list)
+    opened: list[Bill] = field(default_factory=list)
+    closed: list[str] = field(default_factory=list)
     explanations: Explanations = field(default_factory=Explanations)
 
     def refuse(self, kind: ErrorKind, message: str, param: str | None = None) -> Refusal:
--- a/poplarrun/router/_messages.py
+++ b/poplarrun/router/_messages.py
@@ -2,6 +2,7 @@
 
 from dataclasses import dataclass, field
 
+from poplarrun.billing import Bill
 from poplarrun.claims import Ran
 from poplarrun.contracts import Operation, VersionId
 from poplarrun.platform import PreparedCall, ServiceAnswer, Usage
@@ -190,24 +191,6 @@
     key: str
 
 
-@dataclass(frozen=True, slots=True)
-class Bill:
-    """What one request costs its client account, once.
-
-    Attributes
-    ----------
-    id : str
-        The request's id.
-    amount : float
-        In account currency.
-    """
-
-    id: str
-    account: str
-    item: str
-    amount: float
-
-
 @dataclass
 class Explanation:
     """Why a request went where it went, for ``poplarrun explain``."""
--- a/poplarrun/router/_operations.py
+++ b/poplarrun/router/_operations.py
@@ -4,6 +4,7 @@
 from collections.abc import Callable
 from dataclasses import dataclass, field
 
+from poplarrun.billing import Bill
 from poplarrun.claims import (
     RETENTION_S,
     Claim,
@@ -29,7 +30,6 @@
 from poplarrun.router._context import RouterContext
 from poplarrun.router._messages import (
     BeginOperation,
-    Bill,
     CallFailed,
     EndOperation,
     Explanation,
--- a/poplarrun/server/_host.py
+++ b/poplarrun/server/_host.py
@@ -8,6 +8,7 @@
 from concurrent.futures import ThreadPoolExecutor
 from typing import Any, TypeVar
 
+from poplarrun.billing import BillKeeper
 from poplarrun.claims import ClaimKeeper
 from poplarrun.config import CONFIG_STREAM, Accepted, Configuration, Ignored, fold_entry
 from poplarrun.endpoints import Endpoint, EndpointTable
@@ -51,6 +52,7 @@
 HOST_LIST_POLL_S = 0.5
 LOAD_POLL_S = 0.25
 TEND_CLAIMS_S = 60.0
+TEND_BILLS_S = 1.0
 BLOCKING_THREADS = 32
 
 T = TypeVar("T")
@@ -92,6 +94,7 @@
         self._pool = ThreadPoolExecutor(BLOCKING_THREADS, thread_name_prefix="platform")
         self.peers: Peers = peers or _lone_peer(settings)
         self.claims = ClaimKeeper(self.peers, ThreadedLog(log, self._in_thread), clock, time.time)
+        self.billing = BillKeeper(self.peers, ThreadedLog(log, self._in_thread), clock, time.time)
         self.router.operations.keeper = self.claims
         self.router.operations.peers = self.peers
         self._list_seen = False
@@ -112,15 +115,38 @@
             (self._follow_host_list, HOST_LIST_POLL_S),
             (self._poll_loads, LOAD_POLL_S),
             (self.claims.tend, TEND_CLAIMS_S),
+            (self.billing.tend, TEND_BILLS_S),
         ):
             self._tasks.append(asyncio.get_running_loop().create_task(self._repeat(step, period_s)))
 
     async def handle(self, message: object) -> Any:
-        """Answer one message; the only entry for other threads."""
+        """Answer one message; the only entry for other threads.
+
+        The bills that it made outlive this host before the answer goes out:
+        a caller that has its whole answer is billed, whatever dies then.
+        """
+        answer = await self._answer(message)
+        await self._keep_bills()
+        return answer
+
+    async def _keep_bills(self) -> None:
+        context = self.router.context
+        bills, context.bills = context.bills, []
+        opened, context.opened = context.opened, []
+        closed, context.closed = context.closed, []
+        for bill in opened:
+            self.billing.open(bill)
+        for bill_id in closed:
+            self.billing.drop(bill_id)
+        await asyncio.gather(*(self.billing.keep(bill) for bill in bills))
+
+    async def _answer(self, message: object) -> Any:
         now = self._clock()
         match message:
             case BeginChat() | BeginOperation() if not self.is_ready:
                 return self._refuse_unready()
+            case BeginChat() | BeginOperation() if self.billing.is_full:
+                return self._refuse_unbillable()
             case BeginChat():
                 return self.router.chats.begin(message, now)
             case BeginOperation():
@@ -219,6 +245,10 @@
         self.metrics.count_refusal(kind)
         return Refusal(kind, "this host takes no requests now; try another")
 
+    def _refuse_unbillable(self) -> Refusal:
+        self.metrics.count_refusal(ErrorKind.BILL_NOT_KEPT)
+        return Refusal(ErrorKind.BILL_NOT_KEPT, "the log has taken no bills for long")
+
     def _list_classes(self, message: ListClasses) -> list[str] | Refusal:
         document = self.router.context.configuration.document
         account = document.account_for_key(message.api_key)
--- a/standins/histories/_events.py
+++ b/standins/histories/_events.py
@@ -79,6 +79,12 @@
     ----------
     invokes, answers, effects, bills : list
         The events by kind; no list of bills where the run has no billing.
+    kept_alone : set of str
+        Requests answered while neither peers nor the log could take the bill:
+        it is lost if that host dies before either is back.
+    lost_holders : set of str
+        Requests whose bills were held by three hosts that were all killed
+        within seconds: more than the copies are made for.
     deadlines : dict of str to float
         When each request must have been sent, by its id.
     final : dict of str to AnswerKind
@@ -89,5 +95,7 @@
     answers: list[Answer] = field(default_factory=list)
     effects: list[Effect] = field(default_factory=list)
     bills: list[BillRecorded] | None = None
+    kept_alone: set[str] = field(default_factory=set)
+    lost_holders: set[str] = field(default_factory=set)
     deadlines: dict[str, float] = field(default_factory=dict)
     final: dict[str, AnswerKind] = field(default_factory=dict)
--- a/standins/histories/_hosts.py
+++ b/standins/histories/_hosts.py
@@ -4,6 +4,7 @@
 import random
 from collections.abc import Awaitable, Callable
 
+from poplarrun.billing import BillKeeper, KeptBy
 from poplarrun.claims import ClaimKeeper, fingerprint_of
 from poplarrun.config import Configuration
 from poplarrun.contracts import Document, hash_key, parse_document
@@ -23,8 +24,8 @@
     SendOperation,
 )
 from standins.histories._events import Answer, AnswerKind
-from standins.histories._loop import Process
-from standins.histories._world import SimCall, SimLog, SimPeers, SimService, World, now
+from standins.histories._loop import Process, spawn
+from standins.histories._world import Keep, SimCall, SimLog, SimPeers, SimService, World, now
 
 API_KEY = "shop-key"
 SERVICE = "orders"
@@ -44,7 +45,14 @@
 )
 
 # Where a worker stands; a schedule can kill or stop its host at each.
-POINTS = ("before claim", "after claim", "before sending", "after sending", "after answer", "ended")
+POINTS = (
+    "before claim",
+    "after claim",
+    "before sending",
+    "after sending",
+    "after answer",
+    "billed",
+)
 Reached = Callable[["SimHost", str], Awaitable[None]]
 
 
@@ -56,8 +64,11 @@
 class SimHost:
     """One host: its process, its parts, and its workers."""
 
-    def __init__(self, world: World, name: str, incarnation: int) -> None:
+    def __init__(
+        self, world: World, all_hosts: dict[str, "SimHost"], name: str, incarnation: int
+    ) -> None:
         self.name = name
+        self._all = all_hosts
         self.zone = name[0]
         self.process = Process(name)
         me = Peer(name, self.zone, "local", incarnation)
@@ -72,8 +83,10 @@
         self._operations = self._router.operations
         self._operations.use_times(now, wall)
         self.claims = ClaimKeeper(self.peers, log, now, wall)
+        self.billing = BillKeeper(self.peers, log, now, wall)
         self._operations.keeper = self.claims
         self._operations.peers = self.peers
+        spawn(self.process, self.tend)
 
     async def run(self, request_id: str, key: str, reached: Reached) -> Answer:
         """Run one request as a worker does, and record what its caller is told."""
@@ -94,6 +107,21 @@
         self._world.history.answers.append(answer)
         return answer
 
+    async def tend(self) -> None:
+        """Tend the bills for ever, as the host's task does."""
+        while True:
+            await self.billing.tend()
+            await asyncio.sleep(1.0)
+
+    async def _keep_bills(self) -> None:
+        context = self._router.context
+        bills, context.bills = context.bills, []
+        for bill in bills:
+            if await self.billing.keep(bill) is KeptBy.HOST_ALONE:
+                self._world.history.kept_alone.add(bill.id)
+            holders = tuple(h.process for h in self._all.values() if h.billing.holds(bill.id))
+            self._world.keeps.append(Keep(bill.id, now(), holders))
+
     async def _exchange(
         self, request_id: str, call: SimCall, reached: Reached
     ) -> OperationGrant | ServiceAnswer | Refusal:
@@ -108,7 +136,8 @@
         await reached(self, "after answer")
         answer = ServiceAnswer(200, body.encode(), "text/plain")
         self._operations.end(EndOperation(request_id, answer))
-        await reached(self, "ended")
+        await self._keep_bills()
+        await reached(self, "billed")
         return answer
 
 
--- a/standins/histories/_loop.py
+++ b/standins/histories/_loop.py
@@ -14,12 +14,15 @@
     ----------
     paused, dead : bool
         While either holds, no task of the process takes a step.
+    last_step_at : float, optional
+        When it was killed, or stopped before that and never resumed.
     """
 
     def __init__(self, name: str) -> None:
         self.name = name
         self.paused = False
         self.dead = False
+        self.last_step_at: float | None = None
         self._halted: list[asyncio.Future[None]] = []
 
     @property
@@ -27,6 +30,16 @@
         """Whether no task may take a step now."""
         return self.paused or self.dead
 
+    def kill(self, at: float) -> None:
+        """Let no task take a step any more."""
+        self.dead = True
+        self.last_step_at = self.last_step_at or at
+
+    def stop(self, at: float) -> None:
+        """Let no task take a step until ``resume``."""
+        self.paused = True
+        self.last_step_at = at
+
     def halt_task(self) -> asyncio.Future[None]:
         """Return what a task that may not go on waits for."""
         halted: asyncio.Future[None] = asyncio.get_running_loop().create_future()
@@ -36,6 +49,8 @@
     def resume(self) -> None:
         """Let the tasks go on where they stopped."""
         self.paused = False
+        if not self.dead:
+            self.last_step_at = None
         halted, self._halted = self._halted, []
         for future in halted:
             if not future.done():
@@ -57,6 +72,9 @@
         self._inner = inner
         self._process = process
 
+    def __del__(self) -> None:
+        self._inner.close()
+
     def send(self, value: Any) -> Any:
         if self._process.is_halted:
             halted = self._process.halt_task()
--- a/standins/histories/_world.py
+++ b/standins/histories/_world.py
@@ -60,6 +60,15 @@
     slow_s: float = 0.0
 
 
+@dataclass(frozen=True)
+class Keep:
+    """A final bill was kept: when, and in which processes' memories."""
+
+    bill_id: str
+    at: float
+    holders: tuple[Process, ...]
+
+
 @dataclass
 class World:
     """All that the hosts share.
@@ -70,6 +79,8 @@
         Pairs of names between which nothing passes; ``log`` is one of them.
     injected : Counter
         Faults that took effect, by name.
+    keeps : list of Keep
+        The bills whose requests were answered.
     """
 
     random: random.Random
@@ -81,6 +92,7 @@
     cut_since: dict[frozenset[str], float] = field(default_factory=dict)
     injected: Counter[str] = field(default_factory=Counter)
     members: dict[str, "SimPeers"] = field(default_factory=dict)
+    keeps: list[Keep] = field(default_factory=list)
 
     def passes(self, one: str, other: str) -> bool:
         """Tell whether anything passes between two names."""
