Let hosts find each other and talk over pynng

Cause: Peers had only an in-memory version; hosts did not know each other. Change: a transport package (pynng, and a test transport whose links delay, drop and cut), membership inside a zone by pings and suspicion, merged digests between zones through two gateways each, summaries, announcements, ask and serve. Status shows the zones. A planned stop tells the others.

--- a/poplarrun/hosts/__init__.py
+++ b/poplarrun/hosts/__init__.py
@@ -1,6 +1,7 @@
 """The other entry hosts: who is live, messages to them, who usually does a job."""
 
 from poplarrun.hosts._memory import MemoryNetwork, MemoryPeers
+from poplarrun.hosts._network import NetworkPeers
 from poplarrun.hosts._peers import (
     Gathered,
     Handler,
@@ -8,6 +9,7 @@
     Peers,
     PeerSilent,
     SummaryTopic,
+    ZoneView,
 )
 from poplarrun.hosts._rendezvous import rank_hosts
 
@@ -16,9 +18,11 @@
     "Handler",
     "MemoryNetwork",
     "MemoryPeers",
+    "NetworkPeers",
     "Peer",
     "PeerSilent",
     "Peers",
     "SummaryTopic",
+    "ZoneView",
     "rank_hosts",
 ]
--- a/poplarrun/hosts/_memory.py
+++ b/poplarrun/hosts/_memory.py
@@ -1,9 +1,16 @@
 """Peers in memory, with links that can be cut, for tests and for embedding."""
 
 import asyncio
-from collections.abc import Iterable
+from collections.abc import Callable, Iterable
 
-from poplarrun.hosts._peers import Gathered, Handler, Peer, PeerSilent, SummaryTopic
+from poplarrun.hosts._peers import (
+    Gathered,
+    Handler,
+    Peer,
+    PeerSilent,
+    SummaryTopic,
+    ZoneView,
+)
 
 
 class MemoryNetwork:
@@ -50,6 +57,8 @@
         self._me = me
         self._handlers: dict[str, Handler] = {}
         self._summaries: dict[str, bytes] = {}
+        self._announced: dict[str, int] = {}
+        self._callbacks: list[Callable[[str, int], None]] = []
         network.members[me.name] = self
 
     @property
@@ -101,6 +110,40 @@
                 others.setdefault(peer.zone, []).append(payload)
         return Gathered(own, {zone: topic.merge(payloads) for zone, payloads in others.items()})
 
+    def start(self) -> None:
+        """Begin to talk; nothing is needed here."""
+
+    async def leave(self) -> None:
+        """Leave the network, as a planned stop does."""
+        self._network.members.pop(self._me.name, None)
+
+    def announce(self, topic: str, number: int, payload: bytes) -> None:
+        """Tell every host that is reached at once; the highest number of a topic wins."""
+        for peer in self.live():
+            self._network.members[peer.name]._hear(topic, number)
+
+    def announced(self, topic: str) -> int:
+        """Return the highest number announced of a topic; -1 when none was heard."""
+        return self._announced.get(topic, -1)
+
+    def on_announced(self, callback: Callable[[str, int], None]) -> None:
+        """Call back with topic and number of each new announcement."""
+        self._callbacks.append(callback)
+
+    def zones(self) -> tuple[ZoneView, ...]:
+        """Return what this host holds of each zone, the own one first."""
+        found: dict[str, dict[str, str]] = {self._me.zone: {}}
+        for peer in self.live():
+            found.setdefault(peer.zone, {})[peer.name] = "alive"
+        return tuple(ZoneView(zone, False, 0.0, hosts) for zone, hosts in found.items())
+
+    def _hear(self, topic: str, number: int) -> None:
+        if number <= self.announced(topic):
+            return
+        self._announced[topic] = number
+        for callback in self._callbacks:
+            callback(topic, number)
+
     def _reaches(self, other: str) -> bool:
         if other == self._me.name:
             return True
--- a/poplarrun/hosts/_peers.py
+++ b/poplarrun/hosts/_peers.py
@@ -66,6 +66,26 @@
     other_zones: Mapping[str, bytes]
 
 
+@dataclass(frozen=True, slots=True)
+class ZoneView:
+    """What a host holds of one zone.
+
+    Attributes
+    ----------
+    silent : bool
+        Whether nothing was heard of it for long.
+    silence_s : float
+        Seconds since its last sign of life.
+    hosts : mapping of host name to state
+        alive, suspect, dead, left or silent.
+    """
+
+    zone: str
+    silent: bool
+    silence_s: float
+    hosts: Mapping[str, str]
+
+
 Handler = Callable[[str, bytes], Awaitable[bytes]]
 
 
@@ -92,3 +112,24 @@
 
     def gathered(self, topic: SummaryTopic) -> Gathered:
         """Return the summaries of a topic that have been heard."""
+
+    def announce(self, topic: str, number: int, payload: bytes) -> None:
+        """Tell every host of every zone at once; the highest number of a topic wins.
+
+        For rare events of a few bytes, such as a new configuration.
+        """
+
+    def announced(self, topic: str) -> int:
+        """Return the highest number announced of a topic; -1 when none was heard."""
+
+    def on_announced(self, callback: Callable[[str, int], None]) -> None:
+        """Call back with topic and number of each new announcement."""
+
+    def zones(self) -> tuple[ZoneView, ...]:
+        """Return what this host holds of each zone, the own one first."""
+
+    def start(self) -> None:
+        """Begin to talk; called on the loop."""
+
+    async def leave(self) -> None:
+        """Tell the others of a planned stop, then be silent."""
--- /dev/null
+++ b/poplarrun/leases/__init__.py
@@ -0,0 +1,1 @@
+"""Leases for jobs that one host does at a time, from records of the log."""
--- a/poplarrun/server/_daemon.py
+++ b/poplarrun/server/_daemon.py
@@ -15,6 +15,7 @@
 from poplarrun.server._callers import CallersApi
 from poplarrun.server._crossing import Crossing
 from poplarrun.server._host import EntryHost
+from poplarrun.server._messages import Leave
 from poplarrun.server._observers import RootApi
 from poplarrun.settings import HostSettings
 
@@ -66,6 +67,7 @@
             time.sleep(DRAIN_POLL_S)
         left = self.host.router.open_requests
         self._server.stop()
+        self.crossing.ask(Leave())
         self.crossing.stop()
         self._log.info("Stopped.", extra={"open_requests": left})
         return left
--- a/poplarrun/server/_host.py
+++ b/poplarrun/server/_host.py
@@ -11,6 +11,7 @@
 from poplarrun.config import CONFIG_STREAM, Accepted, Configuration, Ignored, fold_entry
 from poplarrun.endpoints import Endpoint, EndpointTable
 from poplarrun.errors import ErrorKind, Refusal
+from poplarrun.hosts import Peers
 from poplarrun.log import Gap, Log, ReadFailed, StreamReader
 from poplarrun.logs import part_logger
 from poplarrun.metrics import Metrics
@@ -36,11 +37,13 @@
     EndpointStatus,
     Explain,
     HostStatus,
+    Leave,
     ListClasses,
     ReadMetrics,
     ReadReadiness,
     ReadStatus,
 )
+from poplarrun.server._peering import make_peers, publish_offset, read_zones
 from poplarrun.settings import HostSettings
 
 CONFIG_POLL_S = 0.25
@@ -62,6 +65,8 @@
         Adapters to the platform; their blocking calls run on a thread pool.
     clock : callable
         Seconds, monotonic.
+    peers : Peers, optional
+        The other hosts; made from the settings when left out.
     """
 
     def __init__(
@@ -71,9 +76,11 @@
         host_list: HostList,
         engine: Engine,
         clock: Callable[[], float] = time.monotonic,
+        peers: Peers | None = None,
     ) -> None:
         self.settings = settings
         self.metrics = Metrics()
+        self.peers = peers or make_peers(settings, self.metrics, clock)
         self.stopping = False
         self._clock = clock
         self._host_list = host_list
@@ -95,6 +102,7 @@
 
     def start_tasks(self) -> None:
         """Start the parts' tasks; called on the loop."""
+        self.peers.start()
         for step, period_s in (
             (self._follow_config, CONFIG_POLL_S),
             (self._follow_host_list, HOST_LIST_POLL_S),
@@ -134,6 +142,8 @@
                 return self.metrics.render()
             case ReadReadiness():
                 return self.is_ready
+            case Leave():
+                return await self.peers.leave()
         raise TypeError(f"no handler for {type(message).__name__}")
 
     async def _repeat(self, step: Callable[[], Coroutine[Any, Any, None]], period_s: float) -> None:
@@ -165,6 +175,7 @@
                 self._log_answered_at = self._clock()
                 for entry in entries:
                     self._fold(entry)
+                publish_offset(self.peers, self.router.context.configuration.offset)
 
     def _fold(self, entry: Any) -> None:
         state, verdict = fold_entry(self.router.context.configuration, entry)
@@ -223,6 +234,7 @@
             endpoints=tuple(_endpoint_status(e, now) for e in self._endpoints.all()),
             withdrawn=tuple(sorted(configuration.withdrawn)),
             refusals=dict(self.metrics.refusal_counts),
+            zones=read_zones(self.peers),
         )
 
 
--- a/poplarrun/server/_messages.py
+++ b/poplarrun/server/_messages.py
@@ -27,6 +27,11 @@
     """Asks whether the balancer may send callers here."""
 
 
+@dataclass(frozen=True, slots=True)
+class Leave:
+    """Asks to hand over what is left and to tell the other hosts of the stop."""
+
+
 @dataclass(frozen=True, slots=True)
 class Explain:
     """Asks why a request went where it went."""
@@ -46,6 +51,28 @@
     versions: tuple[str, ...]
 
 
+@dataclass(frozen=True, slots=True)
+class ZoneStatus:
+    """One availability zone as this host sees it.
+
+    Attributes
+    ----------
+    silent : bool
+        Whether nothing was heard of it for long.
+    lowest_offset, highest_offset : int or None
+        Configuration offsets in force there, as last heard.
+    hosts : dict of str to str
+        State by host name.
+    """
+
+    zone: str
+    silent: bool
+    silence_s: float
+    lowest_offset: int | None
+    highest_offset: int | None
+    hosts: dict[str, str]
+
+
 @dataclass(frozen=True, slots=True)
 class HostStatus:
     """What one host knows.
@@ -68,3 +95,4 @@
     endpoints: tuple[EndpointStatus, ...]
     withdrawn: tuple[VersionId, ...]
     refusals: dict[str, int]
+    zones: tuple[ZoneStatus, ...]
--- /dev/null
+++ b/poplarrun/server/_peering.py
@@ -0,0 +1,90 @@
+"""A host's place among the others: its links, and what status shows of the zones."""
+
+import random
+import time
+from collections.abc import Callable, Sequence
+from dataclasses import dataclass
+
+import msgspec
+
+from poplarrun.hosts import MemoryNetwork, MemoryPeers, NetworkPeers, Peer, Peers, SummaryTopic
+from poplarrun.links import NngLinks
+from poplarrun.metrics import Metrics
+from poplarrun.server._messages import ZoneStatus
+from poplarrun.settings import HostSettings
+
+MILLISECONDS_PER_SECOND = 1000
+
+
+class OffsetSummary(msgspec.Struct, frozen=True, array_like=True):
+    """The configuration offsets in force at some hosts."""
+
+    lowest: int
+    highest: int
+
+
+def merge_offsets(payloads: Sequence[bytes]) -> bytes:
+    """Merge offset summaries; bytes that are none are left out."""
+    found = [summary for payload in payloads if (summary := _read(payload)) is not None]
+    if not found:
+        return b""
+    merged = OffsetSummary(min(s.lowest for s in found), max(s.highest for s in found))
+    return msgspec.msgpack.encode(merged)
+
+
+OFFSETS = SummaryTopic("offsets", merge_offsets)
+
+
+def make_peers(settings: HostSettings, metrics: Metrics, clock: Callable[[], float]) -> Peers:
+    """Return the host's ``Peers``: over the network, or alone without ``peer_listen``."""
+    incarnation = int(time.time() * MILLISECONDS_PER_SECOND)
+    me = Peer(settings.name, settings.zone, settings.region, incarnation)
+    if settings.peer_listen is None:
+        return MemoryPeers(MemoryNetwork(), me)
+    links = NngLinks(settings.peer_listen)
+    source = random.Random(f"{settings.name}/{incarnation}")
+    return NetworkPeers(me, links, settings.seeds, metrics, source, clock)
+
+
+def publish_offset(peers: Peers, offset: int) -> None:
+    """Tell the others which configuration is in force here."""
+    peers.publish(OFFSETS, msgspec.msgpack.encode(OffsetSummary(offset, offset)))
+
+
+@dataclass(frozen=True, slots=True)
+class _ZoneOffsets:
+    lowest: int | None = None
+    highest: int | None = None
+
+
+def read_zones(peers: Peers) -> tuple[ZoneStatus, ...]:
+    """Return what status shows of each zone."""
+    gathered = peers.gathered(OFFSETS)
+    by_zone = dict(gathered.other_zones)
+    by_zone[peers.me.zone] = merge_offsets(list(gathered.own_zone.values()))
+    found = []
+    for view in peers.zones():
+        offsets = _offsets(by_zone.get(view.zone, b""))
+        found.append(
+            ZoneStatus(
+                view.zone,
+                view.silent,
+                round(view.silence_s, 1),
+                offsets.lowest,
+                offsets.highest,
+                dict(view.hosts),
+            )
+        )
+    return tuple(found)
+
+
+def _offsets(payload: bytes) -> _ZoneOffsets:
+    summary = _read(payload)
+    return _ZoneOffsets() if summary is None else _ZoneOffsets(summary.lowest, summary.highest)
+
+
+def _read(payload: bytes) -> OffsetSummary | None:
+    try:
+        return msgspec.msgpack.decode(payload, type=OffsetSummary)
+    except msgspec.MsgspecError:
+        return None
