Correct late load reports, index endpoints by version, add retries and admission

Cause: one choice read every endpoint's last report as if it were true now. Change: own requests are counted exactly, the other hosts' part of a report fades to the pool's mean as fast as it is seen to, prefix knowledge is bounded and doubtful after gaps, ejection is bounded, fresh engines start slowly. Retry budgets and admission stand as pure parts, not wired yet.

--- /dev/null
+++ b/poplarrun/admission/_admission.py
@@ -0,0 +1,174 @@
+"""The decision whether a request starts, waits in the queue, or is refused."""
+
+from collections import deque
+from collections.abc import Hashable
+from dataclasses import dataclass, field
+
+from poplarrun.admission._queue import FairQueue, Ticket
+from poplarrun.errors import ErrorKind
+
+# Work that may wait at an endpoint, so that it never runs dry between two
+# reports. More would wait out of reach of importance and fairness.
+ENDPOINT_QUEUE_S = 0.25
+RATE_WINDOW_S = 2.0
+SHORTEST_RETRY_S = 0.2
+LONGEST_RETRY_S = 30.0
+# Share of the starts that the more important classes never take in the forecast:
+# their present rate is not for ever.
+LEAST_LEFT_SHARE = 0.02
+
+
+@dataclass(frozen=True, slots=True)
+class Admitted:
+    """It starts now."""
+
+
+@dataclass(frozen=True, slots=True)
+class Held:
+    """It waits in the queue."""
+
+    wait_s: float
+
+
+@dataclass(frozen=True, slots=True)
+class Refused:
+    """It never starts; the caller hears why, and when to come back."""
+
+    kind: ErrorKind
+    reason: str
+    retry_after_s: float
+
+
+Verdict = Admitted | Held | Refused
+
+
+@dataclass
+class _Rate:
+    """Events a second over the last seconds."""
+
+    times: deque[float] = field(default_factory=deque)
+
+    def note(self, now: float) -> None:
+        self.times.append(now)
+
+    def per_s(self, now: float) -> float:
+        while self.times and self.times[0] < now - RATE_WINDOW_S:
+            self.times.popleft()
+        return len(self.times) / RATE_WINDOW_S
+
+
+class Admission:
+    """Admission to the endpoints of one version, at one host.
+
+    Parameters
+    ----------
+    bound : int
+        Most requests that wait at once.
+    """
+
+    def __init__(self, bound: int) -> None:
+        self.queue = FairQueue(bound)
+        self.dropped: list[Ticket] = []
+        self._starts = _Rate()
+        self._arrivals: dict[int, _Rate] = {}
+
+    def offer(self, ticket: Ticket, endpoint_wait_s: float, now: float) -> Verdict:
+        """Decide on a new request.
+
+        Parameters
+        ----------
+        ticket : Ticket
+            The request.
+        endpoint_wait_s : float
+            Time that it would wait at the best endpoint found.
+        now : float
+            The time.
+        """
+        self._arrivals.setdefault(ticket.importance, _Rate()).note(now)
+        ahead = self.queue.ahead_of(ticket.importance)
+        if ahead == 0 and endpoint_wait_s <= ENDPOINT_QUEUE_S:
+            self._starts.note(now)
+            return Admitted()
+        wait_s = self._forecast_wait(ahead, ticket.importance, now)
+        if ahead == 0:
+            wait_s = min(wait_s, endpoint_wait_s)
+        if now + wait_s > ticket.start_by:
+            late_s = now + wait_s - ticket.start_by
+            return Refused(
+                ErrorKind.DEADLINE_UNREACHABLE,
+                f"it would wait {wait_s:.1f} s, {late_s:.1f} s too long for its class",
+                _bound_retry(late_s),
+            )
+        if len(self.queue) >= self.queue.bound:
+            dropped = self.queue.make_room(ticket.importance)
+            if dropped is None:
+                return Refused(
+                    ErrorKind.QUEUE_FULL,
+                    f"{self.queue.bound} requests of this or more importance wait",
+                    _bound_retry(wait_s),
+                )
+            self.dropped.append(dropped)
+        self.queue.push(ticket)
+        return Held(wait_s)
+
+    def start_next(self, now: float) -> Ticket:
+        """Take the waiting request that starts now."""
+        self._starts.note(now)
+        return self.queue.pop()
+
+    def give_up_late(self, now: float) -> list[tuple[Ticket, Refused]]:
+        """Refuse those that can't start in time, and those that made room for others."""
+        given_up = []
+        for ticket in self.queue.take_expired(now):
+            reason = "no endpoint became free in time for its class"
+            wait_s = self._forecast_wait(
+                self.queue.ahead_of(ticket.importance), ticket.importance, now
+            )
+            refused = Refused(ErrorKind.DEADLINE_UNREACHABLE, reason, _bound_retry(wait_s))
+            given_up.append((ticket, refused))
+        for ticket in self.dropped:
+            wait_s = self._forecast_wait(len(self.queue), ticket.importance, now)
+            reason = "more important work took its place in the queue"
+            refused = Refused(ErrorKind.QUEUE_FULL, reason, _bound_retry(wait_s))
+            given_up.append((ticket, refused))
+        self.dropped.clear()
+        return given_up
+
+    def _forecast_wait(self, ahead: int, importance: int, now: float) -> float:
+        """Return the expected wait behind so many others.
+
+        More important requests that come later go first, too: only the starts
+        that they leave count.
+        """
+        starts = max(self._starts.per_s(now), 1.0 / RATE_WINDOW_S)
+        higher = sum(rate.per_s(now) for at, rate in self._arrivals.items() if at > importance)
+        return (ahead + 1) / max(starts - higher, starts * LEAST_LEFT_SHARE)
+
+
+class Admissions:
+    """Admission to everything, one queue a version.
+
+    Parameters
+    ----------
+    bound : int
+        Most requests that wait for one version.
+    """
+
+    def __init__(self, bound: int) -> None:
+        self._bound = bound
+        self._by_work: dict[Hashable, Admission] = {}
+
+    def of(self, work: Hashable) -> Admission:
+        """Return the admission to a version."""
+        admission = self._by_work.get(work)
+        if admission is None:
+            admission = self._by_work[work] = Admission(self._bound)
+        return admission
+
+    def waiting(self) -> list[tuple[Hashable, Admission]]:
+        """Return those with requests that wait, or that have yet to hear of their end."""
+        return [(w, a) for w, a in self._by_work.items() if len(a.queue) or a.dropped]
+
+
+def _bound_retry(seconds: float) -> float:
+    return min(LONGEST_RETRY_S, max(SHORTEST_RETRY_S, seconds))
--- /dev/null
+++ b/poplarrun/endpoints/_pool.py
@@ -0,0 +1,138 @@
+"""The endpoints that can do one kind of work, indexed for fast choice."""
+
+import random
+from collections.abc import Container
+from dataclasses import dataclass, field
+
+from poplarrun.endpoints._endpoint import Endpoint, OthersModel
+from poplarrun.endpoints._prefix import salt_of
+
+# Of a pool's endpoints at most this share is passed over for broken answers.
+# A fault of the requests themselves would otherwise take out every endpoint.
+MAX_EJECTED_SHARE = 0.5
+MEAN_DECAY = 0.95
+
+
+@dataclass
+class PoolSpeed:
+    """How long work takes in a pool, learned from this host's own requests.
+
+    Attributes
+    ----------
+    whole_s : float
+        Mean time of one request at an endpoint, in seconds.
+    prefill_s_per_token : float
+        Time that an uncached prompt token adds before the first token.
+    """
+
+    whole_s: float = 1.0
+    prefill_s_per_token: float = 0.0
+    _weight: float = 0.0
+    _tokens: float = 0.0
+    _seconds: float = 0.0
+    _products: float = 0.0
+    _squares: float = 0.0
+
+    def note_whole(self, seconds: float) -> None:
+        """Take in the time of one request."""
+        self.whole_s += (1.0 - MEAN_DECAY) * (seconds - self.whole_s)
+
+    def note_first_token(self, uncached_tokens: int, seconds: float) -> None:
+        """Take in the time to a first token; the slope over many is the prefill time."""
+        keep = MEAN_DECAY
+        self._weight = keep * self._weight + 1.0
+        self._tokens = keep * self._tokens + uncached_tokens
+        self._seconds = keep * self._seconds + seconds
+        self._products = keep * self._products + uncached_tokens * seconds
+        self._squares = keep * self._squares + uncached_tokens**2
+        spread = self._weight * self._squares - self._tokens**2
+        if spread > 1.0:
+            slope = (self._weight * self._products - self._tokens * self._seconds) / spread
+            self.prefill_s_per_token = max(0.0, slope)
+
+
+@dataclass
+class Pool:
+    """Endpoints of one version, or of one plain service.
+
+    Attributes
+    ----------
+    members : list of Endpoint
+        All that are listed and not leaving.
+    near, far : list of Endpoint
+        Those that may be drawn now, in the own zone and in the others.
+    salts : list of (str, int)
+        Names from which a prefix's home is taken, with their salts.
+    refresh_at : float
+        When the members have to be sorted anew.
+    others : OthersModel
+        Load by other hosts.
+    speed : PoolSpeed
+        How long work takes here.
+    """
+
+    zone: str
+    members: list[Endpoint] = field(default_factory=list)
+    near: list[Endpoint] = field(default_factory=list)
+    far: list[Endpoint] = field(default_factory=list)
+    others: OthersModel = field(default_factory=OthersModel)
+    speed: PoolSpeed = field(default_factory=PoolSpeed)
+    salts: list[tuple[str, int]] = field(default_factory=list)
+    refresh_at: float = float("-inf")
+    _own_load: float = 0.0
+    _usable: set[str] = field(default_factory=set)
+
+    def may_draw(self, endpoint: Endpoint) -> bool:
+        """Tell whether an endpoint may get new work now."""
+        return endpoint.name in self._usable
+
+    def mark_changed(self) -> None:
+        """Have the members sorted anew before the next choice."""
+        self.refresh_at = float("-inf")
+
+    def refresh(self, now: float) -> None:
+        """Sort the members into those that may be drawn; runs on changes only."""
+        paused = [e for e in self.members if e.paused_until > now]
+        broken = sorted((e for e in paused if not e.unreachable), key=lambda e: e.paused_until)
+        bound = int(len(self.members) * MAX_EJECTED_SHARE)
+        spared = {e.name for e in broken[: max(0, len(broken) - bound)]}
+        out = {e.name for e in paused} - spared
+        usable = [e for e in self.members if e.name not in out] or self.members
+        self.near = [e for e in usable if e.zone == self.zone]
+        self.far = [e for e in usable if e.zone != self.zone]
+        self._usable = {e.name for e in usable}
+        self.salts = [(e.name, salt_of(e.name)) for e in self.near or self.far]
+        self.refresh_at = min((e.paused_until for e in paused), default=float("inf"))
+
+    def draw_near(self, source: random.Random, count: int, avoid: Container[str]) -> list[Endpoint]:
+        """Draw some endpoints of the own zone at random, without those to avoid."""
+        return _draw(self.near, count, source, avoid)
+
+    def draw_far(self, source: random.Random, count: int, avoid: Container[str]) -> list[Endpoint]:
+        """Draw some endpoints of the other zones at random, without those to avoid."""
+        return _draw(self.far, count, source, avoid)
+
+    def note_own_load(self, load: float) -> None:
+        """Take in the requests of this host at one endpoint, for each place of its batch."""
+        self._own_load += (1.0 - MEAN_DECAY) * (load - self._own_load)
+
+    def own_share(self) -> float:
+        """Return which share of the pool's load this host gives."""
+        whole = self._own_load + self.others.mean
+        return self._own_load / whole if whole > 0.0 else 1.0
+
+
+def _draw(
+    endpoints: list[Endpoint], count: int, source: random.Random, avoid: Container[str]
+) -> list[Endpoint]:
+    if avoid:
+        endpoints = [e for e in endpoints if e.name not in avoid]
+    size = len(endpoints)
+    if size <= count:
+        return list(endpoints)
+    drawn: list[Endpoint] = []
+    while len(drawn) < count:
+        endpoint = endpoints[int(source.random() * size)]
+        if endpoint not in drawn:
+            drawn.append(endpoint)
+    return drawn
--- /dev/null
+++ b/poplarrun/endpoints/_prefix.py
@@ -0,0 +1,190 @@
+"""Which endpoint is likely to hold which part of a prompt in its prefix cache."""
+
+import hashlib
+import math
+from collections import OrderedDict
+from collections.abc import Sequence
+from dataclasses import dataclass, field
+
+from poplarrun.contracts import VersionId
+from poplarrun.platform import CacheEvent
+
+# Pairs of block and endpoint that are remembered; the least used go first.
+KEPT_BLOCKS = 20_000
+HOLDERS_PER_BLOCK = 8
+# Knowledge that no event confirms is worth 1/e after this time.
+FADE_S = 120.0
+# Below this many blocks, one lost event would make too much doubtful.
+FEWEST_CACHED_BLOCKS = 200
+# Steps of the depths that are indexed: finer ones cost memory, not accuracy.
+DEPTH_STEP = 1.3
+STORED = "stored"
+
+
+def indexed_depths(blocks: int) -> list[int]:
+    """Return the depths of a prompt that are indexed, the deepest first.
+
+    The depths are the same for all prompts, so that prompts with a common
+    beginning meet in the index; a prompt's own last block is added.
+    """
+    depths = [blocks] if blocks else []
+    step = 1.0
+    while step < blocks:
+        depths.append(int(step))
+        step = max(step + 1.0, step * DEPTH_STEP)
+    return sorted(set(depths), reverse=True)
+
+
+@dataclass(slots=True)
+class _Feed:
+    """What has been heard from one endpoint's cache."""
+
+    number: int = 0
+    lost: int = 0
+    held: int = 0
+    heard_at: float = -math.inf
+
+
+@dataclass(slots=True)
+class _Knowledge:
+    """When it was learned that an endpoint holds a block, and after how many lost events."""
+
+    learned_at: float
+    lost: int
+
+
+@dataclass
+class PrefixIndex:
+    """Bounded knowledge of the endpoints' prefix caches.
+
+    Only blocks that this host's own requests carried are indexed: events of
+    others are read and dropped, so memory follows this host's traffic and not
+    the size of the fleet's caches.
+    """
+
+    kept_blocks: int = KEPT_BLOCKS
+    _holders: OrderedDict[tuple[VersionId, int], dict[str, _Knowledge]] = field(
+        default_factory=OrderedDict
+    )
+    _feeds: dict[str, _Feed] = field(default_factory=dict)
+
+    def __len__(self) -> int:
+        return len(self._holders)
+
+    def take_events(self, endpoint: str, events: Sequence[CacheEvent], now: float) -> None:
+        """Take in an engine's events in the order of their numbers."""
+        feed = self._feeds.setdefault(endpoint, _Feed())
+        feed.heard_at = now
+        for event in events:
+            if event.number <= feed.number:
+                self._restart_if_reset(endpoint, event)
+                continue
+            # A lost event may have been the removal of any block: what was
+            # known before gets less certain instead of staying wrongly certain.
+            feed.lost += event.number - feed.number - 1 if feed.number else 0
+            feed.number = event.number
+            feed.held = max(0, feed.held + (1 if event.kind == STORED else -1))
+            self._apply(endpoint, event, feed, now)
+
+    def last_number(self, endpoint: str) -> int:
+        """Return the number of the last event heard from an endpoint."""
+        feed = self._feeds.get(endpoint)
+        return feed.number if feed else 0
+
+    def note_sent(
+        self, endpoint: str, version: VersionId, blocks: Sequence[int], now: float
+    ) -> None:
+        """Remember that a prompt went to an endpoint, which will hold its blocks."""
+        lost = self._feeds[endpoint].lost if endpoint in self._feeds else 0
+        for depth in indexed_depths(len(blocks)):
+            key = (version, blocks[depth - 1])
+            holders = self._holders.setdefault(key, {})
+            self._holders.move_to_end(key)
+            holders[endpoint] = _Knowledge(now, lost)
+            if len(holders) > HOLDERS_PER_BLOCK:
+                del holders[min(holders, key=lambda name: holders[name].learned_at)]
+        while len(self._holders) > self.kept_blocks:
+            self._holders.popitem(last=False)
+
+    def forget(self, endpoint: str) -> None:
+        """Drop what is known of an endpoint that restarted or is gone."""
+        self._feeds.pop(endpoint, None)
+        for holders in self._holders.values():
+            holders.pop(endpoint, None)
+
+    def find(self, version: VersionId, blocks: Sequence[int], now: float) -> "PrefixMatch":
+        """Return who is likely to hold how much of a prompt."""
+        cached: dict[str, float] = {}
+        known_depth = 0
+        for depth in indexed_depths(len(blocks)):
+            holders = self._holders.get((version, blocks[depth - 1]))
+            if holders is None:
+                continue
+            known_depth = known_depth or depth
+            for name, knowledge in holders.items():
+                expected = depth * self._certainty(name, knowledge, now)
+                if expected > cached.get(name, 0.0):
+                    cached[name] = expected
+        key = blocks[known_depth - 1] if known_depth else 0
+        return PrefixMatch(cached, known_depth, key)
+
+    def _certainty(self, endpoint: str, knowledge: _Knowledge, now: float) -> float:
+        feed = self._feeds.get(endpoint)
+        if feed is None:
+            return math.exp((knowledge.learned_at - now) / FADE_S)
+        confirmed_at = max(knowledge.learned_at, feed.heard_at)
+        doubt = (feed.lost - knowledge.lost) / max(FEWEST_CACHED_BLOCKS, feed.held)
+        return math.exp((confirmed_at - now) / FADE_S - doubt)
+
+    def _apply(self, endpoint: str, event: CacheEvent, feed: _Feed, now: float) -> None:
+        holders = self._holders.get((VersionId.parse(event.version), event.block))
+        if holders is None:
+            return
+        if event.kind != STORED:
+            holders.pop(endpoint, None)
+        elif endpoint in holders or len(holders) < HOLDERS_PER_BLOCK:
+            holders[endpoint] = _Knowledge(now, feed.lost)
+
+    def _restart_if_reset(self, endpoint: str, event: CacheEvent) -> None:
+        """Drop what was known when the numbers start anew: the engine did too."""
+        if event.number == 1:
+            self.forget(endpoint)
+            self._feeds[endpoint] = _Feed(number=1, held=1)
+
+
+@dataclass(frozen=True, slots=True)
+class PrefixMatch:
+    """What the index knows of one prompt.
+
+    Attributes
+    ----------
+    cached : dict of str to float
+        Expected blocks held, by endpoint.
+    known_depth : int
+        Blocks of the longest beginning that this host has seen before.
+    key : int
+        Hash of that beginning, from which all hosts derive the same home.
+    """
+
+    cached: dict[str, float]
+    known_depth: int
+    key: int
+
+
+NO_MATCH = PrefixMatch({}, 0, 0)
+
+
+def salt_of(name: str) -> int:
+    """Return the number that an endpoint's name adds to the rendezvous hash."""
+    return int.from_bytes(hashlib.blake2b(name.encode(), digest_size=7).digest())
+
+
+def home_of(key: int, salts: Sequence[tuple[str, int]]) -> str | None:
+    """Return the endpoint that a prefix usually goes to, by rendezvous hashing.
+
+    Every host computes the same home without a message. Tuples of integers
+    hash alike in all processes, unlike strings.
+    """
+    if not salts:
+        return None
+    return max(salts, key=lambda entry: hash((key, entry[1])))[0]
--- a/poplarrun/endpoints/_table.py
+++ b/poplarrun/endpoints/_table.py
@@ -1,59 +1,23 @@
-"""The endpoints that a host knows, and the choice among them."""
+"""The endpoints that a host knows, and what happens to them."""
 
 import random
-from collections.abc import Container
-from dataclasses import dataclass
+from collections.abc import Container, Sequence
 
 from poplarrun.contracts import VersionId
-from poplarrun.platform import HostKind, HostState, ListedHost, LoadReport
+from poplarrun.endpoints._choice import NO_DEMAND, Choice, Chooser, Demand
+from poplarrun.endpoints._endpoint import Endpoint
+from poplarrun.endpoints._pool import Pool
+from poplarrun.endpoints._prefix import PrefixIndex
+from poplarrun.platform import CacheEvent, HostKind, HostState, ListedHost, LoadReport
 
-CHOICES = 2
-# A failed endpoint gets nothing for this time, unless all have failed.
+# A failed endpoint gets nothing for this time, doubled with each further failure.
 FAILURE_PAUSE_S = 1.0
-# Extra load that an endpoint of another zone must save, in requests per place.
-OTHER_ZONE_PENALTY = 0.25
-
-
-@dataclass
-class Endpoint:
-    """A model engine or a plain service, as this host sees it.
-
-    Attributes
-    ----------
-    name, kind, zone, address, service
-        As listed.
-    leaving : bool
-        It gets no new work.
-    versions : frozenset of VersionId
-        Versions that it reports as loaded.
-    reported : float
-        Requests in and before its batch, by its last report.
-    capacity : int
-        Requests in its batch.
-    sent_since : int
-        Requests that this host sent since that report was true.
-    in_flight : int
-        Requests of this host that run there now.
-    paused_until : float
-        Time before which it is passed over, after a failure.
-    """
-
-    name: str
-    kind: HostKind
-    zone: str
-    address: str
-    service: str | None = None
-    leaving: bool = False
-    versions: frozenset[VersionId] = frozenset()
-    reported: float = 0.0
-    capacity: int = 1
-    sent_since: int = 0
-    in_flight: int = 0
-    paused_until: float = 0.0
-
-    def load(self) -> float:
-        """Return the expected load, in requests for each place of the batch."""
-        return max(self.in_flight, self.reported + self.sent_since) / self.capacity
+LONGEST_PAUSE_S = 30.0
+# An endpoint that says it is full is only passed over for a moment.
+BUSY_PAUSE_S = 0.25
+BUSY_REASONS = frozenset({"status_429", "status_503"})
+UNREACHABLE_REASONS = frozenset({"connect"})
+JITTER_SHARE = 0.2
 
 
 class EndpointTable:
@@ -71,86 +35,165 @@
         self._zone = zone
         self._random = source
         self._endpoints: dict[str, Endpoint] = {}
+        self._pools: dict[VersionId | str, Pool] = {}
+        self._list_seen = False
+        self._pools_stale = False
+        self.prefixes = PrefixIndex()
+        self.chooser = Chooser(source, self.prefixes, zone)
 
     def all(self) -> list[Endpoint]:
         """Return every endpoint."""
         return list(self._endpoints.values())
 
-    def apply_list(self, listed: tuple[ListedHost, ...]) -> None:
+    def find(self, name: str) -> Endpoint | None:
+        """Return an endpoint by name."""
+        return self._endpoints.get(name)
+
+    def pool(self, work: VersionId | str) -> Pool:
+        """Return the endpoints of a version, or of a plain service by its name."""
+        pool = self._pools.get(work)
+        if pool is None:
+            pool = self._pools[work] = Pool(self._zone)
+        return pool
+
+    def apply_list(self, listed: tuple[ListedHost, ...], now: float = 0.0) -> None:
         """Take over a host list: new ones come, gone ones go, states change."""
-        kept: dict[str, Endpoint] = {}
+        before = self._endpoints
+        self._endpoints = {}
         for host in listed:
             if host.kind is HostKind.ENTRY:
                 continue
-            endpoint = self._endpoints.get(host.name)
+            endpoint = before.get(host.name)
             if endpoint is None or endpoint.address != host.address:
                 endpoint = Endpoint(host.name, host.kind, host.zone, host.address, host.service)
+                # The endpoints of the first list ran before this host did.
+                if self._list_seen:
+                    endpoint.known_since = now
             endpoint.leaving = host.state is HostState.LEAVING
-            kept[host.name] = endpoint
-        self._endpoints = kept
+            self._endpoints[host.name] = endpoint
+        for name in before.keys() - self._endpoints.keys():
+            self.prefixes.forget(name)
+        self._list_seen = True
+        self._pools_stale = True
 
-    def apply_report(self, name: str, report: LoadReport) -> None:
+    def apply_report(self, name: str, report: LoadReport, now: float) -> None:
         """Take over an engine's load report."""
+        versions = frozenset(VersionId.parse(version) for version in report.versions)
+        self.apply_load(
+            name, versions, report.running + report.waiting, report.capacity, now - report.age_s
+        )
+
+    def apply_load(
+        self,
+        name: str,
+        versions: frozenset[VersionId],
+        requests: float,
+        capacity: int,
+        true_at: float,
+    ) -> None:
+        """Take over an endpoint's load that was true at a time."""
         endpoint = self._endpoints.get(name)
         if endpoint is None:
             return
-        endpoint.versions = frozenset(VersionId.parse(version) for version in report.versions)
-        endpoint.reported = report.running + report.waiting
-        endpoint.capacity = max(1, report.capacity)
-        endpoint.sent_since = 0
-
-    def note_failure(self, name: str, now: float) -> None:
+        if versions != endpoint.versions:
+            endpoint.versions = versions
+            self._pools_stale = True
+        models = [self.pool(work).others for work in versions]
+        endpoint.take_report(requests, capacity, true_at, models)
+
+    def apply_cache_events(self, name: str, events: Sequence[CacheEvent], now: float) -> None:
+        """Take over an engine's cache events."""
+        if name in self._endpoints:
+            self.prefixes.take_events(name, events, now)
+
+    def note_failure(self, name: str, now: float, reason: str = "") -> None:
         """Pass an endpoint over for a while after a failed call."""
         endpoint = self._endpoints.get(name)
-        if endpoint is not None:
-            endpoint.paused_until = now + FAILURE_PAUSE_S
-
-    def note_sent(self, name: str) -> None:
+        if endpoint is None:
+            return
+        pause_s = BUSY_PAUSE_S
+        if reason not in BUSY_REASONS:
+            endpoint.failures += 1
+            doublings = min(endpoint.failures - 1, 10)
+            pause_s = min(LONGEST_PAUSE_S, FAILURE_PAUSE_S * 2.0**doublings)
+        endpoint.unreachable = reason in UNREACHABLE_REASONS
+        # Jitter: hosts that saw the same failure must not try again as one.
+        jitter = 1.0 + JITTER_SHARE * self._random.random()
+        endpoint.paused_until = max(endpoint.paused_until, now + pause_s * jitter)
+        self._mark_changed(endpoint)
+
+    def note_success(self, name: str) -> None:
+        """Take an endpoint back at once when it answered a call."""
+        endpoint = self._endpoints.get(name)
+        if endpoint is not None and endpoint.failures:
+            endpoint.failures = 0
+            endpoint.unreachable = False
+            endpoint.paused_until = float("-inf")
+            self._mark_changed(endpoint)
+
+    def note_sent(
+        self,
+        name: str,
+        now: float,
+        version: VersionId | None = None,
+        blocks: Sequence[int] = (),
+    ) -> None:
         """Count a call that goes out."""
         endpoint = self._endpoints.get(name)
-        if endpoint is not None:
-            endpoint.sent_since += 1
-            endpoint.in_flight += 1
+        if endpoint is None:
+            return
+        endpoint.note_sent(now)
+        if version is not None and blocks:
+            self.prefixes.note_sent(name, version, blocks, now)
 
-    def note_ended(self, name: str) -> None:
+    def note_ended(self, name: str, now: float) -> None:
         """Count a call that came back."""
         endpoint = self._endpoints.get(name)
         if endpoint is not None:
-            endpoint.in_flight = max(0, endpoint.in_flight - 1)
+            endpoint.note_ended(now)
 
     def choose_engine(
-        self, version: VersionId, now: float, avoid: Container[str] = ()
-    ) -> Endpoint | None:
+        self,
+        version: VersionId,
+        now: float,
+        avoid: Container[str] = (),
+        demand: Demand = NO_DEMAND,
+    ) -> Choice | None:
         """Choose a model engine that holds a version."""
-        candidates = [
-            endpoint
-            for endpoint in self._endpoints.values()
-            if version in endpoint.versions and not endpoint.leaving
-        ]
-        return self._choose(candidates, now, avoid)
+        pool = self._current_pool(version)
+        if pool is None:
+            return None
+        return self.chooser.choose(pool, version, demand, now, avoid, self._endpoints.get)
 
     def choose_service(
         self, service: str, now: float, avoid: Container[str] = ()
     ) -> Endpoint | None:
         """Choose an endpoint of a plain service."""
-        candidates = [
-            endpoint
-            for endpoint in self._endpoints.values()
-            if endpoint.service == service and not endpoint.leaving
-        ]
-        return self._choose(candidates, now, avoid)
-
-    def _choose(
-        self, candidates: list[Endpoint], now: float, avoid: Container[str]
-    ) -> Endpoint | None:
-        """Choose the less loaded of two random ones, the healthy and the new ones first."""
-        usable = [e for e in candidates if e.paused_until <= now] or candidates
-        usable = [e for e in usable if e.name not in avoid] or usable
-        if not usable:
-            return None
-        drawn = self._random.sample(usable, min(CHOICES, len(usable)))
-        return min(drawn, key=self._cost)
-
-    def _cost(self, endpoint: Endpoint) -> float:
-        penalty = 0.0 if endpoint.zone == self._zone else OTHER_ZONE_PENALTY
-        return endpoint.load() + penalty
+        pool = self._current_pool(service)
+        choice = self.chooser.choose(pool, None, NO_DEMAND, now, avoid) if pool else None
+        return choice.endpoint if choice else None
+
+    def _current_pool(self, work: VersionId | str) -> Pool | None:
+        if self._pools_stale:
+            self._rebuild_pools()
+            self._pools_stale = False
+        return self._pools.get(work)
+
+    def _rebuild_pools(self) -> None:
+        for pool in self._pools.values():
+            pool.members = []
+            pool.mark_changed()
+        for endpoint in self._endpoints.values():
+            if not endpoint.leaving:
+                for work in _work_of(endpoint):
+                    self.pool(work).members.append(endpoint)
+
+    def _mark_changed(self, endpoint: Endpoint) -> None:
+        for work in _work_of(endpoint):
+            self.pool(work).mark_changed()
+
+
+def _work_of(endpoint: Endpoint) -> list[VersionId | str]:
+    if endpoint.service is not None:
+        return [endpoint.service]
+    return list(endpoint.versions)
--- /dev/null
+++ b/poplarrun/limits/__init__.py
@@ -0,0 +1,1 @@
+"""Limits of client accounts over all hosts together."""
--- a/poplarrun/platform/__init__.py
+++ b/poplarrun/platform/__init__.py
@@ -1,7 +1,9 @@
 """Adapters to the outside systems, one small module each."""
 
 from poplarrun.platform._engines import (
+    BLOCK_WORDS,
     Answer,
+    CacheEvent,
     Chunk,
     Engine,
     EngineCall,
@@ -9,6 +11,7 @@
     HttpEngine,
     LoadReport,
     Usage,
+    hash_blocks,
 )
 from poplarrun.platform._hostlist import (
     HostKind,
@@ -32,7 +35,9 @@
 )
 
 __all__ = [
+    "BLOCK_WORDS",
     "Answer",
+    "CacheEvent",
     "Chunk",
     "Engine",
     "EngineCall",
@@ -59,5 +64,6 @@
     "ServiceUnknown",
     "Usage",
     "close_pool",
+    "hash_blocks",
     "pool_for",
 ]
--- a/poplarrun/platform/_engines.py
+++ b/poplarrun/platform/_engines.py
@@ -1,5 +1,6 @@
 """Model engines: streams of chunks with positions, load reports, orders."""
 
+import hashlib
 from collections.abc import Iterator
 from dataclasses import dataclass
 from typing import Protocol
@@ -17,6 +18,8 @@
 # An engine answers these before it starts any work.
 NOT_STARTED_STATUSES = frozenset({404, 409, 429, 503})
 READ_BYTES = 4096
+BLOCK_WORDS = 16
+HASH_BYTES = 7
 
 
 @dataclass(frozen=True, slots=True)
@@ -106,6 +109,27 @@
     age_s: float = 0.0
 
 
+class CacheEvent(msgspec.Struct, frozen=True):
+    """A block that an engine's prefix cache took in or dropped.
+
+    Attributes
+    ----------
+    number : int
+        Counts the engine's events; a jump shows lost ones.
+    kind : str
+        ``stored`` or ``removed``.
+    version : str
+        ``model:version`` whose cache it is.
+    block : int
+        Hash of the prompt from its beginning to the block's end.
+    """
+
+    number: int
+    kind: str
+    version: str
+    block: int
+
+
 class Engine(Protocol):
     """Model engines, by address. Calls block and never raise."""
 
@@ -118,6 +142,24 @@
     def report_load(self, address: str) -> LoadReport | EngineFailed:
         """Read the engine's load."""
 
+    def list_cache_events(self, address: str, after: int) -> list[CacheEvent] | EngineFailed:
+        """Read the engine's cache events with a number above ``after``, in their order."""
+
+
+def hash_blocks(prompt: str) -> tuple[int, ...]:
+    """Return the hashes by which the engines name the blocks of a prompt.
+
+    Each hash covers the prompt from its beginning to the end of the block. A
+    rest that doesn't fill a block is never cached and has none.
+    """
+    words = prompt.split()
+    digest = hashlib.sha256()
+    hashes = []
+    for start in range(0, len(words) - BLOCK_WORDS + 1, BLOCK_WORDS):
+        digest.update(" ".join(words[start : start + BLOCK_WORDS]).encode())
+        hashes.append(int.from_bytes(digest.digest()[:HASH_BYTES]))
+    return tuple(hashes)
+
 
 class _GenerateBody(msgspec.Struct):
     request_id: str
@@ -128,6 +170,7 @@
     from_position: int
 
 
+_events_decoder: msgspec.json.Decoder[list[CacheEvent]] = msgspec.json.Decoder(list[CacheEvent])
 _answer_decoder: msgspec.json.Decoder[Chunk | Usage] = msgspec.json.Decoder(Chunk | Usage)
 
 
@@ -186,6 +229,16 @@
         except (urllib3.exceptions.HTTPError, msgspec.DecodeError) as error:
             return EngineFailed(started=False, reason=type(error).__name__)
 
+    def list_cache_events(self, address: str, after: int) -> list[CacheEvent] | EngineFailed:
+        """Read the engine's cache events with a number above ``after``, in their order."""
+        try:
+            response = pool_for().request(
+                "GET", f"http://{address}/v1/cache-events?after={after}", timeout=REPORT_TIMEOUT_S
+            )
+            return _events_decoder.decode(response.data)
+        except (urllib3.exceptions.HTTPError, msgspec.DecodeError) as error:
+            return EngineFailed(started=False, reason=type(error).__name__)
+
 
 def _read_answers(response: urllib3.BaseHTTPResponse) -> Iterator[Answer]:
     finished = False
--- /dev/null
+++ b/poplarrun/retries/__init__.py
@@ -0,0 +1,23 @@
+"""Retries: whether broken work is sent again, when, and at whose expense."""
+
+from poplarrun.retries._budgets import BudgetKey, RetryBudget, RetryBudgets
+from poplarrun.retries._decisions import (
+    MAX_ATTEMPTS,
+    FailedAttempt,
+    GiveUp,
+    RetryAfter,
+    RetryDecision,
+    decide_retry,
+)
+
+__all__ = [
+    "MAX_ATTEMPTS",
+    "BudgetKey",
+    "FailedAttempt",
+    "GiveUp",
+    "RetryAfter",
+    "RetryBudget",
+    "RetryBudgets",
+    "RetryDecision",
+    "decide_retry",
+]
--- /dev/null
+++ b/poplarrun/retries/_budgets.py
@@ -0,0 +1,66 @@
+"""Retry budgets: how many repeats the first attempts have earned."""
+
+from collections import OrderedDict
+from dataclasses import dataclass
+
+# Each first attempt earns this share of a retry, so that in an outage all
+# hosts together send at most 1.1 times what callers offer.
+EARNED_BY_ATTEMPT = 0.1
+# Retries that a quiet host has at once; rare failures need no budget.
+MOST_TOKENS = 10.0
+KEPT_BUDGETS = 1000
+
+
+@dataclass(frozen=True, slots=True)
+class BudgetKey:
+    """Whose budget it is: a class of work, and the endpoints that serve it.
+
+    Attributes
+    ----------
+    work : str
+        Class of work, or operation of a plain service.
+    endpoints : str
+        Version, or plain service.
+    """
+
+    work: str
+    endpoints: str
+
+
+@dataclass
+class RetryBudget:
+    """A bucket of retry tokens, filled by first attempts and not by time.
+
+    Over any span the retries are at most ``EARNED_BY_ATTEMPT`` times the first
+    attempts of that span, plus ``MOST_TOKENS``.
+    """
+
+    tokens: float = MOST_TOKENS
+
+    def note_attempt(self) -> None:
+        """Earn a share of a retry by a first attempt."""
+        self.tokens = min(MOST_TOKENS, self.tokens + EARNED_BY_ATTEMPT)
+
+    def take(self) -> bool:
+        """Spend one retry, if there is one."""
+        if self.tokens < 1.0:
+            return False
+        self.tokens -= 1.0
+        return True
+
+
+class RetryBudgets:
+    """The budgets of one host; the least used are dropped first."""
+
+    def __init__(self) -> None:
+        self._budgets: OrderedDict[BudgetKey, RetryBudget] = OrderedDict()
+
+    def budget(self, key: BudgetKey) -> RetryBudget:
+        """Return the budget of a key."""
+        budget = self._budgets.get(key)
+        if budget is None:
+            budget = self._budgets[key] = RetryBudget()
+            if len(self._budgets) > KEPT_BUDGETS:
+                self._budgets.popitem(last=False)
+        self._budgets.move_to_end(key)
+        return budget
--- /dev/null
+++ b/poplarrun/retries/_decisions.py
@@ -0,0 +1,75 @@
+"""The decision whether a failed attempt is followed by another."""
+
+import random
+from dataclasses import dataclass
+
+from poplarrun.errors import ErrorKind
+from poplarrun.retries._budgets import RetryBudget
+
+MAX_ATTEMPTS = 3
+FIRST_BACKOFF_S = 0.02
+LONGEST_BACKOFF_S = 1.0
+
+
+@dataclass(frozen=True, slots=True)
+class FailedAttempt:
+    """An attempt that broke.
+
+    Attributes
+    ----------
+    attempts : int
+        Attempts so far, this one included.
+    started : bool
+        Whether the endpoint may have begun.
+    repeatable : bool
+        Whether running the work twice is harmless.
+    time_left_s : float
+        Seconds until the request's deadline.
+    needed_s : float
+        Seconds that another attempt is expected to take at the least.
+    """
+
+    attempts: int
+    started: bool
+    repeatable: bool
+    time_left_s: float
+    needed_s: float = 0.0
+
+
+@dataclass(frozen=True, slots=True)
+class RetryAfter:
+    """Send again, after a pause."""
+
+    delay_s: float
+
+
+@dataclass(frozen=True, slots=True)
+class GiveUp:
+    """Answer the caller now; nothing is sent again."""
+
+    kind: ErrorKind
+    reason: str
+
+
+RetryDecision = RetryAfter | GiveUp
+
+
+def decide_retry(
+    failed: FailedAttempt, budget: RetryBudget, source: random.Random
+) -> RetryDecision:
+    """Decide on another attempt; spends from the budget when there is one.
+
+    A pause that ends past the deadline is not begun: the caller hears at once.
+    """
+    if failed.started and not failed.repeatable:
+        return GiveUp(ErrorKind.OPERATION_OUTCOME_UNKNOWN, "it may have run")
+    if failed.attempts >= MAX_ATTEMPTS:
+        kind = ErrorKind.ENDPOINT_FAILED if failed.started else ErrorKind.NO_ENDPOINT
+        return GiveUp(kind, f"{failed.attempts} attempts failed")
+    ceiling_s = min(LONGEST_BACKOFF_S, FIRST_BACKOFF_S * 2.0 ** (failed.attempts - 1))
+    delay_s = source.uniform(0.0, ceiling_s)
+    if delay_s + failed.needed_s >= failed.time_left_s:
+        return GiveUp(ErrorKind.DEADLINE_UNREACHABLE, "no time is left for another attempt")
+    if not budget.take():
+        return GiveUp(ErrorKind.RETRY_BUDGET_EXHAUSTED, "too many attempts fail")
+    return RetryAfter(delay_s)
--- a/poplarrun/router/_chats.py
+++ b/poplarrun/router/_chats.py
@@ -95,7 +95,7 @@
     def end(self, end: EndChat, now: float) -> Bill:
         """Close a chat and make its bill."""
         chat = self._chats.pop(end.request_id)
-        self._context.endpoints.note_ended(chat.endpoint)
+        self._context.endpoints.note_ended(chat.endpoint, now)
         self._context.metrics.record_latency("whole", chat.work_class.name, now - chat.began_at)
         amount = chat.version.price.cost(end.usage.input_tokens, end.usage.output_tokens)
         bill = Bill(end.request_id, chat.account.name, str(chat.version.id), amount)
@@ -146,11 +146,11 @@
         refusal = self._check_version(chat)
         if refusal is not None:
             return refusal
-        endpoint = self._context.endpoints.choose_engine(chat.version.id, now, chat.tried)
-        if endpoint is None:
+        choice = self._context.endpoints.choose_engine(chat.version.id, now, chat.tried)
+        if choice is None:
             message = f"no endpoint holds {chat.version.id}"
             return self._give_up(chat, ErrorKind.NO_ENDPOINT, message)
-        return self._grant_chat(chat, endpoint, now)
+        return self._grant_chat(chat, choice.endpoint, now)
 
     def _resume_chat(self, chat: _Chat, now: float) -> ChatGrant | Refusal:
         """Go on at the same engine: only there does the rest fit what the caller has."""
@@ -185,7 +185,7 @@
         chat.endpoint = endpoint.name
         chat.attempts += 1
         chat.tried.add(endpoint.name)
-        self._context.endpoints.note_sent(endpoint.name)
+        self._context.endpoints.note_sent(endpoint.name, now)
         return ChatGrant(
             endpoint.name,
             endpoint.address,
@@ -195,8 +195,8 @@
         )
 
     def _note_attempt_end(self, chat: _Chat, reason: str, now: float) -> None:
-        self._context.endpoints.note_ended(chat.endpoint)
-        self._context.endpoints.note_failure(chat.endpoint, now)
+        self._context.endpoints.note_ended(chat.endpoint, now)
+        self._context.endpoints.note_failure(chat.endpoint, now, reason)
         chat.explanation.attempts.append(f"{chat.endpoint}: {reason}")
 
     def _give_up(self, chat: _Chat, kind: ErrorKind, message: str) -> Refusal:
--- a/poplarrun/router/_operations.py
+++ b/poplarrun/router/_operations.py
@@ -63,8 +63,8 @@
     def retry(self, failure: CallFailed, now: float) -> OperationGrant | Refusal:
         """Decide where a broken call goes on: only if it is safe to send it again."""
         call = self._calls[failure.request_id]
-        self._context.endpoints.note_ended(call.endpoint)
-        self._context.endpoints.note_failure(call.endpoint, now)
+        self._context.endpoints.note_ended(call.endpoint, now)
+        self._context.endpoints.note_failure(call.endpoint, now, failure.reason)
         call.explanation.attempts.append(f"{call.endpoint}: {failure.reason}")
         if failure.started and not call.operation.idempotent:
             del self._calls[failure.request_id]
@@ -82,7 +82,7 @@
     def end(self, end: EndOperation, now: float) -> Bill | None:
         """Close a call and make its bill, where it ran."""
         call = self._calls.pop(end.request_id)
-        self._context.endpoints.note_ended(call.endpoint)
+        self._context.endpoints.note_ended(call.endpoint, now)
         call.explanation.outcome = "ran" if end.ran else "refused by the service"
         if not end.ran:
             return None
@@ -102,5 +102,5 @@
         call.endpoint = endpoint.name
         call.attempts += 1
         call.tried.add(endpoint.name)
-        self._context.endpoints.note_sent(endpoint.name)
+        self._context.endpoints.note_sent(endpoint.name, now)
         return OperationGrant(endpoint.name, endpoint.address, call.operation)
--- a/poplarrun/server/_host.py
+++ b/poplarrun/server/_host.py
@@ -182,7 +182,7 @@
             case ListUnavailable():
                 self.metrics.count_event("host_list_failed")
             case listed:
-                self._endpoints.apply_list(listed)
+                self._endpoints.apply_list(listed, self._clock())
                 self._list_seen = True
 
     async def _poll_loads(self) -> None:
@@ -192,7 +192,7 @@
     async def _poll_load(self, endpoint: Endpoint) -> None:
         match await self._in_thread(self._engine.report_load, endpoint.address):
             case LoadReport() as report:
-                self._endpoints.apply_report(endpoint.name, report)
+                self._endpoints.apply_report(endpoint.name, report, self._clock())
             case EngineFailed():
                 self.metrics.count_event("load_report_failed")
                 self._endpoints.note_failure(endpoint.name, self._clock())
--- a/standins/engine.py
+++ b/standins/engine.py
@@ -17,6 +17,7 @@
 GOOD_WORDS = ("stone", "loan", "ring", "council", "gold", "branch", "shelf", "setting", "report")
 POOR_WORD = "um"
 BLOCK_WORDS = 16
+HASH_BYTES = 7
 KEPT_EVENTS = 1000
 STREAM_KEPT_S = 30.0
 
@@ -171,8 +172,8 @@
         self._random = random.Random(seed)
         self._batch = _Batch(settings.capacity)
         self._streams: dict[str, _Stream] = {}
-        self._cache: OrderedDict[str, None] = OrderedDict()
-        self._cache_events: list[dict[str, object]] = []
+        self._cache: OrderedDict[tuple[str, int], None] = OrderedDict()
+        self._cache_events: list[tuple[float, dict[str, object]]] = []
         self._event_numbers = itertools.count(1)
         self._fence = -1
         self._reports: list[tuple[float, dict[str, object]]] = []
@@ -269,11 +270,11 @@
     def _touch_cache(self, version: str, words: list[str]) -> int:
         """Return how many prompt words were cached; remember the rest."""
         cached = 0
-        digest = hashlib.sha256(version.encode())
+        digest = hashlib.sha256()
         hit = True
         for start in range(0, len(words) - BLOCK_WORDS + 1, BLOCK_WORDS):
             digest.update(" ".join(words[start : start + BLOCK_WORDS]).encode())
-            block = digest.hexdigest()[:16]
+            block = (version, int.from_bytes(digest.digest()[:HASH_BYTES]))
             hit = hit and block in self._cache
             cached += BLOCK_WORDS * hit
             if block not in self._cache:
@@ -284,20 +285,21 @@
             self._add_cache_event("removed", self._cache.popitem(last=False)[0])
         return cached
 
-    def _add_cache_event(self, kind: str, block: str) -> None:
+    def _add_cache_event(self, kind: str, block: tuple[str, int]) -> None:
         number = next(self._event_numbers)
         if self._random.random() >= self.faults.event_loss:
-            event = {"number": number, "kind": kind, "block": block, "at": time.monotonic()}
-            self._cache_events.append(event)
+            version, key = block
+            event = {"number": number, "kind": kind, "version": version, "block": key}
+            self._cache_events.append((time.monotonic(), event))
             del self._cache_events[:-KEPT_EVENTS]
 
     def _list_cache_events(self, request: Request) -> Response:
         after = int(request.query.get("after", "0"))
         until = time.monotonic() - self.faults.event_delay_s
         shown = [
-            {"number": e["number"], "kind": e["kind"], "block": e["block"]}
-            for e in self._cache_events
-            if int(str(e["number"])) > after and float(str(e["at"])) <= until
+            event
+            for at, event in self._cache_events
+            if int(str(event["number"])) > after and at <= until
         ]
         return json_response(shown)
 
