Choose versions from evidence that hosts share, and roll them out on bounded shares

Cause: every version was taken to be equally good, so the cheapest always won and a new version reached all callers at once.

The choice takes the cheapest shown good. A new version gets shares named by host in the log's rollouts stream, which grow with the evidence; a steward per class withdraws or promotes it. The daemon hands sampled answers to the rating service and runs the steward.

--- /dev/null
+++ b/poplarrun/router/_chat_versions.py
@@ -0,0 +1,149 @@
+"""The version of each chat request: asked of the versions part, and told how it went."""
+
+from dataclasses import dataclass
+
+from poplarrun.contracts import ClientAccount, Version, VersionId, WorkClass
+from poplarrun.errors import ErrorKind, Refusal
+from poplarrun.router._context import RouterContext
+from poplarrun.router._messages import BeginChat, EndChat, Explanation
+from poplarrun.versions import (
+    AnswerSeen,
+    ChoiceRequest,
+    Chosen,
+    NothingAffordable,
+    NothingAllowed,
+    NothingMeets,
+    SampledAnswer,
+)
+
+SESSION = "session"
+# Broken streams at so many endpoints are the version's fault, not theirs.
+ENDPOINTS_OF_A_FAULT = 2
+
+
+@dataclass
+class VersionPick:
+    """The version of one request.
+
+    Attributes
+    ----------
+    version : Version
+        What must generate the answer.
+    sampled : bool
+        Whether the answer is to be rated.
+    why : str
+        Counter label of the choice.
+    first_token_s : float, optional
+        Time to the first token, once it came.
+    broken_at : set of str
+        Endpoints at which attempts broke.
+    """
+
+    version: Version
+    sampled: bool
+    why: str
+    first_token_s: float | None = None
+    broken_at: set[str] | None = None
+
+    def note_broken(self, endpoint: str) -> None:
+        """Remember that an attempt broke at an endpoint."""
+        self.broken_at = (self.broken_at or set()) | {endpoint}
+
+    def is_failed(self, end: EndChat) -> bool:
+        """Tell whether the version itself failed.
+
+        An engine that dies breaks all its streams, whatever their version; were
+        they counted, a dead engine would withdraw good versions.
+        """
+        is_empty = end.whole and end.usage.output_tokens == 0
+        return is_empty or len(self.broken_at or ()) >= ENDPOINTS_OF_A_FAULT
+
+
+class ChatVersions:
+    """Picks versions; called on the loop only."""
+
+    def __init__(self, context: RouterContext) -> None:
+        self._context = context
+
+    def pick(
+        self,
+        request: BeginChat,
+        account: ClientAccount,
+        work_class: WorkClass,
+        explanation: Explanation,
+        now: float,
+    ) -> VersionPick | Refusal:
+        """Return the version of a new request."""
+        if request.pinned is not None:
+            return self._pick_pinned(request.pinned, account, work_class, now)
+        choice = self._context.versions.choose(
+            ChoiceRequest(
+                account,
+                work_class,
+                request.prompt_tokens,
+                request.max_tokens,
+                in_session=request.session is not None,
+            )
+        )
+        match choice:
+            case Chosen(version=version, why=why, considered=considered):
+                explanation.considered = considered
+                explanation.considered.append(f"chosen: {version.id}, {why}")
+                self._context.metrics.count_event(f"choice_{why.replace('-', '_')}")
+                return self._make_pick(version, work_class, why, now)
+            case NothingAllowed():
+                message = f"client account {account.name} has no offered version"
+                return self._context.refuse(ErrorKind.VERSION_NOT_ALLOWED, message, "model")
+            case NothingAffordable(considered=considered):
+                explanation.considered = considered
+                message = f"client account {account.name} can't pay for this request today"
+                return self._context.refuse(ErrorKind.SPEND_EXHAUSTED, message)
+            case NothingMeets(considered=considered):
+                explanation.considered = considered
+                message = f"no allowed version meets the targets of class {work_class.name}"
+                return self._context.refuse(ErrorKind.TARGET_UNREACHABLE, message, "model")
+
+    def note_end(
+        self, pick: VersionPick, work_class: WorkClass, end: EndChat, took_s: float
+    ) -> None:
+        """Tell the versions part how an answer ended."""
+        failed = pick.is_failed(end)
+        if not end.whole and not failed:
+            return
+        tokens = end.usage.output_tokens
+        seen = AnswerSeen(failed, _is_late(pick, work_class, tokens, took_s), tokens)
+        versions = self._context.versions
+        versions.note_answer(work_class.name, pick.version.id, seen)
+        if end.text is not None:
+            versions.keep_sample(
+                SampledAnswer(end.request_id, work_class.name, pick.version.id, end.text)
+            )
+
+    def _pick_pinned(
+        self, pinned: VersionId, account: ClientAccount, work_class: WorkClass, now: float
+    ) -> VersionPick | Refusal:
+        configuration = self._context.configuration
+        if configuration.is_withdrawn(pinned):
+            message = f"the session's version {pinned} was withdrawn; start a new session"
+            return self._context.refuse(ErrorKind.SESSION_VERSION_WITHDRAWN, message)
+        if not account.allows_version(pinned):
+            message = f"client account {account.name} may no longer use {pinned}"
+            return self._context.refuse(ErrorKind.VERSION_NOT_ALLOWED, message)
+        return self._make_pick(configuration.document.versions[pinned], work_class, SESSION, now)
+
+    def _make_pick(
+        self, version: Version, work_class: WorkClass, why: str, now: float
+    ) -> VersionPick:
+        sampled = self._context.versions.wants_rating(work_class.name, version.id, why, now)
+        return VersionPick(version, sampled, why)
+
+
+def _is_late(pick: VersionPick, work_class: WorkClass, tokens: int, took_s: float) -> bool:
+    targets = work_class.targets
+    first_token_s = took_s if pick.first_token_s is None else pick.first_token_s
+    between_s = (took_s - first_token_s) / max(1, tokens - 1)
+    return (
+        first_token_s > targets.first_token_s
+        or took_s > targets.whole_s
+        or between_s > targets.between_tokens_s
+    )
--- a/poplarrun/router/_chats.py
+++ b/poplarrun/router/_chats.py
@@ -2,9 +2,10 @@
 
 from dataclasses import dataclass, field
 
-from poplarrun.contracts import ClientAccount, Version, VersionId, WorkClass
+from poplarrun.contracts import ClientAccount, Version, WorkClass
 from poplarrun.endpoints import Endpoint
 from poplarrun.errors import ErrorKind, Refusal
+from poplarrun.router._chat_versions import ChatVersions, VersionPick
 from poplarrun.router._context import RouterContext
 from poplarrun.router._messages import (
     AttemptFailed,
@@ -15,11 +16,8 @@
     Explanation,
     FirstToken,
 )
-from poplarrun.versions import Candidate, choose_version
 
 MAX_ATTEMPTS = 3
-# Until ratings say otherwise, every version is taken to be as good as this.
-PRIOR_QUALITY = 0.8
 
 
 @dataclass
@@ -27,13 +25,18 @@
     request: BeginChat
     account: ClientAccount
     work_class: WorkClass
-    version: Version
+    pick: VersionPick
     began_at: float
     explanation: Explanation
     endpoint: str = ""
     attempts: int = 0
     tried: set[str] = field(default_factory=set)
 
+    @property
+    def version(self) -> Version:
+        """What must generate the answer."""
+        return self.pick.version
+
 
 class ChatRouter:
     """Decides about chat requests; called on the loop only, never blocks."""
@@ -41,7 +44,7 @@
     def __init__(self, context: RouterContext) -> None:
         self._context = context
         self._chats: dict[str, _Chat] = {}
-        self._sessions: dict[tuple[str, str], VersionId] = {}
+        self._versions = ChatVersions(context)
 
     @property
     def open_requests(self) -> int:
@@ -65,11 +68,11 @@
             message = f"client account {account.name} may not use class {work_class.name}"
             return self._context.refuse(ErrorKind.CLASS_NOT_ALLOWED, message, "model")
         explanation = self._context.open_explanation(request.request_id, account, work_class.name)
-        version = self._choose_version(request, account, work_class, explanation)
-        if isinstance(version, Refusal):
-            explanation.outcome = f"refused: {version.kind.value}"
-            return version
-        chat = _Chat(request, account, work_class, version, now, explanation)
+        pick = self._versions.pick(request, account, work_class, explanation, now)
+        if isinstance(pick, Refusal):
+            explanation.outcome = f"refused: {pick.kind.value}"
+            return pick
+        chat = _Chat(request, account, work_class, pick, now, explanation)
         self._chats[request.request_id] = chat
         return self._send(chat, now)
 
@@ -88,6 +91,7 @@
     def note_first_token(self, event: FirstToken, now: float) -> None:
         """Record the time to the first token."""
         chat = self._chats[event.request_id]
+        chat.pick.first_token_s = now - chat.began_at
         self._context.metrics.record_latency(
             "first_token", chat.work_class.name, now - chat.began_at
         )
@@ -97,51 +101,12 @@
         chat = self._chats.pop(end.request_id)
         self._context.endpoints.note_ended(chat.endpoint)
         self._context.metrics.record_latency("whole", chat.work_class.name, now - chat.began_at)
+        self._versions.note_end(chat.pick, chat.work_class, end, now - chat.began_at)
         amount = chat.version.price.cost(end.usage.input_tokens, end.usage.output_tokens)
         bill = Bill(end.request_id, chat.account.name, str(chat.version.id), amount)
         chat.explanation.outcome = "answered" if end.whole else "cut off"
         return self._context.add_bill(bill, chat.explanation)
 
-    def _choose_version(
-        self,
-        request: BeginChat,
-        account: ClientAccount,
-        work_class: WorkClass,
-        explanation: Explanation,
-    ) -> Version | Refusal:
-        pinned = self._pinned_version(request, account)
-        if pinned is not None:
-            return self._check_pinned(pinned, account)
-        candidates = [
-            Candidate(v, PRIOR_QUALITY, v.price.cost(request.prompt_tokens, request.max_tokens))
-            for v in self._context.configuration.document.allowed_versions(account)
-            if not self._context.configuration.is_withdrawn(v.id)
-        ]
-        explanation.considered = [
-            f"{c.version.id} quality>={c.quality:.2f} cost={c.cost:.6f}" for c in candidates
-        ]
-        chosen = choose_version(work_class, candidates)
-        if chosen is None:
-            message = f"client account {account.name} has no offered version"
-            return self._context.refuse(ErrorKind.VERSION_NOT_ALLOWED, message, "model")
-        if request.session is not None:
-            self._sessions[(account.name, request.session)] = chosen.version.id
-        return chosen.version
-
-    def _pinned_version(self, request: BeginChat, account: ClientAccount) -> VersionId | None:
-        if request.session is None:
-            return None
-        return self._sessions.get((account.name, request.session))
-
-    def _check_pinned(self, pinned: VersionId, account: ClientAccount) -> Version | Refusal:
-        if self._context.configuration.is_withdrawn(pinned):
-            message = f"the session's version {pinned} was withdrawn; start a new session"
-            return self._context.refuse(ErrorKind.SESSION_VERSION_WITHDRAWN, message)
-        if not account.allows_version(pinned):
-            message = f"client account {account.name} may no longer use {pinned}"
-            return self._context.refuse(ErrorKind.VERSION_NOT_ALLOWED, message)
-        return self._context.configuration.document.versions[pinned]
-
     def _send(self, chat: _Chat, now: float) -> ChatGrant | Refusal:
         refusal = self._check_version(chat)
         if refusal is not None:
@@ -192,11 +157,13 @@
             chat.version.id,
             chat.work_class.importance,
             timeout_s,
+            sampled=chat.pick.sampled,
         )
 
     def _note_attempt_end(self, chat: _Chat, reason: str, now: float) -> None:
         self._context.endpoints.note_ended(chat.endpoint)
         self._context.endpoints.note_failure(chat.endpoint, now)
+        chat.pick.note_broken(chat.endpoint)
         chat.explanation.attempts.append(f"{chat.endpoint}: {reason}")
 
     def _give_up(self, chat: _Chat, kind: ErrorKind, message: str) -> Refusal:
--- a/poplarrun/router/_context.py
+++ b/poplarrun/router/_context.py
@@ -9,6 +9,7 @@
 from poplarrun.metrics import Metrics
 from poplarrun.router._explanations import Explanations
 from poplarrun.router._messages import Bill, Explanation
+from poplarrun.versions import Versions
 
 
 @dataclass
@@ -19,12 +20,15 @@
     ----------
     configuration : Configuration
         The configuration in force at this host.
+    versions : Versions
+        Estimates, choice and roll-outs.
     bills : list of Bill
         Bills that are not handed on yet.
     """
 
     endpoints: EndpointTable
     metrics: Metrics
+    versions: Versions
     configuration: Configuration = field(default_factory=Configuration)
     bills: list[Bill] = field(default_factory=list)
     explanations: Explanations = field(default_factory=Explanations)
--- a/poplarrun/router/_messages.py
+++ b/poplarrun/router/_messages.py
@@ -20,6 +20,8 @@
         Length of the prompt, bound of the answer, in tokens.
     session : str, optional
         The caller's session id.
+    pinned : VersionId, optional
+        The version that the session keeps; None while it has none.
     """
 
     request_id: str
@@ -28,6 +30,7 @@
     prompt_tokens: int
     max_tokens: int
     session: str | None = None
+    pinned: VersionId | None = None
 
 
 @dataclass(frozen=True, slots=True)
@@ -46,6 +49,8 @@
         Engine priority.
     timeout_s : float
         Seconds left until the request's deadline.
+    sampled : bool
+        Whether the worker keeps the answer's text, to be rated.
     """
 
     endpoint: str
@@ -53,6 +58,7 @@
     version: VersionId
     priority: int
     timeout_s: float
+    sampled: bool = False
 
 
 @dataclass(frozen=True, slots=True)
@@ -109,11 +115,14 @@
         What was used; for a cut-off answer, what was generated.
     whole : bool
         Whether the caller got the whole answer.
+    text : str, optional
+        The answer, when it is to be rated.
     """
 
     request_id: str
     usage: Usage
     whole: bool
+    text: str | None = None
 
 
 @dataclass(frozen=True, slots=True)
--- a/poplarrun/router/_router.py
+++ b/poplarrun/router/_router.py
@@ -5,6 +5,7 @@
 from poplarrun.router._chats import ChatRouter
 from poplarrun.router._context import RouterContext
 from poplarrun.router._operations import OperationRouter
+from poplarrun.versions import Versions
 
 
 class Router:
@@ -20,8 +21,8 @@
         Decides about calls of plain services.
     """
 
-    def __init__(self, endpoints: EndpointTable, metrics: Metrics) -> None:
-        self.context = RouterContext(endpoints, metrics)
+    def __init__(self, endpoints: EndpointTable, metrics: Metrics, versions: Versions) -> None:
+        self.context = RouterContext(endpoints, metrics, versions)
         self.chats = ChatRouter(self.context)
         self.operations = OperationRouter(self.context)
 
--- a/poplarrun/server/_chats.py
+++ b/poplarrun/server/_chats.py
@@ -52,6 +52,8 @@
         self._answers: Iterator[Answer] = iter(())
         self._address = ""
         self._ended = False
+        self._sampled = False
+        self._texts: list[str] = []
 
     def start(self) -> Refusal | Piece:
         """Begin, and wait for the first piece; until then a retry is invisible."""
@@ -83,6 +85,7 @@
 
     def _open(self, grant: ChatGrant) -> None:
         self.version = grant.version
+        self._sampled = grant.sampled
         self._address = grant.address
         call = EngineCall(
             request_id=self._request.request_id,
@@ -100,6 +103,8 @@
                 case Chunk() as chunk:
                     text = self._reassembly.add(chunk)
                     if text:
+                        if self._sampled:
+                            self._texts.append(text)
                         return text
                 case Usage() as usage if self._reassembly.has_gap:
                     broken = self._go_on(EngineFailed(started=True, reason="gap"))
@@ -135,4 +140,5 @@
 
     def _end(self, usage: Usage, whole: bool) -> None:
         self._ended = True
-        self._crossing.ask(EndChat(self._request.request_id, usage, whole))
+        text = "".join(self._texts) if self._sampled and whole else None
+        self._crossing.ask(EndChat(self._request.request_id, usage, whole, text))
--- a/poplarrun/server/_daemon.py
+++ b/poplarrun/server/_daemon.py
@@ -10,7 +10,7 @@
 
 from poplarrun.errors import ErrorKind, Refusal
 from poplarrun.logs import part_logger, set_up_logs
-from poplarrun.platform import HttpEngine, HttpHostList, HttpLog, HttpServiceCaller
+from poplarrun.platform import HttpEngine, HttpHostList, HttpLog, HttpRatings, HttpServiceCaller
 from poplarrun.server._bodies import render_error
 from poplarrun.server._callers import CallersApi
 from poplarrun.server._crossing import Crossing
@@ -43,6 +43,7 @@
             HttpLog(settings.platform.log),
             HttpHostList(settings.platform.host_list),
             engine,
+            ratings=HttpRatings(settings.platform.ratings) if settings.platform.ratings else None,
         )
         self.crossing = Crossing(self.host.handle)
         callers = CallersApi(self.crossing, engine, HttpServiceCaller(), settings.limits.body_bytes)
--- a/poplarrun/server/_host.py
+++ b/poplarrun/server/_host.py
@@ -11,6 +11,7 @@
 from poplarrun.config import CONFIG_STREAM, Accepted, Configuration, Ignored, fold_entry
 from poplarrun.endpoints import Endpoint, EndpointTable
 from poplarrun.errors import ErrorKind, Refusal
+from poplarrun.hosts import MemoryNetwork, MemoryPeers, Peer, Peers
 from poplarrun.log import Gap, Log, ReadFailed, StreamReader
 from poplarrun.logs import part_logger
 from poplarrun.metrics import Metrics
@@ -21,6 +22,7 @@
     HostList,
     ListUnavailable,
     LoadReport,
+    Ratings,
 )
 from poplarrun.router import (
     AttemptFailed,
@@ -41,11 +43,16 @@
     ReadReadiness,
     ReadStatus,
 )
+from poplarrun.server._version_tasks import VersionTasks
 from poplarrun.settings import HostSettings
+from poplarrun.versions import Versions
 
 CONFIG_POLL_S = 0.25
 HOST_LIST_POLL_S = 0.5
 LOAD_POLL_S = 0.25
+ROLLOUTS_POLL_S = 0.25
+EVIDENCE_PERIOD_S = 1.0
+RATINGS_POLL_S = 0.25
 BLOCKING_THREADS = 32
 
 T = TypeVar("T")
@@ -62,6 +69,10 @@
         Adapters to the platform; their blocking calls run on a thread pool.
     clock : callable
         Seconds, monotonic.
+    peers : Peers, optional
+        The other hosts; without it this host takes itself for the only one.
+    ratings : Ratings, optional
+        The rating service.
     """
 
     def __init__(
@@ -71,6 +82,8 @@
         host_list: HostList,
         engine: Engine,
         clock: Callable[[], float] = time.monotonic,
+        peers: Peers | None = None,
+        ratings: Ratings | None = None,
     ) -> None:
         self.settings = settings
         self.metrics = Metrics()
@@ -80,8 +93,13 @@
         self._engine = engine
         self._reader = StreamReader(log, CONFIG_STREAM)
         self._endpoints = EndpointTable(settings.zone, random.Random(settings.name))
-        self.router = Router(self._endpoints, self.metrics)
         self._pool = ThreadPoolExecutor(BLOCKING_THREADS, thread_name_prefix="platform")
+        self.peers: Peers = peers or _lone_peer(settings)
+        versions = Versions(self.peers.me, random.Random(settings.name))
+        self.router = Router(self._endpoints, self.metrics, versions)
+        self._version_tasks = VersionTasks(
+            versions, self.peers, log, ratings, self.metrics, self._in_thread, clock
+        )
         self._list_seen = False
         self._log_answered_at = clock()
         self._log = part_logger("host")
@@ -99,6 +117,10 @@
             (self._follow_config, CONFIG_POLL_S),
             (self._follow_host_list, HOST_LIST_POLL_S),
             (self._poll_loads, LOAD_POLL_S),
+            (self._version_tasks.follow_rollouts, ROLLOUTS_POLL_S),
+            (self._version_tasks.exchange_evidence, EVIDENCE_PERIOD_S),
+            (self._version_tasks.run_steward, ROLLOUTS_POLL_S),
+            (self._version_tasks.rate_answers, RATINGS_POLL_S),
         ):
             self._tasks.append(asyncio.get_running_loop().create_task(self._repeat(step, period_s)))
 
@@ -169,6 +191,7 @@
     def _fold(self, entry: Any) -> None:
         state, verdict = fold_entry(self.router.context.configuration, entry)
         self.router.context.configuration = state
+        self.router.context.versions.apply_configuration(state)
         match verdict:
             case Accepted(offset=offset):
                 self._log.info("Configuration in force.", extra={"offset": offset})
@@ -226,6 +249,11 @@
         )
 
 
+def _lone_peer(settings: HostSettings) -> Peers:
+    me = Peer(settings.name, settings.zone, settings.region, time.time_ns())
+    return MemoryPeers(MemoryNetwork(), me)
+
+
 def _endpoint_status(endpoint: Endpoint, now: float) -> EndpointStatus:
     if endpoint.leaving:
         state = "leaving"
--- a/poplarrun/versions/__init__.py
+++ b/poplarrun/versions/__init__.py
@@ -1,5 +1,83 @@
-"""Versions: which one a request gets."""
+"""Versions: estimates, the choice among versions, exposure and roll-outs."""
 
-from poplarrun.versions._choice import Candidate, choose_version
+from poplarrun.versions._choice import (
+    Choice,
+    ChoiceRequest,
+    Chosen,
+    NothingAffordable,
+    NothingAllowed,
+    NothingMeets,
+    Selector,
+)
+from poplarrun.versions._estimates import Estimate, Estimates, Standing
+from poplarrun.versions._evidence import (
+    EVIDENCE_TOPIC,
+    AnswerSeen,
+    CellKey,
+    Evidence,
+    decode_summary,
+    encode_summary,
+    merge_summaries,
+)
+from poplarrun.versions._exposure import Exposure
+from poplarrun.versions._part import Versions
+from poplarrun.versions._rollouts import (
+    ROLLOUTS_STREAM,
+    Closed,
+    Granted,
+    RolloutRecord,
+    Rollouts,
+    RolloutState,
+    Settled,
+    Snapshot,
+    decode_rollout,
+    encode_rollout,
+    fold_rollout,
+    name_holder,
+)
+from poplarrun.versions._sampling import RatingSampler, SampledAnswer
+from poplarrun.versions._steward import DueRecord, Steward, StewardView
+from poplarrun.versions._tests import ChangeDetector, bets_above, bets_below, log_capital
 
-__all__ = ["Candidate", "choose_version"]
+__all__ = [
+    "EVIDENCE_TOPIC",
+    "ROLLOUTS_STREAM",
+    "AnswerSeen",
+    "CellKey",
+    "ChangeDetector",
+    "Choice",
+    "ChoiceRequest",
+    "Chosen",
+    "Closed",
+    "DueRecord",
+    "Estimate",
+    "Estimates",
+    "Evidence",
+    "Exposure",
+    "Granted",
+    "NothingAffordable",
+    "NothingAllowed",
+    "NothingMeets",
+    "RatingSampler",
+    "RolloutRecord",
+    "RolloutState",
+    "Rollouts",
+    "SampledAnswer",
+    "Selector",
+    "Settled",
+    "Snapshot",
+    "Standing",
+    "Steward",
+    "StewardView",
+    "Versions",
+    "bets_above",
+    "bets_below",
+    "decode_rollout",
+    "decode_summary",
+    "encode_rollout",
+    "encode_summary",
+    "fold_rollout",
+    "log_capital",
+    "merge_summaries",
+    "name_holder",
+]
--- /dev/null
+++ b/poplarrun/versions/_estimates.py
@@ -0,0 +1,284 @@
+"""What is known of each version in each class, from all hosts' counters."""
+
+import enum
+import math
+import random
+from collections.abc import Sequence
+from dataclasses import dataclass, field
+
+from poplarrun.contracts import Document
+from poplarrun.hosts import Gathered
+from poplarrun.versions._evidence import (
+    GRID,
+    AgedEvidence,
+    AnswerSeen,
+    CellKey,
+    Evidence,
+    EvidenceSummary,
+    decode_summary,
+    encode_summary,
+    hash_member,
+)
+from poplarrun.versions._tests import ChangeDetector, bets_above, bets_below, log_capital
+
+RATINGS_HALF_LIFE_S = 3600.0
+ANSWERS_HALF_LIFE_S = 180.0
+# Ratings may be biased by this much; a version is bad only beyond it.
+QUALITY_TOLERANCE = 0.05
+FAILURES_ALLOWED = 0.05
+LATE_ALLOWED = 0.05
+# Capital at which a choice counts as shown, at 95% confidence.
+SHOWN = math.log(20)
+# Capital at which a version is taken out of its class, or out of all classes.
+BAD = math.log(1e4)
+PRIOR_TOKENS = 256.0
+
+
+class Standing(enum.Enum):
+    """What the ratings show of a version in a class."""
+
+    GOOD = "good"
+    UNDECIDED = "undecided"
+    POOR = "poor"
+    BAD = "bad"
+
+
+@dataclass(frozen=True, slots=True)
+class Thresholds:
+    """The bounds that a class's tests are about.
+
+    Attributes
+    ----------
+    quality : float
+        The class's quality target.
+    lowest : float
+        The lowest quality target of all classes.
+    """
+
+    quality: float
+    lowest: float
+
+
+@dataclass(frozen=True, slots=True)
+class Estimate:
+    """What is known of one version in one class.
+
+    Attributes
+    ----------
+    standing : Standing
+        What the ratings show, with 95% confidence.
+    rated : float
+        Weight of the ratings behind it.
+    mean_quality : float, optional
+        Mean rating.
+    growth_log : float
+        Log capital against "worse than the target less the tolerance".
+    slow : bool
+        Whether it is shown to miss the class's latency targets.
+    output_tokens : float, optional
+        Mean length of its answers.
+    bad_log, useless_log, failing_log : float
+        Log capitals against: as good as the class allows; as good as the least
+        demanding class allows; failing no more often than is allowed.
+    """
+
+    standing: Standing = Standing.UNDECIDED
+    rated: float = 0.0
+    mean_quality: float | None = None
+    growth_log: float = 0.0
+    slow: bool = False
+    output_tokens: float | None = None
+    bad_log: float = 0.0
+    useless_log: float = 0.0
+    failing_log: float = 0.0
+
+
+class _Cell:
+    """The tests of one version in one class."""
+
+    def __init__(self, thresholds: Thresholds) -> None:
+        self.thresholds = thresholds
+        self.aged = AgedEvidence()
+        self._bad = ChangeDetector(bets_below(thresholds.quality - QUALITY_TOLERANCE))
+        self._useless = ChangeDetector(bets_below(thresholds.lowest - QUALITY_TOLERANCE))
+        self._failing = ChangeDetector(bets_above(FAILURES_ALLOWED))
+
+    def add(self, delta: Evidence) -> None:
+        self.aged.add(delta)
+        if any(delta.ratings):
+            self._bad.add(delta.ratings)
+            self._useless.add(delta.ratings)
+        if delta.requests:
+            self._failing.add(_yes_no(delta.requests, delta.failures))
+
+    def estimate(self) -> Estimate:
+        aged, target = self.aged, self.thresholds.quality
+        late = _yes_no(aged.requests, aged.late)
+        return Estimate(
+            standing=self._standing(),
+            rated=aged.rated,
+            mean_quality=aged.mean_quality,
+            growth_log=log_capital(aged.ratings, bets_above(target - QUALITY_TOLERANCE)),
+            slow=log_capital(late, bets_above(LATE_ALLOWED)) >= SHOWN,
+            output_tokens=aged.output_tokens / aged.requests if aged.requests > 1.0 else None,
+            bad_log=self._bad.log_capital,
+            useless_log=self._useless.log_capital,
+            failing_log=self._failing.log_capital,
+        )
+
+    def _standing(self) -> Standing:
+        if max(self._bad.log_capital, self._failing.log_capital) >= BAD:
+            return Standing.BAD
+        target = self.thresholds.quality
+        if log_capital(self.aged.ratings, bets_below(target)) >= SHOWN:
+            return Standing.POOR
+        if log_capital(self.aged.ratings, bets_above(target)) >= SHOWN:
+            return Standing.GOOD
+        return Standing.UNDECIDED
+
+
+def _yes_no(total: float, yes: float) -> list[float]:
+    counts = [0.0] * len(GRID)
+    counts[0] = total - yes
+    counts[-1] = yes
+    return counts
+
+
+@dataclass
+class _Source:
+    """A host, or another zone, whose counters are heard."""
+
+    summary: EvidenceSummary = field(default_factory=lambda: EvidenceSummary(0, -1, {}))
+
+
+class Estimates:
+    """The estimates of one host.
+
+    Parameters
+    ----------
+    host : str
+        This host's name.
+    incarnation : int
+        As in its ``Peer``.
+    source : random.Random
+        Random source of the rounding of ratings.
+    """
+
+    def __init__(self, host: str, incarnation: int, source: random.Random) -> None:
+        self._host = host
+        self._members = hash_member(host, incarnation)
+        self._random = source
+        self._own: dict[int, Evidence] = {}
+        self._sources: dict[str, _Source] = {}
+        self._cells: dict[int, _Cell] = {}
+        self._thresholds: dict[int, Thresholds] = {}
+        self._known: dict[int, Estimate] = {}
+        self._numbers: dict[CellKey, int] = {}
+        self._aged_at: float | None = None
+
+    def apply_document(self, document: Document) -> None:
+        """Take over classes, versions and targets; a changed target starts its tests anew."""
+        targets = {name: item.targets.quality for name, item in document.classes.items()}
+        lowest = min(targets.values(), default=0.0)
+        self._numbers = {
+            key: key.number for key in (CellKey(c, v) for c in targets for v in document.versions)
+        }
+        self._thresholds = {
+            number: Thresholds(targets[key.class_name], lowest)
+            for key, number in self._numbers.items()
+        }
+        self._cells = {
+            number: cell
+            for number, cell in self._cells.items()
+            if self._thresholds.get(number) == cell.thresholds
+        }
+        self._known.clear()
+
+    def note_answer(self, key: CellKey, seen: AnswerSeen) -> None:
+        """Count an answer that this host gave."""
+        delta = Evidence()
+        delta.add_answer(seen)
+        self._add_own(key, delta)
+
+    def note_rating(self, key: CellKey, quality: float) -> None:
+        """Count a rating of an answer that this host gave."""
+        delta = Evidence()
+        delta.add_rating(quality, self._random)
+        self._add_own(key, delta)
+
+    def find(self, key: CellKey) -> Estimate:
+        """Return what is known of a version in a class."""
+        number = self._numbers.get(key)
+        if number is None:
+            return Estimate()
+        found = self._known.get(number)
+        if found is None:
+            cell = self._cells.get(number)
+            found = cell.estimate() if cell is not None else Estimate()
+            self._known[number] = found
+        return found
+
+    def forget(self, key: CellKey) -> None:
+        """Begin a version's tests anew, as when it is offered again after a withdrawal."""
+        number = key.number
+        self._cells.pop(number, None)
+        self._known.pop(number, None)
+
+    def encode_own(self) -> bytes:
+        """Return this host's summary, for ``EVIDENCE_TOPIC``."""
+        return encode_summary(self._members, self._own)
+
+    def take(self, gathered: Gathered) -> None:
+        """Add what other hosts and zones counted since the last time."""
+        sources = {f"host {name}": data for name, data in gathered.own_zone.items()}
+        sources.pop(f"host {self._host}", None)
+        sources |= {f"zone {name}": data for name, data in gathered.other_zones.items()}
+        for name, data in sources.items():
+            summary = decode_summary(data)
+            if summary is not None:
+                self._take_source(self._sources.setdefault(name, _Source()), summary)
+
+    def age(self, now: float) -> None:
+        """Let what is known count less as time goes by."""
+        elapsed_s = 0.0 if self._aged_at is None else now - self._aged_at
+        self._aged_at = now
+        answers_factor = 0.5 ** (elapsed_s / ANSWERS_HALF_LIFE_S)
+        ratings_factor = 0.5 ** (elapsed_s / RATINGS_HALF_LIFE_S)
+        for cell in self._cells.values():
+            cell.aged.decay(answers_factor, ratings_factor)
+        self._known.clear()
+
+    def _take_source(self, source: _Source, summary: EvidenceSummary) -> None:
+        """Add the difference to the last summary of the same members.
+
+        When a host of another zone comes or goes, the zone's sum jumps by all
+        that the host ever counted. Taken as news, that would repeat or undo old
+        evidence; so the first summary of new members only sets the base.
+        """
+        if summary.members == source.summary.members:
+            for number, evidence in summary.cells.items():
+                before = source.summary.cells.get(number, Evidence())
+                self._add(number, evidence.minus(before))
+        source.summary = summary
+
+    def _add_own(self, key: CellKey, delta: Evidence) -> None:
+        number = self._numbers.get(key)
+        if number is None:
+            return
+        own = self._own.get(number)
+        self._own[number] = delta if own is None else own.plus(delta)
+        self._add(number, delta)
+
+    def _add(self, number: int, delta: Evidence) -> None:
+        if number not in self._thresholds or not _grew(delta):
+            return
+        cell = self._cells.get(number)
+        if cell is None:
+            cell = self._cells[number] = _Cell(self._thresholds[number])
+        cell.add(delta)
+        self._known.pop(number, None)
+
+
+def _grew(delta: Evidence) -> bool:
+    counts: Sequence[int] = (delta.requests, *delta.ratings)
+    return min(counts) >= 0 and any(counts)
--- /dev/null
+++ b/poplarrun/versions/_part.py
@@ -0,0 +1,98 @@
+"""Everything about versions at one host, as the router and its tasks use it."""
+
+import random
+from collections import deque
+
+from poplarrun.config import Configuration
+from poplarrun.contracts import VersionId
+from poplarrun.hosts import Peer, Peers
+from poplarrun.log import Entry
+from poplarrun.versions._choice import Choice, ChoiceRequest, Selector
+from poplarrun.versions._estimates import Estimates
+from poplarrun.versions._evidence import EVIDENCE_TOPIC, AnswerSeen, CellKey
+from poplarrun.versions._exposure import Exposure
+from poplarrun.versions._rollouts import Rollouts, fold_rollout
+from poplarrun.versions._sampling import RatingSampler, SampledAnswer
+from poplarrun.versions._steward import DueRecord, Steward, StewardView
+
+# Answers that wait to be rated; the oldest are dropped beyond it.
+WAITING_SAMPLES = 200
+
+
+class Versions:
+    """Estimates, choice, exposure and roll-outs of one host.
+
+    Parameters
+    ----------
+    me : Peer
+        This host.
+    source : random.Random
+        Random source of all that is drawn.
+
+    Attributes
+    ----------
+    rollouts : Rollouts
+        As folded from the log so far.
+    """
+
+    def __init__(self, me: Peer, source: random.Random) -> None:
+        self.rollouts = Rollouts()
+        self.estimates = Estimates(me.name, me.incarnation, source)
+        self._exposure = Exposure(me.name, me.incarnation)
+        self._selector = Selector(self.estimates, self._exposure, source)
+        self._sampler = RatingSampler(source)
+        self._steward = Steward(me.name, me.incarnation, self.estimates)
+        self._samples: deque[SampledAnswer] = deque(maxlen=WAITING_SAMPLES)
+        self._configuration = Configuration()
+
+    def apply_configuration(self, configuration: Configuration) -> None:
+        """Take over the configuration in force."""
+        changed = configuration.document is not self._configuration.document
+        self._configuration = configuration
+        if changed:
+            self.estimates.apply_document(configuration.document)
+
+    def fold(self, entry: Entry) -> None:
+        """Apply one record of ``ROLLOUTS_STREAM``."""
+        before = self.rollouts.states
+        self.rollouts = fold_rollout(self.rollouts, entry)
+        self._selector.rollouts = self.rollouts
+        self._exposure.apply(self.rollouts)
+        for key in before.keys() - self.rollouts.states.keys():
+            self.estimates.forget(key)
+
+    def choose(self, request: ChoiceRequest) -> Choice:
+        """Choose a version for a request."""
+        return self._selector.choose(request, self._configuration)
+
+    def wants_rating(self, class_name: str, version: VersionId, why: str, now: float) -> bool:
+        """Tell whether an answer is to be handed to the rating service."""
+        estimate = self.estimates.find(CellKey(class_name, version))
+        return self._sampler.choose(estimate, why, now)
+
+    def note_answer(self, class_name: str, version: VersionId, seen: AnswerSeen) -> None:
+        """Count an answer that this host gave."""
+        self.estimates.note_answer(CellKey(class_name, version), seen)
+
+    def note_rating(self, class_name: str, version: VersionId, quality: float) -> None:
+        """Count a rating of an answer that this host gave."""
+        self.estimates.note_rating(CellKey(class_name, version), quality)
+
+    def keep_sample(self, sample: SampledAnswer) -> None:
+        """Keep an answer until it is handed to the rating service."""
+        self._samples.append(sample)
+
+    def take_samples(self, limit: int) -> list[SampledAnswer]:
+        """Return the answers that are to be handed in next."""
+        return [self._samples.popleft() for _ in range(min(limit, len(self._samples)))]
+
+    def exchange(self, peers: Peers, now: float) -> None:
+        """Give this host's counters out, take in the others', and age them."""
+        peers.publish(EVIDENCE_TOPIC, self.estimates.encode_own())
+        self.estimates.age(now)
+        self.estimates.take(peers.gathered(EVIDENCE_TOPIC))
+
+    def decide(self, peers: Peers, now: float) -> list[DueRecord]:
+        """Return the records that this host, as steward, must append now."""
+        view = StewardView(self._configuration, self.rollouts, peers.live())
+        return self._steward.decide(view, now)
--- /dev/null
+++ b/poplarrun/versions/_sampling.py
@@ -0,0 +1,62 @@
+"""Which answers go to the rating service: those that tell most, at a bounded rate."""
+
+import random
+from dataclasses import dataclass
+
+from poplarrun.contracts import VersionId
+from poplarrun.versions._estimates import Estimate, Standing
+
+# An answer of a version that is settled tells little.
+SETTLED_SHARE = 0.05
+# Ratings of a version up to which each one tells much.
+WANTED_RATINGS = 150.0
+# Log capital at which a version is suspected of having turned bad.
+SUSPICION = 1.5
+RATINGS_PER_S = 4.0
+BURST = 60.0
+
+
+@dataclass(frozen=True, slots=True)
+class SampledAnswer:
+    """An answer that is to be rated."""
+
+    request_id: str
+    class_name: str
+    version: VersionId
+    text: str
+
+
+class RatingSampler:
+    """Chooses the answers to rate; a token bucket bounds what that costs.
+
+    Parameters
+    ----------
+    source : random.Random
+        Random source.
+    ratings_per_s : float
+        Bound of this host's rate.
+    """
+
+    def __init__(self, source: random.Random, ratings_per_s: float = RATINGS_PER_S) -> None:
+        self._random = source
+        self._rate = ratings_per_s
+        self._tokens = BURST
+        self._filled_at: float | None = None
+
+    def choose(self, estimate: Estimate, why: str, now: float) -> bool:
+        """Tell whether an answer is to be rated."""
+        elapsed_s = 0.0 if self._filled_at is None else now - self._filled_at
+        self._filled_at = now
+        self._tokens = min(BURST, self._tokens + elapsed_s * self._rate)
+        if self._tokens < 1.0 or self._random.random() >= _share(estimate, why):
+            return False
+        self._tokens -= 1.0
+        return True
+
+
+def _share(estimate: Estimate, why: str) -> float:
+    if why in ("roll-out", "exploration") or estimate.bad_log >= SUSPICION:
+        return 1.0
+    if estimate.standing is Standing.UNDECIDED:
+        return max(SETTLED_SHARE, min(1.0, WANTED_RATINGS / max(1.0, estimate.rated)) / 2)
+    return SETTLED_SHARE
--- /dev/null
+++ b/poplarrun/versions/_steward.py
@@ -0,0 +1,214 @@
+"""The steward: which roll-out record is due next, from the log and the estimates."""
+
+import itertools
+import math
+from collections.abc import Sequence
+from dataclasses import dataclass
+
+from poplarrun.config import Configuration, Withdrawal
+from poplarrun.contracts import Stage
+from poplarrun.hosts import Peer, rank_hosts
+from poplarrun.versions._estimates import BAD, Estimates
+from poplarrun.versions._evidence import CellKey
+from poplarrun.versions._rollouts import (
+    Closed,
+    Granted,
+    RolloutRecord,
+    Rollouts,
+    RolloutState,
+    Settled,
+    name_holder,
+)
+
+# A stage is left unfinished for so long before its unused requests are granted anew.
+STALL_S = 60.0
+# A stage may be granted so often before it grows.
+STALL_FACTOR = 2
+HIGHEST_LOG = 100.0
+# A version that is fully rolled out is watched for ever: its bar is higher.
+BAD_IN_SERVICE = math.log(1e6)
+
+
+@dataclass(frozen=True, slots=True)
+class RolloutStage:
+    """One step of a roll-out.
+
+    Attributes
+    ----------
+    budget : int
+        Requests that may have been exposed by its end, in all.
+    capital : float
+        What a bet against "worse than the class allows" must have grown to
+        before the stage begins. Under that hypothesis it ever does with
+        probability at most ``1 / capital``, so the expected exposure of such a
+        version is at most the sum of ``budget / capital`` over the stages.
+    """
+
+    budget: int
+    capital: float
+
+
+STAGES = (
+    RolloutStage(24, 0.0),
+    RolloutStage(48, 1.0),
+    RolloutStage(200, 4.0),
+    RolloutStage(1000, 20.0),
+)
+FULL_CAPITAL = 100.0
+
+
+@dataclass(frozen=True, slots=True)
+class StewardView:
+    """What a steward decides from.
+
+    Attributes
+    ----------
+    configuration : Configuration
+        In force at this host.
+    rollouts : Rollouts
+        Folded from the log.
+    live : sequence of Peer
+        Hosts that are taken to be live.
+    """
+
+    configuration: Configuration
+    rollouts: Rollouts
+    live: Sequence[Peer]
+
+
+DueRecord = RolloutRecord | Withdrawal
+
+
+class Steward:
+    """Decides for the classes of which this host is the usual owner.
+
+    Parameters
+    ----------
+    host : str
+        This host's name.
+    incarnation : int
+        As in its ``Peer``; part of the records' ids.
+    estimates : Estimates
+        This host's estimates.
+    """
+
+    def __init__(self, host: str, incarnation: int, estimates: Estimates) -> None:
+        self._host = host
+        self._estimates = estimates
+        self._ids = (f"{host}/{incarnation}/{number}" for number in itertools.count())
+        self._changed_at: dict[CellKey, tuple[int, float]] = {}
+
+    def decide(self, view: StewardView, now: float) -> list[DueRecord]:
+        """Return the records that are due now, for the log."""
+        names = [peer.name for peer in view.live]
+        due: list[DueRecord] = []
+        for class_name in view.configuration.document.classes:
+            if rank_hosts(f"rollouts/{class_name}", names)[0] == self._host:
+                due += self._decide_class(class_name, view, now)
+        return due
+
+    def _decide_class(self, class_name: str, view: StewardView, now: float) -> list[DueRecord]:
+        due: list[DueRecord | None] = []
+        has_incumbent = _has_incumbent(class_name, view)
+        for version, offered in view.configuration.document.versions.items():
+            key = CellKey(class_name, version)
+            state = view.rollouts.find(key)
+            if offered.stage is Stage.WITHDRAWN:
+                known = key in view.rollouts.states
+                due.append(Closed(next(self._ids), str(version)) if known else None)
+            elif not view.configuration.is_withdrawn(version) and not state.rejected:
+                due.append(
+                    self._withdraw(key, state, view)
+                    or self._reject(key, state)
+                    or self._advance(key, state, view, has_incumbent, now)
+                )
+        return [record for record in due if record is not None]
+
+    def _withdraw(self, key: CellKey, state: RolloutState, view: StewardView) -> Withdrawal | None:
+        """Withdraw a version that fails, or that not even the least demanding class wants."""
+        known = self._estimates.find(key)
+        capitals = {"failures": known.failing_log, "quality": known.useless_log}
+        reason = max(capitals, key=lambda name: capitals[name])
+        if capitals[reason] < _bar(state):
+            return None
+        evidence = {
+            "log_capital": round(capitals[reason], 3),
+            "rated": round(known.rated, 3),
+            "mean_quality": round(known.mean_quality or 0.0, 4),
+        }
+        # Each class's steward writes the same id, so that the fold keeps one.
+        record_id = f"withdrawal/{key.version}/{view.configuration.offset}"
+        text = f"{reason} in class {key.class_name}"
+        return Withdrawal(record_id, str(key.version), text, evidence)
+
+    def _reject(self, key: CellKey, state: RolloutState) -> Settled | None:
+        known = self._estimates.find(key)
+        if known.bad_log < _bar(state):
+            return None
+        return self._settle(key, False, f"quality {known.mean_quality or 0.0:.2f}")
+
+    def _advance(
+        self, key: CellKey, state: RolloutState, view: StewardView, has_incumbent: bool, now: float
+    ) -> DueRecord | None:
+        if state.serves:
+            return None
+        if not has_incumbent:
+            return self._settle(key, True, "no other version serves the class")
+        known = self._estimates.find(key)
+        capital = math.exp(min(known.growth_log, HIGHEST_LOG)) if known.rated else 0.0
+        if state.stage + 1 == len(STAGES) and capital >= FULL_CAPITAL:
+            return self._settle(key, True, "no worse than the class allows")
+        if state.stage + 1 < len(STAGES) and capital >= STAGES[state.stage + 1].capital:
+            budget = max(1, STAGES[state.stage + 1].budget - state.budget)
+            return self._grant(key, state, state.stage + 1, budget, view.live)
+        return self._grant_again(key, state, capital, view, now)
+
+    def _grant_again(
+        self, key: CellKey, state: RolloutState, capital: float, view: StewardView, now: float
+    ) -> Granted | None:
+        """Grant a stage's budget a second time when its shares seem to lie idle.
+
+        A share lies idle at a host that died or has no such requests. It can't
+        be called back from a host that is cut off, so the budget counts both.
+        """
+        grants, since = self._changed_at.get(key, (-1, now))
+        if grants != state.grants:
+            self._changed_at[key] = (state.grants, now)
+            return None
+        stage = STAGES[state.stage]
+        left = STALL_FACTOR * stage.budget - state.budget
+        if now - since < STALL_S or capital < stage.capital or left <= 0:
+            return None
+        return self._grant(key, state, state.stage, min(left, stage.budget), view.live)
+
+    def _grant(
+        self,
+        key: CellKey,
+        state: RolloutState,
+        stage: int,
+        budget: int,
+        live: Sequence[Peer],
+    ) -> Granted:
+        record_id = next(self._ids)
+        holders = {peer.name: name_holder(peer.name, peer.incarnation) for peer in live}
+        ranked = rank_hosts(record_id, holders)
+        shares: dict[str, int] = {}
+        for name, _ in zip(itertools.cycle(ranked), range(budget), strict=False):
+            shares[holders[name]] = shares.get(holders[name], 0) + 1
+        return Granted(record_id, key.class_name, str(key.version), state.grants, stage, shares)
+
+    def _settle(self, key: CellKey, serves: bool, reason: str) -> Settled:
+        return Settled(next(self._ids), key.class_name, str(key.version), serves, reason)
+
+
+def _bar(state: RolloutState) -> float:
+    return BAD_IN_SERVICE if state.serves else BAD
+
+
+def _has_incumbent(class_name: str, view: StewardView) -> bool:
+    """Tell whether some version serves the class, so that a new one can wait."""
+    return any(
+        view.rollouts.find(CellKey(class_name, version)).serves
+        for version in view.configuration.document.versions
+        if not view.configuration.is_withdrawn(version)
+    )
--- /dev/null
+++ b/poplarrun/versions/_tests.py
@@ -0,0 +1,102 @@
+"""Tests of a mean in [0, 1] that are valid at any moment of looking.
+
+A test bets against its hypothesis. With a fixed stake ``s`` and the hypothesis
+that the mean is at least ``m``, each observation ``x`` multiplies the capital by
+``1 + s * (m - x)``. Under the hypothesis the expected factor is at most 1, so the
+capital is a supermartingale: by Ville's inequality it ever reaches ``1 / a`` with
+probability at most ``a``, however often one looks. The log capital is a sum over
+the observations, in any order: hosts only exchange counts of observations.
+
+References
+----------
+J. Ville, "Étude critique de la notion de collectif", 1939.
+I. Waudby-Smith and A. Ramdas, "Estimating means of bounded random variables by
+betting", Journal of the Royal Statistical Society B, 2024.
+J. Shin, A. Ramdas and A. Rinaldo, "E-detectors: a nonparametric framework for
+sequential change detection", New England Journal of Statistics in Data Science, 2023.
+"""
+
+import math
+from collections.abc import Sequence
+from dataclasses import dataclass
+from functools import lru_cache
+
+from poplarrun.versions._evidence import GRID
+
+# Stakes as shares of the largest one that can't ruin, and the capital on each.
+STAKE_SHARES = (0.9, 0.5, 0.2, 0.05)
+STAKE_WEIGHTS = (0.5, 0.25, 0.15, 0.1)
+LOG_WEIGHTS = tuple(math.log(weight) for weight in STAKE_WEIGHTS)
+# Hypotheses nearer to the ends would make a stake infinite.
+LOWEST_MEAN = 0.001
+HIGHEST_MEAN = 0.999
+
+LogFactors = tuple[tuple[float, ...], ...]
+
+
+@lru_cache(maxsize=1024)
+def bets_below(mean: float) -> LogFactors:
+    """Return, for each stake and grid point, the log factor against "mean or better"."""
+    mean = min(HIGHEST_MEAN, max(LOWEST_MEAN, mean))
+    return tuple(
+        tuple(math.log1p(share / (1.0 - mean) * (mean - x)) for x in GRID) for share in STAKE_SHARES
+    )
+
+
+@lru_cache(maxsize=1024)
+def bets_above(mean: float) -> LogFactors:
+    """Return, for each stake and grid point, the log factor against "mean or worse"."""
+    mean = min(HIGHEST_MEAN, max(LOWEST_MEAN, mean))
+    return tuple(
+        tuple(math.log1p(share / mean * (x - mean)) for x in GRID) for share in STAKE_SHARES
+    )
+
+
+def log_capital(counts: Sequence[float], bets: LogFactors) -> float:
+    """Return the log of the mixed capital after these observations.
+
+    Counts may be weights below 1, as of aged evidence: a factor raised to a
+    power below 1 has an expectation of at most 1 too (Jensen).
+    """
+    return _mix([sum_product(counts, factors) for factors in bets])
+
+
+@dataclass
+class ChangeDetector:
+    """Tells when observations turn against a hypothesis, at whatever moment.
+
+    Each stake's log capital never falls below 0, so that a long good past is no
+    credit for a bad present (an e-CUSUM). Were it let fall, a version that was
+    good for a day would need a day of bad answers. Under the hypothesis the
+    mean number of observations until ``log_capital`` reaches ``log(a)`` is at
+    least ``a``.
+    """
+
+    bets: LogFactors
+    _logs: list[float]
+
+    def __init__(self, bets: LogFactors) -> None:
+        self.bets = bets
+        self._logs = [0.0] * len(bets)
+
+    def add(self, counts: Sequence[float]) -> None:
+        """Take a batch of observations, as counts on the grid."""
+        for index, factors in enumerate(self.bets):
+            gained = sum_product(counts, factors)
+            self._logs[index] = max(0.0, self._logs[index] + gained)
+
+    @property
+    def log_capital(self) -> float:
+        """The log of the mixed capital."""
+        return _mix(self._logs)
+
+
+def sum_product(counts: Sequence[float], factors: Sequence[float]) -> float:
+    """Return the sum of the products."""
+    return sum(count * factor for count, factor in zip(counts, factors, strict=True) if count)
+
+
+def _mix(logs: Sequence[float]) -> float:
+    weighted = [log + weight for log, weight in zip(logs, LOG_WEIGHTS, strict=True)]
+    highest = max(weighted)
+    return highest + math.log(sum(math.exp(log - highest) for log in weighted))
