--- a/poplarrun/server/_host.py
+++ b/poplarrun/server/_host.py
@@ -23,6 +23,7 @@
     HostList,
     ListUnavailable,
     LoadReport,
+    Ratings,
 )
 from poplarrun.router import (
     AttemptFailed,
@@ -47,12 +48,17 @@
     ReadStatus,
 )
 from poplarrun.server._peering import make_peers, publish_offset, read_zones
+from poplarrun.server._version_tasks import VersionTasks
 from poplarrun.settings import HostSettings
+from poplarrun.versions import Versions
 
 CONFIG_POLL_S = 0.25
 HOST_LIST_POLL_S = 0.5
 LOAD_POLL_S = 0.25
 TEND_CLAIMS_S = 60.0
+ROLLOUTS_POLL_S = 0.25
+EVIDENCE_PERIOD_S = 1.0
+RATINGS_POLL_S = 0.25
 BLOCKING_THREADS = 32
 
 T = TypeVar("T")
@@ -71,6 +77,8 @@
         Seconds, monotonic.
     peers : Peers, optional
         The other hosts; made from the settings when left out.
+    ratings : Ratings, optional
+        The rating service.
     """
 
     def __init__(
@@ -81,6 +89,7 @@
         engine: Engine,
         clock: Callable[[], float] = time.monotonic,
         peers: Peers | None = None,
+        ratings: Ratings | None = None,
     ) -> None:
         self.settings = settings
         self.metrics = Metrics()
@@ -91,11 +100,15 @@
         self._engine = engine
         self._reader = StreamReader(log, CONFIG_STREAM)
         self._endpoints = EndpointTable(settings.zone, random.Random(settings.name))
-        self.router = Router(self._endpoints, self.metrics)
         self._pool = ThreadPoolExecutor(BLOCKING_THREADS, thread_name_prefix="platform")
         self.claims = ClaimKeeper(self.peers, ThreadedLog(log, self._in_thread), clock, time.time)
+        versions = Versions(self.peers.me, random.Random(settings.name))
+        self.router = Router(self._endpoints, self.metrics, versions)
         self.router.operations.keeper = self.claims
         self.router.operations.peers = self.peers
+        self._version_tasks = VersionTasks(
+            versions, self.peers, log, ratings, self.metrics, self._in_thread, clock
+        )
         self._list_seen = False
         self._log_answered_at = clock()
         self._log = part_logger("host")
@@ -115,6 +128,10 @@
             (self._follow_host_list, HOST_LIST_POLL_S),
             (self._poll_loads, LOAD_POLL_S),
             (self.claims.tend, TEND_CLAIMS_S),
+            (self._version_tasks.follow_rollouts, ROLLOUTS_POLL_S),
+            (self._version_tasks.exchange_evidence, EVIDENCE_PERIOD_S),
+            (self._version_tasks.run_steward, ROLLOUTS_POLL_S),
+            (self._version_tasks.rate_answers, RATINGS_POLL_S),
         ):
             self._tasks.append(asyncio.get_running_loop().create_task(self._repeat(step, period_s)))
 
@@ -192,6 +209,7 @@
     def _fold(self, entry: Any) -> None:
         state, verdict = fold_entry(self.router.context.configuration, entry)
         self.router.context.configuration = state
+        self.router.context.versions.apply_configuration(state)
         match verdict:
             case Accepted(offset=offset):
                 self._log.info("Configuration in force.", extra={"offset": offset})
--- a/standins/histories/_hosts.py
+++ b/standins/histories/_hosts.py
@@ -22,6 +22,7 @@
     Router,
     SendOperation,
 )
+from poplarrun.versions import Versions
 from standins.histories._events import Answer, AnswerKind
 from standins.histories._loop import Process
 from standins.histories._world import SimCall, SimLog, SimPeers, SimService, World, now
@@ -67,7 +68,7 @@
         log = SimLog(world, name)
         endpoints = EndpointTable(self.zone, random.Random(f"{name}{incarnation}"))
         endpoints.apply_list(ENDPOINTS)
-        self._router = Router(endpoints, Metrics())
+        self._router = Router(endpoints, Metrics(), Versions(me, random.Random(name)))
         self._router.context.configuration = Configuration(offset=0, document=_document())
         self._operations = self._router.operations
         self._operations.use_times(now, wall)
