--- a/standins/_server.py
+++ b/standins/_server.py
@@ -79,14 +79,21 @@
         IP to listen on.
     port, control_port : int
         Ports; 0 takes a free one.
+    threads : int
+        Requests that the data port serves at once.
     """
 
     def __init__(
-        self, faults: Any, host: str = "127.0.0.1", port: int = 0, control_port: int = 0
+        self,
+        faults: Any,
+        host: str = "127.0.0.1",
+        port: int = 0,
+        control_port: int = 0,
+        threads: int = DATA_THREADS,
     ) -> None:
         self.faults = faults
         self.events: list[dict[str, Any]] = []
-        self._data = _make_server(host, port, self.routes(), DATA_THREADS)
+        self._data = _make_server(host, port, self.routes(), threads)
         self._control = _make_server(host, control_port, self._control_routes(), CONTROL_THREADS)
 
     @property
--- a/standins/engine.py
+++ b/standins/engine.py
@@ -18,6 +18,8 @@
 POOR_WORD = "um"
 BLOCK_WORDS = 16
 KEPT_EVENTS = 1000
+# Threads beside those of the batch: waiting requests, reports and orders.
+WAITING_THREADS = 32
 STREAM_KEPT_S = 30.0
 
 
@@ -176,7 +178,8 @@
         self._event_numbers = itertools.count(1)
         self._fence = -1
         self._reports: list[tuple[float, dict[str, object]]] = []
-        super().__init__(EngineFaults(), **ports)
+        threads = settings.capacity + WAITING_THREADS
+        super().__init__(EngineFaults(), threads=threads, **ports)
 
     def routes(self) -> list[Route]:
         """Return the data port's routes."""
