Answer a message on the loop without a task of its own

Cause: each crossing made a coroutine, a task and two chained futures, and the first token waited for a message that needs no answer; CherryPy composed an access line that nobody keeps. Change: the loop calls the handler at once and makes a task only for a message that has to wait; FirstToken is told, not asked; no access line.

--- a/poplarrun/server/_chats.py
+++ b/poplarrun/server/_chats.py
@@ -63,7 +63,7 @@
         first = self._next_piece()
         if isinstance(first, BrokenAnswer):
             return first.refusal
-        self._crossing.ask(FirstToken(self._request.request_id))
+        self._crossing.tell(FirstToken(self._request.request_id))
         return first
 
     def pieces(self, first: Piece) -> Iterator[Piece]:
--- a/poplarrun/server/_crossing.py
+++ b/poplarrun/server/_crossing.py
@@ -1,10 +1,15 @@
 """The one place where worker threads cross into the loop."""
 
 import asyncio
+import inspect
+import logging
 import threading
-from collections.abc import Awaitable, Callable
+from collections.abc import Callable
+from concurrent.futures import Future
 from typing import Any
 
+from poplarrun.logs import part_logger
+
 ANSWER_TIMEOUT_S = 30.0
 
 
@@ -18,11 +23,13 @@
     Parameters
     ----------
     handle : callable
-        Called on the loop with each message; its result is the answer.
+        Called on the loop with each message; gives the answer, or a coroutine
+        where the answer needs waiting for.
     """
 
-    def __init__(self, handle: Callable[[Any], Awaitable[Any]]) -> None:
+    def __init__(self, handle: Callable[[Any], Any]) -> None:
         self._handle = handle
+        self._log = part_logger("crossing")
         self.loop = asyncio.new_event_loop()
         self._thread = threading.Thread(target=self._run, name="loop", daemon=True)
 
@@ -43,13 +50,56 @@
         CrossingClosed
             When the loop has stopped.
         """
+        answer: Future[Any] = Future()
+        self._hand_over(message, answer)
+        return answer.result(timeout_s)
+
+    def tell(self, message: object) -> None:
+        """Hand a message to the loop without waiting; a failure is only logged.
+
+        Raises
+        ------
+        CrossingClosed
+            When the loop has stopped.
+        """
+        answer: Future[Any] = Future()
+        answer.add_done_callback(self._log_failure)
+        self._hand_over(message, answer)
+
+    def _hand_over(self, message: object, answer: Future[Any]) -> None:
         if not self._thread.is_alive():
             raise CrossingClosed
-        return asyncio.run_coroutine_threadsafe(self._answer(message), self.loop).result(timeout_s)
+        self.loop.call_soon_threadsafe(self._answer, message, answer)
 
-    async def _answer(self, message: object) -> Any:
-        return await self._handle(message)
+    def _answer(self, message: object, answer: Future[Any]) -> None:
+        """Answer on the loop; only a message that has to wait costs a task."""
+        try:
+            result = self._handle(message)
+        except Exception as error:
+            answer.set_exception(error)
+            return
+        if inspect.iscoroutine(result):
+            task = self.loop.create_task(result)
+            task.add_done_callback(lambda done: _pass_on(done, answer))
+            return
+        answer.set_result(result)
+
+    def _log_failure(self, answer: Future[Any]) -> None:
+        error = answer.exception()
+        if error is not None:
+            self._log.log(logging.ERROR, "A message failed.", exc_info=error)
 
     def _run(self) -> None:
         asyncio.set_event_loop(self.loop)
         self.loop.run_forever()
+
+
+def _pass_on(task: asyncio.Task[Any], answer: Future[Any]) -> None:
+    if task.cancelled():
+        answer.set_exception(CrossingClosed())
+        return
+    error = task.exception()
+    if error is not None:
+        answer.set_exception(error)
+        return
+    answer.set_result(task.result())
--- a/poplarrun/server/_daemon.py
+++ b/poplarrun/server/_daemon.py
@@ -1,6 +1,5 @@
 """One entry host as a daemon: the loop, the HTTP server and the planned stop."""
 
-import logging
 import signal
 import threading
 import time
@@ -94,7 +93,7 @@
         }
     }
     application = cherrypy.Application(root, "", config)
-    application.log.access_log.setLevel(logging.CRITICAL)
+    application.log.access = _log_no_access
     application.log.error_log.propagate = False
     ip, _, port = settings.listen.rpartition(":")
     server = wsgi.Server(
@@ -108,6 +107,10 @@
     return server
 
 
+def _log_no_access() -> None:
+    """Spare the work of an access line: metrics count the requests, `explain` tells of each."""
+
+
 def _answer_internal_error() -> None:
     """Answer a fault of ours in the callers' error form, without a trace of it."""
     part_logger("http").error("A handler failed.", exc_info=True)
--- a/poplarrun/server/_host.py
+++ b/poplarrun/server/_host.py
@@ -102,7 +102,7 @@
         ):
             self._tasks.append(asyncio.get_running_loop().create_task(self._repeat(step, period_s)))
 
-    async def handle(self, message: object) -> Any:
+    def handle(self, message: object) -> Any:
         """Answer one message; the only entry for other threads."""
         now = self._clock()
         match message:
