Let handlers hand their coroutines to the crossing

Cause: the crossing now calls the handler on the loop and awaits only what is a coroutine; three cases still awaited inside it, and a waiting task was named by nothing but the loop's weak set. Change: the cases return their coroutines; waiting tasks are held.

--- a/poplarrun/server/_crossing.py
+++ b/poplarrun/server/_crossing.py
@@ -30,6 +30,7 @@
     def __init__(self, handle: Callable[[Any], Any]) -> None:
         self._handle = handle
         self._log = part_logger("crossing")
+        self._waiting: set[asyncio.Task[Any]] = set()
         self.loop = asyncio.new_event_loop()
         self._thread = threading.Thread(target=self._run, name="loop", daemon=True)
 
@@ -80,6 +81,10 @@
             return
         if inspect.iscoroutine(result):
             task = self.loop.create_task(result)
+            # The loop holds tasks weakly: one that nothing else names may be
+            # collected while it waits, and its worker would wait for ever.
+            self._waiting.add(task)
+            task.add_done_callback(self._waiting.discard)
             task.add_done_callback(lambda done: _pass_on(done, answer))
             return
         answer.set_result(result)
--- a/poplarrun/server/_host.py
+++ b/poplarrun/server/_host.py
@@ -144,11 +144,11 @@
             case BeginChat():
                 return self.router.chats.begin(message, now)
             case BeginOperation():
-                return await self.router.operations.begin(message)
+                return self.router.operations.begin(message)
             case SendOperation():
                 return self.router.operations.send(message)
             case FindOperation():
-                return await self.router.operations.find(message)
+                return self.router.operations.find(message)
             case AttemptFailed():
                 return self.router.chats.retry(message, now)
             case CallFailed():
@@ -172,7 +172,7 @@
             case ReadReadiness():
                 return self.is_ready
             case Leave():
-                return await self.peers.leave()
+                return self.peers.leave()
         raise TypeError(f"no handler for {type(message).__name__}")
 
     async def _repeat(self, step: Callable[[], Coroutine[Any, Any, None]], period_s: float) -> None:
