--- a/poplarrun/cli/_main.py
+++ b/poplarrun/cli/_main.py
@@ -5,6 +5,7 @@
 import cappa
 
 from poplarrun.cli._ask import Ask
+from poplarrun.cli._bill import Bill
 from poplarrun.cli._config import Config
 from poplarrun.cli._serve import Serve
 from poplarrun.cli._status import Explain, Status
@@ -14,7 +15,7 @@
 class Poplarrun:
     """A model-aware router for versions and cascades."""
 
-    command: cappa.Subcommands[Serve | Config | Status | Explain | Ask]
+    command: cappa.Subcommands[Serve | Config | Status | Explain | Ask | Bill]
 
 
 def main() -> None:
--- a/poplarrun/router/_context.py
+++ b/poplarrun/router/_context.py
@@ -10,6 +10,7 @@
 from poplarrun.metrics import Metrics
 from poplarrun.router._explanations import Explanations
 from poplarrun.router._messages import Explanation
+from poplarrun.versions import Versions
 
 
 @dataclass
@@ -20,6 +21,8 @@
     ----------
     configuration : Configuration
         The configuration in force at this host.
+    versions : Versions
+        Estimates, choice and roll-outs.
     bills : list of Bill
         Final bills that are not handed on yet; the host keeps them before it
         answers the message that made them.
@@ -31,6 +34,7 @@
 
     endpoints: EndpointTable
     metrics: Metrics
+    versions: Versions
     configuration: Configuration = field(default_factory=Configuration)
     bills: list[Bill] = field(default_factory=list)
     opened: list[Bill] = field(default_factory=list)
--- a/poplarrun/router/_operations.py
+++ b/poplarrun/router/_operations.py
@@ -122,7 +122,7 @@
         call = self._calls[message.request_id]
         left_s = call.deadline - self._now()
         if left_s <= 0:
-            self._context.endpoints.note_ended(call.endpoint)
+            self._context.endpoints.note_ended(call.endpoint, self._now())
             kind = ErrorKind.ENDPOINT_FAILED if call.is_sent else ErrorKind.DEADLINE_UNREACHABLE
             return self._refuse(call, kind, "the deadline passed before it was sent")
         call.is_sent = message.call.hand_over() or call.is_sent
@@ -132,8 +132,8 @@
         """Decide where a broken call goes on: only if it is safe to send it again."""
         call = self._calls[failure.request_id]
         now = self._now()
-        self._context.endpoints.note_ended(call.endpoint)
-        self._context.endpoints.note_failure(call.endpoint, now)
+        self._context.endpoints.note_ended(call.endpoint, self._now())
+        self._context.endpoints.note_failure(call.endpoint, now, failure.reason)
         call.explanation.attempts.append(f"{call.endpoint}: {failure.reason}")
         if call.is_sent and not call.operation.idempotent:
             return self._give_up_sent(call, failure.reason)
@@ -146,7 +146,7 @@
     def end(self, end: EndOperation) -> Bill | None:
         """Close a call that was answered: keep its answer, and make its bill."""
         call = self._close(end.request_id)
-        self._context.endpoints.note_ended(call.endpoint)
+        self._context.endpoints.note_ended(call.endpoint, self._now())
         ran = end.answer.status < FIRST_ERROR_STATUS
         call.explanation.outcome = "ran" if ran else "refused by the service"
         if call.claim is not None and self.keeper is not None:
@@ -283,7 +283,7 @@
         call.endpoint, address = name_and_address
         call.attempts += 1
         call.tried.add(call.endpoint)
-        self._context.endpoints.note_sent(call.endpoint)
+        self._context.endpoints.note_sent(call.endpoint, self._now())
         return OperationGrant(call.endpoint, address, call.operation)
 
     def _choose_endpoint(self, call: _Call) -> tuple[str, str] | None:
--- a/poplarrun/server/_daemon.py
+++ b/poplarrun/server/_daemon.py
@@ -1,6 +1,5 @@
 """One entry host as a daemon: the loop, the HTTP server and the planned stop."""
 
-import logging
 import signal
 import threading
 import time
@@ -10,11 +9,12 @@
 
 from poplarrun.errors import ErrorKind, Refusal
 from poplarrun.logs import part_logger, set_up_logs
-from poplarrun.platform import HttpEngine, HttpHostList, HttpLog, HttpServiceCaller
+from poplarrun.platform import HttpEngine, HttpHostList, HttpLog, HttpRatings, HttpServiceCaller
 from poplarrun.server._bodies import render_error
 from poplarrun.server._callers import CallersApi
 from poplarrun.server._crossing import Crossing
 from poplarrun.server._host import EntryHost
+from poplarrun.server._messages import Leave
 from poplarrun.server._observers import RootApi
 from poplarrun.settings import HostSettings
 
@@ -43,6 +43,7 @@
             HttpLog(settings.platform.log),
             HttpHostList(settings.platform.host_list),
             engine,
+            ratings=HttpRatings(settings.platform.ratings) if settings.platform.ratings else None,
         )
         self.crossing = Crossing(self.host.handle)
         callers = CallersApi(self.crossing, engine, HttpServiceCaller(), settings.limits.body_bytes)
@@ -66,6 +67,7 @@
             time.sleep(DRAIN_POLL_S)
         left = self.host.router.open_requests
         self._server.stop()
+        self.crossing.ask(Leave())
         self.crossing.stop()
         self._log.info("Stopped.", extra={"open_requests": left})
         return left
@@ -94,7 +96,7 @@
         }
     }
     application = cherrypy.Application(root, "", config)
-    application.log.access_log.setLevel(logging.CRITICAL)
+    application.log.access = _log_no_access
     application.log.error_log.propagate = False
     ip, _, port = settings.listen.rpartition(":")
     server = wsgi.Server(
@@ -108,6 +110,10 @@
     return server
 
 
+def _log_no_access() -> None:
+    """Spare the work of an access line: metrics count the requests, `explain` tells of each."""
+
+
 def _answer_internal_error() -> None:
     """Answer a fault of ours in the callers' error form, without a trace of it."""
     part_logger("http").error("A handler failed.", exc_info=True)
--- a/poplarrun/server/_host.py
+++ b/poplarrun/server/_host.py
@@ -8,12 +8,12 @@
 from concurrent.futures import ThreadPoolExecutor
 from typing import Any, TypeVar
 
-from poplarrun.billing import BillKeeper
+from poplarrun.billing import Bill, BillKeeper
 from poplarrun.claims import ClaimKeeper
 from poplarrun.config import CONFIG_STREAM, Accepted, Configuration, Ignored, fold_entry
 from poplarrun.endpoints import Endpoint, EndpointTable
 from poplarrun.errors import ErrorKind, Refusal
-from poplarrun.hosts import MemoryNetwork, MemoryPeers, Peer, Peers
+from poplarrun.hosts import Peers
 from poplarrun.log import Gap, Log, ReadFailed, StreamReader, ThreadedLog
 from poplarrun.logs import part_logger
 from poplarrun.metrics import Metrics
@@ -24,6 +24,7 @@
     HostList,
     ListUnavailable,
     LoadReport,
+    Ratings,
 )
 from poplarrun.router import (
     AttemptFailed,
@@ -41,18 +42,25 @@
     EndpointStatus,
     Explain,
     HostStatus,
+    Leave,
     ListClasses,
     ReadMetrics,
     ReadReadiness,
     ReadStatus,
 )
+from poplarrun.server._peering import make_peers, publish_offset, read_zones
+from poplarrun.server._version_tasks import VersionTasks
 from poplarrun.settings import HostSettings
+from poplarrun.versions import Versions
 
 CONFIG_POLL_S = 0.25
 HOST_LIST_POLL_S = 0.5
 LOAD_POLL_S = 0.25
 TEND_CLAIMS_S = 60.0
 TEND_BILLS_S = 1.0
+ROLLOUTS_POLL_S = 0.25
+EVIDENCE_PERIOD_S = 1.0
+RATINGS_POLL_S = 0.25
 BLOCKING_THREADS = 32
 
 T = TypeVar("T")
@@ -70,7 +78,9 @@
     clock : callable
         Seconds, monotonic.
     peers : Peers, optional
-        The other hosts; without it this host takes itself for the only one.
+        The other hosts; made from the settings when left out.
+    ratings : Ratings, optional
+        The rating service.
     """
 
     def __init__(
@@ -81,22 +91,27 @@
         engine: Engine,
         clock: Callable[[], float] = time.monotonic,
         peers: Peers | None = None,
+        ratings: Ratings | None = None,
     ) -> None:
         self.settings = settings
         self.metrics = Metrics()
+        self.peers = peers or make_peers(settings, self.metrics, clock)
         self.stopping = False
         self._clock = clock
         self._host_list = host_list
         self._engine = engine
         self._reader = StreamReader(log, CONFIG_STREAM)
         self._endpoints = EndpointTable(settings.zone, random.Random(settings.name))
-        self.router = Router(self._endpoints, self.metrics)
         self._pool = ThreadPoolExecutor(BLOCKING_THREADS, thread_name_prefix="platform")
-        self.peers: Peers = peers or _lone_peer(settings)
         self.claims = ClaimKeeper(self.peers, ThreadedLog(log, self._in_thread), clock, time.time)
         self.billing = BillKeeper(self.peers, ThreadedLog(log, self._in_thread), clock, time.time)
+        versions = Versions(self.peers.me, random.Random(settings.name))
+        self.router = Router(self._endpoints, self.metrics, versions)
         self.router.operations.keeper = self.claims
         self.router.operations.peers = self.peers
+        self._version_tasks = VersionTasks(
+            versions, self.peers, log, ratings, self.metrics, self._in_thread, clock
+        )
         self._list_seen = False
         self._log_answered_at = clock()
         self._log = part_logger("host")
@@ -110,37 +125,41 @@
 
     def start_tasks(self) -> None:
         """Start the parts' tasks; called on the loop."""
+        self.peers.start()
         for step, period_s in (
             (self._follow_config, CONFIG_POLL_S),
             (self._follow_host_list, HOST_LIST_POLL_S),
             (self._poll_loads, LOAD_POLL_S),
             (self.claims.tend, TEND_CLAIMS_S),
             (self.billing.tend, TEND_BILLS_S),
+            (self._version_tasks.follow_rollouts, ROLLOUTS_POLL_S),
+            (self._version_tasks.exchange_evidence, EVIDENCE_PERIOD_S),
+            (self._version_tasks.run_steward, ROLLOUTS_POLL_S),
+            (self._version_tasks.rate_answers, RATINGS_POLL_S),
         ):
             self._tasks.append(asyncio.get_running_loop().create_task(self._repeat(step, period_s)))
 
-    async def handle(self, message: object) -> Any:
+    def handle(self, message: object) -> Any:
         """Answer one message; the only entry for other threads.
 
         The bills that it made outlive this host before the answer goes out:
         a caller that has its whole answer is billed, whatever dies then.
         """
-        answer = await self._answer(message)
-        await self._keep_bills()
-        return answer
-
-    async def _keep_bills(self) -> None:
+        answer = self._answer(message)
         context = self.router.context
-        bills, context.bills = context.bills, []
-        opened, context.opened = context.opened, []
-        closed, context.closed = context.closed, []
-        for bill in opened:
+        for bill in context.opened:
             self.billing.open(bill)
-        for bill_id in closed:
+        for bill_id in context.closed:
             self.billing.drop(bill_id)
+        bills = context.bills
+        context.opened, context.closed, context.bills = [], [], []
+        return self._keep_bills(bills, answer) if bills else answer
+
+    async def _keep_bills(self, bills: list[Bill], answer: Any) -> Any:
         await asyncio.gather(*(self.billing.keep(bill) for bill in bills))
+        return answer
 
-    async def _answer(self, message: object) -> Any:
+    def _answer(self, message: object) -> Any:
         now = self._clock()
         match message:
             case BeginChat() | BeginOperation() if not self.is_ready:
@@ -150,11 +169,11 @@
             case BeginChat():
                 return self.router.chats.begin(message, now)
             case BeginOperation():
-                return await self.router.operations.begin(message)
+                return self.router.operations.begin(message)
             case SendOperation():
                 return self.router.operations.send(message)
             case FindOperation():
-                return await self.router.operations.find(message)
+                return self.router.operations.find(message)
             case AttemptFailed():
                 return self.router.chats.retry(message, now)
             case CallFailed():
@@ -177,6 +196,8 @@
                 return self.metrics.render()
             case ReadReadiness():
                 return self.is_ready
+            case Leave():
+                return self.peers.leave()
         raise TypeError(f"no handler for {type(message).__name__}")
 
     async def _repeat(self, step: Callable[[], Coroutine[Any, Any, None]], period_s: float) -> None:
@@ -208,10 +229,12 @@
                 self._log_answered_at = self._clock()
                 for entry in entries:
                     self._fold(entry)
+                publish_offset(self.peers, self.router.context.configuration.offset)
 
     def _fold(self, entry: Any) -> None:
         state, verdict = fold_entry(self.router.context.configuration, entry)
         self.router.context.configuration = state
+        self.router.context.versions.apply_configuration(state)
         match verdict:
             case Accepted(offset=offset):
                 self._log.info("Configuration in force.", extra={"offset": offset})
@@ -225,7 +248,7 @@
             case ListUnavailable():
                 self.metrics.count_event("host_list_failed")
             case listed:
-                self._endpoints.apply_list(listed)
+                self._endpoints.apply_list(listed, self._clock())
                 self._list_seen = True
 
     async def _poll_loads(self) -> None:
@@ -235,7 +258,7 @@
     async def _poll_load(self, endpoint: Endpoint) -> None:
         match await self._in_thread(self._engine.report_load, endpoint.address):
             case LoadReport() as report:
-                self._endpoints.apply_report(endpoint.name, report)
+                self._endpoints.apply_report(endpoint.name, report, self._clock())
             case EngineFailed():
                 self.metrics.count_event("load_report_failed")
                 self._endpoints.note_failure(endpoint.name, self._clock())
@@ -270,14 +293,10 @@
             endpoints=tuple(_endpoint_status(e, now) for e in self._endpoints.all()),
             withdrawn=tuple(sorted(configuration.withdrawn)),
             refusals=dict(self.metrics.refusal_counts),
+            zones=read_zones(self.peers),
         )
 
 
-def _lone_peer(settings: HostSettings) -> Peers:
-    me = Peer(settings.name, settings.zone, settings.region, time.time_ns())
-    return MemoryPeers(MemoryNetwork(), me)
-
-
 def _endpoint_status(endpoint: Endpoint, now: float) -> EndpointStatus:
     if endpoint.leaving:
         state = "leaving"
--- a/scripts/check_histories.py
+++ b/scripts/check_histories.py
@@ -39,6 +39,7 @@
     print(
         f"operations {operations}, effects {effects}, bills {bills}, kept by the host alone {alone}"
     )
+    print(f"bills lost with every host that held them {lost}")
     print("answers " + ", ".join(f"{kind} {count}" for kind, count in sorted(answers.items())))
     print(f"violations {broken}")
     return 1 if broken else 0
