Resume answers elsewhere with their KV cache, and bill what broke

Cause: a stream whose engine was gone ended although its KV cache could be moved; a whole answer was not generated anew though nothing was shown; a stream that lacked its last chunks got a clean end; a broken stream was not billed, and a chat refused after an engine began was told 'not run'.

Change: go on at the same engine, else elsewhere with the KV cache, else anew only where nothing was shown; the engine's token count must be reached before a clean end; what was shown of a broken answer is billed; a refusal after a started attempt says so. A planned stop waits for outcomes and bills.

Conclusion: a shown stream whose engine dies still ends without a clean end.

--- a/poplarrun/billing/_keeper.py
+++ b/poplarrun/billing/_keeper.py
@@ -169,6 +169,12 @@
         self.kept[kept] += 1
         return kept
 
+    async def drain(self, timeout_s: float) -> None:
+        """Wait until the log holds every bill; what is left, peers finish."""
+        self._is_urgent.set()
+        if self._flushing is not None:
+            await asyncio.wait([self._flushing], timeout=timeout_s)
+
     async def tend(self) -> None:
         """Tell peers what is new, and finish the bills of dead hosts."""
         live = {(peer.name, peer.incarnation) for peer in self._peers.live()}
--- a/poplarrun/claims/_keeper.py
+++ b/poplarrun/claims/_keeper.py
@@ -144,6 +144,11 @@
         if self._settling is None:
             self._settling = asyncio.create_task(self._settle_all())
 
+    async def drain(self, timeout_s: float) -> None:
+        """Wait until the log holds every outcome and release of this host."""
+        if self._settling is not None:
+            await asyncio.wait([self._settling], timeout=timeout_s)
+
     def settled_here(self, claim_id: str) -> Outcome | Release | None:
         """Return what this host decided about a claim and the log doesn't hold yet."""
         return self._unsettled.get(claim_id)
--- a/poplarrun/platform/_engines.py
+++ b/poplarrun/platform/_engines.py
@@ -14,6 +14,7 @@
 CONNECT_TIMEOUT_S = 0.5
 REPORT_TIMEOUT_S = 1.0
 CANCEL_TIMEOUT_S = 1.0
+MOVE_TIMEOUT_S = 2.0
 OK = 200
 # An engine answers these before it starts any work.
 NOT_STARTED_STATUSES = frozenset({404, 409, 429, 503})
@@ -139,6 +140,9 @@
     def cancel(self, address: str, request_id: str) -> None:
         """Ask the engine to stop a stream; a lost ask costs tokens, nothing else."""
 
+    def move_cache(self, source: str, target: str, request_id: str) -> bool:
+        """Move a stream's KV cache to another engine; tell whether that has it now."""
+
     def report_load(self, address: str) -> LoadReport | EngineFailed:
         """Read the engine's load."""
 
@@ -219,6 +223,20 @@
         except urllib3.exceptions.HTTPError:
             return
 
+    def move_cache(self, source: str, target: str, request_id: str) -> bool:
+        """Move a stream's KV cache to another engine; tell whether that has it now."""
+        path = f"/v1/kv/{request_id}"
+        try:
+            taken = pool_for().request("GET", f"http://{source}{path}", timeout=MOVE_TIMEOUT_S)
+            if taken.status != OK:
+                return False
+            given = pool_for().request(
+                "PUT", f"http://{target}{path}", body=taken.data, timeout=MOVE_TIMEOUT_S
+            )
+        except urllib3.exceptions.HTTPError:
+            return False
+        return given.status == OK
+
     def report_load(self, address: str) -> LoadReport | EngineFailed:
         """Read the engine's load."""
         try:
--- a/poplarrun/router/_chats.py
+++ b/poplarrun/router/_chats.py
@@ -17,7 +17,10 @@
     FirstToken,
 )
 
-MAX_ATTEMPTS = 3
+# One attempt, and each way of going on once: here, elsewhere with the KV cache, anew.
+MAX_ATTEMPTS = 4
+# The stream's engine can't be reached, so it can't give out its KV cache either.
+UNREACHABLE = "connect"
 
 
 @dataclass
@@ -31,6 +34,9 @@
     endpoint: str = ""
     attempts: int = 0
     tried: set[str] = field(default_factory=set)
+    started: bool = False
+    shown_tokens: int = 0
+    resumes: int = 0
 
     @property
     def version(self) -> Version:
@@ -79,12 +85,14 @@
     def retry(self, failure: AttemptFailed, now: float) -> ChatGrant | Refusal:
         """Decide where a broken chat goes on."""
         chat = self._chats[failure.request_id]
+        chat.started = chat.started or failure.started
+        chat.shown_tokens = failure.position if failure.is_shown else 0
         self._note_attempt_end(chat, failure.reason, now)
         if chat.attempts >= MAX_ATTEMPTS:
-            kind = ErrorKind.ANSWER_INCOMPLETE if failure.position else ErrorKind.ENDPOINT_FAILED
-            return self._give_up(chat, kind, f"{chat.attempts} attempts broke ({failure.reason})")
+            message = f"{chat.attempts} attempts broke ({failure.reason})"
+            return self._give_up(chat, ErrorKind.ENDPOINT_FAILED, message)
         if failure.position > 0:
-            return self._resume_chat(chat, now)
+            return self._resume_chat(chat, failure, now)
         self._context.metrics.count_retry(failure.reason)
         return self._send(chat, now)
 
@@ -102,8 +110,7 @@
         self._context.endpoints.note_ended(chat.endpoint, now)
         self._context.metrics.record_latency("whole", chat.work_class.name, now - chat.began_at)
         self._versions.note_end(chat.pick, chat.work_class, end, now - chat.began_at)
-        amount = chat.version.price.cost(end.usage.input_tokens, end.usage.output_tokens)
-        bill = Bill(end.request_id, chat.account.name, str(chat.version.id), amount)
+        bill = _make_bill(chat, end.usage.input_tokens, end.usage.output_tokens)
         chat.explanation.outcome = "answered" if end.whole else "cut off"
         return self._context.add_bill(bill, chat.explanation)
 
@@ -117,17 +124,36 @@
             return self._give_up(chat, ErrorKind.NO_ENDPOINT, message)
         return self._grant_chat(chat, choice.endpoint, now)
 
-    def _resume_chat(self, chat: _Chat, now: float) -> ChatGrant | Refusal:
-        """Go on at the same engine: only there does the rest fit what the caller has."""
+    def _resume_chat(self, chat: _Chat, failure: AttemptFailed, now: float) -> ChatGrant | Refusal:
+        """Go on where the stream broke, so that the rest fits what there is.
+
+        The same engine still has the stream; another one gets its KV cache. Only
+        an answer of which nothing was shown may be generated anew, for no two
+        generations are alike and the caller would get a mixed one.
+        """
         refusal = self._check_version(chat)
         if refusal is not None:
             return refusal
-        for endpoint in self._context.endpoints.all():
-            if endpoint.name == chat.endpoint:
-                self._context.metrics.count_retry("resume")
-                return self._grant_chat(chat, endpoint, now)
+        chat.resumes += 1
+        same = self._find_endpoint(chat.endpoint)
+        if chat.resumes == 1 and same is not None:
+            self._context.metrics.count_retry("resume")
+            return self._grant_chat(chat, same, now, resumes=True)
+        other = self._context.endpoints.choose_engine(chat.version.id, now, chat.tried)
+        can_move = same is not None and failure.reason != UNREACHABLE and chat.resumes == 2
+        if can_move and same is not None and other is not None and other.endpoint is not same:
+            self._context.metrics.count_retry("resume_elsewhere")
+            return self._grant_chat(
+                chat, other.endpoint, now, resumes=True, cache_from=same.address
+            )
+        if not failure.is_shown:
+            self._context.metrics.count_retry("anew")
+            return self._send(chat, now)
         return self._give_up(chat, ErrorKind.ANSWER_INCOMPLETE, "the stream's engine is gone")
 
+    def _find_endpoint(self, name: str) -> Endpoint | None:
+        return next((e for e in self._context.endpoints.all() if e.name == name), None)
+
     def _check_version(self, chat: _Chat) -> Refusal | None:
         """Check permission anew before each attempt.
 
@@ -143,12 +169,21 @@
             return self._give_up(chat, ErrorKind.VERSION_NOT_ALLOWED, message)
         return None
 
-    def _grant_chat(self, chat: _Chat, endpoint: Endpoint, now: float) -> ChatGrant | Refusal:
+    def _grant_chat(
+        self,
+        chat: _Chat,
+        endpoint: Endpoint,
+        now: float,
+        resumes: bool = False,
+        cache_from: str = "",
+    ) -> ChatGrant | Refusal:
         timeout_s = chat.began_at + chat.work_class.targets.whole_s - now
         if timeout_s <= 0:
             return self._give_up(chat, ErrorKind.DEADLINE_UNREACHABLE, "the deadline has passed")
         chat.endpoint = endpoint.name
         chat.attempts += 1
+        if chat.attempts == 1:
+            self._context.opened.append(_make_bill(chat, chat.request.prompt_tokens, 0))
         chat.tried.add(endpoint.name)
         self._context.endpoints.note_sent(endpoint.name, now)
         return ChatGrant(
@@ -158,6 +193,8 @@
             chat.work_class.importance,
             timeout_s,
             sampled=chat.pick.sampled,
+            resumes=resumes,
+            cache_from=cache_from,
         )
 
     def _note_attempt_end(self, chat: _Chat, reason: str, now: float) -> None:
@@ -167,6 +204,23 @@
         chat.explanation.attempts.append(f"{chat.endpoint}: {reason}")
 
     def _give_up(self, chat: _Chat, kind: ErrorKind, message: str) -> Refusal:
+        """End a chat without a whole answer, and bill what its caller was shown.
+
+        A kind that says "not run" is true only while no engine began: after
+        that the caller is told what became of its answer instead.
+        """
         self._chats.pop(chat.request.request_id, None)
+        if chat.shown_tokens:
+            kind = ErrorKind.ANSWER_INCOMPLETE
+            bill = _make_bill(chat, chat.request.prompt_tokens, chat.shown_tokens)
+            self._context.add_bill(bill, chat.explanation)
+        else:
+            kind = ErrorKind.ENDPOINT_FAILED if chat.started else kind
+            self._context.closed.append(chat.request.request_id)
         chat.explanation.outcome = f"refused: {kind.value}"
         return self._context.refuse(kind, message)
+
+
+def _make_bill(chat: _Chat, input_tokens: int, output_tokens: int) -> Bill:
+    amount = chat.version.price.cost(input_tokens, output_tokens)
+    return Bill(chat.request.request_id, chat.account.name, str(chat.version.id), amount)
--- a/poplarrun/router/_messages.py
+++ b/poplarrun/router/_messages.py
@@ -53,6 +53,10 @@
         Seconds left until the request's deadline.
     sampled : bool
         Whether the worker keeps the answer's text, to be rated.
+    resumes : bool
+        Whether the stream goes on where it broke; else it begins anew.
+    cache_from : str
+        Address of the engine whose KV cache of the stream must be moved first.
     """
 
     endpoint: str
@@ -61,6 +65,8 @@
     priority: int
     timeout_s: float
     sampled: bool = False
+    resumes: bool = False
+    cache_from: str = ""
 
 
 @dataclass(frozen=True, slots=True)
@@ -81,13 +87,16 @@
     reason : str
         Counter label.
     position : int
-        Tokens already given to the caller.
+        Tokens that the worker has, in order.
+    is_shown : bool
+        Whether the caller was given them already.
     """
 
     request_id: str
     started: bool
     reason: str
     position: int
+    is_shown: bool = True
 
 
 @dataclass(frozen=True, slots=True)
--- a/poplarrun/server/_callers.py
+++ b/poplarrun/server/_callers.py
@@ -118,7 +118,7 @@
             session=session,
         )
         cherrypy.response.headers[REQUEST_ID_HEADER] = request.request_id
-        run = ChatRun(self._crossing, self._engine, request, body.prompt)
+        run = ChatRun(self._crossing, self._engine, request, body.prompt, body.stream)
         first = run.start()
         if isinstance(first, Refusal):
             return send_refusal(first)
@@ -134,17 +134,13 @@
         return _render_stream(run, first, ChunkRenderer(request.request_id, request.class_name))
 
     def _whole_answer(self, run: ChatRun, first: Piece, request: BeginChat) -> bytes:
-        texts: list[str] = []
         for piece in run.pieces(first):
             match piece:
-                case str():
-                    texts.append(piece)
                 case BrokenAnswer(refusal=refusal):
                     return send_refusal(refusal)
                 case Usage() as usage:
-                    text = "".join(texts)
                     return send_json(
-                        render_completion(request.request_id, request.class_name, text, usage)
+                        render_completion(request.request_id, request.class_name, run.text, usage)
                     )
         raise AssertionError("an answer ends with its usage or its break")
 
--- a/poplarrun/server/_chats.py
+++ b/poplarrun/server/_chats.py
@@ -40,14 +40,24 @@
         What the caller asked for.
     prompt : str
         The whole prompt.
+    is_streamed : bool
+        Whether the caller sees each piece at once.
     """
 
-    def __init__(self, crossing: Crossing, engine: Engine, request: BeginChat, prompt: str) -> None:
+    def __init__(
+        self,
+        crossing: Crossing,
+        engine: Engine,
+        request: BeginChat,
+        prompt: str,
+        is_streamed: bool = True,
+    ) -> None:
         self.version: VersionId | None = None
         self._crossing = crossing
         self._engine = engine
         self._request = request
         self._prompt = prompt
+        self._is_streamed = is_streamed
         self._reassembly = Reassembly()
         self._answers: Iterator[Answer] = iter(())
         self._address = ""
@@ -55,6 +65,11 @@
         self._sampled = False
         self._texts: list[str] = []
 
+    @property
+    def text(self) -> str:
+        """The answer so far, where it is not streamed or is to be rated."""
+        return "".join(self._texts)
+
     def start(self) -> Refusal | Piece:
         """Begin, and wait for the first piece; until then a retry is invisible."""
         match self._crossing.ask(self._request):
@@ -87,6 +102,12 @@
         self.version = grant.version
         self._sampled = grant.sampled
         self._address = grant.address
+        if not grant.resumes:
+            self._reassembly = Reassembly()
+            self._texts.clear()
+        if grant.cache_from and not self._move_cache(grant):
+            self._answers = iter([EngineFailed(started=False, reason="kv_cache")])
+            return
         call = EngineCall(
             request_id=self._request.request_id,
             version=grant.version,
@@ -97,31 +118,48 @@
         )
         self._answers = self._engine.generate(grant.address, call, grant.timeout_s)
 
+    def _move_cache(self, grant: ChatGrant) -> bool:
+        return self._engine.move_cache(grant.cache_from, grant.address, self._request.request_id)
+
     def _next_piece(self) -> Piece:
         while True:
             match next(self._answers):
                 case Chunk() as chunk:
                     text = self._reassembly.add(chunk)
                     if text:
-                        if self._sampled:
+                        if self._sampled or not self._is_streamed:
                             self._texts.append(text)
                         return text
-                case Usage() as usage if self._reassembly.has_gap:
-                    broken = self._go_on(EngineFailed(started=True, reason="gap"))
-                    if broken is not None:
-                        return broken
-                case Usage() as usage:
+                    failed = EngineFailed(started=True, reason="gap")
+                    if not self._reassembly.is_overfull:
+                        continue
+                case Usage() as usage if self._is_whole(usage):
                     self._end(usage, whole=True)
                     return usage
+                case Usage():
+                    failed = EngineFailed(started=True, reason="gap")
                 case EngineFailed() as failed:
-                    broken = self._go_on(failed)
-                    if broken is not None:
-                        return broken
+                    pass
+            broken = self._go_on(failed)
+            if broken is not None:
+                return broken
+
+    def _is_whole(self, usage: Usage) -> bool:
+        """Tell whether every token that the engine counted is there.
+
+        A chunk can be lost before the end, or be the last: without the count
+        the caller would get a clean end of an answer that lacks its last words.
+        """
+        return not self._reassembly.has_gap and (
+            self._reassembly.next_position >= usage.output_tokens
+        )
 
     def _go_on(self, failed: EngineFailed) -> BrokenAnswer | None:
         self._reassembly.drop_held()
         position = self._reassembly.next_position
-        failure = AttemptFailed(self._request.request_id, failed.started, failed.reason, position)
+        failure = AttemptFailed(
+            self._request.request_id, failed.started, failed.reason, position, self._is_streamed
+        )
         match self._crossing.ask(failure):
             case ChatGrant() as grant:
                 self._open(grant)
@@ -140,5 +178,5 @@
 
     def _end(self, usage: Usage, whole: bool) -> None:
         self._ended = True
-        text = "".join(self._texts) if self._sampled and whole else None
+        text = self.text if self._sampled and whole else None
         self._crossing.ask(EndChat(self._request.request_id, usage, whole, text))
--- a/poplarrun/server/_host.py
+++ b/poplarrun/server/_host.py
@@ -58,6 +58,7 @@
 LOAD_POLL_S = 0.25
 TEND_CLAIMS_S = 60.0
 TEND_BILLS_S = 1.0
+LEAVE_BOUND_S = 5.0
 ROLLOUTS_POLL_S = 0.25
 EVIDENCE_PERIOD_S = 1.0
 RATINGS_POLL_S = 0.25
@@ -197,9 +198,14 @@
             case ReadReadiness():
                 return self.is_ready
             case Leave():
-                return self.peers.leave()
+                return self._leave()
         raise TypeError(f"no handler for {type(message).__name__}")
 
+    async def _leave(self) -> None:
+        """Put what is left into the log, and tell the other hosts of the stop."""
+        await asyncio.gather(self.claims.drain(LEAVE_BOUND_S), self.billing.drain(LEAVE_BOUND_S))
+        await self.peers.leave()
+
     async def _repeat(self, step: Callable[[], Coroutine[Any, Any, None]], period_s: float) -> None:
         """Run a task's step for ever; one failure must not end the task.
 
--- a/standins/engine.py
+++ b/standins/engine.py
@@ -57,6 +57,8 @@
         Quality by version; overrides the settings.
     empty : bool
         Answer with no tokens.
+    refuse_own_resumes : bool
+        Answer 503 to resumes of streams whose KV cache was not imported.
     """
 
     refuse: bool = False
@@ -69,6 +71,7 @@
     shuffle: bool = False
     quality: dict[str, float] = {}
     empty: bool = False
+    refuse_own_resumes: bool = False
 
 
 class EngineSettings(msgspec.Struct):
@@ -136,6 +139,7 @@
     words: list[str]
     touched_at: float
     cancelled: bool = False
+    imported: bool = False
 
 
 @dataclass
@@ -202,6 +206,9 @@
             return json_response({"error": "version not loaded"}, 404)
         if body.from_position > 0 and body.request_id not in self._streams:
             return json_response({"error": "no such stream"}, 404)
+        is_own = body.from_position > 0 and not self._streams[body.request_id].imported
+        if is_own and self.faults.refuse_own_resumes:
+            return json_response({"error": "refused"}, 503)
         return Response(200, self._stream(body), "application/x-ndjson")
 
     def _stream(self, body: GenerateBody) -> Iterator[bytes]:
@@ -350,8 +357,9 @@
     def _import_kv(self, request: Request) -> Response:
         body = msgspec.json.decode(request.body, type=KvBody)
         self._streams[request.params["request_id"]] = _Stream(
-            body.version, body.words, time.monotonic()
+            body.version, body.words, time.monotonic(), imported=True
         )
+        self.record("imported", request_id=request.params["request_id"], tokens=len(body.words))
         return json_response({"words": len(body.words)})
 
     def _forget_old_streams(self) -> None:
