Measure claims and bills, and spend retries of calls from the budget

Cause: the cost of a claim and of a bill was not known; a call of a plain service was retried without asking the retry budget; the ranking of 390 hosts was hashed anew for each claim and each bill.

Change: bench/outcomes; operations use decide_retry; rankings are kept until the live hosts change.

--- a/Makefile
+++ b/Makefile
@@ -39,9 +39,9 @@
 clean:
 	rm -rf $(VENV) build *.egg-info
 
-.PHONY: bench-path bench-versions bench-load bench-hosts check-histories capacity
+.PHONY: bench-path bench-versions bench-load bench-hosts bench-outcomes check-histories capacity
 
-bench-path bench-versions bench-load bench-hosts: install
+bench-path bench-versions bench-load bench-hosts bench-outcomes: install
 	$(PYTHON) -m bench.$(@:bench-%=%)
 
 SEEDS ?= 200
--- /dev/null
+++ b/bench/outcomes.py
@@ -0,0 +1,270 @@
+"""Claims and bills: what they add to a call, and what they cost the log and a host.
+
+Latencies are real: six hosts' claim keepers in this process, messages between
+them 4 ms one way, and the stand-in log in a process of its own, 20 ms an append.
+The slopes over hosts run in virtual time, where only counts and bytes matter.
+"""
+
+import asyncio
+import gc
+import random
+import statistics
+import sys
+import time
+import tracemalloc
+from concurrent.futures import ThreadPoolExecutor
+from dataclasses import dataclass
+
+from bench.figures import Figure, Slope, report
+from poplarrun.billing import Bill, BillKeeper, encode_bills
+from poplarrun.claims import Claim, ClaimKeeper, Outcome, Won, make_ran
+from poplarrun.hosts import MemoryNetwork, MemoryPeers, Peer, Peers
+from poplarrun.log import AppendOutcome, MemoryLog, ReadOutcome, ThreadedLog
+from poplarrun.platform import HttpLog
+from standins.fleet import StandInProcess
+from standins.histories import VirtualLoop
+
+COMMAND = "python -m bench.outcomes"
+HOSTS = 6
+ZONES = 3
+LINK_S = 0.004
+APPEND_S = 0.02
+RATES_PER_HOST = (1, 10, 100)
+WINDOW_S = 6.0
+WARM_UP_S = 1.5
+SIZES = (6, 24, 96, 390)
+CLAIMS_WINDOW_S = 5.0
+# Several batches of the largest fleet, whose hosts append every 6.5 s.
+BILLS_WINDOW_S = 20
+# The log takes several hundred appends a second in all; claims may have this share.
+MAX_APPENDS_PER_S = 160.0
+BILLS = 50_000
+ANSWER = b'{"done": "correct", "record": "4711", "state": "paid"}'
+FINGERPRINT = bytes(16)
+
+
+class CountingLog:
+    """A log in memory, in virtual time, that counts appends and their bytes by stream."""
+
+    def __init__(self) -> None:
+        self.memory = MemoryLog()
+        self.appends = 0
+        self.stream_bytes: dict[str, int] = {}
+
+    async def append(self, stream: str, data: bytes) -> AppendOutcome:
+        """Append one record to a stream."""
+        await asyncio.sleep(APPEND_S)
+        self.appends += 1
+        self.stream_bytes[stream] = self.stream_bytes.get(stream, 0) + len(data)
+        return self.memory.append(stream, data)
+
+    async def read(self, stream: str, from_offset: int, limit: int) -> ReadOutcome:
+        """Read at most ``limit`` records of a stream from an offset on."""
+        await asyncio.sleep(APPEND_S)
+        return self.memory.read(stream, from_offset, limit)
+
+
+class CountingPeers(MemoryPeers):
+    """Peers that count the bytes which a host sends."""
+
+    sent_bytes = 0
+
+    async def ask(self, peer: str, kind: str, payload: bytes, timeout_s: float):
+        """Send one message to a peer and wait for its answer."""
+        answer = await super().ask(peer, kind, payload, timeout_s)
+        self.sent_bytes += len(payload)
+        return answer
+
+
+@dataclass
+class Load:
+    """What one run of claims gave."""
+
+    latencies_s: list[float]
+    appends_per_s: float
+    cpu_us_per_claim: float
+
+
+def make_peers(count: int) -> list[CountingPeers]:
+    network = MemoryNetwork(LINK_S)
+    return [
+        CountingPeers(network, Peer(f"h{n:03d}", f"zone-{n % ZONES}", "local", 1))
+        for n in range(count)
+    ]
+
+
+async def run_operation(keeper: ClaimKeeper, peers: Peers, key: str) -> float:
+    """Claim a key, and settle its outcome; return the seconds that the claim took."""
+    loop = asyncio.get_running_loop()
+    claim = Claim(key, "shop", key, FINGERPRINT, peers.me.name, peers.me.incarnation, time.time())
+    began = loop.time()
+    verdict = await keeper.claim(claim, 5.0)
+    took_s = loop.time() - began
+    if not isinstance(verdict, Won):
+        raise RuntimeError(f"a claim without a rival was not won: {verdict}")
+    answer = make_ran(200, "application/json", ANSWER)
+    keeper.settle(Outcome(claim.id, claim.account, claim.key, answer))
+    return took_s
+
+
+async def offer(keepers: list[ClaimKeeper], peers: list, rate: float, window_s: float, tag: str):
+    """Offer operations at a rate to each host; return the claims' latencies."""
+    loop = asyncio.get_running_loop()
+    source = random.Random(tag)
+    began = loop.time()
+    tasks = []
+    for number in range(int(rate * window_s * len(keepers))):
+        at = began + number / (rate * len(keepers))
+        await asyncio.sleep(max(0.0, at - loop.time()))
+        which = source.randrange(len(keepers))
+        key = f"{tag}-{number}"
+        tasks.append(asyncio.create_task(run_operation(keepers[which], peers[which], key)))
+    return list(await asyncio.gather(*tasks))
+
+
+async def measure_real(rate: float, log: HttpLog, pool: ThreadPoolExecutor) -> Load:
+    loop = asyncio.get_running_loop()
+
+    async def run(call, *arguments):
+        return await loop.run_in_executor(pool, call, *arguments)
+
+    peers = make_peers(HOSTS)
+    keepers = [ClaimKeeper(p, ThreadedLog(log, run), loop.time, time.time) for p in peers]
+    await offer(keepers, peers, rate, WARM_UP_S, f"warm-{rate}")
+    appends, cpu_s, began = total_appends(keepers), time.process_time(), loop.time()
+    latencies = await offer(keepers, peers, rate, WINDOW_S, f"run-{rate}")
+    elapsed_s, cpu_s = loop.time() - began, time.process_time() - cpu_s
+    per_s = (total_appends(keepers) - appends) / elapsed_s
+    for keeper in keepers:
+        await keeper.drain(5.0)
+    return Load(latencies, per_s, cpu_s / len(latencies) * 1e6)
+
+
+def total_appends(keepers: list[ClaimKeeper]) -> int:
+    return sum(keeper.appends for keeper in keepers)
+
+
+def run_virtual(work):
+    loop = VirtualLoop()
+    asyncio.set_event_loop(loop)
+    try:
+        return loop.run_until_complete(work)
+    finally:
+        asyncio.set_event_loop(None)
+
+
+async def measure_claims_at(size: int) -> tuple[float, float, float]:
+    """Return appends a second, bytes a second of the busiest stream, and CPU a claim."""
+    loop = asyncio.get_running_loop()
+    log = CountingLog()
+    peers = make_peers(size)
+    keepers = [ClaimKeeper(p, log, loop.time, time.time) for p in peers]
+    began, cpu_s = loop.time(), time.process_time()
+    latencies = await offer(keepers, peers, 1.0, CLAIMS_WINDOW_S, f"size-{size}")
+    cpu_s = time.process_time() - cpu_s
+    elapsed_s = loop.time() - began
+    busiest = max(log.stream_bytes.values()) / elapsed_s
+    return log.appends / elapsed_s, busiest, cpu_s / len(latencies) * 1e6
+
+
+async def measure_bills_at(size: int) -> tuple[float, float, float]:
+    """Return appends a second, bytes a second that a host sends, and CPU a bill."""
+    loop = asyncio.get_running_loop()
+    log = CountingLog()
+    peers = make_peers(size)
+    keepers = [BillKeeper(p, log, loop.time, time.time) for p in peers]
+    began, cpu_s, count = loop.time(), time.process_time(), 0
+    for second in range(BILLS_WINDOW_S):
+        bills = [
+            keeper.keep(Bill(f"req-{second:016x}{n:016x}", "borough-north", "larch:1", 0.0123))
+            for n, keeper in enumerate(keepers)
+        ]
+        count += len(bills)
+        await asyncio.gather(*bills)
+        await asyncio.gather(*(keeper.tend() for keeper in keepers))
+        await asyncio.sleep(max(0.0, began + second + 1 - loop.time()))
+    cpu_us = (time.process_time() - cpu_s) / count * 1e6
+    elapsed_s = loop.time() - began
+    sent = sum(p.sent_bytes for p in peers) + sum(log.stream_bytes.values())
+    return log.appends / elapsed_s, sent / size / elapsed_s, cpu_us
+
+
+def make_bill(number: int) -> Bill:
+    return Bill(f"req-{number:032x}", "borough-north", "larch:1", number / 7, number / 3)
+
+
+async def measure_bill_memory() -> float:
+    """Return the bytes of memory of an open bill at its host."""
+    loop = asyncio.get_running_loop()
+    keeper = BillKeeper(make_peers(1)[0], CountingLog(), loop.time, time.time)
+    gc.collect()
+    tracemalloc.start()
+    for number in range(BILLS):
+        keeper.open(make_bill(number))
+    used, _ = tracemalloc.get_traced_memory()
+    tracemalloc.stop()
+    return used / BILLS
+
+
+def measure_latencies() -> list[Figure]:
+    log_process = StandInProcess("log")
+    log_process.spawn()
+    try:
+        log_process.wait()
+        log_process.set_faults(append_delay_s=APPEND_S)
+        with ThreadPoolExecutor(64) as pool:
+            loads = {
+                rate: asyncio.run(measure_real(rate, HttpLog(log_process.address), pool))
+                for rate in RATES_PER_HOST
+            }
+    finally:
+        log_process.kill()
+    figures = []
+    for rate, load in loads.items():
+        name = f"claim_{rate}_per_host_s"
+        median_ms = statistics.median(load.latencies_s) * 1000
+        p99_ms = statistics.quantiles(load.latencies_s, n=100)[98] * 1000
+        holds = load.appends_per_s <= MAX_APPENDS_PER_S
+        figures += [
+            Figure(f"{name}_median", median_ms, "ms", baseline=0.0),
+            Figure(f"{name}_p99", p99_ms, "ms", baseline=0.0),
+            Figure(
+                f"{name}_appends",
+                load.appends_per_s,
+                "appends/s",
+                baseline=2.0 * rate * HOSTS,
+                target=f"at most {MAX_APPENDS_PER_S:.0f}; the baseline is two a call",
+                holds=holds,
+            ),
+            Figure(f"{name}_cpu", load.cpu_us_per_claim, "us/claim, all hosts together"),
+        ]
+    return figures
+
+
+def make_slopes() -> list[Slope]:
+    claims = {size: run_virtual(measure_claims_at(size)) for size in SIZES}
+    bills = {size: run_virtual(measure_bills_at(size)) for size in SIZES}
+    rows = [
+        ("claims_appends", "appends/s at 1 keyed call/s a host", claims, 0),
+        ("claims_busiest_stream", "bytes/s at 1 keyed call/s a host", claims, 1),
+        ("claims_cpu", "us/call, all hosts together", claims, 2),
+        ("bills_appends", "appends/s at 1 bill/s a host", bills, 0),
+        ("bills_sent", "bytes/s a host at 1 bill/s a host", bills, 1),
+        ("bills_cpu", "us/bill, all hosts together", bills, 2),
+    ]
+    return [
+        Slope(name, "hosts", unit, tuple((float(n), got[n][i]) for n in SIZES), COMMAND)
+        for name, unit, got, i in rows
+    ]
+
+
+def main() -> int:
+    figures = measure_latencies()
+    batch = encode_bills([make_bill(number) for number in range(1000)])
+    figures.append(Figure("bill_in_log", len(batch) / 1000, "bytes"))
+    figures.append(Figure("bill_in_memory", run_virtual(measure_bill_memory()), "bytes"))
+    return report("outcomes", figures, make_slopes())
+
+
+if __name__ == "__main__":
+    sys.exit(main())
--- a/poplarrun/billing/_keeper.py
+++ b/poplarrun/billing/_keeper.py
@@ -17,7 +17,7 @@
     stream_of,
     write_lines,
 )
-from poplarrun.hosts import Peers, rank_hosts
+from poplarrun.hosts import Peers, Ranking
 from poplarrun.log import Appended, AsyncLog
 
 KEEP_MESSAGE = "billing.keep"
@@ -113,6 +113,7 @@
         self._flushing: asyncio.Task[None] | None = None
         self._is_urgent = asyncio.Event()
         self._log_failed_until = 0.0
+        self._ranking = Ranking()
         peers.serve(KEEP_MESSAGE, self._serve_keep)
 
     @property
@@ -272,7 +273,7 @@
         """Order the peers, those of other zones first, spread evenly over the fleet."""
         me = self._peers.me
         others = [peer for peer in self._peers.live() if peer.name != me.name]
-        ranked = rank_hosts(f"billing/{me.name}", (peer.name for peer in others))
+        ranked = self._ranking.rank(f"billing/{me.name}", tuple(peer.name for peer in others))
         zones = {peer.name: peer.zone for peer in others}
         seen: set[str] = set()
         first: list[str] = []
--- a/poplarrun/claims/_keeper.py
+++ b/poplarrun/claims/_keeper.py
@@ -20,7 +20,7 @@
     Verdict,
 )
 from poplarrun.claims._shard import Shard
-from poplarrun.hosts import Peers, rank_hosts
+from poplarrun.hosts import Peers, Ranking
 from poplarrun.log import AsyncLog
 
 APPEND_MESSAGE = "claims.append"
@@ -108,6 +108,7 @@
         self._unsettled: dict[str, Outcome | Release] = {}
         self._settling: asyncio.Task[None] | None = None
         self._silent_until: dict[str, float] = {}
+        self._ranking = Ranking()
         peers.serve(APPEND_MESSAGE, self._serve_append)
         peers.serve(FIND_MESSAGE, self._serve_find)
 
@@ -236,12 +237,12 @@
 
     def _owner_of(self, shard: int) -> str:
         now = self._now()
-        names = [
+        names = tuple(
             peer.name
             for peer in self._peers.live()
             if peer == self._peers.me or self._silent_until.get(peer.name, 0.0) <= now
-        ]
-        return rank_hosts(f"claims/{shard}", names)[0]
+        )
+        return self._ranking.rank(f"claims/{shard}", names)[0]
 
     def _shard(self, number: int) -> Shard:
         shard = self._shards.get(number)
--- a/poplarrun/hosts/__init__.py
+++ b/poplarrun/hosts/__init__.py
@@ -11,7 +11,7 @@
     SummaryTopic,
     ZoneView,
 )
-from poplarrun.hosts._rendezvous import rank_hosts
+from poplarrun.hosts._rendezvous import Ranking, rank_hosts
 
 __all__ = [
     "Gathered",
@@ -22,6 +22,7 @@
     "Peer",
     "PeerSilent",
     "Peers",
+    "Ranking",
     "SummaryTopic",
     "ZoneView",
     "rank_hosts",
--- a/poplarrun/hosts/_rendezvous.py
+++ b/poplarrun/hosts/_rendezvous.py
@@ -15,3 +15,21 @@
 
 def _score(key: str, host: str) -> bytes:
     return hashlib.blake2b(f"{key}\0{host}".encode(), digest_size=8).digest()
+
+
+class Ranking:
+    """Keeps the orders of ``rank_hosts`` until the hosts change."""
+
+    def __init__(self) -> None:
+        self._hosts: tuple[str, ...] = ()
+        self._ranked: dict[str, list[str]] = {}
+
+    def rank(self, key: str, hosts: tuple[str, ...]) -> list[str]:
+        """Order hosts by their claim to a key, the usual owner first."""
+        if hosts != self._hosts:
+            self._hosts = hosts
+            self._ranked.clear()
+        ranked = self._ranked.get(key)
+        if ranked is None:
+            ranked = self._ranked[key] = rank_hosts(key, hosts)
+        return ranked
--- a/poplarrun/router/_operations.py
+++ b/poplarrun/router/_operations.py
@@ -1,5 +1,7 @@
 """The decisions about one call of a plain service."""
 
+import asyncio
+import random
 import time
 from collections.abc import Callable
 from dataclasses import dataclass, field
@@ -27,6 +29,15 @@
 from poplarrun.contracts import ClientAccount, Operation, WithoutKey
 from poplarrun.errors import ErrorKind, Refusal
 from poplarrun.hosts import Peers
+from poplarrun.retries import (
+    BudgetKey,
+    FailedAttempt,
+    GiveUp,
+    RetryAfter,
+    RetryBudget,
+    RetryBudgets,
+    decide_retry,
+)
 from poplarrun.router._context import RouterContext
 from poplarrun.router._messages import (
     BeginOperation,
@@ -40,7 +51,6 @@
     SendOperation,
 )
 
-MAX_ATTEMPTS = 3
 FIRST_ERROR_STATUS = 400
 # Clocks of callers and hosts may differ by so much together.
 CLOCK_MARGIN_S = 120.0
@@ -88,6 +98,8 @@
         self._wall: Callable[[], float] = time.time
         self._calls: dict[str, _Call] = {}
         self._keys_here: set[tuple[str, str]] = set()
+        self._budgets = RetryBudgets()
+        self._random = random.Random(0)
 
     def use_times(self, now: Callable[[], float], wall: Callable[[], float]) -> None:
         """Take the times, monotonic and since the epoch, from elsewhere."""
@@ -128,25 +140,32 @@
         call.is_sent = message.call.hand_over() or call.is_sent
         return HandedOver(call.is_sent, left_s)
 
-    def retry(self, failure: CallFailed) -> OperationGrant | Refusal:
+    async def retry(self, failure: CallFailed) -> OperationGrant | Refusal:
         """Decide where a broken call goes on: only if it is safe to send it again."""
         call = self._calls[failure.request_id]
         now = self._now()
-        self._context.endpoints.note_ended(call.endpoint, self._now())
+        self._context.endpoints.note_ended(call.endpoint, now)
         self._context.endpoints.note_failure(call.endpoint, now, failure.reason)
         call.explanation.attempts.append(f"{call.endpoint}: {failure.reason}")
-        if call.is_sent and not call.operation.idempotent:
-            return self._give_up_sent(call, failure.reason)
-        if call.attempts >= MAX_ATTEMPTS:
-            kind = ErrorKind.ENDPOINT_FAILED if call.is_sent else ErrorKind.NO_ENDPOINT
-            return self._refuse(call, kind, f"{call.attempts} attempts failed ({failure.reason})")
-        self._context.metrics.count_retry(failure.reason)
-        return self._choose(call)
+        failed = FailedAttempt(
+            call.attempts, call.is_sent, call.operation.idempotent, call.deadline - now
+        )
+        match decide_retry(failed, self._budget_of(call), self._random):
+            case GiveUp(kind=ErrorKind.OPERATION_OUTCOME_UNKNOWN):
+                return self._give_up_sent(call, failure.reason)
+            case GiveUp(kind=kind, reason=reason):
+                kind = ErrorKind.ENDPOINT_FAILED if call.is_sent else kind
+                return self._refuse(call, kind, f"{reason} ({failure.reason})")
+            case RetryAfter(delay_s=delay_s):
+                self._context.metrics.count_retry(failure.reason)
+                await asyncio.sleep(delay_s)
+                return self._choose(call)
 
     def end(self, end: EndOperation) -> Bill | None:
         """Close a call that was answered: keep its answer, and make its bill."""
         call = self._close(end.request_id)
         self._context.endpoints.note_ended(call.endpoint, self._now())
+        self._context.endpoints.note_success(call.endpoint)
         ran = end.answer.status < FIRST_ERROR_STATUS
         call.explanation.outcome = "ran" if ran else "refused by the service"
         if call.claim is not None and self.keeper is not None:
@@ -280,6 +299,8 @@
         if name_and_address is None:
             kind = ErrorKind.ENDPOINT_FAILED if call.is_sent else ErrorKind.NO_ENDPOINT
             return self._refuse(call, kind, f"no endpoint runs {call.request.service}")
+        if call.attempts == 0:
+            self._budget_of(call).note_attempt()
         call.endpoint, address = name_and_address
         call.attempts += 1
         call.tried.add(call.endpoint)
@@ -292,6 +313,9 @@
         )
         return None if endpoint is None else (endpoint.name, endpoint.address)
 
+    def _budget_of(self, call: _Call) -> RetryBudget:
+        return self._budgets.budget(BudgetKey(call.explanation.subject, call.request.service))
+
     def _give_up_sent(self, call: _Call, reason: str) -> Refusal:
         """End a call that went out and got no answer: it is never sent again."""
         if call.claim is not None and self.keeper is not None:
--- a/standins/histories/_hosts.py
+++ b/standins/histories/_hosts.py
@@ -101,7 +101,7 @@
         while isinstance(step, OperationGrant):
             call = await self._service.prepare(request_id, key)
             if call is None:
-                step = self._operations.retry(CallFailed(request_id, "connect"))
+                step = await self._operations.retry(CallFailed(request_id, "connect"))
             else:
                 step = await self._exchange(request_id, call, reached)
         answer = _answer_of(request_id, step)
@@ -133,7 +133,7 @@
         await reached(self, "after sending")
         body = await call.answer(handed.timeout_s)
         if body is None:
-            return self._operations.retry(CallFailed(request_id, "broken"))
+            return await self._operations.retry(CallFailed(request_id, "broken"))
         await reached(self, "after answer")
         answer = ServiceAnswer(200, body.encode(), "text/plain")
         self._operations.end(EndOperation(request_id, answer))
