Follow the configuration over gaps, outages and a restored log

Cause: a reader that found its next records gone jumped over the gap and so lost what was in force; the set of seen ids grew without bound; a host that the log did not reach stood still; a log restored at a lower offset gave offsets out twice; a withdrawal without a colon stopped every fold for good.

--- a/poplarrun/cli/_config.py
+++ b/poplarrun/cli/_config.py
@@ -13,25 +13,24 @@
 from poplarrun.config import (
     CONFIG_STREAM,
     Accepted,
-    Configuration,
     Conflict,
+    FoldedStream,
     Ignored,
     Invalid,
     Publication,
+    Refused,
     Verdict,
     decode_record,
     encode_record,
-    fold_entry,
+    read_stream,
 )
 from poplarrun.contracts import DocumentProblems, parse_document
 from poplarrun.log import (
     AppendRefused,
     AppendUnknown,
     Entry,
-    Gap,
     Log,
     ReadFailed,
-    StreamReader,
     append_until_known,
 )
 from poplarrun.platform import HttpLog
@@ -44,23 +43,13 @@
 LogAddress = Annotated[str, cappa.Arg(long="--log", help="ip:port of the platform's log")]
 
 
-def read_configuration(log: Log) -> tuple[Configuration, list[tuple[Entry, Verdict]]]:
+def read_configuration(log: Log) -> FoldedStream:
     """Fold the whole configuration stream."""
-    reader = StreamReader(log, CONFIG_STREAM)
-    state = Configuration()
-    history: list[tuple[Entry, Verdict]] = []
-    while True:
-        match reader.read_new():
-            case ReadFailed(reason=reason):
-                raise cappa.Exit(f"the log did not answer: {reason}", code=EXIT_FAILED)
-            case Gap(horizon=horizon):
-                reader.next_offset = horizon
-            case ():
-                return state, history
-            case entries:
-                for entry in entries:
-                    state, verdict = fold_entry(state, entry)
-                    history.append((entry, verdict))
+    match read_stream(log):
+        case ReadFailed(reason=reason):
+            raise cappa.Exit(f"the log did not answer: {reason}", code=EXIT_FAILED)
+        case FoldedStream() as folded:
+            return folded
 
 
 def read_valid(path: Path) -> str:
@@ -98,7 +87,7 @@
         """Publish the file and tell what became of it."""
         text = read_valid(self.file)
         log = HttpLog(self.log)
-        state, _ = read_configuration(log)
+        state = read_configuration(log).state
         based_on = state.offset if self.based_on is None else self.based_on
         record = Publication(uuid.uuid4().hex, based_on, getpass.getuser(), time.time(), text)
         self._append(log, record)
@@ -120,7 +109,8 @@
                 return
 
     def _tell_verdict(self, log: Log, record: Publication) -> None:
-        state, history = read_configuration(log)
+        folded = read_configuration(log)
+        state, history = folded.state, folded.history
         for entry, verdict in history:
             found = decode_record(entry.data)
             if found is None or found.id != record.id:
@@ -132,7 +122,7 @@
                     difference = "\n".join(_difference(record.document, state.text))
                     message = f"conflict: based on {based_on}, accepted is {accepted}\n{difference}"
                     raise cappa.Exit(message, code=EXIT_CONFLICT)
-                case Invalid() | Ignored():
+                case Invalid() | Ignored() | Refused():
                     raise cappa.Exit(f"refused: {verdict}", code=EXIT_FAILED)
             return
 
@@ -146,7 +136,8 @@
 
     def __call__(self) -> None:
         """Print the document."""
-        state, history = read_configuration(HttpLog(self.log))
+        folded = read_configuration(HttpLog(self.log))
+        state, history = folded.state, folded.history
         if self.offset is None:
             print(state.text, end="")
             return
@@ -161,7 +152,7 @@
 
     def __call__(self) -> None:
         """Print a line for each record."""
-        _, history = read_configuration(HttpLog(self.log))
+        history = read_configuration(HttpLog(self.log)).history
         for entry, verdict in history:
             record = decode_record(entry.data)
             operator = record.operator if isinstance(record, Publication) else "system"
@@ -178,7 +169,7 @@
 
     def __call__(self) -> None:
         """Print a unified difference."""
-        _, history = read_configuration(HttpLog(self.log))
+        history = read_configuration(HttpLog(self.log)).history
         print("\n".join(_difference(_text_at(history, self.a), _text_at(history, self.b))))
 
 
@@ -190,7 +181,7 @@
 
 
 def _find_record(log: Log, record_id: str) -> int | None:
-    _, history = read_configuration(log)
+    history = read_configuration(log).history
     for entry, _verdict in history:
         record = decode_record(entry.data)
         if record is not None and record.id == record_id:
--- a/poplarrun/config/__init__.py
+++ b/poplarrun/config/__init__.py
@@ -1,35 +1,71 @@
-"""Configuration: publications in the log and the fold that accepts them."""
+"""Configuration: publications in the log, the fold that accepts them, and following it."""
 
 from poplarrun.config._fold import (
     Accepted,
-    Configuration,
     Conflict,
     Ignored,
     Invalid,
+    Refused,
     Verdict,
+    adopt_snapshot,
     fold_entry,
+    fold_gap,
 )
+from poplarrun.config._follower import ConfigFollower
 from poplarrun.config._publications import (
+    BASED_ON_ANYTHING,
     CONFIG_STREAM,
     ConfigRecord,
+    Filler,
     Publication,
+    Snapshot,
     Withdrawal,
     decode_record,
     encode_record,
 )
+from poplarrun.config._reading import FoldedStream, read_stream
+from poplarrun.config._signatures import (
+    NO_KEYS,
+    SYSTEM,
+    OperatorKeys,
+    Unsigned,
+    open_record,
+    sign_record,
+    sign_system_record,
+)
+from poplarrun.config._snapshots import make_snapshot, read_snapshot
+from poplarrun.config._state import Configuration
 
 __all__ = [
+    "BASED_ON_ANYTHING",
     "CONFIG_STREAM",
+    "NO_KEYS",
+    "SYSTEM",
     "Accepted",
+    "ConfigFollower",
     "ConfigRecord",
     "Configuration",
     "Conflict",
+    "Filler",
+    "FoldedStream",
     "Ignored",
     "Invalid",
+    "OperatorKeys",
     "Publication",
+    "Refused",
+    "Snapshot",
+    "Unsigned",
     "Verdict",
     "Withdrawal",
+    "adopt_snapshot",
     "decode_record",
     "encode_record",
     "fold_entry",
+    "fold_gap",
+    "make_snapshot",
+    "open_record",
+    "read_snapshot",
+    "read_stream",
+    "sign_record",
+    "sign_system_record",
 ]
--- a/poplarrun/config/_publications.py
+++ b/poplarrun/config/_publications.py
@@ -3,6 +3,9 @@
 import msgspec
 
 CONFIG_STREAM = "config"
+# ``based_on`` of a publication that replaces whatever is in force: for a log
+# that lost every record and every snapshot of the configuration.
+BASED_ON_ANYTHING = -2
 
 
 class Publication(msgspec.Struct, frozen=True, tag="publication"):
@@ -43,10 +46,42 @@
     evidence: dict[str, float]
 
 
-ConfigRecord = Publication | Withdrawal
+class Snapshot(msgspec.Struct, frozen=True, tag="snapshot"):
+    """The whole state of the fold, re-published before retention drops its records.
+
+    It counts only where it directly follows ``read_to``: a record that came
+    between would be missing from the state.
+
+    Attributes
+    ----------
+    offset, read_to : int
+        As in the state of the fold.
+    published_at : float
+        Seconds since the epoch, by the writer's clock; paces the next one.
+    publication : bytes
+        The accepted publication's record as it stood in the log.
+    state : bytes
+        The rest of the state.
+    """
+
+    id: str
+    offset: int
+    read_to: int
+    published_at: float
+    publication: bytes
+    state: bytes
+
+
+class Filler(msgspec.Struct, frozen=True, tag="filler"):
+    """Means nothing; brings a log that was restored at a lower offset forward."""
+
+    id: str
+
+
+ConfigRecord = Publication | Withdrawal | Snapshot | Filler
 
 _encoder = msgspec.json.Encoder()
-_decoder: msgspec.json.Decoder[ConfigRecord] = msgspec.json.Decoder(Publication | Withdrawal)
+_decoder: msgspec.json.Decoder[ConfigRecord] = msgspec.json.Decoder(ConfigRecord)
 
 
 def encode_record(record: ConfigRecord) -> bytes:
@@ -58,5 +93,5 @@
     """Read the bytes of a record; None when they are no configuration record."""
     try:
         return _decoder.decode(data)
-    except (msgspec.DecodeError, UnicodeDecodeError):
+    except (msgspec.MsgspecError, UnicodeDecodeError):
         return None
--- /dev/null
+++ b/poplarrun/config/_sharing.py
@@ -0,0 +1,83 @@
+"""Configuration records between hosts, for one that the log does not reach."""
+
+from collections import deque
+
+import msgspec
+
+from poplarrun.config._publications import Snapshot
+from poplarrun.config._snapshots import make_snapshot
+from poplarrun.config._state import Configuration
+from poplarrun.log import Entry
+
+SHARE_KIND = "config.records"
+KEPT_RECORDS = 500
+SHARED_BYTES = 200_000
+
+
+class ShareRequest(msgspec.Struct, frozen=True, array_like=True):
+    """Asks for the records from an offset on."""
+
+    from_offset: int
+    anchored: bool = True
+
+
+class ShareAnswer(msgspec.Struct, frozen=True, array_like=True):
+    """Records in order; before them a snapshot, where older records are no longer kept."""
+
+    snapshot: Snapshot | None
+    records: list[tuple[int, bytes]]
+
+
+_request_decoder = msgspec.msgpack.Decoder(ShareRequest)
+_answer_decoder = msgspec.msgpack.Decoder(ShareAnswer)
+
+
+def read_answer(data: bytes) -> ShareAnswer | None:
+    """Read a peer's answer; None when it is none."""
+    try:
+        return _answer_decoder.decode(data)
+    except msgspec.MsgspecError:
+        return None
+
+
+class RecordCache:
+    """The records folded last, kept for hosts that the log does not reach."""
+
+    def __init__(self) -> None:
+        self._records: deque[Entry] = deque(maxlen=KEPT_RECORDS)
+
+    def add(self, entry: Entry) -> None:
+        """Keep a folded record; a hole before it voids the older ones."""
+        if self._records and entry.offset != self._records[-1].offset + 1:
+            self._records.clear()
+        self._records.append(entry)
+
+    def answer(self, data: bytes, state: Configuration) -> bytes:
+        """Answer a share request."""
+        try:
+            request = _request_decoder.decode(data)
+        except msgspec.MsgspecError:
+            return msgspec.msgpack.encode(ShareAnswer(None, []))
+        return msgspec.msgpack.encode(self._make_answer(request, state))
+
+    def _make_answer(self, request: ShareRequest, state: Configuration) -> ShareAnswer:
+        if not state.anchored or state.offset < 0:
+            return ShareAnswer(None, [])
+        if request.from_offset > state.read_to and request.anchored:
+            return ShareAnswer(None, [])
+        first = self._records[0].offset if self._records else state.read_to + 1
+        if not request.anchored or request.from_offset < first:
+            return ShareAnswer(make_snapshot(state, "", 0.0), [])
+        return ShareAnswer(None, self._records_from(request.from_offset))
+
+    def _records_from(self, offset: int) -> list[tuple[int, bytes]]:
+        found: list[tuple[int, bytes]] = []
+        room = SHARED_BYTES
+        for entry in self._records:
+            if entry.offset < offset:
+                continue
+            room -= len(entry.data)
+            if room < 0 and found:
+                break
+            found.append((entry.offset, entry.data))
+        return found
--- /dev/null
+++ b/poplarrun/config/_snapshots.py
@@ -0,0 +1,65 @@
+"""Snapshots of the fold: the whole state as one record."""
+
+import dataclasses
+import typing
+from typing import Any
+
+import msgspec
+
+from poplarrun.config._publications import Publication, Snapshot
+from poplarrun.config._signatures import OperatorKeys, open_record
+from poplarrun.config._state import Configuration
+from poplarrun.contracts import Document, parse_document
+
+# What follows from the accepted publication, or is told beside the state.
+_DERIVED = frozenset({"document", "text", "publication", "offset", "read_to", "anchored"})
+
+
+def make_snapshot(state: Configuration, record_id: str, published_at: float) -> Snapshot:
+    """Return the snapshot of a state."""
+    carried = {name: getattr(state, name) for name in _carried_fields()}
+    return Snapshot(
+        record_id,
+        state.offset,
+        state.read_to,
+        published_at,
+        state.publication,
+        msgspec.json.encode(carried),
+    )
+
+
+def read_snapshot(snapshot: Snapshot, keys: OperatorKeys) -> Configuration | None:
+    """Return the state of a snapshot; None when it is unreadable or not signed."""
+    publication = open_record(snapshot.publication, keys)
+    if not isinstance(publication, Publication):
+        return None
+    document = parse_document(publication.document)
+    carried = _read_carried(snapshot.state)
+    if carried is None or not isinstance(document, Document):
+        return None
+    return Configuration(
+        offset=snapshot.offset,
+        read_to=snapshot.read_to,
+        document=document,
+        text=publication.document,
+        publication=snapshot.publication,
+        **carried,
+    )
+
+
+def _read_carried(data: bytes) -> dict[str, Any] | None:
+    hints = typing.get_type_hints(Configuration)
+    try:
+        raw = msgspec.json.decode(data, type=dict[str, msgspec.Raw])
+        return {
+            name: msgspec.json.decode(raw[name], type=hints[name])
+            for name in _carried_fields()
+            if name in raw
+        }
+    except (msgspec.MsgspecError, UnicodeDecodeError):
+        return None
+
+
+def _carried_fields() -> list[str]:
+    """Return every field that is not derived, those of later versions included."""
+    return [f.name for f in dataclasses.fields(Configuration) if f.name not in _DERIVED]
--- /dev/null
+++ b/poplarrun/config/_state.py
@@ -0,0 +1,47 @@
+"""The state of the configuration's fold."""
+
+from dataclasses import dataclass, field
+
+from poplarrun.contracts import Document, Stage, VersionId
+
+NOTHING_ACCEPTED = -1
+
+
+@dataclass(frozen=True, slots=True)
+class Configuration:
+    """The state of the fold.
+
+    Attributes
+    ----------
+    offset : int
+        Offset of the accepted publication; -1 before the first.
+    read_to : int
+        Offset of the last record that was folded.
+    document : Document
+        The document in force.
+    text : str
+        Its YAML text.
+    publication : bytes
+        The accepted publication's record, as it stood in the log.
+    withdrawn : frozenset of VersionId
+        Versions withdrawn by the system.
+    seen : tuple of str
+        Ids of the records folded last, the oldest first. Older repeats are
+        harmless: a publication's ``based_on`` is then long out of date.
+    anchored : bool
+        False after records were missed: only a snapshot counts then.
+    """
+
+    offset: int = NOTHING_ACCEPTED
+    read_to: int = -1
+    document: Document = field(default_factory=Document)
+    text: str = ""
+    publication: bytes = b""
+    withdrawn: frozenset[VersionId] = frozenset()
+    seen: tuple[str, ...] = ()
+    anchored: bool = True
+
+    def is_withdrawn(self, version: VersionId) -> bool:
+        """Tell whether a version may get no new work."""
+        offered = self.document.versions.get(version)
+        return offered is None or offered.stage is Stage.WITHDRAWN or version in self.withdrawn
--- a/poplarrun/log/_stream.py
+++ b/poplarrun/log/_stream.py
@@ -34,17 +34,22 @@
         The offset of the next record to read. It never falls: a log that was
         restored at a lower offset shows an end below it, and the reader then
         waits for the log to grow past it instead of taking old offsets anew.
+    horizon, end : int
+        As the last page told.
     """
 
     def __init__(self, log: Log, stream: str, from_offset: int = 0) -> None:
         self._log = log
         self._stream = stream
         self.next_offset = from_offset
+        self.horizon = 0
+        self.end = 0
 
     def read_new(self) -> tuple[Entry, ...] | Gap | ReadFailed:
         """Read the records that came since the last call."""
         match self._log.read(self._stream, self.next_offset, READ_LIMIT):
-            case Page(entries=entries, horizon=horizon):
+            case Page(entries=entries, horizon=horizon, end=end):
+                self.horizon, self.end = horizon, end
                 if horizon > self.next_offset:
                     return Gap(self.next_offset, horizon)
                 if entries:
--- a/poplarrun/server/_host.py
+++ b/poplarrun/server/_host.py
@@ -4,15 +4,23 @@
 import logging
 import random
 import time
-from collections.abc import Callable, Coroutine
+from collections.abc import Awaitable, Callable, Coroutine
 from concurrent.futures import ThreadPoolExecutor
+from functools import partial
 from typing import Any, TypeVar
 
-from poplarrun.config import CONFIG_STREAM, Accepted, Configuration, Ignored, fold_entry
+from poplarrun.config import (
+    Accepted,
+    ConfigFollower,
+    Configuration,
+    Ignored,
+    Refused,
+    Verdict,
+)
 from poplarrun.endpoints import Endpoint, EndpointTable
 from poplarrun.errors import ErrorKind, Refusal
 from poplarrun.hosts import Peers
-from poplarrun.log import Gap, Log, ReadFailed, StreamReader
+from poplarrun.log import Log
 from poplarrun.logs import part_logger
 from poplarrun.metrics import Metrics
 from poplarrun.platform import (
@@ -46,7 +54,6 @@
 from poplarrun.server._peering import make_peers, publish_offset, read_zones
 from poplarrun.settings import HostSettings
 
-CONFIG_POLL_S = 0.25
 HOST_LIST_POLL_S = 0.5
 LOAD_POLL_S = 0.25
 BLOCKING_THREADS = 32
@@ -85,12 +92,19 @@
         self._clock = clock
         self._host_list = host_list
         self._engine = engine
-        self._reader = StreamReader(log, CONFIG_STREAM)
         self._endpoints = EndpointTable(settings.zone, random.Random(settings.name))
         self.router = Router(self._endpoints, self.metrics)
         self._pool = ThreadPoolExecutor(BLOCKING_THREADS, thread_name_prefix="platform")
         self._list_seen = False
-        self._log_answered_at = clock()
+        self.config = ConfigFollower(
+            log,
+            self.peers,
+            self.metrics,
+            self._in_thread,
+            self._note_config,
+            random.Random(settings.name),
+            clock,
+        )
         self._log = part_logger("host")
         self._tasks: list[asyncio.Task[None]] = []
 
@@ -104,11 +118,13 @@
         """Start the parts' tasks; called on the loop."""
         self.peers.start()
         for step, period_s in (
-            (self._follow_config, CONFIG_POLL_S),
             (self._follow_host_list, HOST_LIST_POLL_S),
             (self._poll_loads, LOAD_POLL_S),
         ):
-            self._tasks.append(asyncio.get_running_loop().create_task(self._repeat(step, period_s)))
+            pause = partial(asyncio.sleep, period_s)
+            self._tasks.append(asyncio.get_running_loop().create_task(self._repeat(step, pause)))
+        follow = self._repeat(self._follow_config, self.config.wait)
+        self._tasks.append(asyncio.get_running_loop().create_task(follow))
 
     async def handle(self, message: object) -> Any:
         """Answer one message; the only entry for other threads."""
@@ -146,7 +162,9 @@
                 return await self.peers.leave()
         raise TypeError(f"no handler for {type(message).__name__}")
 
-    async def _repeat(self, step: Callable[[], Coroutine[Any, Any, None]], period_s: float) -> None:
+    async def _repeat(
+        self, step: Callable[[], Coroutine[Any, Any, None]], pause: Callable[[], Awaitable[None]]
+    ) -> None:
         """Run a task's step for ever; one failure must not end the task.
 
         A task that died silently would leave this host routing on what it
@@ -158,31 +176,24 @@
             except Exception:
                 self.metrics.count_event("task_failed")
                 self._log.log(logging.ERROR, "A task failed.", exc_info=True)
-            await asyncio.sleep(period_s)
+            await pause()
 
     async def _in_thread(self, call: Callable[..., T], *arguments: Any) -> T:
         return await asyncio.get_running_loop().run_in_executor(self._pool, call, *arguments)
 
     async def _follow_config(self) -> None:
-        match await self._in_thread(self._reader.read_new):
-            case ReadFailed(reason=reason):
-                self.metrics.count_event("log_read_failed")
-                self._log.warning("The log did not answer.", extra={"reason": reason})
-            case Gap() as gap:
-                self.metrics.count_event("log_gap")
-                self._reader.next_offset = gap.horizon
-            case entries:
-                self._log_answered_at = self._clock()
-                for entry in entries:
-                    self._fold(entry)
-                publish_offset(self.peers, self.router.context.configuration.offset)
-
-    def _fold(self, entry: Any) -> None:
-        state, verdict = fold_entry(self.router.context.configuration, entry)
+        await self.config.follow()
+        publish_offset(self.peers, self.config.state.offset)
+
+    def _note_config(self, state: Configuration, verdict: Verdict) -> None:
+        """Put a new state of the configuration in force."""
         self.router.context.configuration = state
         match verdict:
             case Accepted(offset=offset):
                 self._log.info("Configuration in force.", extra={"offset": offset})
+            case Refused(reason=reason):
+                self.metrics.count_event("config_record_unsigned")
+                self._log.warning("Record refused.", extra={"reason": reason})
             case Ignored(reason=reason):
                 self._log.info("Record ignored.", extra={"reason": reason})
             case _:
@@ -229,7 +240,7 @@
             region=self.settings.region,
             ready=self.is_ready,
             offset=configuration.offset,
-            log_age_s=round(now - self._log_answered_at, 3),
+            log_age_s=round(now - self.config.log_answered_at, 3),
             open_requests=self.router.open_requests,
             endpoints=tuple(_endpoint_status(e, now) for e in self._endpoints.all()),
             withdrawn=tuple(sorted(configuration.withdrawn)),
