--- a/poplarrun/router/_messages.py
+++ b/poplarrun/router/_messages.py
@@ -2,8 +2,9 @@
 
 from dataclasses import dataclass, field
 
+from poplarrun.claims import Ran
 from poplarrun.contracts import Operation, VersionId
-from poplarrun.platform import Usage
+from poplarrun.platform import PreparedCall, ServiceAnswer, Usage
 
 
 @dataclass(frozen=True, slots=True)
@@ -20,6 +21,8 @@
         Length of the prompt, bound of the answer, in tokens.
     session : str, optional
         The caller's session id.
+    pinned : VersionId, optional
+        The version that the session keeps; None while it has none.
     """
 
     request_id: str
@@ -28,6 +31,7 @@
     prompt_tokens: int
     max_tokens: int
     session: str | None = None
+    pinned: VersionId | None = None
 
 
 @dataclass(frozen=True, slots=True)
@@ -46,6 +50,8 @@
         Engine priority.
     timeout_s : float
         Seconds left until the request's deadline.
+    sampled : bool
+        Whether the worker keeps the answer's text, to be rated.
     """
 
     endpoint: str
@@ -53,6 +59,7 @@
     version: VersionId
     priority: int
     timeout_s: float
+    sampled: bool = False
 
 
 @dataclass(frozen=True, slots=True)
@@ -88,14 +95,11 @@
 
     Attributes
     ----------
-    started : bool
-        Whether a byte of the call may have gone out.
     reason : str
         Counter label.
     """
 
     request_id: str
-    started: bool
     reason: str
 
 
@@ -109,22 +113,34 @@
         What was used; for a cut-off answer, what was generated.
     whole : bool
         Whether the caller got the whole answer.
+    text : str, optional
+        The answer, when it is to be rated.
     """
 
     request_id: str
     usage: Usage
     whole: bool
+    text: str | None = None
 
 
 @dataclass(frozen=True, slots=True)
 class BeginOperation:
-    """A caller's call of a plain service arrived."""
+    """A caller's call of a plain service arrived.
+
+    Attributes
+    ----------
+    idempotency_key : str, optional
+        The caller's key; a non-idempotent operation runs once under it.
+    fingerprint : bytes
+        Digest of the operation and its body.
+    """
 
     request_id: str
     api_key: str
     service: str
     operation: str
     idempotency_key: str | None = None
+    fingerprint: bytes = b""
 
 
 @dataclass(frozen=True, slots=True)
@@ -136,12 +152,51 @@
     operation: Operation
 
 
+@dataclass(frozen=True, slots=True)
+class Replay:
+    """The answer that an earlier call with the same key got."""
+
+    ran: Ran
+
+
+@dataclass(frozen=True, slots=True)
+class SendOperation:
+    """The call's connection is open; the loop decides and hands the bytes over."""
+
+    request_id: str
+    call: PreparedCall
+
+
+@dataclass(frozen=True, slots=True)
+class HandedOver:
+    """The loop let the call go.
+
+    Attributes
+    ----------
+    is_sent : bool
+        Whether a byte went out.
+    timeout_s : float
+        Seconds left until the call's deadline.
+    """
+
+    is_sent: bool
+    timeout_s: float
+
+
 @dataclass(frozen=True, slots=True)
 class EndOperation:
-    """A call of a plain service ended."""
+    """A call of a plain service was answered."""
 
     request_id: str
-    ran: bool
+    answer: ServiceAnswer
+
+
+@dataclass(frozen=True, slots=True)
+class FindOperation:
+    """Asks what is known of the operation under an idempotency key."""
+
+    api_key: str
+    key: str
 
 
 @dataclass(frozen=True, slots=True)
--- a/poplarrun/server/_host.py
+++ b/poplarrun/server/_host.py
@@ -9,6 +9,7 @@
 from functools import partial
 from typing import Any, TypeVar
 
+from poplarrun.claims import ClaimKeeper
 from poplarrun.config import (
     Accepted,
     ConfigFollower,
@@ -20,7 +21,7 @@
 from poplarrun.endpoints import Endpoint, EndpointTable
 from poplarrun.errors import ErrorKind, Refusal
 from poplarrun.hosts import Peers
-from poplarrun.log import Log
+from poplarrun.log import Log, ThreadedLog
 from poplarrun.logs import part_logger
 from poplarrun.metrics import Metrics
 from poplarrun.platform import (
@@ -30,6 +31,7 @@
     HostList,
     ListUnavailable,
     LoadReport,
+    Ratings,
 )
 from poplarrun.router import (
     AttemptFailed,
@@ -38,8 +40,10 @@
     CallFailed,
     EndChat,
     EndOperation,
+    FindOperation,
     FirstToken,
     Router,
+    SendOperation,
 )
 from poplarrun.server._messages import (
     EndpointStatus,
@@ -52,10 +56,16 @@
     ReadStatus,
 )
 from poplarrun.server._peering import make_peers, publish_offset, read_zones
+from poplarrun.server._version_tasks import VersionTasks
 from poplarrun.settings import HostSettings
+from poplarrun.versions import Versions
 
 HOST_LIST_POLL_S = 0.5
 LOAD_POLL_S = 0.25
+TEND_CLAIMS_S = 60.0
+ROLLOUTS_POLL_S = 0.25
+EVIDENCE_PERIOD_S = 1.0
+RATINGS_POLL_S = 0.25
 BLOCKING_THREADS = 32
 
 T = TypeVar("T")
@@ -74,6 +84,8 @@
         Seconds, monotonic.
     peers : Peers, optional
         The other hosts; made from the settings when left out.
+    ratings : Ratings, optional
+        The rating service.
     """
 
     def __init__(
@@ -84,6 +96,7 @@
         engine: Engine,
         clock: Callable[[], float] = time.monotonic,
         peers: Peers | None = None,
+        ratings: Ratings | None = None,
     ) -> None:
         self.settings = settings
         self.metrics = Metrics()
@@ -93,8 +106,15 @@
         self._host_list = host_list
         self._engine = engine
         self._endpoints = EndpointTable(settings.zone, random.Random(settings.name))
-        self.router = Router(self._endpoints, self.metrics)
         self._pool = ThreadPoolExecutor(BLOCKING_THREADS, thread_name_prefix="platform")
+        self.claims = ClaimKeeper(self.peers, ThreadedLog(log, self._in_thread), clock, time.time)
+        versions = Versions(self.peers.me, random.Random(settings.name))
+        self.router = Router(self._endpoints, self.metrics, versions)
+        self.router.operations.keeper = self.claims
+        self.router.operations.peers = self.peers
+        self._version_tasks = VersionTasks(
+            versions, self.peers, log, ratings, self.metrics, self._in_thread, clock
+        )
         self._list_seen = False
         self.config = ConfigFollower(
             log,
@@ -120,13 +140,18 @@
         for step, period_s in (
             (self._follow_host_list, HOST_LIST_POLL_S),
             (self._poll_loads, LOAD_POLL_S),
+            (self.claims.tend, TEND_CLAIMS_S),
+            (self._version_tasks.follow_rollouts, ROLLOUTS_POLL_S),
+            (self._version_tasks.exchange_evidence, EVIDENCE_PERIOD_S),
+            (self._version_tasks.run_steward, ROLLOUTS_POLL_S),
+            (self._version_tasks.rate_answers, RATINGS_POLL_S),
         ):
             pause = partial(asyncio.sleep, period_s)
             self._tasks.append(asyncio.get_running_loop().create_task(self._repeat(step, pause)))
         follow = self._repeat(self._follow_config, self.config.wait)
         self._tasks.append(asyncio.get_running_loop().create_task(follow))
 
-    async def handle(self, message: object) -> Any:
+    def handle(self, message: object) -> Any:
         """Answer one message; the only entry for other threads."""
         now = self._clock()
         match message:
@@ -135,17 +160,21 @@
             case BeginChat():
                 return self.router.chats.begin(message, now)
             case BeginOperation():
-                return self.router.operations.begin(message, now)
+                return self.router.operations.begin(message)
+            case SendOperation():
+                return self.router.operations.send(message)
+            case FindOperation():
+                return self.router.operations.find(message)
             case AttemptFailed():
                 return self.router.chats.retry(message, now)
             case CallFailed():
-                return self.router.operations.retry(message, now)
+                return self.router.operations.retry(message)
             case FirstToken():
                 return self.router.chats.note_first_token(message, now)
             case EndChat():
                 return self.router.chats.end(message, now)
             case EndOperation():
-                return self.router.operations.end(message, now)
+                return self.router.operations.end(message)
             case Refusal():
                 return self.metrics.count_refusal(message.kind)
             case ListClasses():
@@ -159,7 +188,7 @@
             case ReadReadiness():
                 return self.is_ready
             case Leave():
-                return await self.peers.leave()
+                return self.peers.leave()
         raise TypeError(f"no handler for {type(message).__name__}")
 
     async def _repeat(
@@ -188,6 +217,7 @@
     def _note_config(self, state: Configuration, verdict: Verdict) -> None:
         """Put a new state of the configuration in force."""
         self.router.context.configuration = state
+        self.router.context.versions.apply_configuration(state)
         match verdict:
             case Accepted(offset=offset):
                 self._log.info("Configuration in force.", extra={"offset": offset})
@@ -204,7 +234,7 @@
             case ListUnavailable():
                 self.metrics.count_event("host_list_failed")
             case listed:
-                self._endpoints.apply_list(listed)
+                self._endpoints.apply_list(listed, self._clock())
                 self._list_seen = True
 
     async def _poll_loads(self) -> None:
@@ -214,7 +244,7 @@
     async def _poll_load(self, endpoint: Endpoint) -> None:
         match await self._in_thread(self._engine.report_load, endpoint.address):
             case LoadReport() as report:
-                self._endpoints.apply_report(endpoint.name, report)
+                self._endpoints.apply_report(endpoint.name, report, self._clock())
             case EngineFailed():
                 self.metrics.count_event("load_report_failed")
                 self._endpoints.note_failure(endpoint.name, self._clock())
