Add leases, TLS, operator keys in the settings and a planned stop in two phases

Cause: no part could hold a job alone; links, callers and the platform were in the clear; a stopping host refused callers that the balancer still sent. Change: leases from log records whose fencing number is the offset of the taking; TLS by pynng, cheroot and urllib3, certificates taken up anew without a restart; a leaving host serves on for the balancer's time, then drains up to a bound and names what is left.

--- /dev/null
+++ b/features/steps/leases.py
@@ -0,0 +1,228 @@
+import asyncio
+import random
+
+from behave import given, then, when
+
+from features.steps.config_follow import ReachableLog
+from features.steps.hosts import run, start_fleet, wait
+from poplarrun.leases import (
+    LEASE_STREAM,
+    LeaseKeeper,
+    Renew,
+    decode_lease_record,
+)
+from poplarrun.log import MemoryLog
+
+JOB = "orders"
+TEND_S = 0.5
+
+
+class DelayedLog:
+    """An ``AsyncLog`` that takes its time, over one host's way to the log."""
+
+    def __init__(self, way):
+        self.way = way
+        self.held = None
+
+    async def append(self, stream, data):
+        await asyncio.sleep(0.01)
+        if self.held is not None and isinstance(decode_lease_record(data), Renew):
+            self.held.append(data)
+            await asyncio.sleep(3)
+        return self.way.append(stream, data)
+
+    async def read(self, stream, from_offset, limit):
+        await asyncio.sleep(0.01)
+        return self.way.read(stream, from_offset, limit)
+
+
+class LeaseHost:
+    """A host that tends its leases, and can be paused."""
+
+    def __init__(self, context, name):
+        self.name = name
+        self.way = ReachableLog(context.log)
+        self.log = DelayedLog(self.way)
+        self.paused = False
+        self.stopped = False
+        peers = context.virtual.peers[name]
+        metrics = context.virtual.metrics[name]
+        source = random.Random(name)
+        self.keeper = LeaseKeeper(self.log, peers, metrics, source, clock=context.loop.time)
+        self.keeper.want(JOB)
+        context.loop.create_task(self.tend())
+
+    async def tend(self):
+        while not self.stopped:
+            if not self.paused:
+                await self.keeper.tend()
+            await asyncio.sleep(TEND_S)
+
+    def find(self):
+        return None if self.stopped or self.paused else self.keeper.find(JOB)
+
+
+def holders(context):
+    return [host for host in context.lease_hosts.values() if host.find() is not None]
+
+
+def wait_for_holder(context, timeout_s):
+    wait(context, lambda: len(holders(context)) == 1, "a holder", timeout_s)
+    return holders(context)[0]
+
+
+def passing(context, seconds):
+    run(context, asyncio.sleep(seconds))
+
+
+@given('{zones:d} zones of {hosts:d} hosts that stand for the job "{job}"')
+def step_candidates(context, zones, hosts, job):
+    start_fleet(context, zones, hosts)
+    wait(context, context.virtual.agree, "the hosts have met", 30)
+    context.log = MemoryLog()
+    context.lease_hosts = {name: LeaseHost(context, name) for name in context.virtual.peers}
+
+
+@given('the job "{job}" has a holder')
+def step_has_holder(context, job):
+    context.holder = wait_for_holder(context, 30)
+    context.fence = context.holder.find().fence
+
+
+@when("the holder leaves in a planned way")
+def step_leaves(context):
+    run(context, context.holder.keeper.release_all())
+    context.holder.stopped = True
+    run(context, context.virtual.peers.pop(context.holder.name).leave())
+
+
+@when("the holder dies without a word")
+def step_dies(context):
+    context.holder.stopped = True
+    context.virtual.kill_host(context.holder.name)
+
+
+@when("the holder is paused for {seconds:d} s")
+def step_paused(context, seconds):
+    context.holder.paused = True
+    passing(context, seconds)
+    context.holder.paused = False
+    context.first_look = context.holder.find()
+
+
+@when("the lease log is down for {seconds:d} s")
+def step_log_down(context, seconds):
+    context.log.down = True
+    passing(context, seconds)
+    context.during = len(holders(context))
+    context.log.down = False
+
+
+@when("the holder's renewal is held back while another host takes over")
+def step_held_back(context):
+    context.holder.log.held = []
+    wait(context, lambda: context.holder.log.held, "a renewal", 15)
+    context.holder.way.cut = True
+    wait(context, lambda: any(h is not context.holder for h in holders(context)), "taken", 40)
+
+
+@when("the renewal that was held back takes effect")
+def step_takes_effect(context):
+    context.log.append(LEASE_STREAM, context.holder.log.held[0])
+
+
+@when("the answers to the next {count:d} lease appends are lost")
+def step_lost(context, count):
+    context.log.lost_answers = count
+
+
+@when("{seconds:d} s pass for the leases")
+def step_pass(context, seconds):
+    passing(context, seconds)
+
+
+@when("retention drops all but {count:d} lease records")
+def step_retention(context, count):
+    end = context.log.read(LEASE_STREAM, 0, 1).end
+    context.log.truncate(LEASE_STREAM, end - count)
+
+
+@when("a fresh host joins")
+def step_joins(context):
+    async def join():
+        context.virtual.start_host("a3")
+        context.fresh = context.lease_hosts["a3"] = LeaseHost(context, "a3")
+
+    run(context, join())
+    # It reads the stream whether or not its rank makes it a candidate.
+    run(context, context.fresh.keeper._read())
+
+
+def strike(context, source):
+    host = source.choice(list(context.lease_hosts.values()))
+    match source.randrange(4):
+        case 0:
+            host.paused = not host.paused
+        case 1:
+            host.way.cut = not host.way.cut
+        case 2:
+            context.log.lost_answers = 2
+        case 3:
+            context.log.down = not context.log.down
+
+
+@when("{count:d} random faults strike with seed {seed:d}")
+def step_random(context, count, seed):
+    source = random.Random(seed)
+    context.most, context.fences = 0, []
+    for _ in range(count):
+        strike(context, source)
+        for _ in range(source.randrange(10, 250)):
+            passing(context, 0.1)
+            found = holders(context)
+            context.most = max(context.most, len(found))
+            context.fences += [host.find().fence for host in found]
+
+
+@then("within {seconds:d} s another host holds the job with a higher fencing number")
+def step_other_within(context, seconds):
+    wait(context, lambda: any(h is not context.holder for h in holders(context)), "taken", seconds)
+    step_other(context)
+
+
+@then("another host holds the job with a higher fencing number")
+def step_other(context):
+    (host,) = holders(context)
+    assert host is not context.holder
+    assert host.find().fence > context.fence
+
+
+@then("the paused host found no lease at its first look")
+def step_first_look(context):
+    assert context.first_look is None
+
+
+@then("nobody holds the job")
+def step_nobody(context):
+    assert context.during == 0
+
+
+@then("the job has exactly one holder")
+def step_one(context):
+    assert len(holders(context)) == 1, holders(context)
+
+
+@then("the fresh host knows the holder")
+def step_knows(context):
+    (host,) = holders(context)
+    assert context.fresh.keeper.table.jobs[JOB].holder.startswith(f"{host.name}/")
+
+
+@then("at no moment did two hosts hold the job")
+def step_never_two(context):
+    assert context.most == 1, context.most
+
+
+@then("the fencing numbers never fell")
+def step_never_fell(context):
+    assert context.fences == sorted(context.fences)
--- a/poplarrun/links/_nng.py
+++ b/poplarrun/links/_nng.py
@@ -16,7 +16,10 @@
 SEND_BUFFER_MESSAGES = 64
 RECEIVE_BUFFER_MESSAGES = 512
 RECONNECT_MIN_MS = 50
+LISTEN_AGAIN_S = 0.2
 RECONNECT_MAX_MS = 2000
+# The name that every host's certificate carries; addresses change with each replacement.
+PEER_NAME = "poplarrun-host"
 
 
 @dataclass(frozen=True, slots=True)
@@ -69,6 +72,7 @@
         self._tls_changed_at = 0.0
         self._connections: OrderedDict[str, _Connection] = OrderedDict()
         self._listening: pynng.Pull0 | None = None
+        self._stopped = False
         self._task: asyncio.Task[None] | None = None
         self._log = part_logger("links")
 
@@ -103,6 +107,7 @@
 
     def stop(self) -> None:
         """Stop receiving and close everything."""
+        self._stopped = True
         if self._task is not None:
             self._task.cancel()
         if self._listening is not None:
@@ -110,16 +115,17 @@
         self._close_connections()
 
     async def _receive_all(self, receive: Receive) -> None:
-        while self._listening is not None:
-            socket = self._listening
+        while not self._stopped:
             try:
-                data = await socket.arecv()
+                if self._listening is None:
+                    self._listening = self._listen()
+                data = await self._listening.arecv()
             except pynng.Closed:
-                if socket is self._listening:
-                    return
+                # Closed on purpose: to stop, or to listen anew with new certificates.
                 continue
             except pynng.NNGException as error:
                 self._log.warning("Receiving failed.", extra={"reason": str(error)})
+                await asyncio.sleep(LISTEN_AGAIN_S)
                 continue
             self.bytes_received += len(data)
             receive(data)
@@ -167,6 +173,7 @@
             ca_files=[str(self._tls.authority)],
             cert_key_file=str(self._tls.identity),
             auth_mode=pynng.TLSConfig.AUTH_MODE_REQUIRED,
+            server_name=PEER_NAME if mode == pynng.TLSConfig.MODE_CLIENT else None,
         )
 
     def _reload_certificates(self) -> None:
@@ -185,9 +192,9 @@
         except (OSError, pynng.NNGException) as error:
             self._log.warning("New certificates can't be read.", extra={"reason": str(error)})
             return
+        self._tls_changed_at = self._tls.changed_at
         old, self._listening = self._listening, None
         old.close()
-        self._listening = self._listen()
         self._close_connections()
         self._log.info("New certificates are in use.")
 
--- a/poplarrun/platform/__init__.py
+++ b/poplarrun/platform/__init__.py
@@ -21,7 +21,7 @@
     ListedHost,
     ListUnavailable,
 )
-from poplarrun.platform._http import close_pool, pool_for
+from poplarrun.platform._http import PlatformTls, close_pool, pool_for, use_plain_http, use_tls
 from poplarrun.platform._log import HttpLog
 from poplarrun.platform._ratings import HttpRatings, RatedAnswer, Ratings, RatingsUnavailable
 from poplarrun.platform._services import (
@@ -53,6 +53,7 @@
     "ListUnavailable",
     "ListedHost",
     "LoadReport",
+    "PlatformTls",
     "PreparedCall",
     "RatedAnswer",
     "Ratings",
@@ -66,4 +67,6 @@
     "close_pool",
     "hash_blocks",
     "pool_for",
+    "use_plain_http",
+    "use_tls",
 ]
--- a/poplarrun/platform/_engines.py
+++ b/poplarrun/platform/_engines.py
@@ -9,7 +9,7 @@
 import urllib3
 
 from poplarrun.contracts import VersionId
-from poplarrun.platform._http import pool_for
+from poplarrun.platform._http import pool_for, url_of
 
 CONNECT_TIMEOUT_S = 0.5
 REPORT_TIMEOUT_S = 1.0
@@ -190,7 +190,7 @@
         try:
             response = pool_for().request(
                 "POST",
-                f"http://{address}/v1/generate",
+                f"{url_of(address)}/v1/generate",
                 body=msgspec.json.encode(body),
                 headers={"Content-Type": "application/json"},
                 timeout=urllib3.Timeout(connect=CONNECT_TIMEOUT_S, read=timeout_s),
@@ -214,7 +214,7 @@
         """Ask the engine to stop a stream; a lost ask costs tokens, nothing else."""
         try:
             pool_for().request(
-                "DELETE", f"http://{address}/v1/generate/{request_id}", timeout=CANCEL_TIMEOUT_S
+                "DELETE", f"{url_of(address)}/v1/generate/{request_id}", timeout=CANCEL_TIMEOUT_S
             )
         except urllib3.exceptions.HTTPError:
             return
@@ -223,7 +223,7 @@
         """Read the engine's load."""
         try:
             response = pool_for().request(
-                "GET", f"http://{address}/v1/load", timeout=REPORT_TIMEOUT_S
+                "GET", f"{url_of(address)}/v1/load", timeout=REPORT_TIMEOUT_S
             )
             return msgspec.json.decode(response.data, type=LoadReport)
         except (urllib3.exceptions.HTTPError, msgspec.DecodeError) as error:
@@ -233,7 +233,7 @@
         """Read the engine's cache events with a number above ``after``, in their order."""
         try:
             response = pool_for().request(
-                "GET", f"http://{address}/v1/cache-events?after={after}", timeout=REPORT_TIMEOUT_S
+                "GET", f"{url_of(address)}/v1/cache-events?after={after}", timeout=REPORT_TIMEOUT_S
             )
             return _events_decoder.decode(response.data)
         except (urllib3.exceptions.HTTPError, msgspec.DecodeError) as error:
--- a/poplarrun/platform/_hostlist.py
+++ b/poplarrun/platform/_hostlist.py
@@ -7,7 +7,7 @@
 import msgspec
 import urllib3
 
-from poplarrun.platform._http import pool_for
+from poplarrun.platform._http import pool_for, url_of
 
 TIMEOUT_S = 2.0
 OK = 200
@@ -87,7 +87,7 @@
     """A ``HostList`` over the platform's HTTP interface."""
 
     def __init__(self, address: str) -> None:
-        self._url = f"http://{address}/v1/hosts"
+        self._url = f"{url_of(address)}/v1/hosts"
 
     def read(self) -> tuple[ListedHost, ...] | ListUnavailable:
         """Read the whole list."""
--- a/poplarrun/platform/_http.py
+++ b/poplarrun/platform/_http.py
@@ -1,13 +1,65 @@
 """One urllib3 pool manager for all adapters of a process."""
 
+from dataclasses import dataclass
+from pathlib import Path
+from typing import Any
+
 import urllib3
 
 CONNECTIONS_PER_ADDRESS = 64
 ADDRESSES = 2000
 
-_manager = urllib3.PoolManager(
-    num_pools=ADDRESSES, maxsize=CONNECTIONS_PER_ADDRESS, block=False, retries=False
-)
+
+@dataclass(frozen=True, slots=True)
+class PlatformTls:
+    """Certificates for the way to the platform and to model engines.
+
+    Attributes
+    ----------
+    authority : Path
+        Certificates that the servers' must descend from.
+    identity : Path, optional
+        This host's certificate and key in one PEM file, where the servers ask.
+    """
+
+    authority: Path
+    identity: Path | None = None
+
+
+def _make_manager(tls: PlatformTls | None) -> urllib3.PoolManager:
+    options: dict[str, Any] = {}
+    if tls is not None:
+        identity = None if tls.identity is None else str(tls.identity)
+        options = {
+            "cert_reqs": "CERT_REQUIRED",
+            "ca_certs": str(tls.authority),
+            "cert_file": identity,
+        }
+    return urllib3.PoolManager(
+        num_pools=ADDRESSES, maxsize=CONNECTIONS_PER_ADDRESS, block=False, retries=False, **options
+    )
+
+
+_manager = _make_manager(None)
+_scheme = "http"
+
+
+def use_tls(tls: PlatformTls) -> None:
+    """Make every call from now on over TLS; called again, it takes new certificates up."""
+    global _manager, _scheme
+    old, _manager, _scheme = _manager, _make_manager(tls), "https"
+    old.clear()
+
+
+def use_plain_http() -> None:
+    """Make every call from now on without TLS."""
+    global _manager, _scheme
+    _manager, _scheme = _make_manager(None), "http"
+
+
+def url_of(address: str) -> str:
+    """Return the beginning of an address's URLs."""
+    return f"{_scheme}://{address}"
 
 
 def pool_for() -> urllib3.PoolManager:
--- a/poplarrun/platform/_log.py
+++ b/poplarrun/platform/_log.py
@@ -15,7 +15,7 @@
     ReadFailed,
     ReadOutcome,
 )
-from poplarrun.platform._http import pool_for
+from poplarrun.platform._http import pool_for, url_of
 
 APPEND_TIMEOUT_S = 3.0
 READ_TIMEOUT_S = 3.0
@@ -45,7 +45,7 @@
     """A ``Log`` over the platform's HTTP interface."""
 
     def __init__(self, address: str) -> None:
-        self._base = f"http://{address}/v1/streams"
+        self._base = f"{url_of(address)}/v1/streams"
 
     def append(self, stream: str, data: bytes) -> AppendOutcome:
         """Append one record to a stream."""
--- a/poplarrun/platform/_ratings.py
+++ b/poplarrun/platform/_ratings.py
@@ -6,7 +6,7 @@
 import msgspec
 import urllib3
 
-from poplarrun.platform._http import pool_for
+from poplarrun.platform._http import pool_for, url_of
 
 TIMEOUT_S = 2.0
 OK = 200
@@ -49,7 +49,7 @@
     """``Ratings`` over HTTP."""
 
     def __init__(self, address: str) -> None:
-        self._base = f"http://{address}/v1"
+        self._base = f"{url_of(address)}/v1"
 
     def submit(self, request_id: str, answer: str) -> bool:
         """Hand in an answer to be rated; false when it was not taken."""
--- a/poplarrun/router/_chats.py
+++ b/poplarrun/router/_chats.py
@@ -51,6 +51,11 @@
         """Chats that have begun and not ended."""
         return len(self._chats)
 
+    @property
+    def open_request_ids(self) -> list[str]:
+        """Ids of those requests."""
+        return list(self._chats)
+
     def begin(self, request: BeginChat, now: float) -> ChatGrant | Refusal:
         """Decide on the version and the endpoint of a new chat request."""
         document = self._context.configuration.document
--- a/poplarrun/router/_operations.py
+++ b/poplarrun/router/_operations.py
@@ -99,6 +99,11 @@
         """Calls that have begun and not ended."""
         return len(self._calls)
 
+    @property
+    def open_request_ids(self) -> list[str]:
+        """Ids of those requests."""
+        return list(self._calls)
+
     async def begin(self, request: BeginOperation) -> OperationGrant | Replay | Refusal:
         """Decide on the endpoint of a call, after its key is claimed where it needs that."""
         call = self._admit(request)
--- a/poplarrun/router/_router.py
+++ b/poplarrun/router/_router.py
@@ -30,3 +30,7 @@
     def open_requests(self) -> int:
         """Requests that have begun and not ended."""
         return self.chats.open_requests + self.operations.open_requests
+
+    def open_request_ids(self) -> list[str]:
+        """Return the ids of the requests that have begun and not ended."""
+        return [*self.chats.open_request_ids, *self.operations.open_request_ids]
--- a/poplarrun/server/_daemon.py
+++ b/poplarrun/server/_daemon.py
@@ -4,27 +4,28 @@
 import threading
 import time
 
-import cherrypy
-from cheroot import wsgi
-
-from poplarrun.errors import ErrorKind, Refusal
 from poplarrun.logs import part_logger, set_up_logs
-from poplarrun.platform import HttpEngine, HttpHostList, HttpLog, HttpRatings, HttpServiceCaller
-from poplarrun.server._bodies import render_error
+from poplarrun.platform import (
+    HttpEngine,
+    HttpHostList,
+    HttpLog,
+    HttpRatings,
+    HttpServiceCaller,
+    PlatformTls,
+    use_tls,
+)
 from poplarrun.server._callers import CallersApi
 from poplarrun.server._crossing import Crossing
 from poplarrun.server._host import EntryHost
+from poplarrun.server._http_server import CallerCertificate, make_server
 from poplarrun.server._messages import Leave
 from poplarrun.server._observers import RootApi
 from poplarrun.settings import HostSettings
 
-REQUEST_QUEUE = 512
-MAX_HEADER_BYTES = 32_768
-SOCKET_TIMEOUT_S = 30
-# Time for the balancer to see the host as not ready before the port closes.
-BALANCER_TIME_S = 1.0
-DRAIN_BOUND_S = 60.0
 DRAIN_POLL_S = 0.05
+CERTIFICATE_POLL_S = 5.0
+# Of the requests still open at the bound, so many are named in the log.
+NAMED_REQUESTS = 20
 
 
 class Daemon:
@@ -37,6 +38,8 @@
     """
 
     def __init__(self, settings: HostSettings) -> None:
+        if settings.tls.platform is not None:
+            use_tls(PlatformTls(settings.tls.platform.authority, settings.tls.platform.identity))
         engine = HttpEngine()
         self.host = EntryHost(
             settings,
@@ -47,7 +50,15 @@
         )
         self.crossing = Crossing(self.host.handle)
         callers = CallersApi(self.crossing, engine, HttpServiceCaller(), settings.limits.body_bytes)
-        self._server = _make_server(settings, RootApi(self.crossing, callers))
+        tls = settings.tls.callers
+        self._certificate = None if tls is None else CallerCertificate(tls)
+        self._server = make_server(
+            settings,
+            RootApi(self.crossing, callers),
+            self._certificate,
+            lambda: self.host.leaving,
+        )
+        self._stopped = threading.Event()
         self._log = part_logger("daemon")
 
     def start(self) -> None:
@@ -56,22 +67,49 @@
         self.crossing.loop.call_soon_threadsafe(self.host.start_tasks)
         self._server.prepare()
         threading.Thread(target=self._server.serve, name="http", daemon=True).start()
+        if self._certificate is not None:
+            threading.Thread(target=self._watch_certificate, name="tls", daemon=True).start()
         self._log.info("Serving.", extra={"address": self.host.settings.listen})
 
-    def stop(self, balancer_time_s: float = BALANCER_TIME_S) -> int:
-        """Stop without cutting off a request; return how many were still open at the bound."""
+    def stop(self) -> int:
+        """Stop without cutting off a request; return how many were still open at the bound.
+
+        First the host shows itself not ready and still serves, until the
+        balancer has noticed. Then it refuses new requests, waits for the open
+        ones, hands over what it keeps and leaves the other hosts.
+        """
+        self.host.leaving = True
+        self._log.info("Leaving.", extra={"open_requests": self.host.router.open_requests})
+        time.sleep(self.host.settings.stop.balancer_time_s)
         self.host.stopping = True
-        time.sleep(balancer_time_s)
-        deadline = time.monotonic() + DRAIN_BOUND_S
-        while self.host.router.open_requests and time.monotonic() < deadline:
-            time.sleep(DRAIN_POLL_S)
-        left = self.host.router.open_requests
+        left = self._drain()
         self._server.stop()
         self.crossing.ask(Leave())
         self.crossing.stop()
+        self._stopped.set()
         self._log.info("Stopped.", extra={"open_requests": left})
         return left
 
+    def _drain(self) -> int:
+        """Wait for open requests up to the bound; name those that are left."""
+        deadline = time.monotonic() + self.host.settings.stop.drain_bound_s
+        while self.host.router.open_requests and time.monotonic() < deadline:
+            time.sleep(DRAIN_POLL_S)
+        left = self.host.router.open_requests
+        if left:
+            ids = list(self.host.router.open_request_ids())[:NAMED_REQUESTS]
+            self._log.warning(
+                "Requests are still open at the bound.",
+                extra={"open_requests": left, "request_ids": ids},
+            )
+        return left
+
+    def _watch_certificate(self) -> None:
+        assert self._certificate is not None
+        while not self._stopped.wait(CERTIFICATE_POLL_S):
+            if self._certificate.renew():
+                self._log.info("A new certificate is in use.")
+
 
 def run_daemon(settings: HostSettings) -> int:
     """Serve until a signal comes; return the exit code."""
@@ -83,41 +121,3 @@
     daemon.start()
     stopped.wait()
     return 1 if daemon.stop() else 0
-
-
-def _make_server(settings: HostSettings, root: RootApi) -> wsgi.Server:
-    config = {
-        "/": {
-            "tools.encode.on": False,
-            "request.show_tracebacks": False,
-            "request.error_response": _answer_internal_error,
-            "request.body.maxbytes": 0,
-            "tools.trailing_slash.on": False,
-        }
-    }
-    application = cherrypy.Application(root, "", config)
-    application.log.access = _log_no_access
-    application.log.error_log.propagate = False
-    ip, _, port = settings.listen.rpartition(":")
-    server = wsgi.Server(
-        (ip, int(port)),
-        application,
-        numthreads=settings.limits.threads,
-        request_queue_size=REQUEST_QUEUE,
-        timeout=SOCKET_TIMEOUT_S,
-    )
-    server.max_request_header_size = MAX_HEADER_BYTES
-    return server
-
-
-def _log_no_access() -> None:
-    """Spare the work of an access line: metrics count the requests, `explain` tells of each."""
-
-
-def _answer_internal_error() -> None:
-    """Answer a fault of ours in the callers' error form, without a trace of it."""
-    part_logger("http").error("A handler failed.", exc_info=True)
-    refusal = Refusal(ErrorKind.INTERNAL, "an internal error; the outcome is unknown")
-    cherrypy.response.status = 500
-    cherrypy.response.headers["Content-Type"] = "application/json"
-    cherrypy.response.body = [render_error(refusal)]
--- a/poplarrun/server/_host.py
+++ b/poplarrun/server/_host.py
@@ -21,6 +21,7 @@
 from poplarrun.endpoints import Endpoint, EndpointTable
 from poplarrun.errors import ErrorKind, Refusal
 from poplarrun.hosts import Peers
+from poplarrun.leases import LeaseKeeper
 from poplarrun.log import Log, ThreadedLog
 from poplarrun.logs import part_logger
 from poplarrun.metrics import Metrics
@@ -55,7 +56,7 @@
     ReadReadiness,
     ReadStatus,
 )
-from poplarrun.server._peering import make_peers, publish_offset, read_zones
+from poplarrun.server._peering import keys_of, make_peers, publish_offset, read_zones
 from poplarrun.server._version_tasks import VersionTasks
 from poplarrun.settings import HostSettings
 from poplarrun.versions import Versions
@@ -63,10 +64,12 @@
 HOST_LIST_POLL_S = 0.5
 LOAD_POLL_S = 0.25
 TEND_CLAIMS_S = 60.0
+TEND_LEASES_S = 0.5
 ROLLOUTS_POLL_S = 0.25
 EVIDENCE_PERIOD_S = 1.0
 RATINGS_POLL_S = 0.25
 BLOCKING_THREADS = 32
+HAND_OVER_BOUND_S = 5.0
 
 T = TypeVar("T")
 
@@ -101,7 +104,9 @@
         self.settings = settings
         self.metrics = Metrics()
         self.peers = peers or make_peers(settings, self.metrics, clock)
+        self.leaving = False
         self.stopping = False
+        self.on_leave: list[Callable[[], Awaitable[None]]] = [self.hand_leases_over]
         self._clock = clock
         self._host_list = host_list
         self._engine = engine
@@ -109,11 +114,25 @@
         self._pool = ThreadPoolExecutor(BLOCKING_THREADS, thread_name_prefix="platform")
         self.claims = ClaimKeeper(self.peers, ThreadedLog(log, self._in_thread), clock, time.time)
         versions = Versions(self.peers.me, random.Random(settings.name))
+        self.leases = LeaseKeeper(
+            ThreadedLog(log, self._in_thread),
+            self.peers,
+            self.metrics,
+            random.Random(settings.name),
+            clock,
+        )
         self.router = Router(self._endpoints, self.metrics, versions)
         self.router.operations.keeper = self.claims
         self.router.operations.peers = self.peers
         self._version_tasks = VersionTasks(
-            versions, self.peers, log, ratings, self.metrics, self._in_thread, clock
+            versions,
+            self.peers,
+            log,
+            ratings,
+            self.metrics,
+            self._in_thread,
+            clock,
+            keys_of(settings),
         )
         self._list_seen = False
         self.config = ConfigFollower(
@@ -124,13 +143,23 @@
             self._note_config,
             random.Random(settings.name),
             clock,
+            keys=keys_of(settings),
         )
         self._log = part_logger("host")
         self._tasks: list[asyncio.Task[None]] = []
 
     @property
     def is_ready(self) -> bool:
-        """Whether callers may come: a configuration is in force and endpoints are known."""
+        """Whether the balancer may send callers here."""
+        return self.takes_requests and not self.leaving
+
+    @property
+    def takes_requests(self) -> bool:
+        """Whether a request is served: a configuration is in force and endpoints are known.
+
+        A leaving host still serves: until the balancer has noticed, it goes
+        on sending callers here, who did nothing to be refused.
+        """
         has_configuration = self.router.context.configuration.offset >= 0
         return has_configuration and self._list_seen and not self.stopping
 
@@ -141,6 +170,7 @@
             (self._follow_host_list, HOST_LIST_POLL_S),
             (self._poll_loads, LOAD_POLL_S),
             (self.claims.tend, TEND_CLAIMS_S),
+            (self.leases.tend, TEND_LEASES_S),
             (self._version_tasks.follow_rollouts, ROLLOUTS_POLL_S),
             (self._version_tasks.exchange_evidence, EVIDENCE_PERIOD_S),
             (self._version_tasks.run_steward, ROLLOUTS_POLL_S),
@@ -155,7 +185,7 @@
         """Answer one message; the only entry for other threads."""
         now = self._clock()
         match message:
-            case BeginChat() | BeginOperation() if not self.is_ready:
+            case BeginChat() | BeginOperation() if not self.takes_requests:
                 return self._refuse_unready()
             case BeginChat():
                 return self.router.chats.begin(message, now)
@@ -188,7 +218,7 @@
             case ReadReadiness():
                 return self.is_ready
             case Leave():
-                return self.peers.leave()
+                return self._leave()
         raise TypeError(f"no handler for {type(message).__name__}")
 
     async def _repeat(
@@ -207,6 +237,20 @@
                 self._log.log(logging.ERROR, "A task failed.", exc_info=True)
             await pause()
 
+    async def hand_leases_over(self) -> None:
+        """Hand the jobs of this host over."""
+        await self.leases.release_all()
+
+    async def _leave(self) -> None:
+        """Hand over what this host keeps, each part within a bound, then leave the others."""
+        for hand_over in self.on_leave:
+            try:
+                await asyncio.wait_for(hand_over(), HAND_OVER_BOUND_S)
+            except TimeoutError:
+                self.metrics.count_event("hand_over_timed_out")
+                self._log.warning("Not handed over.", extra={"part": hand_over.__name__})
+        await self.peers.leave()
+
     async def _in_thread(self, call: Callable[..., T], *arguments: Any) -> T:
         return await asyncio.get_running_loop().run_in_executor(self._pool, call, *arguments)
 
--- /dev/null
+++ b/poplarrun/server/_http_server.py
@@ -0,0 +1,113 @@
+"""The HTTP server of a host: CherryPy on cheroot, its bounds and its certificate."""
+
+from collections.abc import Callable
+
+import cherrypy
+from cheroot import wsgi
+from cheroot.ssl.builtin import BuiltinSSLAdapter
+
+from poplarrun.errors import ErrorKind, Refusal
+from poplarrun.logs import part_logger
+from poplarrun.server._bodies import render_error
+from poplarrun.settings import CallersTls, HostSettings
+
+REQUEST_QUEUE = 512
+MAX_HEADER_BYTES = 32_768
+# A socket that neither sends nor takes a byte for so long is closed: a
+# half-open or very slow caller must not hold a thread.
+SOCKET_TIMEOUT_S = 30
+# Longest wait for an answer's last bytes to go out, after the last request ended.
+SHUTDOWN_TIMEOUT_S = 5
+
+
+class CallerCertificate:
+    """The certificate that callers see; it can be renewed while the server runs."""
+
+    def __init__(self, files: CallersTls) -> None:
+        self._files = files
+        self._changed_at = self._read_change()
+        self.adapter = BuiltinSSLAdapter(str(files.certificate), str(files.key))
+
+    def renew(self) -> bool:
+        """Take new files up for connections from now on; tell whether there were any."""
+        changed_at = self._read_change()
+        if changed_at in (0.0, self._changed_at):
+            return False
+        self._changed_at = changed_at
+        try:
+            self.adapter.context.load_cert_chain(str(self._files.certificate), str(self._files.key))
+        except OSError as error:
+            # A half-written file: the old certificate stays, the next change is tried again.
+            part_logger("http").warning(
+                "A certificate can't be read.", extra={"reason": str(error)}
+            )
+            return False
+        return True
+
+    def _read_change(self) -> float:
+        try:
+            return max(float(p.stat().st_mtime) for p in (self._files.certificate, self._files.key))
+        except OSError:
+            return 0.0
+
+
+class _Server(wsgi.Server):
+    """Logs what cheroot has to say, such as a failed handshake, in the host's own form."""
+
+    def error_log(self, msg: str = "", level: int = 20, traceback: bool = False) -> None:
+        part_logger("http").log(level, "The server.", extra={"reason": msg}, exc_info=traceback)
+
+
+def make_server(
+    settings: HostSettings,
+    root: object,
+    certificate: CallerCertificate | None,
+    is_leaving: Callable[[], bool],
+) -> wsgi.Server:
+    """Return the server of a host, not listening yet."""
+
+    def close_when_leaving() -> None:
+        # A caller that keeps its connection would send its next request into
+        # the moment at which the host closes it, and see a break.
+        if is_leaving():
+            cherrypy.response.headers["Connection"] = "close"
+
+    config = {
+        "/": {
+            "tools.encode.on": False,
+            "request.show_tracebacks": False,
+            "request.error_response": _answer_internal_error,
+            "request.body.maxbytes": 0,
+            "tools.trailing_slash.on": False,
+            "hooks.before_finalize": close_when_leaving,
+        }
+    }
+    application = cherrypy.Application(root, "", config)
+    application.log.access = _log_no_access
+    application.log.error_log.propagate = False
+    ip, _, port = settings.listen.rpartition(":")
+    server = _Server(
+        (ip, int(port)),
+        application,
+        numthreads=settings.limits.threads,
+        request_queue_size=REQUEST_QUEUE,
+        timeout=SOCKET_TIMEOUT_S,
+        shutdown_timeout=SHUTDOWN_TIMEOUT_S,
+    )
+    server.max_request_header_size = MAX_HEADER_BYTES
+    if certificate is not None:
+        server.ssl_adapter = certificate.adapter
+    return server
+
+
+def _log_no_access() -> None:
+    """Spare the work of an access line: metrics count the requests, `explain` tells of each."""
+
+
+def _answer_internal_error() -> None:
+    """Answer a fault of ours in the callers' error form, without a trace of it."""
+    part_logger("http").error("A handler failed.", exc_info=True)
+    refusal = Refusal(ErrorKind.INTERNAL, "an internal error; the outcome is unknown")
+    cherrypy.response.status = 500
+    cherrypy.response.headers["Content-Type"] = "application/json"
+    cherrypy.response.body = [render_error(refusal)]
--- a/poplarrun/server/_peering.py
+++ b/poplarrun/server/_peering.py
@@ -7,8 +7,9 @@
 
 import msgspec
 
+from poplarrun.config import OperatorKeys
 from poplarrun.hosts import MemoryNetwork, MemoryPeers, NetworkPeers, Peer, Peers, SummaryTopic
-from poplarrun.links import NngLinks
+from poplarrun.links import NngLinks, TlsFiles
 from poplarrun.metrics import Metrics
 from poplarrun.server._messages import ZoneStatus
 from poplarrun.settings import HostSettings
@@ -41,11 +42,19 @@
     me = Peer(settings.name, settings.zone, settings.region, incarnation)
     if settings.peer_listen is None:
         return MemoryPeers(MemoryNetwork(), me)
-    links = NngLinks(settings.peer_listen)
+    tls = settings.tls.peers
+    files = None if tls is None else TlsFiles(tls.authority, tls.identity)
+    links = NngLinks(settings.peer_listen, files)
     source = random.Random(f"{settings.name}/{incarnation}")
     return NetworkPeers(me, links, settings.seeds, metrics, source, clock)
 
 
+def keys_of(settings: HostSettings) -> OperatorKeys:
+    """Return the operator keys of the settings."""
+    keys = settings.operator_keys
+    return OperatorKeys({name: tuple(k.encode() for k in some) for name, some in keys.items()})
+
+
 def publish_offset(peers: Peers, offset: int) -> None:
     """Tell the others which configuration is in force here."""
     peers.publish(OFFSETS, msgspec.msgpack.encode(OffsetSummary(offset, offset)))
--- a/poplarrun/server/_version_tasks.py
+++ b/poplarrun/server/_version_tasks.py
@@ -7,7 +7,7 @@
 from collections.abc import Awaitable, Callable
 from typing import Any
 
-from poplarrun.config import CONFIG_STREAM, Withdrawal, encode_record
+from poplarrun.config import CONFIG_STREAM, NO_KEYS, OperatorKeys, Withdrawal, sign_system_record
 from poplarrun.hosts import Peers
 from poplarrun.log import Appended, Gap, Log, ReadFailed, StreamReader
 from poplarrun.logs import part_logger
@@ -50,8 +50,10 @@
         metrics: Metrics,
         in_thread: InThread,
         clock: Callable[[], float] = time.monotonic,
+        keys: OperatorKeys = NO_KEYS,
     ) -> None:
         self._versions = versions
+        self._keys = keys
         self._peers = peers
         self._platform_log = log
         self._ratings = ratings
@@ -85,7 +87,7 @@
             return
         for record in self._versions.decide(self._peers, self._clock()):
             if isinstance(record, Withdrawal):
-                stream, data = CONFIG_STREAM, encode_record(record)
+                stream, data = CONFIG_STREAM, sign_system_record(record, self._keys)
             else:
                 stream, data = ROLLOUTS_STREAM, encode_rollout(record)
             outcome = await self._in_thread(self._platform_log.append, stream, data)
--- a/poplarrun/settings/__init__.py
+++ b/poplarrun/settings/__init__.py
@@ -1,17 +1,25 @@
 """Settings of one host: a YAML file, validated."""
 
 from poplarrun.settings._settings import (
+    CallersTls,
     HostSettings,
     LimitSettings,
+    PeersTls,
     PlatformAddresses,
     SettingsProblems,
+    StopSettings,
+    TlsSettings,
     load_settings,
 )
 
 __all__ = [
+    "CallersTls",
     "HostSettings",
     "LimitSettings",
+    "PeersTls",
     "PlatformAddresses",
     "SettingsProblems",
+    "StopSettings",
+    "TlsSettings",
     "load_settings",
 ]
--- a/poplarrun/settings/_settings.py
+++ b/poplarrun/settings/_settings.py
@@ -39,6 +39,62 @@
     threads: Annotated[int, Field(ge=4, le=2000)] = 256
 
 
+class StopSettings(_Settings):
+    """How a planned stop goes.
+
+    Attributes
+    ----------
+    balancer_time_s : float
+        How long the host still serves new requests while it shows itself not
+        ready: longer than the balancer takes to notice.
+    drain_bound_s : float
+        How long it then waits for open requests, streams included.
+    """
+
+    balancer_time_s: Annotated[float, Field(ge=0, le=600)] = 2.0
+    drain_bound_s: Annotated[float, Field(ge=0, le=3600)] = 60.0
+
+
+class CallersTls(_Settings):
+    """The certificate that callers, operators and the balancer see."""
+
+    certificate: Path
+    key: Path
+
+
+class PeersTls(_Settings):
+    """Certificates between hosts; both sides must show one that names ``poplarrun-host``.
+
+    Attributes
+    ----------
+    authority : Path
+        What the others' certificates must descend from.
+    identity : Path
+        This host's certificate and key, in one PEM file.
+    """
+
+    authority: Path
+    identity: Path
+
+
+class PlatformTlsSettings(_Settings):
+    """Certificates towards the platform's services and the model engines."""
+
+    authority: Path
+    identity: Path | None = None
+
+
+class TlsSettings(_Settings):
+    """Which ways are encrypted; one that is left out is plain."""
+
+    callers: CallersTls | None = None
+    peers: PeersTls | None = None
+    platform: PlatformTlsSettings | None = None
+
+
+OperatorKey = Annotated[str, StringConstraints(min_length=16, max_length=200)]
+
+
 class HostSettings(_Settings):
     """Everything that a host learns from its settings.
 
@@ -54,6 +110,10 @@
         ``ip:port`` for the other hosts.
     seeds : tuple of str
         Some hosts' ``peer_listen`` addresses; the rest is learnt.
+    operator_keys : dict of str to tuple of str
+        Secret keys of the operators by name, and of ``system`` for the hosts
+        themselves; the same at every host. Without any, unsigned
+        publications count.
     """
 
     name: Name
@@ -64,6 +124,9 @@
     seeds: tuple[Address, ...] = ()
     platform: PlatformAddresses
     limits: LimitSettings = LimitSettings()
+    stop: StopSettings = StopSettings()
+    tls: TlsSettings = TlsSettings()
+    operator_keys: dict[Name, tuple[OperatorKey, ...]] = {}
 
 
 @dataclass(frozen=True, slots=True)
