Drain an engine's stream before its connection serves again

Cause: the end of the stream stayed unread, so some connections were dropped and opened anew (4 connections for 50 calls in a row); the pool manager parsed the whole URL on each call. Change: the caller gets the end of its answer, then the rest is read and the connection goes back; chunks are read without a second buffer; pools are found by address.

--- a/poplarrun/platform/_engines.py
+++ b/poplarrun/platform/_engines.py
@@ -8,7 +8,7 @@
 import urllib3
 
 from poplarrun.contracts import VersionId
-from poplarrun.platform._http import pool_for
+from poplarrun.platform._http import pool_for, pool_of
 
 CONNECT_TIMEOUT_S = 0.5
 REPORT_TIMEOUT_S = 1.0
@@ -16,7 +16,8 @@
 OK = 200
 # An engine answers these before it starts any work.
 NOT_STARTED_STATUSES = frozenset({404, 409, 429, 503})
-READ_BYTES = 4096
+READ_BYTES = 65_536
+JSON_HEADERS = {"Content-Type": "application/json"}
 
 
 @dataclass(frozen=True, slots=True)
@@ -145,12 +146,14 @@
             call.from_position,
         )
         try:
-            response = pool_for().request(
+            response = pool_of(address).urlopen(
                 "POST",
-                f"http://{address}/v1/generate",
+                "/v1/generate",
                 body=msgspec.json.encode(body),
-                headers={"Content-Type": "application/json"},
+                headers=JSON_HEADERS,
                 timeout=urllib3.Timeout(connect=CONNECT_TIMEOUT_S, read=timeout_s),
+                retries=False,
+                redirect=False,
                 preload_content=False,
             )
         except (urllib3.exceptions.NewConnectionError, urllib3.exceptions.ConnectTimeoutError):
@@ -188,22 +191,22 @@
 
 
 def _read_answers(response: urllib3.BaseHTTPResponse) -> Iterator[Answer]:
+    pieces = _read_pieces(response)
     finished = False
     try:
-        for line in _read_lines(response):
+        for line in _split_lines(pieces):
             answer = _answer_decoder.decode(line)
             finished = isinstance(answer, Usage)
             yield answer
             if finished:
                 break
-        if finished:
-            response.drain_conn()
     except (urllib3.exceptions.HTTPError, msgspec.DecodeError, OSError):
         finished = False
     finally:
         # A connection with an unread rest must not serve the next call: its
-        # caller would read another request's chunks.
-        if finished:
+        # caller would read another request's chunks. The caller of this one
+        # has its whole answer before the end of the stream is waited for.
+        if finished and _is_drained(pieces):
             response.release_conn()
         else:
             response.close()
@@ -211,9 +214,25 @@
         yield EngineFailed(started=True, reason="broken")
 
 
-def _read_lines(response: urllib3.BaseHTTPResponse) -> Iterator[bytes]:
+def _read_pieces(response: urllib3.BaseHTTPResponse) -> Iterator[bytes]:
+    """Read whatever has come, as soon as it comes."""
+    if response.chunked:
+        yield from response.read_chunked(READ_BYTES, decode_content=False)
+        return
+    while piece := response.read1(READ_BYTES, decode_content=False):
+        yield piece
+
+
+def _split_lines(pieces: Iterator[bytes]) -> Iterator[bytes]:
     rest = b""
-    while piece := response.read1(READ_BYTES):
-        rest += piece
-        *lines, rest = rest.split(b"\n")
+    for piece in pieces:
+        *lines, rest = (rest + piece).split(b"\n")
         yield from lines
+
+
+def _is_drained(pieces: Iterator[bytes]) -> bool:
+    """Read the end of the stream, which holds nothing more."""
+    try:
+        return next(pieces, None) is None
+    except (urllib3.exceptions.HTTPError, OSError):
+        return False
--- a/poplarrun/platform/_http.py
+++ b/poplarrun/platform/_http.py
@@ -19,6 +19,16 @@
     return _manager
 
 
+def pool_of(address: str) -> urllib3.HTTPConnectionPool:
+    """Return the pool of one ``ip:port``, for calls that are made very often.
+
+    The pool manager parses the whole URL on each call, which costs as much as
+    sending it.
+    """
+    host, _, port = address.rpartition(":")
+    return _manager.connection_from_host(host, int(port))
+
+
 def close_pool() -> None:
     """Close all idle connections."""
     _manager.clear()
