--- a/poplarrun/platform/__init__.py
+++ b/poplarrun/platform/__init__.py
@@ -1,7 +1,9 @@
 """Adapters to the outside systems, one small module each."""
 
 from poplarrun.platform._engines import (
+    BLOCK_WORDS,
     Answer,
+    CacheEvent,
     Chunk,
     Engine,
     EngineCall,
@@ -9,6 +11,7 @@
     HttpEngine,
     LoadReport,
     Usage,
+    hash_blocks,
 )
 from poplarrun.platform._hostlist import (
     HostKind,
@@ -23,16 +26,18 @@
 from poplarrun.platform._ratings import HttpRatings, RatedAnswer, Ratings, RatingsUnavailable
 from poplarrun.platform._services import (
     HttpServiceCaller,
+    PreparedCall,
     ServiceAnswer,
     ServiceCall,
     ServiceCaller,
     ServiceNotSent,
-    ServiceOutcome,
     ServiceUnknown,
 )
 
 __all__ = [
+    "BLOCK_WORDS",
     "Answer",
+    "CacheEvent",
     "Chunk",
     "Engine",
     "EngineCall",
@@ -48,6 +53,7 @@
     "ListUnavailable",
     "ListedHost",
     "LoadReport",
+    "PreparedCall",
     "RatedAnswer",
     "Ratings",
     "RatingsUnavailable",
@@ -55,9 +61,9 @@
     "ServiceCall",
     "ServiceCaller",
     "ServiceNotSent",
-    "ServiceOutcome",
     "ServiceUnknown",
     "Usage",
     "close_pool",
+    "hash_blocks",
     "pool_for",
 ]
--- a/poplarrun/server/_daemon.py
+++ b/poplarrun/server/_daemon.py
@@ -9,11 +9,12 @@
 
 from poplarrun.errors import ErrorKind, Refusal
 from poplarrun.logs import part_logger, set_up_logs
-from poplarrun.platform import HttpEngine, HttpHostList, HttpLog, HttpServiceCaller
+from poplarrun.platform import HttpEngine, HttpHostList, HttpLog, HttpRatings, HttpServiceCaller
 from poplarrun.server._bodies import render_error
 from poplarrun.server._callers import CallersApi
 from poplarrun.server._crossing import Crossing
 from poplarrun.server._host import EntryHost
+from poplarrun.server._messages import Leave
 from poplarrun.server._observers import RootApi
 from poplarrun.settings import HostSettings
 
@@ -42,6 +43,7 @@
             HttpLog(settings.platform.log),
             HttpHostList(settings.platform.host_list),
             engine,
+            ratings=HttpRatings(settings.platform.ratings) if settings.platform.ratings else None,
         )
         self.crossing = Crossing(self.host.handle)
         callers = CallersApi(self.crossing, engine, HttpServiceCaller(), settings.limits.body_bytes)
@@ -65,6 +67,7 @@
             time.sleep(DRAIN_POLL_S)
         left = self.host.router.open_requests
         self._server.stop()
+        self.crossing.ask(Leave())
         self.crossing.stop()
         self._log.info("Stopped.", extra={"open_requests": left})
         return left
--- a/poplarrun/server/_host.py
+++ b/poplarrun/server/_host.py
@@ -8,10 +8,12 @@
 from concurrent.futures import ThreadPoolExecutor
 from typing import Any, TypeVar
 
+from poplarrun.claims import ClaimKeeper
 from poplarrun.config import CONFIG_STREAM, Accepted, Configuration, Ignored, fold_entry
 from poplarrun.endpoints import Endpoint, EndpointTable
 from poplarrun.errors import ErrorKind, Refusal
-from poplarrun.log import Gap, Log, ReadFailed, StreamReader
+from poplarrun.hosts import Peers
+from poplarrun.log import Gap, Log, ReadFailed, StreamReader, ThreadedLog
 from poplarrun.logs import part_logger
 from poplarrun.metrics import Metrics
 from poplarrun.platform import (
@@ -21,6 +23,7 @@
     HostList,
     ListUnavailable,
     LoadReport,
+    Ratings,
 )
 from poplarrun.router import (
     AttemptFailed,
@@ -29,23 +32,33 @@
     CallFailed,
     EndChat,
     EndOperation,
+    FindOperation,
     FirstToken,
     Router,
+    SendOperation,
 )
 from poplarrun.server._messages import (
     EndpointStatus,
     Explain,
     HostStatus,
+    Leave,
     ListClasses,
     ReadMetrics,
     ReadReadiness,
     ReadStatus,
 )
+from poplarrun.server._peering import make_peers, publish_offset, read_zones
+from poplarrun.server._version_tasks import VersionTasks
 from poplarrun.settings import HostSettings
+from poplarrun.versions import Versions
 
 CONFIG_POLL_S = 0.25
 HOST_LIST_POLL_S = 0.5
 LOAD_POLL_S = 0.25
+TEND_CLAIMS_S = 60.0
+ROLLOUTS_POLL_S = 0.25
+EVIDENCE_PERIOD_S = 1.0
+RATINGS_POLL_S = 0.25
 BLOCKING_THREADS = 32
 
 T = TypeVar("T")
@@ -62,6 +75,10 @@
         Adapters to the platform; their blocking calls run on a thread pool.
     clock : callable
         Seconds, monotonic.
+    peers : Peers, optional
+        The other hosts; made from the settings when left out.
+    ratings : Ratings, optional
+        The rating service.
     """
 
     def __init__(
@@ -71,17 +88,27 @@
         host_list: HostList,
         engine: Engine,
         clock: Callable[[], float] = time.monotonic,
+        peers: Peers | None = None,
+        ratings: Ratings | None = None,
     ) -> None:
         self.settings = settings
         self.metrics = Metrics()
+        self.peers = peers or make_peers(settings, self.metrics, clock)
         self.stopping = False
         self._clock = clock
         self._host_list = host_list
         self._engine = engine
         self._reader = StreamReader(log, CONFIG_STREAM)
         self._endpoints = EndpointTable(settings.zone, random.Random(settings.name))
-        self.router = Router(self._endpoints, self.metrics)
         self._pool = ThreadPoolExecutor(BLOCKING_THREADS, thread_name_prefix="platform")
+        self.claims = ClaimKeeper(self.peers, ThreadedLog(log, self._in_thread), clock, time.time)
+        versions = Versions(self.peers.me, random.Random(settings.name))
+        self.router = Router(self._endpoints, self.metrics, versions)
+        self.router.operations.keeper = self.claims
+        self.router.operations.peers = self.peers
+        self._version_tasks = VersionTasks(
+            versions, self.peers, log, ratings, self.metrics, self._in_thread, clock
+        )
         self._list_seen = False
         self._log_answered_at = clock()
         self._log = part_logger("host")
@@ -95,10 +122,16 @@
 
     def start_tasks(self) -> None:
         """Start the parts' tasks; called on the loop."""
+        self.peers.start()
         for step, period_s in (
             (self._follow_config, CONFIG_POLL_S),
             (self._follow_host_list, HOST_LIST_POLL_S),
             (self._poll_loads, LOAD_POLL_S),
+            (self.claims.tend, TEND_CLAIMS_S),
+            (self._version_tasks.follow_rollouts, ROLLOUTS_POLL_S),
+            (self._version_tasks.exchange_evidence, EVIDENCE_PERIOD_S),
+            (self._version_tasks.run_steward, ROLLOUTS_POLL_S),
+            (self._version_tasks.rate_answers, RATINGS_POLL_S),
         ):
             self._tasks.append(asyncio.get_running_loop().create_task(self._repeat(step, period_s)))
 
@@ -111,17 +144,21 @@
             case BeginChat():
                 return self.router.chats.begin(message, now)
             case BeginOperation():
-                return self.router.operations.begin(message, now)
+                return self.router.operations.begin(message)
+            case SendOperation():
+                return self.router.operations.send(message)
+            case FindOperation():
+                return self.router.operations.find(message)
             case AttemptFailed():
                 return self.router.chats.retry(message, now)
             case CallFailed():
-                return self.router.operations.retry(message, now)
+                return self.router.operations.retry(message)
             case FirstToken():
                 return self.router.chats.note_first_token(message, now)
             case EndChat():
                 return self.router.chats.end(message, now)
             case EndOperation():
-                return self.router.operations.end(message, now)
+                return self.router.operations.end(message)
             case Refusal():
                 return self.metrics.count_refusal(message.kind)
             case ListClasses():
@@ -134,6 +171,8 @@
                 return self.metrics.render()
             case ReadReadiness():
                 return self.is_ready
+            case Leave():
+                return self.peers.leave()
         raise TypeError(f"no handler for {type(message).__name__}")
 
     async def _repeat(self, step: Callable[[], Coroutine[Any, Any, None]], period_s: float) -> None:
@@ -165,10 +204,12 @@
                 self._log_answered_at = self._clock()
                 for entry in entries:
                     self._fold(entry)
+                publish_offset(self.peers, self.router.context.configuration.offset)
 
     def _fold(self, entry: Any) -> None:
         state, verdict = fold_entry(self.router.context.configuration, entry)
         self.router.context.configuration = state
+        self.router.context.versions.apply_configuration(state)
         match verdict:
             case Accepted(offset=offset):
                 self._log.info("Configuration in force.", extra={"offset": offset})
@@ -182,7 +223,7 @@
             case ListUnavailable():
                 self.metrics.count_event("host_list_failed")
             case listed:
-                self._endpoints.apply_list(listed)
+                self._endpoints.apply_list(listed, self._clock())
                 self._list_seen = True
 
     async def _poll_loads(self) -> None:
@@ -192,7 +233,7 @@
     async def _poll_load(self, endpoint: Endpoint) -> None:
         match await self._in_thread(self._engine.report_load, endpoint.address):
             case LoadReport() as report:
-                self._endpoints.apply_report(endpoint.name, report)
+                self._endpoints.apply_report(endpoint.name, report, self._clock())
             case EngineFailed():
                 self.metrics.count_event("load_report_failed")
                 self._endpoints.note_failure(endpoint.name, self._clock())
@@ -223,6 +264,7 @@
             endpoints=tuple(_endpoint_status(e, now) for e in self._endpoints.all()),
             withdrawn=tuple(sorted(configuration.withdrawn)),
             refusals=dict(self.metrics.refusal_counts),
+            zones=read_zones(self.peers),
         )
 
 
