--- a/bench/path.py
+++ b/bench/path.py
@@ -18,18 +18,21 @@
 
 from bench.figures import Figure, Slope, report
 from poplarrun.contracts import hash_key
-from standins.fleet import EnginePlan, Fleet
+from standins.fleet import EnginePlan, Fleet, put_json
 
 COMMAND = "python -m bench.path"
 KEY = "bench-key"
 VERSION = "larch:1"
 ENGINE_PLACES = 256
+ENDPOINT_COUNTS = (1, 10, 20, 40)
+SETTLE_S = 1.5
 TOKENS_PER_S = 100.0
 ANSWER_TOKENS = 40
 LATENCY_PAIRS = 300
 REQUESTS_PER_S = 10.0
 WARM_UP_PAIRS = 20
 WINDOW_S = 5.0
+MEMORY_WINDOW_S = 2.0
 STREAM_COUNTS = (10, 20, 40)
 MEMORY_STREAMS = (50, 100, 200)
 REQUEST_RATES = (10.0, 20.0, 40.0)
@@ -240,14 +243,16 @@
     return sorted(values)[min(len(values) - 1, int(len(values) * share))]
 
 
-def measure_streams(fleet: Fleet, routed: Target, count: int) -> tuple[float, float, int]:
+def measure_streams(
+    fleet: Fleet, routed: Target, count: int, window_s: float = WINDOW_S
+) -> tuple[float, float, int]:
     """Return tokens a second, cores, and resident bytes of the host at some open streams."""
     pid = pid_of_host(fleet)
     streams = Streams(routed, count)
     streams.start()
     time.sleep(1.5)
     began, before, tokens = time.monotonic(), Usage.read(pid), streams.tokens
-    time.sleep(WINDOW_S)
+    time.sleep(window_s)
     took_s, after = time.monotonic() - began, Usage.read(pid)
     rate = (streams.tokens - tokens) / took_s
     streams.stop()
@@ -262,6 +267,31 @@
     return (Usage.read(pid).cpu_s - before.cpu_s) / WINDOW_S
 
 
+def measure_endpoints(fleet: Fleet) -> tuple[list[tuple[float, float]], list[tuple[float, float]]]:
+    """Return cores and resident megabytes of an idle host by listed engines.
+
+    One engine is listed under many names, so that only the host's cost grows.
+    """
+    pid = pid_of_host(fleet)
+    cores, memory = [], []
+    for count in ENDPOINT_COUNTS:
+        listed = [
+            {
+                "name": f"engine-{number}",
+                "zone": "a",
+                "kind": "model-engine",
+                "address": fleet.endpoints["engine"].address,
+                "state": "live",
+            }
+            for number in range(count)
+        ]
+        put_json(fleet.host_list.address, "/v1/hosts", {"hosts": listed})
+        time.sleep(SETTLE_S)
+        cores.append((float(count), measure_idle(fleet)))
+        memory.append((float(count), Usage.read(pid).resident_bytes / MEGABYTE))
+    return cores, memory
+
+
 def measure_requests(fleet: Fleet, routed: Target, per_s: float) -> float:
     """Return the cores that the host takes at a rate of one-token requests."""
     pid = pid_of_host(fleet)
@@ -289,8 +319,9 @@
         empty_bytes = Usage.read(pid_of_host(fleet)).resident_bytes
         memory = [(0.0, empty_bytes / MEGABYTE)]
         for count in MEMORY_STREAMS:
-            _, _, resident = measure_streams(fleet, routed, count)
+            _, _, resident = measure_streams(fleet, routed, count, MEMORY_WINDOW_S)
             memory.append((float(count), resident / MEGABYTE))
+        cores_by_endpoints, memory_by_endpoints = measure_endpoints(fleet)
     tokens = [(0.0, idle_cores), *((rate, cores) for rate, cores, _ in by_count)]
     requests = [(0.0, idle_cores), *by_rate]
     figures += throughput_figures(tokens, memory)
@@ -298,6 +329,8 @@
         Slope("cores_by_tokens", "tokens/s", "cores", tuple(tokens), COMMAND),
         Slope("cores_by_requests", "requests/s", "cores", tuple(requests), COMMAND),
         Slope("memory_by_streams", "open streams", "MB", tuple(memory), COMMAND),
+        Slope("cores_by_endpoints", "endpoints", "cores", tuple(cores_by_endpoints), COMMAND),
+        Slope("memory_by_endpoints", "endpoints", "MB", tuple(memory_by_endpoints), COMMAND),
     ]
     return report("path", figures, slopes)
 
--- /dev/null
+++ b/features/cli.feature
@@ -0,0 +1,95 @@
+Feature: The command line
+
+  Scenario Outline: Each subcommand has a help text
+    When the command line runs "<command> --help"
+    Then the command exits with 0
+    And the command's output says "<text>"
+
+    Examples:
+      | command        | text                                |
+      |                | Exit codes                          |
+      | serve          | --settings                          |
+      | config         | publish                             |
+      | config check   | The operators' document             |
+      | config publish | Wait until it is in force           |
+      | config show    | Show this publication               |
+      | config history | ip:port of the platform's log       |
+      | config diff    | Offset of the older publication     |
+      | status         | Show it anew every second           |
+      | explain        | The X-Request-Id of its answer      |
+      | ask            | API key of the client account       |
+
+  Scenario Outline: Bad input is told by its field, without a trace
+    # The operator mistypes an argument or names a host that is gone. The
+    # argument is checked before anything is sent, and a silent host is one
+    # line, not a stack.
+    When the command line runs "<command>"
+    Then the command exits with <code>
+    And the command's error says "<text>"
+
+    Examples:
+      | command                                            | code | text               |
+      | config check no-such-file.yaml                     | 2    | can't be read      |
+      | status --hosts 10.0.0.1                            | 2    | an ip:port such as |
+      | status --hosts 127.0.0.1:99999                     | 2    | found '127.0.0.1:9 |
+      | status --hosts 127.0.0.1:1                         | 1    | no host answered   |
+      | config show --log 127.0.0.1:1                      | 1    | the log did not    |
+      | config publish examples/thistledown.yaml --log 127.0.0.1:1 --wait | 2 | --wait needs |
+      | ask note hello --host 127.0.0.1:1 --key k          | 1    | no answer          |
+      | serve --settings no-such-file.yaml                 | 2    | no-such-file.yaml  |
+
+  Scenario: An invalid document exits with 2 and lists every fault
+    Given a document file "bad.yaml" with
+      """
+      classes:
+        note: {importance: 12, targets: {quality: 1.5, first_token_ms: 100, between_tokens_ms: 50, whole_s: 9}}
+      accounts:
+        shop: {keys: ["plain-text"], hosts: [a1]}
+      """
+    When the command line checks "bad.yaml"
+    Then the command exits with 2
+    And the command's error says "4 problems"
+
+  Scenario: Settings errors are told all at once
+    # An unknown key would be a limit that the operator believes in and that
+    # nothing applies, so it stops the start.
+    Given a settings file with
+      """
+      name: a1
+      zone: ""
+      listen: somewhere
+      thread: 5
+      platform: {log: 127.0.0.1:1, host_list: 127.0.0.1:2, brokers: []}
+      """
+    When the host is started with it
+    Then the command exits with 2
+    And the command's error says "zone"
+    And the command's error says "listen"
+    And the command's error says "thread: Extra inputs"
+    And the command's error says "platform.brokers: Extra inputs"
+
+  @fixture.small_fleet
+  Scenario: Publishing waits for every zone and says which host is silent
+    # One host is stopped. Its zone answers through nobody, so the operator
+    # is told so instead of waiting for ever.
+    When the Thistledown document is published with wait at all hosts
+    Then the command exits with 0
+    And the command's output says "zone c: in force after"
+    When the status of all hosts is read as JSON
+    Then the JSON status has 3 zones at one offset
+    When host "c1" of the fleet is killed
+    And the status of all hosts is read
+    Then the command exits with 4
+    And the command's output says "silent"
+    When the history is read as JSON
+    Then the command's output says ""verdict": "accepted""
+
+  @fixture.small_fleet
+  Scenario: Asking, and explaining the answer
+    When the Thistledown document is published with wait at all hosts
+    And the command line asks host "a1" for a "note"
+    Then the command exits with 0
+    And the request is explained as "answered"
+    When the command line asks host "a1" for a "no-such-class"
+    Then the command exits with 1
+    And the command's error says "refused: class_unknown"
--- /dev/null
+++ b/features/steps/cli.py
@@ -0,0 +1,123 @@
+import json
+import re
+import shlex
+import subprocess
+import sys
+import tempfile
+from pathlib import Path
+
+from behave import given, then, when
+
+ROOT = Path(__file__).resolve().parents[2]
+THISTLEDOWN = str(ROOT / "examples" / "thistledown.yaml")
+
+
+def run_cli(context, *arguments):
+    context.done = subprocess.run(
+        [sys.executable, "-m", "poplarrun", *arguments],
+        capture_output=True,
+        text=True,
+        timeout=60,
+        cwd=ROOT,
+    )
+
+
+def all_hosts(context):
+    return ",".join(host.address for host in context.fleet.hosts.values())
+
+
+def text_file(context, name, text):
+    folder = tempfile.TemporaryDirectory()
+    context.add_cleanup(folder.cleanup)
+    path = Path(folder.name) / name
+    path.write_text(text)
+    return path
+
+
+@when('the command line runs "{command}"')
+def step_run(context, command):
+    run_cli(context, *shlex.split(command))
+
+
+@given('a document file "{name}" with')
+def step_document_file(context, name):
+    context.document_file = text_file(context, name, context.text)
+
+
+@when('the command line checks "{name}"')
+def step_check(context, name):
+    run_cli(context, "config", "check", str(context.document_file))
+
+
+@given("a settings file with")
+def step_settings_file(context):
+    context.settings_file = text_file(context, "a1.yaml", context.text)
+
+
+@when("the host is started with it")
+def step_serve(context):
+    run_cli(context, "serve", "--settings", str(context.settings_file))
+
+
+@when("the Thistledown document is published with wait at all hosts")
+def step_publish_wait(context):
+    arguments = ("--log", context.fleet.log.address, "--wait", "--hosts", all_hosts(context))
+    run_cli(context, "config", "publish", THISTLEDOWN, *arguments)
+    context.fleet.wait_versions("larch:1")
+
+
+@when("the status of all hosts is read")
+def step_read_status(context):
+    run_cli(context, "status", "--hosts", all_hosts(context))
+
+
+@when("the status of all hosts is read as JSON")
+def step_read_status_json(context):
+    run_cli(context, "status", "--hosts", all_hosts(context), "--json")
+
+
+@when("the history is read as JSON")
+def step_history(context):
+    run_cli(context, "config", "history", "--log", context.fleet.log.address, "--json")
+
+
+@when('host "{name}" of the fleet is killed')
+def step_kill(context, name):
+    context.fleet.hosts[name].kill()
+
+
+@when('the command line asks host "{name}" for a "{work_class}"')
+def step_cli_ask(context, name, work_class):
+    address = context.fleet.hosts[name].address
+    run_cli(context, "ask", work_class, "hello", "--host", address, "--key", "borough-north-key")
+
+
+@then("the command exits with {code:d}")
+def step_code(context, code):
+    assert context.done.returncode == code, (context.done.stdout, context.done.stderr)
+
+
+@then('the command\'s output says "{text}"')
+def step_output(context, text):
+    assert text in " ".join(context.done.stdout.split()), context.done.stdout
+
+
+@then('the command\'s error says "{text}"')
+def step_error(context, text):
+    errors = " ".join(context.done.stderr.split())
+    assert text in errors, errors
+    assert "Traceback" not in errors, errors
+
+
+@then("the JSON status has {count:d} zones at one offset")
+def step_zones(context, count):
+    zones = json.loads(context.done.stdout)["zones"]
+    assert len(zones) == count, zones
+    assert len({zone["offset"] for zone in zones}) == 1, zones
+
+
+@then('the request is explained as "{outcome}"')
+def step_explained(context, outcome):
+    request_id = re.search(r"request (req-\w+)", context.done.stderr).group(1)
+    run_cli(context, "explain", request_id, "--hosts", all_hosts(context), "--json")
+    assert json.loads(context.done.stdout)["outcome"] == outcome, context.done.stdout
--- a/poplarrun/cli/_config.py
+++ b/poplarrun/cli/_config.py
@@ -2,14 +2,25 @@
 
 import difflib
 import getpass
+import json
 import time
 import uuid
-from dataclasses import dataclass
+from dataclasses import dataclass, field
 from pathlib import Path
 from typing import Annotated
 
 import cappa
 
+from poplarrun.cli._arguments import (
+    EXIT_CONFLICT,
+    EXIT_FAILED,
+    EXIT_INVALID,
+    EXIT_SILENT,
+    AsJson,
+    HostAddresses,
+    LogAddress,
+)
+from poplarrun.cli._views import ZoneView, ask_fleet
 from poplarrun.config import (
     CONFIG_STREAM,
     Accepted,
@@ -37,11 +48,9 @@
 from poplarrun.platform import HttpLog
 
 APPEND_ATTEMPTS = 5
-EXIT_FAILED = 1
-EXIT_INVALID = 2
-EXIT_CONFLICT = 3
-
-LogAddress = Annotated[str, cappa.Arg(long="--log", help="ip:port of the platform's log")]
+DocumentFile = Annotated[Path, cappa.Arg(help="The operators' document, YAML.")]
+WAIT_BOUND_S = 15.0
+WAIT_POLL_S = 0.1
 
 
 def read_configuration(log: Log) -> tuple[Configuration, list[tuple[Entry, Verdict]]]:
@@ -65,7 +74,10 @@
 
 def read_valid(path: Path) -> str:
     """Read a document; exit with every fault when it has any."""
-    text = path.read_text()
+    try:
+        text = path.read_text()
+    except (OSError, UnicodeDecodeError) as error:
+        raise cappa.Exit(f"{path}: can't be read: {error}", code=EXIT_INVALID) from error
     match parse_document(text):
         case DocumentProblems(problems=problems):
             lines = "\n".join(str(problem) for problem in problems)
@@ -78,7 +90,7 @@
 class Check:
     """Check a document; list every fault."""
 
-    file: Path
+    file: DocumentFile
 
     def __call__(self) -> None:
         """Check the file."""
@@ -90,19 +102,30 @@
 class Publish:
     """Publish a document; it is accepted unless another operator was first."""
 
-    file: Path
+    file: DocumentFile
     log: LogAddress
-    based_on: Annotated[int | None, cappa.Arg(long=True)] = None
+    based_on: Annotated[
+        int | None,
+        cappa.Arg(long=True, help="Offset that it was edited from; default the accepted one."),
+    ] = None
+    wait: Annotated[
+        bool, cappa.Arg(long=True, help="Wait until it is in force in every zone, telling each.")
+    ] = False
+    hosts: HostAddresses = field(default_factory=list)
 
     def __call__(self) -> None:
         """Publish the file and tell what became of it."""
+        if self.wait and not self.hosts:
+            raise cappa.Exit("--wait needs --hosts: some hosts to ask", code=EXIT_INVALID)
         text = read_valid(self.file)
         log = HttpLog(self.log)
         state, _ = read_configuration(log)
         based_on = state.offset if self.based_on is None else self.based_on
         record = Publication(uuid.uuid4().hex, based_on, getpass.getuser(), time.time(), text)
         self._append(log, record)
-        self._tell_verdict(log, record)
+        offset = self._tell_verdict(log, record)
+        if self.wait:
+            wait_in_force(self.hosts, offset)
 
     def _append(self, log: Log, record: Publication) -> None:
         def find() -> int | None:
@@ -119,7 +142,7 @@
             case _:
                 return
 
-    def _tell_verdict(self, log: Log, record: Publication) -> None:
+    def _tell_verdict(self, log: Log, record: Publication) -> int:
         state, history = read_configuration(log)
         for entry, verdict in history:
             found = decode_record(entry.data)
@@ -127,14 +150,15 @@
                 continue
             match verdict:
                 case Accepted(offset=offset):
-                    print(f"accepted at offset {offset}")
+                    print(f"accepted at offset {offset}", flush=True)
+                    return offset
                 case Conflict(based_on=based_on, accepted=accepted):
                     difference = "\n".join(_difference(record.document, state.text))
                     message = f"conflict: based on {based_on}, accepted is {accepted}\n{difference}"
                     raise cappa.Exit(message, code=EXIT_CONFLICT)
                 case Invalid() | Ignored():
                     raise cappa.Exit(f"refused: {verdict}", code=EXIT_FAILED)
-            return
+        raise cappa.Exit("the record is not seen yet; see config history", code=EXIT_FAILED)
 
 
 @dataclass
@@ -142,7 +166,9 @@
     """Show the accepted document, or the one of an offset."""
 
     log: LogAddress
-    offset: Annotated[int | None, cappa.Arg(long=True)] = None
+    offset: Annotated[
+        int | None, cappa.Arg(long=True, help="Show this publication, not the accepted one.")
+    ] = None
 
     def __call__(self) -> None:
         """Print the document."""
@@ -158,6 +184,7 @@
     """List the publications and what became of each."""
 
     log: LogAddress
+    json: AsJson = False
 
     def __call__(self) -> None:
         """Print a line for each record."""
@@ -165,15 +192,19 @@
         for entry, verdict in history:
             record = decode_record(entry.data)
             operator = record.operator if isinstance(record, Publication) else "system"
-            print(f"{entry.offset:>6}  {type(verdict).__name__:<9} {operator}")
+            name = type(verdict).__name__.lower()
+            if self.json:
+                print(json.dumps({"offset": entry.offset, "verdict": name, "operator": operator}))
+            else:
+                print(f"{entry.offset:>6}  {name:<9} {operator}")
 
 
 @dataclass
 class Diff:
     """Show the difference between the documents of two offsets."""
 
-    a: int
-    b: int
+    a: Annotated[int, cappa.Arg(help="Offset of the older publication.")]
+    b: Annotated[int, cappa.Arg(help="Offset of the newer publication.")]
     log: LogAddress
 
     def __call__(self) -> None:
@@ -189,6 +220,32 @@
     command: cappa.Subcommands[Check | Publish | Show | History | Diff]
 
 
+def wait_in_force(hosts: list[str], offset: int, bound_s: float = WAIT_BOUND_S) -> None:
+    """Tell each zone as the offset takes effect there; exit with 4 when one stays silent."""
+    began = time.monotonic()
+    told: set[str] = set()
+    while True:
+        view = ask_fleet(hosts)
+        zones = view.zones()
+        for zone in zones:
+            if zone.zone not in told and zone.offset is not None and zone.offset >= offset:
+                told.add(zone.zone)
+                took_s = time.monotonic() - began
+                print(f"zone {zone.zone}: in force after {took_s:.2f} s", flush=True)
+        if zones and not view.silent and told >= {zone.zone for zone in zones}:
+            return
+        if time.monotonic() > began + bound_s:
+            break
+        time.sleep(WAIT_POLL_S)
+    left = [f"zone {zone.zone}: {_tell_left(zone)}" for zone in zones if zone.zone not in told]
+    left += [f"host {silent}" for silent in view.silent]
+    raise cappa.Exit("\n".join(left), code=EXIT_SILENT)
+
+
+def _tell_left(zone: ZoneView) -> str:
+    return "silent" if zone.silent else f"still at offset {zone.offset}"
+
+
 def _find_record(log: Log, record_id: str) -> int | None:
     _, history = read_configuration(log)
     for entry, _verdict in history:
--- a/poplarrun/cli/_http.py
+++ b/poplarrun/cli/_http.py
@@ -1,8 +1,8 @@
 """HTTP to hosts, for the command line."""
 
+from dataclasses import dataclass
 from typing import Any
 
-import cappa
 import msgspec
 import urllib3
 
@@ -10,20 +10,28 @@
 OK = 200
 
 
-def get_json(address: str, path: str) -> Any:
-    """Read a JSON answer of a host.
+@dataclass(frozen=True, slots=True)
+class Silent:
+    """A host that gave no answer that can be read."""
 
-    Raises
-    ------
-    cappa.Exit
-        With code 1, when the host is silent or refuses.
-    """
+    address: str
+    reason: str
+
+    def __str__(self) -> str:
+        return f"{self.address}: {self.reason}"
+
+
+def get_json(address: str, path: str) -> Any | Silent:
+    """Read a JSON answer of a host."""
     try:
         response = urllib3.request(
             "GET", f"http://{address}{path}", timeout=TIMEOUT_S, retries=False
         )
     except urllib3.exceptions.HTTPError as error:
-        raise cappa.Exit(f"{address}: no answer ({type(error).__name__})", code=1) from error
+        return Silent(address, f"no answer ({type(error).__name__})")
     if response.status != OK:
-        raise cappa.Exit(f"{address}: {response.status} {response.data.decode()}", code=1)
-    return msgspec.json.decode(response.data)
+        return Silent(address, f"answered {response.status}")
+    try:
+        return msgspec.json.decode(response.data)
+    except msgspec.DecodeError:
+        return Silent(address, "the answer is not JSON; is this a poplarrun host?")
--- a/poplarrun/cli/_main.py
+++ b/poplarrun/cli/_main.py
@@ -4,12 +4,14 @@
 
 import cappa
 
+from poplarrun.cli._arguments import EXIT_CODES
 from poplarrun.cli._ask import Ask
 from poplarrun.cli._config import Config
 from poplarrun.cli._serve import Serve
 from poplarrun.cli._status import Explain, Status
 
 
+@cappa.command(description=EXIT_CODES)
 @dataclass
 class Poplarrun:
     """A model-aware router for versions and cascades."""
--- a/poplarrun/cli/_status.py
+++ b/poplarrun/cli/_status.py
@@ -4,76 +4,138 @@
 import time
 from dataclasses import dataclass
 from typing import Annotated, Any
+from urllib.parse import quote
 
 import cappa
+import msgspec
 
-from poplarrun.cli._http import get_json
+from poplarrun.cli._arguments import EXIT_FAILED, EXIT_SILENT, AsJson, HostAddresses
+from poplarrun.cli._http import Silent, get_json
+from poplarrun.cli._views import FleetView, ask_fleet
 
 WATCH_PERIOD_S = 1.0
-
-Hosts = Annotated[str, cappa.Arg(long=True, help="ip:port of hosts, separated by commas")]
+CLEAR_SCREEN = "\x1b[2J\x1b[H"
 
 
 @dataclass
 class Status:
-    """Show hosts, zones, the offset in force, endpoints and refusals."""
+    """Show zones with the offset in force, hosts, endpoints, roll-outs and refusals."""
 
-    hosts: Hosts
-    json: Annotated[bool, cappa.Arg(long=True)] = False
-    watch: Annotated[bool, cappa.Arg(long=True)] = False
+    hosts: HostAddresses
+    json: AsJson = False
+    watch: Annotated[
+        bool, cappa.Arg(long=True, help="Show it anew every second until interrupted.")
+    ] = False
 
     def __call__(self) -> None:
-        """Print the status, once or for ever."""
+        """Print the status, once or until interrupted."""
         while True:
-            statuses = [_read_status(address) for address in self.hosts.split(",")]
-            print(json.dumps(statuses, indent=2) if self.json else _table(statuses))
+            view = ask_fleet(self.hosts)
+            if self.watch:
+                print(CLEAR_SCREEN, end="")
+            print(_encode_view(view) if self.json else render_view(view), flush=True)
             if not self.watch:
-                return
+                break
             time.sleep(WATCH_PERIOD_S)
+        if not view.hosts:
+            raise cappa.Exit("no host answered", code=EXIT_FAILED)
+        if view.silent:
+            raise cappa.Exit(code=EXIT_SILENT)
 
 
 @dataclass
 class Explain:
     """Show why a request went where it went."""
 
-    request_id: str
-    hosts: Hosts
+    request_id: Annotated[str, cappa.Arg(help="The X-Request-Id of its answer.")]
+    hosts: HostAddresses
+    json: AsJson = False
 
     def __call__(self) -> None:
         """Ask each host until one knows the request."""
-        for address in self.hosts.split(","):
-            try:
-                found = get_json(address, f"/explain?request_id={self.request_id}")
-            except cappa.Exit:
-                continue
-            print(json.dumps(found, indent=2))
-            return
-        raise cappa.Exit(f"no host knows {self.request_id}", code=1)
-
-
-def _read_status(address: str) -> dict[str, Any]:
-    try:
-        return {"address": address, **get_json(address, "/status")}
-    except cappa.Exit as silent:
-        return {"address": address, "silent": str(silent.message)}
-
-
-def _table(statuses: list[dict[str, Any]]) -> str:
-    lines = [f"{'HOST':<16}{'ZONE':<8}{'READY':<7}{'OFFSET':>7}{'LOG AGE':>9}{'OPEN':>6}"]
-    for status in statuses:
-        if "silent" in status:
-            lines.append(f"{status['address']:<16}silent")
+        for address in self.hosts:
+            found = get_json(address, f"/explain?request_id={quote(self.request_id)}")
+            if not isinstance(found, Silent):
+                print(json.dumps(found, indent=2) if self.json else _render_fields(found))
+                return
+        message = f"no host that answers knows {self.request_id}; each keeps its newest 2,000"
+        raise cappa.Exit(message, code=EXIT_FAILED)
+
+
+def _encode_view(view: FleetView) -> str:
+    whole = {
+        "zones": view.zones(),
+        "hosts": view.hosts,
+        "silent": view.silent,
+        "refusals": view.refusals(),
+    }
+    return msgspec.json.format(msgspec.json.encode(whole)).decode()
+
+
+def render_view(view: FleetView) -> str:
+    """Write the view as tables for people."""
+    tables = [_zone_rows(view), _host_rows(view)]
+    if view.hosts:
+        tables += [_endpoint_rows(view), _rollout_rows(view), _refusal_rows(view)]
+    return "\n\n".join(_render_table(rows) for rows in tables if len(rows) > 1)
+
+
+def _zone_rows(view: FleetView) -> list[list[str]]:
+    rows = [["ZONE", "OFFSET", "HOSTS ANSWERED", "STATE"]]
+    for zone in view.zones():
+        offset = "unknown" if zone.offset is None else str(zone.offset)
+        rows.append([zone.zone, offset, str(zone.answered), "silent" if zone.silent else "heard"])
+    return rows
+
+
+def _host_rows(view: FleetView) -> list[list[str]]:
+    rows = [["HOST", "ZONE", "READY", "OFFSET", "LOG AGE", "OPEN"]]
+    for status in view.hosts:
+        ready = "yes" if status.ready else "no"
+        age = f"{status.log_age_s:.1f} s"
+        offset, open_requests = str(status.offset), str(status.open_requests)
+        rows.append([status.host, status.zone, ready, offset, age, open_requests])
+    rows += [[silent.address, "-", "silent", "-", "-", silent.reason] for silent in view.silent]
+    return rows
+
+
+def _endpoint_rows(view: FleetView) -> list[list[str]]:
+    rows = [["ENDPOINT", "ZONE", "STATE", "LOAD", "VERSIONS"]]
+    for endpoint in view.hosts[0].endpoints:
+        load = f"{endpoint.load:.2f}"
+        versions = " ".join(endpoint.versions) or "-"
+        rows.append([endpoint.name, endpoint.zone, endpoint.state, load, versions])
+    return rows
+
+
+def _rollout_rows(view: FleetView) -> list[list[str]]:
+    rows = [["ROLL-OUT", "CLASS", "STAGE", "EXPOSURE", "STATE"]]
+    for rollout in view.hosts[0].rollouts:
+        stage, exposure = str(rollout.stage), str(rollout.exposure)
+        rows.append([rollout.version, rollout.work_class, stage, exposure, rollout.state])
+    rows += [[str(v), "-", "-", "-", "withdrawn"] for v in view.hosts[0].withdrawn]
+    return rows
+
+
+def _refusal_rows(view: FleetView) -> list[list[str]]:
+    rows = [["REFUSED BECAUSE", "COUNT"]]
+    return rows + [[kind, str(count)] for kind, count in view.refusals().most_common()]
+
+
+def _render_table(rows: list[list[str]]) -> str:
+    widths = [max(len(row[i]) for row in rows) for i in range(len(rows[0]))]
+    lines = ["  ".join(cell.ljust(w) for cell, w in zip(row, widths, strict=True)) for row in rows]
+    return "\n".join(line.rstrip() for line in lines)
+
+
+def _render_fields(fields: dict[str, Any]) -> str:
+    lines = []
+    for name, value in fields.items():
+        label = name.replace("_", " ")
+        if isinstance(value, list):
+            lines += [f"{label}:", *(f"  {item}" for item in value)]
             continue
-        lines.append(
-            f"{status['host']:<16}{status['zone']:<8}{status['ready']!s:<7}"
-            f"{status['offset']:>7}{status['log_age_s']:>9.1f}{status['open_requests']:>6}"
-        )
-    answering = [status for status in statuses if "silent" not in status]
-    if answering:
-        lines += ["", f"{'ENDPOINT':<16}{'ZONE':<8}{'STATE':<9}{'LOAD':>6}  VERSIONS"]
-    for endpoint in answering[0]["endpoints"] if answering else []:
-        lines.append(
-            f"{endpoint['name']:<16}{endpoint['zone']:<8}{endpoint['state']:<9}"
-            f"{endpoint['load']:>6.2f}  {' '.join(endpoint['versions'])}"
-        )
+        if isinstance(value, dict):
+            value = ", ".join(f"{key} {item}" for key, item in value.items())
+        lines.append(f"{label}: {value}")
     return "\n".join(lines)
--- a/poplarrun/server/__init__.py
+++ b/poplarrun/server/__init__.py
@@ -3,5 +3,6 @@
 from poplarrun.server._crossing import Crossing, CrossingClosed
 from poplarrun.server._daemon import Daemon, run_daemon
 from poplarrun.server._host import EntryHost
+from poplarrun.server._messages import HostStatus
 
-__all__ = ["Crossing", "CrossingClosed", "Daemon", "EntryHost", "run_daemon"]
+__all__ = ["Crossing", "CrossingClosed", "Daemon", "EntryHost", "HostStatus", "run_daemon"]
--- a/poplarrun/server/_host.py
+++ b/poplarrun/server/_host.py
@@ -265,6 +265,7 @@
             withdrawn=tuple(sorted(configuration.withdrawn)),
             refusals=dict(self.metrics.refusal_counts),
             zones=read_zones(self.peers),
+            rollouts=self._version_tasks.read_rollouts(),
         )
 
 
--- a/poplarrun/server/_messages.py
+++ b/poplarrun/server/_messages.py
@@ -73,6 +73,27 @@
     hosts: dict[str, str]
 
 
+@dataclass(frozen=True, slots=True)
+class RolloutStatus:
+    """Where the roll-out of a version in a class stands.
+
+    Attributes
+    ----------
+    stage : int
+        Stage of the last grant.
+    exposure : int
+        Requests granted so far, over all hosts.
+    state : str
+        ``growing``, ``serving`` or why it was rejected.
+    """
+
+    version: str
+    work_class: str
+    stage: int
+    exposure: int
+    state: str
+
+
 @dataclass(frozen=True, slots=True)
 class HostStatus:
     """What one host knows.
@@ -96,3 +117,4 @@
     withdrawn: tuple[VersionId, ...]
     refusals: dict[str, int]
     zones: tuple[ZoneStatus, ...]
+    rollouts: tuple[RolloutStatus, ...] = ()
--- a/poplarrun/server/_version_tasks.py
+++ b/poplarrun/server/_version_tasks.py
@@ -13,6 +13,7 @@
 from poplarrun.logs import part_logger
 from poplarrun.metrics import Metrics
 from poplarrun.platform import Ratings, RatingsUnavailable
+from poplarrun.server._messages import RolloutStatus
 from poplarrun.versions import ROLLOUTS_STREAM, SampledAnswer, Versions, encode_rollout
 
 # Ratings that never come are given up, the oldest first.
@@ -63,6 +64,19 @@
         self._awaited: OrderedDict[str, SampledAnswer] = OrderedDict()
         self._log = part_logger("versions")
 
+    def read_rollouts(self) -> tuple[RolloutStatus, ...]:
+        """Tell where each roll-out stands, for operators."""
+        return tuple(
+            RolloutStatus(
+                version=str(key.version),
+                work_class=key.class_name,
+                stage=state.stage,
+                exposure=state.budget,
+                state=state.rejected or ("serving" if state.serves else "growing"),
+            )
+            for key, state in self._versions.rollouts.states.items()
+        )
+
     async def follow_rollouts(self) -> None:
         """Fold the roll-out records that came."""
         match await self._in_thread(self._reader.read_new):
--- /dev/null
+++ b/scripts/capacity.py
@@ -0,0 +1,195 @@
+"""Renders docs/CAPACITY.md from the committed measurements: ``make capacity``.
+
+A changed slope changes the page. What has no slope yet is said to be not
+measured; nothing is guessed.
+"""
+
+import json
+import statistics
+import sys
+from dataclasses import dataclass
+from pathlib import Path
+
+from bench.figures import MEASUREMENTS
+from scripts.capacity_roles import BUDGETS, FAILURES, INTRODUCTION, LIMITS, ROLES, SIZES, Measured
+
+ROOT = Path(__file__).resolve().parent.parent
+PAGE = ROOT / "docs" / "CAPACITY.md"
+NOT_MEASURED = "not measured"
+# With two points a line fits exactly, and says nothing of its error.
+POINTS_FOR_AN_ERROR = 3
+
+
+@dataclass(frozen=True)
+class Fit:
+    """A least-squares line, with the standard error of its slope."""
+
+    intercept: float
+    slope: float
+    slope_error: float | None
+
+    def at(self, size: float) -> float:
+        """Return the line's value at a size."""
+        return self.intercept + self.slope * size
+
+    def error_at(self, size: float) -> float | None:
+        """Return the error that the slope's own error makes at a size."""
+        return None if self.slope_error is None else self.slope_error * size
+
+
+@dataclass(frozen=True)
+class MeasuredSlope:
+    """One slope as a bench wrote it."""
+
+    bench: str
+    name: str
+    size: str
+    unit: str
+    points: tuple[tuple[float, float], ...]
+    command: str
+
+    @property
+    def fit(self) -> Fit:
+        """The line through the points."""
+        return fit_line(self.points)
+
+
+def fit_line(points: tuple[tuple[float, float], ...]) -> Fit:
+    """Fit a line by least squares."""
+    sizes = [size for size, _ in points]
+    values = [value for _, value in points]
+    slope, intercept = statistics.linear_regression(sizes, values)
+    if len(points) < POINTS_FOR_AN_ERROR:
+        return Fit(intercept, slope, None)
+    mean = statistics.fmean(sizes)
+    spread = sum((size - mean) ** 2 for size in sizes)
+    rest = sum((v - intercept - slope * s) ** 2 for s, v in points)
+    return Fit(intercept, slope, (rest / (len(points) - 2) / spread) ** 0.5)
+
+
+def read_slopes(folder: Path = MEASUREMENTS) -> dict[tuple[str, str], MeasuredSlope]:
+    """Read the slopes of all benches, by bench and name."""
+    slopes = {}
+    for path in sorted(folder.glob("*.jsonl")):
+        for line in path.read_text().splitlines():
+            found = json.loads(line)
+            if found.pop("kind") != "slope" or len(found["points"]) < 2:
+                continue
+            found["points"] = tuple((size, value) for size, value in found["points"])
+            slope = MeasuredSlope(**found)
+            slopes[(slope.bench, slope.name)] = slope
+    return slopes
+
+
+def show(value: float, unit: str, error: float | None = None) -> str:
+    """Write a value with three figures, and its error when it is known."""
+    text = _three_figures(value)
+    if error is not None and error >= abs(value) / 1000:
+        text += f" ± {_three_figures(error)}"
+    return f"{text} {unit}".strip()
+
+
+def _three_figures(value: float) -> str:
+    if abs(value) >= 1000:
+        return f"{value:,.0f}"
+    return f"{value:.3g}"
+
+
+class Page:
+    """The page's text, and the values that its cells stand for."""
+
+    def __init__(self, slopes: dict[tuple[str, str], MeasuredSlope]) -> None:
+        self._slopes = slopes
+
+    def value_of(self, measured: Measured) -> float | None:
+        """Extrapolate a measured cell; None without its slope."""
+        slope = self._slopes.get((measured.bench, measured.slope))
+        if slope is None:
+            return None
+        return slope.fit.at(SIZES[slope.size].value) * measured.factor
+
+    def cell(self, content: Measured | str | None) -> str:
+        """Write one cell."""
+        match content:
+            case None:
+                return NOT_MEASURED
+            case str():
+                return content
+        slope = self._slopes.get((content.bench, content.slope))
+        if slope is None:
+            return NOT_MEASURED
+        size = SIZES[slope.size].value
+        error = slope.fit.error_at(size)
+        scaled = None if error is None else error * content.factor
+        return show(slope.fit.at(size) * content.factor, content.unit or slope.unit, scaled)
+
+    def render(self) -> str:
+        """Return the whole page."""
+        parts = [INTRODUCTION, self._sizes(), self._roles(), self._budgets(), LIMITS]
+        parts += [self._failures(), self._all_slopes()]
+        return "\n\n".join(part.strip() for part in parts) + "\n"
+
+    def _sizes(self) -> str:
+        rows = [[name, show(size.value, ""), size.origin] for name, size in SIZES.items()]
+        return "## Sizes of one host\n\n" + table(["Size", "Value", "From"], rows)
+
+    def _roles(self) -> str:
+        texts = ["## Roles"]
+        for role in ROLES:
+            rows = [[name, self.cell(content)] for name, content in role.cells().items()]
+            texts.append(f"### {role.name}\n\n" + table(["", "At the two-year size"], rows))
+        return "\n\n".join(texts)
+
+    def _budgets(self) -> str:
+        rows = []
+        for budget in BUDGETS:
+            values = {name: self.value_of(m) for name, m in budget.parts.items()}
+            known = {name: value for name, value in values.items() if value is not None}
+            missing = [name for name, value in values.items() if value is None]
+            total = sum(known.values())
+            parts = ", ".join(f"{name} {_three_figures(v)}" for name, v in known.items())
+            verdict = budget.judge(total, missing)
+            rows.append([budget.name, show(budget.limit, budget.unit), parts or "-", verdict])
+        return "## Against the budget\n\n" + table(
+            ["Budget of one host", "Limit", "Measured parts", "Verdict"], rows
+        )
+
+    def _failures(self) -> str:
+        rows = [[f.event, f.load, f.messages, f.time] for f in FAILURES]
+        return "## Failures worked through\n\n" + table(
+            ["Event", "Load moved", "Messages", "Time"], rows
+        )
+
+    def _all_slopes(self) -> str:
+        rows = []
+        for slope in self._slopes.values():
+            fit = slope.fit
+            points = " ".join(f"({s:.4g}, {v:.4g})" for s, v in slope.points)
+            per = f"{slope.unit} per {slope.size}"
+            line = f"{fit.intercept:.3g} + {show(fit.slope, per, fit.slope_error)}"
+            size = SIZES.get(slope.size)
+            at = show(fit.at(size.value), slope.unit) if size else "no size given"
+            rows.append([slope.bench, slope.name, points, line, at, f"`{slope.command}`"])
+        head = ["Bench", "Slope", "Points", "Fit", "At the two-year size", "Command"]
+        return "## Every measured slope\n\n" + table(head, rows)
+
+
+def table(head: list[str], rows: list[list[str]]) -> str:
+    """Write a Markdown table."""
+    lines = [head, ["---"] * len(head), *rows]
+    return "\n".join("| " + " | ".join(line) + " |" for line in lines)
+
+
+def main() -> int:
+    """Write the page; with ``--check`` only compare it. Return the exit code."""
+    text = Page(read_slopes()).render()
+    if "--check" in sys.argv:
+        return 0 if PAGE.exists() and PAGE.read_text() == text else 1
+    PAGE.parent.mkdir(exist_ok=True)
+    PAGE.write_text(text)
+    print(f"wrote {PAGE.relative_to(ROOT)}")
+    return 0
+
+
+if __name__ == "__main__":
+    sys.exit(main())
--- /dev/null
+++ b/scripts/capacity_roles.py
@@ -0,0 +1,306 @@
+"""What docs/CAPACITY.md says: sizes, roles, budgets and failures.
+
+Cells are ``Measured``, extrapolated from a slope, or a text that is worked out
+from the sizes and the periods below; None is written as not measured.
+"""
+
+from dataclasses import dataclass, field
+
+HOSTS = 390
+ZONES = 7
+REGIONS = 2
+ENDPOINTS = 830
+VERSIONS = 26
+REQUESTS_PER_S = 3500
+TOKENS_PER_S = 1_500_000
+BETWEEN_TOKENS_S = 0.042
+CHANGES_PER_DAY = 910
+SECONDS_PER_DAY = 86_400
+HOST_REQUESTS_PER_S = REQUESTS_PER_S / HOSTS
+HOST_TOKENS_PER_S = TOKENS_PER_S / HOSTS
+HOST_STREAMS = HOST_TOKENS_PER_S * BETWEEN_TOKENS_S
+HOSTS_PER_ZONE = HOSTS / ZONES
+# Periods of the tasks of poplarrun/server/_host.py.
+LOAD_POLL_S = 0.25
+LOG_POLL_S = 0.25
+HOST_LIST_POLL_S = 0.5
+
+
+@dataclass(frozen=True)
+class Size:
+    """The value of a size at one host, and where it comes from."""
+
+    value: float
+    origin: str
+
+
+SIZES = {
+    "hosts": Size(HOSTS, "given"),
+    "endpoints": Size(ENDPOINTS, "given, all runners"),
+    "versions": Size(VERSIONS, "given"),
+    "requests/s": Size(HOST_REQUESTS_PER_S, f"{REQUESTS_PER_S} requests/s over {HOSTS} hosts"),
+    "tokens/s": Size(HOST_TOKENS_PER_S, f"{TOKENS_PER_S} tokens/s over {HOSTS} hosts"),
+    "open streams": Size(HOST_STREAMS, f"tokens/s x {BETWEEN_TOKENS_S} s between tokens"),
+}
+
+
+@dataclass(frozen=True)
+class Measured:
+    """A figure extrapolated from a measured slope, times a factor."""
+
+    bench: str
+    slope: str
+    factor: float = 1.0
+    unit: str = ""
+
+
+Cell = Measured | str | None
+
+
+@dataclass(frozen=True)
+class Role:
+    """One role of a host."""
+
+    name: str
+    mechanism: str
+    nearest_limit: str
+    state: Cell = None
+    messages: Cell = None
+    bytes_per_s: Cell = None
+    processor: Cell = None
+    memory: Cell = None
+    appends: Cell = None
+
+    def cells(self) -> dict[str, Cell]:
+        """Return the rows of the role's table."""
+        return {
+            "State": self.state,
+            "Messages a second": self.messages,
+            "Bytes a second": self.bytes_per_s,
+            "Processor": self.processor,
+            "Memory": self.memory,
+            "Log appends a second, all hosts": self.appends,
+            "Mechanism": self.mechanism,
+            "Nearest limit": self.nearest_limit,
+        }
+
+
+@dataclass(frozen=True)
+class Budget:
+    """One line of the budget, with the slopes that add up to it."""
+
+    name: str
+    limit: float
+    unit: str
+    parts: dict[str, Measured] = field(default_factory=dict)
+
+    def judge(self, total: float, missing: list[str]) -> str:
+        """Say whether it holds, and by how much it does not."""
+        if total > self.limit:
+            return f"does not hold: {total / self.limit:.1f} times the limit"
+        if missing or not self.parts:
+            return f"not settled: not measured {', '.join(missing) or 'at all'}"
+        return f"holds: {total / self.limit:.0%} of the limit"
+
+
+@dataclass(frozen=True)
+class Failure:
+    """An event, and what it moves."""
+
+    event: str
+    load: str
+    messages: str
+    time: str
+
+
+LOAD_POLLS_PER_S = ENDPOINTS / LOAD_POLL_S
+LOG_READS_PER_S = 1 / LOG_POLL_S
+
+ROLES = (
+    Role(
+        "Entry (callers' data path)",
+        "CherryPy's threads carry bytes, one asyncio loop decides, urllib3 to endpoints",
+        "the interpreter lock of one process: one core carries all threads of a host",
+        state=f"{HOST_STREAMS:.0f} open streams, 2,000 explanations",
+        messages=f"{HOST_REQUESTS_PER_S:.1f} requests, {HOST_TOKENS_PER_S:,.0f} token events",
+        processor=Measured("path", "cores_by_tokens"),
+        memory=Measured("path", "memory_by_streams"),
+        appends="0: no record per request",
+    ),
+    Role(
+        "Entry (knowing the endpoints)",
+        f"polls each engine's load every {LOAD_POLL_S} s, choice by corrected load and prefix",
+        "polling grows with the endpoints; it needs zone-wise sharing of reports before 830",
+        state=Measured("load", "endpoint table"),
+        messages=f"{LOAD_POLLS_PER_S:,.0f} load reports at {ENDPOINTS} engines",
+        bytes_per_s=Measured("path", "poll_bytes_by_endpoints"),
+        processor=Measured("path", "cores_by_endpoints"),
+        memory=Measured("path", "memory_by_endpoints"),
+        appends="0",
+    ),
+    Role(
+        "Configuration",
+        "every host tails one log stream and folds it; publications are whole small records",
+        f"{HOSTS} hosts x {LOG_READS_PER_S:.0f} reads a second at the log service",
+        state="one document, at most 1 MB",
+        messages=f"{LOG_READS_PER_S:.0f} log reads, {1 / HOST_LIST_POLL_S:.0f} host list reads",
+        appends=f"{CHANGES_PER_DAY / SECONDS_PER_DAY:.3f} ({CHANGES_PER_DAY} changes a day)",
+    ),
+    Role(
+        "Roll-out steward",
+        "one owner a version by rendezvous hashing; always-valid tests over merged summaries",
+        "the evidence of every host has to reach the steward",
+        state=Measured("versions", "evidence summary of a host, 3 classes"),
+        processor=Measured(
+            "versions", "choice, median", factor=HOST_REQUESTS_PER_S / 1e6, unit="cores"
+        ),
+    ),
+    Role(
+        "Shard owner of claims",
+        "32 streams by hash of the key; the owner group-commits, the fold decides",
+        "32 shards x 5 group commits a second = 160 appends a second while all are busy",
+        appends="at most 160, whatever the rate of keyed operations",
+    ),
+    Role(
+        "Shard owner of billing",
+        "batches to sharded streams, the fold drops repeats of a bill's id",
+        "not built when this page was made, or no slope committed",
+    ),
+    Role(
+        "Snapshot writer",
+        "the fold's state is published again well before the retention horizon",
+        "the largest record that the log service takes",
+    ),
+    Role(
+        "Membership in a zone",
+        "probes and suspicion between the hosts of one zone, announcements to three others",
+        "announcements grow with the fleet's changes, not with its size squared",
+        state=f"{HOSTS_PER_ZONE:.0f} members",
+        messages=Measured("hosts", "messages_by_hosts"),
+        bytes_per_s=Measured("hosts", "bytes_by_hosts"),
+        processor=Measured("hosts", "cores_by_hosts"),
+        memory=Measured("hosts", "memory_by_hosts"),
+        appends="0",
+    ),
+    Role(
+        "Link between zones and regions",
+        "a few hosts of each zone carry its digest to the other zones",
+        "a zone's digest grows with its hosts; the budget of summaries is 2,000 bytes a second",
+    ),
+    Role(
+        "Operators' tool",
+        "folds the configuration stream itself; asks hosts for their status",
+        f"`status` asks every host it is given, {HOSTS} at worst, one after the other",
+        messages="one read of the stream and one append a publication",
+        appends=f"{CHANGES_PER_DAY / SECONDS_PER_DAY:.3f}, the same as configuration",
+    ),
+)
+
+BUDGETS = (
+    Budget(
+        "Control: processor (4.8% of a core)",
+        0.048,
+        "cores",
+        {
+            "knowing the endpoints": Measured("path", "cores_by_endpoints"),
+            "membership": Measured("hosts", "cores_by_hosts"),
+        },
+    ),
+    Budget(
+        "Control: memory",
+        128.0,
+        "MB",
+        {
+            "process with its endpoints": Measured("path", "memory_by_endpoints"),
+            "membership": Measured("hosts", "memory_by_hosts"),
+        },
+    ),
+    Budget(
+        "Control: bytes a second (9 KB)",
+        9000.0,
+        "bytes/s",
+        {
+            "load reports": Measured("path", "poll_bytes_by_endpoints"),
+            "membership": Measured("hosts", "bytes_by_hosts"),
+        },
+    ),
+    Budget(
+        "Configuration in force",
+        11.0,
+        "s",
+        {"in force": Measured("hosts", "in_force_by_hosts")},
+    ),
+    Budget(
+        "Log appends, all hosts (several hundred; 300 taken)",
+        300.0,
+        "appends/s",
+        {
+            "claims": Measured("outcomes", "appends_by_operations"),
+            "billing": Measured("outcomes", "bill_appends_by_requests"),
+        },
+    ),
+)
+
+INTRODUCTION = f"""
+# Capacity at the two-year size
+
+Rendered by `make capacity` from `bench/measurements/*.jsonl`; don't edit it by hand. The size is
+{HOSTS} hosts before {ENDPOINTS} runners, {REQUESTS_PER_S:,} requests and {TOKENS_PER_S:,} tokens a
+second, {VERSIONS} models and versions, {REGIONS} regions with {ZONES} zones, {CHANGES_PER_DAY}
+changes of configuration a day. Every figure is extrapolated from a measured slope (last table:
+points, fit, standard error, command; the commit that holds this page holds the measurement files),
+or worked out from the sizes and from periods in the code. A cell without a slope says
+"not measured". The figures come from one busy virtual machine with small stand-ins: they show
+how cost grows, not what a given host will spend.
+"""
+
+LIMITS = f"""
+## What does not hold, and what would change it
+
+- **Load reports.** Each host polls each engine every {LOAD_POLL_S} s: at {ENDPOINTS} engines that
+  is {LOAD_POLLS_PER_S:,.0f} calls a second a host and {LOAD_POLLS_PER_S * HOSTS:,.0f} in all. It is
+  right for six engines and impossible at the two-year size. The change: the hosts of a zone divide
+  the zone's engines by rendezvous hashing, poll only their share, and pass reports on in the
+  summaries that membership already carries; an engine's load then costs one poll, not one a host.
+- **Log reads.** {HOSTS} hosts that poll a stream every {LOG_POLL_S} s make
+  {HOSTS * LOG_READS_PER_S:,.0f} reads a second. Peers already pass on the offset in force: hosts
+  should read only on a newer digest, with a slow poll as the fallback.
+- **Data path.** One process carries a host's streams under one interpreter lock. The slope of
+  processor time by tokens says how near {HOST_TOKENS_PER_S:,.0f} tokens a second come to a core.
+"""
+
+_SHARE = HOST_REQUESTS_PER_S / (HOSTS_PER_ZONE - 1)
+_ZONE_REQUESTS = REQUESTS_PER_S / ZONES
+
+FAILURES = (
+    Failure(
+        "One host fails (7 on an ordinary day)",
+        f"{HOST_REQUESTS_PER_S:.1f} requests/s over the other {HOSTS_PER_ZONE - 1:.0f} hosts of "
+        f"the zone, {_SHARE:.2f} more each; {HOST_STREAMS:.0f} open streams break, callers ask "
+        "again",
+        "one announcement passes through the fleet; 32 claim shards and the roll-outs that it "
+        "owned move",
+        "about 4.5 s: suspicion of 3 s after probes of 0.5 to 1.5 s (periods in the code; see "
+        "hosts)",
+    ),
+    Failure(
+        "330 hosts restarted or replaced in a day",
+        f"one every {SECONDS_PER_DAY / 330:.0f} s; a planned stop cuts off no stream",
+        f"330 joins and 330 leaves: {660 / SECONDS_PER_DAY * 1000:.1f} announcements in 1000 s",
+        "a stop waits up to 60 s for its streams; a start reads the configuration's stream",
+    ),
+    Failure(
+        "A zone is lost (every other month)",
+        f"{_ZONE_REQUESTS:.0f} requests/s and {TOKENS_PER_S / ZONES:,.0f} tokens/s over "
+        f"{HOSTS - HOSTS_PER_ZONE:.0f} hosts: {1 / (ZONES - 1):.0%} more each, "
+        f"{HOST_TOKENS_PER_S * ZONES / (ZONES - 1):,.0f} tokens/s",
+        f"{HOSTS_PER_ZONE:.0f} announcements in each other zone, in batches",
+        "a zone is taken as silent after 6 s (period in the code)",
+    ),
+    Failure(
+        "The link between the regions is lost (minutes)",
+        "none: each region has its own hosts and endpoints",
+        "digests between the regions stop; the region without the log refuses keyed operations",
+        "configuration of the cut-off region stands still until the link is back",
+    ),
+)
