Check the closed list of errors, and log broken attempts with their id

Cause: no test walked the error kinds, the callers' page did not exist, and no log line told of a request. Change: features/errors.feature checks that each kind has an answer and a counter, that the metrics parse, that border refusals name their field and add up, and that no key or prompt is logged. docs/CALLERS.md holds the table, written by scripts.error_table and compared by the feature. Broken attempts are logged with the request's id.

--- /dev/null
+++ b/features/steps/errors.py
@@ -0,0 +1,123 @@
+import json
+
+import urllib3
+from behave import then, when
+from prometheus_client.parser import text_string_to_metric_families
+
+from poplarrun.errors import ANSWERS, ErrorKind, NotRun, answer_for
+from poplarrun.metrics import Metrics
+from scripts.error_table import CALLERS_PAGE, render_error_table
+
+COMES_BACK = {409, 429, 502, 503}
+SECRET_PROMPT = "zyzzyva-prompt"
+KNOWN_KEY = "borough-north-key"
+WRONG_KEY = "wrong-key-qwertz"
+
+
+def post(context, host, body, key=KNOWN_KEY, **more):
+    return urllib3.request(
+        "POST",
+        f"http://{context.fleet.hosts[host].address}/v1/chat/completions",
+        body=body,
+        headers={"Authorization": f"Bearer {key}", "Content-Type": "application/json"},
+        retries=False,
+        **more,
+    )
+
+
+@then("every error kind has a status, a type and a not_run mark")
+def step_table(context):
+    assert set(ANSWERS) == set(ErrorKind)
+    for kind in ErrorKind:
+        answer = answer_for(kind)
+        assert 400 <= answer.status <= 599 and answer.type, kind
+        assert isinstance(answer.not_run, NotRun), kind
+
+
+@then("every kind that says when to come back answers 409, 429, 502 or 503")
+def step_come_back(context):
+    told = {kind for kind in ErrorKind if answer_for(kind).retry_after_s is not None}
+    assert told
+    assert {answer_for(kind).status for kind in told} <= COMES_BACK
+
+
+@then("docs/CALLERS.md holds the table of error kinds")
+def step_callers_page(context):
+    assert render_error_table() in CALLERS_PAGE.read_text()
+
+
+@when("every error kind is refused once")
+def step_refuse_all(context):
+    context.metrics = Metrics()
+    for kind in ErrorKind:
+        context.metrics.count_refusal(kind)
+
+
+@then("the Prometheus text counts each kind once")
+def step_parse_metrics(context):
+    families = text_string_to_metric_families(context.metrics.render().decode())
+    samples = [sample for family in families for sample in family.samples]
+    counted = {
+        sample.labels["kind"]: sample.value
+        for sample in samples
+        if sample.name == "poplarrun_refusals_total"
+    }
+    assert counted == {kind.value: 1.0 for kind in ErrorKind}, counted
+
+
+@when('a caller sends these bodies to host "{host}"')
+def step_bodies(context, host):
+    before = context.fleet.hosts[host].status()["refusals"]
+    context.refusals_before = sum(before.values())
+    context.refusals_seen = 0
+    for row in context.table:
+        response = post(context, host, row["body"].encode())
+        error = json.loads(response.data)["error"]
+        assert response.status == int(row["status"]), (row["body"], response.data)
+        assert (error["code"], error["not_run"]) == (row["code"], "yes"), error
+        assert error["param"] == row["param"], error
+        context.refusals_seen += 1
+
+
+@then('the refusal counters of host "{host}" add up to what the caller saw')
+def step_add_up(context, host):
+    counted = sum(context.fleet.hosts[host].status()["refusals"].values())
+    assert counted - context.refusals_before == context.refusals_seen
+    response = urllib3.request("GET", f"http://{context.fleet.hosts[host].address}/metrics")
+    assert list(text_string_to_metric_families(response.data.decode()))
+
+
+@when('a caller with a secret prompt asks host "{host}" and breaks off')
+def step_secret(context, host):
+    message = {"role": "user", "content": SECRET_PROMPT}
+    for endpoint in ("engine-a", "engine-b", "engine-c"):
+        context.fleet.endpoints[endpoint].set_faults(die_after_tokens=3, break_streams=1)
+    body = json.dumps({"model": "note", "messages": [message]}).encode()
+    context.secret_response = post(context, host, body)
+    body = json.dumps({"model": "note", "stream": True, "messages": [message]}).encode()
+    response = post(context, host, body, preload_content=False)
+    response.read1(1)
+    response.close()
+
+
+@when('a caller sends an unknown key to host "{host}"')
+def step_wrong_key(context, host):
+    message = {"role": "user", "content": SECRET_PROMPT}
+    body = json.dumps({"model": "note", "messages": [message]}).encode()
+    assert post(context, host, body, key=WRONG_KEY).status == 401
+
+
+@then("no log of the hosts holds the keys or the prompt")
+def step_no_secrets(context):
+    context.log_text = "".join(host.log_file.read_text() for host in context.fleet.hosts.values())
+    assert context.log_text
+    for secret in (SECRET_PROMPT, KNOWN_KEY, WRONG_KEY):
+        assert secret not in context.log_text, secret
+
+
+@then("each log line about a request carries its id")
+def step_request_ids(context):
+    lines = [json.loads(line) for line in context.log_text.splitlines()]
+    about = [line for line in lines if line["message"].startswith(("chats:", "operations:"))]
+    assert about
+    assert all(line["request_id"].startswith("req-") for line in about), about
--- a/poplarrun/server/_chats.py
+++ b/poplarrun/server/_chats.py
@@ -7,10 +7,13 @@
 from poplarrun.answers import Reassembly
 from poplarrun.contracts import VersionId
 from poplarrun.errors import Refusal
+from poplarrun.logs import part_logger
 from poplarrun.platform import Answer, Chunk, Engine, EngineCall, EngineFailed, Usage
 from poplarrun.router import AttemptFailed, BeginChat, ChatGrant, EndChat, FirstToken
 from poplarrun.server._crossing import Crossing
 
+_log = part_logger("chats")
+
 
 def new_request_id() -> str:
     """Return an id that no other request has."""
@@ -119,9 +122,11 @@
                         return broken
 
     def _go_on(self, failed: EngineFailed) -> BrokenAnswer | None:
+        request_id = self._request.request_id
+        _log.warning("An attempt broke.", extra={"request_id": request_id, "reason": failed.reason})
         self._reassembly.drop_held()
         position = self._reassembly.next_position
-        failure = AttemptFailed(self._request.request_id, failed.started, failed.reason, position)
+        failure = AttemptFailed(request_id, failed.started, failed.reason, position)
         match self._crossing.ask(failure):
             case ChatGrant() as grant:
                 self._open(grant)
--- a/poplarrun/server/_daemon.py
+++ b/poplarrun/server/_daemon.py
@@ -11,7 +11,7 @@
 from poplarrun.logs import part_logger, set_up_logs
 from poplarrun.platform import HttpEngine, HttpHostList, HttpLog, HttpRatings, HttpServiceCaller
 from poplarrun.server._bodies import render_error
-from poplarrun.server._callers import CallersApi
+from poplarrun.server._callers import REQUEST_ID_HEADER, CallersApi
 from poplarrun.server._crossing import Crossing
 from poplarrun.server._host import EntryHost
 from poplarrun.server._messages import Leave
@@ -116,7 +116,8 @@
 
 def _answer_internal_error() -> None:
     """Answer a fault of ours in the callers' error form, without a trace of it."""
-    part_logger("http").error("A handler failed.", exc_info=True)
+    request_id = cherrypy.response.headers.get(REQUEST_ID_HEADER)
+    part_logger("http").error("A handler failed.", exc_info=True, extra={"request_id": request_id})
     refusal = Refusal(ErrorKind.INTERNAL, "an internal error; the outcome is unknown")
     cherrypy.response.status = 500
     cherrypy.response.headers["Content-Type"] = "application/json"
--- a/poplarrun/server/_operations.py
+++ b/poplarrun/server/_operations.py
@@ -2,6 +2,7 @@
 
 from poplarrun.claims import Ran
 from poplarrun.errors import Refusal
+from poplarrun.logs import part_logger
 from poplarrun.platform import (
     PreparedCall,
     ServiceAnswer,
@@ -24,6 +25,8 @@
 # The loop bounds each step by the operation's own deadline.
 ANSWER_BOUND_S = 3600.0
 
+_log = part_logger("operations")
+
 
 class OperationRun:
     """Runs one call on the calling thread."""
@@ -70,5 +73,8 @@
                 return self._ask_on(CallFailed(request_id, reason))
 
     def _ask_on(self, failed: CallFailed) -> OperationGrant | Refusal:
+        _log.warning(
+            "A call broke.", extra={"request_id": failed.request_id, "reason": failed.reason}
+        )
         step: OperationGrant | Refusal = self._crossing.ask(failed)
         return step
