--- a/poplarrun/server/_http_server.py
+++ b/poplarrun/server/_http_server.py
@@ -9,6 +9,7 @@
 from poplarrun.errors import ErrorKind, Refusal
 from poplarrun.logs import part_logger
 from poplarrun.server._bodies import render_error
+from poplarrun.server._callers import REQUEST_ID_HEADER
 from poplarrun.settings import CallersTls, HostSettings
 
 REQUEST_QUEUE = 512
@@ -106,7 +107,8 @@
 
 def _answer_internal_error() -> None:
     """Answer a fault of ours in the callers' error form, without a trace of it."""
-    part_logger("http").error("A handler failed.", exc_info=True)
+    request_id = cherrypy.response.headers.get(REQUEST_ID_HEADER)
+    part_logger("http").error("A handler failed.", exc_info=True, extra={"request_id": request_id})
     refusal = Refusal(ErrorKind.INTERNAL, "an internal error; the outcome is unknown")
     cherrypy.response.status = 500
     cherrypy.response.headers["Content-Type"] = "application/json"
