--- a/features/steps/keyed_operations.py
+++ b/features/steps/keyed_operations.py
@@ -15,6 +15,7 @@
 HEADERS = {"Authorization": "Bearer borough-north-key", "Content-Type": "application/json"}
 ENDPOINTS = ["loan-records-a", "loan-records-b", "loan-records-c"]
 IN_PROGRESS = "operation_in_progress"
+REPEAT_S = 30.0
 ASK_AGAIN = (IN_PROGRESS, "operation_outcome_unknown", "log_unavailable")
 
 
@@ -37,7 +38,8 @@
 
 def correct_until(context, host, key, codes=(IN_PROGRESS,)):
     """Repeat while the answer is one that asks for it."""
-    for _ in range(100):
+    ends_at = time.monotonic() + REPEAT_S
+    while time.monotonic() < ends_at:
         response = correct(context, host, key)
         if response.status == 200 or error_of(response)["code"] not in codes:
             return response
--- a/poplarrun/billing/_keeper.py
+++ b/poplarrun/billing/_keeper.py
@@ -170,11 +170,11 @@
         self.kept[kept] += 1
         return kept
 
-    async def drain(self, timeout_s: float) -> None:
-        """Wait until the log holds every bill; what is left, peers finish."""
+    async def drain(self) -> None:
+        """Append what waits, once; what the log doesn't take, peers finish."""
         self._is_urgent.set()
         if self._flushing is not None:
-            await asyncio.wait([self._flushing], timeout=timeout_s)
+            await asyncio.wait([self._flushing])
 
     async def tend(self) -> None:
         """Tell peers what is new, and finish the bills of dead hosts."""
--- a/poplarrun/server/_host.py
+++ b/poplarrun/server/_host.py
@@ -4,17 +4,26 @@
 import logging
 import random
 import time
-from collections.abc import Callable, Coroutine
+from collections.abc import Awaitable, Callable, Coroutine
 from concurrent.futures import ThreadPoolExecutor
+from functools import partial
 from typing import Any, TypeVar
 
 from poplarrun.billing import Bill, BillKeeper
 from poplarrun.claims import ClaimKeeper
-from poplarrun.config import CONFIG_STREAM, Accepted, Configuration, Ignored, fold_entry
+from poplarrun.config import (
+    Accepted,
+    ConfigFollower,
+    Configuration,
+    Ignored,
+    Refused,
+    Verdict,
+)
 from poplarrun.endpoints import Endpoint, EndpointTable
 from poplarrun.errors import ErrorKind, Refusal
 from poplarrun.hosts import Peers
-from poplarrun.log import Gap, Log, ReadFailed, StreamReader, ThreadedLog
+from poplarrun.leases import LeaseKeeper
+from poplarrun.log import Log, ThreadedLog
 from poplarrun.logs import part_logger
 from poplarrun.metrics import Metrics
 from poplarrun.platform import (
@@ -48,21 +57,21 @@
     ReadReadiness,
     ReadStatus,
 )
-from poplarrun.server._peering import make_peers, publish_offset, read_zones
+from poplarrun.server._peering import keys_of, make_peers, publish_offset, read_zones
 from poplarrun.server._version_tasks import VersionTasks
 from poplarrun.settings import HostSettings
 from poplarrun.versions import Versions
 
-CONFIG_POLL_S = 0.25
 HOST_LIST_POLL_S = 0.5
 LOAD_POLL_S = 0.25
 TEND_CLAIMS_S = 60.0
 TEND_BILLS_S = 1.0
-LEAVE_BOUND_S = 5.0
+TEND_LEASES_S = 0.5
 ROLLOUTS_POLL_S = 0.25
 EVIDENCE_PERIOD_S = 1.0
 RATINGS_POLL_S = 0.25
 BLOCKING_THREADS = 32
+HAND_OVER_BOUND_S = 5.0
 
 T = TypeVar("T")
 
@@ -97,30 +106,66 @@
         self.settings = settings
         self.metrics = Metrics()
         self.peers = peers or make_peers(settings, self.metrics, clock)
+        self.leaving = False
         self.stopping = False
+        self.on_leave: list[Callable[[], Awaitable[None]]] = [
+            self.hand_leases_over,
+            self.drain_outcomes,
+        ]
         self._clock = clock
         self._host_list = host_list
         self._engine = engine
-        self._reader = StreamReader(log, CONFIG_STREAM)
         self._endpoints = EndpointTable(settings.zone, random.Random(settings.name))
         self._pool = ThreadPoolExecutor(BLOCKING_THREADS, thread_name_prefix="platform")
         self.claims = ClaimKeeper(self.peers, ThreadedLog(log, self._in_thread), clock, time.time)
         self.billing = BillKeeper(self.peers, ThreadedLog(log, self._in_thread), clock, time.time)
         versions = Versions(self.peers.me, random.Random(settings.name))
+        self.leases = LeaseKeeper(
+            ThreadedLog(log, self._in_thread),
+            self.peers,
+            self.metrics,
+            random.Random(settings.name),
+            clock,
+        )
         self.router = Router(self._endpoints, self.metrics, versions)
         self.router.operations.keeper = self.claims
         self.router.operations.peers = self.peers
         self._version_tasks = VersionTasks(
-            versions, self.peers, log, ratings, self.metrics, self._in_thread, clock
+            versions,
+            self.peers,
+            log,
+            ratings,
+            self.metrics,
+            self._in_thread,
+            clock,
+            keys_of(settings),
         )
         self._list_seen = False
-        self._log_answered_at = clock()
+        self.config = ConfigFollower(
+            log,
+            self.peers,
+            self.metrics,
+            self._in_thread,
+            self._note_config,
+            random.Random(settings.name),
+            clock,
+            keys=keys_of(settings),
+        )
         self._log = part_logger("host")
         self._tasks: list[asyncio.Task[None]] = []
 
     @property
     def is_ready(self) -> bool:
-        """Whether callers may come: a configuration is in force and endpoints are known."""
+        """Whether the balancer may send callers here."""
+        return self.takes_requests and not self.leaving
+
+    @property
+    def takes_requests(self) -> bool:
+        """Whether a request is served: a configuration is in force and endpoints are known.
+
+        A leaving host still serves: until the balancer has noticed, it goes
+        on sending callers here, who did nothing to be refused.
+        """
         has_configuration = self.router.context.configuration.offset >= 0
         return has_configuration and self._list_seen and not self.stopping
 
@@ -128,17 +173,20 @@
         """Start the parts' tasks; called on the loop."""
         self.peers.start()
         for step, period_s in (
-            (self._follow_config, CONFIG_POLL_S),
             (self._follow_host_list, HOST_LIST_POLL_S),
             (self._poll_loads, LOAD_POLL_S),
             (self.claims.tend, TEND_CLAIMS_S),
             (self.billing.tend, TEND_BILLS_S),
+            (self.leases.tend, TEND_LEASES_S),
             (self._version_tasks.follow_rollouts, ROLLOUTS_POLL_S),
             (self._version_tasks.exchange_evidence, EVIDENCE_PERIOD_S),
             (self._version_tasks.run_steward, ROLLOUTS_POLL_S),
             (self._version_tasks.rate_answers, RATINGS_POLL_S),
         ):
-            self._tasks.append(asyncio.get_running_loop().create_task(self._repeat(step, period_s)))
+            pause = partial(asyncio.sleep, period_s)
+            self._tasks.append(asyncio.get_running_loop().create_task(self._repeat(step, pause)))
+        follow = self._repeat(self._follow_config, self.config.wait)
+        self._tasks.append(asyncio.get_running_loop().create_task(follow))
 
     def handle(self, message: object) -> Any:
         """Answer one message; the only entry for other threads.
@@ -163,7 +211,7 @@
     def _answer(self, message: object) -> Any:
         now = self._clock()
         match message:
-            case BeginChat() | BeginOperation() if not self.is_ready:
+            case BeginChat() | BeginOperation() if not self.takes_requests:
                 return self._refuse_unready()
             case BeginChat() | BeginOperation() if self.billing.is_full:
                 return self._refuse_unbillable()
@@ -201,12 +249,9 @@
                 return self._leave()
         raise TypeError(f"no handler for {type(message).__name__}")
 
-    async def _leave(self) -> None:
-        """Put what is left into the log, and tell the other hosts of the stop."""
-        await asyncio.gather(self.claims.drain(LEAVE_BOUND_S), self.billing.drain(LEAVE_BOUND_S))
-        await self.peers.leave()
-
-    async def _repeat(self, step: Callable[[], Coroutine[Any, Any, None]], period_s: float) -> None:
+    async def _repeat(
+        self, step: Callable[[], Coroutine[Any, Any, None]], pause: Callable[[], Awaitable[None]]
+    ) -> None:
         """Run a task's step for ever; one failure must not end the task.
 
         A task that died silently would leave this host routing on what it
@@ -218,32 +263,43 @@
             except Exception:
                 self.metrics.count_event("task_failed")
                 self._log.log(logging.ERROR, "A task failed.", exc_info=True)
-            await asyncio.sleep(period_s)
+            await pause()
+
+    async def drain_outcomes(self) -> None:
+        """Put outcomes and bills into the log; what it doesn't take, peers finish."""
+        await asyncio.gather(self.claims.drain(), self.billing.drain())
+
+    async def hand_leases_over(self) -> None:
+        """Hand the jobs of this host over."""
+        await self.leases.release_all()
+
+    async def _leave(self) -> None:
+        """Hand over what this host keeps, each part within a bound, then leave the others."""
+        for hand_over in self.on_leave:
+            try:
+                await asyncio.wait_for(hand_over(), HAND_OVER_BOUND_S)
+            except TimeoutError:
+                self.metrics.count_event("hand_over_timed_out")
+                self._log.warning("Not handed over.", extra={"part": hand_over.__name__})
+        await self.peers.leave()
 
     async def _in_thread(self, call: Callable[..., T], *arguments: Any) -> T:
         return await asyncio.get_running_loop().run_in_executor(self._pool, call, *arguments)
 
     async def _follow_config(self) -> None:
-        match await self._in_thread(self._reader.read_new):
-            case ReadFailed(reason=reason):
-                self.metrics.count_event("log_read_failed")
-                self._log.warning("The log did not answer.", extra={"reason": reason})
-            case Gap() as gap:
-                self.metrics.count_event("log_gap")
-                self._reader.next_offset = gap.horizon
-            case entries:
-                self._log_answered_at = self._clock()
-                for entry in entries:
-                    self._fold(entry)
-                publish_offset(self.peers, self.router.context.configuration.offset)
-
-    def _fold(self, entry: Any) -> None:
-        state, verdict = fold_entry(self.router.context.configuration, entry)
+        await self.config.follow()
+        publish_offset(self.peers, self.config.state.offset)
+
+    def _note_config(self, state: Configuration, verdict: Verdict) -> None:
+        """Put a new state of the configuration in force."""
         self.router.context.configuration = state
         self.router.context.versions.apply_configuration(state)
         match verdict:
             case Accepted(offset=offset):
                 self._log.info("Configuration in force.", extra={"offset": offset})
+            case Refused(reason=reason):
+                self.metrics.count_event("config_record_unsigned")
+                self._log.warning("Record refused.", extra={"reason": reason})
             case Ignored(reason=reason):
                 self._log.info("Record ignored.", extra={"reason": reason})
             case _:
@@ -294,12 +350,13 @@
             region=self.settings.region,
             ready=self.is_ready,
             offset=configuration.offset,
-            log_age_s=round(now - self._log_answered_at, 3),
+            log_age_s=round(now - self.config.log_answered_at, 3),
             open_requests=self.router.open_requests,
             endpoints=tuple(_endpoint_status(e, now) for e in self._endpoints.all()),
             withdrawn=tuple(sorted(configuration.withdrawn)),
             refusals=dict(self.metrics.refusal_counts),
             zones=read_zones(self.peers),
+            rollouts=self._version_tasks.read_rollouts(),
         )
 
 
