--- a/poplarrun/billing/_keeper.py
+++ b/poplarrun/billing/_keeper.py
@@ -3,7 +3,6 @@
 import asyncio
 import contextlib
 import enum
-from collections import Counter
 from collections.abc import Callable, Iterable
 
 import msgspec
@@ -19,6 +18,7 @@
 )
 from poplarrun.hosts import Peers, Ranking
 from poplarrun.log import Appended, AsyncLog
+from poplarrun.metrics import ignore_event
 
 KEEP_MESSAGE = "billing.keep"
 COPIES = 2
@@ -73,11 +73,11 @@
         The platform's log.
     now, wall : callable
         Seconds, monotonic and since the epoch.
+    count : callable
+        Counts an event by its name.
 
     Attributes
     ----------
-    kept : Counter of KeptBy
-        Final bills by what held them when their answers went out.
     appends, finished : int
         Appends made, and bills finished for dead hosts.
     """
@@ -88,14 +88,15 @@
         log: AsyncLog,
         now: Callable[[], float],
         wall: Callable[[], float],
+        count: Callable[[str], None] = ignore_event,
     ) -> None:
-        self.kept: Counter[KeptBy] = Counter()
         self.appends = 0
         self.finished = 0
         self._peers = peers
         self._log = log
         self._now = now
         self._wall = wall
+        self._count = count
         self._shard = shard_of(peers.me.name)
         # Requests of this host that run; those that no peer knows of yet.
         self._open: dict[str, Bill] = {}
@@ -167,7 +168,7 @@
         else:
             kept = KeptBy.HOST_ALONE
             self._alone[bill.id] = bill
-        self.kept[kept] += 1
+        self._count(f"bill_kept_by_{kept.value}")
         return kept
 
     async def drain(self) -> None:
@@ -247,6 +248,7 @@
             if bill.id not in queue:
                 queue[bill.id] = self._alone[bill.id] = bill
         self.finished += len(bills)
+        self._count("dead_host_finished")
         self._is_urgent.set()
 
     async def _copy(self, bills: list[Bill]) -> int:
@@ -346,6 +348,7 @@
         outcome = await self._log.append(stream_of(shard), encode_bills(bills))
         is_appended = isinstance(outcome, Appended)
         if not is_appended:
+            self._count("bill_append_failed")
             self._log_failed_until = self._now() + LOG_WAIT_S
         for bill in bills:
             if is_appended and queue.get(bill.id) is bill:
--- a/poplarrun/claims/_keeper.py
+++ b/poplarrun/claims/_keeper.py
@@ -2,7 +2,6 @@
 
 import asyncio
 from collections.abc import Callable
-from dataclasses import dataclass
 
 import msgspec
 
@@ -22,6 +21,7 @@
 from poplarrun.claims._shard import Shard
 from poplarrun.hosts import Peers, Ranking
 from poplarrun.log import AsyncLog
+from poplarrun.metrics import ignore_event
 
 APPEND_MESSAGE = "claims.append"
 FIND_MESSAGE = "claims.find"
@@ -61,15 +61,6 @@
     is_current: bool
 
 
-@dataclass
-class ClaimCounts:
-    """What a keeper did, for the metrics and the bench."""
-
-    forwarded: int = 0
-    owner_silent: int = 0
-    unsettled: int = 0
-
-
 _encode = msgspec.msgpack.Encoder().encode
 _append_decoder = msgspec.msgpack.Decoder(_Append)
 _find_decoder = msgspec.msgpack.Decoder(_Find)
@@ -88,6 +79,8 @@
         The platform's log.
     now, wall : callable
         Seconds, monotonic and since the epoch.
+    count : callable
+        Counts an event by its name.
     """
 
     def __init__(
@@ -96,13 +89,14 @@
         log: AsyncLog,
         now: Callable[[], float],
         wall: Callable[[], float],
+        count: Callable[[str], None] = ignore_event,
         retention_s: float = RETENTION_S,
     ) -> None:
-        self.counts = ClaimCounts()
         self._peers = peers
         self._log = log
         self._now = now
         self._wall = wall
+        self._count = count
         self._retention_s = retention_s
         self._shards: dict[int, Shard] = {}
         self._unsettled: dict[str, Outcome | Release] = {}
@@ -136,7 +130,7 @@
         if isinstance(verdict, Stored):
             raise TypeError("a claim is judged, not stored")
         if isinstance(verdict, Unsettled):
-            self.counts.unsettled += 1
+            self._count("claim_unsettled")
         return verdict
 
     def settle(self, record: Outcome | Release) -> None:
@@ -195,7 +189,7 @@
         When it is silent the same record is appended here. If both land, the
         fold drops the second by its id: the first decides, nothing runs twice.
         """
-        self.counts.forwarded += 1
+        self._count("claim_forwarded")
         message = _encode(_Append(record, timeout_s))
         answer = await self._peers.ask(owner, APPEND_MESSAGE, message, timeout_s)
         if isinstance(answer, bytes):
@@ -204,7 +198,7 @@
         return Unsettled(may_stand=True)
 
     def _note_silent(self, owner: str) -> None:
-        self.counts.owner_silent += 1
+        self._count("claim_owner_silent")
         self._silent_until[owner] = self._now() + SILENT_S
 
     async def _settle_all(self) -> None:
--- a/poplarrun/metrics/__init__.py
+++ b/poplarrun/metrics/__init__.py
@@ -1,5 +1,5 @@
 """Counters by reason, and latency quantiles."""
 
-from poplarrun.metrics._registry import Metrics
+from poplarrun.metrics._registry import Metrics, ignore_event
 
-__all__ = ["Metrics"]
+__all__ = ["Metrics", "ignore_event"]
--- a/poplarrun/metrics/_registry.py
+++ b/poplarrun/metrics/_registry.py
@@ -17,6 +17,10 @@
 QUANTILES = (50.0, 95.0, 99.0)
 
 
+def ignore_event(_: str) -> None:
+    """Count nothing: for parts that run without metrics."""
+
+
 class Metrics:
     """Counters and histograms of one host."""
 
--- a/poplarrun/server/_host.py
+++ b/poplarrun/server/_host.py
@@ -117,8 +117,10 @@
         self._engine = engine
         self._endpoints = EndpointTable(settings.zone, random.Random(settings.name))
         self._pool = ThreadPoolExecutor(BLOCKING_THREADS, thread_name_prefix="platform")
-        self.claims = ClaimKeeper(self.peers, ThreadedLog(log, self._in_thread), clock, time.time)
-        self.billing = BillKeeper(self.peers, ThreadedLog(log, self._in_thread), clock, time.time)
+        awaited_log = ThreadedLog(log, self._in_thread)
+        count = self.metrics.count_event
+        self.claims = ClaimKeeper(self.peers, awaited_log, clock, time.time, count)
+        self.billing = BillKeeper(self.peers, awaited_log, clock, time.time, count)
         versions = Versions(self.peers.me, random.Random(settings.name))
         self.leases = LeaseKeeper(
             ThreadedLog(log, self._in_thread),
@@ -357,6 +359,9 @@
             refusals=dict(self.metrics.refusal_counts),
             zones=read_zones(self.peers),
             rollouts=self._version_tasks.read_rollouts(),
+            bills_held=self.billing.size,
+            bills_waiting=self.billing.waiting,
+            outcomes_waiting=self.claims.unsettled,
         )
 
 
--- a/poplarrun/server/_messages.py
+++ b/poplarrun/server/_messages.py
@@ -104,6 +104,10 @@
         Configuration offset in force here.
     log_age_s : float
         Seconds since the log last answered.
+    bills_held, bills_waiting : int
+        Bills in memory here, and those of them that wait for the log.
+    outcomes_waiting : int
+        Outcomes and releases of operations that wait for the log.
     """
 
     host: str
@@ -118,3 +122,6 @@
     refusals: dict[str, int]
     zones: tuple[ZoneStatus, ...]
     rollouts: tuple[RolloutStatus, ...] = ()
+    bills_held: int = 0
+    bills_waiting: int = 0
+    outcomes_waiting: int = 0
--- a/standins/histories/_schedule.py
+++ b/standins/histories/_schedule.py
@@ -19,6 +19,8 @@
 FAULTS_END_S = 14.0
 QUIET_S = 26.0
 BILLING_S = 10.0
+# Copies of a bill beside that of its host.
+COPIES = 2
 # A holder must live for so long to append a bill or copy it anew: the longest
 # outage here (5 s), detection, and a batch.
 RECOPY_S = 8.0
@@ -256,10 +258,10 @@
 
 
 def _all_died(keep: Keep) -> bool:
-    """Tell whether every host that held a bill soon took its last step."""
+    """Tell whether three hosts held a bill, and each soon took its last step."""
     ends = [process.last_step_at for process in keep.holders if process.dead]
     is_soon = [end is not None and end < keep.at + RECOPY_S for end in ends]
-    return len(ends) == len(keep.holders) and all(is_soon)
+    return len(ends) == len(keep.holders) > COPIES and all(is_soon)
 
 
 def _drop_tasks(loop: VirtualLoop) -> None:
