Admit, hold or refuse chats before work starts; budget their retries

Cause: chats went to an engine whatever its queue, a broken one was sent again without bound, and every host polled every engine. Change: admission by importance and fair between accounts, a place that a request of this host leaves goes to the next in its queue, an AIMD limit on the waiting that own requests see, retries by a budget with jittered pauses. One host of the zone polls an engine and passes its load on.

--- a/bench/load_policies.py
+++ b/bench/load_policies.py
@@ -9,6 +9,7 @@
 from poplarrun.endpoints import Demand, EndpointTable, PoolSpeed
 from poplarrun.platform import CacheEvent, HostKind, HostState, ListedHost
 
+QUIET_LOAD = 0.7
 VERSION = VersionId("larch", "1")
 ZONES = ("a", "b", "c")
 
@@ -139,21 +140,21 @@
         self.table.pool(VERSION).speed = self.speed
         self._applied = -1
         self._heard = [0] * len(engines)
-        self._wait_s: dict[int, float] = {}
+        self._load: dict[int, float] = {}
 
     def choose(self, work: Work, now: float) -> int:
         """Return the engine's index."""
-        self._sync(now)
+        self.sync(now)
         demand = Demand(work.prompt_tokens, work.blocks)
         choice = self.table.choose_engine(VERSION, now, (), demand)
         assert choice is not None
         self.table.note_sent(choice.endpoint.name, now, VERSION, work.blocks)
-        self._wait_s[work.number] = choice.wait_s
+        self._load[work.number] = choice.load
         return int(choice.endpoint.name)
 
     def note_first(self, work: Work, now: float) -> None:
         """Hear that a first token came."""
-        if self._wait_s.pop(work.number, 1.0) == 0.0:
+        if self._load.pop(work.number, 1.0) < QUIET_LOAD:
             uncached = work.prompt_tokens - work.cached_tokens
             self.table.pool(VERSION).speed.note_first_token(uncached, now - work.at)
 
@@ -162,7 +163,8 @@
         self.table.note_ended(str(work.engine), now)
         self.table.pool(VERSION).speed.note_whole(work.end_at - work.first_at)
 
-    def _sync(self, now: float) -> None:
+    def sync(self, now: float) -> None:
+        """Apply the reports and cache events that are visible now."""
         number = self.reports.newest(now)
         if number <= self._applied:
             return
--- a/poplarrun/admission/_admission.py
+++ b/poplarrun/admission/_admission.py
@@ -4,12 +4,15 @@
 from collections.abc import Hashable
 from dataclasses import dataclass, field
 
+from poplarrun.admission._concurrency import AimdLimit
 from poplarrun.admission._queue import FairQueue, Ticket
 from poplarrun.errors import ErrorKind
 
-# Work that may wait at an endpoint, so that it never runs dry between two
-# reports. More would wait out of reach of importance and fairness.
-ENDPOINT_QUEUE_S = 0.25
+# Load of an endpoint, in requests for each place, up to which it gets more. What
+# waited there would be out of reach of importance and fairness.
+FULL_LOAD = 1.0
+# Share of the places kept free for more important work while some of it comes.
+RESERVED_SHARE = 0.05
 RATE_WINDOW_S = 2.0
 SHORTEST_RETRY_S = 0.2
 LONGEST_RETRY_S = 30.0
@@ -64,34 +67,39 @@
     ----------
     bound : int
         Most requests that wait at once.
+
+    Attributes
+    ----------
+    in_flight : int
+        Requests of this host at the version's endpoints.
     """
 
     def __init__(self, bound: int) -> None:
         self.queue = FairQueue(bound)
+        self.limit = AimdLimit()
+        self.in_flight = 0
         self.dropped: list[Ticket] = []
         self._starts = _Rate()
         self._arrivals: dict[int, _Rate] = {}
 
-    def offer(self, ticket: Ticket, endpoint_wait_s: float, now: float) -> Verdict:
+    def offer(self, ticket: Ticket, load: float, now: float) -> Verdict:
         """Decide on a new request.
 
         Parameters
         ----------
         ticket : Ticket
             The request.
-        endpoint_wait_s : float
-            Time that it would wait at the best endpoint found.
+        load : float
+            Load that the best endpoint found would have with it.
         now : float
             The time.
         """
         self._arrivals.setdefault(ticket.importance, _Rate()).note(now)
         ahead = self.queue.ahead_of(ticket.importance)
-        if ahead == 0 and endpoint_wait_s <= ENDPOINT_QUEUE_S:
+        if ahead == 0 and self.has_room(load, ticket.importance, now):
             self._starts.note(now)
             return Admitted()
         wait_s = self._forecast_wait(ahead, ticket.importance, now)
-        if ahead == 0:
-            wait_s = min(wait_s, endpoint_wait_s)
         if now + wait_s > ticket.start_by:
             late_s = now + wait_s - ticket.start_by
             return Refused(
@@ -111,6 +119,20 @@
         self.queue.push(ticket)
         return Held(wait_s)
 
+    def has_room(self, load: float, importance: int, now: float) -> bool:
+        """Tell whether an endpoint that would have this load may be given more."""
+        within = self.may_pass_on(load, importance, now)
+        return within and self.limit.has_room(self.in_flight)
+
+    def may_pass_on(self, load: float, importance: int, now: float) -> bool:
+        """Tell whether a place that became free may be used again."""
+        reserved = RESERVED_SHARE if self._higher_per_s(importance, now) > 0.0 else 0.0
+        return load <= FULL_LOAD - reserved
+
+    def note_wait(self, wait_s: float, now: float) -> None:
+        """Take in how long a request waited at its endpoint before it began."""
+        self.limit.note_wait(wait_s, self.in_flight, now)
+
     def start_next(self, now: float) -> Ticket:
         """Take the waiting request that starts now."""
         self._starts.note(now)
@@ -134,6 +156,9 @@
         self.dropped.clear()
         return given_up
 
+    def _higher_per_s(self, importance: int, now: float) -> float:
+        return sum(rate.per_s(now) for at, rate in self._arrivals.items() if at > importance)
+
     def _forecast_wait(self, ahead: int, importance: int, now: float) -> float:
         """Return the expected wait behind so many others.
 
@@ -141,7 +166,7 @@
         that they leave count.
         """
         starts = max(self._starts.per_s(now), 1.0 / RATE_WINDOW_S)
-        higher = sum(rate.per_s(now) for at, rate in self._arrivals.items() if at > importance)
+        higher = self._higher_per_s(importance, now)
         return (ahead + 1) / max(starts - higher, starts * LEAST_LEFT_SHARE)
 
 
--- a/poplarrun/admission/_queue.py
+++ b/poplarrun/admission/_queue.py
@@ -51,10 +51,15 @@
         lane.tickets.append(ticket)
         self.size += 1
 
+    def next_lane(self) -> _Lane:
+        waiting = [lane for lane in self.lanes.values() if lane.tickets]
+        return min(waiting, key=lambda lane: lane.start_tag)
+
+    def peek(self) -> Ticket:
+        return self.next_lane().tickets[0]
+
     def pop(self) -> Ticket:
-        waiting = [name for name, lane in self.lanes.items() if lane.tickets]
-        name = min(waiting, key=lambda name: self.lanes[name].start_tag)
-        lane = self.lanes[name]
+        lane = self.next_lane()
         ticket = lane.tickets.popleft()
         self.virtual_time = lane.start_tag
         lane.finish_tag = lane.start_tag + ticket.cost
@@ -113,6 +118,11 @@
         self._levels[lowest].remove(dropped)
         return dropped
 
+    def peek(self) -> Ticket:
+        """Return the ticket that starts next; the queue isn't empty."""
+        highest = max(at for at, level in self._levels.items() if level.size)
+        return self._levels[highest].peek()
+
     def pop(self) -> Ticket:
         """Take the ticket that starts next; the queue isn't empty."""
         highest = max(at for at, level in self._levels.items() if level.size)
--- a/poplarrun/endpoints/__init__.py
+++ b/poplarrun/endpoints/__init__.py
@@ -4,19 +4,24 @@
 from poplarrun.endpoints._endpoint import Endpoint, OthersModel
 from poplarrun.endpoints._pool import Pool, PoolSpeed
 from poplarrun.endpoints._prefix import PrefixIndex, PrefixMatch, home_of
+from poplarrun.endpoints._sharing import LOAD_TOPIC, LoadSharing, LoadSummary, merge_summaries
 from poplarrun.endpoints._table import EndpointTable
 
 __all__ = [
+    "LOAD_TOPIC",
     "NO_DEMAND",
     "Choice",
     "Chooser",
     "Demand",
     "Endpoint",
     "EndpointTable",
+    "LoadSharing",
+    "LoadSummary",
     "OthersModel",
     "Pool",
     "PoolSpeed",
     "PrefixIndex",
     "PrefixMatch",
     "home_of",
+    "merge_summaries",
 ]
--- a/poplarrun/endpoints/_choice.py
+++ b/poplarrun/endpoints/_choice.py
@@ -60,14 +60,25 @@
         Expected time in its queue, in seconds.
     first_token_s : float
         Expected time to the first token, queue and link included.
+    prefill_s : float
+        Expected time to compute the prompt.
     uncached_tokens : int
         Prompt tokens that it will have to compute.
+    load : float
+        Expected requests for each place of its batch.
     """
 
     endpoint: Endpoint
     wait_s: float
     first_token_s: float
+    prefill_s: float
     uncached_tokens: int
+    load: float
+
+    @property
+    def load_after(self) -> float:
+        """Expected load with this request."""
+        return self.load + 1.0 / self.endpoint.capacity
 
 
 @dataclass
@@ -77,7 +88,7 @@
     Attributes
     ----------
     link_s : dict of str to float
-        Round trip to another zone, in seconds.
+        Time of a short call to an endpoint of each zone, in seconds.
     """
 
     source: random.Random
@@ -123,7 +134,7 @@
         now: float,
     ) -> Choice | None:
         for endpoint in candidates:
-            choice = self._expect(endpoint, pool, demand, match, home, now)
+            choice = self.expect(endpoint, pool, demand, match, home, now)
             if best is None or choice.first_token_s < best.first_token_s:
                 best = choice
         return best
@@ -147,7 +158,7 @@
             if pool.may_draw(endpoint):
                 candidates.append(endpoint)
 
-    def _expect(
+    def expect(
         self,
         endpoint: Endpoint,
         pool: Pool,
@@ -156,6 +167,7 @@
         home: str | None,
         now: float,
     ) -> Choice:
+        """Return what is expected of one endpoint."""
         speed = pool.speed
         cached = match.cached.get(endpoint.name, 0.0)
         if endpoint.name == home:
@@ -168,7 +180,8 @@
         batch_s = requests / capacity * BATCH_COST_SHARE * speed.whole_s
         prefill_s = uncached * speed.prefill_s_per_token
         first_token_s = wait_s + batch_s + prefill_s + self._link(endpoint.zone)
-        return Choice(endpoint, wait_s, first_token_s, int(uncached))
+        load = requests / capacity
+        return Choice(endpoint, wait_s, first_token_s, prefill_s, int(uncached), load)
 
     def _warmth(self, endpoint: Endpoint, now: float) -> float:
         age_s = now - endpoint.known_since
@@ -179,4 +192,6 @@
     def _link(self, zone: str) -> float:
         if zone == self.zone:
             return 0.0
-        return self.link_s.get(zone, DEFAULT_LINK_S) + LINK_MARGIN_S
+        near_s = self.link_s.get(self.zone, 0.0)
+        far_s = self.link_s.get(zone, near_s + DEFAULT_LINK_S)
+        return max(0.0, far_s - near_s) + LINK_MARGIN_S
--- /dev/null
+++ b/poplarrun/endpoints/_sharing.py
@@ -0,0 +1,167 @@
+"""Who polls which endpoint, and how the reports spread between hosts."""
+
+import math
+from collections.abc import Sequence
+
+import msgspec
+
+from poplarrun.contracts import VersionId
+from poplarrun.endpoints._endpoint import Endpoint
+from poplarrun.endpoints._table import EndpointTable
+from poplarrun.hosts import Peers, SummaryTopic, rank_hosts
+from poplarrun.platform import HostKind
+
+# Polls of endpoints that another host usually polls: those heard of least
+# recently, so that no endpoint stays unknown when its usual host is silent.
+OTHERS_POLLED = 4
+# Engines of the own zone whose cache events this host follows.
+EVENTS_FOLLOWED = 8
+
+
+class EndpointLoad(msgspec.Struct, frozen=True, array_like=True):
+    """One endpoint's load, as the host that polls it passes it on."""
+
+    name: str
+    versions: list[str]
+    requests: int
+    capacity: int
+    age_s: float
+
+
+class VersionLoad(msgspec.Struct, frozen=True, array_like=True):
+    """Requests and places of all endpoints of a version that were summed up."""
+
+    requests: int
+    places: int
+
+
+class LoadSummary(msgspec.Struct, array_like=True):
+    """What one host says of the endpoints that it polls, or the sum over a zone.
+
+    Attributes
+    ----------
+    number : int
+        Counts the host's summaries.
+    endpoints : list of EndpointLoad
+        Left out of the sum over a zone, so that it stays small.
+    versions : dict of str to VersionLoad
+        Sums by version.
+    """
+
+    number: int
+    endpoints: list[EndpointLoad] = []
+    versions: dict[str, VersionLoad] = {}
+
+
+_decoder = msgspec.msgpack.Decoder(LoadSummary)
+
+
+def merge_summaries(payloads: Sequence[bytes]) -> bytes:
+    """Sum up summaries by version."""
+    versions: dict[str, VersionLoad] = {}
+    number = 0
+    for payload in payloads:
+        summary = _decoder.decode(payload)
+        number = max(number, summary.number)
+        for version, load in summary.versions.items():
+            sum_so_far = versions.get(version, VersionLoad(0, 0))
+            versions[version] = VersionLoad(
+                sum_so_far.requests + load.requests, sum_so_far.places + load.places
+            )
+    return msgspec.msgpack.encode(LoadSummary(number, [], versions))
+
+
+LOAD_TOPIC = SummaryTopic("endpoint-load", merge_summaries)
+
+
+class LoadSharing:
+    """The part of one host in the polling of endpoints.
+
+    Each endpoint is polled by the host that its own zone's hosts rank first;
+    the others hear of it in that host's summary. A fleet of hosts that each
+    polled every endpoint would spend its control bytes on polls alone.
+    """
+
+    def __init__(self, peers: Peers, table: EndpointTable) -> None:
+        self._peers = peers
+        self._table = table
+        self._number = 0
+        self._heard: dict[str, int] = {}
+        self._tried_at: dict[str, float] = {}
+        self.zone_loads: dict[str, dict[str, VersionLoad]] = {}
+
+    def list_polled(self, now: float) -> list[Endpoint]:
+        """Return the engines to poll now."""
+        engines = [e for e in self._table.all() if e.kind is HostKind.MODEL_ENGINE]
+        owned = [engine for engine in engines if self._owns(engine)]
+        names = {engine.name for engine in owned}
+        others = [engine for engine in engines if engine.name not in names]
+        # By the last try too: dead ones, which never answer, would otherwise
+        # always be the oldest and keep the rest from being polled.
+        others.sort(key=lambda e: max(e.true_at, self._tried_at.get(e.name, -math.inf)))
+        polled = others[:OTHERS_POLLED]
+        self._tried_at = {e.name: self._tried_at.get(e.name, -math.inf) for e in others}
+        self._tried_at.update((engine.name, now) for engine in polled)
+        return owned + polled
+
+    def list_followed(self) -> list[Endpoint]:
+        """Return the engines whose cache events this host follows."""
+        me = self._peers.me
+        near = [
+            e for e in self._table.all() if e.kind is HostKind.MODEL_ENGINE and e.zone == me.zone
+        ]
+        near.sort(
+            key=lambda engine: rank_hosts(engine.name, self._zone_hosts(me.zone)).index(me.name)
+        )
+        return near[:EVENTS_FOLLOWED]
+
+    def publish(self, now: float) -> None:
+        """Pass on the loads of the endpoints that this host polls."""
+        self._number += 1
+        summary = LoadSummary(self._number)
+        for endpoint in self._table.all():
+            if math.isfinite(endpoint.true_at) and self._owns(endpoint):
+                _add_load(summary, endpoint, now)
+        self._peers.publish(LOAD_TOPIC, msgspec.msgpack.encode(summary))
+
+    def take_in(self, now: float) -> None:
+        """Apply what the other hosts passed on since the last time."""
+        gathered = self._peers.gathered(LOAD_TOPIC)
+        for host, payload in gathered.own_zone.items():
+            if host != self._peers.me.name:
+                self._apply(host, _decoder.decode(payload), now)
+        self.zone_loads = {
+            zone: _decoder.decode(payload).versions
+            for zone, payload in gathered.other_zones.items()
+        }
+
+    def _apply(self, host: str, summary: LoadSummary, now: float) -> None:
+        # The summary carries ages, not times: clocks of hosts differ. Its age
+        # counts from when it was first seen here.
+        if self._heard.get(host) == summary.number:
+            return
+        self._heard[host] = summary.number
+        for load in summary.endpoints:
+            versions = frozenset(VersionId.parse(version) for version in load.versions)
+            self._table.apply_load(
+                load.name, versions, load.requests, load.capacity, now - load.age_s
+            )
+
+    def _owns(self, endpoint: Endpoint) -> bool:
+        hosts = self._zone_hosts(endpoint.zone) or [peer.name for peer in self._peers.live()]
+        return rank_hosts(endpoint.name, hosts)[:1] == [self._peers.me.name]
+
+    def _zone_hosts(self, zone: str) -> list[str]:
+        return [peer.name for peer in self._peers.live() if peer.zone == zone]
+
+
+def _add_load(summary: LoadSummary, endpoint: Endpoint, now: float) -> None:
+    names = sorted(str(version) for version in endpoint.versions)
+    requests = int(endpoint.reported)
+    age_s = round(now - endpoint.true_at, 3)
+    summary.endpoints.append(EndpointLoad(endpoint.name, names, requests, endpoint.capacity, age_s))
+    for name in names:
+        before = summary.versions.get(name, VersionLoad(0, 0))
+        summary.versions[name] = VersionLoad(
+            before.requests + requests, before.places + endpoint.capacity
+        )
--- a/poplarrun/endpoints/_table.py
+++ b/poplarrun/endpoints/_table.py
@@ -7,7 +7,7 @@
 from poplarrun.endpoints._choice import NO_DEMAND, Choice, Chooser, Demand
 from poplarrun.endpoints._endpoint import Endpoint
 from poplarrun.endpoints._pool import Pool
-from poplarrun.endpoints._prefix import PrefixIndex
+from poplarrun.endpoints._prefix import NO_MATCH, PrefixIndex
 from poplarrun.platform import CacheEvent, HostKind, HostState, ListedHost, LoadReport
 
 # A failed endpoint gets nothing for this time, doubled with each further failure.
@@ -18,6 +18,7 @@
 BUSY_REASONS = frozenset({"status_429", "status_503"})
 UNREACHABLE_REASONS = frozenset({"connect"})
 JITTER_SHARE = 0.2
+LINK_WEIGHT = 0.2
 
 
 class EndpointTable:
@@ -77,7 +78,10 @@
         self._pools_stale = True
 
     def apply_report(self, name: str, report: LoadReport, now: float) -> None:
-        """Take over an engine's load report."""
+        """Take over an engine's load report, which also shows that it can be reached."""
+        endpoint = self._endpoints.get(name)
+        if endpoint is not None and endpoint.unreachable:
+            self.note_success(name)
         versions = frozenset(VersionId.parse(version) for version in report.versions)
         self.apply_load(
             name, versions, report.running + report.waiting, report.capacity, now - report.age_s
@@ -101,6 +105,11 @@
         models = [self.pool(work).others for work in versions]
         endpoint.take_report(requests, capacity, true_at, models)
 
+    def note_link(self, zone: str, seconds: float) -> None:
+        """Take in how long a short call to an endpoint of a zone took."""
+        before = self.chooser.link_s.get(zone, seconds)
+        self.chooser.link_s[zone] = before + LINK_WEIGHT * (seconds - before)
+
     def apply_cache_events(self, name: str, events: Sequence[CacheEvent], now: float) -> None:
         """Take over an engine's cache events."""
         if name in self._endpoints:
@@ -165,6 +174,15 @@
             return None
         return self.chooser.choose(pool, version, demand, now, avoid, self._endpoints.get)
 
+    def choose_this(
+        self, version: VersionId, endpoint: Endpoint, now: float, demand: Demand = NO_DEMAND
+    ) -> Choice | None:
+        """Return what is expected of one endpoint, if it may get new work."""
+        pool = self._current_pool(version)
+        if pool is None or not pool.may_draw(endpoint):
+            return None
+        return self.chooser.expect(endpoint, pool, demand, NO_MATCH, None, now)
+
     def choose_service(
         self, service: str, now: float, avoid: Container[str] = ()
     ) -> Endpoint | None:
--- a/poplarrun/platform/_engines.py
+++ b/poplarrun/platform/_engines.py
@@ -226,6 +226,8 @@
                 "GET", f"http://{address}/v1/load", timeout=REPORT_TIMEOUT_S
             )
             return msgspec.json.decode(response.data, type=LoadReport)
+        except (urllib3.exceptions.NewConnectionError, urllib3.exceptions.ConnectTimeoutError):
+            return EngineFailed(started=False, reason="connect")
         except (urllib3.exceptions.HTTPError, msgspec.DecodeError) as error:
             return EngineFailed(started=False, reason=type(error).__name__)
 
--- a/poplarrun/retries/_decisions.py
+++ b/poplarrun/retries/_decisions.py
@@ -69,7 +69,8 @@
     ceiling_s = min(LONGEST_BACKOFF_S, FIRST_BACKOFF_S * 2.0 ** (failed.attempts - 1))
     delay_s = source.uniform(0.0, ceiling_s)
     if delay_s + failed.needed_s >= failed.time_left_s:
-        return GiveUp(ErrorKind.DEADLINE_UNREACHABLE, "no time is left for another attempt")
+        kind = ErrorKind.ENDPOINT_FAILED if failed.started else ErrorKind.DEADLINE_UNREACHABLE
+        return GiveUp(kind, "no time is left for another attempt")
     if not budget.take():
         return GiveUp(ErrorKind.RETRY_BUDGET_EXHAUSTED, "too many attempts fail")
     return RetryAfter(delay_s)
--- a/poplarrun/router/__init__.py
+++ b/poplarrun/router/__init__.py
@@ -1,6 +1,7 @@
 """The decisions about one request, from its arrival to its bill."""
 
 from poplarrun.router._context import RouterContext
+from poplarrun.router._dispatch import Dispatch, Job, NoEndpoint, Sent, Start
 from poplarrun.router._messages import (
     AttemptFailed,
     BeginChat,
@@ -23,11 +24,16 @@
     "Bill",
     "CallFailed",
     "ChatGrant",
+    "Dispatch",
     "EndChat",
     "EndOperation",
     "Explanation",
     "FirstToken",
+    "Job",
+    "NoEndpoint",
     "OperationGrant",
     "Router",
     "RouterContext",
+    "Sent",
+    "Start",
 ]
--- a/poplarrun/router/_chats.py
+++ b/poplarrun/router/_chats.py
@@ -1,11 +1,14 @@
 """The decisions about one chat request, from its arrival to its bill."""
 
-from dataclasses import dataclass, field
+from dataclasses import dataclass
 
-from poplarrun.contracts import ClientAccount, Version, VersionId, WorkClass
-from poplarrun.endpoints import Endpoint
-from poplarrun.errors import ErrorKind, Refusal
+from poplarrun.admission import Held, Refused
+from poplarrun.contracts import ClientAccount, Unmet, Version, VersionId, WorkClass
+from poplarrun.endpoints import Demand
+from poplarrun.errors import ErrorKind, NotRun, Refusal, answer_for
+from poplarrun.retries import GiveUp
 from poplarrun.router._context import RouterContext
+from poplarrun.router._dispatch import Dispatch, Job, NoEndpoint, Sent, Start
 from poplarrun.router._messages import (
     AttemptFailed,
     BeginChat,
@@ -17,7 +20,8 @@
 )
 from poplarrun.versions import Candidate, choose_version
 
-MAX_ATTEMPTS = 3
+# Longest time in the queue of a class whose latency targets are best effort.
+BEST_EFFORT_WAIT_S = 10.0
 # Until ratings say otherwise, every version is taken to be as good as this.
 PRIOR_QUALITY = 0.8
 
@@ -30,16 +34,15 @@
     version: Version
     began_at: float
     explanation: Explanation
-    endpoint: str = ""
-    attempts: int = 0
-    tried: set[str] = field(default_factory=set)
+    job: Job
 
 
 class ChatRouter:
     """Decides about chat requests; called on the loop only, never blocks."""
 
-    def __init__(self, context: RouterContext) -> None:
+    def __init__(self, context: RouterContext, dispatch: Dispatch) -> None:
         self._context = context
+        self._dispatch = dispatch
         self._chats: dict[str, _Chat] = {}
         self._sessions: dict[tuple[str, str], VersionId] = {}
 
@@ -48,8 +51,14 @@
         """Chats that have begun and not ended."""
         return len(self._chats)
 
-    def begin(self, request: BeginChat, now: float) -> ChatGrant | Refusal:
-        """Decide on the version and the endpoint of a new chat request."""
+    def begin(self, request: BeginChat, now: float) -> ChatGrant | Held | Refusal:
+        """Decide on the version and the endpoint of a new chat request.
+
+        Returns
+        -------
+        ChatGrant or Held or Refusal
+            For a held request ``release`` gives the grant or refusal later.
+        """
         document = self._context.configuration.document
         self._context.metrics.count_request(
             request.class_name if request.class_name in document.classes else "unknown"
@@ -69,25 +78,50 @@
         if isinstance(version, Refusal):
             explanation.outcome = f"refused: {version.kind.value}"
             return version
-        chat = _Chat(request, account, work_class, version, now, explanation)
+        job = _make_job(request, account, work_class, version, now)
+        chat = _Chat(request, account, work_class, version, now, explanation, job)
         self._chats[request.request_id] = chat
-        return self._send(chat, now)
+        started = self._follow_start(chat, self._dispatch.start(job, now), now)
+        if isinstance(started, Held):
+            explanation.attempts.append(f"queued, {started.wait_s:.2f} s expected")
+        return started
+
+    def release(self, now: float) -> list[tuple[str, ChatGrant | Refusal]]:
+        """Start the held requests that have a place now, and end those that are late."""
+        released: list[tuple[str, ChatGrant | Refusal]] = []
+        for job, outcome in self._dispatch.release(now):
+            chat = self._chats[job.request_id]
+            started = self._check_version(chat) or self._follow_start(chat, outcome, now)
+            assert not isinstance(started, Held)
+            released.append((job.request_id, started))
+        return released
 
     def retry(self, failure: AttemptFailed, now: float) -> ChatGrant | Refusal:
         """Decide where a broken chat goes on."""
         chat = self._chats[failure.request_id]
-        self._note_attempt_end(chat, failure.reason, now)
-        if chat.attempts >= MAX_ATTEMPTS:
-            kind = ErrorKind.ANSWER_INCOMPLETE if failure.position else ErrorKind.ENDPOINT_FAILED
-            return self._give_up(chat, kind, f"{chat.attempts} attempts broke ({failure.reason})")
+        endpoint = chat.job.choice.endpoint.name if chat.job.choice else ""
+        chat.explanation.attempts.append(f"{endpoint}: {failure.reason}")
+        decision = self._dispatch.decide_again(chat.job, failure.reason, failure.started, now)
+        refusal = self._check_version(chat)
+        if refusal is not None:
+            return refusal
+        if isinstance(decision, GiveUp):
+            kind = ErrorKind.ANSWER_INCOMPLETE if failure.position else decision.kind
+            return self._give_up(chat, kind, f"{decision.reason} ({failure.reason})")
         if failure.position > 0:
-            return self._resume_chat(chat, now)
-        self._context.metrics.count_retry(failure.reason)
-        return self._send(chat, now)
+            self._context.metrics.count_retry("resume")
+            again: Start = self._dispatch.resend(chat.job, now, decision.delay_s)
+        else:
+            self._context.metrics.count_retry(failure.reason)
+            again = self._dispatch.send_elsewhere(chat.job, now, decision.delay_s)
+        started = self._follow_start(chat, again, now)
+        assert not isinstance(started, Held)
+        return started
 
     def note_first_token(self, event: FirstToken, now: float) -> None:
         """Record the time to the first token."""
         chat = self._chats[event.request_id]
+        self._dispatch.note_first_token(chat.job, now)
         self._context.metrics.record_latency(
             "first_token", chat.work_class.name, now - chat.began_at
         )
@@ -95,7 +129,7 @@
     def end(self, end: EndChat, now: float) -> Bill:
         """Close a chat and make its bill."""
         chat = self._chats.pop(end.request_id)
-        self._context.endpoints.note_ended(chat.endpoint, now)
+        self._dispatch.end(chat.job, end.whole, now)
         self._context.metrics.record_latency("whole", chat.work_class.name, now - chat.began_at)
         amount = chat.version.price.cost(end.usage.input_tokens, end.usage.output_tokens)
         bill = Bill(end.request_id, chat.account.name, str(chat.version.id), amount)
@@ -142,26 +176,17 @@
             return self._context.refuse(ErrorKind.VERSION_NOT_ALLOWED, message)
         return self._context.configuration.document.versions[pinned]
 
-    def _send(self, chat: _Chat, now: float) -> ChatGrant | Refusal:
-        refusal = self._check_version(chat)
-        if refusal is not None:
-            return refusal
-        choice = self._context.endpoints.choose_engine(chat.version.id, now, chat.tried)
-        if choice is None:
-            message = f"no endpoint holds {chat.version.id}"
-            return self._give_up(chat, ErrorKind.NO_ENDPOINT, message)
-        return self._grant_chat(chat, choice.endpoint, now)
-
-    def _resume_chat(self, chat: _Chat, now: float) -> ChatGrant | Refusal:
-        """Go on at the same engine: only there does the rest fit what the caller has."""
-        refusal = self._check_version(chat)
-        if refusal is not None:
-            return refusal
-        for endpoint in self._context.endpoints.all():
-            if endpoint.name == chat.endpoint:
-                self._context.metrics.count_retry("resume")
-                return self._grant_chat(chat, endpoint, now)
-        return self._give_up(chat, ErrorKind.ANSWER_INCOMPLETE, "the stream's engine is gone")
+    def _follow_start(self, chat: _Chat, start: Start, now: float) -> ChatGrant | Held | Refusal:
+        match start:
+            case Sent():
+                return self._grant(chat, start, now)
+            case Held():
+                return start
+            case Refused(kind=kind, reason=reason, retry_after_s=retry_after_s):
+                return self._give_up(chat, kind, reason, retry_after_s)
+            case NoEndpoint():
+                message = f"no endpoint holds {chat.version.id}"
+                return self._give_up(chat, ErrorKind.NO_ENDPOINT, message)
 
     def _check_version(self, chat: _Chat) -> Refusal | None:
         """Check permission anew before each attempt.
@@ -178,28 +203,39 @@
             return self._give_up(chat, ErrorKind.VERSION_NOT_ALLOWED, message)
         return None
 
-    def _grant_chat(self, chat: _Chat, endpoint: Endpoint, now: float) -> ChatGrant | Refusal:
-        timeout_s = chat.began_at + chat.work_class.targets.whole_s - now
-        if timeout_s <= 0:
-            return self._give_up(chat, ErrorKind.DEADLINE_UNREACHABLE, "the deadline has passed")
-        chat.endpoint = endpoint.name
-        chat.attempts += 1
-        chat.tried.add(endpoint.name)
-        self._context.endpoints.note_sent(endpoint.name, now)
+    def _grant(self, chat: _Chat, sent: Sent, now: float) -> ChatGrant:
+        endpoint = sent.choice.endpoint
+        timeout_s = max(0.0, chat.job.deadline - now - sent.delay_s)
+        importance = chat.work_class.importance
         return ChatGrant(
-            endpoint.name,
-            endpoint.address,
-            chat.version.id,
-            chat.work_class.importance,
-            timeout_s,
+            endpoint.name, endpoint.address, chat.version.id, importance, timeout_s, sent.delay_s
         )
 
-    def _note_attempt_end(self, chat: _Chat, reason: str, now: float) -> None:
-        self._context.endpoints.note_ended(chat.endpoint, now)
-        self._context.endpoints.note_failure(chat.endpoint, now, reason)
-        chat.explanation.attempts.append(f"{chat.endpoint}: {reason}")
-
-    def _give_up(self, chat: _Chat, kind: ErrorKind, message: str) -> Refusal:
+    def _give_up(
+        self, chat: _Chat, kind: ErrorKind, message: str, retry_after_s: float | None = None
+    ) -> Refusal:
         self._chats.pop(chat.request.request_id, None)
+        # After an attempt that may have begun, "not run" would be untrue.
+        if chat.job.started and answer_for(kind).not_run is NotRun.YES:
+            kind = ErrorKind.ENDPOINT_FAILED
         chat.explanation.outcome = f"refused: {kind.value}"
-        return self._context.refuse(kind, message)
+        return self._context.refuse(kind, message, retry_after_s=retry_after_s)
+
+
+def _make_job(
+    request: BeginChat, account: ClientAccount, work_class: WorkClass, version: Version, now: float
+) -> Job:
+    targets = work_class.targets
+    wait_s = targets.first_token_s
+    if work_class.unmet is Unmet.BEST_EFFORT:
+        wait_s = max(wait_s, min(targets.whole_s, BEST_EFFORT_WAIT_S))
+    return Job(
+        request_id=request.request_id,
+        account=account.name,
+        work_class=work_class.name,
+        importance=work_class.importance,
+        version=version.id,
+        demand=Demand(request.prompt_tokens, request.blocks),
+        start_by=now + wait_s,
+        deadline=now + targets.whole_s,
+    )
--- a/poplarrun/router/_context.py
+++ b/poplarrun/router/_context.py
@@ -29,10 +29,16 @@
     bills: list[Bill] = field(default_factory=list)
     explanations: Explanations = field(default_factory=Explanations)
 
-    def refuse(self, kind: ErrorKind, message: str, param: str | None = None) -> Refusal:
+    def refuse(
+        self,
+        kind: ErrorKind,
+        message: str,
+        param: str | None = None,
+        retry_after_s: float | None = None,
+    ) -> Refusal:
         """Make a refusal and count it."""
         self.metrics.count_refusal(kind)
-        return Refusal(kind, message, param)
+        return Refusal(kind, message, param, retry_after_s)
 
     def find_account(self, api_key: str) -> ClientAccount | Refusal:
         """Return the client account that a key names."""
--- /dev/null
+++ b/poplarrun/router/_dispatch.py
@@ -0,0 +1,218 @@
+"""The way of one request to an endpoint: admission, choice, retries."""
+
+import random
+from dataclasses import dataclass, field
+
+from poplarrun.admission import (
+    Admission,
+    Admissions,
+    Admitted,
+    Held,
+    Refused,
+    Ticket,
+)
+from poplarrun.contracts import VersionId
+from poplarrun.endpoints import Choice, Demand, EndpointTable, Pool
+from poplarrun.retries import (
+    BudgetKey,
+    FailedAttempt,
+    GiveUp,
+    RetryAfter,
+    RetryBudgets,
+    decide_retry,
+)
+
+# Below this load an endpoint starts a request at once, so that the time to its
+# first token shows the prefill alone.
+QUIET_LOAD = 0.7
+# An endpoint where a request waited longer has a queue: its place is not passed on.
+MOST_WAIT_OF_FREED_S = 0.1
+
+
+@dataclass
+class Job:
+    """A request on its way to a model engine.
+
+    Attributes
+    ----------
+    start_by : float
+        Latest time of the first token that its class accepts.
+    deadline : float
+        When the whole answer must be there.
+    started : bool
+        Whether any attempt may have begun at an endpoint.
+    """
+
+    request_id: str
+    account: str
+    work_class: str
+    importance: int
+    version: VersionId
+    demand: Demand
+    start_by: float
+    deadline: float
+    attempts: int = 0
+    started: bool = False
+    tried: set[str] = field(default_factory=set)
+    choice: Choice | None = None
+    sent_at: float = 0.0
+    first_at: float = 0.0
+    waited_s: float = 0.0
+
+
+@dataclass(frozen=True, slots=True)
+class Sent:
+    """The request goes to an endpoint, after a pause."""
+
+    choice: Choice
+    delay_s: float = 0.0
+
+
+@dataclass(frozen=True, slots=True)
+class NoEndpoint:
+    """Nothing holds the version."""
+
+
+Start = Sent | Held | Refused | NoEndpoint
+
+
+class Dispatch:
+    """Admission, endpoint choice and retries of one host; called on the loop only."""
+
+    def __init__(self, endpoints: EndpointTable, queue_bound: int, source: random.Random) -> None:
+        self._endpoints = endpoints
+        self._admissions = Admissions(queue_bound)
+        self._budgets = RetryBudgets()
+        self._random = source
+        self._held: dict[str, Job] = {}
+        self._freed: list[tuple[VersionId, str]] = []
+
+    def start(self, job: Job, now: float) -> Start:
+        """Start a new request, hold it, or refuse it."""
+        choice = self._choose(job, now)
+        if choice is None:
+            return NoEndpoint()
+        start_by = job.start_by - choice.prefill_s
+        ticket = Ticket(job.request_id, job.account, job.importance, 1.0, start_by)
+        verdict = self._admissions.of(job.version).offer(ticket, choice.load_after, now)
+        match verdict:
+            case Admitted():
+                self._budgets.budget(_budget_key(job)).note_attempt()
+                return self._send(job, choice, now)
+            case Held():
+                self._held[job.request_id] = job
+        return verdict
+
+    def release(self, now: float) -> list[tuple[Job, Sent | Refused]]:
+        """Start the held requests that have a place now, and end those that are late."""
+        released = self._pass_on_places(now)
+        for _, admission in self._admissions.waiting():
+            for ticket, refused in admission.give_up_late(now):
+                released.append((self._held.pop(ticket.request_id), refused))
+            released += self._release_from(admission, now)
+        return released
+
+    def decide_again(self, job: Job, reason: str, started: bool, now: float) -> RetryAfter | GiveUp:
+        """Close a broken attempt and decide whether another may follow."""
+        assert job.choice is not None
+        name = job.choice.endpoint.name
+        self._admissions.of(job.version).in_flight -= 1
+        self._endpoints.note_ended(name, now)
+        self._endpoints.note_failure(name, now, reason)
+        job.started = job.started or started
+        # Generating twice is harmless: the caller gets one answer and one bill.
+        failed = FailedAttempt(job.attempts, job.started, True, job.deadline - now)
+        return decide_retry(failed, self._budgets.budget(_budget_key(job)), self._random)
+
+    def send_elsewhere(self, job: Job, now: float, delay_s: float) -> Sent | NoEndpoint:
+        """Send a request again, to an endpoint that was not tried if there is one."""
+        choice = self._choose(job, now)
+        return NoEndpoint() if choice is None else self._send(job, choice, now, delay_s)
+
+    def resend(self, job: Job, now: float, delay_s: float) -> Sent:
+        """Send the rest of a broken stream to the same engine."""
+        assert job.choice is not None
+        return self._send(job, job.choice, now, delay_s)
+
+    def note_first_token(self, job: Job, now: float) -> None:
+        """Learn from the time to a first token."""
+        choice = job.choice
+        if choice is None:
+            return
+        job.first_at = now
+        speed = self._pool(job).speed
+        taken_s = now - job.sent_at
+        if choice.load < QUIET_LOAD:
+            speed.note_first_token(choice.uncached_tokens, taken_s)
+        wait_s = max(0.0, taken_s - speed.first_token_s(choice.uncached_tokens))
+        job.waited_s = wait_s
+        self._admissions.of(job.version).note_wait(wait_s, now)
+
+    def end(self, job: Job, whole: bool, now: float) -> None:
+        """Close a request that its engine answered."""
+        if job.choice is None:
+            return
+        name = job.choice.endpoint.name
+        self._admissions.of(job.version).in_flight -= 1
+        self._endpoints.note_ended(name, now)
+        if self._held and job.waited_s <= MOST_WAIT_OF_FREED_S:
+            self._freed.append((job.version, name))
+        if whole:
+            self._endpoints.note_success(name)
+            # From the first token on: the time in the endpoint's queue is not work.
+            self._pool(job).speed.note_whole(now - (job.first_at or now) + job.choice.prefill_s)
+
+    def _pass_on_places(self, now: float) -> list[tuple[Job, Sent | Refused]]:
+        """Give the place of each request that just ended to the next in the queue.
+
+        That a place is free there is known now; a load report tells it a
+        second later. Without this, urgent work waits behind reports.
+        """
+        released: list[tuple[Job, Sent | Refused]] = []
+        for version, name in self._freed:
+            admission = self._admissions.of(version)
+            endpoint = self._endpoints.find(name)
+            if endpoint is None or not len(admission.queue):
+                continue
+            job = self._held[admission.queue.peek().request_id]
+            choice = self._endpoints.choose_this(version, endpoint, now, job.demand)
+            if choice is not None and admission.may_pass_on(choice.load_after, job.importance, now):
+                released.append(self._start_held(admission, choice, now))
+        self._freed.clear()
+        return released
+
+    def _start_held(
+        self, admission: Admission, choice: Choice, now: float
+    ) -> tuple[Job, Sent | Refused]:
+        job = self._held.pop(admission.start_next(now).request_id)
+        self._budgets.budget(_budget_key(job)).note_attempt()
+        return job, self._send(job, choice, now)
+
+    def _release_from(self, admission: Admission, now: float) -> list[tuple[Job, Sent | Refused]]:
+        released: list[tuple[Job, Sent | Refused]] = []
+        while len(admission.queue):
+            job = self._held[admission.queue.peek().request_id]
+            choice = self._choose(job, now)
+            if choice is None or not admission.has_room(choice.load_after, job.importance, now):
+                break
+            released.append(self._start_held(admission, choice, now))
+        return released
+
+    def _choose(self, job: Job, now: float) -> Choice | None:
+        return self._endpoints.choose_engine(job.version, now, job.tried, job.demand)
+
+    def _send(self, job: Job, choice: Choice, now: float, delay_s: float = 0.0) -> Sent:
+        job.choice = choice
+        job.attempts += 1
+        job.sent_at = now + delay_s
+        job.tried.add(choice.endpoint.name)
+        self._admissions.of(job.version).in_flight += 1
+        self._endpoints.note_sent(choice.endpoint.name, now, job.version, job.demand.blocks)
+        return Sent(choice, delay_s)
+
+    def _pool(self, job: Job) -> Pool:
+        return self._endpoints.pool(job.version)
+
+
+def _budget_key(job: Job) -> BudgetKey:
+    return BudgetKey(job.work_class, str(job.version))
--- a/poplarrun/router/_messages.py
+++ b/poplarrun/router/_messages.py
@@ -20,6 +20,8 @@
         Length of the prompt, bound of the answer, in tokens.
     session : str, optional
         The caller's session id.
+    blocks : tuple of int
+        Hashes of the prompt's beginnings, by which engines cache them.
     """
 
     request_id: str
@@ -28,6 +30,7 @@
     prompt_tokens: int
     max_tokens: int
     session: str | None = None
+    blocks: tuple[int, ...] = ()
 
 
 @dataclass(frozen=True, slots=True)
@@ -46,6 +49,8 @@
         Engine priority.
     timeout_s : float
         Seconds left until the request's deadline.
+    delay_s : float
+        Seconds to wait before sending: the pause before a retry.
     """
 
     endpoint: str
@@ -53,6 +58,7 @@
     version: VersionId
     priority: int
     timeout_s: float
+    delay_s: float = 0.0
 
 
 @dataclass(frozen=True, slots=True)
--- a/poplarrun/router/_router.py
+++ b/poplarrun/router/_router.py
@@ -1,11 +1,16 @@
 """The router: one object on the loop that decides about every request."""
 
+import random
+
 from poplarrun.endpoints import EndpointTable
 from poplarrun.metrics import Metrics
 from poplarrun.router._chats import ChatRouter
 from poplarrun.router._context import RouterContext
+from poplarrun.router._dispatch import Dispatch
 from poplarrun.router._operations import OperationRouter
 
+DEFAULT_QUEUE_BOUND = 64
+
 
 class Router:
     """Decides about requests; called on the loop only, never blocks.
@@ -20,9 +25,16 @@
         Decides about calls of plain services.
     """
 
-    def __init__(self, endpoints: EndpointTable, metrics: Metrics) -> None:
+    def __init__(
+        self,
+        endpoints: EndpointTable,
+        metrics: Metrics,
+        queue_bound: int = DEFAULT_QUEUE_BOUND,
+        source: random.Random | None = None,
+    ) -> None:
         self.context = RouterContext(endpoints, metrics)
-        self.chats = ChatRouter(self.context)
+        dispatch = Dispatch(endpoints, queue_bound, source or random.Random())
+        self.chats = ChatRouter(self.context, dispatch)
         self.operations = OperationRouter(self.context)
 
     @property
--- a/poplarrun/server/_callers.py
+++ b/poplarrun/server/_callers.py
@@ -1,12 +1,13 @@
 """The callers' API, on CherryPy."""
 
+import math
 from collections.abc import Iterator
 from typing import Any
 
 import cherrypy
 
 from poplarrun.errors import ErrorKind, Refusal, answer_for
-from poplarrun.platform import Engine, ServiceAnswer, ServiceCaller, Usage
+from poplarrun.platform import Engine, ServiceAnswer, ServiceCaller, Usage, hash_blocks
 from poplarrun.router import BeginChat, BeginOperation
 from poplarrun.server._bodies import (
     ChatBody,
@@ -45,7 +46,7 @@
     if retry_after_s is None:
         retry_after_s = answer.retry_after_s
     if retry_after_s is not None:
-        cherrypy.response.headers["Retry-After"] = f"{max(0.0, retry_after_s):.0f}"
+        cherrypy.response.headers["Retry-After"] = str(math.ceil(max(0.0, retry_after_s)))
     return send_json(render_error(refusal), answer.status)
 
 
@@ -111,6 +112,7 @@
             prompt_tokens=len(body.prompt.split()),
             max_tokens=body.token_bound,
             session=session,
+            blocks=hash_blocks(body.prompt),
         )
         cherrypy.response.headers[REQUEST_ID_HEADER] = request.request_id
         run = ChatRun(self._crossing, self._engine, request, body.prompt)
--- a/poplarrun/server/_chats.py
+++ b/poplarrun/server/_chats.py
@@ -1,5 +1,6 @@
 """A worker's side of one chat request: bytes only, every decision is asked for."""
 
+import time
 import uuid
 from collections.abc import Iterator
 from dataclasses import dataclass
@@ -92,6 +93,8 @@
             priority=grant.priority,
             from_position=self._reassembly.next_position,
         )
+        if grant.delay_s > 0.0:
+            time.sleep(grant.delay_s)
         self._answers = self._engine.generate(grant.address, call, grant.timeout_s)
 
     def _next_piece(self) -> Piece:
--- a/poplarrun/server/_host.py
+++ b/poplarrun/server/_host.py
@@ -8,16 +8,17 @@
 from concurrent.futures import ThreadPoolExecutor
 from typing import Any, TypeVar
 
+from poplarrun.admission import Held
 from poplarrun.config import CONFIG_STREAM, Accepted, Configuration, Ignored, fold_entry
-from poplarrun.endpoints import Endpoint, EndpointTable
+from poplarrun.endpoints import Endpoint, EndpointTable, LoadSharing
 from poplarrun.errors import ErrorKind, Refusal
+from poplarrun.hosts import MemoryNetwork, MemoryPeers, Peer, Peers
 from poplarrun.log import Gap, Log, ReadFailed, StreamReader
 from poplarrun.logs import part_logger
 from poplarrun.metrics import Metrics
 from poplarrun.platform import (
     Engine,
     EngineFailed,
-    HostKind,
     HostList,
     ListUnavailable,
     LoadReport,
@@ -27,6 +28,7 @@
     BeginChat,
     BeginOperation,
     CallFailed,
+    ChatGrant,
     EndChat,
     EndOperation,
     FirstToken,
@@ -46,6 +48,12 @@
 CONFIG_POLL_S = 0.25
 HOST_LIST_POLL_S = 0.5
 LOAD_POLL_S = 0.25
+LOAD_SHARE_S = 0.5
+EVENTS_POLL_S = 0.5
+RELEASE_S = 0.02
+# Of the threads that carry bytes, those that may be held by waiting requests:
+# the rest must stay free for streams, and for refusals that cost no waiting.
+QUEUED_SHARE_OF_THREADS = 0.25
 BLOCKING_THREADS = 32
 
 T = TypeVar("T")
@@ -62,6 +70,8 @@
         Adapters to the platform; their blocking calls run on a thread pool.
     clock : callable
         Seconds, monotonic.
+    peers : Peers, optional
+        The other hosts; without them this host acts alone.
     """
 
     def __init__(
@@ -71,6 +81,7 @@
         host_list: HostList,
         engine: Engine,
         clock: Callable[[], float] = time.monotonic,
+        peers: Peers | None = None,
     ) -> None:
         self.settings = settings
         self.metrics = Metrics()
@@ -80,7 +91,11 @@
         self._engine = engine
         self._reader = StreamReader(log, CONFIG_STREAM)
         self._endpoints = EndpointTable(settings.zone, random.Random(settings.name))
-        self.router = Router(self._endpoints, self.metrics)
+        queue_bound = max(1, int(settings.limits.threads * QUEUED_SHARE_OF_THREADS))
+        self.router = Router(self._endpoints, self.metrics, queue_bound)
+        self._peers = peers or _alone(settings)
+        self._load_sharing = LoadSharing(self._peers, self._endpoints)
+        self._held: dict[str, asyncio.Future[ChatGrant | Refusal]] = {}
         self._pool = ThreadPoolExecutor(BLOCKING_THREADS, thread_name_prefix="platform")
         self._list_seen = False
         self._log_answered_at = clock()
@@ -99,6 +114,9 @@
             (self._follow_config, CONFIG_POLL_S),
             (self._follow_host_list, HOST_LIST_POLL_S),
             (self._poll_loads, LOAD_POLL_S),
+            (self._share_loads, LOAD_SHARE_S),
+            (self._poll_cache_events, EVENTS_POLL_S),
+            (self._release_held, RELEASE_S),
         ):
             self._tasks.append(asyncio.get_running_loop().create_task(self._repeat(step, period_s)))
 
@@ -109,7 +127,7 @@
             case BeginChat() | BeginOperation() if not self.is_ready:
                 return self._refuse_unready()
             case BeginChat():
-                return self.router.chats.begin(message, now)
+                return await self._begin_chat(message, now)
             case BeginOperation():
                 return self.router.operations.begin(message, now)
             case AttemptFailed():
@@ -119,7 +137,9 @@
             case FirstToken():
                 return self.router.chats.note_first_token(message, now)
             case EndChat():
-                return self.router.chats.end(message, now)
+                bill = self.router.chats.end(message, now)
+                await self._release_held()
+                return bill
             case EndOperation():
                 return self.router.operations.end(message, now)
             case Refusal():
@@ -136,6 +156,20 @@
                 return self.is_ready
         raise TypeError(f"no handler for {type(message).__name__}")
 
+    async def _begin_chat(self, message: BeginChat, now: float) -> ChatGrant | Refusal:
+        answer = self.router.chats.begin(message, now)
+        if not isinstance(answer, Held):
+            return answer
+        future: asyncio.Future[ChatGrant | Refusal] = asyncio.get_running_loop().create_future()
+        self._held[message.request_id] = future
+        return await future
+
+    async def _release_held(self) -> None:
+        if not self._held:
+            return
+        for request_id, answer in self.router.chats.release(self._clock()):
+            self._held.pop(request_id).set_result(answer)
+
     async def _repeat(self, step: Callable[[], Coroutine[Any, Any, None]], period_s: float) -> None:
         """Run a task's step for ever; one failure must not end the task.
 
@@ -186,16 +220,36 @@
                 self._list_seen = True
 
     async def _poll_loads(self) -> None:
-        engines = [e for e in self._endpoints.all() if e.kind is HostKind.MODEL_ENGINE]
-        await asyncio.gather(*(self._poll_load(engine) for engine in engines))
+        polled = self._load_sharing.list_polled(self._clock())
+        await asyncio.gather(*(self._poll_load(engine) for engine in polled))
 
     async def _poll_load(self, endpoint: Endpoint) -> None:
+        began = self._clock()
         match await self._in_thread(self._engine.report_load, endpoint.address):
             case LoadReport() as report:
-                self._endpoints.apply_report(endpoint.name, report, self._clock())
-            case EngineFailed():
+                now = self._clock()
+                self._endpoints.note_link(endpoint.zone, now - began)
+                self._endpoints.apply_report(endpoint.name, report, now)
+            case EngineFailed(reason=reason):
                 self.metrics.count_event("load_report_failed")
-                self._endpoints.note_failure(endpoint.name, self._clock())
+                self._endpoints.note_failure(endpoint.name, self._clock(), reason)
+
+    async def _share_loads(self) -> None:
+        now = self._clock()
+        self._load_sharing.publish(now)
+        self._load_sharing.take_in(now)
+
+    async def _poll_cache_events(self) -> None:
+        followed = self._load_sharing.list_followed()
+        await asyncio.gather(*(self._poll_events(engine) for engine in followed))
+
+    async def _poll_events(self, endpoint: Endpoint) -> None:
+        after = self._endpoints.prefixes.last_number(endpoint.name)
+        match await self._in_thread(self._engine.list_cache_events, endpoint.address, after):
+            case EngineFailed():
+                self.metrics.count_event("cache_events_failed")
+            case events:
+                self._endpoints.apply_cache_events(endpoint.name, events, self._clock())
 
     def _refuse_unready(self) -> Refusal:
         kind = ErrorKind.STOPPING if self.stopping else ErrorKind.NOT_READY
@@ -226,6 +280,11 @@
         )
 
 
+def _alone(settings: HostSettings) -> Peers:
+    me = Peer(settings.name, settings.zone, settings.region, 0)
+    return MemoryPeers(MemoryNetwork(), me)
+
+
 def _endpoint_status(endpoint: Endpoint, now: float) -> EndpointStatus:
     if endpoint.leaving:
         state = "leaving"
