--- a/poplarrun/platform/__init__.py
+++ b/poplarrun/platform/__init__.py
@@ -26,11 +26,11 @@
 from poplarrun.platform._ratings import HttpRatings, RatedAnswer, Ratings, RatingsUnavailable
 from poplarrun.platform._services import (
     HttpServiceCaller,
+    PreparedCall,
     ServiceAnswer,
     ServiceCall,
     ServiceCaller,
     ServiceNotSent,
-    ServiceOutcome,
     ServiceUnknown,
 )
 
@@ -53,6 +53,7 @@
     "ListUnavailable",
     "ListedHost",
     "LoadReport",
+    "PreparedCall",
     "RatedAnswer",
     "Ratings",
     "RatingsUnavailable",
@@ -60,7 +61,6 @@
     "ServiceCall",
     "ServiceCaller",
     "ServiceNotSent",
-    "ServiceOutcome",
     "ServiceUnknown",
     "Usage",
     "close_pool",
--- a/poplarrun/router/__init__.py
+++ b/poplarrun/router/__init__.py
@@ -12,8 +12,12 @@
     EndChat,
     EndOperation,
     Explanation,
+    FindOperation,
     FirstToken,
+    HandedOver,
     OperationGrant,
+    Replay,
+    SendOperation,
 )
 from poplarrun.router._router import Router
 
@@ -28,12 +32,16 @@
     "EndChat",
     "EndOperation",
     "Explanation",
+    "FindOperation",
     "FirstToken",
+    "HandedOver",
     "Job",
     "NoEndpoint",
     "OperationGrant",
+    "Replay",
     "Router",
     "RouterContext",
+    "SendOperation",
     "Sent",
     "Start",
 ]
--- a/poplarrun/server/_host.py
+++ b/poplarrun/server/_host.py
@@ -9,11 +9,12 @@
 from typing import Any, TypeVar
 
 from poplarrun.admission import Held
+from poplarrun.claims import ClaimKeeper
 from poplarrun.config import CONFIG_STREAM, Accepted, Configuration, Ignored, fold_entry
 from poplarrun.endpoints import Endpoint, EndpointTable, LoadSharing
 from poplarrun.errors import ErrorKind, Refusal
-from poplarrun.hosts import MemoryNetwork, MemoryPeers, Peer, Peers
-from poplarrun.log import Gap, Log, ReadFailed, StreamReader
+from poplarrun.hosts import Peers
+from poplarrun.log import Gap, Log, ReadFailed, StreamReader, ThreadedLog
 from poplarrun.logs import part_logger
 from poplarrun.metrics import Metrics
 from poplarrun.platform import (
@@ -31,18 +32,22 @@
     ChatGrant,
     EndChat,
     EndOperation,
+    FindOperation,
     FirstToken,
     Router,
+    SendOperation,
 )
 from poplarrun.server._messages import (
     EndpointStatus,
     Explain,
     HostStatus,
+    Leave,
     ListClasses,
     ReadMetrics,
     ReadReadiness,
     ReadStatus,
 )
+from poplarrun.server._peering import make_peers, publish_offset, read_zones
 from poplarrun.settings import HostSettings
 
 CONFIG_POLL_S = 0.25
@@ -54,6 +59,7 @@
 # Of the threads that carry bytes, those that may be held by waiting requests:
 # the rest must stay free for streams, and for refusals that cost no waiting.
 QUEUED_SHARE_OF_THREADS = 0.25
+TEND_CLAIMS_S = 60.0
 BLOCKING_THREADS = 32
 
 T = TypeVar("T")
@@ -71,7 +77,7 @@
     clock : callable
         Seconds, monotonic.
     peers : Peers, optional
-        The other hosts; without them this host acts alone.
+        The other hosts; made from the settings when left out.
     """
 
     def __init__(
@@ -85,6 +91,7 @@
     ) -> None:
         self.settings = settings
         self.metrics = Metrics()
+        self.peers = peers or make_peers(settings, self.metrics, clock)
         self.stopping = False
         self._clock = clock
         self._host_list = host_list
@@ -93,10 +100,12 @@
         self._endpoints = EndpointTable(settings.zone, random.Random(settings.name))
         queue_bound = max(1, int(settings.limits.threads * QUEUED_SHARE_OF_THREADS))
         self.router = Router(self._endpoints, self.metrics, queue_bound)
-        self._peers = peers or _alone(settings)
-        self._load_sharing = LoadSharing(self._peers, self._endpoints)
+        self._load_sharing = LoadSharing(self.peers, self._endpoints)
         self._held: dict[str, asyncio.Future[ChatGrant | Refusal]] = {}
         self._pool = ThreadPoolExecutor(BLOCKING_THREADS, thread_name_prefix="platform")
+        self.claims = ClaimKeeper(self.peers, ThreadedLog(log, self._in_thread), clock, time.time)
+        self.router.operations.keeper = self.claims
+        self.router.operations.peers = self.peers
         self._list_seen = False
         self._log_answered_at = clock()
         self._log = part_logger("host")
@@ -110,6 +119,7 @@
 
     def start_tasks(self) -> None:
         """Start the parts' tasks; called on the loop."""
+        self.peers.start()
         for step, period_s in (
             (self._follow_config, CONFIG_POLL_S),
             (self._follow_host_list, HOST_LIST_POLL_S),
@@ -117,6 +127,7 @@
             (self._share_loads, LOAD_SHARE_S),
             (self._poll_cache_events, EVENTS_POLL_S),
             (self._release_held, RELEASE_S),
+            (self.claims.tend, TEND_CLAIMS_S),
         ):
             self._tasks.append(asyncio.get_running_loop().create_task(self._repeat(step, period_s)))
 
@@ -129,11 +140,15 @@
             case BeginChat():
                 return await self._begin_chat(message, now)
             case BeginOperation():
-                return self.router.operations.begin(message, now)
+                return await self.router.operations.begin(message)
+            case SendOperation():
+                return self.router.operations.send(message)
+            case FindOperation():
+                return await self.router.operations.find(message)
             case AttemptFailed():
                 return self.router.chats.retry(message, now)
             case CallFailed():
-                return self.router.operations.retry(message, now)
+                return self.router.operations.retry(message)
             case FirstToken():
                 return self.router.chats.note_first_token(message, now)
             case EndChat():
@@ -141,7 +156,7 @@
                 await self._release_held()
                 return bill
             case EndOperation():
-                return self.router.operations.end(message, now)
+                return self.router.operations.end(message)
             case Refusal():
                 return self.metrics.count_refusal(message.kind)
             case ListClasses():
@@ -154,6 +169,8 @@
                 return self.metrics.render()
             case ReadReadiness():
                 return self.is_ready
+            case Leave():
+                return await self.peers.leave()
         raise TypeError(f"no handler for {type(message).__name__}")
 
     async def _begin_chat(self, message: BeginChat, now: float) -> ChatGrant | Refusal:
@@ -199,6 +216,7 @@
                 self._log_answered_at = self._clock()
                 for entry in entries:
                     self._fold(entry)
+                publish_offset(self.peers, self.router.context.configuration.offset)
 
     def _fold(self, entry: Any) -> None:
         state, verdict = fold_entry(self.router.context.configuration, entry)
@@ -277,14 +295,10 @@
             endpoints=tuple(_endpoint_status(e, now) for e in self._endpoints.all()),
             withdrawn=tuple(sorted(configuration.withdrawn)),
             refusals=dict(self.metrics.refusal_counts),
+            zones=read_zones(self.peers),
         )
 
 
-def _alone(settings: HostSettings) -> Peers:
-    me = Peer(settings.name, settings.zone, settings.region, 0)
-    return MemoryPeers(MemoryNetwork(), me)
-
-
 def _endpoint_status(endpoint: Endpoint, now: float) -> EndpointStatus:
     if endpoint.leaving:
         state = "leaving"
