--- a/poplarrun/limits/__init__.py
+++ b/poplarrun/limits/__init__.py
@@ -1,1 +1,25 @@
 """Limits of client accounts over all hosts together."""
+
+from poplarrun.limits._accounts import AccountLimits, Limited
+from poplarrun.limits._shares import (
+    MATURE_ROUNDS,
+    ROUND_S,
+    VIEW_ROUNDS,
+    Claimant,
+    Share,
+    ShareView,
+)
+from poplarrun.limits._summaries import LIMITS_TOPIC, LimitKind
+
+__all__ = [
+    "LIMITS_TOPIC",
+    "MATURE_ROUNDS",
+    "ROUND_S",
+    "VIEW_ROUNDS",
+    "AccountLimits",
+    "Claimant",
+    "LimitKind",
+    "Limited",
+    "Share",
+    "ShareView",
+]
--- /dev/null
+++ b/poplarrun/limits/_accounts.py
@@ -0,0 +1,254 @@
+"""The limits of all client accounts at one host."""
+
+from collections.abc import Iterable
+from dataclasses import dataclass, field
+
+from poplarrun.contracts import ClientAccount, Limits
+from poplarrun.errors import ErrorKind
+from poplarrun.hosts import Gathered, Peers
+from poplarrun.limits._buckets import Bucket, Spend, Streams
+from poplarrun.limits._shares import ROUND_S, Claimant, Share, ShareView
+from poplarrun.limits._summaries import (
+    LIMITS_TOPIC,
+    AccountSummary,
+    LimitKind,
+    Summary,
+    decode,
+    encode,
+    read_claim,
+    share_claim,
+)
+
+SECONDS_PER_MINUTE = 60.0
+TOKENS_BURST_S = 10.0
+LONGEST_RETRY_S = 60.0
+SECONDS_PER_DAY = 86_400.0
+# A zone that was not heard for this long is late: nothing is taken until it
+# is heard again, or known to be silent.
+LATE_AFTER_S = 2.5
+
+
+@dataclass(frozen=True, slots=True)
+class Limited:
+    """A request that its account's limits don't let through now."""
+
+    kind: ErrorKind
+    reason: str
+    retry_after_s: float
+
+
+@dataclass
+class _Account:
+    """One account's limits at this host."""
+
+    limits: Limits
+    shares: dict[LimitKind, Share] = field(default_factory=dict)
+    requests: Bucket = field(default_factory=Bucket)
+    tokens: Bucket = field(default_factory=lambda: Bucket(burst_s=TOKENS_BURST_S))
+    streams: Streams = field(default_factory=Streams)
+    spend: Spend = field(default_factory=Spend)
+    spent_by_host: dict[str, float] = field(default_factory=dict)
+
+    def begin(self, hosts: int) -> None:
+        """Begin with a small part, so that the first request needn't wait for a round."""
+        for kind in _kinds(self.limits):
+            share = self.shares[kind] = Share()
+            share.begin(hosts)
+        self.spend.left = self.limits.spend_per_day or 0.0
+        self.use_parts(0.0)
+        self.requests.fill_up()
+        self.tokens.fill_up()
+
+    def demand(self, kind: LimitKind) -> float:
+        """Return what callers asked for since the last round, as a part of the limit."""
+        limits = self.limits
+        match kind:
+            case LimitKind.REQUESTS:
+                return self.requests.offered / ((limits.requests_per_second or 1.0) * ROUND_S)
+            case LimitKind.TOKENS:
+                per_s = (limits.tokens_per_minute or 1.0) / SECONDS_PER_MINUTE
+                return self.tokens.offered / (per_s * ROUND_S)
+            case LimitKind.STREAMS:
+                wanted = self.streams.open + self.streams.refused + 1
+                return wanted / (limits.concurrent_streams or 1)
+            case LimitKind.SPEND:
+                return self.spend.close_round() / max(1e-9, self.spend.left)
+
+    def use_parts(self, now: float) -> None:
+        """Take over the parts that this host holds since the last round."""
+        limits = self.limits
+        self.requests.rate_per_s = self._part(LimitKind.REQUESTS) * (
+            limits.requests_per_second or 0.0
+        )
+        self.tokens.rate_per_s = (
+            self._part(LimitKind.TOKENS) * (limits.tokens_per_minute or 0.0) / SECONDS_PER_MINUTE
+        )
+        self.streams.allowed = self._part(LimitKind.STREAMS) * (limits.concurrent_streams or 0)
+        self.spend.part = self._part(LimitKind.SPEND)
+        self.requests.offered = self.tokens.offered = 0.0
+        self.streams.refused = 0
+
+    def _part(self, kind: LimitKind) -> float:
+        share = self.shares.get(kind)
+        return share.part if share else 0.0
+
+
+class AccountLimits:
+    """Lets requests through, and moves shares of the limits between the hosts.
+
+    Parameters
+    ----------
+    peers : Peers
+        The other hosts.
+    """
+
+    def __init__(self, peers: Peers) -> None:
+        self._peers = peers
+        self._accounts: dict[str, _Account] = {}
+        self._day = 0
+
+    def admit(
+        self, account: ClientAccount, tokens: int, now: float, is_stream: bool = True
+    ) -> Limited | None:
+        """Let a request through, and count it, or say when to come back."""
+        if account.limits == Limits():
+            return None
+        state = self._state(account)
+        state.requests.offered += 1
+        state.tokens.offered += tokens
+        limited = self._find_limit(state, now, is_stream)
+        if limited is not None:
+            return limited
+        state.requests.take(1.0)
+        state.tokens.take(tokens)
+        state.streams.open += is_stream
+        return None
+
+    def end(
+        self, account: ClientAccount, expected_tokens: int, used_tokens: int, amount: float
+    ) -> None:
+        """Close a request that was let through, with what it really took."""
+        state = self._accounts.get(account.name)
+        if state is not None:
+            state.tokens.take(used_tokens - expected_tokens)
+            state.streams.open = max(0, state.streams.open - 1)
+            state.spend.note(amount)
+
+    def close_round(self, accounts: Iterable[ClientAccount], now: float, wall_s: float) -> None:
+        """Move shares after a round of ``ROUND_S``, and tell the others."""
+        self._begin_day(int(wall_s // SECONDS_PER_DAY))
+        gathered = self._peers.gathered(LIMITS_TOPIC)
+        own_zone = {
+            host: decode(payload)
+            for host, payload in gathered.own_zone.items()
+            if host != self._peers.me.name
+        }
+        other_zones = {zone: decode(payload) for zone, payload in gathered.other_zones.items()}
+        silent, is_current = self._hear_zones(gathered)
+        summary: Summary = {}
+        limited = {account.name: account for account in accounts if account.limits != Limits()}
+        for name in self._accounts.keys() - limited.keys():
+            del self._accounts[name]
+        for name, account in limited.items():
+            state = self._state(account)
+            self._sum_spend(state, name, own_zone, other_zones)
+            for kind in _kinds(account.limits):
+                view = ShareView(
+                    _claims(own_zone, name, kind),
+                    dict(zip(other_zones, _claims(other_zones, name, kind), strict=True)),
+                    silent,
+                    is_current,
+                )
+                state.shares.setdefault(kind, Share()).step(state.demand(kind), view)
+            state.use_parts(now)
+            summary[name] = self._summarise(state)
+        self._peers.publish(LIMITS_TOPIC, encode(summary))
+
+    def part(self, account: str, kind: LimitKind) -> float:
+        """Return this host's part of a limit."""
+        state = self._accounts.get(account)
+        share = state.shares.get(kind) if state else None
+        return share.part if share else 0.0
+
+    def _state(self, account: ClientAccount) -> _Account:
+        state = self._accounts.get(account.name)
+        if state is None:
+            state = self._accounts[account.name] = _Account(account.limits)
+            state.begin(len(self._peers.live()))
+        state.limits = account.limits
+        return state
+
+    def _find_limit(self, state: _Account, now: float, is_stream: bool) -> Limited | None:
+        limits = state.limits
+        if limits.requests_per_second is not None:
+            wait_s = state.requests.wait_s(now, 1.0)
+            if wait_s > 0.0:
+                reason = f"{limits.requests_per_second:g} requests a second are allowed"
+                return Limited(ErrorKind.RATE_LIMITED, reason, min(LONGEST_RETRY_S, wait_s))
+        if limits.tokens_per_minute is not None:
+            wait_s = state.tokens.wait_s(now, 1.0)
+            if wait_s > 0.0:
+                reason = f"{limits.tokens_per_minute:g} tokens a minute are allowed"
+                return Limited(ErrorKind.RATE_LIMITED, reason, min(LONGEST_RETRY_S, wait_s))
+        bounds_streams = is_stream and limits.concurrent_streams is not None
+        if bounds_streams and not state.streams.has_room():
+            state.streams.refused += 1
+            reason = f"{limits.concurrent_streams} concurrent streams are allowed"
+            return Limited(ErrorKind.STREAMS_LIMITED, reason, ROUND_S)
+        if limits.spend_per_day is not None and not state.spend.has_room():
+            reason = f"{limits.spend_per_day:g} a day are allowed"
+            return Limited(ErrorKind.SPEND_EXHAUSTED, reason, SECONDS_PER_DAY)
+        return None
+
+    def _begin_day(self, day: int) -> None:
+        if day == self._day:
+            return
+        self._day = day
+        for state in self._accounts.values():
+            state.spend = Spend(part=state.spend.part)
+            state.spent_by_host.clear()
+
+    def _hear_zones(self, gathered: Gathered) -> tuple[frozenset[str], bool]:
+        others = [zone for zone in self._peers.zones() if zone.zone != self._peers.me.zone]
+        silent = frozenset(zone.zone for zone in others if zone.silent)
+        late = [zone for zone in others if not zone.silent and zone.silence_s > LATE_AFTER_S]
+        return silent, not late
+
+    def _sum_spend(
+        self, state: _Account, name: str, own: dict[str, Summary], others: dict[str, Summary]
+    ) -> None:
+        if state.limits.spend_per_day is None:
+            return
+        # Kept also for hosts that died: what they let through was spent.
+        for host, summary in own.items():
+            if name in summary and summary[name].day == self._day:
+                state.spent_by_host[host] = summary[name].spent_here
+        state.spent_by_host[self._peers.me.name] = state.spend.used_here
+        spent = sum(state.spent_by_host.values())
+        for summary in others.values():
+            if name in summary and summary[name].day == self._day:
+                spent += summary[name].zone_spent
+        state.spend.left = max(0.0, state.limits.spend_per_day - spent)
+
+    def _summarise(self, state: _Account) -> AccountSummary:
+        claims = {int(kind): share_claim(s.claimant()) for kind, s in state.shares.items()}
+        zone_spent = round(sum(state.spent_by_host.values()), 6)
+        return AccountSummary(claims, self._day, zone_spent, round(state.spend.used_here, 6))
+
+
+def _kinds(limits: Limits) -> list[LimitKind]:
+    values = (
+        limits.requests_per_second,
+        limits.tokens_per_minute,
+        limits.concurrent_streams,
+        limits.spend_per_day,
+    )
+    return [kind for kind, value in zip(LimitKind, values, strict=True) if value is not None]
+
+
+def _claims(summaries: dict[str, Summary], account: str, kind: LimitKind) -> list[Claimant]:
+    claims = []
+    for summary in summaries.values():
+        found = summary[account].claims.get(int(kind)) if account in summary else None
+        claims.append(read_claim(found) if found else Claimant(0.0, 0.0, 0.0))
+    return claims
--- a/poplarrun/router/_chats.py
+++ b/poplarrun/router/_chats.py
@@ -3,10 +3,12 @@
 from dataclasses import dataclass
 
 from poplarrun.admission import Held, Refused
-from poplarrun.contracts import ClientAccount, Unmet, Version, VersionId, WorkClass
+from poplarrun.contracts import ClientAccount, Unmet, Version, WorkClass
 from poplarrun.endpoints import Demand
 from poplarrun.errors import ErrorKind, NotRun, Refusal, answer_for
+from poplarrun.platform import Usage
 from poplarrun.retries import GiveUp
+from poplarrun.router._chat_versions import ChatVersions, VersionPick
 from poplarrun.router._context import RouterContext
 from poplarrun.router._dispatch import Dispatch, Job, NoEndpoint, Sent, Start
 from poplarrun.router._messages import (
@@ -18,12 +20,10 @@
     Explanation,
     FirstToken,
 )
-from poplarrun.versions import Candidate, choose_version
 
 # Longest time in the queue of a class whose latency targets are best effort.
 BEST_EFFORT_WAIT_S = 10.0
-# Until ratings say otherwise, every version is taken to be as good as this.
-PRIOR_QUALITY = 0.8
+NO_USAGE = Usage(0, 0)
 
 
 @dataclass
@@ -31,11 +31,16 @@
     request: BeginChat
     account: ClientAccount
     work_class: WorkClass
-    version: Version
+    pick: VersionPick
     began_at: float
     explanation: Explanation
     job: Job
 
+    @property
+    def version(self) -> Version:
+        """What must generate the answer."""
+        return self.pick.version
+
 
 class ChatRouter:
     """Decides about chat requests; called on the loop only, never blocks."""
@@ -44,7 +49,7 @@
         self._context = context
         self._dispatch = dispatch
         self._chats: dict[str, _Chat] = {}
-        self._sessions: dict[tuple[str, str], VersionId] = {}
+        self._versions = ChatVersions(context)
 
     @property
     def open_requests(self) -> int:
@@ -73,13 +78,18 @@
         if not account.allows_class(work_class.name):
             message = f"client account {account.name} may not use class {work_class.name}"
             return self._context.refuse(ErrorKind.CLASS_NOT_ALLOWED, message, "model")
+        tokens = request.prompt_tokens + request.max_tokens
+        limited = self._context.check_limits(account, tokens, now)
+        if limited is not None:
+            return limited
         explanation = self._context.open_explanation(request.request_id, account, work_class.name)
-        version = self._choose_version(request, account, work_class, explanation)
-        if isinstance(version, Refusal):
-            explanation.outcome = f"refused: {version.kind.value}"
-            return version
-        job = _make_job(request, account, work_class, version, now)
-        chat = _Chat(request, account, work_class, version, now, explanation, job)
+        pick = self._versions.pick(request, account, work_class, explanation, now)
+        if isinstance(pick, Refusal):
+            explanation.outcome = f"refused: {pick.kind.value}"
+            self._end_limits(request, account)
+            return pick
+        job = _make_job(request, account, work_class, pick.version, now)
+        chat = _Chat(request, account, work_class, pick, now, explanation, job)
         self._chats[request.request_id] = chat
         started = self._follow_start(chat, self._dispatch.start(job, now), now)
         if isinstance(started, Held):
@@ -100,6 +110,7 @@
         """Decide where a broken chat goes on."""
         chat = self._chats[failure.request_id]
         endpoint = chat.job.choice.endpoint.name if chat.job.choice else ""
+        chat.pick.note_broken(endpoint)
         chat.explanation.attempts.append(f"{endpoint}: {failure.reason}")
         decision = self._dispatch.decide_again(chat.job, failure.reason, failure.started, now)
         refusal = self._check_version(chat)
@@ -122,6 +133,7 @@
         """Record the time to the first token."""
         chat = self._chats[event.request_id]
         self._dispatch.note_first_token(chat.job, now)
+        chat.pick.first_token_s = now - chat.began_at
         self._context.metrics.record_latency(
             "first_token", chat.work_class.name, now - chat.began_at
         )
@@ -131,51 +143,13 @@
         chat = self._chats.pop(end.request_id)
         self._dispatch.end(chat.job, end.whole, now)
         self._context.metrics.record_latency("whole", chat.work_class.name, now - chat.began_at)
+        self._versions.note_end(chat.pick, chat.work_class, end, now - chat.began_at)
         amount = chat.version.price.cost(end.usage.input_tokens, end.usage.output_tokens)
         bill = Bill(end.request_id, chat.account.name, str(chat.version.id), amount)
+        self._end_limits(chat.request, chat.account, end.usage, amount)
         chat.explanation.outcome = "answered" if end.whole else "cut off"
         return self._context.add_bill(bill, chat.explanation)
 
-    def _choose_version(
-        self,
-        request: BeginChat,
-        account: ClientAccount,
-        work_class: WorkClass,
-        explanation: Explanation,
-    ) -> Version | Refusal:
-        pinned = self._pinned_version(request, account)
-        if pinned is not None:
-            return self._check_pinned(pinned, account)
-        candidates = [
-            Candidate(v, PRIOR_QUALITY, v.price.cost(request.prompt_tokens, request.max_tokens))
-            for v in self._context.configuration.document.allowed_versions(account)
-            if not self._context.configuration.is_withdrawn(v.id)
-        ]
-        explanation.considered = [
-            f"{c.version.id} quality>={c.quality:.2f} cost={c.cost:.6f}" for c in candidates
-        ]
-        chosen = choose_version(work_class, candidates)
-        if chosen is None:
-            message = f"client account {account.name} has no offered version"
-            return self._context.refuse(ErrorKind.VERSION_NOT_ALLOWED, message, "model")
-        if request.session is not None:
-            self._sessions[(account.name, request.session)] = chosen.version.id
-        return chosen.version
-
-    def _pinned_version(self, request: BeginChat, account: ClientAccount) -> VersionId | None:
-        if request.session is None:
-            return None
-        return self._sessions.get((account.name, request.session))
-
-    def _check_pinned(self, pinned: VersionId, account: ClientAccount) -> Version | Refusal:
-        if self._context.configuration.is_withdrawn(pinned):
-            message = f"the session's version {pinned} was withdrawn; start a new session"
-            return self._context.refuse(ErrorKind.SESSION_VERSION_WITHDRAWN, message)
-        if not account.allows_version(pinned):
-            message = f"client account {account.name} may no longer use {pinned}"
-            return self._context.refuse(ErrorKind.VERSION_NOT_ALLOWED, message)
-        return self._context.configuration.document.versions[pinned]
-
     def _follow_start(self, chat: _Chat, start: Start, now: float) -> ChatGrant | Held | Refusal:
         match start:
             case Sent():
@@ -208,13 +182,33 @@
         timeout_s = max(0.0, chat.job.deadline - now - sent.delay_s)
         importance = chat.work_class.importance
         return ChatGrant(
-            endpoint.name, endpoint.address, chat.version.id, importance, timeout_s, sent.delay_s
+            endpoint.name,
+            endpoint.address,
+            chat.version.id,
+            importance,
+            timeout_s,
+            sent.delay_s,
+            sampled=chat.pick.sampled,
         )
 
+    def _end_limits(
+        self,
+        request: BeginChat,
+        account: ClientAccount,
+        usage: Usage = NO_USAGE,
+        amount: float = 0.0,
+    ) -> None:
+        """Give back what a request was expected to take of its account's limits and didn't."""
+        if self._context.limits is not None:
+            expected = request.prompt_tokens + request.max_tokens
+            used = usage.input_tokens + usage.output_tokens
+            self._context.limits.end(account, expected, used, amount)
+
     def _give_up(
         self, chat: _Chat, kind: ErrorKind, message: str, retry_after_s: float | None = None
     ) -> Refusal:
         self._chats.pop(chat.request.request_id, None)
+        self._end_limits(chat.request, chat.account)
         # After an attempt that may have begun, "not run" would be untrue.
         if chat.job.started and answer_for(kind).not_run is NotRun.YES:
             kind = ErrorKind.ENDPOINT_FAILED
--- a/poplarrun/router/_context.py
+++ b/poplarrun/router/_context.py
@@ -6,9 +6,11 @@
 from poplarrun.contracts import ClientAccount
 from poplarrun.endpoints import EndpointTable
 from poplarrun.errors import ErrorKind, Refusal
+from poplarrun.limits import AccountLimits
 from poplarrun.metrics import Metrics
 from poplarrun.router._explanations import Explanations
 from poplarrun.router._messages import Bill, Explanation
+from poplarrun.versions import Versions
 
 
 @dataclass
@@ -19,15 +21,21 @@
     ----------
     configuration : Configuration
         The configuration in force at this host.
+    versions : Versions
+        Estimates, choice and roll-outs.
     bills : list of Bill
         Bills that are not handed on yet.
+    limits : AccountLimits, optional
+        Limits of the client accounts; without them none holds.
     """
 
     endpoints: EndpointTable
     metrics: Metrics
+    versions: Versions
     configuration: Configuration = field(default_factory=Configuration)
     bills: list[Bill] = field(default_factory=list)
     explanations: Explanations = field(default_factory=Explanations)
+    limits: AccountLimits | None = None
 
     def refuse(
         self,
@@ -40,6 +48,17 @@
         self.metrics.count_refusal(kind)
         return Refusal(kind, message, param, retry_after_s)
 
+    def check_limits(
+        self, account: ClientAccount, tokens: int, now: float, is_stream: bool = True
+    ) -> Refusal | None:
+        """Count a request against its account's limits, or refuse it."""
+        if self.limits is None:
+            return None
+        limited = self.limits.admit(account, tokens, now, is_stream)
+        if limited is None:
+            return None
+        return self.refuse(limited.kind, limited.reason, retry_after_s=limited.retry_after_s)
+
     def find_account(self, api_key: str) -> ClientAccount | Refusal:
         """Return the client account that a key names."""
         account = self.configuration.document.account_for_key(api_key)
--- a/poplarrun/router/_messages.py
+++ b/poplarrun/router/_messages.py
@@ -23,6 +23,8 @@
         The caller's session id.
     blocks : tuple of int
         Hashes of the prompt's beginnings, by which engines cache them.
+    pinned : VersionId, optional
+        The version that the session keeps; None while it has none.
     """
 
     request_id: str
@@ -32,6 +34,7 @@
     max_tokens: int
     session: str | None = None
     blocks: tuple[int, ...] = ()
+    pinned: VersionId | None = None
 
 
 @dataclass(frozen=True, slots=True)
@@ -52,6 +55,8 @@
         Seconds left until the request's deadline.
     delay_s : float
         Seconds to wait before sending: the pause before a retry.
+    sampled : bool
+        Whether the worker keeps the answer's text, to be rated.
     """
 
     endpoint: str
@@ -60,6 +65,7 @@
     priority: int
     timeout_s: float
     delay_s: float = 0.0
+    sampled: bool = False
 
 
 @dataclass(frozen=True, slots=True)
@@ -113,11 +119,14 @@
         What was used; for a cut-off answer, what was generated.
     whole : bool
         Whether the caller got the whole answer.
+    text : str, optional
+        The answer, when it is to be rated.
     """
 
     request_id: str
     usage: Usage
     whole: bool
+    text: str | None = None
 
 
 @dataclass(frozen=True, slots=True)
--- a/poplarrun/router/_router.py
+++ b/poplarrun/router/_router.py
@@ -8,6 +8,7 @@
 from poplarrun.router._context import RouterContext
 from poplarrun.router._dispatch import Dispatch
 from poplarrun.router._operations import OperationRouter
+from poplarrun.versions import Versions
 
 DEFAULT_QUEUE_BOUND = 64
 
@@ -29,10 +30,11 @@
         self,
         endpoints: EndpointTable,
         metrics: Metrics,
+        versions: Versions,
         queue_bound: int = DEFAULT_QUEUE_BOUND,
         source: random.Random | None = None,
     ) -> None:
-        self.context = RouterContext(endpoints, metrics)
+        self.context = RouterContext(endpoints, metrics, versions)
         dispatch = Dispatch(endpoints, queue_bound, source or random.Random())
         self.chats = ChatRouter(self.context, dispatch)
         self.operations = OperationRouter(self.context)
--- a/poplarrun/server/_host.py
+++ b/poplarrun/server/_host.py
@@ -14,6 +14,7 @@
 from poplarrun.endpoints import Endpoint, EndpointTable, LoadSharing
 from poplarrun.errors import ErrorKind, Refusal
 from poplarrun.hosts import Peers
+from poplarrun.limits import ROUND_S, AccountLimits
 from poplarrun.log import Gap, Log, ReadFailed, StreamReader, ThreadedLog
 from poplarrun.logs import part_logger
 from poplarrun.metrics import Metrics
@@ -23,6 +24,7 @@
     HostList,
     ListUnavailable,
     LoadReport,
+    Ratings,
 )
 from poplarrun.router import (
     AttemptFailed,
@@ -48,7 +50,9 @@
     ReadStatus,
 )
 from poplarrun.server._peering import make_peers, publish_offset, read_zones
+from poplarrun.server._version_tasks import VersionTasks
 from poplarrun.settings import HostSettings
+from poplarrun.versions import Versions
 
 CONFIG_POLL_S = 0.25
 HOST_LIST_POLL_S = 0.5
@@ -60,6 +64,9 @@
 # the rest must stay free for streams, and for refusals that cost no waiting.
 QUEUED_SHARE_OF_THREADS = 0.25
 TEND_CLAIMS_S = 60.0
+ROLLOUTS_POLL_S = 0.25
+EVIDENCE_PERIOD_S = 1.0
+RATINGS_POLL_S = 0.25
 BLOCKING_THREADS = 32
 
 T = TypeVar("T")
@@ -78,6 +85,8 @@
         Seconds, monotonic.
     peers : Peers, optional
         The other hosts; made from the settings when left out.
+    ratings : Ratings, optional
+        The rating service.
     """
 
     def __init__(
@@ -88,6 +97,7 @@
         engine: Engine,
         clock: Callable[[], float] = time.monotonic,
         peers: Peers | None = None,
+        ratings: Ratings | None = None,
     ) -> None:
         self.settings = settings
         self.metrics = Metrics()
@@ -98,14 +108,20 @@
         self._engine = engine
         self._reader = StreamReader(log, CONFIG_STREAM)
         self._endpoints = EndpointTable(settings.zone, random.Random(settings.name))
-        queue_bound = max(1, int(settings.limits.threads * QUEUED_SHARE_OF_THREADS))
-        self.router = Router(self._endpoints, self.metrics, queue_bound)
+        self._limits = AccountLimits(self.peers)
         self._load_sharing = LoadSharing(self.peers, self._endpoints)
         self._held: dict[str, asyncio.Future[ChatGrant | Refusal]] = {}
         self._pool = ThreadPoolExecutor(BLOCKING_THREADS, thread_name_prefix="platform")
         self.claims = ClaimKeeper(self.peers, ThreadedLog(log, self._in_thread), clock, time.time)
+        versions = Versions(self.peers.me, random.Random(settings.name))
+        queue_bound = max(1, int(settings.limits.threads * QUEUED_SHARE_OF_THREADS))
+        self.router = Router(self._endpoints, self.metrics, versions, queue_bound)
+        self.router.context.limits = self._limits
         self.router.operations.keeper = self.claims
         self.router.operations.peers = self.peers
+        self._version_tasks = VersionTasks(
+            versions, self.peers, log, ratings, self.metrics, self._in_thread, clock
+        )
         self._list_seen = False
         self._log_answered_at = clock()
         self._log = part_logger("host")
@@ -127,24 +143,29 @@
             (self._share_loads, LOAD_SHARE_S),
             (self._poll_cache_events, EVENTS_POLL_S),
             (self._release_held, RELEASE_S),
+            (self._share_limits, ROUND_S),
             (self.claims.tend, TEND_CLAIMS_S),
+            (self._version_tasks.follow_rollouts, ROLLOUTS_POLL_S),
+            (self._version_tasks.exchange_evidence, EVIDENCE_PERIOD_S),
+            (self._version_tasks.run_steward, ROLLOUTS_POLL_S),
+            (self._version_tasks.rate_answers, RATINGS_POLL_S),
         ):
             self._tasks.append(asyncio.get_running_loop().create_task(self._repeat(step, period_s)))
 
-    async def handle(self, message: object) -> Any:
+    def handle(self, message: object) -> Any:
         """Answer one message; the only entry for other threads."""
         now = self._clock()
         match message:
             case BeginChat() | BeginOperation() if not self.is_ready:
                 return self._refuse_unready()
             case BeginChat():
-                return await self._begin_chat(message, now)
+                return self._begin_chat(message, now)
             case BeginOperation():
-                return await self.router.operations.begin(message)
+                return self.router.operations.begin(message)
             case SendOperation():
                 return self.router.operations.send(message)
             case FindOperation():
-                return await self.router.operations.find(message)
+                return self.router.operations.find(message)
             case AttemptFailed():
                 return self.router.chats.retry(message, now)
             case CallFailed():
@@ -153,7 +174,7 @@
                 return self.router.chats.note_first_token(message, now)
             case EndChat():
                 bill = self.router.chats.end(message, now)
-                await self._release_held()
+                self._answer_held()
                 return bill
             case EndOperation():
                 return self.router.operations.end(message)
@@ -170,23 +191,27 @@
             case ReadReadiness():
                 return self.is_ready
             case Leave():
-                return await self.peers.leave()
+                return self.peers.leave()
         raise TypeError(f"no handler for {type(message).__name__}")
 
-    async def _begin_chat(self, message: BeginChat, now: float) -> ChatGrant | Refusal:
+    def _begin_chat(self, message: BeginChat, now: float) -> Any:
         answer = self.router.chats.begin(message, now)
         if not isinstance(answer, Held):
             return answer
         future: asyncio.Future[ChatGrant | Refusal] = asyncio.get_running_loop().create_future()
         self._held[message.request_id] = future
-        return await future
+        # It may have taken the place of a less important one, which hears now.
+        self._answer_held()
+        return _wait_for(future)
 
-    async def _release_held(self) -> None:
-        if not self._held:
-            return
+    def _answer_held(self) -> None:
         for request_id, answer in self.router.chats.release(self._clock()):
             self._held.pop(request_id).set_result(answer)
 
+    async def _release_held(self) -> None:
+        if self._held:
+            self._answer_held()
+
     async def _repeat(self, step: Callable[[], Coroutine[Any, Any, None]], period_s: float) -> None:
         """Run a task's step for ever; one failure must not end the task.
 
@@ -221,6 +246,7 @@
     def _fold(self, entry: Any) -> None:
         state, verdict = fold_entry(self.router.context.configuration, entry)
         self.router.context.configuration = state
+        self.router.context.versions.apply_configuration(state)
         match verdict:
             case Accepted(offset=offset):
                 self._log.info("Configuration in force.", extra={"offset": offset})
@@ -257,6 +283,10 @@
         self._load_sharing.publish(now)
         self._load_sharing.take_in(now)
 
+    async def _share_limits(self) -> None:
+        accounts = self.router.context.configuration.document.accounts.values()
+        self._limits.close_round(accounts, self._clock(), time.time())
+
     async def _poll_cache_events(self) -> None:
         followed = self._load_sharing.list_followed()
         await asyncio.gather(*(self._poll_events(engine) for engine in followed))
@@ -299,6 +329,10 @@
         )
 
 
+async def _wait_for(future: asyncio.Future[ChatGrant | Refusal]) -> ChatGrant | Refusal:
+    return await future
+
+
 def _endpoint_status(endpoint: Endpoint, now: float) -> EndpointStatus:
     if endpoint.leaving:
         state = "leaving"
