Measure choice, prefix cache, overload, outage and account limits

On the way: no call goes out while no endpoint can be reached, concurrent failures count once, a later report takes an endpoint back, the home of a prefix is kept.

--- /dev/null
+++ b/bench/load_limits.py
@@ -0,0 +1,105 @@
+"""Account limits: shares of many hosts, heard of late, with moves, deaths and cuts."""
+
+from collections.abc import Callable
+from dataclasses import dataclass, field
+
+from poplarrun.limits import Claimant, Share, ShareView
+
+NEAR_ROUNDS = 2
+FAR_ROUNDS = 3
+LATE_ROUNDS = 2
+SILENT_ROUNDS = 6
+NOTHING = Claimant(0.0, 0.0, 0.0, 0)
+
+Demand = Callable[[int, int], float]
+
+
+@dataclass
+class LimitRun:
+    """Hosts in zones that share one limit, in rounds.
+
+    Attributes
+    ----------
+    demand : callable
+        Demand of a host in a round, as a part of the limit.
+    cut_zones : tuple of int
+        Zones that nobody else hears, from ``cut_from`` to ``cut_until``.
+    totals : list of float
+        Sum of all parts that may be used, by round.
+    used : list of float
+        Part of the limit that was let through, by round.
+    """
+
+    hosts: int
+    zones: int
+    demand: Demand
+    cut_zones: tuple[int, ...] = ()
+    cut_from: int = 10**9
+    cut_until: int = 10**9
+    dies_at: dict[int, int] = field(default_factory=dict)
+    totals: list[float] = field(default_factory=list)
+    used: list[float] = field(default_factory=list)
+
+    def run(self, rounds: int) -> None:
+        """Run all rounds."""
+        shares = [Share() for _ in range(self.hosts)]
+        told: list[list[Claimant]] = []
+        frozen: dict[tuple[int, int], Claimant] = {}
+        for now in range(rounds):
+            told.append([share.claimant() for share in shares])
+            near = told[max(0, now - NEAR_ROUNDS)]
+            sums = self._sum_zones(told[max(0, now - FAR_ROUNDS)], now)
+            views = [self._other_zones(zone, sums, frozen, now) for zone in range(self.zones)]
+            for host, share in enumerate(shares):
+                if self._lives(host, now):
+                    zone = host % self.zones
+                    own = [
+                        near[peer]
+                        for peer in range(zone, self.hosts, self.zones)
+                        if peer != host and self._lives(peer, now - NEAR_ROUNDS)
+                    ]
+                    heard, silent, is_current = views[zone]
+                    view = ShareView(own, heard, silent, is_current)
+                    share.step(self.demand(now, host), view)
+            live = [host for host in range(self.hosts) if self._lives(host, now)]
+            self.totals.append(sum(shares[host].part for host in live))
+            self.used.append(sum(min(shares[h].part, self.demand(now, h)) for h in live))
+
+    def _lives(self, host: int, now: int) -> bool:
+        return now < self.dies_at.get(host, 10**9)
+
+    def _is_cut(self, one: int, other: int, at: int) -> bool:
+        return self.cut_from <= at < self.cut_until and bool({one, other} & set(self.cut_zones))
+
+    def _sum_zones(self, told: list[Claimant], now: int) -> list[Claimant]:
+        sums = [NOTHING] * self.zones
+        for host, claim in enumerate(told):
+            if self._lives(host, now - FAR_ROUNDS):
+                before = sums[host % self.zones]
+                sums[host % self.zones] = Claimant(
+                    before.part + claim.part,
+                    before.want + claim.want,
+                    before.deficit + claim.deficit,
+                    before.hosts + 1,
+                )
+        return sums
+
+    def _other_zones(
+        self, zone: int, sums: list[Claimant], frozen: dict[tuple[int, int], Claimant], now: int
+    ) -> tuple[dict[str, Claimant], frozenset[str], bool]:
+        heard: dict[str, Claimant] = {}
+        silent = set()
+        is_current = True
+        for other in range(self.zones):
+            if other == zone:
+                continue
+            if self._is_cut(zone, other, now - FAR_ROUNDS):
+                heard[str(other)] = frozen.setdefault((zone, other), sums[other])
+            else:
+                frozen.pop((zone, other), None)
+                heard[str(other)] = sums[other]
+            if self._is_cut(zone, other, now - SILENT_ROUNDS):
+                silent.add(str(other))
+            elif self._is_cut(zone, other, now - FAR_ROUNDS - LATE_ROUNDS):
+                is_current = False
+        return heard, frozenset(silent), is_current
--- a/poplarrun/endpoints/_choice.py
+++ b/poplarrun/endpoints/_choice.py
@@ -7,7 +7,7 @@
 from poplarrun.contracts import VersionId
 from poplarrun.endpoints._endpoint import Endpoint
 from poplarrun.endpoints._pool import Pool
-from poplarrun.endpoints._prefix import NO_MATCH, PrefixIndex, PrefixMatch, home_of
+from poplarrun.endpoints._prefix import NO_MATCH, PrefixIndex, PrefixMatch
 from poplarrun.platform import BLOCK_WORDS as BLOCK_TOKENS
 
 # Candidates of the own zone when other hosts give most of the load: with late
@@ -113,7 +113,7 @@
         match, home = NO_MATCH, None
         if version is not None and demand.blocks and find_endpoint is not None:
             match = self.prefixes.find(version, demand.blocks, now)
-            home = home_of(match.key, pool.salts) if match.known_depth else None
+            home = pool.home(match.key) if match.known_depth else None
             self._add_known(candidates, pool, match, home, avoid, find_endpoint)
         best = self._cheapest(candidates, None, pool, demand, match, home, now)
         if best is None or best.wait_s > 0.0:
--- a/poplarrun/endpoints/_endpoint.py
+++ b/poplarrun/endpoints/_endpoint.py
@@ -81,7 +81,11 @@
     paused_until : float
         Time before which it is passed over, after a failure.
     failures : int
-        Failures since its last success.
+        Failures since its last success; those during one pause count once.
+    unreachable : bool
+        Whether its last failure showed that nothing listens there.
+    failed_at : float
+        When it last failed.
     """
 
     name: str
@@ -99,6 +103,7 @@
     paused_until: float = -math.inf
     failures: int = 0
     unreachable: bool = False
+    failed_at: float = -math.inf
     sent_at: deque[float] = field(default_factory=lambda: deque(maxlen=KEPT_TIMES))
     ended_at: deque[float] = field(default_factory=lambda: deque(maxlen=KEPT_TIMES))
 
--- a/poplarrun/endpoints/_pool.py
+++ b/poplarrun/endpoints/_pool.py
@@ -5,12 +5,13 @@
 from dataclasses import dataclass, field
 
 from poplarrun.endpoints._endpoint import Endpoint, OthersModel
-from poplarrun.endpoints._prefix import salt_of
+from poplarrun.endpoints._prefix import home_of, salt_of
 
 # Of a pool's endpoints at most this share is passed over for broken answers.
 # A fault of the requests themselves would otherwise take out every endpoint.
 MAX_EJECTED_SHARE = 0.5
 MEAN_DECAY = 0.95
+KEPT_HOMES = 10_000
 SLOPE_DECAY = 0.99
 FEW_SAMPLES = 10.0
 MOST_ABOVE_LINE = 1.25
@@ -97,6 +98,7 @@
     salts: list[tuple[str, int]] = field(default_factory=list)
     refresh_at: float = float("-inf")
     _own_load: float = 0.0
+    _homes: dict[int, str | None] = field(default_factory=dict)
     _usable: set[str] = field(default_factory=set)
 
     def may_draw(self, endpoint: Endpoint) -> bool:
@@ -114,13 +116,25 @@
         bound = int(len(self.members) * MAX_EJECTED_SHARE)
         spared = {e.name for e in broken[: max(0, len(broken) - bound)]}
         out = {e.name for e in paused} - spared
-        usable = [e for e in self.members if e.name not in out] or self.members
+        # None may be left: then nobody can be reached, and every call would be
+        # one more failure. Callers hear so at once, until a pause ends or a
+        # load report shows that an endpoint is back.
+        usable = [e for e in self.members if e.name not in out]
         self.near = [e for e in usable if e.zone == self.zone]
         self.far = [e for e in usable if e.zone != self.zone]
+        self._homes.clear()
         self._usable = {e.name for e in usable}
         self.salts = [(e.name, salt_of(e.name)) for e in self.near or self.far]
         self.refresh_at = min((e.paused_until for e in paused), default=float("inf"))
 
+    def home(self, key: int) -> str | None:
+        """Return the endpoint that a prefix usually goes to."""
+        if key not in self._homes:
+            if len(self._homes) >= KEPT_HOMES:
+                self._homes.clear()
+            self._homes[key] = home_of(key, self.salts)
+        return self._homes[key]
+
     def draw_near(self, source: random.Random, count: int, avoid: Container[str]) -> list[Endpoint]:
         """Draw some endpoints of the own zone at random, without those to avoid."""
         return _draw(self.near, count, source, avoid)
--- a/poplarrun/endpoints/_prefix.py
+++ b/poplarrun/endpoints/_prefix.py
@@ -5,6 +5,7 @@
 from collections import OrderedDict
 from collections.abc import Sequence
 from dataclasses import dataclass, field
+from functools import lru_cache
 
 from poplarrun.contracts import VersionId
 from poplarrun.platform import CacheEvent
@@ -21,7 +22,11 @@
 STORED = "stored"
 
 
-def indexed_depths(blocks: int) -> list[int]:
+_parse_version = lru_cache(maxsize=1024)(VersionId.parse)
+
+
+@lru_cache(maxsize=4096)
+def indexed_depths(blocks: int) -> tuple[int, ...]:
     """Return the depths of a prompt that are indexed, the deepest first.
 
     The depths are the same for all prompts, so that prompts with a common
@@ -32,7 +37,7 @@
     while step < blocks:
         depths.append(int(step))
         step = max(step + 1.0, step * DEPTH_STEP)
-    return sorted(set(depths), reverse=True)
+    return tuple(sorted(set(depths), reverse=True))
 
 
 @dataclass(slots=True)
@@ -121,10 +126,11 @@
             if holders is None:
                 continue
             known_depth = known_depth or depth
+            # Deepest first: what an endpoint is thought to hold of a deeper
+            # beginning counts, also when a shorter one would be more certain.
             for name, knowledge in holders.items():
-                expected = depth * self._certainty(name, knowledge, now)
-                if expected > cached.get(name, 0.0):
-                    cached[name] = expected
+                if name not in cached:
+                    cached[name] = depth * self._certainty(name, knowledge, now)
         key = blocks[known_depth - 1] if known_depth else 0
         return PrefixMatch(cached, known_depth, key)
 
@@ -137,7 +143,7 @@
         return math.exp((confirmed_at - now) / FADE_S - doubt)
 
     def _apply(self, endpoint: str, event: CacheEvent, feed: _Feed, now: float) -> None:
-        holders = self._holders.get((VersionId.parse(event.version), event.block))
+        holders = self._holders.get((_parse_version(event.version), event.block))
         if holders is None:
             return
         if event.kind != STORED:
--- a/poplarrun/endpoints/_table.py
+++ b/poplarrun/endpoints/_table.py
@@ -78,10 +78,7 @@
         self._pools_stale = True
 
     def apply_report(self, name: str, report: LoadReport, now: float) -> None:
-        """Take over an engine's load report, which also shows that it can be reached."""
-        endpoint = self._endpoints.get(name)
-        if endpoint is not None and endpoint.unreachable:
-            self.note_success(name)
+        """Take over an engine's load report."""
         versions = frozenset(VersionId.parse(version) for version in report.versions)
         self.apply_load(
             name, versions, report.running + report.waiting, report.capacity, now - report.age_s
@@ -99,6 +96,8 @@
         endpoint = self._endpoints.get(name)
         if endpoint is None:
             return
+        if endpoint.unreachable and true_at > endpoint.failed_at:
+            self.note_success(name)
         if versions != endpoint.versions:
             endpoint.versions = versions
             self._pools_stale = True
@@ -122,10 +121,11 @@
             return
         pause_s = BUSY_PAUSE_S
         if reason not in BUSY_REASONS:
-            endpoint.failures += 1
-            doublings = min(endpoint.failures - 1, 10)
+            endpoint.failures += now >= endpoint.paused_until
+            doublings = min(max(0, endpoint.failures - 1), 10)
             pause_s = min(LONGEST_PAUSE_S, FAILURE_PAUSE_S * 2.0**doublings)
         endpoint.unreachable = reason in UNREACHABLE_REASONS
+        endpoint.failed_at = now
         # Jitter: hosts that saw the same failure must not try again as one.
         jitter = 1.0 + JITTER_SHARE * self._random.random()
         endpoint.paused_until = max(endpoint.paused_until, now + pause_s * jitter)
