--- a/features/environment.py
+++ b/features/environment.py
@@ -17,7 +17,18 @@
         yield fleet
 
 
-FIXTURES = {"fixture.small_fleet": small_fleet}
+@fixture
+def narrow_fleet(context):
+    """One zone of one host before two engines that are soon full."""
+    settings = {"quality": {"larch:1": 0.9}, "capacity": 2, "tokens_per_s": 60.0}
+    engines = [EnginePlan(f"engine-{number}", "a", settings) for number in (1, 2)]
+    more = {"limits": {"threads": 64}}
+    with Fleet(engines, zones=("a",), hosts_per_zone=1, more_settings=more) as fleet:
+        context.fleet = fleet
+        yield fleet
+
+
+FIXTURES = {"fixture.narrow_fleet": narrow_fleet, "fixture.small_fleet": small_fleet}
 
 
 def before_tag(context, tag):
