Let a limit fall only in a full pool; count half of the request in doubt

Cause: with 60 hosts and batches of 8 a host's few requests that waited behind an uneven choice cut its limit to 2, though the pool had a fifth of its places free. Change: the limit is cut only from a mean load of 0.9 on. An endpoint takes a request when half of it still fits, since the estimate is in doubt by about one.

--- a/poplarrun/admission/_admission.py
+++ b/poplarrun/admission/_admission.py
@@ -129,9 +129,9 @@
         reserved = RESERVED_SHARE if self._higher_per_s(importance, now) > 0.0 else 0.0
         return load <= FULL_LOAD - reserved
 
-    def note_wait(self, wait_s: float, now: float) -> None:
+    def note_wait(self, wait_s: float, now: float, pool_load: float) -> None:
         """Take in how long a request waited at its endpoint before it began."""
-        self.limit.note_wait(wait_s, self.in_flight, now)
+        self.limit.note_wait(wait_s, self.in_flight, now, pool_load)
 
     def start_next(self, now: float) -> Ticket:
         """Take the waiting request that starts now."""
--- a/poplarrun/admission/_concurrency.py
+++ b/poplarrun/admission/_concurrency.py
@@ -12,6 +12,7 @@
 KEPT_AFTER_WAIT = 0.9
 # The limit moves only where it binds.
 BINDING_SHARE = 0.8
+FULL_POOL_LOAD = 0.9
 WAIT_DECAY = 0.9
 
 
@@ -42,10 +43,16 @@
         """Tell whether another request may start, within a share of the limit."""
         return in_flight < self.limit * share
 
-    def note_wait(self, wait_s: float, in_flight: int, now: float) -> None:
-        """Take in how long a request waited at its endpoint before it began."""
+    def note_wait(
+        self, wait_s: float, in_flight: int, now: float, pool_load: float = 1.0
+    ) -> None:
+        """Take in how long a request waited at its endpoint before it began.
+
+        Waiting in a pool that has free places comes of uneven choices: fewer
+        requests at once would not shorten it, and keep others from starting.
+        """
         self.mean_wait_s += (1.0 - WAIT_DECAY) * (wait_s - self.mean_wait_s)
-        if self.mean_wait_s > self.target_wait_s:
+        if self.mean_wait_s > self.target_wait_s and pool_load >= FULL_POOL_LOAD:
             # The last cut has not worked yet while more run than it allows, and
             # requests sent before it still show the old queue. Cutting again
             # would end far below what the endpoints can do.
--- a/poplarrun/endpoints/_choice.py
+++ b/poplarrun/endpoints/_choice.py
@@ -77,8 +77,8 @@
 
     @property
     def load_after(self) -> float:
-        """Expected load with this request."""
-        return self.load + 1.0 / self.endpoint.capacity
+        """Expected load with this request, half of which counts: the rest is doubt."""
+        return self.load + 0.5 / self.endpoint.capacity
 
 
 @dataclass
--- a/poplarrun/endpoints/_pool.py
+++ b/poplarrun/endpoints/_pool.py
@@ -147,6 +147,10 @@
         """Take in the requests of this host at one endpoint, for each place of its batch."""
         self._own_load += (1.0 - MEAN_DECAY) * (load - self._own_load)
 
+    def mean_load(self) -> float:
+        """Return the mean load of the endpoints, as far as it is known."""
+        return self._own_load + self.others.mean
+
     def own_share(self) -> float:
         """Return which share of the pool's load this host gives."""
         whole = self._own_load + self.others.mean
--- a/poplarrun/router/_dispatch.py
+++ b/poplarrun/router/_dispatch.py
@@ -152,7 +152,7 @@
             speed.note_first_token(choice.uncached_tokens, taken_s)
         wait_s = max(0.0, taken_s - speed.first_token_s(choice.uncached_tokens))
         job.waited_s = wait_s
-        self._admissions.of(job.version).note_wait(wait_s, now)
+        self._admissions.of(job.version).note_wait(wait_s, now, self._pool(job).mean_load())
 
     def end(self, job: Job, whole: bool, now: float) -> None:
         """Close a request that its engine answered."""
