--- a/poplarrun/router/_messages.py
+++ b/poplarrun/router/_messages.py
@@ -21,6 +21,8 @@
         Length of the prompt, bound of the answer, in tokens.
     session : str, optional
         The caller's session id.
+    blocks : tuple of int
+        Hashes of the prompt's beginnings, by which engines cache them.
     pinned : VersionId, optional
         The version that the session keeps; None while it has none.
     """
@@ -31,6 +33,7 @@
     prompt_tokens: int
     max_tokens: int
     session: str | None = None
+    blocks: tuple[int, ...] = ()
     pinned: VersionId | None = None
 
 
@@ -50,6 +53,8 @@
         Engine priority.
     timeout_s : float
         Seconds left until the request's deadline.
+    delay_s : float
+        Seconds to wait before sending: the pause before a retry.
     sampled : bool
         Whether the worker keeps the answer's text, to be rated.
     """
@@ -59,6 +64,7 @@
     version: VersionId
     priority: int
     timeout_s: float
+    delay_s: float = 0.0
     sampled: bool = False
 
 
@@ -145,11 +151,18 @@
 
 @dataclass(frozen=True, slots=True)
 class OperationGrant:
-    """Where the worker must send the call now."""
+    """Where the worker must send the call now.
+
+    Attributes
+    ----------
+    delay_s : float
+        Seconds to wait before sending: the pause before a retry.
+    """
 
     endpoint: str
     address: str
     operation: Operation
+    delay_s: float = 0.0
 
 
 @dataclass(frozen=True, slots=True)
