--- a/features/environment.py
+++ b/features/environment.py
@@ -17,7 +17,18 @@
         yield fleet
 
 
-FIXTURES = {"fixture.small_fleet": small_fleet}
+@fixture
+def version_fleet(context):
+    """Three zones of one host, engines that hold three versions, quick ratings."""
+    quality = {"larch:1": 0.95, "larch:2": 0.2, "larch:3": 0.95}
+    settings = {"quality": quality, "tokens_per_s": 2000.0, "answer_tokens": 40}
+    engines = [EnginePlan(f"engine-{zone}", zone, settings) for zone in "abc"]
+    with Fleet(engines, hosts_per_zone=1) as fleet:
+        context.fleet = fleet
+        yield fleet
+
+
+FIXTURES = {"fixture.small_fleet": small_fleet, "fixture.version_fleet": version_fleet}
 
 
 def before_tag(context, tag):
--- /dev/null
+++ b/features/versions_rollout.feature
@@ -0,0 +1,24 @@
+Feature: The system rolls versions out and withdraws bad ones, as separate processes
+
+  @fixture.version_fleet
+  Scenario: A bad version is offered beside a good one
+    # Callers see answers of the good version but for a few. The operator offers
+    # larch:2, whose answers are poor. Hosts send it no more requests than the
+    # log's shares allow; the ratings show it bad; the system withdraws it.
+    Given version "larch:1" alone is offered and serves class "note"
+    When "larch:2" is offered beside it
+    And callers ask for 400 "note" answers, until "larch:2" is withdrawn
+    Then at most 50 answers came from "larch:2"
+    And "larch:2" is withdrawn at every host
+    And the next 20 "note" answers come from "larch:1"
+
+  @fixture.version_fleet
+  Scenario: A good version is offered and its first roll-out host dies
+    # The steward of the class is killed in the middle of the roll-out. Another
+    # host finds in the log how far it was and carries it on to the end.
+    Given version "larch:1" alone is offered and serves class "note"
+    When "larch:3" is offered beside it
+    And the log shows a grant for "larch:3" in class "note"
+    And the host that wrote it is killed
+    And callers ask for 1500 "note" answers, until "larch:3" serves class "note"
+    Then the grants of "larch:3" are numbered without a gap or a repeat
--- a/poplarrun/versions/__init__.py
+++ b/poplarrun/versions/__init__.py
@@ -9,7 +9,7 @@
     NothingMeets,
     Selector,
 )
-from poplarrun.versions._estimates import Estimate, Estimates, Standing
+from poplarrun.versions._estimates import TRIAL_BAR, Estimate, Estimates, Standing
 from poplarrun.versions._evidence import (
     EVIDENCE_TOPIC,
     AnswerSeen,
@@ -42,6 +42,7 @@
 __all__ = [
     "EVIDENCE_TOPIC",
     "ROLLOUTS_STREAM",
+    "TRIAL_BAR",
     "AnswerSeen",
     "CellKey",
     "ChangeDetector",
--- a/poplarrun/versions/_choice.py
+++ b/poplarrun/versions/_choice.py
@@ -5,15 +5,15 @@
 from dataclasses import dataclass, field
 
 from poplarrun.config import Configuration
-from poplarrun.contracts import ClientAccount, Document, Unmet, Version, VersionId, WorkClass
+from poplarrun.contracts import ClientAccount, Unmet, Version, VersionId, WorkClass
 from poplarrun.versions._estimates import PRIOR_TOKENS, Estimate, Estimates, Standing
 from poplarrun.versions._evidence import CellKey
 from poplarrun.versions._exposure import Exposure
 from poplarrun.versions._rollouts import Rollouts
 
-# Ratings of a class after which exploration slows down.
-EXPLORED_RATINGS = 40.0
-MOST_EXPLORATION = 0.25
+# Ratings of a class up to which exploration stays at its most.
+EXPLORED_RATINGS = 600.0
+MOST_EXPLORATION = 0.4
 LEAST_EXPLORATION = 0.005
 # Weight of the belief that an unrated version is as good as its class asks.
 PRIOR_RATINGS = 3.0
@@ -88,17 +88,19 @@
     version: Version
     key: CellKey
     estimate: Estimate
-    cost: float
+    tokens: float
     ruled_out: str = ""
+    cost: float = 0.0
 
 
 @dataclass
-class _Allowed:
-    """The allowed versions of each account under one document."""
+class _Boards:
+    """What is known of the options by account and class, until something changes."""
 
-    document: Document = field(default_factory=Document)
-    by_account: dict[str, list[Version]] = field(default_factory=dict)
-    keys: dict[tuple[str, VersionId], CellKey] = field(default_factory=dict)
+    configuration: Configuration | None = None
+    rollouts: Rollouts | None = None
+    revision: int = -1
+    options: dict[tuple[str, str], list[_Option]] = field(default_factory=dict)
 
 
 class Selector:
@@ -119,61 +121,79 @@
         self._estimates = estimates
         self._exposure = exposure
         self._random = source
-        self._allowed = _Allowed()
+        self._boards = _Boards()
 
     def choose(self, request: ChoiceRequest, configuration: Configuration) -> Choice:
         """Choose a version, and count it when it uses a share of a roll-out."""
         options = self._list_options(request, configuration)
         if not options:
             return NothingAllowed()
-        new = self._find_rollout(request, options)
+        payable = [o for o in options if _is_payable(o, request)]
+        if not payable:
+            return NothingAffordable(_describe(options))
+        new = self._find_rollout(request, payable)
         if new is not None:
             self._exposure.use(new.key)
             return _chosen(new, "roll-out", options)
-        usable = [option for option in options if not option.ruled_out]
+        bound = request.work_class.targets.cost_per_request
+        usable = [o for o in payable if not o.ruled_out and (bound is None or o.cost <= bound)]
         if not usable:
-            return self._settle_for_less(request, options)
-        option, why = self._weigh(request, usable)
+            return self._settle_for_less(request, payable)
+        option, why = self._weigh(request, usable, _exploration(options))
         return _chosen(option, why, options)
 
     def _list_options(self, request: ChoiceRequest, configuration: Configuration) -> list[_Option]:
+        """Return the options with their costs for a request.
+
+        All but the costs is kept until the configuration, a roll-out or an
+        estimate changes, so that a decision takes microseconds.
+        """
+        boards, revision = self._boards, self._estimates.revision
+        is_same = boards.configuration is configuration and boards.rollouts is self.rollouts
+        if not is_same or boards.revision != revision:
+            boards = self._boards = _Boards(configuration, self.rollouts, revision)
+        place = (request.account.name, request.work_class.name)
+        options = boards.options.get(place)
+        if options is None:
+            options = boards.options[place] = self._make_options(request, configuration)
+        for option in options:
+            tokens = min(request.max_tokens, option.tokens)
+            option.cost = option.version.price.cost(request.prompt_tokens, tokens)
+        return options
+
+    def _make_options(self, request: ChoiceRequest, configuration: Configuration) -> list[_Option]:
         class_name = request.work_class.name
         offered = [
             version
-            for version in self._versions_of(request.account, configuration.document)
+            for version in configuration.document.allowed_versions(request.account)
             if not configuration.is_withdrawn(version.id)
         ]
-        keys = [self._key(class_name, version.id) for version in offered]
+        keys = [CellKey(class_name, version.id) for version in offered]
         known = [self._estimates.find(key) for key in keys]
         typical = _typical_tokens(known)
-        options = []
-        for version, key, estimate in zip(offered, keys, known, strict=True):
-            tokens = min(request.max_tokens, estimate.output_tokens or typical)
-            cost = version.price.cost(request.prompt_tokens, tokens)
-            options.append(_Option(version, key, estimate, cost))
         in_service = self._has_incumbent(class_name, configuration)
-        for option in options:
-            option.ruled_out = self._rule_out(option, request, in_service)
-        return options
+        return [
+            _Option(
+                version,
+                key,
+                estimate,
+                estimate.output_tokens or typical,
+                self._rule_out(key, estimate, in_service),
+            )
+            for version, key, estimate in zip(offered, keys, known, strict=True)
+        ]
 
-    def _rule_out(self, option: _Option, request: ChoiceRequest, in_service: bool) -> str:
-        state = self.rollouts.find(option.key)
-        bound = request.work_class.targets.cost_per_request
+    def _rule_out(self, key: CellKey, estimate: Estimate, in_service: bool) -> str:
+        state = self.rollouts.find(key)
         if state.rejected:
             return f"rejected: {state.rejected}"
-        if request.spend_left is not None and option.cost > request.spend_left:
-            return "spend limit"
-        if option.estimate.standing is Standing.BAD:
+        if estimate.is_bad(state.serves or not in_service):
             return "bad"
         if in_service and not state.serves:
             return "roll-out"
-        if option.estimate.standing is Standing.POOR:
+        if estimate.standing is Standing.POOR:
             return "quality"
-        if option.estimate.slow:
-            return "latency"
-        if bound is not None and option.cost > bound:
-            return "cost target"
-        return ""
+        return "latency" if estimate.slow else ""
 
     def _find_rollout(self, request: ChoiceRequest, options: list[_Option]) -> _Option | None:
         """Return a version in roll-out of which this host has requests left.
@@ -188,21 +208,22 @@
                 return option
         return None
 
-    def _weigh(self, request: ChoiceRequest, usable: list[_Option]) -> tuple[_Option, str]:
+    def _weigh(
+        self, request: ChoiceRequest, usable: list[_Option], exploration: float
+    ) -> tuple[_Option, str]:
         good = [o for o in usable if o.estimate.standing is Standing.GOOD]
         if good:
             best, why = min(good, key=_by_cost), "cheapest"
         else:
             target = request.work_class.targets.quality
             best, why = max(usable, key=lambda o: _promise(o, target)), "learning"
-        unknown = [
-            o
-            for o in usable
-            if o.estimate.standing is Standing.UNDECIDED and o.cost < best.cost and o is not best
-        ]
-        if not unknown or request.in_session or self._random.random() >= _exploration(usable):
+        if request.in_session or self._random.random() >= exploration:
             return best, why
-        return min(unknown, key=lambda o: (o.estimate.rated, o.cost)), "exploration"
+        unknown = [o for o in usable if _is_worth_a_try(o, best)]
+        if not unknown:
+            return best, why
+        weights = [1.0 / (1.0 + o.estimate.rated) for o in unknown]
+        return self._random.choices(unknown, weights)[0], "exploration"
 
     def _settle_for_less(self, request: ChoiceRequest, options: list[_Option]) -> Choice:
         """Decide when no version meets the targets.
@@ -211,36 +232,21 @@
         and refusing all would last until the evidence had aged.
         """
         considered = _describe(options)
-        left = [o for o in options if o.ruled_out in ("latency", "cost target", "quality", "bad")]
+        left = [o for o in options if o.ruled_out in ("", "latency", "quality", "bad")]
         if not left:
-            limited = any(o.ruled_out == "spend limit" for o in options)
-            return NothingAffordable(considered) if limited else NothingMeets(considered)
-        late = [o for o in left if o.ruled_out == "latency"]
-        if late:
-            return Chosen(*_pair(min(late, key=_by_cost)), considered)
+            return NothingMeets(considered)
+        slow = [o for o in left if o.ruled_out == "latency"]
+        if slow:
+            return _chosen(min(slow, key=_by_cost), "best-effort", options)
         if request.work_class.unmet is Unmet.REFUSE:
             return NothingMeets(considered)
         best = max(left, key=lambda o: (o.estimate.mean_quality or 0.0, -o.cost))
-        return Chosen(*_pair(best), considered)
-
-    def _versions_of(self, account: ClientAccount, document: Document) -> list[Version]:
-        if self._allowed.document is not document:
-            self._allowed = _Allowed(document)
-        found = self._allowed.by_account.get(account.name)
-        if found is None:
-            found = self._allowed.by_account[account.name] = document.allowed_versions(account)
-        return found
-
-    def _key(self, class_name: str, version: VersionId) -> CellKey:
-        key = self._allowed.keys.get((class_name, version))
-        if key is None:
-            key = self._allowed.keys[(class_name, version)] = CellKey(class_name, version)
-        return key
+        return _chosen(best, "best-effort", options)
 
     def _has_incumbent(self, class_name: str, configuration: Configuration) -> bool:
         """Tell whether some version serves the class; before that, all are usable."""
         return any(
-            self.rollouts.find(self._key(class_name, version)).serves
+            self.rollouts.find(CellKey(class_name, version)).serves
             for version in configuration.document.versions
             if not configuration.is_withdrawn(version)
         )
@@ -267,12 +273,16 @@
 
 def _exploration(usable: Sequence[_Option]) -> float:
     rated = sum(option.estimate.rated for option in usable)
-    share = EXPLORED_RATINGS / max(1.0, rated)
+    share = MOST_EXPLORATION * (EXPLORED_RATINGS / max(1.0, rated)) ** 2
     return min(MOST_EXPLORATION, max(LEAST_EXPLORATION, share))
 
 
-def _pair(option: _Option) -> tuple[Version, str, float]:
-    return option.version, "best-effort", option.cost
+def _is_payable(option: _Option, request: ChoiceRequest) -> bool:
+    return request.spend_left is None or option.cost <= request.spend_left
+
+
+def _is_worth_a_try(option: _Option, best: _Option) -> bool:
+    return option.estimate.standing is Standing.UNDECIDED and option.cost < best.cost
 
 
 def _chosen(option: _Option, why: str, options: list[_Option]) -> Chosen:
--- a/poplarrun/versions/_estimates.py
+++ b/poplarrun/versions/_estimates.py
@@ -19,7 +19,13 @@
     encode_summary,
     hash_member,
 )
-from poplarrun.versions._tests import ChangeDetector, bets_above, bets_below, log_capital
+from poplarrun.versions._tests import (
+    ChangeDetector,
+    bets_above,
+    bets_below,
+    confidence_radius,
+    log_capital,
+)
 
 RATINGS_HALF_LIFE_S = 3600.0
 ANSWERS_HALF_LIFE_S = 180.0
@@ -27,11 +33,16 @@
 QUALITY_TOLERANCE = 0.05
 FAILURES_ALLOWED = 0.05
 LATE_ALLOWED = 0.05
-# Capital at which a choice counts as shown, at 95% confidence.
-SHOWN = math.log(20)
-# Capital at which a version is taken out of its class, or out of all classes.
-BAD = math.log(1e4)
+# The stated confidence of a choice is 95%.
+UNCERTAINTY = 0.05
+SHOWN = math.log(1.0 / UNCERTAINTY)
+# Capital at which a version on trial is taken out: one wrongly in 200.
+TRIAL_BAR = math.log(200)
+# Capital at which a version in service is: one wrongly in a million observations.
+SERVICE_BAR = math.log(1e6)
 PRIOR_TOKENS = 256.0
+# Evidence fades so slowly that it need not be weighed anew more often.
+AGING_PERIOD_S = 15.0
 
 
 class Standing(enum.Enum):
@@ -40,7 +51,6 @@
     GOOD = "good"
     UNDECIDED = "undecided"
     POOR = "poor"
-    BAD = "bad"
 
 
 @dataclass(frozen=True, slots=True)
@@ -59,6 +69,33 @@
     lowest: float
 
 
+@dataclass(frozen=True, slots=True)
+class Capitals:
+    """Log capitals of the bets against a version.
+
+    Attributes
+    ----------
+    quality : float
+        Against "as good as the class allows".
+    usefulness : float
+        Against "as good as the least demanding class allows".
+    reliability : float
+        Against "fails no more often than is allowed".
+    """
+
+    quality: float = 0.0
+    usefulness: float = 0.0
+    reliability: float = 0.0
+
+    @property
+    def highest(self) -> float:
+        """The highest of them."""
+        return max(self.quality, self.usefulness, self.reliability)
+
+
+NO_CAPITALS = Capitals()
+
+
 @dataclass(frozen=True, slots=True)
 class Estimate:
     """What is known of one version in one class.
@@ -77,9 +114,10 @@
         Whether it is shown to miss the class's latency targets.
     output_tokens : float, optional
         Mean length of its answers.
-    bad_log, useless_log, failing_log : float
-        Log capitals against: as good as the class allows; as good as the least
-        demanding class allows; failing no more often than is allowed.
+    trial : Capitals
+        Bets from the first observation on, for a version that is rolled out.
+    watch : Capitals
+        Bets that begin anew at any time, for a version that may turn bad.
     """
 
     standing: Standing = Standing.UNDECIDED
@@ -88,9 +126,18 @@
     growth_log: float = 0.0
     slow: bool = False
     output_tokens: float | None = None
-    bad_log: float = 0.0
-    useless_log: float = 0.0
-    failing_log: float = 0.0
+    trial: Capitals = NO_CAPITALS
+    watch: Capitals = NO_CAPITALS
+
+    def is_bad(self, in_service: bool) -> bool:
+        """Tell whether the version is shown bad, in service or on trial."""
+        if self.watch.highest >= SERVICE_BAR:
+            return True
+        return not in_service and self.trial.highest >= TRIAL_BAR
+
+
+NOTHING_KNOWN = Estimate()
+NO_EVIDENCE = Evidence()
 
 
 class _Cell:
@@ -112,29 +159,35 @@
             self._failing.add(_yes_no(delta.requests, delta.failures))
 
     def estimate(self) -> Estimate:
-        aged, target = self.aged, self.thresholds.quality
+        aged = self.aged
+        allowed = self.thresholds.quality - QUALITY_TOLERANCE
         late = _yes_no(aged.requests, aged.late)
         return Estimate(
             standing=self._standing(),
             rated=aged.rated,
             mean_quality=aged.mean_quality,
-            growth_log=log_capital(aged.ratings, bets_above(target - QUALITY_TOLERANCE)),
+            growth_log=log_capital(aged.ratings, bets_above(allowed)),
             slow=log_capital(late, bets_above(LATE_ALLOWED)) >= SHOWN,
             output_tokens=aged.output_tokens / aged.requests if aged.requests > 1.0 else None,
-            bad_log=self._bad.log_capital,
-            useless_log=self._useless.log_capital,
-            failing_log=self._failing.log_capital,
+            trial=Capitals(
+                log_capital(aged.ratings, self._bad.bets),
+                log_capital(aged.ratings, self._useless.bets),
+                log_capital(_yes_no(aged.requests, aged.failures), self._failing.bets),
+            ),
+            watch=Capitals(
+                self._bad.log_capital, self._useless.log_capital, self._failing.log_capital
+            ),
         )
 
     def _standing(self) -> Standing:
-        if max(self._bad.log_capital, self._failing.log_capital) >= BAD:
-            return Standing.BAD
         target = self.thresholds.quality
-        if log_capital(self.aged.ratings, bets_below(target)) >= SHOWN:
+        mean = self.aged.mean_quality
+        if mean is None:
+            return Standing.UNDECIDED
+        radius = confidence_radius(self.aged.ratings, UNCERTAINTY)
+        if mean + radius < target:
             return Standing.POOR
-        if log_capital(self.aged.ratings, bets_above(target)) >= SHOWN:
-            return Standing.GOOD
-        return Standing.UNDECIDED
+        return Standing.GOOD if mean - radius >= target else Standing.UNDECIDED
 
 
 def _yes_no(total: float, yes: float) -> list[float]:
@@ -162,6 +215,11 @@
         As in its ``Peer``.
     source : random.Random
         Random source of the rounding of ratings.
+
+    Attributes
+    ----------
+    revision : int
+        Grows when ``find`` may answer differently.
     """
 
     def __init__(self, host: str, incarnation: int, source: random.Random) -> None:
@@ -173,6 +231,8 @@
         self._cells: dict[int, _Cell] = {}
         self._thresholds: dict[int, Thresholds] = {}
         self._known: dict[int, Estimate] = {}
+        self._changed: set[int] = set()
+        self.revision = 0
         self._numbers: dict[CellKey, int] = {}
         self._aged_at: float | None = None
 
@@ -192,7 +252,8 @@
             for number, cell in self._cells.items()
             if self._thresholds.get(number) == cell.thresholds
         }
-        self._known.clear()
+        self._known = {number: cell.estimate() for number, cell in self._cells.items()}
+        self.revision += 1
 
     def note_answer(self, key: CellKey, seen: AnswerSeen) -> None:
         """Count an answer that this host gave."""
@@ -210,19 +271,26 @@
         """Return what is known of a version in a class."""
         number = self._numbers.get(key)
         if number is None:
-            return Estimate()
-        found = self._known.get(number)
-        if found is None:
-            cell = self._cells.get(number)
-            found = cell.estimate() if cell is not None else Estimate()
-            self._known[number] = found
-        return found
+            return NOTHING_KNOWN
+        return self._known.get(number, NOTHING_KNOWN)
+
+    def refresh(self) -> None:
+        """Work the estimates out anew where evidence came; ``find`` shows them from now on.
+
+        Done once a second and not with each answer, so that a decision only
+        looks up what is known.
+        """
+        for number in self._changed & self._cells.keys():
+            self._known[number] = self._cells[number].estimate()
+        self._changed.clear()
+        self.revision += 1
 
     def forget(self, key: CellKey) -> None:
         """Begin a version's tests anew, as when it is offered again after a withdrawal."""
         number = key.number
         self._cells.pop(number, None)
         self._known.pop(number, None)
+        self.revision += 1
 
     def encode_own(self) -> bytes:
         """Return this host's summary, for ``EVIDENCE_TOPIC``."""
@@ -240,13 +308,17 @@
 
     def age(self, now: float) -> None:
         """Let what is known count less as time goes by."""
-        elapsed_s = 0.0 if self._aged_at is None else now - self._aged_at
+        if self._aged_at is None:
+            self._aged_at = now
+        elapsed_s = now - self._aged_at
+        if elapsed_s < AGING_PERIOD_S:
+            return
         self._aged_at = now
         answers_factor = 0.5 ** (elapsed_s / ANSWERS_HALF_LIFE_S)
         ratings_factor = 0.5 ** (elapsed_s / RATINGS_HALF_LIFE_S)
         for cell in self._cells.values():
             cell.aged.decay(answers_factor, ratings_factor)
-        self._known.clear()
+        self._changed |= self._cells.keys()
 
     def _take_source(self, source: _Source, summary: EvidenceSummary) -> None:
         """Add the difference to the last summary of the same members.
@@ -257,8 +329,9 @@
         """
         if summary.members == source.summary.members:
             for number, evidence in summary.cells.items():
-                before = source.summary.cells.get(number, Evidence())
-                self._add(number, evidence.minus(before))
+                before = source.summary.cells.get(number, NO_EVIDENCE)
+                if evidence != before:
+                    self._add(number, evidence.minus(before))
         source.summary = summary
 
     def _add_own(self, key: CellKey, delta: Evidence) -> None:
@@ -276,7 +349,7 @@
         if cell is None:
             cell = self._cells[number] = _Cell(self._thresholds[number])
         cell.add(delta)
-        self._known.pop(number, None)
+        self._changed.add(number)
 
 
 def _grew(delta: Evidence) -> bool:
--- a/poplarrun/versions/_part.py
+++ b/poplarrun/versions/_part.py
@@ -91,6 +91,7 @@
         peers.publish(EVIDENCE_TOPIC, self.estimates.encode_own())
         self.estimates.age(now)
         self.estimates.take(peers.gathered(EVIDENCE_TOPIC))
+        self.estimates.refresh()
 
     def decide(self, peers: Peers, now: float) -> list[DueRecord]:
         """Return the records that this host, as steward, must append now."""
--- a/poplarrun/versions/_sampling.py
+++ b/poplarrun/versions/_sampling.py
@@ -55,7 +55,7 @@
 
 
 def _share(estimate: Estimate, why: str) -> float:
-    if why in ("roll-out", "exploration") or estimate.bad_log >= SUSPICION:
+    if why in ("roll-out", "exploration") or estimate.watch.highest >= SUSPICION:
         return 1.0
     if estimate.standing is Standing.UNDECIDED:
         return max(SETTLED_SHARE, min(1.0, WANTED_RATINGS / max(1.0, estimate.rated)) / 2)
--- a/poplarrun/versions/_steward.py
+++ b/poplarrun/versions/_steward.py
@@ -8,7 +8,13 @@
 from poplarrun.config import Configuration, Withdrawal
 from poplarrun.contracts import Stage
 from poplarrun.hosts import Peer, rank_hosts
-from poplarrun.versions._estimates import BAD, Estimates
+from poplarrun.versions._estimates import (
+    SERVICE_BAR,
+    TRIAL_BAR,
+    Capitals,
+    Estimate,
+    Estimates,
+)
 from poplarrun.versions._evidence import CellKey
 from poplarrun.versions._rollouts import (
     Closed,
@@ -25,8 +31,6 @@
 # A stage may be granted so often before it grows.
 STALL_FACTOR = 2
 HIGHEST_LOG = 100.0
-# A version that is fully rolled out is watched for ever: its bar is higher.
-BAD_IN_SERVICE = math.log(1e6)
 
 
 @dataclass(frozen=True, slots=True)
@@ -127,12 +131,12 @@
     def _withdraw(self, key: CellKey, state: RolloutState, view: StewardView) -> Withdrawal | None:
         """Withdraw a version that fails, or that not even the least demanding class wants."""
         known = self._estimates.find(key)
-        capitals = {"failures": known.failing_log, "quality": known.useless_log}
-        reason = max(capitals, key=lambda name: capitals[name])
-        if capitals[reason] < _bar(state):
+        capitals, bar = _capitals(known, state)
+        if max(capitals.usefulness, capitals.reliability) < bar:
             return None
+        reason = "quality" if capitals.usefulness >= bar else "failures"
         evidence = {
-            "log_capital": round(capitals[reason], 3),
+            "log_capital": round(max(capitals.usefulness, capitals.reliability), 3),
             "rated": round(known.rated, 3),
             "mean_quality": round(known.mean_quality or 0.0, 4),
         }
@@ -143,7 +147,8 @@
 
     def _reject(self, key: CellKey, state: RolloutState) -> Settled | None:
         known = self._estimates.find(key)
-        if known.bad_log < _bar(state):
+        capitals, bar = _capitals(known, state)
+        if capitals.quality < bar:
             return None
         return self._settle(key, False, f"quality {known.mean_quality or 0.0:.2f}")
 
@@ -201,8 +206,11 @@
         return Settled(next(self._ids), key.class_name, str(key.version), serves, reason)
 
 
-def _bar(state: RolloutState) -> float:
-    return BAD_IN_SERVICE if state.serves else BAD
+def _capitals(known: Estimate, state: RolloutState) -> tuple[Capitals, float]:
+    """Return the bets that count at this stage, and their bar."""
+    if state.serves or known.watch.highest >= SERVICE_BAR:
+        return known.watch, SERVICE_BAR
+    return known.trial, TRIAL_BAR
 
 
 def _has_incumbent(class_name: str, view: StewardView) -> bool:
--- a/poplarrun/versions/_tests.py
+++ b/poplarrun/versions/_tests.py
@@ -14,9 +14,12 @@
 betting", Journal of the Royal Statistical Society B, 2024.
 J. Shin, A. Ramdas and A. Rinaldo, "E-detectors: a nonparametric framework for
 sequential change detection", New England Journal of Statistics in Data Science, 2023.
+I. Waudby-Smith, D. Arbour, R. Sinha, E. Kennedy and A. Ramdas, "Time-uniform central
+limit theory and asymptotic confidence sequences", Annals of Statistics, 2024.
 """
 
 import math
+import operator
 from collections.abc import Sequence
 from dataclasses import dataclass
 from functools import lru_cache
@@ -26,11 +29,18 @@
 # Stakes as shares of the largest one that can't ruin, and the capital on each.
 STAKE_SHARES = (0.9, 0.5, 0.2, 0.05)
 STAKE_WEIGHTS = (0.5, 0.25, 0.15, 0.1)
+GRID_SQUARES = tuple(x * x for x in GRID)
 LOG_WEIGHTS = tuple(math.log(weight) for weight in STAKE_WEIGHTS)
 # Hypotheses nearer to the ends would make a stake infinite.
 LOWEST_MEAN = 0.001
 HIGHEST_MEAN = 0.999
 
+# Pseudo ratings that keep the variance of a few like ratings from being nothing.
+PRIOR_WEIGHT = 2.0
+PRIOR_VARIANCE = 0.02
+# Number of ratings at which the confidence sequence is narrowest.
+TUNED_FOR = 40.0
+
 LogFactors = tuple[tuple[float, ...], ...]
 
 
@@ -61,6 +71,25 @@
     return _mix([sum_product(counts, factors) for factors in bets])
 
 
+def confidence_radius(counts: Sequence[float], alpha: float) -> float:
+    """Return the half width of an interval about the mean, for each side at ``alpha``.
+
+    The interval is valid at any moment of looking, up to the normal
+    approximation of the mean (an asymptotic confidence sequence). It takes a
+    quarter of the ratings that a bet needs, whose bound must hold for any
+    ratings in [0, 1]; a choice can be taken back, a withdrawal can't.
+    """
+    rated = sum(counts)
+    if rated <= 0.0:
+        return math.inf
+    mean = sum_product(counts, GRID) / rated
+    squares = sum_product(counts, GRID_SQUARES) - rated * mean * mean
+    variance = (squares + PRIOR_WEIGHT * PRIOR_VARIANCE) / (rated + PRIOR_WEIGHT)
+    relative = rated / TUNED_FOR * -2.0 * math.log(2.0 * alpha)
+    width = 2.0 * (relative + 1.0) / (rated * relative)
+    return math.sqrt(variance * width * math.log(math.sqrt(relative + 1.0) / (2.0 * alpha)))
+
+
 @dataclass
 class ChangeDetector:
     """Tells when observations turn against a hypothesis, at whatever moment.
@@ -93,7 +122,7 @@
 
 def sum_product(counts: Sequence[float], factors: Sequence[float]) -> float:
     """Return the sum of the products."""
-    return sum(count * factor for count, factor in zip(counts, factors, strict=True) if count)
+    return float(sum(map(operator.mul, counts, factors)))
 
 
 def _mix(logs: Sequence[float]) -> float:
