Explore what is nearest to being shown good, and not blindly

Cause: exploration spread evenly, so versions at 0.015 below the target took as many tries as the one that would save most; and without ratings it never stopped.

Change: tries are weighed by saving and nearness to being shown good; a version with 30 answers awaiting a rating is not tried again.

--- a/poplarrun/versions/_choice.py
+++ b/poplarrun/versions/_choice.py
@@ -15,6 +15,8 @@
 EXPLORED_RATINGS = 600.0
 MOST_EXPLORATION = 0.4
 LEAST_EXPLORATION = 0.005
+# Answers of a version that may await a rating before it is tried again.
+MOST_AWAITED = 30.0
 # Weight of the belief that an unrated version is as good as its class asks.
 PRIOR_RATINGS = 3.0
 
@@ -222,7 +224,7 @@
         unknown = [o for o in usable if _is_worth_a_try(o, best)]
         if not unknown:
             return best, why
-        weights = [1.0 / (1.0 + o.estimate.rated) for o in unknown]
+        weights = [_hope(o, best, request.work_class.targets.quality) for o in unknown]
         return self._random.choices(unknown, weights)[0], "exploration"
 
     def _settle_for_less(self, request: ChoiceRequest, options: list[_Option]) -> Choice:
@@ -282,7 +284,25 @@
 
 
 def _is_worth_a_try(option: _Option, best: _Option) -> bool:
-    return option.estimate.standing is Standing.UNDECIDED and option.cost < best.cost
+    """Tell whether trying a version may save something.
+
+    With many ratings still to come, one more answer tells nothing new. Without
+    this bound an outage of the rating service would keep exploring blindly.
+    """
+    known = option.estimate
+    is_open = known.standing is Standing.UNDECIDED and known.awaited < MOST_AWAITED
+    return is_open and option.cost < best.cost
+
+
+def _hope(option: _Option, best: _Option, target: float) -> float:
+    """Weigh what a version would save by how near it is to being shown good."""
+    saving = 1.0 - option.cost / best.cost
+    known = option.estimate
+    if known.mean_quality is None:
+        return saving
+    # From 0 (all but shown poor) over 1 (just at the target) to 2 (all but shown good).
+    nearness = 1.0 + (known.mean_quality - target) / known.radius
+    return saving * max(0.01, nearness) ** 3
 
 
 def _chosen(option: _Option, why: str, options: list[_Option]) -> Chosen:
--- a/poplarrun/versions/_estimates.py
+++ b/poplarrun/versions/_estimates.py
@@ -29,6 +29,8 @@
 
 RATINGS_HALF_LIFE_S = 3600.0
 ANSWERS_HALF_LIFE_S = 180.0
+# A rating that has not come by then most likely never will.
+AWAITED_HALF_LIFE_S = 600.0
 # Ratings may be biased by this much; a version is bad only beyond it.
 QUALITY_TOLERANCE = 0.05
 FAILURES_ALLOWED = 0.05
@@ -108,6 +110,10 @@
         Weight of the ratings behind it.
     mean_quality : float, optional
         Mean rating.
+    radius : float
+        Half width of its 95% interval.
+    awaited : float
+        Answers whose rating is still to come.
     growth_log : float
         Log capital against "worse than the target less the tolerance".
     slow : bool
@@ -123,6 +129,8 @@
     standing: Standing = Standing.UNDECIDED
     rated: float = 0.0
     mean_quality: float | None = None
+    radius: float = math.inf
+    awaited: float = 0.0
     growth_log: float = 0.0
     slow: bool = False
     output_tokens: float | None = None
@@ -162,10 +170,14 @@
         aged = self.aged
         allowed = self.thresholds.quality - QUALITY_TOLERANCE
         late = _yes_no(aged.requests, aged.late)
+        mean = aged.mean_quality
+        radius = confidence_radius(aged.ratings, UNCERTAINTY)
         return Estimate(
-            standing=self._standing(),
+            standing=_stand(mean, radius, self.thresholds.quality),
             rated=aged.rated,
-            mean_quality=aged.mean_quality,
+            mean_quality=mean,
+            radius=radius,
+            awaited=aged.awaited,
             growth_log=log_capital(aged.ratings, bets_above(allowed)),
             slow=log_capital(late, bets_above(LATE_ALLOWED)) >= SHOWN,
             output_tokens=aged.output_tokens / aged.requests if aged.requests > 1.0 else None,
@@ -179,15 +191,13 @@
             ),
         )
 
-    def _standing(self) -> Standing:
-        target = self.thresholds.quality
-        mean = self.aged.mean_quality
-        if mean is None:
-            return Standing.UNDECIDED
-        radius = confidence_radius(self.aged.ratings, UNCERTAINTY)
-        if mean + radius < target:
-            return Standing.POOR
-        return Standing.GOOD if mean - radius >= target else Standing.UNDECIDED
+
+def _stand(mean: float | None, radius: float, target: float) -> Standing:
+    if mean is None:
+        return Standing.UNDECIDED
+    if mean + radius < target:
+        return Standing.POOR
+    return Standing.GOOD if mean - radius >= target else Standing.UNDECIDED
 
 
 def _yes_no(total: float, yes: float) -> list[float]:
@@ -261,6 +271,10 @@
         delta.add_answer(seen)
         self._add_own(key, delta)
 
+    def note_sampled(self, key: CellKey) -> None:
+        """Count an answer that is handed to the rating service."""
+        self._add_own(key, Evidence(sampled=1))
+
     def note_rating(self, key: CellKey, quality: float) -> None:
         """Count a rating of an answer that this host gave."""
         delta = Evidence()
@@ -315,9 +329,10 @@
             return
         self._aged_at = now
         answers_factor = 0.5 ** (elapsed_s / ANSWERS_HALF_LIFE_S)
+        awaited_factor = 0.5 ** (elapsed_s / AWAITED_HALF_LIFE_S)
         ratings_factor = 0.5 ** (elapsed_s / RATINGS_HALF_LIFE_S)
         for cell in self._cells.values():
-            cell.aged.decay(answers_factor, ratings_factor)
+            cell.aged.decay(answers_factor, awaited_factor, ratings_factor)
         self._changed |= self._cells.keys()
 
     def _take_source(self, source: _Source, summary: EvidenceSummary) -> None:
@@ -353,5 +368,5 @@
 
 
 def _grew(delta: Evidence) -> bool:
-    counts: Sequence[int] = (delta.requests, *delta.ratings)
+    counts: Sequence[int] = (delta.requests, delta.sampled, *delta.ratings)
     return min(counts) >= 0 and any(counts)
--- a/poplarrun/versions/_evidence.py
+++ b/poplarrun/versions/_evidence.py
@@ -58,6 +58,8 @@
     ----------
     requests, failures, late, output_tokens : int
         Answers, those that failed, those that were late, their tokens.
+    sampled : int
+        Answers that were handed to the rating service.
     ratings : list of int
         How many ratings fell on each point of ``GRID``.
     """
@@ -66,6 +68,7 @@
     failures: int = 0
     late: int = 0
     output_tokens: int = 0
+    sampled: int = 0
     ratings: list[int] = msgspec.field(default_factory=lambda: [0] * len(GRID))
 
     def add_answer(self, seen: AnswerSeen) -> None:
@@ -100,6 +103,7 @@
             self.failures + sign * other.failures,
             self.late + sign * other.late,
             self.output_tokens + sign * other.output_tokens,
+            self.sampled + sign * other.sampled,
             ratings,
         )
 
@@ -171,6 +175,8 @@
     ----------
     requests, failures, late, output_tokens : float
         As in ``Evidence``, each halved with every half-life.
+    awaited : float
+        Answers handed in of which no rating came yet, halved likewise.
     ratings : list of float
         Likewise.
     """
@@ -179,6 +185,7 @@
     failures: float = 0.0
     late: float = 0.0
     output_tokens: float = 0.0
+    awaited: float = 0.0
     ratings: list[float] = field(default_factory=lambda: [0.0] * len(GRID))
 
     def add(self, delta: Evidence) -> None:
@@ -187,16 +194,18 @@
         self.failures += delta.failures
         self.late += delta.late
         self.output_tokens += delta.output_tokens
+        self.awaited = max(0.0, self.awaited + delta.sampled - sum(delta.ratings))
         for index, count in enumerate(delta.ratings):
             if count:
                 self.ratings[index] += count
 
-    def decay(self, answers_factor: float, ratings_factor: float) -> None:
+    def decay(self, answers_factor: float, awaited_factor: float, ratings_factor: float) -> None:
         """Weigh all that is there less."""
         self.requests *= answers_factor
         self.failures *= answers_factor
         self.late *= answers_factor
         self.output_tokens *= answers_factor
+        self.awaited *= awaited_factor
         self.ratings = [count * ratings_factor for count in self.ratings]
 
     @property
--- a/poplarrun/versions/_part.py
+++ b/poplarrun/versions/_part.py
@@ -67,8 +67,11 @@
 
     def wants_rating(self, class_name: str, version: VersionId, why: str, now: float) -> bool:
         """Tell whether an answer is to be handed to the rating service."""
-        estimate = self.estimates.find(CellKey(class_name, version))
-        return self._sampler.choose(estimate, why, now)
+        key = CellKey(class_name, version)
+        if not self._sampler.choose(self.estimates.find(key), why, now):
+            return False
+        self.estimates.note_sampled(key)
+        return True
 
     def note_answer(self, class_name: str, version: VersionId, seen: AnswerSeen) -> None:
         """Count an answer that this host gave."""
