Serve doubtful versions as far as a good one's surplus covers the doubt

Cause: a version within 0.015 of its target can't be told from it in 2,000 requests, and the next one shown good may cost twice as much. Exploration after the learning phase cost windows their target.

Change: the cheapest mixture of an undecided and a good version whose lower ends meet the target together; exploration after learning is bounded by the surplus of the best version. A version shown poor is never mixed in.

--- a/poplarrun/versions/_choice.py
+++ b/poplarrun/versions/_choice.py
@@ -15,8 +15,13 @@
 EXPLORED_RATINGS = 600.0
 MOST_EXPLORATION = 0.4
 LEAST_EXPLORATION = 0.005
-# Answers of a version that may await a rating before it is tried again.
+# Answers of a version that may await a rating before it is tried again. Without
+# this bound an outage of the rating service would keep exploring blindly.
 MOST_AWAITED = 30.0
+# How far below the target a version is taken to be while little is known of it.
+DOUBT_OF_THE_UNKNOWN = 0.15
+# A version is mixed in only once its quality is known this closely.
+LARGEST_RADIUS = 0.04
 # Weight of the belief that an unrated version is as good as its class asks.
 PRIOR_RATINGS = 3.0
 
@@ -50,7 +55,7 @@
     Attributes
     ----------
     why : str
-        Counter label: cheapest, learning, exploration, roll-out or best-effort.
+        Counter label: cheapest, mixture, learning, exploration, roll-out or best-effort.
     cost : float
         Expected cost, in account currency.
     considered : list of str
@@ -95,6 +100,15 @@
     cost: float = 0.0
 
 
+@dataclass(frozen=True, slots=True)
+class _Mixture:
+    """Requests divided between a doubtful version and a good one that covers it."""
+
+    doubtful: _Option
+    cover: _Option
+    share: float
+
+
 @dataclass
 class _Boards:
     """What is known of the options by account and class, until something changes."""
@@ -141,7 +155,7 @@
         usable = [o for o in payable if not o.ruled_out and (bound is None or o.cost <= bound)]
         if not usable:
             return self._settle_for_less(request, payable)
-        option, why = self._weigh(request, usable, _exploration(options))
+        option, why = self._weigh(request, usable, _rated(options))
         return _chosen(option, why, options)
 
     def _list_options(self, request: ChoiceRequest, configuration: Configuration) -> list[_Option]:
@@ -211,21 +225,32 @@
         return None
 
     def _weigh(
-        self, request: ChoiceRequest, usable: list[_Option], exploration: float
+        self, request: ChoiceRequest, usable: list[_Option], rated: float
     ) -> tuple[_Option, str]:
+        target = request.work_class.targets.quality
         good = [o for o in usable if o.estimate.standing is Standing.GOOD]
-        if good:
-            best, why = min(good, key=_by_cost), "cheapest"
-        else:
-            target = request.work_class.targets.quality
+        if not good:
             best, why = max(usable, key=lambda o: _promise(o, target)), "learning"
-        if request.in_session or self._random.random() >= exploration:
+        else:
+            best, why = min(good, key=_by_cost), "cheapest"
+        unknown = [
+            o for o in usable if o.estimate.standing is Standing.UNDECIDED and o.cost < best.cost
+        ]
+        if request.in_session or not unknown:
             return best, why
-        unknown = [o for o in usable if _is_worth_a_try(o, best)]
-        if not unknown:
+        if self._random.random() < _exploration(rated, best, target):
+            tries = [o for o in unknown if o.estimate.awaited < MOST_AWAITED]
+            if tries:
+                weights = [_hope(o, best, target) for o in tries]
+                return self._random.choices(tries, weights)[0], "exploration"
+        if not good:
             return best, why
-        weights = [_hope(o, best, request.work_class.targets.quality) for o in unknown]
-        return self._random.choices(unknown, weights)[0], "exploration"
+        mixture = _find_mixture(unknown, good, best, target)
+        if mixture is None:
+            return best, why
+        return (
+            mixture.doubtful if self._random.random() < mixture.share else mixture.cover
+        ), "mixture"
 
     def _settle_for_less(self, request: ChoiceRequest, options: list[_Option]) -> Choice:
         """Decide when no version meets the targets.
@@ -273,25 +298,55 @@
     return (seen + PRIOR_RATINGS * target) / (rated + PRIOR_RATINGS), option.cost
 
 
-def _exploration(usable: Sequence[_Option]) -> float:
-    rated = sum(option.estimate.rated for option in usable)
-    share = MOST_EXPLORATION * (EXPLORED_RATINGS / max(1.0, rated)) ** 2
-    return min(MOST_EXPLORATION, max(LEAST_EXPLORATION, share))
+def _rated(options: Sequence[_Option]) -> float:
+    return sum(option.estimate.rated for option in options)
 
 
-def _is_payable(option: _Option, request: ChoiceRequest) -> bool:
-    return request.spend_left is None or option.cost <= request.spend_left
+def _exploration(rated: float, best: _Option, target: float) -> float:
+    """Return the share of requests that try versions of which little is known.
 
+    Once a class is learnt, its best version's surplus must make up for the tries.
+    """
+    if rated < EXPLORED_RATINGS:
+        return MOST_EXPLORATION
+    surplus = max(0.0, _lower(best) - target)
+    covered = surplus / (surplus + DOUBT_OF_THE_UNKNOWN)
+    share = MOST_EXPLORATION * (EXPLORED_RATINGS / rated) ** 2
+    return max(LEAST_EXPLORATION, min(share, covered))
+
+
+def _find_mixture(
+    unknown: Sequence[_Option], good: Sequence[_Option], best: _Option, target: float
+) -> _Mixture | None:
+    """Find the cheapest mixture of a doubtful and a good version, if one saves.
+
+    A version that can't be told from the target serves as large a share of the
+    requests as the surplus of a good one makes up for, counted from the lower
+    ends of both intervals. A version that is shown poor is never mixed in.
+    """
+    found: _Mixture | None = None
+    lowest = best.cost
+    for option in unknown:
+        if option.estimate.radius > LARGEST_RADIUS:
+            continue
+        doubt = target - _lower(option)
+        for cover in good:
+            surplus = _lower(cover) - target
+            share = surplus / (surplus + doubt)
+            cost = share * option.cost + (1.0 - share) * cover.cost
+            if cost < lowest:
+                lowest = cost
+                found = _Mixture(option, cover, share)
+    return found
+
+
+def _lower(option: _Option) -> float:
+    mean = option.estimate.mean_quality
+    return 0.0 if mean is None else mean - option.estimate.radius
 
-def _is_worth_a_try(option: _Option, best: _Option) -> bool:
-    """Tell whether trying a version may save something.
 
-    With many ratings still to come, one more answer tells nothing new. Without
-    this bound an outage of the rating service would keep exploring blindly.
-    """
-    known = option.estimate
-    is_open = known.standing is Standing.UNDECIDED and known.awaited < MOST_AWAITED
-    return is_open and option.cost < best.cost
+def _is_payable(option: _Option, request: ChoiceRequest) -> bool:
+    return request.spend_left is None or option.cost <= request.spend_left
 
 
 def _hope(option: _Option, best: _Option, target: float) -> float:
