--- a/poplarrun/router/_chats.py
+++ b/poplarrun/router/_chats.py
@@ -99,7 +99,7 @@
     def end(self, end: EndChat, now: float) -> Bill:
         """Close a chat and make its bill."""
         chat = self._chats.pop(end.request_id)
-        self._context.endpoints.note_ended(chat.endpoint)
+        self._context.endpoints.note_ended(chat.endpoint, now)
         self._context.metrics.record_latency("whole", chat.work_class.name, now - chat.began_at)
         self._versions.note_end(chat.pick, chat.work_class, end, now - chat.began_at)
         amount = chat.version.price.cost(end.usage.input_tokens, end.usage.output_tokens)
@@ -111,11 +111,11 @@
         refusal = self._check_version(chat)
         if refusal is not None:
             return refusal
-        endpoint = self._context.endpoints.choose_engine(chat.version.id, now, chat.tried)
-        if endpoint is None:
+        choice = self._context.endpoints.choose_engine(chat.version.id, now, chat.tried)
+        if choice is None:
             message = f"no endpoint holds {chat.version.id}"
             return self._give_up(chat, ErrorKind.NO_ENDPOINT, message)
-        return self._grant_chat(chat, endpoint, now)
+        return self._grant_chat(chat, choice.endpoint, now)
 
     def _resume_chat(self, chat: _Chat, now: float) -> ChatGrant | Refusal:
         """Go on at the same engine: only there does the rest fit what the caller has."""
@@ -150,7 +150,7 @@
         chat.endpoint = endpoint.name
         chat.attempts += 1
         chat.tried.add(endpoint.name)
-        self._context.endpoints.note_sent(endpoint.name)
+        self._context.endpoints.note_sent(endpoint.name, now)
         return ChatGrant(
             endpoint.name,
             endpoint.address,
@@ -161,8 +161,8 @@
         )
 
     def _note_attempt_end(self, chat: _Chat, reason: str, now: float) -> None:
-        self._context.endpoints.note_ended(chat.endpoint)
-        self._context.endpoints.note_failure(chat.endpoint, now)
+        self._context.endpoints.note_ended(chat.endpoint, now)
+        self._context.endpoints.note_failure(chat.endpoint, now, reason)
         chat.pick.note_broken(chat.endpoint)
         chat.explanation.attempts.append(f"{chat.endpoint}: {reason}")
 
--- a/poplarrun/server/_daemon.py
+++ b/poplarrun/server/_daemon.py
@@ -1,6 +1,5 @@
 """One entry host as a daemon: the loop, the HTTP server and the planned stop."""
 
-import logging
 import signal
 import threading
 import time
@@ -15,6 +14,7 @@
 from poplarrun.server._callers import CallersApi
 from poplarrun.server._crossing import Crossing
 from poplarrun.server._host import EntryHost
+from poplarrun.server._messages import Leave
 from poplarrun.server._observers import RootApi
 from poplarrun.settings import HostSettings
 
@@ -67,6 +67,7 @@
             time.sleep(DRAIN_POLL_S)
         left = self.host.router.open_requests
         self._server.stop()
+        self.crossing.ask(Leave())
         self.crossing.stop()
         self._log.info("Stopped.", extra={"open_requests": left})
         return left
@@ -95,7 +96,7 @@
         }
     }
     application = cherrypy.Application(root, "", config)
-    application.log.access_log.setLevel(logging.CRITICAL)
+    application.log.access = _log_no_access
     application.log.error_log.propagate = False
     ip, _, port = settings.listen.rpartition(":")
     server = wsgi.Server(
@@ -109,6 +110,10 @@
     return server
 
 
+def _log_no_access() -> None:
+    """Spare the work of an access line: metrics count the requests, `explain` tells of each."""
+
+
 def _answer_internal_error() -> None:
     """Answer a fault of ours in the callers' error form, without a trace of it."""
     part_logger("http").error("A handler failed.", exc_info=True)
