Bound the bytes of the evidence, and rank stewards only when hosts change

Cause: at 390 hosts each class's steward was ranked 4 times a second, and each host's summary went to 55 others every second.

Change: owners are kept until the live hosts change; a host publishes its summary as often as 3,000 bytes a second allow.

--- a/poplarrun/versions/_part.py
+++ b/poplarrun/versions/_part.py
@@ -1,5 +1,6 @@
 """Everything about versions at one host, as the router and its tasks use it."""
 
+import math
 import random
 from collections import deque
 
@@ -18,6 +19,9 @@
 # Answers that wait to be rated; the oldest are dropped beyond it.
 WAITING_SAMPLES = 200
 
+# A third of what a host may spend on control, for evidence to each host of its zone.
+EVIDENCE_BYTES_PER_S = 3000.0
+
 
 class Versions:
     """Estimates, choice, exposure and roll-outs of one host.
@@ -44,6 +48,7 @@
         self._steward = Steward(me.name, me.incarnation, self.estimates)
         self._samples: deque[SampledAnswer] = deque(maxlen=WAITING_SAMPLES)
         self._configuration = Configuration()
+        self._publish_at = -math.inf
 
     def apply_configuration(self, configuration: Configuration) -> None:
         """Take over the configuration in force."""
@@ -90,8 +95,16 @@
         return [self._samples.popleft() for _ in range(min(limit, len(self._samples)))]
 
     def exchange(self, peers: Peers, now: float) -> None:
-        """Give this host's counters out, take in the others', and age them."""
-        peers.publish(EVIDENCE_TOPIC, self.estimates.encode_own())
+        """Give this host's counters out, take in the others', and age them.
+
+        The more hosts a zone has, the less often each gives its counters out, so
+        that the bytes stay bounded; with 6 hosts it is once a call.
+        """
+        if now >= self._publish_at:
+            payload = self.estimates.encode_own()
+            peers.publish(EVIDENCE_TOPIC, payload)
+            receivers = sum(peer.zone == peers.me.zone for peer in peers.live()) - 1
+            self._publish_at = now + len(payload) * receivers / EVIDENCE_BYTES_PER_S
         self.estimates.age(now)
         self.estimates.take(peers.gathered(EVIDENCE_TOPIC))
         self.estimates.refresh()
--- a/poplarrun/versions/_steward.py
+++ b/poplarrun/versions/_steward.py
@@ -101,16 +101,28 @@
         self._estimates = estimates
         self._ids = (f"{host}/{incarnation}/{number}" for number in itertools.count())
         self._changed_at: dict[CellKey, tuple[int, float]] = {}
+        self._ranked: tuple[str, ...] = ()
+        self._owners: dict[str, str] = {}
 
     def decide(self, view: StewardView, now: float) -> list[DueRecord]:
         """Return the records that are due now, for the log."""
-        names = [peer.name for peer in view.live]
         due: list[DueRecord] = []
         for class_name in view.configuration.document.classes:
-            if rank_hosts(f"rollouts/{class_name}", names)[0] == self._host:
+            if self._owns(class_name, view.live):
                 due += self._decide_class(class_name, view, now)
         return due
 
+    def _owns(self, class_name: str, live: Sequence[Peer]) -> bool:
+        """Tell whether this host is a class's usual steward; ranks anew when hosts change."""
+        names = tuple(peer.name for peer in live)
+        if names != self._ranked:
+            self._ranked = names
+            self._owners.clear()
+        owner = self._owners.get(class_name)
+        if owner is None:
+            owner = self._owners[class_name] = rank_hosts(f"rollouts/{class_name}", names)[0]
+        return owner == self._host
+
     def _decide_class(self, class_name: str, view: StewardView, now: float) -> list[DueRecord]:
         due: list[DueRecord | None] = []
         has_incumbent = _has_incumbent(class_name, view)
