Merge billing and resumed answers into admission and retries

Cause: both parts decide where a broken chat goes on: one by retry budgets, one by the position and the KV cache.

--- a/poplarrun/retries/__init__.py
+++ b/poplarrun/retries/__init__.py
@@ -3,6 +3,7 @@
 from poplarrun.retries._budgets import BudgetKey, RetryBudget, RetryBudgets
 from poplarrun.retries._decisions import (
     MAX_ATTEMPTS,
+    MAX_STREAM_ATTEMPTS,
     FailedAttempt,
     GiveUp,
     RetryAfter,
@@ -12,6 +13,7 @@
 
 __all__ = [
     "MAX_ATTEMPTS",
+    "MAX_STREAM_ATTEMPTS",
     "BudgetKey",
     "FailedAttempt",
     "GiveUp",
--- a/poplarrun/router/_messages.py
+++ b/poplarrun/router/_messages.py
@@ -2,6 +2,7 @@
 
 from dataclasses import dataclass, field
 
+from poplarrun.billing import Bill
 from poplarrun.claims import Ran
 from poplarrun.contracts import Operation, VersionId
 from poplarrun.platform import PreparedCall, ServiceAnswer, Usage
@@ -57,6 +58,10 @@
         Seconds to wait before sending: the pause before a retry.
     sampled : bool
         Whether the worker keeps the answer's text, to be rated.
+    resumes : bool
+        Whether the stream goes on where it broke; else it begins anew.
+    cache_from : str
+        Address of the engine whose KV cache of the stream must be moved first.
     """
 
     endpoint: str
@@ -66,6 +71,8 @@
     timeout_s: float
     delay_s: float = 0.0
     sampled: bool = False
+    resumes: bool = False
+    cache_from: str = ""
 
 
 @dataclass(frozen=True, slots=True)
@@ -86,13 +93,16 @@
     reason : str
         Counter label.
     position : int
-        Tokens already given to the caller.
+        Tokens that the worker has, in order.
+    is_shown : bool
+        Whether the caller was given them already.
     """
 
     request_id: str
     started: bool
     reason: str
     position: int
+    is_shown: bool = True
 
 
 @dataclass(frozen=True, slots=True)
@@ -212,24 +222,6 @@
     key: str
 
 
-@dataclass(frozen=True, slots=True)
-class Bill:
-    """What one request costs its client account, once.
-
-    Attributes
-    ----------
-    id : str
-        The request's id.
-    amount : float
-        In account currency.
-    """
-
-    id: str
-    account: str
-    item: str
-    amount: float
-
-
 @dataclass
 class Explanation:
     """Why a request went where it went, for ``poplarrun explain``."""
