--- a/features/environment.py
+++ b/features/environment.py
@@ -17,7 +17,33 @@
         yield fleet
 
 
-FIXTURES = {"fixture.small_fleet": small_fleet}
+@fixture
+def narrow_fleet(context):
+    """One zone of one host before two engines that are soon full."""
+    settings = {"quality": {"larch:1": 0.9}, "capacity": 2, "tokens_per_s": 60.0}
+    engines = [EnginePlan(f"engine-{number}", "a", settings) for number in (1, 2)]
+    more = {"limits": {"threads": 64}}
+    with Fleet(engines, zones=("a",), hosts_per_zone=1, more_settings=more) as fleet:
+        context.fleet = fleet
+        yield fleet
+
+
+@fixture
+def version_fleet(context):
+    """Three zones of one host, engines that hold three versions, quick ratings."""
+    quality = {"larch:1": 0.95, "larch:2": 0.2, "larch:3": 0.95}
+    settings = {"quality": quality, "tokens_per_s": 2000.0, "answer_tokens": 40}
+    engines = [EnginePlan(f"engine-{zone}", zone, settings) for zone in "abc"]
+    with Fleet(engines, hosts_per_zone=1) as fleet:
+        context.fleet = fleet
+        yield fleet
+
+
+FIXTURES = {
+    "fixture.narrow_fleet": narrow_fleet,
+    "fixture.small_fleet": small_fleet,
+    "fixture.version_fleet": version_fleet,
+}
 
 
 def before_tag(context, tag):
--- a/poplarrun/router/__init__.py
+++ b/poplarrun/router/__init__.py
@@ -1,6 +1,7 @@
 """The decisions about one request, from its arrival to its bill."""
 
 from poplarrun.router._context import RouterContext
+from poplarrun.router._dispatch import Dispatch, Job, NoEndpoint, Sent, Start
 from poplarrun.router._messages import (
     AttemptFailed,
     BeginChat,
@@ -25,15 +26,20 @@
     "BeginOperation",
     "CallFailed",
     "ChatGrant",
+    "Dispatch",
     "EndChat",
     "EndOperation",
     "Explanation",
     "FindOperation",
     "FirstToken",
     "HandedOver",
+    "Job",
+    "NoEndpoint",
     "OperationGrant",
     "Replay",
     "Router",
     "RouterContext",
     "SendOperation",
+    "Sent",
+    "Start",
 ]
--- a/poplarrun/router/_chats.py
+++ b/poplarrun/router/_chats.py
@@ -1,13 +1,17 @@
 """The decisions about one chat request, from its arrival to its bill."""
 
-from dataclasses import dataclass, field
+from dataclasses import dataclass
 
+from poplarrun.admission import Held, Refused
 from poplarrun.billing import Bill
-from poplarrun.contracts import ClientAccount, Version, WorkClass
-from poplarrun.endpoints import Endpoint
-from poplarrun.errors import ErrorKind, Refusal
+from poplarrun.contracts import ClientAccount, Unmet, Version, WorkClass
+from poplarrun.endpoints import Demand, Endpoint
+from poplarrun.errors import ErrorKind, NotRun, Refusal, answer_for
+from poplarrun.platform import Usage
+from poplarrun.retries import GiveUp
 from poplarrun.router._chat_versions import ChatVersions, VersionPick
 from poplarrun.router._context import RouterContext
+from poplarrun.router._dispatch import Dispatch, Job, NoEndpoint, Sent, Start
 from poplarrun.router._messages import (
     AttemptFailed,
     BeginChat,
@@ -17,8 +21,9 @@
     FirstToken,
 )
 
-# One attempt, and each way of going on once: here, elsewhere with the KV cache, anew.
-MAX_ATTEMPTS = 4
+# Longest time in the queue of a class whose latency targets are best effort.
+BEST_EFFORT_WAIT_S = 10.0
+NO_USAGE = Usage(0, 0)
 # The stream's engine can't be reached, so it can't give out its KV cache either.
 UNREACHABLE = "connect"
 
@@ -31,13 +36,15 @@
     pick: VersionPick
     began_at: float
     explanation: Explanation
-    endpoint: str = ""
-    attempts: int = 0
-    tried: set[str] = field(default_factory=set)
-    started: bool = False
+    job: Job
     shown_tokens: int = 0
     resumes: int = 0
 
+    @property
+    def endpoint(self) -> Endpoint | None:
+        """The endpoint of the newest attempt."""
+        return self.job.choice.endpoint if self.job.choice else None
+
     @property
     def version(self) -> Version:
         """What must generate the answer."""
@@ -47,8 +54,9 @@
 class ChatRouter:
     """Decides about chat requests; called on the loop only, never blocks."""
 
-    def __init__(self, context: RouterContext) -> None:
+    def __init__(self, context: RouterContext, dispatch: Dispatch) -> None:
         self._context = context
+        self._dispatch = dispatch
         self._chats: dict[str, _Chat] = {}
         self._versions = ChatVersions(context)
 
@@ -62,8 +70,14 @@
         """Ids of those requests."""
         return list(self._chats)
 
-    def begin(self, request: BeginChat, now: float) -> ChatGrant | Refusal:
-        """Decide on the version and the endpoint of a new chat request."""
+    def begin(self, request: BeginChat, now: float) -> ChatGrant | Held | Refusal:
+        """Decide on the version and the endpoint of a new chat request.
+
+        Returns
+        -------
+        ChatGrant or Held or Refusal
+            For a held request ``release`` gives the grant or refusal later.
+        """
         document = self._context.configuration.document
         self._context.metrics.count_request(
             request.class_name if request.class_name in document.classes else "unknown"
@@ -78,32 +92,58 @@
         if not account.allows_class(work_class.name):
             message = f"client account {account.name} may not use class {work_class.name}"
             return self._context.refuse(ErrorKind.CLASS_NOT_ALLOWED, message, "model")
+        tokens = request.prompt_tokens + request.max_tokens
+        limited = self._context.check_limits(account, tokens, now)
+        if limited is not None:
+            return limited
         explanation = self._context.open_explanation(request.request_id, account, work_class.name)
         pick = self._versions.pick(request, account, work_class, explanation, now)
         if isinstance(pick, Refusal):
             explanation.outcome = f"refused: {pick.kind.value}"
+            self._end_limits(request, account)
             return pick
-        chat = _Chat(request, account, work_class, pick, now, explanation)
+        job = _make_job(request, account, work_class, pick.version, now)
+        chat = _Chat(request, account, work_class, pick, now, explanation, job)
         self._chats[request.request_id] = chat
-        return self._send(chat, now)
+        started = self._follow_start(chat, self._dispatch.start(job, now), now)
+        if isinstance(started, Held):
+            explanation.attempts.append(f"queued, {started.wait_s:.2f} s expected")
+        return started
+
+    def release(self, now: float) -> list[tuple[str, ChatGrant | Refusal]]:
+        """Start the held requests that have a place now, and end those that are late."""
+        released: list[tuple[str, ChatGrant | Refusal]] = []
+        for job, outcome in self._dispatch.release(now):
+            chat = self._chats[job.request_id]
+            started = self._check_version(chat) or self._follow_start(chat, outcome, now)
+            assert not isinstance(started, Held)
+            released.append((job.request_id, started))
+        return released
 
     def retry(self, failure: AttemptFailed, now: float) -> ChatGrant | Refusal:
         """Decide where a broken chat goes on."""
         chat = self._chats[failure.request_id]
-        chat.started = chat.started or failure.started
         chat.shown_tokens = failure.position if failure.is_shown else 0
-        self._note_attempt_end(chat, failure.reason, now)
-        if chat.attempts >= MAX_ATTEMPTS:
-            message = f"{chat.attempts} attempts broke ({failure.reason})"
-            return self._give_up(chat, ErrorKind.ENDPOINT_FAILED, message)
+        endpoint = chat.endpoint.name if chat.endpoint else ""
+        chat.pick.note_broken(endpoint)
+        chat.explanation.attempts.append(f"{endpoint}: {failure.reason}")
+        decision = self._dispatch.decide_again(
+            chat.job, failure.reason, failure.started, now, is_stream=failure.position > 0
+        )
+        refusal = self._check_version(chat)
+        if refusal is not None:
+            return refusal
+        if isinstance(decision, GiveUp):
+            return self._give_up(chat, decision.kind, f"{decision.reason} ({failure.reason})")
         if failure.position > 0:
-            return self._resume_chat(chat, failure, now)
+            return self._resume(chat, failure, now, decision.delay_s)
         self._context.metrics.count_retry(failure.reason)
-        return self._send(chat, now)
+        return self._begin_anew(chat, now, decision.delay_s)
 
     def note_first_token(self, event: FirstToken, now: float) -> None:
         """Record the time to the first token."""
         chat = self._chats[event.request_id]
+        self._dispatch.note_first_token(chat.job, now)
         chat.pick.first_token_s = now - chat.began_at
         self._context.metrics.record_latency(
             "first_token", chat.work_class.name, now - chat.began_at
@@ -112,52 +152,62 @@
     def end(self, end: EndChat, now: float) -> Bill:
         """Close a chat and make its bill."""
         chat = self._chats.pop(end.request_id)
-        self._context.endpoints.note_ended(chat.endpoint, now)
+        self._dispatch.end(chat.job, end.whole, now)
         self._context.metrics.record_latency("whole", chat.work_class.name, now - chat.began_at)
         self._versions.note_end(chat.pick, chat.work_class, end, now - chat.began_at)
+        amount = chat.version.price.cost(end.usage.input_tokens, end.usage.output_tokens)
         bill = _make_bill(chat, end.usage.input_tokens, end.usage.output_tokens)
+        self._end_limits(chat.request, chat.account, end.usage, amount)
         chat.explanation.outcome = "answered" if end.whole else "cut off"
         return self._context.add_bill(bill, chat.explanation)
 
-    def _send(self, chat: _Chat, now: float) -> ChatGrant | Refusal:
-        refusal = self._check_version(chat)
-        if refusal is not None:
-            return refusal
-        choice = self._context.endpoints.choose_engine(chat.version.id, now, chat.tried)
-        if choice is None:
-            message = f"no endpoint holds {chat.version.id}"
-            return self._give_up(chat, ErrorKind.NO_ENDPOINT, message)
-        return self._grant_chat(chat, choice.endpoint, now)
-
-    def _resume_chat(self, chat: _Chat, failure: AttemptFailed, now: float) -> ChatGrant | Refusal:
+    def _resume(
+        self, chat: _Chat, failure: AttemptFailed, now: float, delay_s: float
+    ) -> ChatGrant | Refusal:
         """Go on where the stream broke, so that the rest fits what there is.
 
         The same engine still has the stream; another one gets its KV cache. Only
         an answer of which nothing was shown may be generated anew, for no two
         generations are alike and the caller would get a mixed one.
         """
-        refusal = self._check_version(chat)
-        if refusal is not None:
-            return refusal
         chat.resumes += 1
-        same = self._find_endpoint(chat.endpoint)
-        if chat.resumes == 1 and same is not None:
+        same = chat.endpoint
+        is_known = same is not None and self._context.endpoints.find(same.name) is same
+        if chat.resumes == 1 and is_known:
             self._context.metrics.count_retry("resume")
-            return self._grant_chat(chat, same, now, resumes=True)
-        other = self._context.endpoints.choose_engine(chat.version.id, now, chat.tried)
-        can_move = same is not None and failure.reason != UNREACHABLE and chat.resumes == 2
-        if can_move and same is not None and other is not None and other.endpoint is not same:
-            self._context.metrics.count_retry("resume_elsewhere")
-            return self._grant_chat(
-                chat, other.endpoint, now, resumes=True, cache_from=same.address
-            )
-        if not failure.is_shown:
-            self._context.metrics.count_retry("anew")
-            return self._send(chat, now)
-        return self._give_up(chat, ErrorKind.ANSWER_INCOMPLETE, "the stream's engine is gone")
-
-    def _find_endpoint(self, name: str) -> Endpoint | None:
-        return next((e for e in self._context.endpoints.all() if e.name == name), None)
+            sent = self._dispatch.resend(chat.job, now, delay_s)
+            return self._grant(chat, sent, now, resumes=True)
+        can_move = is_known and failure.reason != UNREACHABLE and chat.resumes == 2
+        if can_move and same is not None:
+            moved = self._dispatch.send_elsewhere(chat.job, now, delay_s)
+            if isinstance(moved, Sent) and moved.choice.endpoint is not same:
+                self._context.metrics.count_retry("resume_elsewhere")
+                return self._grant(chat, moved, now, resumes=True, cache_from=same.address)
+            if isinstance(moved, Sent):
+                self._dispatch.take_back(chat.job, now)
+        if failure.is_shown:
+            message = "the stream's engine is gone"
+            return self._give_up(chat, ErrorKind.ANSWER_INCOMPLETE, message)
+        self._context.metrics.count_retry("anew")
+        return self._begin_anew(chat, now, delay_s)
+
+    def _begin_anew(self, chat: _Chat, now: float, delay_s: float) -> ChatGrant | Refusal:
+        sent = self._dispatch.send_elsewhere(chat.job, now, delay_s)
+        started = self._follow_start(chat, sent, now)
+        assert not isinstance(started, Held)
+        return started
+
+    def _follow_start(self, chat: _Chat, start: Start, now: float) -> ChatGrant | Held | Refusal:
+        match start:
+            case Sent():
+                return self._grant(chat, start, now)
+            case Held():
+                return start
+            case Refused(kind=kind, reason=reason, retry_after_s=retry_after_s):
+                return self._give_up(chat, kind, reason, retry_after_s)
+            case NoEndpoint():
+                message = f"no endpoint holds {chat.version.id}"
+                return self._give_up(chat, ErrorKind.NO_ENDPOINT, message)
 
     def _check_version(self, chat: _Chat) -> Refusal | None:
         """Check permission anew before each attempt.
@@ -174,41 +224,42 @@
             return self._give_up(chat, ErrorKind.VERSION_NOT_ALLOWED, message)
         return None
 
-    def _grant_chat(
-        self,
-        chat: _Chat,
-        endpoint: Endpoint,
-        now: float,
-        resumes: bool = False,
-        cache_from: str = "",
-    ) -> ChatGrant | Refusal:
-        timeout_s = chat.began_at + chat.work_class.targets.whole_s - now
-        if timeout_s <= 0:
-            return self._give_up(chat, ErrorKind.DEADLINE_UNREACHABLE, "the deadline has passed")
-        chat.endpoint = endpoint.name
-        chat.attempts += 1
-        if chat.attempts == 1:
+    def _grant(
+        self, chat: _Chat, sent: Sent, now: float, resumes: bool = False, cache_from: str = ""
+    ) -> ChatGrant:
+        endpoint = sent.choice.endpoint
+        timeout_s = max(0.0, chat.job.deadline - now - sent.delay_s)
+        importance = chat.work_class.importance
+        if chat.job.attempts == 1:
             self._context.opened.append(_make_bill(chat, chat.request.prompt_tokens, 0))
-        chat.tried.add(endpoint.name)
-        self._context.endpoints.note_sent(endpoint.name, now)
         return ChatGrant(
             endpoint.name,
             endpoint.address,
             chat.version.id,
-            chat.work_class.importance,
+            importance,
             timeout_s,
+            sent.delay_s,
             sampled=chat.pick.sampled,
             resumes=resumes,
             cache_from=cache_from,
         )
 
-    def _note_attempt_end(self, chat: _Chat, reason: str, now: float) -> None:
-        self._context.endpoints.note_ended(chat.endpoint, now)
-        self._context.endpoints.note_failure(chat.endpoint, now, reason)
-        chat.pick.note_broken(chat.endpoint)
-        chat.explanation.attempts.append(f"{chat.endpoint}: {reason}")
+    def _end_limits(
+        self,
+        request: BeginChat,
+        account: ClientAccount,
+        usage: Usage = NO_USAGE,
+        amount: float = 0.0,
+    ) -> None:
+        """Give back what a request was expected to take of its account's limits and didn't."""
+        if self._context.limits is not None:
+            expected = request.prompt_tokens + request.max_tokens
+            used = usage.input_tokens + usage.output_tokens
+            self._context.limits.end(account, expected, used, amount)
 
-    def _give_up(self, chat: _Chat, kind: ErrorKind, message: str) -> Refusal:
+    def _give_up(
+        self, chat: _Chat, kind: ErrorKind, message: str, retry_after_s: float | None = None
+    ) -> Refusal:
         """End a chat without a whole answer, and bill what its caller was shown.
 
         A kind that says "not run" is true only while no engine began: after
@@ -218,14 +269,37 @@
         if chat.shown_tokens:
             kind = ErrorKind.ANSWER_INCOMPLETE
             bill = _make_bill(chat, chat.request.prompt_tokens, chat.shown_tokens)
+            shown = Usage(chat.request.prompt_tokens, chat.shown_tokens)
+            self._end_limits(chat.request, chat.account, shown, bill.amount)
             self._context.add_bill(bill, chat.explanation)
         else:
-            kind = ErrorKind.ENDPOINT_FAILED if chat.started else kind
+            if chat.job.started and answer_for(kind).not_run is NotRun.YES:
+                kind = ErrorKind.ENDPOINT_FAILED
+            self._end_limits(chat.request, chat.account)
             self._context.closed.append(chat.request.request_id)
         chat.explanation.outcome = f"refused: {kind.value}"
-        return self._context.refuse(kind, message)
+        return self._context.refuse(kind, message, retry_after_s=retry_after_s)
 
 
 def _make_bill(chat: _Chat, input_tokens: int, output_tokens: int) -> Bill:
     amount = chat.version.price.cost(input_tokens, output_tokens)
     return Bill(chat.request.request_id, chat.account.name, str(chat.version.id), amount)
+
+
+def _make_job(
+    request: BeginChat, account: ClientAccount, work_class: WorkClass, version: Version, now: float
+) -> Job:
+    targets = work_class.targets
+    wait_s = targets.first_token_s
+    if work_class.unmet is Unmet.BEST_EFFORT:
+        wait_s = max(wait_s, min(targets.whole_s, BEST_EFFORT_WAIT_S))
+    return Job(
+        request_id=request.request_id,
+        account=account.name,
+        work_class=work_class.name,
+        importance=work_class.importance,
+        version=version.id,
+        demand=Demand(request.prompt_tokens, request.blocks),
+        start_by=now + wait_s,
+        deadline=now + targets.whole_s,
+    )
--- a/poplarrun/router/_operations.py
+++ b/poplarrun/router/_operations.py
@@ -1,7 +1,5 @@
 """The decisions about one call of a plain service."""
 
-import asyncio
-import random
 import time
 from collections.abc import Callable
 from dataclasses import dataclass, field
@@ -29,15 +27,7 @@
 from poplarrun.contracts import ClientAccount, Operation, WithoutKey
 from poplarrun.errors import ErrorKind, Refusal
 from poplarrun.hosts import Peers
-from poplarrun.retries import (
-    BudgetKey,
-    FailedAttempt,
-    GiveUp,
-    RetryAfter,
-    RetryBudget,
-    RetryBudgets,
-    decide_retry,
-)
+from poplarrun.retries import BudgetKey, FailedAttempt, GiveUp, RetryAfter
 from poplarrun.router._context import RouterContext
 from poplarrun.router._messages import (
     BeginOperation,
@@ -98,8 +88,6 @@
         self._wall: Callable[[], float] = time.time
         self._calls: dict[str, _Call] = {}
         self._keys_here: set[tuple[str, str]] = set()
-        self._budgets = RetryBudgets()
-        self._random = random.Random(0)
 
     def use_times(self, now: Callable[[], float], wall: Callable[[], float]) -> None:
         """Take the times, monotonic and since the epoch, from elsewhere."""
@@ -145,7 +133,7 @@
         call.is_sent = message.call.hand_over() or call.is_sent
         return HandedOver(call.is_sent, left_s)
 
-    async def retry(self, failure: CallFailed) -> OperationGrant | Refusal:
+    def retry(self, failure: CallFailed) -> OperationGrant | Refusal:
         """Decide where a broken call goes on: only if it is safe to send it again."""
         call = self._calls[failure.request_id]
         now = self._now()
@@ -155,7 +143,7 @@
         failed = FailedAttempt(
             call.attempts, call.is_sent, call.operation.idempotent, call.deadline - now
         )
-        match decide_retry(failed, self._budget_of(call), self._random):
+        match self._context.decide_retry(failed, _budget_key(call)):
             case GiveUp(kind=ErrorKind.OPERATION_OUTCOME_UNKNOWN):
                 return self._give_up_sent(call, failure.reason)
             case GiveUp(kind=kind, reason=reason):
@@ -163,8 +151,7 @@
                 return self._refuse(call, kind, f"{reason} ({failure.reason})")
             case RetryAfter(delay_s=delay_s):
                 self._context.metrics.count_retry(failure.reason)
-                await asyncio.sleep(delay_s)
-                return self._choose(call)
+                return self._choose(call, delay_s)
 
     def end(self, end: EndOperation) -> Bill | None:
         """Close a call that was answered: keep its answer, and make its bill."""
@@ -217,6 +204,12 @@
         if needs_key and not request.idempotency_key:
             message = f"{request.service}/{request.operation} needs an Idempotency-Key header"
             return self._context.refuse(ErrorKind.IDEMPOTENCY_KEY_REQUIRED, message)
+        # A repeat of a key asks what became of the first call: to refuse it as
+        # "not run" would be read as an answer to that.
+        if not request.idempotency_key:
+            limited = self._context.check_limits(account, 0, self._now(), is_stream=False)
+            if limited is not None:
+                return limited
         subject = f"{request.service}/{request.operation}"
         explanation = self._context.open_explanation(request.request_id, account, subject)
         deadline = self._now() + operation.timeout_s
@@ -299,18 +292,18 @@
         message = "a call with this key is under way; ask again"
         return self._refuse(call, ErrorKind.OPERATION_IN_PROGRESS, message)
 
-    def _choose(self, call: _Call) -> OperationGrant | Refusal:
+    def _choose(self, call: _Call, delay_s: float = 0.0) -> OperationGrant | Refusal:
         name_and_address = self._choose_endpoint(call)
         if name_and_address is None:
             kind = ErrorKind.ENDPOINT_FAILED if call.is_sent else ErrorKind.NO_ENDPOINT
             return self._refuse(call, kind, f"no endpoint runs {call.request.service}")
-        if call.attempts == 0:
-            self._budget_of(call).note_attempt()
         call.endpoint, address = name_and_address
         call.attempts += 1
+        if call.attempts == 1:
+            self._context.retry_budgets.budget(_budget_key(call)).note_attempt()
         call.tried.add(call.endpoint)
         self._context.endpoints.note_sent(call.endpoint, self._now())
-        return OperationGrant(call.endpoint, address, call.operation)
+        return OperationGrant(call.endpoint, address, call.operation, delay_s)
 
     def _choose_endpoint(self, call: _Call) -> tuple[str, str] | None:
         endpoint = self._context.endpoints.choose_service(
@@ -318,9 +311,6 @@
         )
         return None if endpoint is None else (endpoint.name, endpoint.address)
 
-    def _budget_of(self, call: _Call) -> RetryBudget:
-        return self._budgets.budget(BudgetKey(call.explanation.subject, call.request.service))
-
     def _give_up_sent(self, call: _Call, reason: str) -> Refusal:
         """End a call that went out and got no answer: it is never sent again."""
         if call.claim is not None and self.keeper is not None:
@@ -343,5 +333,9 @@
         return call
 
 
+def _budget_key(call: _Call) -> BudgetKey:
+    return BudgetKey(call.request.operation, call.request.service)
+
+
 def _outcome(claim: Claim, result: Result) -> Outcome:
     return Outcome(claim.id, claim.account, claim.key, result)
--- a/poplarrun/server/_host.py
+++ b/poplarrun/server/_host.py
@@ -9,6 +9,7 @@
 from functools import partial
 from typing import Any, TypeVar
 
+from poplarrun.admission import Held
 from poplarrun.billing import Bill, BillKeeper
 from poplarrun.claims import ClaimKeeper
 from poplarrun.config import (
@@ -19,17 +20,17 @@
     Refused,
     Verdict,
 )
-from poplarrun.endpoints import Endpoint, EndpointTable
+from poplarrun.endpoints import Endpoint, EndpointTable, LoadSharing
 from poplarrun.errors import ErrorKind, Refusal
 from poplarrun.hosts import Peers
 from poplarrun.leases import LeaseKeeper
+from poplarrun.limits import ROUND_S, AccountLimits
 from poplarrun.log import Log, ThreadedLog
 from poplarrun.logs import part_logger
 from poplarrun.metrics import Metrics
 from poplarrun.platform import (
     Engine,
     EngineFailed,
-    HostKind,
     HostList,
     ListUnavailable,
     LoadReport,
@@ -40,6 +41,7 @@
     BeginChat,
     BeginOperation,
     CallFailed,
+    ChatGrant,
     EndChat,
     EndOperation,
     FindOperation,
@@ -64,9 +66,15 @@
 
 HOST_LIST_POLL_S = 0.5
 LOAD_POLL_S = 0.25
+LOAD_SHARE_S = 0.5
+EVENTS_POLL_S = 0.5
+RELEASE_S = 0.02
+# Of the threads that carry bytes, those that may be held by waiting requests:
+# the rest must stay free for streams, and for refusals that cost no waiting.
+QUEUED_SHARE_OF_THREADS = 0.25
 TEND_CLAIMS_S = 60.0
-TEND_BILLS_S = 1.0
 TEND_LEASES_S = 0.5
+TEND_BILLS_S = 1.0
 ROLLOUTS_POLL_S = 0.25
 EVIDENCE_PERIOD_S = 1.0
 RATINGS_POLL_S = 0.25
@@ -109,13 +117,16 @@
         self.leaving = False
         self.stopping = False
         self.on_leave: list[Callable[[], Awaitable[None]]] = [
+            self.settle_outcomes,
             self.hand_leases_over,
-            self.drain_outcomes,
         ]
         self._clock = clock
         self._host_list = host_list
         self._engine = engine
         self._endpoints = EndpointTable(settings.zone, random.Random(settings.name))
+        self._limits = AccountLimits(self.peers)
+        self._load_sharing = LoadSharing(self.peers, self._endpoints)
+        self._held: dict[str, asyncio.Future[ChatGrant | Refusal]] = {}
         self._pool = ThreadPoolExecutor(BLOCKING_THREADS, thread_name_prefix="platform")
         awaited_log = ThreadedLog(log, self._in_thread)
         count = self.metrics.count_event
@@ -129,7 +140,9 @@
             random.Random(settings.name),
             clock,
         )
-        self.router = Router(self._endpoints, self.metrics, versions)
+        queue_bound = max(1, int(settings.limits.threads * QUEUED_SHARE_OF_THREADS))
+        self.router = Router(self._endpoints, self.metrics, versions, queue_bound)
+        self.router.context.limits = self._limits
         self.router.operations.keeper = self.claims
         self.router.operations.peers = self.peers
         self._version_tasks = VersionTasks(
@@ -177,9 +190,13 @@
         for step, period_s in (
             (self._follow_host_list, HOST_LIST_POLL_S),
             (self._poll_loads, LOAD_POLL_S),
+            (self._share_loads, LOAD_SHARE_S),
+            (self._poll_cache_events, EVENTS_POLL_S),
+            (self._release_held, RELEASE_S),
+            (self._share_limits, ROUND_S),
             (self.claims.tend, TEND_CLAIMS_S),
-            (self.billing.tend, TEND_BILLS_S),
             (self.leases.tend, TEND_LEASES_S),
+            (self.billing.tend, TEND_BILLS_S),
             (self._version_tasks.follow_rollouts, ROLLOUTS_POLL_S),
             (self._version_tasks.exchange_evidence, EVIDENCE_PERIOD_S),
             (self._version_tasks.run_steward, ROLLOUTS_POLL_S),
@@ -197,14 +214,17 @@
         a caller that has its whole answer is billed, whatever dies then.
         """
         answer = self._answer(message)
+        self._hand_entries_on()
+        bills, self.router.context.bills = self.router.context.bills, []
+        return self._keep_bills(bills, answer) if bills else answer
+
+    def _hand_entries_on(self) -> None:
         context = self.router.context
         for bill in context.opened:
             self.billing.open(bill)
         for bill_id in context.closed:
             self.billing.drop(bill_id)
-        bills = context.bills
-        context.opened, context.closed, context.bills = [], [], []
-        return self._keep_bills(bills, answer) if bills else answer
+        context.opened, context.closed = [], []
 
     async def _keep_bills(self, bills: list[Bill], answer: Any) -> Any:
         await asyncio.gather(*(self.billing.keep(bill) for bill in bills))
@@ -218,7 +238,7 @@
             case BeginChat() | BeginOperation() if self.billing.is_full:
                 return self._refuse_unbillable()
             case BeginChat():
-                return self.router.chats.begin(message, now)
+                return self._begin_chat(message, now)
             case BeginOperation():
                 return self.router.operations.begin(message)
             case SendOperation():
@@ -232,7 +252,9 @@
             case FirstToken():
                 return self.router.chats.note_first_token(message, now)
             case EndChat():
-                return self.router.chats.end(message, now)
+                bill = self.router.chats.end(message, now)
+                self._answer_held()
+                return bill
             case EndOperation():
                 return self.router.operations.end(message)
             case Refusal():
@@ -251,6 +273,25 @@
                 return self._leave()
         raise TypeError(f"no handler for {type(message).__name__}")
 
+    def _begin_chat(self, message: BeginChat, now: float) -> Any:
+        answer = self.router.chats.begin(message, now)
+        if not isinstance(answer, Held):
+            return answer
+        future: asyncio.Future[ChatGrant | Refusal] = asyncio.get_running_loop().create_future()
+        self._held[message.request_id] = future
+        # It may have taken the place of a less important one, which hears now.
+        self._answer_held()
+        return _wait_for(future)
+
+    def _answer_held(self) -> None:
+        for request_id, answer in self.router.chats.release(self._clock()):
+            self._held.pop(request_id).set_result(answer)
+
+    async def _release_held(self) -> None:
+        if self._held:
+            self._answer_held()
+            self._hand_entries_on()
+
     async def _repeat(
         self, step: Callable[[], Coroutine[Any, Any, None]], pause: Callable[[], Awaitable[None]]
     ) -> None:
@@ -267,14 +308,14 @@
                 self._log.log(logging.ERROR, "A task failed.", exc_info=True)
             await pause()
 
-    async def drain_outcomes(self) -> None:
-        """Put outcomes and bills into the log; what it doesn't take, peers finish."""
-        await asyncio.gather(self.claims.drain(), self.billing.drain())
-
     async def hand_leases_over(self) -> None:
         """Hand the jobs of this host over."""
         await self.leases.release_all()
 
+    async def settle_outcomes(self) -> None:
+        """Put the outcomes and bills that are left into the log; peers finish the rest."""
+        await asyncio.gather(self.claims.drain(), self.billing.drain())
+
     async def _leave(self) -> None:
         """Hand over what this host keeps, each part within a bound, then leave the others."""
         for hand_over in self.on_leave:
@@ -316,16 +357,40 @@
                 self._list_seen = True
 
     async def _poll_loads(self) -> None:
-        engines = [e for e in self._endpoints.all() if e.kind is HostKind.MODEL_ENGINE]
-        await asyncio.gather(*(self._poll_load(engine) for engine in engines))
+        polled = self._load_sharing.list_polled(self._clock())
+        await asyncio.gather(*(self._poll_load(engine) for engine in polled))
 
     async def _poll_load(self, endpoint: Endpoint) -> None:
+        began = self._clock()
         match await self._in_thread(self._engine.report_load, endpoint.address):
             case LoadReport() as report:
-                self._endpoints.apply_report(endpoint.name, report, self._clock())
-            case EngineFailed():
+                now = self._clock()
+                self._endpoints.note_link(endpoint.zone, now - began)
+                self._endpoints.apply_report(endpoint.name, report, now)
+            case EngineFailed(reason=reason):
                 self.metrics.count_event("load_report_failed")
-                self._endpoints.note_failure(endpoint.name, self._clock())
+                self._endpoints.note_failure(endpoint.name, self._clock(), reason)
+
+    async def _share_loads(self) -> None:
+        now = self._clock()
+        self._load_sharing.publish(now)
+        self._load_sharing.take_in(now)
+
+    async def _share_limits(self) -> None:
+        accounts = self.router.context.configuration.document.accounts.values()
+        self._limits.close_round(accounts, self._clock(), time.time())
+
+    async def _poll_cache_events(self) -> None:
+        followed = self._load_sharing.list_followed()
+        await asyncio.gather(*(self._poll_events(engine) for engine in followed))
+
+    async def _poll_events(self, endpoint: Endpoint) -> None:
+        after = self._endpoints.prefixes.last_number(endpoint.name)
+        match await self._in_thread(self._engine.list_cache_events, endpoint.address, after):
+            case EngineFailed():
+                self.metrics.count_event("cache_events_failed")
+            case events:
+                self._endpoints.apply_cache_events(endpoint.name, events, self._clock())
 
     def _refuse_unready(self) -> Refusal:
         kind = ErrorKind.STOPPING if self.stopping else ErrorKind.NOT_READY
@@ -365,6 +430,10 @@
         )
 
 
+async def _wait_for(future: asyncio.Future[ChatGrant | Refusal]) -> ChatGrant | Refusal:
+    return await future
+
+
 def _endpoint_status(endpoint: Endpoint, now: float) -> EndpointStatus:
     if endpoint.leaving:
         state = "leaving"
--- a/standins/histories/_hosts.py
+++ b/standins/histories/_hosts.py
@@ -101,13 +101,19 @@
         while isinstance(step, OperationGrant):
             call = await self._service.prepare(request_id, key)
             if call is None:
-                step = await self._operations.retry(CallFailed(request_id, "connect"))
+                step = await self._retry(request_id, "connect")
             else:
                 step = await self._exchange(request_id, call, reached)
         answer = _answer_of(request_id, step)
         self._world.history.answers.append(answer)
         return answer
 
+    async def _retry(self, request_id: str, reason: str) -> OperationGrant | Refusal:
+        step = self._operations.retry(CallFailed(request_id, reason))
+        if isinstance(step, OperationGrant):
+            await asyncio.sleep(step.delay_s)
+        return step
+
     async def tend(self) -> None:
         """Tend the bills for ever, as the host's task does."""
         while True:
@@ -133,7 +139,7 @@
         await reached(self, "after sending")
         body = await call.answer(handed.timeout_s)
         if body is None:
-            return await self._operations.retry(CallFailed(request_id, "broken"))
+            return await self._retry(request_id, "broken")
         await reached(self, "after answer")
         answer = ServiceAnswer(200, body.encode(), "text/plain")
         self._operations.end(EndOperation(request_id, answer))
