Split the bill keeper; tell nothing to peers that are gone

Change: BillBatches appends, HeldBills holds what others told, BillKeeper decides; settled ids of a peer that is not live are dropped.

--- a/poplarrun/billing/_keeper.py
+++ b/poplarrun/billing/_keeper.py
@@ -1,23 +1,16 @@
 """A host's bills: kept by peers until the log has them, and those of dead peers finished."""
 
 import asyncio
-import contextlib
 import enum
-from collections.abc import Callable, Iterable
+from collections.abc import Callable
 
 import msgspec
 
-from poplarrun.billing._records import (
-    Bill,
-    BillLine,
-    encode_bills,
-    read_lines,
-    shard_of,
-    stream_of,
-    write_lines,
-)
+from poplarrun.billing._batches import MAX_BATCH_BILLS, BillBatches
+from poplarrun.billing._held import HeldBills, Holder
+from poplarrun.billing._records import Bill, BillLine, read_lines, shard_of, write_lines
 from poplarrun.hosts import Peers, Ranking
-from poplarrun.log import Appended, AsyncLog
+from poplarrun.log import AsyncLog
 from poplarrun.metrics import ignore_event
 
 KEEP_MESSAGE = "billing.keep"
@@ -25,14 +18,6 @@
 # Peers are asked in turn until two have the bill; more would hold up the answer.
 MAX_ASKED = 4
 KEEP_TIMEOUT_S = 0.3
-LOG_WAIT_S = 1.0
-# All hosts together append so many batches a second.
-BATCHES_PER_S = 60.0
-MIN_BATCH_INTERVAL_S = 1.0
-MAX_BATCH_BILLS = 2000
-# A peer that has not been live for so long is taken for dead; if it isn't, the
-# fold drops what both append.
-DEAD_AFTER_S = 1.0
 # About 0.4 KB each. An hour without the log, at 18 requests a second a host and
 # three copies of each bill. At the bound requests are refused before they run.
 MAX_BILLS = 200_000
@@ -78,8 +63,8 @@
 
     Attributes
     ----------
-    appends, finished : int
-        Appends made, and bills finished for dead hosts.
+    finished : int
+        Bills that were finished for dead hosts.
     """
 
     def __init__(
@@ -90,38 +75,34 @@
         wall: Callable[[], float],
         count: Callable[[str], None] = ignore_event,
     ) -> None:
-        self.appends = 0
         self.finished = 0
         self._peers = peers
-        self._log = log
         self._now = now
         self._wall = wall
         self._count = count
         self._shard = shard_of(peers.me.name)
-        # Requests of this host that run; those that no peer knows of yet.
+        self._batches = BillBatches(log, now, lambda: len(peers.live()), self._note_appended, count)
+        self._held = HeldBills()
+        # Requests of this host that run, and what peers must be told with the
+        # next ``tend``: new ones, and bills that too few peers hold.
         self._open: dict[str, Bill] = {}
         self._untold: dict[str, Bill] = {}
-        # Bills that wait for the log, by shard; those that only this host has.
-        self._queues: dict[int, dict[str, Bill]] = {self._shard: {}}
-        self._alone: dict[str, Bill] = {}
-        self._appended: dict[str, asyncio.Future[bool]] = {}
+        # The peers that may hold a bill, and the bills that a peer can drop.
         self._keepers_of: dict[str, list[str]] = {}
         self._settled_for: dict[str, list[str]] = {}
-        # What other hosts told, by host and incarnation.
-        self._held: dict[tuple[str, int], dict[str, Bill]] = {}
-        self._silent_since: dict[tuple[str, int], float] = {}
-        self._live_before: set[tuple[str, int]] = set()
-        self._flushing: asyncio.Task[None] | None = None
-        self._is_urgent = asyncio.Event()
-        self._log_failed_until = 0.0
+        self._live_before: set[Holder] = set()
         self._ranking = Ranking()
         peers.serve(KEEP_MESSAGE, self._serve_keep)
 
+    @property
+    def appends(self) -> int:
+        """Appends made so far."""
+        return self._batches.appends
+
     @property
     def size(self) -> int:
         """Bills in memory: own ones and those held for peers."""
-        own = len(self._open) + sum(len(queue) for queue in self._queues.values())
-        return own + sum(len(held) for held in self._held.values())
+        return len(self._open) + self._batches.size + self._held.size
 
     @property
     def is_full(self) -> bool:
@@ -131,7 +112,11 @@
     @property
     def waiting(self) -> int:
         """Bills that the log doesn't hold yet."""
-        return sum(len(queue) for queue in self._queues.values())
+        return self._batches.size
+
+    def holds(self, bill_id: str) -> bool:
+        """Tell whether a bill is in memory here, the own one or a peer's."""
+        return self._find(bill_id) is not None or self._held.holds(bill_id)
 
     def open(self, bill: Bill) -> None:
         """Note a request that begins; peers bill it so if this host dies meanwhile.
@@ -159,97 +144,91 @@
         bill = msgspec.structs.replace(bill, at=self._wall(), is_final=True)
         self._open.pop(bill.id, None)
         self._untold.pop(bill.id, None)
-        self._queues[self._shard][bill.id] = bill
-        self._start_flush()
+        self._batches.add(self._shard, bill)
+        self._batches.start()
         if await self._copy([bill]) >= COPIES:
             kept = KeptBy.PEERS
-        elif await self._wait_for_log(bill):
+        elif await self._batches.wait_for(bill):
             kept = KeptBy.LOG
         else:
             kept = KeptBy.HOST_ALONE
-            self._alone[bill.id] = bill
+            self._untold[bill.id] = bill
         self._count(f"bill_kept_by_{kept.value}")
         return kept
 
     async def drain(self) -> None:
-        """Append what waits, once; what the log doesn't take, peers finish."""
-        self._is_urgent.set()
-        if self._flushing is not None:
-            await asyncio.wait([self._flushing])
+        """Append what waits at once; what the log doesn't take, peers finish."""
+        await self._batches.drain()
 
     async def tend(self) -> None:
         """Tell peers what is new, and finish the bills of dead hosts."""
         live = {(peer.name, peer.incarnation) for peer in self._peers.live()}
-        for holder in list(self._held):
-            if holder in live:
-                self._silent_since.pop(holder, None)
-            elif self._now() - self._silent_since.setdefault(holder, self._now()) >= DEAD_AFTER_S:
-                self._finish(holder)
-        self._note_gone(self._live_before - live)
+        for host, bills in self._held.take_orphans(live, self._now()):
+            self._finish(host, bills)
+        self._note_gone({name for name, _ in self._live_before - live})
         self._live_before = live
-        if self.waiting:
-            self._start_flush()
+        self._batches.start()
         await self._tell_new()
-        settled, self._settled_for = self._settled_for, {}
-        await asyncio.gather(*(self._tell(peer, [], ids) for peer, ids in settled.items()))
+        await self._tell_settled({name for name, _ in live})
 
-    def _note_gone(self, gone: set[tuple[str, int]]) -> None:
+    def _finish(self, host: str, bills: list[Bill]) -> None:
+        """Append a dead host's bills in its place, as far as they were told here.
+
+        Two new peers are told of them too: while the log is out, the hosts that
+        held them could die one after the other.
+        """
+        for bill in bills:
+            if self._batches.find(bill.id) is None:
+                self._batches.add(shard_of(host), bill)
+                self._untold[bill.id] = bill
+        self.finished += len(bills)
+        self._count("dead_host_finished")
+        self._batches.start(is_urgent=True)
+
+    def _note_gone(self, names: set[str]) -> None:
         """Have bills copied anew that a peer held which is gone.
 
         While the log is out, the holders of a bill could else die one by one.
         """
-        if not gone:
+        if not names:
             return
-        names = {name for name, _ in gone}
-        pending = [self._open, *self._queues.values()]
         for bill_id, keepers in self._keepers_of.items():
-            if names.isdisjoint(keepers):
-                continue
-            for bills in pending:
-                if bill_id in bills:
-                    self._alone[bill_id] = bills[bill_id]
+            bill = None if names.isdisjoint(keepers) else self._find(bill_id)
+            if bill is not None:
+                self._untold[bill_id] = bill
 
     async def _tell_new(self) -> None:
-        """Tell peers of running requests, and of bills that only this host has."""
-        told = [*self._untold.values(), *self._alone.values()][:MAX_BATCH_BILLS]
+        """Tell peers of running requests, and of bills that too few of them hold."""
+        told = list(self._untold.values())[:MAX_BATCH_BILLS]
         if told and await self._copy(told) >= COPIES:
             for bill in told:
-                for waiting in (self._untold, self._alone):
-                    if waiting.get(bill.id) is bill:
-                        del waiting[bill.id]
+                if self._untold.get(bill.id) is bill:
+                    del self._untold[bill.id]
 
-    def _forget_alone(self, bills: list[Bill]) -> None:
-        for bill in bills:
-            self._alone.pop(bill.id, None)
-
-    async def _wait_for_log(self, bill: Bill) -> bool:
-        """Append at once, and tell whether the log has the bill."""
-        if bill.id not in self._queues[self._shard]:
-            return True
-        if self._now() < self._log_failed_until:
-            return False
-        appended = self._appended.setdefault(bill.id, asyncio.get_running_loop().create_future())
-        self._is_urgent.set()
-        self._start_flush()
-        await asyncio.wait([appended], timeout=LOG_WAIT_S)
-        self._appended.pop(bill.id, None)
-        return appended.done() and appended.result()
-
-    def _finish(self, holder: tuple[str, int]) -> None:
-        """Append a dead host's bills in its place, as far as they were told here.
+    async def _tell_settled(self, live: set[str]) -> None:
+        """Tell live peers what they can drop.
 
-        Two new peers are told of them too: while the log is out, the hosts that
-        held them could die one after the other.
+        One that is gone is not told: should it be back, it holds a few bills
+        until this host's incarnation ends, and the fold drops what it appends.
         """
-        bills = self._held.pop(holder)
-        self._silent_since.pop(holder, None)
-        queue = self._queues.setdefault(shard_of(holder[0]), {})
-        for bill in bills.values():
-            if bill.id not in queue:
-                queue[bill.id] = self._alone[bill.id] = bill
-        self.finished += len(bills)
-        self._count("dead_host_finished")
-        self._is_urgent.set()
+        settled, self._settled_for = self._settled_for, {}
+        told = [self._tell(peer, [], ids) for peer, ids in settled.items() if peer in live]
+        await asyncio.gather(*told)
+
+    def _note_appended(self, bills: list[Bill]) -> None:
+        for bill in bills:
+            self._untold.pop(bill.id, None)
+        self._settle([bill.id for bill in bills])
+
+    def _settle(self, ids: list[str]) -> None:
+        """Note for each peer which bills it need not hold any longer."""
+        for bill_id in ids:
+            for peer in dict.fromkeys(self._keepers_of.pop(bill_id, ())):
+                self._settled_for.setdefault(peer, []).append(bill_id)
+
+    def _find(self, bill_id: str) -> Bill | None:
+        """Return a bill that this host must get into the log."""
+        return self._batches.find(bill_id) or self._open.get(bill_id)
 
     async def _copy(self, bills: list[Bill]) -> int:
         """Give bills to peers until two have them; return how many do."""
@@ -261,16 +240,9 @@
             for bill in bills:
                 self._keepers_of.setdefault(bill.id, []).extend(asked)
             copies += sum(await asyncio.gather(*(self._tell(peer, bills, []) for peer in asked)))
-        self._settle([bill.id for bill in bills if not self._is_pending(bill.id)])
+        self._settle([bill.id for bill in bills if self._find(bill.id) is None])
         return copies
 
-    def _is_pending(self, bill_id: str) -> bool:
-        return bill_id in self._open or any(bill_id in queue for queue in self._queues.values())
-
-    def holds(self, bill_id: str) -> bool:
-        """Tell whether a bill is in memory here, the own one or a peer's."""
-        return self._is_pending(bill_id) or any(bill_id in held for held in self._held.values())
-
     def _rank_peers(self) -> list[str]:
         """Order the peers, those of other zones first, spread evenly over the fleet."""
         me = self._peers.me
@@ -300,66 +272,8 @@
     async def _serve_keep(self, _: str, payload: bytes) -> bytes:
         message = _keep_decoder.decode(payload)
         holder = (message.host, message.incarnation)
-        held = self._held.setdefault(holder, {})
-        for bill_id in message.settled:
-            held.pop(bill_id, None)
         has_room = not message.lines or not self.is_full
         if has_room:
-            for bill in read_lines(message.lines):
-                if bill.is_final or bill.id not in held:
-                    held[bill.id] = bill
-        if not held:
-            del self._held[holder]
+            self._held.add(holder, read_lines(message.lines))
+        self._held.drop(holder, message.settled)
         return _encode(_Kept(has_room))
-
-    def _settle(self, ids: Iterable[str]) -> None:
-        """Note for each peer which bills it need not hold any longer."""
-        for bill_id in ids:
-            for peer in dict.fromkeys(self._keepers_of.pop(bill_id, ())):
-                self._settled_for.setdefault(peer, []).append(bill_id)
-
-    def _start_flush(self) -> None:
-        if self._flushing is None:
-            self._flushing = asyncio.create_task(self._flush())
-
-    async def _flush(self) -> None:
-        """Append what waits, one batch at a time, until nothing does or the log fails."""
-        try:
-            while self.waiting:
-                await self._pause()
-                for shard in list(self._queues):
-                    if self._queues[shard] and not await self._append(shard):
-                        return
-        finally:
-            self._flushing = None
-
-    async def _pause(self) -> None:
-        """Let a batch fill, unless a caller waits for the log."""
-        interval_s = max(MIN_BATCH_INTERVAL_S, len(self._peers.live()) / BATCHES_PER_S)
-        with contextlib.suppress(TimeoutError):
-            await asyncio.wait_for(self._is_urgent.wait(), interval_s)
-        self._is_urgent.clear()
-
-    async def _append(self, shard: int) -> bool:
-        """Append one batch; an unknown outcome is repeated, for the fold drops repeats."""
-        queue = self._queues[shard]
-        bills = list(queue.values())[:MAX_BATCH_BILLS]
-        self.appends += 1
-        outcome = await self._log.append(stream_of(shard), encode_bills(bills))
-        is_appended = isinstance(outcome, Appended)
-        if not is_appended:
-            self._count("bill_append_failed")
-            self._log_failed_until = self._now() + LOG_WAIT_S
-        for bill in bills:
-            if is_appended and queue.get(bill.id) is bill:
-                del queue[bill.id]
-            self._note_appended(bill.id, is_appended)
-        if is_appended:
-            self._forget_alone(bills)
-            self._settle([bill.id for bill in bills])
-        return is_appended
-
-    def _note_appended(self, bill_id: str, is_appended: bool) -> None:
-        waiting = self._appended.pop(bill_id, None)
-        if waiting is not None and not waiting.done():
-            waiting.set_result(is_appended)
