--- a/features/environment.py
+++ b/features/environment.py
@@ -1,9 +1,12 @@
 """Shared fixtures: a tag ``@fixture.NAME`` on a feature or scenario asks for one."""
 
+from pathlib import Path
+
 from behave import fixture, use_fixture
 
 from standins.fleet import EnginePlan, Fleet, ServicePlan
 
+EXAMPLES = Path(__file__).resolve().parent.parent / "examples"
 VERSIONS = {"larch:1": 0.9, "spruce:1": 0.95}
 
 
@@ -17,7 +20,32 @@
         yield fleet
 
 
-FIXTURES = {"fixture.small_fleet": small_fleet}
+def _run_hosts(context, zones, stop):
+    engines = [EnginePlan(f"engine-{zone}", zone, {"quality": VERSIONS}) for zone in zones]
+    with Fleet(engines, zones=zones, more_settings={"stop": stop}) as fleet:
+        context.fleet = fleet
+        fleet.wait_in_force(fleet.publish((EXAMPLES / "thistledown.yaml").read_text()))
+        fleet.wait_versions("larch:1", "spruce:1")
+        yield fleet
+
+
+@fixture
+def six_hosts(context):
+    """Three zones of two hosts and one engine each, a document in force."""
+    yield from _run_hosts(context, ("a", "b", "c"), {"balancer_time_s": 1.0})
+
+
+@fixture
+def two_hosts(context):
+    """One zone of two hosts that wait briefly for open requests."""
+    yield from _run_hosts(context, ("a",), {"balancer_time_s": 0.2, "drain_bound_s": 1.0})
+
+
+FIXTURES = {
+    "fixture.small_fleet": small_fleet,
+    "fixture.six_hosts": six_hosts,
+    "fixture.two_hosts": two_hosts,
+}
 
 
 def before_tag(context, tag):
--- a/poplarrun/server/_host.py
+++ b/poplarrun/server/_host.py
@@ -135,6 +135,9 @@
             keys_of(settings),
         )
         self._list_seen = False
+        # Until the engines told what they have loaded, this host would refuse
+        # requests that others can serve.
+        self._loads_polled = False
         self.config = ConfigFollower(
             log,
             self.peers,
@@ -151,7 +154,7 @@
     @property
     def is_ready(self) -> bool:
         """Whether the balancer may send callers here."""
-        return self.takes_requests and not self.leaving
+        return self.takes_requests and self._loads_polled and not self.leaving
 
     @property
     def takes_requests(self) -> bool:
@@ -282,8 +285,10 @@
                 self._list_seen = True
 
     async def _poll_loads(self) -> None:
+        list_seen = self._list_seen
         engines = [e for e in self._endpoints.all() if e.kind is HostKind.MODEL_ENGINE]
         await asyncio.gather(*(self._poll_load(engine) for engine in engines))
+        self._loads_polled = self._loads_polled or list_seen
 
     async def _poll_load(self, endpoint: Endpoint) -> None:
         match await self._in_thread(self._engine.report_load, endpoint.address):
