--- /dev/null
+++ b/poplarrun/limits/_loans.py
@@ -0,0 +1,79 @@
+"""Loans: a host that runs short borrows what another one has left over."""
+
+from dataclasses import dataclass, field
+
+import msgspec
+
+from poplarrun.hosts import Peers, PeerSilent
+
+LOAN_MESSAGE = "limits.loan"
+ASK_TIMEOUT_S = 0.5
+# A host borrows when less than this is left of what it may keep.
+LOW_PART = 0.5
+# A lender gives at most this of what it has, so that it doesn't run short next.
+LENT_PART = 0.5
+
+
+class Loan(msgspec.Struct, frozen=True, array_like=True):
+    """An amount of an account's limits, asked for or given.
+
+    Attributes
+    ----------
+    account : str
+        The client account.
+    requests, tokens : float
+        What passes from one host to another.
+    """
+
+    account: str
+    requests: float
+    tokens: float
+
+
+encode_loan = msgspec.msgpack.Encoder().encode
+_decoder = msgspec.msgpack.Decoder(Loan)
+
+
+def decode_loan(payload: bytes) -> Loan | None:
+    """Read a loan; None when the bytes are none."""
+    try:
+        return _decoder.decode(payload)
+    except msgspec.DecodeError:
+        return None
+
+
+@dataclass
+class LoanDesk:
+    """Asks one host after the other for loans, one loan an account at a time.
+
+    A loan moves what is already allowed: the lender takes it off before the
+    borrower adds it, so all hosts together never allow more. An answer that
+    gets lost loses the amount, which errs on the limit's side.
+    """
+
+    peers: Peers
+    _asking: set[str] = field(default_factory=set)
+    _turn: int = 0
+
+    async def borrow(self, wanted: Loan) -> Loan | None:
+        """Return what one other host gave; None when there is none or it is silent."""
+        lender = self._next_lender()
+        if lender is None or wanted.account in self._asking:
+            return None
+        self._asking.add(wanted.account)
+        try:
+            payload = encode_loan(wanted)
+            answer = await self.peers.ask(lender, LOAN_MESSAGE, payload, ASK_TIMEOUT_S)
+        finally:
+            self._asking.discard(wanted.account)
+        return None if isinstance(answer, PeerSilent) else decode_loan(answer)
+
+    def _next_lender(self) -> str | None:
+        """Take turns, the own zone's hosts first."""
+        me = self.peers.me
+        others = [peer for peer in self.peers.live() if peer.name != me.name]
+        others.sort(key=lambda peer: (peer.zone != me.zone, peer.name))
+        if not others:
+            return None
+        self._turn += 1
+        return others[self._turn % len(others)].name
--- a/poplarrun/limits/_shares.py
+++ b/poplarrun/limits/_shares.py
@@ -62,12 +62,15 @@
         Zones that can't be heard now.
     is_current : bool
         False while a zone is late, and not yet known to be silent.
+    live : int
+        Hosts that are taken to be live, this one included.
     """
 
     own_zone: Sequence[Claimant] = ()
     other_zones: dict[str, Claimant] = field(default_factory=dict)
     silent: frozenset[str] = frozenset()
     is_current: bool = True
+    live: int = 0
 
 
 NOTHING = Claimant(0.0, 0.0, 0.0, 0)
@@ -144,11 +147,17 @@
         self.part = min(self._recent)
         if self._rounds < START_ROUNDS:
             self._rounds += 1
-            self.begin(hosts)
+            has_heard_all = self._rounds > 1 and view.is_current and hosts >= view.live > 1
+            self.begin(max(hosts, view.live), free if has_heard_all else 0.0)
 
-    def begin(self, hosts: int) -> None:
-        """Begin with a small part, before the others have heard of this host."""
-        self.part = max(self.part, START_PART / hosts)
+    def begin(self, hosts: int, free: float = 0.0) -> None:
+        """Begin with a small part, before the others have heard of this host.
+
+        After a start of all hosts nobody holds much. Each then begins with its
+        equal portion of what is free: however many begin at once, together they
+        take no more than that, and no caller waits for ten rounds of taking.
+        """
+        self.part = max(self.part, max(START_PART, free) / hosts)
         self.held = max(self.held, self.part)
 
     def drop(self) -> None:
--- a/poplarrun/router/_context.py
+++ b/poplarrun/router/_context.py
@@ -39,6 +39,8 @@
         Entries of requests that began, not handed on yet.
     closed : list of str
         Ids of requests that ended without a bill, not handed on yet.
+    limited_accounts : set of str
+        Accounts whose limits were just counted against, for the host to look at.
     limits : AccountLimits, optional
         Limits of the client accounts; without them none holds.
     retry_budgets : RetryBudgets
@@ -54,6 +56,7 @@
     bills: list[Bill] = field(default_factory=list)
     opened: list[Bill] = field(default_factory=list)
     closed: list[str] = field(default_factory=list)
+    limited_accounts: set[str] = field(default_factory=set)
     explanations: Explanations = field(default_factory=Explanations)
     limits: AccountLimits | None = None
     retry_budgets: RetryBudgets = field(default_factory=RetryBudgets)
@@ -76,6 +79,7 @@
         """Count a request against its account's limits, or refuse it."""
         if self.limits is None:
             return None
+        self.limited_accounts.add(account.name)
         limited = self.limits.admit(account, tokens, now, is_stream)
         if limited is None:
             return None
--- a/poplarrun/server/_host.py
+++ b/poplarrun/server/_host.py
@@ -154,6 +154,9 @@
             keys_of(settings),
         )
         self._list_seen = False
+        # Until the engines told what they have loaded, this host would refuse
+        # requests that others can serve.
+        self._loads_polled = False
         self.config = ConfigFollower(
             log,
             self.peers,
@@ -166,11 +169,12 @@
         )
         self._log = part_logger("host")
         self._tasks: list[asyncio.Task[None]] = []
+        self._beside: set[asyncio.Task[None]] = set()
 
     @property
     def is_ready(self) -> bool:
         """Whether the balancer may send callers here."""
-        return self.takes_requests and not self.leaving
+        return self.takes_requests and self._loads_polled and not self.leaving
 
     @property
     def takes_requests(self) -> bool:
@@ -213,9 +217,23 @@
         """
         answer = self._answer(message)
         self._hand_entries_on()
+        self._borrow_limits()
         bills, self.router.context.bills = self.router.context.bills, []
         return self._keep_bills(bills, answer) if bills else answer
 
+    def _borrow_limits(self) -> None:
+        for account in self.router.context.limited_accounts:
+            wanted = self._limits.missing(account)
+            if wanted is not None:
+                self._spawn(self._limits.borrow(wanted))
+        self.router.context.limited_accounts.clear()
+
+    def _spawn(self, work: Coroutine[Any, Any, None]) -> None:
+        """Run something beside the message that asked for it; the set keeps it from collection."""
+        task = asyncio.get_running_loop().create_task(work)
+        self._beside.add(task)
+        task.add_done_callback(self._beside.discard)
+
     def _hand_entries_on(self) -> None:
         context = self.router.context
         for bill in context.opened:
@@ -357,8 +375,11 @@
                 self._list_seen = True
 
     async def _poll_loads(self) -> None:
+        list_seen = self._list_seen
         polled = self._load_sharing.list_polled(self._clock())
         await asyncio.gather(*(self._poll_load(engine) for engine in polled))
+        knows = list_seen and self._load_sharing.knows_enough()
+        self._loads_polled = self._loads_polled or knows
 
     async def _poll_load(self, endpoint: Endpoint) -> None:
         began = self._clock()
