Write streamed answers straight to the socket

Cause: the HTTP server copies each event through a buffer written in Python. Change: a connection class whose writer sends at once; TLS keeps its own.

--- /dev/null
+++ b/poplarrun/server/_connections.py
@@ -0,0 +1,52 @@
+"""Connections of the HTTP server that write a streamed answer without a buffer between."""
+
+import socket
+from typing import Any
+
+from cheroot import makefile, server
+
+
+class SocketWriter:
+    """Writes straight to a socket.
+
+    The server's own writer copies each piece through a buffer written in
+    Python and flushes it at once; for an answer of one event a token that
+    copying is a good part of a token's cost.
+
+    Parameters
+    ----------
+    sock : socket.socket
+        The caller's connection.
+    """
+
+    def __init__(self, sock: socket.socket) -> None:
+        self.bytes_written = 0
+        self.closed = False
+        self._socket = sock
+
+    def write(self, data: bytes) -> int:
+        """Send everything; the socket's timeout bounds a caller that does not read."""
+        self._socket.sendall(data)
+        self.bytes_written += len(data)
+        return len(data)
+
+    def flush(self) -> None:
+        """Do nothing: nothing is held back."""
+
+    def close(self) -> None:
+        """Take no more data; the connection closes the socket itself."""
+        self.closed = True
+
+
+class Connection(server.HTTPConnection):  # type: ignore[misc]
+    """A connection whose answers go straight to the socket, unless TLS is between."""
+
+    def __init__(
+        self, http_server: Any, sock: socket.socket, make_file: Any = makefile.MakeFile
+    ) -> None:
+        direct = make_file is makefile.MakeFile
+        super().__init__(http_server, sock, _make_file if direct else make_file)
+
+
+def _make_file(sock: socket.socket, mode: str, buffer_bytes: int) -> Any:
+    return makefile.StreamReader(sock, mode, buffer_bytes) if "r" in mode else SocketWriter(sock)
--- a/poplarrun/server/_daemon.py
+++ b/poplarrun/server/_daemon.py
@@ -12,6 +12,7 @@
 from poplarrun.platform import HttpEngine, HttpHostList, HttpLog, HttpRatings, HttpServiceCaller
 from poplarrun.server._bodies import render_error
 from poplarrun.server._callers import REQUEST_ID_HEADER, CallersApi
+from poplarrun.server._connections import Connection
 from poplarrun.server._crossing import Crossing
 from poplarrun.server._host import EntryHost
 from poplarrun.server._messages import Leave
@@ -106,6 +107,7 @@
         request_queue_size=REQUEST_QUEUE,
         timeout=SOCKET_TIMEOUT_S,
     )
+    server.ConnectionClass = Connection
     server.max_request_header_size = MAX_HEADER_BYTES
     return server
 
