--- a/poplarrun/server/_connections.py
+++ b/poplarrun/server/_connections.py
@@ -25,8 +25,10 @@
         self._socket = sock
 
     def write(self, data: bytes) -> int:
-        """Send everything; the socket's timeout bounds a caller that does not read."""
-        self._socket.sendall(data)
+        """Send everything; the socket's timeout bounds each wait for a slow caller."""
+        left = memoryview(data)
+        while left:
+            left = left[self._socket.send(left) :]
         self.bytes_written += len(data)
         return len(data)
 
@@ -38,7 +40,7 @@
         self.closed = True
 
 
-class Connection(server.HTTPConnection):  # type: ignore[misc]
+class Connection(server.HTTPConnection):
     """A connection whose answers go straight to the socket, unless TLS is between."""
 
     def __init__(
