--- a/examples/demo.py
+++ b/examples/demo.py
@@ -2,15 +2,29 @@
 
 import sys
 import time
+from concurrent.futures import ThreadPoolExecutor
 from dataclasses import dataclass, field
 from pathlib import Path
 
+import msgspec
 import openai
+import urllib3
 
 from standins.fleet import EnginePlan, Fleet, HostProcess, ServicePlan, wait_until
 
 EXAMPLES = Path(__file__).resolve().parent
-QUALITY = {"larch:1": 0.86, "spruce:1": 0.95}
+GOOD = {"larch:1": 0.86, "spruce:1": 0.95}
+BAD_VERSION = "larch:2"
+BAD_QUALITY = 0.2
+SESSION_HEADER = "X-Session-Id"
+VERSION_HEADER = "X-Poplarrun-Version"
+IN_FORCE_BOUND_S = 2.0
+COUNTER_FIRST_TOKEN_S = 0.6
+REPEATS = 6
+WITHDRAWAL_BOUND_S = 15.0
+EXPOSURE_BOUND = 50
+ASK_AGAIN = ("operation_in_progress", "operation_outcome_unknown")
+OK = 200
 
 
 @dataclass
@@ -26,89 +40,242 @@
 
     def check(self, holds: bool, line: str) -> None:
         """Print one line that must hold."""
-        self.say(f"{'ok   ' if holds else 'BROKEN'} {line}")
+        self.say(f"{'ok    ' if holds else 'BROKEN'} {line}")
         if not holds:
             self.broken.append(line)
 
 
+@dataclass(frozen=True)
+class Streamed:
+    """One streamed answer, as its caller saw it."""
+
+    version: str
+    words: int
+    first_s: float
+    finished: bool
+
+
 def make_fleet() -> Fleet:
-    """Return three zones with two hosts and two engines each."""
+    """Return three zones with two hosts, two engines and two service endpoints each."""
+    quality = {**GOOD, BAD_VERSION: BAD_QUALITY}
     engines = [
-        EnginePlan(f"engine-{zone}{number}", zone, {"quality": QUALITY})
-        for zone in ("a", "b", "c")
+        EnginePlan(f"engine-{zone}{number}", zone, {"quality": quality})
+        for zone in "abc"
         for number in (1, 2)
     ]
-    services = [ServicePlan(f"loan-records-{zone}", zone, "loan-records") for zone in "abc"]
+    services = [
+        ServicePlan(f"{service}-{zone}", zone, service)
+        for service in ("loan-records", "stock")
+        for zone in "ab"
+    ]
     return Fleet(engines, services)
 
 
-def client_of(host: HostProcess, key: str) -> openai.OpenAI:
-    """Return the unchanged OpenAI client, pointed at a host."""
-    return openai.OpenAI(api_key=key, base_url=f"http://{host.address}/v1", max_retries=0)
-
-
 def run_demo(fleet: Fleet, account: Account) -> None:
-    """Send requests and tell what happened."""
-    offset = fleet.publish((EXAMPLES / "thistledown.yaml").read_text())
-    took = fleet.wait_in_force(offset)
-    account.check(took < 2.0, f"configuration {offset} in force at 6 hosts after {took:.2f} s")
-    fleet.wait_versions(*QUALITY)
-    host_a, host_b = fleet.hosts["a1"], fleet.hosts["b1"]
-    stream_report(client_of(host_a, "borough-north-key"), account)
-    ask_note(client_of(host_b, "trust-office-key"), account)
+    """Serve one firm, then the other, and tell what happened."""
+    account.say("-- Thistledown: cost at the quality target")
+    publish(fleet, (EXAMPLES / "thistledown.yaml").read_text(), account)
+    fleet.wait_versions(*GOOD)
+    stream_report(fleet, account)
+    ask_note(fleet, account)
+    repeat_operation(fleet, "loan-records/correct", "borough-north-key", account)
+    account.say("-- Anellidoro: latency at the counter")
+    document = (EXAMPLES / "anellidoro.yaml").read_text()
+    publish(fleet, document, account)
+    answer_counter(fleet, account)
+    repeat_operation(fleet, "stock/reserve", "verona-shop-key", account)
+    roll_out_bad_version(fleet, document, account)
+    account.say("-- a host dies, another stops as planned")
     kill_host(fleet, account)
+    stop_host(fleet, account)
 
 
-def stream_report(client: openai.OpenAI, account: Account) -> None:
-    """Stream a long report in a session."""
-    began = time.monotonic()
-    stream = client.chat.completions.create(
-        model="long-report",
-        messages=[{"role": "user", "content": "Report on lending in the northern boroughs"}],
-        stream=True,
-        extra_headers={"X-Session-Id": "borough-report-7"},
+def publish(fleet: Fleet, document: str, account: Account) -> None:
+    """Publish a document and wait until every host has it in force."""
+    offset = fleet.publish(document)
+    took_s = fleet.wait_in_force(offset)
+    account.check(
+        took_s < IN_FORCE_BOUND_S,
+        f"configuration {offset} in force at 6 hosts in 3 zones {took_s:.2f} s after the "
+        "operator's tool said so",
     )
-    first_at = None
-    words = 0
-    finished = False
-    for chunk in stream:
-        first_at = first_at or time.monotonic()
-        words += len((chunk.choices[0].delta.content or "").split())
-        finished = finished or chunk.choices[0].finish_reason == "stop"
-    first_s = (first_at or began) - began
+
+
+def stream_report(fleet: Fleet, account: Account) -> None:
+    """Stream a long report, and go on with its session at a host of another zone."""
+    key, session = "borough-north-key", "borough-report-7"
+    first = stream(fleet.hosts["a1"], key, "long-report", session)
+    account.check(
+        first.finished,
+        f"long report streamed whole: {first.words} tokens, first after {first.first_s * 1000:.0f} "
+        f"ms, by {first.version}",
+    )
+    second = stream(fleet.hosts["b2"], key, "long-report", session)
     account.check(
-        finished, f"long report streamed whole: {words} tokens, first after {first_s * 1000:.0f} ms"
+        second.finished and second.version == first.version,
+        f"the session went on at a host of another zone, still with {second.version}",
     )
 
 
-def ask_note(client: openai.OpenAI, account: Account) -> None:
-    """Ask for a quick note."""
+def ask_note(fleet: Fleet, account: Account) -> None:
+    """Ask for a quick note, and read what it cost."""
     began = time.monotonic()
-    answer = client.chat.completions.create(
-        model="note", messages=[{"role": "user", "content": "A title note"}]
+    raw = client_of(fleet.hosts["b1"], "trust-office-key").chat.completions.with_raw_response
+    response = raw.create(model="note", messages=[{"role": "user", "content": "A title note"}])
+    took_s = time.monotonic() - began
+    words = len((response.parse().choices[0].message.content or "").split())
+    explained = fleet.run_cli(
+        "explain", response.headers["X-Request-Id"], "--hosts", fleet.hosts["b1"].address, "--json"
+    )
+    bill = msgspec.json.decode(explained.stdout)["bill"]
+    account.check(
+        words > 0 and bill["amount"] > 0,
+        f"note of {words} tokens in {took_s * 1000:.0f} ms by {response.headers[VERSION_HEADER]}, "
+        f"billed {bill['amount']:.6f}",
+    )
+
+
+def answer_counter(fleet: Fleet, account: Account) -> None:
+    """Answer a couple at the counter."""
+    answer = stream(fleet.hosts["c2"], "verona-shop-key", "answer", None)
+    account.check(
+        answer.finished and answer.first_s < COUNTER_FIRST_TOKEN_S,
+        f"counter answer of {answer.words} tokens, first after {answer.first_s * 1000:.0f} ms "
+        f"(target {COUNTER_FIRST_TOKEN_S * 1000:.0f} ms)",
+    )
+
+
+def repeat_operation(fleet: Fleet, operation: str, key: str, account: Account) -> None:
+    """Let a nervous caller send one operation again and again, to all hosts at once."""
+    idempotency_key = f"demo-{operation.replace('/', '-')}"
+    hosts = list(fleet.hosts.values())[:REPEATS]
+    with ThreadPoolExecutor(REPEATS) as pool:
+        answers = list(
+            pool.map(lambda host: call_until(host, operation, key, idempotency_key), hosts)
+        )
+    service = operation.partition("/")[0]
+    endpoints = [plan.name for plan in fleet.services if plan.service == service]
+    effects = sum(len(fleet.endpoints[name].events("effect")) for name in endpoints)
+    account.check(
+        effects == 1 and len({a.data for a in answers}) == 1 and answers[0].status == OK,
+        f"{operation} sent {REPEATS} times at {REPEATS} hosts at once: {effects} effect, "
+        f"{len({a.data for a in answers})} distinct answer",
     )
+
+
+def call_until(
+    host: HostProcess, operation: str, key: str, idempotency_key: str
+) -> urllib3.BaseHTTPResponse:
+    """Send an operation, and ask again while it is in progress."""
+    deadline = time.monotonic() + 10.0
+    while True:
+        response = urllib3.request(
+            "POST",
+            f"http://{host.address}/v1/services/{operation}",
+            json={"item": "diamond-1881"},
+            headers={"Authorization": f"Bearer {key}", "Idempotency-Key": idempotency_key},
+            timeout=10,
+            retries=False,
+        )
+        if response.status == OK or time.monotonic() > deadline:
+            return response
+        if msgspec.json.decode(response.data)["error"]["code"] not in ASK_AGAIN:
+            return response
+        time.sleep(0.05)
+
+
+def roll_out_bad_version(fleet: Fleet, document: str, account: Account) -> None:
+    """Offer a cheaper version that answers badly, and watch the system withdraw it."""
+    offer = '"2": {stage: offered, price: {input_per_mtok: 0.1, output_per_mtok: 0.4}}'
+    changed = document.replace("  spruce:\n", f"      {offer}\n  spruce:\n", 1)
+    publish(fleet, changed, account)
+    asked, exposed = 0, 0
+    began = time.monotonic()
+    hosts = list(fleet.hosts.values())
+    with ThreadPoolExecutor(12) as pool:
+        while not is_withdrawn(hosts[0]) and time.monotonic() < began + WITHDRAWAL_BOUND_S:
+            targets = [hosts[i % len(hosts)] for i in range(24)]
+            versions = list(pool.map(ask_answer, targets))
+            asked += len(versions)
+            exposed += versions.count(BAD_VERSION)
     took_s = time.monotonic() - began
-    words = len((answer.choices[0].message.content or "").split())
-    account.check(words > 0, f"note answered: {words} tokens in {took_s * 1000:.0f} ms")
+    wait_until(lambda: all(is_withdrawn(host) for host in hosts), "withdrawn at every host")
+    late = [ask_answer(host) for host in hosts].count(BAD_VERSION)
+    account.check(
+        late == 0 and exposed <= EXPOSURE_BOUND,
+        f"bad version {BAD_VERSION} withdrawn by the system after {took_s:.1f} s; "
+        f"{exposed} of {asked} requests saw it, {late} after the withdrawal",
+    )
+
+
+def ask_answer(host: HostProcess) -> str:
+    """Ask for a counter answer; return the version that gave it."""
+    raw = client_of(host, "verona-shop-key").chat.completions.with_raw_response
+    message = {"role": "user", "content": "Which stone suits a low setting?"}
+    return str(raw.create(model="answer", messages=[message]).headers[VERSION_HEADER])
+
+
+def is_withdrawn(host: HostProcess) -> bool:
+    """Tell whether a host knows that the bad version is withdrawn."""
+    model, _, version = BAD_VERSION.partition(":")
+    status = host.status()
+    return status is not None and {"model": model, "version": version} in status["withdrawn"]
 
 
 def kill_host(fleet: Fleet, account: Account) -> None:
     """Kill one host; the others go on."""
     fleet.hosts["c1"].kill()
-    other = fleet.hosts["c2"]
-    wait_until(other.is_ready, "c2 ready")
-    client = client_of(other, "borough-north-key")
-    answer = client.chat.completions.create(
-        model="digest", messages=[{"role": "user", "content": "A branch digest"}]
+    answer = stream(fleet.hosts["c2"], "verona-shop-key", "engraving", None)
+    account.check(
+        answer.finished, f"host c1 killed; c2 answered an engraving of {answer.words} tokens"
     )
-    words = len((answer.choices[0].message.content or "").split())
-    account.check(words > 0, f"host c1 killed; c2 answered a digest of {words} tokens")
+
+
+def stop_host(fleet: Fleet, account: Account) -> None:
+    """Stop a host as planned while it streams; the stream ends whole."""
+    host = fleet.hosts["b1"]
+    with ThreadPoolExecutor(2) as pool:
+        answer = pool.submit(stream, host, "verona-shop-key", "brief", None)
+        wait_until(lambda: (host.status() or {}).get("open_requests", 0) > 0, "a stream is open")
+        began = time.monotonic()
+        code = host.stop()
+        took_s = time.monotonic() - began
+    account.check(
+        code == 0 and answer.result().finished,
+        f"host b1 stopped in {took_s:.1f} s with a stream open: {answer.result().words} tokens, "
+        "a clean end, exit code 0",
+    )
+
+
+def stream(host: HostProcess, key: str, work_class: str, session: str | None) -> Streamed:
+    """Stream one answer through the unchanged OpenAI client."""
+    began = time.monotonic()
+    headers = {SESSION_HEADER: session} if session else {}
+    raw = client_of(host, key).chat.completions.with_raw_response
+    response = raw.create(
+        model=work_class,
+        messages=[{"role": "user", "content": "Draft it from the shared catalogue context"}],
+        stream=True,
+        extra_headers=headers,
+    )
+    first_at, words, finished = None, 0, False
+    for chunk in response.parse():
+        first_at = first_at or time.monotonic()
+        words += len((chunk.choices[0].delta.content or "").split())
+        finished = finished or chunk.choices[0].finish_reason == "stop"
+    first_s = (first_at or time.monotonic()) - began
+    return Streamed(response.headers[VERSION_HEADER], words, first_s, finished)
+
+
+def client_of(host: HostProcess, key: str) -> openai.OpenAI:
+    """Return the unchanged OpenAI client, pointed at a host."""
+    return openai.OpenAI(api_key=key, base_url=f"http://{host.address}/v1", max_retries=0)
 
 
 def main() -> int:
     """Run the demo; return the exit code."""
     account = Account()
-    account.say("starting 3 zones x 2 hosts, 6 engines, 3 service endpoints, log, host list")
+    account.say("starting 3 zones x 2 hosts, 6 engines, 4 service endpoints, log, host list")
     with make_fleet() as fleet:
         account.say("all processes listen")
         run_demo(fleet, account)
@@ -120,8 +287,9 @@
 
 def stay_up(fleet: Fleet) -> None:
     """Keep the fleet running until interrupted."""
-    hosts = ",".join(host.address for host in fleet.hosts.values())
-    print(f"hosts: {hosts}\nlog: {fleet.log.address}\nkey: borough-north-key\nCtrl-C ends it.")
+    alive = [host for host in fleet.hosts.values() if host.is_ready()]
+    print(f"hosts: {','.join(host.address for host in alive)}")
+    print(f"log: {fleet.log.address}\nkey: verona-shop-key\nCtrl-C ends it.", flush=True)
     try:
         while True:
             time.sleep(1)
