--- a/poplarrun/endpoints/_pool.py
+++ b/poplarrun/endpoints/_pool.py
@@ -5,12 +5,16 @@
 from dataclasses import dataclass, field
 
 from poplarrun.endpoints._endpoint import Endpoint, OthersModel
-from poplarrun.endpoints._prefix import salt_of
+from poplarrun.endpoints._prefix import home_of, salt_of
 
 # Of a pool's endpoints at most this share is passed over for broken answers.
 # A fault of the requests themselves would otherwise take out every endpoint.
 MAX_EJECTED_SHARE = 0.5
 MEAN_DECAY = 0.95
+KEPT_HOMES = 10_000
+SLOPE_DECAY = 0.99
+FEW_SAMPLES = 10.0
+MOST_ABOVE_LINE = 1.25
 
 
 @dataclass
@@ -23,10 +27,13 @@
         Mean time of one request at an endpoint, in seconds.
     prefill_s_per_token : float
         Time that an uncached prompt token adds before the first token.
+    least_first_token_s : float
+        Time to the first token of a prompt that is cached.
     """
 
     whole_s: float = 1.0
     prefill_s_per_token: float = 0.0
+    least_first_token_s: float = 0.0
     _weight: float = 0.0
     _tokens: float = 0.0
     _seconds: float = 0.0
@@ -39,7 +46,12 @@
 
     def note_first_token(self, uncached_tokens: int, seconds: float) -> None:
         """Take in the time to a first token; the slope over many is the prefill time."""
-        keep = MEAN_DECAY
+        # Some of the time may have been spent in a queue that nobody knew of: a
+        # sample far above the line counts as little above it, so that an
+        # overload isn't taken for slow prefills, which would refuse all work.
+        if self._weight > FEW_SAMPLES:
+            seconds = min(seconds, MOST_ABOVE_LINE * self.first_token_s(uncached_tokens))
+        keep = SLOPE_DECAY
         self._weight = keep * self._weight + 1.0
         self._tokens = keep * self._tokens + uncached_tokens
         self._seconds = keep * self._seconds + seconds
@@ -49,6 +61,12 @@
         if spread > 1.0:
             slope = (self._weight * self._products - self._tokens * self._seconds) / spread
             self.prefill_s_per_token = max(0.0, slope)
+        rest_s = (self._seconds - self.prefill_s_per_token * self._tokens) / self._weight
+        self.least_first_token_s = max(0.0, rest_s)
+
+    def first_token_s(self, uncached_tokens: int) -> float:
+        """Return the time to the first token at an endpoint without a queue."""
+        return self.least_first_token_s + uncached_tokens * self.prefill_s_per_token
 
 
 @dataclass
@@ -80,6 +98,7 @@
     salts: list[tuple[str, int]] = field(default_factory=list)
     refresh_at: float = float("-inf")
     _own_load: float = 0.0
+    _homes: dict[int, str | None] = field(default_factory=dict)
     _usable: set[str] = field(default_factory=set)
 
     def may_draw(self, endpoint: Endpoint) -> bool:
@@ -97,13 +116,25 @@
         bound = int(len(self.members) * MAX_EJECTED_SHARE)
         spared = {e.name for e in broken[: max(0, len(broken) - bound)]}
         out = {e.name for e in paused} - spared
-        usable = [e for e in self.members if e.name not in out] or self.members
+        # None may be left: then nobody can be reached, and every call would be
+        # one more failure. Callers hear so at once, until a pause ends or a
+        # load report shows that an endpoint is back.
+        usable = [e for e in self.members if e.name not in out]
         self.near = [e for e in usable if e.zone == self.zone]
         self.far = [e for e in usable if e.zone != self.zone]
+        self._homes.clear()
         self._usable = {e.name for e in usable}
         self.salts = [(e.name, salt_of(e.name)) for e in self.near or self.far]
         self.refresh_at = min((e.paused_until for e in paused), default=float("inf"))
 
+    def home(self, key: int) -> str | None:
+        """Return the endpoint that a prefix usually goes to."""
+        if key not in self._homes:
+            if len(self._homes) >= KEPT_HOMES:
+                self._homes.clear()
+            self._homes[key] = home_of(key, self.salts)
+        return self._homes[key]
+
     def draw_near(self, source: random.Random, count: int, avoid: Container[str]) -> list[Endpoint]:
         """Draw some endpoints of the own zone at random, without those to avoid."""
         return _draw(self.near, count, source, avoid)
@@ -116,6 +147,10 @@
         """Take in the requests of this host at one endpoint, for each place of its batch."""
         self._own_load += (1.0 - MEAN_DECAY) * (load - self._own_load)
 
+    def mean_load(self) -> float:
+        """Return the mean load of the endpoints, as far as it is known."""
+        return self._own_load + self.others.mean
+
     def own_share(self) -> float:
         """Return which share of the pool's load this host gives."""
         whole = self._own_load + self.others.mean
@@ -129,7 +164,10 @@
         endpoints = [e for e in endpoints if e.name not in avoid]
     size = len(endpoints)
     if size <= count:
-        return list(endpoints)
+        # From a random one on: the first of equals is chosen, and hosts that
+        # all began at the same one would fill it alone.
+        start = int(source.random() * size)
+        return endpoints[start:] + endpoints[:start]
     drawn: list[Endpoint] = []
     while len(drawn) < count:
         endpoint = endpoints[int(source.random() * size)]
--- a/poplarrun/router/_context.py
+++ b/poplarrun/router/_context.py
@@ -1,12 +1,21 @@
 """What all decisions of one host share."""
 
+import random
 from dataclasses import dataclass, field
 
 from poplarrun.config import Configuration
 from poplarrun.contracts import ClientAccount
 from poplarrun.endpoints import EndpointTable
 from poplarrun.errors import ErrorKind, Refusal
+from poplarrun.limits import AccountLimits
 from poplarrun.metrics import Metrics
+from poplarrun.retries import (
+    BudgetKey,
+    FailedAttempt,
+    RetryBudgets,
+    RetryDecision,
+    decide_retry,
+)
 from poplarrun.router._explanations import Explanations
 from poplarrun.router._messages import Bill, Explanation
 from poplarrun.versions import Versions
@@ -24,6 +33,12 @@
         Estimates, choice and roll-outs.
     bills : list of Bill
         Bills that are not handed on yet.
+    limits : AccountLimits, optional
+        Limits of the client accounts; without them none holds.
+    retry_budgets : RetryBudgets
+        What first attempts have earned, for chats and operations.
+    source : random.Random
+        Random source of pauses.
     """
 
     endpoints: EndpointTable
@@ -32,11 +47,35 @@
     configuration: Configuration = field(default_factory=Configuration)
     bills: list[Bill] = field(default_factory=list)
     explanations: Explanations = field(default_factory=Explanations)
+    limits: AccountLimits | None = None
+    retry_budgets: RetryBudgets = field(default_factory=RetryBudgets)
+    source: random.Random = field(default_factory=random.Random)
 
-    def refuse(self, kind: ErrorKind, message: str, param: str | None = None) -> Refusal:
+    def refuse(
+        self,
+        kind: ErrorKind,
+        message: str,
+        param: str | None = None,
+        retry_after_s: float | None = None,
+    ) -> Refusal:
         """Make a refusal and count it."""
         self.metrics.count_refusal(kind)
-        return Refusal(kind, message, param)
+        return Refusal(kind, message, param, retry_after_s)
+
+    def check_limits(
+        self, account: ClientAccount, tokens: int, now: float, is_stream: bool = True
+    ) -> Refusal | None:
+        """Count a request against its account's limits, or refuse it."""
+        if self.limits is None:
+            return None
+        limited = self.limits.admit(account, tokens, now, is_stream)
+        if limited is None:
+            return None
+        return self.refuse(limited.kind, limited.reason, retry_after_s=limited.retry_after_s)
+
+    def decide_retry(self, failed: FailedAttempt, key: BudgetKey) -> RetryDecision:
+        """Decide on another attempt, at the expense of a budget."""
+        return decide_retry(failed, self.retry_budgets.budget(key), self.source)
 
     def find_account(self, api_key: str) -> ClientAccount | Refusal:
         """Return the client account that a key names."""
--- a/poplarrun/router/_router.py
+++ b/poplarrun/router/_router.py
@@ -1,12 +1,17 @@
 """The router: one object on the loop that decides about every request."""
 
+import random
+
 from poplarrun.endpoints import EndpointTable
 from poplarrun.metrics import Metrics
 from poplarrun.router._chats import ChatRouter
 from poplarrun.router._context import RouterContext
+from poplarrun.router._dispatch import Dispatch
 from poplarrun.router._operations import OperationRouter
 from poplarrun.versions import Versions
 
+DEFAULT_QUEUE_BOUND = 64
+
 
 class Router:
     """Decides about requests; called on the loop only, never blocks.
@@ -21,9 +26,18 @@
         Decides about calls of plain services.
     """
 
-    def __init__(self, endpoints: EndpointTable, metrics: Metrics, versions: Versions) -> None:
-        self.context = RouterContext(endpoints, metrics, versions)
-        self.chats = ChatRouter(self.context)
+    def __init__(
+        self,
+        endpoints: EndpointTable,
+        metrics: Metrics,
+        versions: Versions,
+        queue_bound: int = DEFAULT_QUEUE_BOUND,
+        source: random.Random | None = None,
+    ) -> None:
+        source = source or random.Random()
+        self.context = RouterContext(endpoints, metrics, versions, source=source)
+        dispatch = Dispatch(endpoints, queue_bound, source, self.context.retry_budgets)
+        self.chats = ChatRouter(self.context, dispatch)
         self.operations = OperationRouter(self.context)
 
     @property
