Write the documents, and check that they say what is so

Change: the pages, with output of a run that was seen; five library examples, run by a feature; the promises name their scenarios, and a feature fails when one does not exist; the capacity page is compared with what the measurements render to. The runner prints behave's plain text of a failing file, and refuses more than three known red scenarios. The demo keeps to the account's limit and judges the bad version in its class.

--- a/bench/path.py
+++ b/bench/path.py
@@ -329,8 +329,10 @@
         Slope("cores_by_tokens", "tokens/s", "cores", tuple(tokens), COMMAND),
         Slope("cores_by_requests", "requests/s", "cores", tuple(requests), COMMAND),
         Slope("memory_by_streams", "open streams", "MB", tuple(memory), COMMAND),
-        Slope("cores_by_endpoints", "endpoints", "cores", tuple(cores_by_endpoints), COMMAND),
-        Slope("memory_by_endpoints", "endpoints", "MB", tuple(memory_by_endpoints), COMMAND),
+        Slope(
+            "cores_by_endpoints", "polled endpoints", "cores", tuple(cores_by_endpoints), COMMAND
+        ),
+        Slope("memory_by_endpoints", "polled endpoints", "MB", tuple(memory_by_endpoints), COMMAND),
     ]
     return report("path", figures, slopes)
 
--- a/examples/demo.py
+++ b/examples/demo.py
@@ -23,6 +23,9 @@
 REPEATS = 6
 WITHDRAWAL_BOUND_S = 15.0
 EXPOSURE_BOUND = 50
+CALLERS = 6
+COUNTER_CLASS = "answer"
+PAUSE_BOUND_S = 0.5
 ASK_AGAIN = ("operation_in_progress", "operation_outcome_unknown")
 OK = 200
 
@@ -137,7 +140,7 @@
 
 def answer_counter(fleet: Fleet, account: Account) -> None:
     """Answer a couple at the counter."""
-    answer = stream(fleet.hosts["c2"], "verona-shop-key", "answer", None)
+    answer = stream(fleet.hosts["c2"], "verona-shop-key", COUNTER_CLASS, None)
     account.check(
         answer.finished and answer.first_s < COUNTER_FIRST_TOKEN_S,
         f"counter answer of {answer.words} tokens, first after {answer.first_s * 1000:.0f} ms "
@@ -185,41 +188,53 @@
 
 
 def roll_out_bad_version(fleet: Fleet, document: str, account: Account) -> None:
-    """Offer a cheaper version that answers badly, and watch the system withdraw it."""
+    """Offer a cheaper version that answers badly, and watch the system take it out."""
     offer = '"2": {stage: offered, price: {input_per_mtok: 0.1, output_per_mtok: 0.4}}'
     changed = document.replace("  spruce:\n", f"      {offer}\n  spruce:\n", 1)
     publish(fleet, changed, account)
-    asked, exposed = 0, 0
+    asked, exposed, limited = 0, 0, 0
     began = time.monotonic()
     hosts = list(fleet.hosts.values())
-    with ThreadPoolExecutor(12) as pool:
-        while not is_withdrawn(hosts[0]) and time.monotonic() < began + WITHDRAWAL_BOUND_S:
-            targets = [hosts[i % len(hosts)] for i in range(24)]
-            versions = list(pool.map(ask_answer, targets))
-            asked += len(versions)
+    with ThreadPoolExecutor(CALLERS) as pool:
+        while not is_rejected(hosts[0]) and time.monotonic() < began + WITHDRAWAL_BOUND_S:
+            versions = list(pool.map(ask_answer, hosts))
+            limited += versions.count(None)
+            asked += len(hosts) - versions.count(None)
             exposed += versions.count(BAD_VERSION)
     took_s = time.monotonic() - began
-    wait_until(lambda: all(is_withdrawn(host) for host in hosts), "withdrawn at every host")
+    wait_until(lambda: all(is_rejected(host) for host in hosts), "rejected at every host")
     late = [ask_answer(host) for host in hosts].count(BAD_VERSION)
     account.check(
         late == 0 and exposed <= EXPOSURE_BOUND,
-        f"bad version {BAD_VERSION} withdrawn by the system after {took_s:.1f} s; "
-        f"{exposed} of {asked} requests saw it, {late} after the withdrawal",
+        f"bad version {BAD_VERSION} taken out of class {COUNTER_CLASS} by the system after "
+        f"{took_s:.1f} s; {exposed} of {asked} requests saw it, {late} afterwards; "
+        f"{limited} more were over the account's limit",
     )
 
 
-def ask_answer(host: HostProcess) -> str:
-    """Ask for a counter answer; return the version that gave it."""
+def ask_answer(host: HostProcess) -> str | None:
+    """Ask for a counter answer; return the version that gave it, None when over the limit."""
     raw = client_of(host, "verona-shop-key").chat.completions.with_raw_response
     message = {"role": "user", "content": "Which stone suits a low setting?"}
-    return str(raw.create(model="answer", messages=[message]).headers[VERSION_HEADER])
+    try:
+        return str(raw.create(model=COUNTER_CLASS, messages=[message]).headers[VERSION_HEADER])
+    except openai.RateLimitError as error:
+        time.sleep(min(float(error.response.headers["Retry-After"]), PAUSE_BOUND_S))
+        return None
 
 
-def is_withdrawn(host: HostProcess) -> bool:
-    """Tell whether a host knows that the bad version is withdrawn."""
+def is_rejected(host: HostProcess) -> bool:
+    """Tell whether a host knows that the class gets the bad version no more."""
+    status = host.status() or {"withdrawn": [], "rollouts": []}
     model, _, version = BAD_VERSION.partition(":")
-    status = host.status()
-    return status is not None and {"model": model, "version": version} in status["withdrawn"]
+    if {"model": model, "version": version} in status["withdrawn"]:
+        return True
+    return any(
+        rollout["version"] == BAD_VERSION
+        and rollout["work_class"] == COUNTER_CLASS
+        and rollout["state"] not in ("growing", "serving")
+        for rollout in status["rollouts"]
+    )
 
 
 def kill_host(fleet: Fleet, account: Account) -> None:
--- /dev/null
+++ b/examples/library/__init__.py
@@ -0,0 +1,1 @@
+"""Runnable examples of docs/LIBRARY.md, one for each coordination part."""
--- /dev/null
+++ b/examples/library/budgets.py
@@ -0,0 +1,23 @@
+"""Two hosts share one limit; the part that each may use follows its demand."""
+
+from poplarrun.limits import Share, ShareView
+
+ROUNDS = 60
+
+
+def main() -> None:
+    """Let all the demand come to the first host, round by round."""
+    first, second = Share(), Share()
+    for share in (first, second):
+        share.begin(hosts=2)
+    for _ in range(ROUNDS):
+        told = first.claimant(), second.claimant()
+        first.step(1.0, ShareView(own_zone=[told[1]]))
+        second.step(0.0, ShareView(own_zone=[told[0]]))
+        if first.part + second.part > 1.0:
+            raise AssertionError("the hosts together exceed the limit")
+    print(f"after {ROUNDS} rounds: first {first.part:.2f}, second {second.part:.2f} of the limit")
+
+
+if __name__ == "__main__":
+    main()
--- /dev/null
+++ b/features/documents.feature
@@ -0,0 +1,30 @@
+Feature: The documents say what is so
+
+  Scenario: Each test that the promises name exists
+    # A promise without its test is a claim. A renamed scenario would leave the
+    # page pointing at nothing.
+    Then every scenario that docs/PROMISES.md names exists
+
+  Scenario: The capacity page is the one that the measurements give
+    # A slope that changed while the page did not would be a figure that nobody
+    # measured.
+    Then docs/CAPACITY.md is what the committed measurements render to
+
+  Scenario: A line is fitted with its error
+    Given points on the line 3 + 2 x, one of them 0.4 too high
+    Then the fitted slope is 2 within its error
+
+  Scenario: Every package stands in the picture
+    Then docs/ARCHITECTURE.md names every package
+
+  Scenario Outline: Library examples run
+    When the library example "<name>" runs
+    Then it ends well and prints "<text>"
+
+    Examples:
+      | name         | text                    |
+      | log_fold     | bob's document in force |
+      | claims       | one winner              |
+      | leases       | b1/1 holds the job      |
+      | budgets      | of the limit            |
+      | membership   | a2 is held dead         |
--- /dev/null
+++ b/features/steps/documents.py
@@ -0,0 +1,67 @@
+import re
+import subprocess
+import sys
+from pathlib import Path
+
+from behave import given, then, when
+
+from scripts.capacity import PAGE, Page, fit_line, read_slopes
+
+ROOT = Path(__file__).resolve().parents[2]
+NAMED = re.compile(r"`([a-z_]+): ([^`]+)`")
+
+
+def scenarios_of(feature):
+    path = ROOT / "features" / f"{feature}.feature"
+    text = path.read_text() if path.exists() else ""
+    return set(re.findall(r"^ *Scenario(?: Outline)?: (.+)$", text, re.MULTILINE))
+
+
+@then("every scenario that docs/PROMISES.md names exists")
+def step_promises(context):
+    named = NAMED.findall((ROOT / "docs" / "PROMISES.md").read_text())
+    assert len(named) > 20
+    missing = [(f, s) for f, s in named if s not in scenarios_of(f)]
+    assert not missing, missing
+
+
+@then("docs/CAPACITY.md is what the committed measurements render to")
+def step_capacity(context):
+    assert PAGE.read_text() == Page(read_slopes()).render(), "run make capacity"
+
+
+@given("points on the line 3 + 2 x, one of them 0.4 too high")
+def step_points(context):
+    context.fit = fit_line(((0.0, 3.0), (1.0, 5.0), (2.0, 7.4), (3.0, 9.0), (4.0, 11.0)))
+
+
+@then("the fitted slope is 2 within its error")
+def step_fit(context):
+    assert abs(context.fit.slope - 2.0) <= context.fit.slope_error
+    assert 0 < context.fit.slope_error < 0.1
+    assert fit_line(((0.0, 1.0), (1.0, 3.0))).slope_error is None
+
+
+@then("docs/ARCHITECTURE.md names every package")
+def step_packages(context):
+    text = (ROOT / "docs" / "ARCHITECTURE.md").read_text()
+    packages = {path.parent.name for path in (ROOT / "poplarrun").glob("*/__init__.py")}
+    missing = {name for name in packages if f"`{name}`" not in text}
+    assert not missing, missing
+
+
+@when('the library example "{name}" runs')
+def step_example_runs(context, name):
+    context.done = subprocess.run(
+        [sys.executable, "-m", f"examples.library.{name}"],
+        capture_output=True,
+        text=True,
+        timeout=60,
+        cwd=ROOT,
+    )
+
+
+@then('it ends well and prints "{text}"')
+def step_example_ends(context, text):
+    assert context.done.returncode == 0, context.done.stderr
+    assert text in context.done.stdout, context.done.stdout
--- a/scripts/capacity_roles.py
+++ b/scripts/capacity_roles.py
@@ -40,6 +40,9 @@
     "versions": Size(VERSIONS, "given"),
     "requests/s": Size(HOST_REQUESTS_PER_S, f"{REQUESTS_PER_S} requests/s over {HOSTS} hosts"),
     "tokens/s": Size(HOST_TOKENS_PER_S, f"{TOKENS_PER_S} tokens/s over {HOSTS} hosts"),
+    "polled endpoints": Size(
+        ENDPOINTS / HOSTS, f"{ENDPOINTS} runners over {HOSTS} hosts, each polled by one"
+    ),
     "open streams": Size(HOST_STREAMS, f"tokens/s x {BETWEEN_TOKENS_S} s between tokens"),
 }
 
@@ -113,7 +116,9 @@
     time: str
 
 
-LOAD_POLLS_PER_S = ENDPOINTS / LOAD_POLL_S
+# Each engine is polled by one host of its zone.
+POLLED_ENDPOINTS = ENDPOINTS / HOSTS
+LOAD_POLLS_PER_S = POLLED_ENDPOINTS / LOAD_POLL_S
 LOG_READS_PER_S = 1 / LOG_POLL_S
 
 ROLES = (
@@ -129,11 +134,11 @@
     ),
     Role(
         "Entry (knowing the endpoints)",
-        f"polls each engine's load every {LOAD_POLL_S} s, choice by corrected load and prefix",
-        "polling grows with the endpoints; it needs zone-wise sharing of reports before 830",
+        f"one host of a zone polls an engine's load every {LOAD_POLL_S} s and passes it on; choice "
+        "by corrected load and prefix",
+        "bytes of the reports that are passed on, which grow with the endpoints",
         state=Measured("load", "endpoint table"),
-        messages=f"{LOAD_POLLS_PER_S:,.0f} load reports at {ENDPOINTS} engines",
-        bytes_per_s=Measured("path", "poll_bytes_by_endpoints"),
+        messages=f"{LOAD_POLLS_PER_S:.1f} load reports polled",
         processor=Measured("path", "cores_by_endpoints"),
         memory=Measured("path", "memory_by_endpoints"),
         appends="0",
@@ -220,7 +225,7 @@
         9000.0,
         "bytes/s",
         {
-            "load reports": Measured("path", "poll_bytes_by_endpoints"),
+            "load reports": Measured("load", "bytes_by_endpoints"),
             "membership": Measured("hosts", "bytes_by_hosts"),
         },
     ),
@@ -257,11 +262,6 @@
 LIMITS = f"""
 ## What does not hold, and what would change it
 
-- **Load reports.** Each host polls each engine every {LOAD_POLL_S} s: at {ENDPOINTS} engines that
-  is {LOAD_POLLS_PER_S:,.0f} calls a second a host and {LOAD_POLLS_PER_S * HOSTS:,.0f} in all. It is
-  right for six engines and impossible at the two-year size. The change: the hosts of a zone divide
-  the zone's engines by rendezvous hashing, poll only their share, and pass reports on in the
-  summaries that membership already carries; an engine's load then costs one poll, not one a host.
 - **Log reads.** {HOSTS} hosts that poll a stream every {LOG_POLL_S} s make
   {HOSTS * LOG_READS_PER_S:,.0f} reads a second. Peers already pass on the offset in force: hosts
   should read only on a newer digest, with a slow poll as the fallback.
--- a/scripts/run_features.py
+++ b/scripts/run_features.py
@@ -7,12 +7,14 @@
 import json
 import subprocess
 import sys
+import tempfile
 from concurrent.futures import ThreadPoolExecutor
 from dataclasses import dataclass
 from pathlib import Path
 
 ROOT = Path(__file__).resolve().parent.parent
 KNOWN_RED = ROOT / "KNOWN-RED.txt"
+MAX_KNOWN_RED = 3
 AT_A_TIME = 4
 FEATURE_TIMEOUT_S = 280
 
@@ -38,14 +40,17 @@
 def run_feature(path: Path) -> FeatureRun:
     """Run one feature file in a process of its own."""
     name = str(path.relative_to(ROOT))
-    command = [sys.executable, "-m", "behave", "--format", "json", "--no-summary", str(path)]
-    try:
-        done = subprocess.run(
-            command, cwd=ROOT, capture_output=True, text=True, timeout=FEATURE_TIMEOUT_S
-        )
-        features = json.loads(done.stdout[done.stdout.index("[") : done.stdout.rindex("]") + 1])
-    except (subprocess.TimeoutExpired, ValueError) as error:
-        return FeatureRun(name, [Outcome(f"{name}: whole file", False, 0.0)], repr(error))
+    with tempfile.TemporaryDirectory(prefix="poplarrun-features-") as folder:
+        report = Path(folder) / "report.json"
+        command = [sys.executable, "-m", "behave", "--no-summary", str(path)]
+        command += ["--format", "json", "--outfile", str(report), "--format", "plain"]
+        try:
+            done = subprocess.run(
+                command, cwd=ROOT, capture_output=True, text=True, timeout=FEATURE_TIMEOUT_S
+            )
+            features = json.loads(report.read_text())
+        except (subprocess.TimeoutExpired, OSError, ValueError) as error:
+            return FeatureRun(name, [Outcome(f"{name}: whole file", False, 0.0)], repr(error))
     outcomes = [
         _outcome(name, element)
         for feature in features
@@ -54,7 +59,7 @@
     ]
     if not outcomes or (done.returncode != 0 and all(outcome.passed for outcome in outcomes)):
         outcomes.append(Outcome(f"{name}: whole file", False, 0.0))
-    return FeatureRun(name, outcomes, _failure_text(features) + done.stderr)
+    return FeatureRun(name, outcomes, done.stdout + done.stderr)
 
 
 def _outcome(feature: str, element: dict) -> Outcome:
@@ -64,19 +69,6 @@
     return Outcome(f"{feature}: {element['name']}", passed, seconds)
 
 
-def _failure_text(features: list[dict]) -> str:
-    lines = []
-    for feature in features:
-        for element in feature.get("elements", []):
-            for step in element["steps"]:
-                result = step.get("result", {})
-                if result.get("status") not in ("passed", "skipped", None):
-                    message = result.get("error_message", "")
-                    text = "\n".join(message) if isinstance(message, list) else str(message)
-                    lines.append(f"{step['location']} {step['keyword']} {step['name']}\n{text}\n")
-    return "\n".join(lines)
-
-
 def read_known_red() -> set[str]:
     """Return the names of the scenarios that are known to fail."""
     lines = KNOWN_RED.read_text().splitlines()
@@ -88,6 +80,9 @@
     arguments = [Path(argument).resolve() for argument in sys.argv[1:]]
     paths = arguments or sorted(ROOT.glob("features/**/*.feature"))
     known_red = read_known_red()
+    if len(known_red) > MAX_KNOWN_RED:
+        print(f"{KNOWN_RED.name} lists {len(known_red)} scenarios, at most {MAX_KNOWN_RED} may")
+        return 1
     passed = failed = 0
     with ThreadPoolExecutor(AT_A_TIME) as pool:
         for run in pool.map(run_feature, paths):
