--- a/poplarrun/router/_dispatch.py
+++ b/poplarrun/router/_dispatch.py
@@ -14,6 +14,8 @@
 from poplarrun.contracts import VersionId
 from poplarrun.endpoints import Choice, Demand, EndpointTable, Pool
 from poplarrun.retries import (
+    MAX_ATTEMPTS,
+    MAX_STREAM_ATTEMPTS,
     BudgetKey,
     FailedAttempt,
     GiveUp,
@@ -118,7 +120,9 @@
             released += self._release_from(admission, now)
         return released
 
-    def decide_again(self, job: Job, reason: str, started: bool, now: float) -> RetryAfter | GiveUp:
+    def decide_again(
+        self, job: Job, reason: str, started: bool, now: float, is_stream: bool = False
+    ) -> RetryAfter | GiveUp:
         """Close a broken attempt and decide whether another may follow."""
         assert job.choice is not None
         name = job.choice.endpoint.name
@@ -127,7 +131,13 @@
         self._endpoints.note_failure(name, now, reason)
         job.started = job.started or started
         # Generating twice is harmless: the caller gets one answer and one bill.
-        failed = FailedAttempt(job.attempts, job.started, True, job.deadline - now)
+        failed = FailedAttempt(
+            job.attempts,
+            job.started,
+            repeatable=True,
+            time_left_s=job.deadline - now,
+            most_attempts=MAX_STREAM_ATTEMPTS if is_stream else MAX_ATTEMPTS,
+        )
         return decide_retry(failed, self._budgets.budget(_budget_key(job)), self._random)
 
     def send_elsewhere(self, job: Job, now: float, delay_s: float) -> Sent | NoEndpoint:
@@ -140,6 +150,13 @@
         assert job.choice is not None
         return self._send(job, job.choice, now, delay_s)
 
+    def take_back(self, job: Job, now: float) -> None:
+        """Undo an attempt that was chosen and not sent."""
+        assert job.choice is not None
+        job.attempts -= 1
+        self._admissions.of(job.version).in_flight -= 1
+        self._endpoints.note_ended(job.choice.endpoint.name, now)
+
     def note_first_token(self, job: Job, now: float) -> None:
         """Learn from the time to a first token."""
         choice = job.choice
