--- a/features/cli.feature
+++ b/features/cli.feature
@@ -18,6 +18,7 @@
       | status         | Show it anew every second           |
       | explain        | The X-Request-Id of its answer      |
       | ask            | API key of the client account       |
+      | bill           | UTC when it names no zone           |
 
   Scenario Outline: Bad input is told by its field, without a trace
     # The operator mistypes an argument or names a host that is gone. The
--- a/poplarrun/cli/_bill.py
+++ b/poplarrun/cli/_bill.py
@@ -7,11 +7,9 @@
 import cappa
 
 from poplarrun.billing import Statement, read_statement
+from poplarrun.cli._arguments import EXIT_FAILED, EXIT_INVALID, LogAddress
 from poplarrun.platform import HttpLog
 
-EXIT_FAILED = 1
-EXIT_INVALID = 2
-
 
 @dataclass
 class Bill:
@@ -19,20 +17,13 @@
 
     The statement depends on the log alone: run anywhere at the same ends of the
     billing streams, it is the same.
-
-    Attributes
-    ----------
-    account : str
-        The client account.
-    since : str
-        Date or time in ISO form, UTC when it names no zone.
-    log : str
-        ``ip:port`` of the platform's log.
     """
 
-    account: Annotated[str, cappa.Arg(long=True)]
-    since: Annotated[str, cappa.Arg(long=True)]
-    log: Annotated[str, cappa.Arg(long=True)]
+    account: Annotated[str, cappa.Arg(long=True, help="The client account.")]
+    since: Annotated[
+        str, cappa.Arg(long=True, help="Date or time in ISO form; UTC when it names no zone.")
+    ]
+    log: LogAddress
 
     def __call__(self) -> None:
         """Print the statement."""
--- a/scripts/capacity.py
+++ b/scripts/capacity.py
@@ -53,6 +53,16 @@
         """The line through the points."""
         return fit_line(self.points)
 
+    def at(self, size: float) -> tuple[float, float | None]:
+        """Return the value at a size and its error.
+
+        A size that was measured itself gives its own point, without the line.
+        """
+        for measured, value in self.points:
+            if measured == size:
+                return value, None
+        return self.fit.at(size), self.fit.error_at(size)
+
 
 def fit_line(points: tuple[tuple[float, float], ...]) -> Fit:
     """Fit a line by least squares."""
@@ -106,7 +116,7 @@
         slope = self._slopes.get((measured.bench, measured.slope))
         if slope is None:
             return None
-        return slope.fit.at(SIZES[slope.size].value) * measured.factor
+        return slope.at(SIZES[slope.size].value)[0] * measured.factor
 
     def cell(self, content: Measured | str | None) -> str:
         """Write one cell."""
@@ -118,10 +128,9 @@
         slope = self._slopes.get((content.bench, content.slope))
         if slope is None:
             return NOT_MEASURED
-        size = SIZES[slope.size].value
-        error = slope.fit.error_at(size)
+        value, error = slope.at(SIZES[slope.size].value)
         scaled = None if error is None else error * content.factor
-        return show(slope.fit.at(size) * content.factor, content.unit or slope.unit, scaled)
+        return show(value * content.factor, content.unit or slope.unit, scaled)
 
     def render(self) -> str:
         """Return the whole page."""
@@ -168,7 +177,7 @@
             per = f"{slope.unit} per {slope.size}"
             line = f"{fit.intercept:.3g} + {show(fit.slope, per, fit.slope_error)}"
             size = SIZES.get(slope.size)
-            at = show(fit.at(size.value), slope.unit) if size else "no size given"
+            at = show(slope.at(size.value)[0], slope.unit) if size else "no size given"
             rows.append([slope.bench, slope.name, points, line, at, f"`{slope.command}`"])
         head = ["Bench", "Slope", "Points", "Fit", "At the two-year size", "Command"]
         return "## Every measured slope\n\n" + table(head, rows)
--- a/scripts/capacity_roles.py
+++ b/scripts/capacity_roles.py
@@ -156,6 +156,8 @@
         "one owner a version by rendezvous hashing; always-valid tests over merged summaries",
         "the evidence of every host has to reach the steward",
         state=Measured("versions", "evidence summary of a host, 3 classes"),
+        messages="one summary a second a host to its zone, merged between zones",
+        bytes_per_s="at most 2,000, the bound of all summaries of a host",
         processor=Measured(
             "versions", "choice, median", factor=HOST_REQUESTS_PER_S / 1e6, unit="cores"
         ),
@@ -163,13 +165,22 @@
     Role(
         "Shard owner of claims",
         "32 streams by hash of the key; the owner group-commits, the fold decides",
-        "32 shards x 5 group commits a second = 160 appends a second while all are busy",
-        appends="at most 160, whatever the rate of keyed operations",
+        "32 shards x 5 group commits a second = 160 appends a second while all are busy; the rate "
+        "of keyed operations is not given: 1 a second a host is taken",
+        state="keys of one hour",
+        bytes_per_s=Measured("outcomes", "claims_busiest_stream", unit="bytes/s, busiest stream"),
+        processor=Measured("outcomes", "claims_cpu", factor=1e-6, unit="cores"),
+        appends=Measured("outcomes", "claims_appends", unit="appends/s"),
     ),
     Role(
         "Shard owner of billing",
-        "batches to sharded streams, the fold drops repeats of a bill's id",
-        "not built when this page was made, or no slope committed",
+        "open bills on two peers, batches to sharded streams, the fold drops repeats of an id",
+        "bytes of the copies to peers; appends were measured at 1 bill a second a host only",
+        bytes_per_s=Measured(
+            "outcomes", "bills_sent", factor=HOST_REQUESTS_PER_S, unit="bytes/s a host"
+        ),
+        processor=Measured("outcomes", "bills_cpu", factor=HOST_REQUESTS_PER_S / 1e6, unit="cores"),
+        appends=Measured("outcomes", "bills_appends", unit="appends/s at 1 bill/s a host"),
     ),
     Role(
         "Snapshot writer",
@@ -208,6 +219,14 @@
         "cores",
         {
             "knowing the endpoints": Measured("path", "cores_by_endpoints"),
+            "choice of versions": Measured(
+                "versions", "choice, median", factor=HOST_REQUESTS_PER_S / 1e6
+            ),
+            "choice of endpoints": Measured(
+                "load", "decision time", factor=HOST_REQUESTS_PER_S / 1e6
+            ),
+            "claims": Measured("outcomes", "claims_cpu", factor=1e-6),
+            "billing": Measured("outcomes", "bills_cpu", factor=HOST_REQUESTS_PER_S / 1e6),
             "membership": Measured("hosts", "cores_by_hosts"),
         },
     ),
@@ -216,7 +235,8 @@
         128.0,
         "MB",
         {
-            "process with its endpoints": Measured("path", "memory_by_endpoints"),
+            "process with its own endpoints": Measured("path", "memory_by_endpoints"),
+            "endpoint table": Measured("load", "endpoint table", factor=1e-6),
             "membership": Measured("hosts", "memory_by_hosts"),
         },
     ),
@@ -226,6 +246,7 @@
         "bytes/s",
         {
             "load reports": Measured("load", "bytes_by_endpoints"),
+            "billing": Measured("outcomes", "bills_sent", factor=HOST_REQUESTS_PER_S),
             "membership": Measured("hosts", "bytes_by_hosts"),
         },
     ),
@@ -240,8 +261,9 @@
         300.0,
         "appends/s",
         {
-            "claims": Measured("outcomes", "appends_by_operations"),
-            "billing": Measured("outcomes", "bill_appends_by_requests"),
+            "claims at 1 keyed call/s a host": Measured("outcomes", "claims_appends"),
+            "billing at 1 bill/s a host": Measured("outcomes", "bills_appends"),
+            "roll-outs": Measured("versions", "appends_by_versions"),
         },
     ),
 )
