Refuse the caller for whom no thread is left

Cause: each open request holds a thread; with all of them held, callers, the balancer and operators would wait unseen, without an answer. Change: the loop refuses a request as queue_full, not run, while only the reserved threads are left (a sixteenth, at least two).

--- a/features/environment.py
+++ b/features/environment.py
@@ -28,6 +28,17 @@
         yield fleet
 
 
+@fixture
+def few_threads(context):
+    """One host of eight threads before an engine that is slow but has room."""
+    settings = {"quality": {"larch:1": 0.9, "spruce:1": 0.95}, "tokens_per_s": 20.0}
+    more = {"limits": {"threads": 8}}
+    engines = [EnginePlan("engine-a", "a", settings)]
+    with Fleet(engines, zones=("a",), hosts_per_zone=1, more_settings=more) as fleet:
+        context.fleet = fleet
+        yield fleet
+
+
 @fixture
 def version_fleet(context):
     """Three zones of one host, engines that hold three versions, quick ratings."""
@@ -40,6 +51,7 @@
 
 
 FIXTURES = {
+    "fixture.few_threads": few_threads,
     "fixture.narrow_fleet": narrow_fleet,
     "fixture.small_fleet": small_fleet,
     "fixture.version_fleet": version_fleet,
--- a/features/errors.feature
+++ b/features/errors.feature
@@ -33,3 +33,14 @@
     And a caller sends an unknown key to host "a1"
     Then no log of the hosts holds the keys or the prompt
     And each log line about a request carries its id
+
+  @fixture.few_threads
+  Scenario: More callers than threads
+    # Each open stream holds a thread. Without a bound the next caller, and the
+    # balancer's question whether the host is ready, would wait unseen behind
+    # the streams. The caller is refused at once, and not run; the host answers.
+    Given 6 open streams at a host with 8 threads
+    When one more caller asks it for a "note"
+    Then the caller is refused with "queue_full" and not_run "yes"
+    And the host still says that it is ready
+    And the 6 streams end whole
--- a/features/steps/errors.py
+++ b/features/steps/errors.py
@@ -1,21 +1,23 @@
 import json
+from pathlib import Path
 
 import urllib3
-from behave import then, when
+from behave import given, then, when
 from prometheus_client.parser import text_string_to_metric_families
 
 from poplarrun.errors import ANSWERS, ErrorKind, NotRun, answer_for
 from poplarrun.metrics import Metrics
 from scripts.error_table import CALLERS_PAGE, render_error_table
 
+EXAMPLES = Path(__file__).resolve().parents[2] / "examples"
 COMES_BACK = {409, 429, 502, 503}
 SECRET_PROMPT = "zyzzyva-prompt"
 KNOWN_KEY = "borough-north-key"
 WRONG_KEY = "wrong-key-qwertz"
 
 
-def post(context, host, body, key=KNOWN_KEY, **more):
-    return urllib3.request(
+def post(context, host, body, key=KNOWN_KEY, pool=None, **more):
+    return (pool or urllib3).request(
         "POST",
         f"http://{context.fleet.hosts[host].address}/v1/chat/completions",
         body=body,
@@ -121,3 +123,41 @@
     about = [line for line in lines if line["message"].startswith(("chats:", "operations:"))]
     assert about
     assert all(line["request_id"].startswith("req-") for line in about), about
+
+
+@given("{count:d} open streams at a host with 8 threads")
+def step_open_streams(context, count):
+    fleet = context.fleet
+    fleet.wait_in_force(fleet.publish((EXAMPLES / "thistledown.yaml").read_text()))
+    fleet.wait_versions("larch:1", "spruce:1")
+    body = {"model": "note", "stream": True, "messages": [{"role": "user", "content": "Hello"}]}
+    pool = urllib3.PoolManager(maxsize=count)
+    context.streams = [
+        post(context, "a1", json.dumps(body).encode(), pool=pool, preload_content=False)
+        for _ in range(count)
+    ]
+    assert all(response.status == 200 for response in context.streams)
+
+
+@when('one more caller asks it for a "{work_class}"')
+def step_one_more(context, work_class):
+    message = {"role": "user", "content": "Hello"}
+    body = json.dumps({"model": work_class, "messages": [message]}).encode()
+    context.response = post(context, "a1", body, timeout=5)
+
+
+@then('the caller is refused with "{code}" and not_run "{not_run}"')
+def step_refused_with(context, code, not_run):
+    error = json.loads(context.response.data)["error"]
+    assert (error["code"], error["not_run"]) == (code, not_run), error
+
+
+@then("the host still says that it is ready")
+def step_still_ready(context):
+    assert context.fleet.hosts["a1"].is_ready()
+
+
+@then("the {count:d} streams end whole")
+def step_streams_whole(context, count):
+    assert len(context.streams) == count
+    assert all(response.read().endswith(b"data: [DONE]\n\n") for response in context.streams)
--- a/poplarrun/server/_host.py
+++ b/poplarrun/server/_host.py
@@ -78,6 +78,9 @@
 ROLLOUTS_POLL_S = 0.25
 EVIDENCE_PERIOD_S = 1.0
 RATINGS_POLL_S = 0.25
+# One thread in so many, and at least so many, answer everything but requests.
+RESERVED_SHARE = 16
+MIN_RESERVED_THREADS = 2
 BLOCKING_THREADS = 32
 HAND_OVER_BOUND_S = 5.0
 
@@ -205,6 +208,17 @@
         follow = self._repeat(self._follow_config, self.config.wait)
         self._tasks.append(asyncio.get_running_loop().create_task(follow))
 
+    @property
+    def is_crowded(self) -> bool:
+        """Whether only the threads are left that answer everything but requests.
+
+        Each open request holds a thread. Were all of them held, callers, the
+        balancer and operators alike would wait unseen, without an answer.
+        """
+        threads = self.settings.limits.threads
+        reserved = max(MIN_RESERVED_THREADS, threads // RESERVED_SHARE)
+        return self.router.open_requests >= threads - reserved
+
     def handle(self, message: object) -> Any:
         """Answer one message; the only entry for other threads.
 
@@ -233,6 +247,8 @@
         match message:
             case BeginChat() | BeginOperation() if not self.takes_requests:
                 return self._refuse_unready()
+            case BeginChat() | BeginOperation() if self.is_crowded:
+                return self._refuse_crowded()
             case BeginChat() | BeginOperation() if self.billing.is_full:
                 return self._refuse_unbillable()
             case BeginChat():
@@ -397,6 +413,10 @@
         self.metrics.count_refusal(kind)
         return Refusal(kind, "this host takes no requests now; try another")
 
+    def _refuse_crowded(self) -> Refusal:
+        self.metrics.count_refusal(ErrorKind.QUEUE_FULL)
+        return Refusal(ErrorKind.QUEUE_FULL, "this host has no thread left; try another")
+
     def _refuse_unbillable(self) -> Refusal:
         self.metrics.count_refusal(ErrorKind.BILL_NOT_KEPT)
         return Refusal(ErrorKind.BILL_NOT_KEPT, "the log has taken no bills for long")
