--- a/scripts/capacity_roles.py
+++ b/scripts/capacity_roles.py
@@ -16,6 +16,7 @@
 BETWEEN_TOKENS_S = 0.042
 CHANGES_PER_DAY = 910
 SECONDS_PER_DAY = 86_400
+ACCOUNTS = 100
 HOST_REQUESTS_PER_S = REQUESTS_PER_S / HOSTS
 HOST_TOKENS_PER_S = TOKENS_PER_S / HOSTS
 HOST_STREAMS = HOST_TOKENS_PER_S * BETWEEN_TOKENS_S
@@ -40,6 +41,11 @@
     "versions": Size(VERSIONS, "given"),
     "requests/s": Size(HOST_REQUESTS_PER_S, f"{REQUESTS_PER_S} requests/s over {HOSTS} hosts"),
     "tokens/s": Size(HOST_TOKENS_PER_S, f"{TOKENS_PER_S} tokens/s over {HOSTS} hosts"),
+    "client accounts": Size(ACCOUNTS, "taken: about 10 today, not given"),
+    "publications": Size(CHANGES_PER_DAY, "given, one day"),
+    "polled endpoints": Size(
+        ENDPOINTS / HOSTS, f"{ENDPOINTS} runners over {HOSTS} hosts, each polled by one"
+    ),
     "open streams": Size(HOST_STREAMS, f"tokens/s x {BETWEEN_TOKENS_S} s between tokens"),
 }
 
@@ -113,7 +119,9 @@
     time: str
 
 
-LOAD_POLLS_PER_S = ENDPOINTS / LOAD_POLL_S
+# Each engine is polled by one host of its zone.
+POLLED_ENDPOINTS = ENDPOINTS / HOSTS
+LOAD_POLLS_PER_S = POLLED_ENDPOINTS / LOAD_POLL_S
 LOG_READS_PER_S = 1 / LOG_POLL_S
 
 ROLES = (
@@ -129,11 +137,11 @@
     ),
     Role(
         "Entry (knowing the endpoints)",
-        f"polls each engine's load every {LOAD_POLL_S} s, choice by corrected load and prefix",
-        "polling grows with the endpoints; it needs zone-wise sharing of reports before 830",
+        f"one host of a zone polls an engine's load every {LOAD_POLL_S} s and passes it on; choice "
+        "by corrected load and prefix",
+        "bytes of the reports that are passed on, which grow with the endpoints",
         state=Measured("load", "endpoint table"),
-        messages=f"{LOAD_POLLS_PER_S:,.0f} load reports at {ENDPOINTS} engines",
-        bytes_per_s=Measured("path", "poll_bytes_by_endpoints"),
+        messages=f"{LOAD_POLLS_PER_S:.1f} load reports polled",
         processor=Measured("path", "cores_by_endpoints"),
         memory=Measured("path", "memory_by_endpoints"),
         appends="0",
@@ -142,8 +150,20 @@
         "Configuration",
         "every host tails one log stream and folds it; publications are whole small records",
         f"{HOSTS} hosts x {LOG_READS_PER_S:.0f} reads a second at the log service",
-        state="one document, at most 1 MB",
+        state=Measured("config", "record_by_accounts", unit="bytes, the document in force"),
         messages=f"{LOG_READS_PER_S:.0f} log reads, {1 / HOST_LIST_POLL_S:.0f} host list reads",
+        bytes_per_s=Measured(
+            "config",
+            "record_by_accounts",
+            factor=CHANGES_PER_DAY / SECONDS_PER_DAY,
+            unit="bytes/s, without the empty reads",
+        ),
+        processor=Measured(
+            "config",
+            "fold_by_accounts",
+            factor=CHANGES_PER_DAY / SECONDS_PER_DAY / 1000,
+            unit="cores",
+        ),
         appends=f"{CHANGES_PER_DAY / SECONDS_PER_DAY:.3f} ({CHANGES_PER_DAY} changes a day)",
     ),
     Role(
@@ -151,6 +171,8 @@
         "one owner a version by rendezvous hashing; always-valid tests over merged summaries",
         "the evidence of every host has to reach the steward",
         state=Measured("versions", "evidence summary of a host, 3 classes"),
+        messages="one summary a second a host to its zone, merged between zones",
+        bytes_per_s="at most 2,000, the bound of all summaries of a host",
         processor=Measured(
             "versions", "choice, median", factor=HOST_REQUESTS_PER_S / 1e6, unit="cores"
         ),
@@ -158,18 +180,30 @@
     Role(
         "Shard owner of claims",
         "32 streams by hash of the key; the owner group-commits, the fold decides",
-        "32 shards x 5 group commits a second = 160 appends a second while all are busy",
-        appends="at most 160, whatever the rate of keyed operations",
+        "32 shards x 5 group commits a second = 160 appends a second while all are busy; the rate "
+        "of keyed operations is not given: 1 a second a host is taken",
+        state="keys of one hour",
+        bytes_per_s=Measured("outcomes", "claims_busiest_stream", unit="bytes/s, busiest stream"),
+        processor=Measured("outcomes", "claims_cpu", factor=1e-6, unit="cores"),
+        appends=Measured("outcomes", "claims_appends", unit="appends/s"),
     ),
     Role(
         "Shard owner of billing",
-        "batches to sharded streams, the fold drops repeats of a bill's id",
-        "not built when this page was made, or no slope committed",
+        "open bills on two peers, batches to sharded streams, the fold drops repeats of an id",
+        "bytes of the copies to peers; appends were measured at 1 bill a second a host only",
+        bytes_per_s=Measured(
+            "outcomes", "bills_sent", factor=HOST_REQUESTS_PER_S, unit="bytes/s a host"
+        ),
+        processor=Measured("outcomes", "bills_cpu", factor=HOST_REQUESTS_PER_S / 1e6, unit="cores"),
+        appends=Measured("outcomes", "bills_appends", unit="appends/s at 1 bill/s a host"),
     ),
     Role(
         "Snapshot writer",
         "the fold's state is published again well before the retention horizon",
-        "the largest record that the log service takes",
+        "a start without a snapshot folds a whole day of publications: see the slope "
+        "start_by_publications",
+        state=Measured("config", "record_by_accounts", unit="bytes, the document in force"),
+        processor=Measured("config", "fold_by_accounts", unit="ms for each snapshot read"),
     ),
     Role(
         "Membership in a zone",
@@ -203,6 +237,17 @@
         "cores",
         {
             "knowing the endpoints": Measured("path", "cores_by_endpoints"),
+            "choice of versions": Measured(
+                "versions", "choice, median", factor=HOST_REQUESTS_PER_S / 1e6
+            ),
+            "choice of endpoints": Measured(
+                "load", "decision time", factor=HOST_REQUESTS_PER_S / 1e6
+            ),
+            "configuration": Measured(
+                "config", "fold_by_accounts", factor=CHANGES_PER_DAY / SECONDS_PER_DAY / 1000
+            ),
+            "claims": Measured("outcomes", "claims_cpu", factor=1e-6),
+            "billing": Measured("outcomes", "bills_cpu", factor=HOST_REQUESTS_PER_S / 1e6),
             "membership": Measured("hosts", "cores_by_hosts"),
         },
     ),
@@ -211,7 +256,8 @@
         128.0,
         "MB",
         {
-            "process with its endpoints": Measured("path", "memory_by_endpoints"),
+            "process with its own endpoints": Measured("path", "memory_by_endpoints"),
+            "endpoint table": Measured("load", "endpoint table", factor=1e-6),
             "membership": Measured("hosts", "memory_by_hosts"),
         },
     ),
@@ -220,7 +266,11 @@
         9000.0,
         "bytes/s",
         {
-            "load reports": Measured("path", "poll_bytes_by_endpoints"),
+            "load reports": Measured("load", "bytes_by_endpoints"),
+            "configuration": Measured(
+                "config", "record_by_accounts", factor=CHANGES_PER_DAY / SECONDS_PER_DAY
+            ),
+            "billing": Measured("outcomes", "bills_sent", factor=HOST_REQUESTS_PER_S),
             "membership": Measured("hosts", "bytes_by_hosts"),
         },
     ),
@@ -235,8 +285,9 @@
         300.0,
         "appends/s",
         {
-            "claims": Measured("outcomes", "appends_by_operations"),
-            "billing": Measured("outcomes", "bill_appends_by_requests"),
+            "claims at 1 keyed call/s a host": Measured("outcomes", "claims_appends"),
+            "billing at 1 bill/s a host": Measured("outcomes", "bills_appends"),
+            "roll-outs": Measured("versions", "appends_by_versions"),
         },
     ),
 )
@@ -257,11 +308,6 @@
 LIMITS = f"""
 ## What does not hold, and what would change it
 
-- **Load reports.** Each host polls each engine every {LOAD_POLL_S} s: at {ENDPOINTS} engines that
-  is {LOAD_POLLS_PER_S:,.0f} calls a second a host and {LOAD_POLLS_PER_S * HOSTS:,.0f} in all. It is
-  right for six engines and impossible at the two-year size. The change: the hosts of a zone divide
-  the zone's engines by rendezvous hashing, poll only their share, and pass reports on in the
-  summaries that membership already carries; an engine's load then costs one poll, not one a host.
 - **Log reads.** {HOSTS} hosts that poll a stream every {LOG_POLL_S} s make
   {HOSTS * LOG_READS_PER_S:,.0f} reads a second. Peers already pass on the offset in force: hosts
   should read only on a newer digest, with a slow poll as the fallback.
