--- a/poplarrun/server/_host.py
+++ b/poplarrun/server/_host.py
@@ -131,8 +131,10 @@
         self._load_sharing = LoadSharing(self.peers, self._endpoints)
         self._held: dict[str, asyncio.Future[ChatGrant | Refusal]] = {}
         self._pool = ThreadPoolExecutor(BLOCKING_THREADS, thread_name_prefix="platform")
-        self.claims = ClaimKeeper(self.peers, ThreadedLog(log, self._in_thread), clock, time.time)
-        self.billing = BillKeeper(self.peers, ThreadedLog(log, self._in_thread), clock, time.time)
+        awaited_log = ThreadedLog(log, self._in_thread)
+        count = self.metrics.count_event
+        self.claims = ClaimKeeper(self.peers, awaited_log, clock, time.time, count)
+        self.billing = BillKeeper(self.peers, awaited_log, clock, time.time, count)
         versions = Versions(self.peers.me, random.Random(settings.name))
         self.leases = LeaseKeeper(
             ThreadedLog(log, self._in_thread),
@@ -345,10 +347,8 @@
         await self.leases.release_all()
 
     async def settle_outcomes(self) -> None:
-        """Put the outcomes and bills that are left into the log."""
-        await asyncio.gather(
-            self.claims.drain(HAND_OVER_BOUND_S), self.billing.drain(HAND_OVER_BOUND_S)
-        )
+        """Put the outcomes and bills that are left into the log; peers finish the rest."""
+        await asyncio.gather(self.claims.drain(), self.billing.drain())
 
     async def _leave(self) -> None:
         """Hand over what this host keeps, each part within a bound, then leave the others."""
@@ -465,6 +465,9 @@
             refusals=dict(self.metrics.refusal_counts),
             zones=read_zones(self.peers),
             rollouts=self._version_tasks.read_rollouts(),
+            bills_held=self.billing.size,
+            bills_waiting=self.billing.waiting,
+            outcomes_waiting=self.claims.unsettled,
         )
 
 
