Move a request to another allowed version when the chosen one has no room

Cause: admission refused what a faster or emptier version could have served. Change: a refused start asks the versions part again without that version; a session never moves. A held chat whose version was withdrawn no longer leaves its place counted.

--- a/features/environment.py
+++ b/features/environment.py
@@ -19,9 +19,10 @@
 
 @fixture
 def narrow_fleet(context):
-    """One zone of one host before two engines that are soon full."""
+    """One zone of one host before engines that are soon full."""
     settings = {"quality": {"larch:1": 0.9}, "capacity": 2, "tokens_per_s": 60.0}
     engines = [EnginePlan(f"engine-{number}", "a", settings) for number in (1, 2)]
+    engines.append(EnginePlan("engine-3", "a", {**settings, "quality": {"spruce:1": 0.9}}))
     more = {"limits": {"threads": 64}}
     with Fleet(engines, zones=("a",), hosts_per_zone=1, more_settings=more) as fleet:
         context.fleet = fleet
--- a/features/overload.feature
+++ b/features/overload.feature
@@ -14,6 +14,12 @@
     And the host's counters add up to the refusals seen
     And the engines began as many as were answered
 
+  Scenario: Another allowed version has room
+    # The account may use both versions. The cheaper one's engines are full; what
+    # would wait too long there runs on the other version instead.
+    When 6 clients that may use both versions ask for a "quick" at once
+    Then some answers come from "larch:1" and some from "spruce:1"
+
   Scenario: The important work goes first when the pool is full
     # Reports fill both engines, and more of them wait. The couple at the counter
     # comes last and is answered before the waiting reports.
--- a/features/steps/overload.py
+++ b/features/steps/overload.py
@@ -9,6 +9,7 @@
 from standins.fleet import get_json, wait_until
 
 KEY = "borough-north-key"
+BOTH_KEY = "trust-office-key"
 DOCUMENT = """
 classes:
   quick:
@@ -25,7 +26,14 @@
   larch:
     versions:
       "1": {stage: offered, price: {input_per_mtok: 0.2, output_per_mtok: 0.8}}
+  spruce:
+    versions:
+      "1": {stage: offered, price: {input_per_mtok: 2.0, output_per_mtok: 8.0}}
 accounts:
+  trust-office:
+    keys: ["BOTH_HASH"]
+    classes: ["*"]
+    versions: ["*"]
   borough-north:
     keys: ["KEY_HASH"]
     classes: ["*"]
@@ -37,19 +45,23 @@
 def step_document(context):
     fleet = context.fleet
     if fleet.hosts["a1"].status()["offset"] < 0:
-        digest = "sha256:" + hashlib.sha256(KEY.encode()).hexdigest()
-        fleet.wait_in_force(fleet.publish(DOCUMENT.replace("KEY_HASH", digest)))
-    fleet.wait_versions("larch:1")
+        document = DOCUMENT.replace("KEY_HASH", hashed(KEY)).replace("BOTH_HASH", hashed(BOTH_KEY))
+        fleet.wait_in_force(fleet.publish(document))
+    fleet.wait_versions("larch:1", "spruce:1")
     context.refusals_before = fleet.hosts["a1"].status()["refusals"]
 
 
-def ask(context, work_class):
+def hashed(key):
+    return "sha256:" + hashlib.sha256(key.encode()).hexdigest()
+
+
+def ask(context, work_class, key=KEY):
     began = time.monotonic()
     response = urllib3.request(
         "POST",
         f"http://{context.fleet.hosts['a1'].address}/v1/chat/completions",
         json={"model": work_class, "messages": [{"role": "user", "content": "tell"}]},
-        headers={"Authorization": f"Bearer {KEY}"},
+        headers={"Authorization": f"Bearer {key}"},
         retries=False,
         timeout=60,
     )
@@ -63,6 +75,21 @@
     context.asked = [context.clients.submit(ask, context, work_class) for _ in range(count)]
 
 
+@when('{count:d} clients that may use both versions ask for a "{work_class}" at once')
+def step_ask_both(context, count, work_class):
+    context.clients = ThreadPoolExecutor(count)
+    context.asked = [
+        context.clients.submit(ask, context, work_class, BOTH_KEY) for _ in range(count)
+    ]
+
+
+@then('some answers come from "{one}" and some from "{other}"')
+def step_versions(context, one, other):
+    answered = [found[0] for found in outcomes(context) if found[0].status == 200]
+    versions = {response.headers["X-Poplarrun-Version"] for response in answered}
+    assert versions == {one, other}, versions
+
+
 @when('a client asks for an "{work_class}" a moment later')
 def step_ask_later(context, work_class):
     time.sleep(0.3)
--- a/poplarrun/admission/_concurrency.py
+++ b/poplarrun/admission/_concurrency.py
@@ -43,9 +43,7 @@
         """Tell whether another request may start, within a share of the limit."""
         return in_flight < self.limit * share
 
-    def note_wait(
-        self, wait_s: float, in_flight: int, now: float, pool_load: float = 1.0
-    ) -> None:
+    def note_wait(self, wait_s: float, in_flight: int, now: float, pool_load: float = 1.0) -> None:
         """Take in how long a request waited at its endpoint before it began.
 
         Waiting in a pool that has free places comes of uneven choices: fewer
--- a/poplarrun/router/_chat_versions.py
+++ b/poplarrun/router/_chat_versions.py
@@ -103,6 +103,34 @@
                 message = f"no allowed version meets the targets of class {work_class.name}"
                 return self._context.refuse(ErrorKind.TARGET_UNREACHABLE, message, "model")
 
+    def pick_other(
+        self,
+        request: BeginChat,
+        account: ClientAccount,
+        work_class: WorkClass,
+        without: VersionId,
+        now: float,
+    ) -> VersionPick | None:
+        """Return a version for a request that another has no room for.
+
+        A session, also one that opens now, never moves: other hosts derive its
+        version from the same configuration.
+        """
+        if request.session is not None or request.pinned is not None:
+            return None
+        choice = self._context.versions.choose(
+            ChoiceRequest(
+                account,
+                work_class,
+                request.prompt_tokens,
+                request.max_tokens,
+                without=frozenset({without}),
+            )
+        )
+        if not isinstance(choice, Chosen):
+            return None
+        return self._make_pick(choice.version, work_class, choice.why, now)
+
     def note_end(
         self, pick: VersionPick, work_class: WorkClass, end: EndChat, took_s: float
     ) -> None:
--- a/poplarrun/router/_chats.py
+++ b/poplarrun/router/_chats.py
@@ -91,17 +91,22 @@
         job = _make_job(request, account, work_class, pick.version, now)
         chat = _Chat(request, account, work_class, pick, now, explanation, job)
         self._chats[request.request_id] = chat
-        started = self._follow_start(chat, self._dispatch.start(job, now), now)
-        if isinstance(started, Held):
-            explanation.attempts.append(f"queued, {started.wait_s:.2f} s expected")
-        return started
+        start = self._dispatch.start(job, now)
+        if isinstance(start, Refused | NoEndpoint):
+            start = self._start_other(chat, now) or start
+        if isinstance(start, Held):
+            explanation.attempts.append(f"queued, {start.wait_s:.2f} s expected")
+        return self._follow_start(chat, start, now)
 
     def release(self, now: float) -> list[tuple[str, ChatGrant | Refusal]]:
         """Start the held requests that have a place now, and end those that are late."""
         released: list[tuple[str, ChatGrant | Refusal]] = []
         for job, outcome in self._dispatch.release(now):
             chat = self._chats[job.request_id]
-            started = self._check_version(chat) or self._follow_start(chat, outcome, now)
+            refusal = self._check_version(chat) if isinstance(outcome, Sent) else None
+            if refusal is not None:
+                self._dispatch.end(job, False, now)
+            started = refusal or self._follow_start(chat, outcome, now)
             assert not isinstance(started, Held)
             released.append((job.request_id, started))
         return released
@@ -150,6 +155,22 @@
         chat.explanation.outcome = "answered" if end.whole else "cut off"
         return self._context.add_bill(bill, chat.explanation)
 
+    def _start_other(self, chat: _Chat, now: float) -> Sent | Held | None:
+        """Start a chat on another allowed version when the chosen one has no room in time."""
+        other = self._versions.pick_other(
+            chat.request, chat.account, chat.work_class, chat.version.id, now
+        )
+        if other is None:
+            return None
+        job = _make_job(chat.request, chat.account, chat.work_class, other.version, now)
+        start = self._dispatch.start(job, now)
+        if not isinstance(start, Sent | Held):
+            return None
+        chat.explanation.attempts.append(f"{chat.version.id}: no room in time")
+        self._context.metrics.count_event("other_version_for_room")
+        chat.pick, chat.job = other, job
+        return start
+
     def _follow_start(self, chat: _Chat, start: Start, now: float) -> ChatGrant | Held | Refusal:
         match start:
             case Sent():
--- a/poplarrun/versions/_choice.py
+++ b/poplarrun/versions/_choice.py
@@ -31,6 +31,8 @@
         Whether it opens a session, which keeps the version.
     spend_left : float, optional
         What the client account may still spend; None without a limit.
+    without : frozenset of VersionId
+        Versions that have no room for it now.
     """
 
     account: ClientAccount
@@ -39,6 +41,7 @@
     max_tokens: int
     in_session: bool = False
     spend_left: float | None = None
+    without: frozenset[VersionId] = frozenset()
 
 
 @dataclass(frozen=True, slots=True)
@@ -141,7 +144,7 @@
         offered = [
             version
             for version in self._versions_of(request.account, configuration.document)
-            if not configuration.is_withdrawn(version.id)
+            if version.id not in request.without and not configuration.is_withdrawn(version.id)
         ]
         keys = [self._key(class_name, version.id) for version in offered]
         known = [self._estimates.find(key) for key in keys]
