Let urgent work pass the limit; limit the calls of plain services

Cause: at the onset of an overload the AIMD limit held the counter's requests back, though engines serve them first; plain services had no limit at all. Change: the most important work passes the limit while less important work comes; a pool with free places has no limit; plain services get an AIMD limit against the time of a quiet service.

--- a/bench/load_choice.py
+++ b/bench/load_choice.py
@@ -11,6 +11,7 @@
     Work,
     make_trace,
 )
+from bench.load_overload import WHOLE_S, ClassPlan, OverloadRun, Phase
 from bench.load_policies import ZONES, AllKnowing, Poplarrun, RandomChoice, Reports
 from poplarrun.endpoints import PoolSpeed
 
@@ -52,6 +53,8 @@
     """Run one cell."""
     source = random.Random(setting.seed)
     sizes = SIZES[setting.sizes]
+    if setting.policy == "Poplarrun":
+        return run_dispatch(setting)
     rate = setting.load * setting.engines * sizes.capacity / sizes.mean_work_s
     trace = make_trace(source, rate, setting.hosts, sizes)
     engines = [FakeEngine(ZONES[i % len(ZONES)], sizes) for i in range(setting.engines)]
@@ -64,6 +67,24 @@
     return summarise([work for work in trace if work.at >= sizes.warm_up_s])
 
 
+def run_dispatch(setting: Setting) -> Quantiles:
+    """Run one cell through the product's whole dispatch, admission included."""
+    sizes = SIZES[setting.sizes]
+    run = OverloadRun(
+        (Phase(sizes.seconds, setting.load),),
+        setting.seed,
+        (ClassPlan("work", 5, WHOLE_S, 1.0),),
+        False,
+        sizes,
+        setting.engines,
+        setting.hosts,
+        setting.lag_s,
+    )
+    run.run()
+    works = [ask.work for ask in run.asks]
+    return summarise([work for work in works if work.at >= sizes.warm_up_s])
+
+
 def run_all_knowing(simulation: Simulation, trace: list[Work]) -> None:
     """Serve a trace from one queue."""
     queue = AllKnowing(simulation)
--- a/features/admission.feature
+++ b/features/admission.feature
@@ -60,3 +60,14 @@
     Given an adaptive limit of 40
     When 30 requests each waited 1.0 s, at intervals of 0.1 s, while 60 were running
     Then the adaptive limit lies above 30
+
+  Scenario: A plain service that slows down gets fewer calls at once
+    # Its calls take three times as long as when it was quiet: they wait there.
+    Given a service limit that saw 100 calls of 0.05 s
+    When 50 calls of the service take 0.15 s each, while all places are used
+    Then the service limit lies below 16
+
+  Scenario: A plain service whose calls differ by themselves keeps its limit
+    Given a service limit that saw 100 calls of 0.05 s
+    When 50 calls of the service take 0.02 s and 0.08 s in turn, while all places are used
+    Then the service limit lies above 16
--- a/features/steps/admission.py
+++ b/features/steps/admission.py
@@ -4,7 +4,7 @@
 from behave import given, then, when
 
 from features.steps.endpoints import VERSION, engine, names_of, report
-from poplarrun.admission import AimdLimit, FairQueue, Held, Refused, Ticket
+from poplarrun.admission import AimdLimit, FairQueue, Held, Refused, ServiceLimit, Ticket
 from poplarrun.endpoints import Demand, EndpointTable
 from poplarrun.retries import (
     FailedAttempt,
@@ -274,3 +274,45 @@
     pauses = [decide(context, attempts).delay_s for _ in range(5)]
     assert all(low <= pause <= high for pause in pauses), pauses
     assert len(set(pauses)) == len(pauses)
+
+
+def call_service(context, times):
+    limit = context.service_limit
+    for took_s in times:
+        while limit.has_room():
+            limit.note_sent()
+        context.now += took_s
+        limit.note_end(took_s, context.now)
+
+
+@given("a service limit that saw {count:d} calls of {took:f} s")
+def step_service_limit(context, count, took):
+    context.service_limit = ServiceLimit()
+    context.now = 0.0
+    for _ in range(count):
+        context.service_limit.note_sent()
+        context.now += took
+        context.service_limit.note_end(took, context.now)
+
+
+@when("{count:d} calls of the service take {took:f} s each, while all places are used")
+def step_service_slow(context, count, took):
+    call_service(context, [took] * count)
+
+
+@when(
+    "{count:d} calls of the service take {one:f} s and {other:f} s in turn, "
+    "while all places are used"
+)
+def step_service_varies(context, count, one, other):
+    call_service(context, [one, other] * (count // 2))
+
+
+@then("the service limit lies below {bound:d}")
+def step_service_below(context, bound):
+    assert context.service_limit.aimd.limit < bound, context.service_limit
+
+
+@then("the service limit lies above {bound:d}")
+def step_service_above(context, bound):
+    assert context.service_limit.aimd.limit > bound, context.service_limit
--- a/poplarrun/admission/__init__.py
+++ b/poplarrun/admission/__init__.py
@@ -1,8 +1,17 @@
 """Admission: whether work starts now, waits, or is refused before it costs anything."""
 
-from poplarrun.admission._admission import Admission, Admissions, Admitted, Held, Refused, Verdict
+from poplarrun.admission._admission import (
+    Admission,
+    Admissions,
+    Admitted,
+    Held,
+    PlaceLoad,
+    Refused,
+    Verdict,
+)
 from poplarrun.admission._concurrency import AimdLimit
 from poplarrun.admission._queue import FairQueue, Ticket
+from poplarrun.admission._services import GradientLimit, ServiceLimit
 
 __all__ = [
     "Admission",
@@ -10,8 +19,11 @@
     "Admitted",
     "AimdLimit",
     "FairQueue",
+    "GradientLimit",
     "Held",
+    "PlaceLoad",
     "Refused",
+    "ServiceLimit",
     "Ticket",
     "Verdict",
 ]
--- a/poplarrun/admission/_admission.py
+++ b/poplarrun/admission/_admission.py
@@ -21,6 +21,22 @@
 LEAST_LEFT_SHARE = 0.02
 
 
+@dataclass(frozen=True, slots=True)
+class PlaceLoad:
+    """Load of the place that a request would get, in requests for each place.
+
+    Attributes
+    ----------
+    endpoint : float
+        Of the endpoint, with half of the request.
+    pool : float
+        Mean of all endpoints that it could have got.
+    """
+
+    endpoint: float
+    pool: float
+
+
 @dataclass(frozen=True, slots=True)
 class Admitted:
     """It starts now."""
@@ -82,15 +98,15 @@
         self._starts = _Rate()
         self._arrivals: dict[int, _Rate] = {}
 
-    def offer(self, ticket: Ticket, load: float, now: float) -> Verdict:
+    def offer(self, ticket: Ticket, load: PlaceLoad, now: float) -> Verdict:
         """Decide on a new request.
 
         Parameters
         ----------
         ticket : Ticket
             The request.
-        load : float
-            Load that the best endpoint found would have with it.
+        load : PlaceLoad
+            Load of the best endpoint found, and of all.
         now : float
             The time.
         """
@@ -119,15 +135,16 @@
         self.queue.push(ticket)
         return Held(wait_s)
 
-    def has_room(self, load: float, importance: int, now: float) -> bool:
+    def has_room(self, load: PlaceLoad, importance: int, now: float) -> bool:
         """Tell whether an endpoint that would have this load may be given more."""
-        within = self.may_pass_on(load, importance, now)
-        return within and self.limit.has_room(self.in_flight)
+        if not self.may_pass_on(load, importance, now):
+            return False
+        return self.limit.has_room(self.in_flight, load.pool) or self._goes_first(importance, now)
 
-    def may_pass_on(self, load: float, importance: int, now: float) -> bool:
+    def may_pass_on(self, load: PlaceLoad, importance: int, now: float) -> bool:
         """Tell whether a place that became free may be used again."""
         reserved = RESERVED_SHARE if self._higher_per_s(importance, now) > 0.0 else 0.0
-        return load <= FULL_LOAD - reserved
+        return load.endpoint <= FULL_LOAD - reserved
 
     def note_wait(self, wait_s: float, now: float, pool_load: float) -> None:
         """Take in how long a request waited at its endpoint before it began."""
@@ -156,6 +173,15 @@
         self.dropped.clear()
         return given_up
 
+    def _goes_first(self, importance: int, now: float) -> bool:
+        """Tell whether work of this importance passes all other work at the endpoints.
+
+        What the limit holds back is then the less important work: held by it, the
+        urgent would wait for places that the endpoints give to it first anyway.
+        """
+        lower = sum(rate.per_s(now) for at, rate in self._arrivals.items() if at < importance)
+        return lower > 0.0 and self._higher_per_s(importance, now) == 0.0
+
     def _higher_per_s(self, importance: int, now: float) -> float:
         return sum(rate.per_s(now) for at, rate in self._arrivals.items() if at > importance)
 
--- a/poplarrun/admission/_concurrency.py
+++ b/poplarrun/admission/_concurrency.py
@@ -39,9 +39,9 @@
     mean_wait_s: float = 0.0
     _lowered_at: float = -math.inf
 
-    def has_room(self, in_flight: int, share: float = 1.0) -> bool:
-        """Tell whether another request may start, within a share of the limit."""
-        return in_flight < self.limit * share
+    def has_room(self, in_flight: int, pool_load: float = 1.0) -> bool:
+        """Tell whether another request may start; in a pool with free places any may."""
+        return in_flight < self.limit or pool_load < FULL_POOL_LOAD
 
     def note_wait(self, wait_s: float, in_flight: int, now: float, pool_load: float = 1.0) -> None:
         """Take in how long a request waited at its endpoint before it began.
--- a/poplarrun/router/_context.py
+++ b/poplarrun/router/_context.py
@@ -3,6 +3,7 @@
 import random
 from dataclasses import dataclass, field
 
+from poplarrun.admission import ServiceLimit
 from poplarrun.config import Configuration
 from poplarrun.contracts import ClientAccount
 from poplarrun.endpoints import EndpointTable
@@ -39,6 +40,8 @@
         What first attempts have earned, for chats and operations.
     source : random.Random
         Random source of pauses.
+    service_limits : dict of str to ServiceLimit
+        Concurrency limits of plain services, as this host's calls see them.
     """
 
     endpoints: EndpointTable
@@ -50,6 +53,7 @@
     limits: AccountLimits | None = None
     retry_budgets: RetryBudgets = field(default_factory=RetryBudgets)
     source: random.Random = field(default_factory=random.Random)
+    service_limits: dict[str, ServiceLimit] = field(default_factory=dict)
 
     def refuse(
         self,
@@ -73,6 +77,10 @@
             return None
         return self.refuse(limited.kind, limited.reason, retry_after_s=limited.retry_after_s)
 
+    def service_limit(self, service: str) -> ServiceLimit:
+        """Return the concurrency limit of a plain service."""
+        return self.service_limits.setdefault(service, ServiceLimit())
+
     def decide_retry(self, failed: FailedAttempt, key: BudgetKey) -> RetryDecision:
         """Decide on another attempt, at the expense of a budget."""
         return decide_retry(failed, self.retry_budgets.budget(key), self.source)
--- a/poplarrun/router/_dispatch.py
+++ b/poplarrun/router/_dispatch.py
@@ -8,6 +8,7 @@
     Admissions,
     Admitted,
     Held,
+    PlaceLoad,
     Refused,
     Ticket,
 )
@@ -100,7 +101,7 @@
             return NoEndpoint()
         start_by = job.start_by - choice.prefill_s
         ticket = Ticket(job.request_id, job.account, job.importance, 1.0, start_by)
-        verdict = self._admissions.of(job.version).offer(ticket, choice.load_after, now)
+        verdict = self._admissions.of(job.version).offer(ticket, self._load(job, choice), now)
         match verdict:
             case Admitted():
                 self._budgets.budget(_budget_key(job)).note_attempt()
@@ -182,7 +183,9 @@
                 continue
             job = self._held[admission.queue.peek().request_id]
             choice = self._endpoints.choose_this(version, endpoint, now, job.demand)
-            if choice is not None and admission.may_pass_on(choice.load_after, job.importance, now):
+            if choice is not None and admission.may_pass_on(
+                self._load(job, choice), job.importance, now
+            ):
                 released.append(self._start_held(admission, choice, now))
         self._freed.clear()
         return released
@@ -199,7 +202,9 @@
         while len(admission.queue):
             job = self._held[admission.queue.peek().request_id]
             choice = self._choose(job, now)
-            if choice is None or not admission.has_room(choice.load_after, job.importance, now):
+            if choice is None or not admission.has_room(
+                self._load(job, choice), job.importance, now
+            ):
                 break
             released.append(self._start_held(admission, choice, now))
         return released
@@ -216,6 +221,9 @@
         self._endpoints.note_sent(choice.endpoint.name, now, job.version, job.demand.blocks)
         return Sent(choice, delay_s)
 
+    def _load(self, job: Job, choice: Choice) -> PlaceLoad:
+        return PlaceLoad(choice.load_after, self._pool(job).mean_load())
+
     def _pool(self, job: Job) -> Pool:
         return self._endpoints.pool(job.version)
 
--- a/poplarrun/router/_operations.py
+++ b/poplarrun/router/_operations.py
@@ -59,6 +59,7 @@
     claim: Claim | None = None
     holds_key_here: bool = False
     is_sent: bool = False
+    sent_at: float = 0.0
 
     @property
     def claimed_key(self) -> str | None:
@@ -122,7 +123,7 @@
         call = self._calls[message.request_id]
         left_s = call.deadline - self._now()
         if left_s <= 0:
-            self._context.endpoints.note_ended(call.endpoint, self._now())
+            self._note_attempt_end(call)
             kind = ErrorKind.ENDPOINT_FAILED if call.is_sent else ErrorKind.DEADLINE_UNREACHABLE
             return self._refuse(call, kind, "the deadline passed before it was sent")
         call.is_sent = message.call.hand_over() or call.is_sent
@@ -132,7 +133,7 @@
         """Decide where a broken call goes on: only if it is safe to send it again."""
         call = self._calls[failure.request_id]
         now = self._now()
-        self._context.endpoints.note_ended(call.endpoint, self._now())
+        self._note_attempt_end(call)
         self._context.endpoints.note_failure(call.endpoint, now, failure.reason)
         call.explanation.attempts.append(f"{call.endpoint}: {failure.reason}")
         if call.is_sent and not call.operation.idempotent:
@@ -150,7 +151,7 @@
     def end(self, end: EndOperation) -> Bill | None:
         """Close a call that was answered: keep its answer, and make its bill."""
         call = self._close(end.request_id)
-        self._context.endpoints.note_ended(call.endpoint, self._now())
+        self._note_attempt_end(call, self._now() - call.sent_at)
         ran = end.answer.status < FIRST_ERROR_STATUS
         call.explanation.outcome = "ran" if ran else "refused by the service"
         if call.claim is not None and self.keeper is not None:
@@ -203,6 +204,14 @@
             limited = self._context.check_limits(account, 0, self._now(), is_stream=False)
             if limited is not None:
                 return limited
+            limit = self._context.service_limit(request.service)
+            if not limit.has_room():
+                message = (
+                    f"{limit.in_flight} calls of {request.service} run, as many as it can take"
+                )
+                return self._context.refuse(
+                    ErrorKind.QUEUE_FULL, message, retry_after_s=limit.retry_after_s()
+                )
         subject = f"{request.service}/{request.operation}"
         explanation = self._context.open_explanation(request.request_id, account, subject)
         deadline = self._now() + operation.timeout_s
@@ -285,6 +294,11 @@
         message = "a call with this key is under way; ask again"
         return self._refuse(call, ErrorKind.OPERATION_IN_PROGRESS, message)
 
+    def _note_attempt_end(self, call: _Call, took_s: float | None = None) -> None:
+        now = self._now()
+        self._context.service_limit(call.request.service).note_end(took_s, now)
+        self._context.endpoints.note_ended(call.endpoint, now)
+
     def _choose(self, call: _Call, delay_s: float = 0.0) -> OperationGrant | Refusal:
         name_and_address = self._choose_endpoint(call)
         if name_and_address is None:
@@ -295,6 +309,8 @@
         if call.attempts == 1:
             self._context.retry_budgets.budget(_budget_key(call)).note_attempt()
         call.tried.add(call.endpoint)
+        call.sent_at = self._now() + delay_s
+        self._context.service_limit(call.request.service).note_sent()
         self._context.endpoints.note_sent(call.endpoint, self._now())
         return OperationGrant(call.endpoint, address, call.operation, delay_s)
 
