--- a/poplarrun/router/_operations.py
+++ b/poplarrun/router/_operations.py
@@ -4,6 +4,7 @@
 from collections.abc import Callable
 from dataclasses import dataclass, field
 
+from poplarrun.billing import Bill
 from poplarrun.claims import (
     RETENTION_S,
     Claim,
@@ -30,7 +31,6 @@
 from poplarrun.router._context import RouterContext
 from poplarrun.router._messages import (
     BeginOperation,
-    Bill,
     CallFailed,
     EndOperation,
     Explanation,
@@ -100,6 +100,11 @@
         """Calls that have begun and not ended."""
         return len(self._calls)
 
+    @property
+    def open_request_ids(self) -> list[str]:
+        """Ids of those requests."""
+        return list(self._calls)
+
     async def begin(self, request: BeginOperation) -> OperationGrant | Replay | Refusal:
         """Decide on the endpoint of a call, after its key is claimed where it needs that."""
         call = self._admit(request)
@@ -136,13 +141,14 @@
         self._note_attempt_end(call)
         self._context.endpoints.note_failure(call.endpoint, now, failure.reason)
         call.explanation.attempts.append(f"{call.endpoint}: {failure.reason}")
-        if call.is_sent and not call.operation.idempotent:
-            return self._give_up_sent(call, failure.reason)
         failed = FailedAttempt(
             call.attempts, call.is_sent, call.operation.idempotent, call.deadline - now
         )
         match self._context.decide_retry(failed, _budget_key(call)):
+            case GiveUp(kind=ErrorKind.OPERATION_OUTCOME_UNKNOWN):
+                return self._give_up_sent(call, failure.reason)
             case GiveUp(kind=kind, reason=reason):
+                kind = ErrorKind.ENDPOINT_FAILED if call.is_sent else kind
                 return self._refuse(call, kind, f"{reason} ({failure.reason})")
             case RetryAfter(delay_s=delay_s):
                 self._context.metrics.count_retry(failure.reason)
@@ -152,6 +158,7 @@
         """Close a call that was answered: keep its answer, and make its bill."""
         call = self._close(end.request_id)
         self._note_attempt_end(call, self._now() - call.sent_at)
+        self._context.endpoints.note_success(call.endpoint)
         ran = end.answer.status < FIRST_ERROR_STATUS
         call.explanation.outcome = "ran" if ran else "refused by the service"
         if call.claim is not None and self.keeper is not None:
--- a/poplarrun/server/_host.py
+++ b/poplarrun/server/_host.py
@@ -4,18 +4,28 @@
 import logging
 import random
 import time
-from collections.abc import Callable, Coroutine
+from collections.abc import Awaitable, Callable, Coroutine
 from concurrent.futures import ThreadPoolExecutor
+from functools import partial
 from typing import Any, TypeVar
 
 from poplarrun.admission import Held
+from poplarrun.billing import Bill, BillKeeper
 from poplarrun.claims import ClaimKeeper
-from poplarrun.config import CONFIG_STREAM, Accepted, Configuration, Ignored, fold_entry
+from poplarrun.config import (
+    Accepted,
+    ConfigFollower,
+    Configuration,
+    Ignored,
+    Refused,
+    Verdict,
+)
 from poplarrun.endpoints import Endpoint, EndpointTable, LoadSharing
 from poplarrun.errors import ErrorKind, Refusal
 from poplarrun.hosts import Peers
+from poplarrun.leases import LeaseKeeper
 from poplarrun.limits import ROUND_S, AccountLimits
-from poplarrun.log import Gap, Log, ReadFailed, StreamReader, ThreadedLog
+from poplarrun.log import Log, ThreadedLog
 from poplarrun.logs import part_logger
 from poplarrun.metrics import Metrics
 from poplarrun.platform import (
@@ -49,12 +59,11 @@
     ReadReadiness,
     ReadStatus,
 )
-from poplarrun.server._peering import make_peers, publish_offset, read_zones
+from poplarrun.server._peering import keys_of, make_peers, publish_offset, read_zones
 from poplarrun.server._version_tasks import VersionTasks
 from poplarrun.settings import HostSettings
 from poplarrun.versions import Versions
 
-CONFIG_POLL_S = 0.25
 HOST_LIST_POLL_S = 0.5
 LOAD_POLL_S = 0.25
 LOAD_SHARE_S = 0.5
@@ -64,10 +73,13 @@
 # the rest must stay free for streams, and for refusals that cost no waiting.
 QUEUED_SHARE_OF_THREADS = 0.25
 TEND_CLAIMS_S = 60.0
+TEND_LEASES_S = 0.5
+TEND_BILLS_S = 1.0
 ROLLOUTS_POLL_S = 0.25
 EVIDENCE_PERIOD_S = 1.0
 RATINGS_POLL_S = 0.25
 BLOCKING_THREADS = 32
+HAND_OVER_BOUND_S = 5.0
 
 T = TypeVar("T")
 
@@ -102,34 +114,71 @@
         self.settings = settings
         self.metrics = Metrics()
         self.peers = peers or make_peers(settings, self.metrics, clock)
+        self.leaving = False
         self.stopping = False
+        self.on_leave: list[Callable[[], Awaitable[None]]] = [
+            self.settle_outcomes,
+            self.hand_leases_over,
+        ]
         self._clock = clock
         self._host_list = host_list
         self._engine = engine
-        self._reader = StreamReader(log, CONFIG_STREAM)
         self._endpoints = EndpointTable(settings.zone, random.Random(settings.name))
         self._limits = AccountLimits(self.peers)
         self._load_sharing = LoadSharing(self.peers, self._endpoints)
         self._held: dict[str, asyncio.Future[ChatGrant | Refusal]] = {}
         self._pool = ThreadPoolExecutor(BLOCKING_THREADS, thread_name_prefix="platform")
         self.claims = ClaimKeeper(self.peers, ThreadedLog(log, self._in_thread), clock, time.time)
+        self.billing = BillKeeper(self.peers, ThreadedLog(log, self._in_thread), clock, time.time)
         versions = Versions(self.peers.me, random.Random(settings.name))
+        self.leases = LeaseKeeper(
+            ThreadedLog(log, self._in_thread),
+            self.peers,
+            self.metrics,
+            random.Random(settings.name),
+            clock,
+        )
         queue_bound = max(1, int(settings.limits.threads * QUEUED_SHARE_OF_THREADS))
         self.router = Router(self._endpoints, self.metrics, versions, queue_bound)
         self.router.context.limits = self._limits
         self.router.operations.keeper = self.claims
         self.router.operations.peers = self.peers
         self._version_tasks = VersionTasks(
-            versions, self.peers, log, ratings, self.metrics, self._in_thread, clock
+            versions,
+            self.peers,
+            log,
+            ratings,
+            self.metrics,
+            self._in_thread,
+            clock,
+            keys_of(settings),
         )
         self._list_seen = False
-        self._log_answered_at = clock()
+        self.config = ConfigFollower(
+            log,
+            self.peers,
+            self.metrics,
+            self._in_thread,
+            self._note_config,
+            random.Random(settings.name),
+            clock,
+            keys=keys_of(settings),
+        )
         self._log = part_logger("host")
         self._tasks: list[asyncio.Task[None]] = []
 
     @property
     def is_ready(self) -> bool:
-        """Whether callers may come: a configuration is in force and endpoints are known."""
+        """Whether the balancer may send callers here."""
+        return self.takes_requests and not self.leaving
+
+    @property
+    def takes_requests(self) -> bool:
+        """Whether a request is served: a configuration is in force and endpoints are known.
+
+        A leaving host still serves: until the balancer has noticed, it goes
+        on sending callers here, who did nothing to be refused.
+        """
         has_configuration = self.router.context.configuration.offset >= 0
         return has_configuration and self._list_seen and not self.stopping
 
@@ -137,7 +186,6 @@
         """Start the parts' tasks; called on the loop."""
         self.peers.start()
         for step, period_s in (
-            (self._follow_config, CONFIG_POLL_S),
             (self._follow_host_list, HOST_LIST_POLL_S),
             (self._poll_loads, LOAD_POLL_S),
             (self._share_loads, LOAD_SHARE_S),
@@ -145,19 +193,48 @@
             (self._release_held, RELEASE_S),
             (self._share_limits, ROUND_S),
             (self.claims.tend, TEND_CLAIMS_S),
+            (self.leases.tend, TEND_LEASES_S),
+            (self.billing.tend, TEND_BILLS_S),
             (self._version_tasks.follow_rollouts, ROLLOUTS_POLL_S),
             (self._version_tasks.exchange_evidence, EVIDENCE_PERIOD_S),
             (self._version_tasks.run_steward, ROLLOUTS_POLL_S),
             (self._version_tasks.rate_answers, RATINGS_POLL_S),
         ):
-            self._tasks.append(asyncio.get_running_loop().create_task(self._repeat(step, period_s)))
+            pause = partial(asyncio.sleep, period_s)
+            self._tasks.append(asyncio.get_running_loop().create_task(self._repeat(step, pause)))
+        follow = self._repeat(self._follow_config, self.config.wait)
+        self._tasks.append(asyncio.get_running_loop().create_task(follow))
 
     def handle(self, message: object) -> Any:
-        """Answer one message; the only entry for other threads."""
+        """Answer one message; the only entry for other threads.
+
+        The bills that it made outlive this host before the answer goes out:
+        a caller that has its whole answer is billed, whatever dies then.
+        """
+        answer = self._answer(message)
+        self._hand_entries_on()
+        bills, self.router.context.bills = self.router.context.bills, []
+        return self._keep_bills(bills, answer) if bills else answer
+
+    def _hand_entries_on(self) -> None:
+        context = self.router.context
+        for bill in context.opened:
+            self.billing.open(bill)
+        for bill_id in context.closed:
+            self.billing.drop(bill_id)
+        context.opened, context.closed = [], []
+
+    async def _keep_bills(self, bills: list[Bill], answer: Any) -> Any:
+        await asyncio.gather(*(self.billing.keep(bill) for bill in bills))
+        return answer
+
+    def _answer(self, message: object) -> Any:
         now = self._clock()
         match message:
-            case BeginChat() | BeginOperation() if not self.is_ready:
+            case BeginChat() | BeginOperation() if not self.takes_requests:
                 return self._refuse_unready()
+            case BeginChat() | BeginOperation() if self.billing.is_full:
+                return self._refuse_unbillable()
             case BeginChat():
                 return self._begin_chat(message, now)
             case BeginOperation():
@@ -191,7 +268,7 @@
             case ReadReadiness():
                 return self.is_ready
             case Leave():
-                return self.peers.leave()
+                return self._leave()
         raise TypeError(f"no handler for {type(message).__name__}")
 
     def _begin_chat(self, message: BeginChat, now: float) -> Any:
@@ -211,8 +288,11 @@
     async def _release_held(self) -> None:
         if self._held:
             self._answer_held()
+            self._hand_entries_on()
 
-    async def _repeat(self, step: Callable[[], Coroutine[Any, Any, None]], period_s: float) -> None:
+    async def _repeat(
+        self, step: Callable[[], Coroutine[Any, Any, None]], pause: Callable[[], Awaitable[None]]
+    ) -> None:
         """Run a task's step for ever; one failure must not end the task.
 
         A task that died silently would leave this host routing on what it
@@ -224,32 +304,45 @@
             except Exception:
                 self.metrics.count_event("task_failed")
                 self._log.log(logging.ERROR, "A task failed.", exc_info=True)
-            await asyncio.sleep(period_s)
+            await pause()
+
+    async def hand_leases_over(self) -> None:
+        """Hand the jobs of this host over."""
+        await self.leases.release_all()
+
+    async def settle_outcomes(self) -> None:
+        """Put the outcomes and bills that are left into the log."""
+        await asyncio.gather(
+            self.claims.drain(HAND_OVER_BOUND_S), self.billing.drain(HAND_OVER_BOUND_S)
+        )
+
+    async def _leave(self) -> None:
+        """Hand over what this host keeps, each part within a bound, then leave the others."""
+        for hand_over in self.on_leave:
+            try:
+                await asyncio.wait_for(hand_over(), HAND_OVER_BOUND_S)
+            except TimeoutError:
+                self.metrics.count_event("hand_over_timed_out")
+                self._log.warning("Not handed over.", extra={"part": hand_over.__name__})
+        await self.peers.leave()
 
     async def _in_thread(self, call: Callable[..., T], *arguments: Any) -> T:
         return await asyncio.get_running_loop().run_in_executor(self._pool, call, *arguments)
 
     async def _follow_config(self) -> None:
-        match await self._in_thread(self._reader.read_new):
-            case ReadFailed(reason=reason):
-                self.metrics.count_event("log_read_failed")
-                self._log.warning("The log did not answer.", extra={"reason": reason})
-            case Gap() as gap:
-                self.metrics.count_event("log_gap")
-                self._reader.next_offset = gap.horizon
-            case entries:
-                self._log_answered_at = self._clock()
-                for entry in entries:
-                    self._fold(entry)
-                publish_offset(self.peers, self.router.context.configuration.offset)
-
-    def _fold(self, entry: Any) -> None:
-        state, verdict = fold_entry(self.router.context.configuration, entry)
+        await self.config.follow()
+        publish_offset(self.peers, self.config.state.offset)
+
+    def _note_config(self, state: Configuration, verdict: Verdict) -> None:
+        """Put a new state of the configuration in force."""
         self.router.context.configuration = state
         self.router.context.versions.apply_configuration(state)
         match verdict:
             case Accepted(offset=offset):
                 self._log.info("Configuration in force.", extra={"offset": offset})
+            case Refused(reason=reason):
+                self.metrics.count_event("config_record_unsigned")
+                self._log.warning("Record refused.", extra={"reason": reason})
             case Ignored(reason=reason):
                 self._log.info("Record ignored.", extra={"reason": reason})
             case _:
@@ -304,6 +397,10 @@
         self.metrics.count_refusal(kind)
         return Refusal(kind, "this host takes no requests now; try another")
 
+    def _refuse_unbillable(self) -> Refusal:
+        self.metrics.count_refusal(ErrorKind.BILL_NOT_KEPT)
+        return Refusal(ErrorKind.BILL_NOT_KEPT, "the log has taken no bills for long")
+
     def _list_classes(self, message: ListClasses) -> list[str] | Refusal:
         document = self.router.context.configuration.document
         account = document.account_for_key(message.api_key)
@@ -320,12 +417,13 @@
             region=self.settings.region,
             ready=self.is_ready,
             offset=configuration.offset,
-            log_age_s=round(now - self._log_answered_at, 3),
+            log_age_s=round(now - self.config.log_answered_at, 3),
             open_requests=self.router.open_requests,
             endpoints=tuple(_endpoint_status(e, now) for e in self._endpoints.all()),
             withdrawn=tuple(sorted(configuration.withdrawn)),
             refusals=dict(self.metrics.refusal_counts),
             zones=read_zones(self.peers),
+            rollouts=self._version_tasks.read_rollouts(),
         )
 
 
--- a/poplarrun/server/_operations.py
+++ b/poplarrun/server/_operations.py
@@ -4,6 +4,7 @@
 
 from poplarrun.claims import Ran
 from poplarrun.errors import Refusal
+from poplarrun.logs import part_logger
 from poplarrun.platform import (
     PreparedCall,
     ServiceAnswer,
@@ -26,6 +27,8 @@
 # The loop bounds each step by the operation's own deadline.
 ANSWER_BOUND_S = 3600.0
 
+_log = part_logger("operations")
+
 
 class OperationRun:
     """Runs one call on the calling thread."""
@@ -73,5 +76,8 @@
                 return self._ask_on(CallFailed(request_id, reason))
 
     def _ask_on(self, failed: CallFailed) -> OperationGrant | Refusal:
+        _log.warning(
+            "A call broke.", extra={"request_id": failed.request_id, "reason": failed.reason}
+        )
         step: OperationGrant | Refusal = self._crossing.ask(failed)
         return step
