Lengthen rounds with the bytes of the shares; poll one further engine a tick

Cause: at 390 hosts the shares of ten accounts need most of a minute to be heard at a thousand bytes a second, while rounds of 1 s assumed four seconds; four further polls a quarter second were 24 a second, with the answers above the bytes allowed. Change: a round is as long as the zone's summaries need, one further poll a tick. Figures: 26 bytes a polled engine, 66 an account with four limits; polls of a host 3,320 a second before sharing, 12.5 now (worked out).

--- a/poplarrun/endpoints/_sharing.py
+++ b/poplarrun/endpoints/_sharing.py
@@ -13,7 +13,7 @@
 
 # Polls of endpoints that another host usually polls: those heard of least
 # recently, so that no endpoint stays unknown when its usual host is silent.
-OTHERS_POLLED = 4
+OTHERS_POLLED = 1
 # Engines of the own zone whose cache events this host follows.
 EVENTS_FOLLOWED = 8
 
--- a/poplarrun/limits/_accounts.py
+++ b/poplarrun/limits/_accounts.py
@@ -19,6 +19,8 @@
     share_claim,
 )
 
+# What a host may spend on hearing the shares of its zone's hosts.
+SUMMARY_BYTES_PER_S = 1000.0
 SECONDS_PER_MINUTE = 60.0
 TOKENS_BURST_S = 10.0
 LONGEST_RETRY_S = 60.0
@@ -59,15 +61,15 @@
         self.requests.fill_up()
         self.tokens.fill_up()
 
-    def demand(self, kind: LimitKind) -> float:
+    def demand(self, kind: LimitKind, round_s: float) -> float:
         """Return what callers asked for since the last round, as a part of the limit."""
         limits = self.limits
         match kind:
             case LimitKind.REQUESTS:
-                return self.requests.offered / ((limits.requests_per_second or 1.0) * ROUND_S)
+                return self.requests.offered / ((limits.requests_per_second or 1.0) * round_s)
             case LimitKind.TOKENS:
                 per_s = (limits.tokens_per_minute or 1.0) / SECONDS_PER_MINUTE
-                return self.tokens.offered / (per_s * ROUND_S)
+                return self.tokens.offered / (per_s * round_s)
             case LimitKind.STREAMS:
                 wanted = self.streams.open + self.streams.refused + 1
                 return wanted / (limits.concurrent_streams or 1)
@@ -106,6 +108,8 @@
         self._peers = peers
         self._accounts: dict[str, _Account] = {}
         self._day = 0
+        self._bytes = 0
+        self._round_ends_at = 0.0
 
     def admit(
         self, account: ClientAccount, tokens: int, now: float, is_stream: bool = True
@@ -135,7 +139,16 @@
             state.spend.note(amount)
 
     def close_round(self, accounts: Iterable[ClientAccount], now: float, wall_s: float) -> None:
-        """Move shares after a round of ``ROUND_S``, and tell the others."""
+        """Move shares when a round is over, and tell the others.
+
+        Called every ``ROUND_S``. Rounds get longer when the zone's summaries
+        need longer to reach all hosts: what is safe to take rests on their being
+        heard within a few rounds.
+        """
+        if now < self._round_ends_at:
+            return
+        round_s = max(ROUND_S, self._zone_hosts() * self._bytes / SUMMARY_BYTES_PER_S)
+        self._round_ends_at = now + round_s - ROUND_S / 2.0
         self._begin_day(int(wall_s // SECONDS_PER_DAY))
         gathered = self._peers.gathered(LIMITS_TOPIC)
         own_zone = {
@@ -159,10 +172,12 @@
                     silent,
                     is_current,
                 )
-                state.shares.setdefault(kind, Share()).step(state.demand(kind), view)
+                state.shares.setdefault(kind, Share()).step(state.demand(kind, round_s), view)
             state.use_parts(now)
             summary[name] = self._summarise(state)
-        self._peers.publish(LIMITS_TOPIC, encode(summary))
+        payload = encode(summary)
+        self._bytes = len(payload)
+        self._peers.publish(LIMITS_TOPIC, payload)
 
     def part(self, account: str, kind: LimitKind) -> float:
         """Return this host's part of a limit."""
@@ -202,6 +217,9 @@
             return Limited(ErrorKind.SPEND_EXHAUSTED, reason, SECONDS_PER_DAY)
         return None
 
+    def _zone_hosts(self) -> int:
+        return sum(peer.zone == self._peers.me.zone for peer in self._peers.live())
+
     def _begin_day(self, day: int) -> None:
         if day == self._day:
             return
--- a/scripts/capacity_roles.py
+++ b/scripts/capacity_roles.py
@@ -113,7 +113,10 @@
     time: str
 
 
-LOAD_POLLS_PER_S = ENDPOINTS / LOAD_POLL_S
+# An engine is polled by one host of its zone; each host polls one more, the one
+# heard of least recently.
+LOAD_POLLS_PER_S = (ENDPOINTS / HOSTS + 1) / LOAD_POLL_S
+SHARE_OF_ALL_POLLS = LOAD_POLLS_PER_S / (ENDPOINTS / LOAD_POLL_S)
 LOG_READS_PER_S = 1 / LOG_POLL_S
 
 ROLES = (
@@ -129,12 +132,12 @@
     ),
     Role(
         "Entry (knowing the endpoints)",
-        f"polls each engine's load every {LOAD_POLL_S} s, choice by corrected load and prefix",
-        "polling grows with the endpoints; it needs zone-wise sharing of reports before 830",
+        f"one host polls an engine every {LOAD_POLL_S} s, summaries carry the loads on",
+        "the summaries of a zone's hosts, which share the bytes for gossip",
         state=Measured("load", "endpoint table"),
-        messages=f"{LOAD_POLLS_PER_S:,.0f} load reports at {ENDPOINTS} engines",
-        bytes_per_s=Measured("path", "poll_bytes_by_endpoints"),
-        processor=Measured("path", "cores_by_endpoints"),
+        messages=f"{LOAD_POLLS_PER_S:,.0f} load reports",
+        bytes_per_s=Measured("path", "poll_bytes_by_endpoints", factor=SHARE_OF_ALL_POLLS),
+        processor=Measured("path", "cores_by_endpoints", factor=SHARE_OF_ALL_POLLS),
         memory=Measured("path", "memory_by_endpoints"),
         appends="0",
     ),
@@ -220,7 +223,7 @@
         9000.0,
         "bytes/s",
         {
-            "load reports": Measured("path", "poll_bytes_by_endpoints"),
+            "load reports": Measured("path", "poll_bytes_by_endpoints", factor=SHARE_OF_ALL_POLLS),
             "membership": Measured("hosts", "bytes_by_hosts"),
         },
     ),
@@ -257,11 +260,10 @@
 LIMITS = f"""
 ## What does not hold, and what would change it
 
-- **Load reports.** Each host polls each engine every {LOAD_POLL_S} s: at {ENDPOINTS} engines that
-  is {LOAD_POLLS_PER_S:,.0f} calls a second a host and {LOAD_POLLS_PER_S * HOSTS:,.0f} in all. It is
-  right for six engines and impossible at the two-year size. The change: the hosts of a zone divide
-  the zone's engines by rendezvous hashing, poll only their share, and pass reports on in the
-  summaries that membership already carries; an engine's load then costs one poll, not one a host.
+- **Shares of account limits.** A host tells 66 bytes an account with four limits. With ten accounts
+  the summaries of a zone's {HOSTS_PER_ZONE:.0f} hosts need most of a minute at a thousand bytes a
+  second; rounds get that long, so a share follows demand that moves in minutes. The change: tell
+  only shares that moved, and give the accounts of a zone to a few of its hosts each.
 - **Log reads.** {HOSTS} hosts that poll a stream every {LOG_POLL_S} s make
   {HOSTS * LOG_READS_PER_S:,.0f} reads a second. Peers already pass on the offset in force: hosts
   should read only on a newer digest, with a slow poll as the fallback.
