Assign engines to hosts: send first where one's own knowledge is nearly whole

Cause: with batches of 8 a report that is 1 s late hides a third of the arrivals, and every host chose among all engines by such reports. Change: the engines of a zone are spread evenly over its hosts (rendezvous hashing with a bound), the same assignment as for polls. A host draws from its own engines first; another host's must be clearly emptier when an own place becomes free soon.

--- a/bench/load_costs.py
+++ b/bench/load_costs.py
@@ -23,6 +23,8 @@
             for n in range(endpoints)
         )
     )
+    # At the two-year size a host is assigned two or three of 830.
+    table.take_assigned(frozenset({"e0", "e7", "e14"}))
     source = random.Random(2)
     for at in (0.0, 1.0):
         for n in range(endpoints):
--- a/bench/load_overload.py
+++ b/bench/load_overload.py
@@ -65,8 +65,8 @@
 class HostSide:
     """One host: the product's dispatch over its own endpoint table."""
 
-    def __init__(self, number: int, simulation: Simulation, reports: Reports) -> None:
-        self.policy = Poplarrun(number, simulation.engines, reports)
+    def __init__(self, number: int, simulation: Simulation, reports: Reports, hosts: int) -> None:
+        self.policy = Poplarrun(number, simulation.engines, reports, hosts)
         self.dispatch = Dispatch(self.policy.table, QUEUE_BOUND, random.Random(number))
         self.held: dict[str, Ask] = {}
 
@@ -120,7 +120,7 @@
         reports = Reports(lag_s, min(PERIOD_S, max(lag_s, 0.1)))
         reports.start(self.simulation, phases[-1].until + 5.0)
         Poplarrun.speed = PoolSpeed(whole_s=sizes.mean_work_s)
-        self.hosts = [HostSide(n, self.simulation, reports) for n in range(host_count)]
+        self.hosts = [HostSide(n, self.simulation, reports, host_count) for n in range(host_count)]
         self.callers_return = callers_return
         self.down_from = self.down_until = -1.0
         self.attempts: list[float] = []
--- a/bench/load_policies.py
+++ b/bench/load_policies.py
@@ -2,11 +2,12 @@
 
 import random
 from dataclasses import dataclass
+from functools import lru_cache
 from typing import Protocol
 
 from bench.load_engines import FakeEngine, Simulation, Work
 from poplarrun.contracts import VersionId
-from poplarrun.endpoints import Demand, EndpointTable, PoolSpeed
+from poplarrun.endpoints import Demand, EndpointTable, PoolSpeed, assign_endpoints
 from poplarrun.platform import CacheEvent, HostKind, HostState, ListedHost
 
 QUIET_LOAD = 0.7
@@ -119,14 +120,24 @@
         return hash((key, 7)) % len(self.engines)
 
 
+_assign = lru_cache(maxsize=64)(assign_endpoints)
+
+
 class Poplarrun(RandomChoice):
     """The product's own choice."""
 
     speed = PoolSpeed()
     event_loss = 0.0
 
-    def __init__(self, host: int, engines: list[FakeEngine], reports: Reports) -> None:
+    def __init__(
+        self, host: int, engines: list[FakeEngine], reports: Reports, hosts: int = 1
+    ) -> None:
         super().__init__(host, engines, reports)
+        zone = ZONES[host % len(ZONES)]
+        near = [str(i) for i, engine in enumerate(engines) if engine.zone == zone]
+        peers = [f"host-{n}" for n in range(hosts) if ZONES[n % len(ZONES)] == zone]
+        owners = _assign(tuple(near), tuple(peers))
+        mine = frozenset(name for name, owner in owners.items() if owner == f"host-{host}")
         self.table = EndpointTable(ZONES[host % len(ZONES)], random.Random(host))
         self.table.apply_list(
             tuple(
@@ -134,6 +145,7 @@
                 for i, engine in enumerate(engines)
             )
         )
+        self.table.take_assigned(mine)
         for i in range(len(engines)):
             self.table.apply_load(str(i), frozenset({VERSION}), 0, engines[i].capacity, -1.0)
         # Hosts share what they learn of speeds, in their zone's summaries.
--- a/features/endpoints.feature
+++ b/features/endpoints.feature
@@ -135,3 +135,19 @@
     When the owners poll their engines and publish
     Then host "a1" and host "a2" know the load of each engine
     And host "b1" knows the sum of zone "a"
+
+  Scenario: Engines are spread evenly over the hosts of their zone
+    # Plain rendezvous hashing would give one host five engines and another one.
+    Given 24 engines and 6 hosts of one zone
+    Then each host is assigned 4 engines
+    And without one host at most 3 of the other hosts' engines change hands
+
+  Scenario: A host sends to its own engines while they have room
+    # It knows their load exactly, because it sends most of what they get.
+    Given an endpoint table with engines "e1, e2, e3, e4" of 8 places in zone "a"
+    And engines "e2, e3" are assigned to this host
+    Then the choices of 100 at 0.0 are of 2 engines
+    And no choice of 100 at 0.0 is "e1"
+    When 16 requests are sent to "e2" at 1.0
+    And 16 requests are sent to "e3" at 1.0
+    Then no choice of 100 at 1.1 is "e2"
--- a/features/steps/endpoints.py
+++ b/features/steps/endpoints.py
@@ -1,9 +1,10 @@
 import random
+from collections import Counter
 
 from behave import given, then, when
 
 from poplarrun.contracts import VersionId
-from poplarrun.endpoints import Demand, EndpointTable, LoadSharing
+from poplarrun.endpoints import Demand, EndpointTable, LoadSharing, assign_endpoints
 from poplarrun.hosts import MemoryNetwork, MemoryPeers, Peer
 from poplarrun.platform import BLOCK_WORDS, CacheEvent, HostKind, HostState, ListedHost, LoadReport
 
@@ -239,3 +240,30 @@
 def step_knows_sum(context, host, zone):
     load = context.sharing[host].zone_loads[zone][str(VERSION)]
     assert (load.requests, load.places) == (15, 24)
+
+
+@given("{engines:d} engines and {hosts:d} hosts of one zone")
+def step_zone_fleet(context, engines, hosts):
+    context.engines = [f"e{number}" for number in range(engines)]
+    context.zone_hosts = [f"a{number}" for number in range(hosts)]
+
+
+@then("each host is assigned {count:d} engines")
+def step_even(context, count):
+    context.owners = assign_endpoints(context.engines, context.zone_hosts)
+    counts = Counter(context.owners.values())
+    assert set(counts.values()) == {count}, counts
+    assert set(counts) == set(context.zone_hosts)
+
+
+@then("without one host at most {count:d} of the other hosts' engines change hands")
+def step_stable(context, count):
+    gone = context.zone_hosts[0]
+    after = assign_endpoints(context.engines, context.zone_hosts[1:])
+    moved = [n for n, owner in context.owners.items() if owner not in (gone, after[n])]
+    assert len(moved) <= count, moved
+
+
+@given('engines "{names}" are assigned to this host')
+def step_assigned(context, names):
+    context.endpoint_table.take_assigned(frozenset(names_of(names)))
--- a/poplarrun/endpoints/_choice.py
+++ b/poplarrun/endpoints/_choice.py
@@ -1,5 +1,6 @@
 """The choice of an endpoint: a few candidates are drawn, the cheapest in time wins."""
 
+import math
 import random
 from collections.abc import Callable, Container
 from dataclasses import dataclass, field
@@ -10,6 +11,11 @@
 from poplarrun.endpoints._prefix import NO_MATCH, PrefixIndex, PrefixMatch
 from poplarrun.platform import BLOCK_WORDS as BLOCK_TOKENS
 
+# Candidates among the endpoints assigned to this host: it sends most of what
+# they get, so that it knows their load better than any late report.
+OWN_DRAWN = 8
+SPILL_LOAD = 0.75
+SOON_S = 0.1
 # Candidates of the own zone when other hosts give most of the load: with late
 # reports more of them would send every host to the same few endpoints.
 FEW_DRAWN = 2
@@ -108,17 +114,25 @@
         """Return the candidate with the least expected time to the first token."""
         if now >= pool.refresh_at:
             pool.refresh(now)
-        drawn = MANY_DRAWN if pool.own_share() > OWN_SHARE_KNOWN else FEW_DRAWN
-        candidates = pool.draw_near(self.source, drawn, avoid)
+        candidates = pool.draw_own(self.source, OWN_DRAWN, avoid)
         match, home = NO_MATCH, None
         if version is not None and demand.blocks and find_endpoint is not None:
             match = self.prefixes.find(version, demand.blocks, now)
             home = pool.home(match.key) if match.known_depth else None
             self._add_known(candidates, pool, match, home, avoid, find_endpoint)
         best = self._cheapest(candidates, None, pool, demand, match, home, now)
+        # Among many own places one becomes free soon, and this host knows when:
+        # another host's endpoint must be clearly emptier to be worth the guess.
+        places = sum(endpoint.capacity for endpoint in pool.own)
+        is_soon = places > 0 and pool.speed.whole_s / places < SOON_S
+        most_load = SPILL_LOAD if is_soon else math.inf
+        if best is None or best.load_after > 1.0:
+            drawn = MANY_DRAWN if pool.own_share() > OWN_SHARE_KNOWN else FEW_DRAWN
+            near = pool.draw_near(self.source, drawn, avoid)
+            best = self._cheapest(near, best, pool, demand, match, home, now, most_load)
         if best is None or best.wait_s > 0.0:
-            far = pool.draw_far(self.source, FAR_DRAWN if best else drawn, avoid)
-            best = self._cheapest(far, best, pool, demand, match, home, now)
+            far = pool.draw_far(self.source, FAR_DRAWN if best else FEW_DRAWN, avoid)
+            best = self._cheapest(far, best, pool, demand, match, home, now, most_load)
         if best is None and avoid:
             return self.choose(pool, version, demand, now, (), find_endpoint)
         return best
@@ -132,10 +146,12 @@
         match: PrefixMatch,
         home: str | None,
         now: float,
+        most_load: float = math.inf,
     ) -> Choice | None:
         for endpoint in candidates:
             choice = self.expect(endpoint, pool, demand, match, home, now)
-            if best is None or choice.first_token_s < best.first_token_s:
+            is_better = best is None or choice.first_token_s < best.first_token_s
+            if is_better and choice.load_after <= most_load:
                 best = choice
         return best
 
--- a/poplarrun/endpoints/_pool.py
+++ b/poplarrun/endpoints/_pool.py
@@ -83,6 +83,10 @@
         Names from which a prefix's home is taken, with their salts.
     refresh_at : float
         When the members have to be sorted anew.
+    own : list of Endpoint
+        Those of the near ones that are assigned to this host.
+    own_names : frozenset of str
+        All endpoints that are assigned to this host.
     others : OthersModel
         Load by other hosts.
     speed : PoolSpeed
@@ -93,6 +97,8 @@
     members: list[Endpoint] = field(default_factory=list)
     near: list[Endpoint] = field(default_factory=list)
     far: list[Endpoint] = field(default_factory=list)
+    own: list[Endpoint] = field(default_factory=list)
+    own_names: frozenset[str] = frozenset()
     others: OthersModel = field(default_factory=OthersModel)
     speed: PoolSpeed = field(default_factory=PoolSpeed)
     salts: list[tuple[str, int]] = field(default_factory=list)
@@ -122,6 +128,7 @@
         usable = [e for e in self.members if e.name not in out]
         self.near = [e for e in usable if e.zone == self.zone]
         self.far = [e for e in usable if e.zone != self.zone]
+        self.own = [e for e in self.near if e.name in self.own_names]
         self._homes.clear()
         self._usable = {e.name for e in usable}
         self.salts = [(e.name, salt_of(e.name)) for e in self.near or self.far]
@@ -135,6 +142,10 @@
             self._homes[key] = home_of(key, self.salts)
         return self._homes[key]
 
+    def draw_own(self, source: random.Random, count: int, avoid: Container[str]) -> list[Endpoint]:
+        """Draw some of the endpoints that are assigned to this host."""
+        return _draw(self.own, count, source, avoid)
+
     def draw_near(self, source: random.Random, count: int, avoid: Container[str]) -> list[Endpoint]:
         """Draw some endpoints of the own zone at random, without those to avoid."""
         return _draw(self.near, count, source, avoid)
--- a/poplarrun/endpoints/_sharing.py
+++ b/poplarrun/endpoints/_sharing.py
@@ -7,8 +7,9 @@
 
 from poplarrun.contracts import VersionId
 from poplarrun.endpoints._endpoint import Endpoint
+from poplarrun.endpoints._ownership import assign_endpoints
 from poplarrun.endpoints._table import EndpointTable
-from poplarrun.hosts import Peers, SummaryTopic, rank_hosts
+from poplarrun.hosts import Peers, SummaryTopic
 from poplarrun.platform import HostKind
 
 # Polls of endpoints that another host usually polls: those heard of least
@@ -53,15 +54,24 @@
     versions: dict[str, VersionLoad] = {}
 
 
+_Fleet = tuple[tuple[str, ...], tuple[str, ...]]
 _decoder = msgspec.msgpack.Decoder(LoadSummary)
 
 
+def _decode(payload: bytes) -> LoadSummary:
+    """Read a summary; bytes that are none are an empty one."""
+    try:
+        return _decoder.decode(payload)
+    except msgspec.DecodeError:
+        return LoadSummary(0)
+
+
 def merge_summaries(payloads: Sequence[bytes]) -> bytes:
     """Sum up summaries by version."""
     versions: dict[str, VersionLoad] = {}
     number = 0
     for payload in payloads:
-        summary = _decoder.decode(payload)
+        summary = _decode(payload)
         number = max(number, summary.number)
         for version, load in summary.versions.items():
             sum_so_far = versions.get(version, VersionLoad(0, 0))
@@ -77,8 +87,8 @@
 class LoadSharing:
     """The part of one host in the polling of endpoints.
 
-    Each endpoint is polled by the host that its own zone's hosts rank first;
-    the others hear of it in that host's summary. A fleet of hosts that each
+    Each endpoint is assigned to a host of its own zone, which polls it; the
+    others hear of it in that host's summary. A fleet of hosts that each
     polled every endpoint would spend its control bytes on polls alone.
     """
 
@@ -87,13 +97,14 @@
         self._table = table
         self._number = 0
         self._heard: dict[str, int] = {}
+        self._assignments: dict[str, tuple[_Fleet, dict[str, str]]] = {}
         self._tried_at: dict[str, float] = {}
         self.zone_loads: dict[str, dict[str, VersionLoad]] = {}
 
     def list_polled(self, now: float) -> list[Endpoint]:
         """Return the engines to poll now."""
-        engines = [e for e in self._table.all() if e.kind is HostKind.MODEL_ENGINE]
-        owned = [engine for engine in engines if self.owns(engine)]
+        engines = [e for e in self._table.all() if _is_engine(e)]
+        owned = self.list_owned()
         names = {engine.name for engine in owned}
         others = [engine for engine in engines if engine.name not in names]
         # By the last try too: dead ones, which never answer, would otherwise
@@ -104,23 +115,27 @@
         self._tried_at.update((engine.name, now) for engine in polled)
         return owned + polled
 
+    def list_owned(self) -> list[Endpoint]:
+        """Return the engines that this host usually polls."""
+        engines = [e for e in self._table.all() if _is_engine(e)]
+        owners: dict[str, str] = {}
+        for zone in {engine.zone for engine in engines}:
+            owners.update(self._owners(zone))
+        return [engine for engine in engines if owners[engine.name] == self._peers.me.name]
+
     def list_followed(self) -> list[Endpoint]:
-        """Return the engines whose cache events this host follows."""
-        me = self._peers.me
-        near = [
-            e for e in self._table.all() if e.kind is HostKind.MODEL_ENGINE and e.zone == me.zone
-        ]
-        near.sort(
-            key=lambda engine: rank_hosts(engine.name, self._zone_hosts(me.zone)).index(me.name)
-        )
+        """Return the engines whose cache events this host follows, the assigned ones first."""
+        owners = self._owners(self._peers.me.zone)
+        near = [e for e in self._table.all() if e.name in owners]
+        near.sort(key=lambda engine: owners[engine.name] != self._peers.me.name)
         return near[:EVENTS_FOLLOWED]
 
     def publish(self, now: float) -> None:
         """Pass on the loads of the endpoints that this host polls."""
         self._number += 1
         summary = LoadSummary(self._number)
-        for endpoint in self._table.all():
-            if math.isfinite(endpoint.true_at) and self.owns(endpoint):
+        for endpoint in self.list_owned():
+            if math.isfinite(endpoint.true_at):
                 _add_load(summary, endpoint, now)
         self._peers.publish(LOAD_TOPIC, msgspec.msgpack.encode(summary))
 
@@ -129,10 +144,9 @@
         gathered = self._peers.gathered(LOAD_TOPIC)
         for host, payload in gathered.own_zone.items():
             if host != self._peers.me.name:
-                self._apply(host, _decoder.decode(payload), now)
+                self._apply(host, _decode(payload), now)
         self.zone_loads = {
-            zone: _decoder.decode(payload).versions
-            for zone, payload in gathered.other_zones.items()
+            zone: _decode(payload).versions for zone, payload in gathered.other_zones.items()
         }
 
     def _apply(self, host: str, summary: LoadSummary, now: float) -> None:
@@ -149,13 +163,33 @@
 
     def owns(self, endpoint: Endpoint) -> bool:
         """Tell whether this host usually polls an endpoint."""
-        hosts = self._zone_hosts(endpoint.zone) or [peer.name for peer in self._peers.live()]
-        return rank_hosts(endpoint.name, hosts)[:1] == [self._peers.me.name]
+        owners = self._owners(endpoint.zone)
+        return owners.get(endpoint.name) == self._peers.me.name
+
+    def assign(self) -> None:
+        """Tell the table which endpoints are assigned to this host."""
+        zone = self._peers.me.zone
+        me = self._peers.me.name
+        mine = [name for name, owner in self._owners(zone).items() if owner == me]
+        self._table.take_assigned(frozenset(mine))
+
+    def _owners(self, zone: str) -> dict[str, str]:
+        """Return the owner of each engine of a zone; worked out anew on changes only."""
+        engines = tuple(e.name for e in self._table.all() if _is_engine(e) and e.zone == zone)
+        hosts = tuple(self._zone_hosts(zone) or [peer.name for peer in self._peers.live()])
+        kept = self._assignments.get(zone)
+        if kept is None or kept[0] != (engines, hosts):
+            kept = self._assignments[zone] = ((engines, hosts), assign_endpoints(engines, hosts))
+        return kept[1]
 
     def _zone_hosts(self, zone: str) -> list[str]:
         return [peer.name for peer in self._peers.live() if peer.zone == zone]
 
 
+def _is_engine(endpoint: Endpoint) -> bool:
+    return endpoint.kind is HostKind.MODEL_ENGINE
+
+
 def _add_load(summary: LoadSummary, endpoint: Endpoint, now: float) -> None:
     names = sorted(str(version) for version in endpoint.versions)
     requests = int(endpoint.reported)
--- a/poplarrun/endpoints/_table.py
+++ b/poplarrun/endpoints/_table.py
@@ -39,6 +39,7 @@
         self._pools: dict[VersionId | str, Pool] = {}
         self._list_seen = False
         self._pools_stale = False
+        self._assigned: frozenset[str] = frozenset()
         self.prefixes = PrefixIndex()
         self.chooser = Chooser(source, self.prefixes, zone)
 
@@ -104,6 +105,12 @@
         models = [self.pool(work).others for work in versions]
         endpoint.take_report(requests, capacity, true_at, models)
 
+    def take_assigned(self, names: frozenset[str]) -> None:
+        """Take over which endpoints are assigned to this host."""
+        if names != self._assigned:
+            self._assigned = names
+            self._pools_stale = True
+
     def note_link(self, zone: str, seconds: float) -> None:
         """Take in how long a short call to an endpoint of a zone took."""
         before = self.chooser.link_s.get(zone, seconds)
@@ -200,6 +207,7 @@
     def _rebuild_pools(self) -> None:
         for pool in self._pools.values():
             pool.members = []
+            pool.own_names = self._assigned
             pool.mark_changed()
         for endpoint in self._endpoints.values():
             if not endpoint.leaving:
--- a/poplarrun/server/_host.py
+++ b/poplarrun/server/_host.py
@@ -357,6 +357,7 @@
                 self._list_seen = True
 
     async def _poll_loads(self) -> None:
+        self._load_sharing.assign()
         polled = self._load_sharing.list_polled(self._clock())
         await asyncio.gather(*(self._poll_load(engine) for engine in polled))
 
