--- a/features/environment.py
+++ b/features/environment.py
@@ -1,12 +1,18 @@
 """Shared fixtures: a tag ``@fixture.NAME`` on a feature or scenario asks for one."""
 
+import shutil
+import tempfile
 from pathlib import Path
 
 from behave import fixture, use_fixture
 
-from standins.fleet import EnginePlan, Fleet, ServicePlan
+from poplarrun.server._daemon import Daemon
+from poplarrun.settings import HostSettings
+from standins import HostListStandIn, LogStandIn
+from standins.fleet import EnginePlan, Fleet, ServicePlan, free_address
 
 EXAMPLES = Path(__file__).resolve().parent.parent / "examples"
+CERTIFICATES = Path(__file__).resolve().parent / "certificates"
 VERSIONS = {"larch:1": 0.9, "spruce:1": 0.95}
 
 
@@ -20,6 +26,17 @@
         yield fleet
 
 
+@fixture
+def narrow_fleet(context):
+    """One zone of one host before two engines that are soon full."""
+    settings = {"quality": {"larch:1": 0.9}, "capacity": 2, "tokens_per_s": 60.0}
+    engines = [EnginePlan(f"engine-{number}", "a", settings) for number in (1, 2)]
+    more = {"limits": {"threads": 64}}
+    with Fleet(engines, zones=("a",), hosts_per_zone=1, more_settings=more) as fleet:
+        context.fleet = fleet
+        yield fleet
+
+
 def _run_hosts(context, zones, stop):
     engines = [EnginePlan(f"engine-{zone}", zone, {"quality": VERSIONS}) for zone in zones]
     with Fleet(engines, zones=zones, more_settings={"stop": stop}) as fleet:
@@ -41,7 +58,44 @@
     yield from _run_hosts(context, ("a",), {"balancer_time_s": 0.2, "drain_bound_s": 1.0})
 
 
+@fixture
+def tls_host(context):
+    """One host whose callers speak TLS, in this process; its files can be replaced."""
+    with tempfile.TemporaryDirectory() as folder:
+        context.certificate_file = Path(folder) / "host.crt"
+        context.key_file = Path(folder) / "host.key"
+        for file in (context.certificate_file, context.key_file):
+            shutil.copy(CERTIFICATES / f"own-{file.name}", file)
+        log, host_list = LogStandIn().start(), HostListStandIn().start()
+        context.host_address = free_address()
+        daemon = Daemon(
+            HostSettings.model_validate(
+                {
+                    "name": "a1",
+                    "zone": "a",
+                    "listen": context.host_address,
+                    "platform": {"log": log.address, "host_list": host_list.address},
+                    "limits": {"threads": 64},
+                    "stop": {"balancer_time_s": 0},
+                    "tls": {
+                        "callers": {
+                            "certificate": str(context.certificate_file),
+                            "key": str(context.key_file),
+                        }
+                    },
+                }
+            )
+        )
+        daemon.start()
+        yield daemon
+        daemon.stop()
+        log.stop()
+        host_list.stop()
+
+
 FIXTURES = {
+    "fixture.tls_host": tls_host,
+    "fixture.narrow_fleet": narrow_fleet,
     "fixture.small_fleet": small_fleet,
     "fixture.six_hosts": six_hosts,
     "fixture.two_hosts": two_hosts,
--- a/features/steps/planned_stop.py
+++ b/features/steps/planned_stop.py
@@ -11,6 +11,8 @@
 KEY = "borough-north-key"
 CALLERS = 6
 STREAMERS = 3
+# Keeps all callers together well below the client account's 50 requests a second.
+PAUSE_S = 0.2
 OK = 200
 
 
@@ -38,7 +40,7 @@
     def call(self, number, stream):
         pool = urllib3.PoolManager(retries=False)
         for turn in itertools.count(number):
-            if self.stopped.is_set():
+            if self.stopped.wait(PAUSE_S):
                 return
             ready = list(self.ready)
             if not ready:
--- a/poplarrun/server/_chats.py
+++ b/poplarrun/server/_chats.py
@@ -1,5 +1,6 @@
 """A worker's side of one chat request: bytes only, every decision is asked for."""
 
+import time
 import uuid
 from collections.abc import Iterator
 from dataclasses import dataclass
@@ -7,10 +8,13 @@
 from poplarrun.answers import Reassembly
 from poplarrun.contracts import VersionId
 from poplarrun.errors import Refusal
+from poplarrun.logs import part_logger
 from poplarrun.platform import Answer, Chunk, Engine, EngineCall, EngineFailed, Usage
 from poplarrun.router import AttemptFailed, BeginChat, ChatGrant, EndChat, FirstToken
 from poplarrun.server._crossing import Crossing
 
+_log = part_logger("chats")
+
 
 def new_request_id() -> str:
     """Return an id that no other request has."""
@@ -95,6 +99,8 @@
             priority=grant.priority,
             from_position=self._reassembly.next_position,
         )
+        if grant.delay_s > 0.0:
+            time.sleep(grant.delay_s)
         self._answers = self._engine.generate(grant.address, call, grant.timeout_s)
 
     def _next_piece(self) -> Piece:
@@ -119,9 +125,11 @@
                         return broken
 
     def _go_on(self, failed: EngineFailed) -> BrokenAnswer | None:
+        request_id = self._request.request_id
+        _log.warning("An attempt broke.", extra={"request_id": request_id, "reason": failed.reason})
         self._reassembly.drop_held()
         position = self._reassembly.next_position
-        failure = AttemptFailed(self._request.request_id, failed.started, failed.reason, position)
+        failure = AttemptFailed(request_id, failed.started, failed.reason, position)
         match self._crossing.ask(failure):
             case ChatGrant() as grant:
                 self._open(grant)
--- a/poplarrun/server/_host.py
+++ b/poplarrun/server/_host.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import logging
+import math
 import random
 import time
 from collections.abc import Awaitable, Callable, Coroutine
@@ -9,6 +10,7 @@
 from functools import partial
 from typing import Any, TypeVar
 
+from poplarrun.admission import Held
 from poplarrun.claims import ClaimKeeper
 from poplarrun.config import (
     Accepted,
@@ -18,10 +20,11 @@
     Refused,
     Verdict,
 )
-from poplarrun.endpoints import Endpoint, EndpointTable
+from poplarrun.endpoints import Endpoint, EndpointTable, LoadSharing
 from poplarrun.errors import ErrorKind, Refusal
 from poplarrun.hosts import Peers
 from poplarrun.leases import LeaseKeeper
+from poplarrun.limits import ROUND_S, AccountLimits
 from poplarrun.log import Log, ThreadedLog
 from poplarrun.logs import part_logger
 from poplarrun.metrics import Metrics
@@ -39,6 +42,7 @@
     BeginChat,
     BeginOperation,
     CallFailed,
+    ChatGrant,
     EndChat,
     EndOperation,
     FindOperation,
@@ -63,6 +67,12 @@
 
 HOST_LIST_POLL_S = 0.5
 LOAD_POLL_S = 0.25
+LOAD_SHARE_S = 0.5
+EVENTS_POLL_S = 0.5
+RELEASE_S = 0.02
+# Of the threads that carry bytes, those that may be held by waiting requests:
+# the rest must stay free for streams, and for refusals that cost no waiting.
+QUEUED_SHARE_OF_THREADS = 0.25
 TEND_CLAIMS_S = 60.0
 TEND_LEASES_S = 0.5
 ROLLOUTS_POLL_S = 0.25
@@ -70,6 +80,7 @@
 RATINGS_POLL_S = 0.25
 BLOCKING_THREADS = 32
 HAND_OVER_BOUND_S = 5.0
+FIRST_REPORTS_BOUND_S = 2.0
 
 T = TypeVar("T")
 
@@ -111,6 +122,9 @@
         self._host_list = host_list
         self._engine = engine
         self._endpoints = EndpointTable(settings.zone, random.Random(settings.name))
+        self._limits = AccountLimits(self.peers)
+        self._load_sharing = LoadSharing(self.peers, self._endpoints)
+        self._held: dict[str, asyncio.Future[ChatGrant | Refusal]] = {}
         self._pool = ThreadPoolExecutor(BLOCKING_THREADS, thread_name_prefix="platform")
         self.claims = ClaimKeeper(self.peers, ThreadedLog(log, self._in_thread), clock, time.time)
         versions = Versions(self.peers.me, random.Random(settings.name))
@@ -121,7 +135,9 @@
             random.Random(settings.name),
             clock,
         )
-        self.router = Router(self._endpoints, self.metrics, versions)
+        queue_bound = max(1, int(settings.limits.threads * QUEUED_SHARE_OF_THREADS))
+        self.router = Router(self._endpoints, self.metrics, versions, queue_bound)
+        self.router.context.limits = self._limits
         self.router.operations.keeper = self.claims
         self.router.operations.peers = self.peers
         self._version_tasks = VersionTasks(
@@ -134,10 +150,7 @@
             clock,
             keys_of(settings),
         )
-        self._list_seen = False
-        # Until the engines told what they have loaded, this host would refuse
-        # requests that others can serve.
-        self._loads_polled = False
+        self._list_seen_at: float | None = None
         self.config = ConfigFollower(
             log,
             self.peers,
@@ -154,7 +167,7 @@
     @property
     def is_ready(self) -> bool:
         """Whether the balancer may send callers here."""
-        return self.takes_requests and self._loads_polled and not self.leaving
+        return self.takes_requests and self._knows_engines() and not self.leaving
 
     @property
     def takes_requests(self) -> bool:
@@ -164,7 +177,19 @@
         on sending callers here, who did nothing to be refused.
         """
         has_configuration = self.router.context.configuration.offset >= 0
-        return has_configuration and self._list_seen and not self.stopping
+        return has_configuration and self._list_seen_at is not None and not self.stopping
+
+    def _knows_engines(self) -> bool:
+        """Tell whether the engines told what they have loaded, or had the time to.
+
+        Before that a fresh host would refuse requests that others can serve.
+        """
+        if self._list_seen_at is None:
+            return False
+        if self._clock() - self._list_seen_at > FIRST_REPORTS_BOUND_S:
+            return True
+        engines = [e for e in self._endpoints.all() if e.kind is HostKind.MODEL_ENGINE]
+        return all(e.true_at > -math.inf or e.failures > 0 for e in engines)
 
     def start_tasks(self) -> None:
         """Start the parts' tasks; called on the loop."""
@@ -172,6 +197,10 @@
         for step, period_s in (
             (self._follow_host_list, HOST_LIST_POLL_S),
             (self._poll_loads, LOAD_POLL_S),
+            (self._share_loads, LOAD_SHARE_S),
+            (self._poll_cache_events, EVENTS_POLL_S),
+            (self._release_held, RELEASE_S),
+            (self._share_limits, ROUND_S),
             (self.claims.tend, TEND_CLAIMS_S),
             (self.leases.tend, TEND_LEASES_S),
             (self._version_tasks.follow_rollouts, ROLLOUTS_POLL_S),
@@ -191,7 +220,7 @@
             case BeginChat() | BeginOperation() if not self.takes_requests:
                 return self._refuse_unready()
             case BeginChat():
-                return self.router.chats.begin(message, now)
+                return self._begin_chat(message, now)
             case BeginOperation():
                 return self.router.operations.begin(message)
             case SendOperation():
@@ -205,7 +234,9 @@
             case FirstToken():
                 return self.router.chats.note_first_token(message, now)
             case EndChat():
-                return self.router.chats.end(message, now)
+                bill = self.router.chats.end(message, now)
+                self._answer_held()
+                return bill
             case EndOperation():
                 return self.router.operations.end(message)
             case Refusal():
@@ -224,6 +255,24 @@
                 return self._leave()
         raise TypeError(f"no handler for {type(message).__name__}")
 
+    def _begin_chat(self, message: BeginChat, now: float) -> Any:
+        answer = self.router.chats.begin(message, now)
+        if not isinstance(answer, Held):
+            return answer
+        future: asyncio.Future[ChatGrant | Refusal] = asyncio.get_running_loop().create_future()
+        self._held[message.request_id] = future
+        # It may have taken the place of a less important one, which hears now.
+        self._answer_held()
+        return _wait_for(future)
+
+    def _answer_held(self) -> None:
+        for request_id, answer in self.router.chats.release(self._clock()):
+            self._held.pop(request_id).set_result(answer)
+
+    async def _release_held(self) -> None:
+        if self._held:
+            self._answer_held()
+
     async def _repeat(
         self, step: Callable[[], Coroutine[Any, Any, None]], pause: Callable[[], Awaitable[None]]
     ) -> None:
@@ -282,21 +331,43 @@
                 self.metrics.count_event("host_list_failed")
             case listed:
                 self._endpoints.apply_list(listed, self._clock())
-                self._list_seen = True
+                self._list_seen_at = self._list_seen_at or self._clock()
 
     async def _poll_loads(self) -> None:
-        list_seen = self._list_seen
-        engines = [e for e in self._endpoints.all() if e.kind is HostKind.MODEL_ENGINE]
-        await asyncio.gather(*(self._poll_load(engine) for engine in engines))
-        self._loads_polled = self._loads_polled or list_seen
+        polled = self._load_sharing.list_polled(self._clock())
+        await asyncio.gather(*(self._poll_load(engine) for engine in polled))
 
     async def _poll_load(self, endpoint: Endpoint) -> None:
+        began = self._clock()
         match await self._in_thread(self._engine.report_load, endpoint.address):
             case LoadReport() as report:
-                self._endpoints.apply_report(endpoint.name, report, self._clock())
-            case EngineFailed():
+                now = self._clock()
+                self._endpoints.note_link(endpoint.zone, now - began)
+                self._endpoints.apply_report(endpoint.name, report, now)
+            case EngineFailed(reason=reason):
                 self.metrics.count_event("load_report_failed")
-                self._endpoints.note_failure(endpoint.name, self._clock())
+                self._endpoints.note_failure(endpoint.name, self._clock(), reason)
+
+    async def _share_loads(self) -> None:
+        now = self._clock()
+        self._load_sharing.publish(now)
+        self._load_sharing.take_in(now)
+
+    async def _share_limits(self) -> None:
+        accounts = self.router.context.configuration.document.accounts.values()
+        self._limits.close_round(accounts, self._clock(), time.time())
+
+    async def _poll_cache_events(self) -> None:
+        followed = self._load_sharing.list_followed()
+        await asyncio.gather(*(self._poll_events(engine) for engine in followed))
+
+    async def _poll_events(self, endpoint: Endpoint) -> None:
+        after = self._endpoints.prefixes.last_number(endpoint.name)
+        match await self._in_thread(self._engine.list_cache_events, endpoint.address, after):
+            case EngineFailed():
+                self.metrics.count_event("cache_events_failed")
+            case events:
+                self._endpoints.apply_cache_events(endpoint.name, events, self._clock())
 
     def _refuse_unready(self) -> Refusal:
         kind = ErrorKind.STOPPING if self.stopping else ErrorKind.NOT_READY
@@ -325,9 +396,14 @@
             withdrawn=tuple(sorted(configuration.withdrawn)),
             refusals=dict(self.metrics.refusal_counts),
             zones=read_zones(self.peers),
+            rollouts=self._version_tasks.read_rollouts(),
         )
 
 
+async def _wait_for(future: asyncio.Future[ChatGrant | Refusal]) -> ChatGrant | Refusal:
+    return await future
+
+
 def _endpoint_status(endpoint: Endpoint, now: float) -> EndpointStatus:
     if endpoint.leaving:
         state = "leaving"
--- a/poplarrun/server/_operations.py
+++ b/poplarrun/server/_operations.py
@@ -1,7 +1,10 @@
 """A worker's side of one call of a plain service: bytes only."""
 
+import time
+
 from poplarrun.claims import Ran
 from poplarrun.errors import Refusal
+from poplarrun.logs import part_logger
 from poplarrun.platform import (
     PreparedCall,
     ServiceAnswer,
@@ -24,6 +27,8 @@
 # The loop bounds each step by the operation's own deadline.
 ANSWER_BOUND_S = 3600.0
 
+_log = part_logger("operations")
+
 
 class OperationRun:
     """Runs one call on the calling thread."""
@@ -39,6 +44,7 @@
         call = ServiceCall(request.request_id, request.operation, body, content_type)
         step = self._crossing.ask(request, ANSWER_BOUND_S)
         while isinstance(step, OperationGrant):
+            time.sleep(step.delay_s)
             match self._services.prepare(step.address, call):
                 case ServiceNotSent(reason=reason):
                     step = self._crossing.ask(CallFailed(request.request_id, reason))
@@ -70,5 +76,8 @@
                 return self._ask_on(CallFailed(request_id, reason))
 
     def _ask_on(self, failed: CallFailed) -> OperationGrant | Refusal:
+        _log.warning(
+            "A call broke.", extra={"request_id": failed.request_id, "reason": failed.reason}
+        )
         step: OperationGrant | Refusal = self._crossing.ask(failed)
         return step
