--- a/poplarrun/hosts/_memory.py
+++ b/poplarrun/hosts/_memory.py
@@ -55,6 +55,8 @@
     def __init__(self, network: MemoryNetwork, me: Peer) -> None:
         self._network = network
         self._me = me
+        self.bytes_sent = 0
+        self.bytes_received = 0
         self._handlers: dict[str, Handler] = {}
         self._summaries: dict[str, bytes] = {}
         self._announced: dict[str, int] = {}
--- a/poplarrun/hosts/_network.py
+++ b/poplarrun/hosts/_network.py
@@ -145,6 +145,16 @@
         """Call back with topic and number of each new announcement."""
         self.gossip.on_announced.append(lambda item: callback(_topic(item), item.major))
 
+    @property
+    def bytes_sent(self) -> int:
+        """Bytes sent to the other hosts so far."""
+        return self._links.bytes_sent
+
+    @property
+    def bytes_received(self) -> int:
+        """Bytes received from the other hosts so far."""
+        return self._links.bytes_received
+
     def zones(self) -> tuple[ZoneView, ...]:
         """Return what this host holds of each zone, the own one first."""
         gossip, now = self.gossip, self._clock()
--- a/poplarrun/hosts/_peers.py
+++ b/poplarrun/hosts/_peers.py
@@ -92,6 +92,14 @@
 class Peers(Protocol):
     """The other hosts, as the parts on the loop see them."""
 
+    @property
+    def bytes_sent(self) -> int:
+        """Bytes sent to the other hosts so far."""
+
+    @property
+    def bytes_received(self) -> int:
+        """Bytes received from the other hosts so far."""
+
     @property
     def me(self) -> Peer:
         """The own host."""
--- a/poplarrun/hosts/_summaries.py
+++ b/poplarrun/hosts/_summaries.py
@@ -10,7 +10,7 @@
 SUMMARY_PREFIX = "s/"
 SUMMARY_FACTOR = 2
 # What one host spends on passing summaries on, each way.
-SUMMARY_BYTES_PER_S = 2000.0
+SUMMARY_BYTES_PER_S = 1200.0
 SHORTEST_INTERVAL_S = 0.5
 
 
--- a/poplarrun/links/_interface.py
+++ b/poplarrun/links/_interface.py
@@ -18,9 +18,13 @@
     ----------
     address : str
         ``ip:port`` where this host receives.
+    bytes_sent, bytes_received : int
+        Bytes of messages so far.
     """
 
     address: str
+    bytes_sent: int
+    bytes_received: int
 
     def start(self, receive: Receive) -> None:
         """Begin to receive; called on the loop."""
--- a/poplarrun/server/_host.py
+++ b/poplarrun/server/_host.py
@@ -396,6 +396,8 @@
             withdrawn=tuple(sorted(configuration.withdrawn)),
             refusals=dict(self.metrics.refusal_counts),
             zones=read_zones(self.peers),
+            peer_bytes_sent=self.peers.bytes_sent,
+            peer_bytes_received=self.peers.bytes_received,
             rollouts=self._version_tasks.read_rollouts(),
         )
 
--- a/poplarrun/server/_messages.py
+++ b/poplarrun/server/_messages.py
@@ -104,6 +104,10 @@
         Configuration offset in force here.
     log_age_s : float
         Seconds since the log last answered.
+    zones : tuple of ZoneStatus
+        The own zone first.
+    peer_bytes_sent, peer_bytes_received : int
+        Bytes exchanged with the other hosts since the start.
     """
 
     host: str
@@ -117,4 +121,6 @@
     withdrawn: tuple[VersionId, ...]
     refusals: dict[str, int]
     zones: tuple[ZoneStatus, ...]
+    peer_bytes_sent: int
+    peer_bytes_received: int
     rollouts: tuple[RolloutStatus, ...] = ()
