--- a/features/environment.py
+++ b/features/environment.py
@@ -37,6 +37,17 @@
         yield fleet
 
 
+@fixture
+def version_fleet(context):
+    """Three zones of one host, engines that hold three versions, quick ratings."""
+    quality = {"larch:1": 0.95, "larch:2": 0.2, "larch:3": 0.95}
+    settings = {"quality": quality, "tokens_per_s": 2000.0, "answer_tokens": 40}
+    engines = [EnginePlan(f"engine-{zone}", zone, settings) for zone in "abc"]
+    with Fleet(engines, hosts_per_zone=1) as fleet:
+        context.fleet = fleet
+        yield fleet
+
+
 def _run_hosts(context, zones, stop):
     engines = [EnginePlan(f"engine-{zone}", zone, {"quality": VERSIONS}) for zone in zones]
     with Fleet(engines, zones=zones, more_settings={"stop": stop}) as fleet:
@@ -93,12 +104,25 @@
         host_list.stop()
 
 
+@fixture
+def keyed_host(context):
+    """One host that takes only publications signed by its operators."""
+    keys = {"ada": ["ada-signs-with-this"], "system": ["hosts-sign-with-this"]}
+    engines = [EnginePlan("engine-a", "a", {"quality": VERSIONS})]
+    more = {"operator_keys": keys, "stop": {"balancer_time_s": 0}}
+    with Fleet(engines, zones=("a",), hosts_per_zone=1, more_settings=more) as fleet:
+        context.fleet = fleet
+        yield fleet
+
+
 FIXTURES = {
+    "fixture.keyed_host": keyed_host,
     "fixture.tls_host": tls_host,
     "fixture.narrow_fleet": narrow_fleet,
     "fixture.small_fleet": small_fleet,
     "fixture.six_hosts": six_hosts,
     "fixture.two_hosts": two_hosts,
+    "fixture.version_fleet": version_fleet,
 }
 
 
--- a/features/security.feature
+++ b/features/security.feature
@@ -27,6 +27,16 @@
     When a record is appended with a foreign authority
     Then the append is refused or unknown, and nothing more stands in the log
 
+  @fixture.keyed_host
+  Scenario: Only an operator's key changes the configuration
+    # The command line appends without a key, then with a wrong one, then with
+    # the right one; the host counts the first two and takes the third.
+    When an operator publishes without a key
+    And operator "ada" publishes with key "not-her-key-at-all"
+    Then the host refused 2 records and has nothing in force
+    When operator "ada" publishes with key "ada-signs-with-this"
+    Then the host has the publication in force
+
   @fixture.tls_host
   Scenario: Callers speak TLS, and the certificate is renewed without a restart
     When the readiness is asked over TLS
--- a/features/steps/security.py
+++ b/features/steps/security.py
@@ -223,6 +223,44 @@
         assert response.status == 200
 
 
+def publish_by_command(context, *more):
+    file = str(EXAMPLES / "thistledown.yaml")
+    log = context.fleet.log.address
+    # The command does not know the hosts' keys, so it counts refused records as
+    # accepted; based on -1 each is what the host would take first.
+    context.fleet.run_cli("config", "publish", file, "--log", log, "--based-on=-1", *more)
+
+
+@when("an operator publishes without a key")
+def step_publish_unsigned(context):
+    publish_by_command(context)
+
+
+@when('operator "{name}" publishes with key "{key}"')
+def step_publish_with_key(context, name, key):
+    file = context.fleet.folder / "key"
+    file.write_text(key)
+    publish_by_command(context, "--operator", name, "--key-file", str(file))
+
+
+@then("the host refused {count:d} records and has nothing in force")
+def step_refused_records(context, count):
+    (host,) = context.fleet.hosts.values()
+
+    def refused():
+        text = urllib3.request("GET", f"http://{host.address}/metrics").data.decode()
+        return f'poplarrun_events_total{{event="config_record_unsigned"}} {count}.0' in text
+
+    wait_until(refused, "the records are refused")
+    assert host.status()["offset"] == -1
+
+
+@then("the host has the publication in force")
+def step_has_in_force(context):
+    (host,) = context.fleet.hosts.values()
+    wait_until(lambda: host.status()["offset"] == 2, "in force")
+
+
 PUBLICATION = Publication("id", -1, "ada", 0.0, "models: {}")
 ENVELOPE = Envelope(1, "a1", "a", "a1", 1, Ping(1), [Item("m/a1", 1, 1, b"x")])
 
--- a/poplarrun/cli/_main.py
+++ b/poplarrun/cli/_main.py
@@ -6,6 +6,7 @@
 
 from poplarrun.cli._arguments import EXIT_CODES
 from poplarrun.cli._ask import Ask
+from poplarrun.cli._bill import Bill
 from poplarrun.cli._config import Config
 from poplarrun.cli._serve import Serve
 from poplarrun.cli._status import Explain, Status
@@ -16,7 +17,7 @@
 class Poplarrun:
     """A model-aware router for versions and cascades."""
 
-    command: cappa.Subcommands[Serve | Config | Status | Explain | Ask]
+    command: cappa.Subcommands[Serve | Config | Status | Explain | Ask | Bill]
 
 
 def main() -> None:
--- a/poplarrun/router/_context.py
+++ b/poplarrun/router/_context.py
@@ -3,6 +3,7 @@
 import random
 from dataclasses import dataclass, field
 
+from poplarrun.billing import Bill
 from poplarrun.config import Configuration
 from poplarrun.contracts import ClientAccount
 from poplarrun.endpoints import EndpointTable
@@ -17,7 +18,7 @@
     decide_retry,
 )
 from poplarrun.router._explanations import Explanations
-from poplarrun.router._messages import Bill, Explanation
+from poplarrun.router._messages import Explanation
 from poplarrun.versions import Versions
 
 
@@ -32,7 +33,12 @@
     versions : Versions
         Estimates, choice and roll-outs.
     bills : list of Bill
-        Bills that are not handed on yet.
+        Final bills that are not handed on yet; the host keeps them before it
+        answers the message that made them.
+    opened : list of Bill
+        Entries of requests that began, not handed on yet.
+    closed : list of str
+        Ids of requests that ended without a bill, not handed on yet.
     limits : AccountLimits, optional
         Limits of the client accounts; without them none holds.
     retry_budgets : RetryBudgets
@@ -46,6 +52,8 @@
     versions: Versions
     configuration: Configuration = field(default_factory=Configuration)
     bills: list[Bill] = field(default_factory=list)
+    opened: list[Bill] = field(default_factory=list)
+    closed: list[str] = field(default_factory=list)
     explanations: Explanations = field(default_factory=Explanations)
     limits: AccountLimits | None = None
     retry_budgets: RetryBudgets = field(default_factory=RetryBudgets)
--- a/poplarrun/server/_host.py
+++ b/poplarrun/server/_host.py
@@ -11,6 +11,7 @@
 from typing import Any, TypeVar
 
 from poplarrun.admission import Held
+from poplarrun.billing import Bill, BillKeeper
 from poplarrun.claims import ClaimKeeper
 from poplarrun.config import (
     Accepted,
@@ -75,6 +76,7 @@
 QUEUED_SHARE_OF_THREADS = 0.25
 TEND_CLAIMS_S = 60.0
 TEND_LEASES_S = 0.5
+TEND_BILLS_S = 1.0
 ROLLOUTS_POLL_S = 0.25
 EVIDENCE_PERIOD_S = 1.0
 RATINGS_POLL_S = 0.25
@@ -117,7 +119,10 @@
         self.peers = peers or make_peers(settings, self.metrics, clock)
         self.leaving = False
         self.stopping = False
-        self.on_leave: list[Callable[[], Awaitable[None]]] = [self.hand_leases_over]
+        self.on_leave: list[Callable[[], Awaitable[None]]] = [
+            self.settle_outcomes,
+            self.hand_leases_over,
+        ]
         self._clock = clock
         self._host_list = host_list
         self._engine = engine
@@ -127,6 +132,7 @@
         self._held: dict[str, asyncio.Future[ChatGrant | Refusal]] = {}
         self._pool = ThreadPoolExecutor(BLOCKING_THREADS, thread_name_prefix="platform")
         self.claims = ClaimKeeper(self.peers, ThreadedLog(log, self._in_thread), clock, time.time)
+        self.billing = BillKeeper(self.peers, ThreadedLog(log, self._in_thread), clock, time.time)
         versions = Versions(self.peers.me, random.Random(settings.name))
         self.leases = LeaseKeeper(
             ThreadedLog(log, self._in_thread),
@@ -203,6 +209,7 @@
             (self._share_limits, ROUND_S),
             (self.claims.tend, TEND_CLAIMS_S),
             (self.leases.tend, TEND_LEASES_S),
+            (self.billing.tend, TEND_BILLS_S),
             (self._version_tasks.follow_rollouts, ROLLOUTS_POLL_S),
             (self._version_tasks.exchange_evidence, EVIDENCE_PERIOD_S),
             (self._version_tasks.run_steward, ROLLOUTS_POLL_S),
@@ -214,11 +221,35 @@
         self._tasks.append(asyncio.get_running_loop().create_task(follow))
 
     def handle(self, message: object) -> Any:
-        """Answer one message; the only entry for other threads."""
+        """Answer one message; the only entry for other threads.
+
+        The bills that it made outlive this host before the answer goes out:
+        a caller that has its whole answer is billed, whatever dies then.
+        """
+        answer = self._answer(message)
+        self._hand_entries_on()
+        bills, self.router.context.bills = self.router.context.bills, []
+        return self._keep_bills(bills, answer) if bills else answer
+
+    def _hand_entries_on(self) -> None:
+        context = self.router.context
+        for bill in context.opened:
+            self.billing.open(bill)
+        for bill_id in context.closed:
+            self.billing.drop(bill_id)
+        context.opened, context.closed = [], []
+
+    async def _keep_bills(self, bills: list[Bill], answer: Any) -> Any:
+        await asyncio.gather(*(self.billing.keep(bill) for bill in bills))
+        return answer
+
+    def _answer(self, message: object) -> Any:
         now = self._clock()
         match message:
             case BeginChat() | BeginOperation() if not self.takes_requests:
                 return self._refuse_unready()
+            case BeginChat() | BeginOperation() if self.billing.is_full:
+                return self._refuse_unbillable()
             case BeginChat():
                 return self._begin_chat(message, now)
             case BeginOperation():
@@ -272,6 +303,7 @@
     async def _release_held(self) -> None:
         if self._held:
             self._answer_held()
+            self._hand_entries_on()
 
     async def _repeat(
         self, step: Callable[[], Coroutine[Any, Any, None]], pause: Callable[[], Awaitable[None]]
@@ -293,6 +325,12 @@
         """Hand the jobs of this host over."""
         await self.leases.release_all()
 
+    async def settle_outcomes(self) -> None:
+        """Put the outcomes and bills that are left into the log."""
+        await asyncio.gather(
+            self.claims.drain(HAND_OVER_BOUND_S), self.billing.drain(HAND_OVER_BOUND_S)
+        )
+
     async def _leave(self) -> None:
         """Hand over what this host keeps, each part within a bound, then leave the others."""
         for hand_over in self.on_leave:
@@ -374,6 +412,10 @@
         self.metrics.count_refusal(kind)
         return Refusal(kind, "this host takes no requests now; try another")
 
+    def _refuse_unbillable(self) -> Refusal:
+        self.metrics.count_refusal(ErrorKind.BILL_NOT_KEPT)
+        return Refusal(ErrorKind.BILL_NOT_KEPT, "the log has taken no bills for long")
+
     def _list_classes(self, message: ListClasses) -> list[str] | Refusal:
         document = self.router.context.configuration.document
         account = document.account_for_key(message.api_key)
