--- a/poplarrun/hosts/_gossip.py
+++ b/poplarrun/hosts/_gossip.py
@@ -33,8 +33,10 @@
 REJOIN_PERIOD_S = 5.0
 # Before any other host is known, seeds are tried this often.
 JOIN_PERIOD_S = 0.5
+JOINING_S = 30.0
+JOIN_FANOUT = 3
 MEMBER_FACTOR = 3
-ZONE_FACTOR = 2
+ZONE_FACTOR = 3
 ANNOUNCEMENT_FACTOR = 4
 ANNOUNCEMENT_FANOUT = 3
 EVERYWHERE = "*"
@@ -89,6 +91,7 @@
         self.summaries = Summaries(self.store, self.zones, self._spread)
         self._next_sync_at = now + source.random() * SYNC_PERIOD_S
         self._next_join_at = now
+        self._began_at = now
         self._count = count
 
     @property
@@ -119,7 +122,9 @@
             outgoing += self._sync_with_member()
         datagrams = [self._wrap(out, now) for out in outgoing]
         if now >= self._next_join_at:
-            alone = len(live) == 1 and not self.zones.others()
+            # A zone of one host stays alone: it goes on at the slow pace.
+            is_new = now - self._began_at < JOINING_S
+            alone = len(live) == 1 and (is_new or not self.zones.others())
             self._next_join_at = now + (JOIN_PERIOD_S if alone else REJOIN_PERIOD_S)
             datagrams += self._join(alone, now)
         return datagrams
@@ -269,11 +274,13 @@
                 live |= {member.address for member in self.zones.members(zone)}
         told = {member.address for member in self.zones.members(self.me.zone)}
         dead = {m.address for m in self.membership.all() if m.state is MemberState.DEAD}
-        addresses = sorted((set(self._seeds) | told | dead) - live)
-        chosen = addresses if alone else self._random.sample(addresses, min(1, len(addresses)))
+        near = sorted((told | dead) - live)
+        addresses = near if near and alone else sorted((set(self._seeds) | told | dead) - live)
+        count = JOIN_FANOUT if alone else 1
+        chosen = self._random.sample(addresses, min(count, len(addresses)))
         vector = self.store.vector("")
         own = [self.membership.own_item]
-        return [Datagram(address, self.envelope(Sync("", vector), own)) for address in chosen[:3]]
+        return [Datagram(address, self.envelope(Sync("", vector), own)) for address in chosen]
 
     def _answer_sync(self, sync: Sync, envelope: Envelope, now: float) -> list[Datagram]:
         same_zone = envelope.zone == self.me.zone
--- a/poplarrun/hosts/_items.py
+++ b/poplarrun/hosts/_items.py
@@ -46,6 +46,14 @@
 Vector = dict[Key, tuple[Number, Number]]
 
 
+# What a host needs first to find its place: members, then zones, then summaries.
+_URGENCY = {"m": 0, "z": 1, "s": 2}
+
+
+def _urgency(key: str) -> int:
+    return _URGENCY.get(key[:1], len(_URGENCY))
+
+
 class ItemStore:
     """The newest known item of each key."""
 
@@ -77,9 +85,9 @@
         return {item.key: item.version for item in self.items(prefix)}
 
     def newer_than(self, vector: Mapping[str, tuple[int, int]], prefix: str) -> list[Item]:
-        """Return what the owner of a vector lacks, small items first."""
+        """Return what the owner of a vector lacks: members, then zones, then summaries."""
         found = [i for i in self.items(prefix) if i.version > vector.get(i.key, (-1, -1))]
-        return sorted(found, key=lambda item: item.size_bytes)
+        return sorted(found, key=lambda item: (_urgency(item.key), item.size_bytes))
 
     def wanted(self, vector: Mapping[str, tuple[int, int]], prefix: str) -> list[str]:
         """Return the keys of which the owner of a vector knows more."""
--- a/poplarrun/hosts/_membership.py
+++ b/poplarrun/hosts/_membership.py
@@ -121,6 +121,7 @@
         self._count = count
         self._random = source
         self._members: dict[str, Member] = {}
+        self._live: list[Member] | None = None
         self._ring: list[str] = []
         self._probes: dict[int, _Probe] = {}
         self._number = 0
@@ -142,8 +143,10 @@
 
     def live(self) -> list[Member]:
         """Return the members that are alive or only suspected, by name."""
-        found = [m for m in self._members.values() if m.state <= MemberState.SUSPECT]
-        return sorted(found, key=lambda member: member.peer)
+        if self._live is None:
+            found = [m for m in self._members.values() if m.state <= MemberState.SUSPECT]
+            self._live = sorted(found, key=lambda member: member.peer.name)
+        return self._live
 
     def all(self) -> list[Member]:
         """Return all known members, dead ones included."""
@@ -220,6 +223,7 @@
     def _set(self, member: Member, now: float) -> None:
         name = member.peer.name
         self._members[name] = member
+        self._live = None
         self._suspected_until.pop(name, None)
         self._forget_at.pop(name, None)
         match member.state:
@@ -253,6 +257,7 @@
         for name in [n for n, at in self._forget_at.items() if at <= now]:
             del self._forget_at[name]
             del self._members[name]
+            self._live = None
             self._store.remove(MEMBER_PREFIX + name)
 
     def _end_probes(self, now: float) -> list[Outgoing]:
--- a/poplarrun/hosts/_zones.py
+++ b/poplarrun/hosts/_zones.py
@@ -15,6 +15,9 @@
 
 ZONE_PERIOD_S = 1.0
 GATEWAYS = 2
+# The whole list goes out on a change. While a large zone starts, it changes all
+# the time, and at each beat its bytes would grow with the zone squared.
+MEMBERS_PERIOD_S_PER_HOST = 0.05
 # How long the second gateway waits for the first one's beat, in periods.
 STANDBY_PERIODS = 2.5
 ZONE_SILENT_AFTER_S = 6.0
@@ -70,6 +73,7 @@
         self._ring: list[str] = []
         self._next_at = now + source.random() * ZONE_PERIOD_S
         self._began_at = now
+        self._next_members_at = now
 
     def others(self) -> list[str]:
         """Return the other zones that are known."""
@@ -127,7 +131,10 @@
         members = [
             ZoneMember(m.peer.name, m.peer.region, m.address, m.peer.incarnation) for m in live
         ]
-        told = {BEAT: b"", MEMBERS: zlib.compress(msgspec.msgpack.encode(members)), **merged}
+        told = {BEAT: b"", **merged}
+        if now >= self._next_members_at:
+            self._next_members_at = now + MEMBERS_PERIOD_S_PER_HOST * len(members)
+            told[MEMBERS] = zlib.compress(msgspec.msgpack.encode(members))
         for subject, payload in told.items():
             self._tell(zone_key(own, subject), stamp, payload, subject == BEAT, now)
 
