Keep a session's version by a token and at home hosts in several zones

Cause: a session's version was known only to the host that opened it.

Change: the answer carries a token signed with the account's key hash, which any host can read; for ids that callers choose, three home hosts in as many zones hold the version, the first home's first proposal wins, and finds repair lost copies.

Conclusion: two zones cut off from each other may open the same new id on two versions when no token is carried; docs/design/sessions.md will say so.

--- a/features/steps/versions_rollout.py
+++ b/features/steps/versions_rollout.py
@@ -162,3 +162,48 @@
             numbers.append(record.number)
     assert numbers == list(range(len(numbers))) and numbers, records
     assert next(r.serves for r in records if isinstance(r, Settled)), records
+
+
+def ask_in_session(host, **headers):
+    body = {"model": "note", "messages": [{"role": "user", "content": "a note"}]}
+    response = pool_for().request(
+        "POST",
+        f"http://{host.address}/v1/chat/completions",
+        json=body,
+        headers={"Authorization": f"Bearer {KEY}", **headers},
+    )
+    return response
+
+
+@when('a session "{session}" asks host "{host}" for a "note"')
+def step_session(context, session, host):
+    context.session = session
+    response = ask_in_session(context.fleet.hosts[host], **{"X-Session-Id": session})
+    context.token = response.headers["X-Poplarrun-Session"]
+    context.answered.append(response.headers["X-Poplarrun-Version"])
+
+
+@when('the session asks host "{by_id}" by its id and host "{by_token}" by its token')
+def step_session_elsewhere(context, by_id, by_token):
+    hosts = context.fleet.hosts
+    first = ask_in_session(hosts[by_id], **{"X-Session-Id": context.session})
+    second = ask_in_session(hosts[by_token], **{"X-Poplarrun-Session": context.token})
+    context.answered += [r.headers["X-Poplarrun-Version"] for r in (first, second)]
+
+
+@then('all its answers came from "{version}"')
+def step_all_from(context, version):
+    assert context.answered == [version] * 3, context.answered
+
+
+@when('only "larch:{name}" is offered')
+def step_only(context, name):
+    offer(context, name)
+
+
+@then('the session gets "{code}", not run, at each host')
+def step_session_refused(context, code):
+    for host in live_hosts(context):
+        for headers in ({"X-Session-Id": context.session}, {"X-Poplarrun-Session": context.token}):
+            error = ask_in_session(host, **headers).json()["error"]
+            assert (error["code"], error["not_run"]) == (code, "yes"), error
--- a/features/versions_rollout.feature
+++ b/features/versions_rollout.feature
@@ -22,3 +22,16 @@
     And the host that wrote it is killed
     And callers ask for 1500 "note" answers, until "larch:3" serves class "note"
     Then the grants of "larch:3" are numbered without a gap or a repeat
+
+  @fixture.version_fleet
+  Scenario: A session's version is withdrawn
+    # The session opened on larch:1. The operator withdraws larch:1 and offers
+    # larch:3. The session's next request is refused as not run, with what to do;
+    # it is never moved to larch:3 silently. Other requests go on.
+    Given version "larch:1" alone is offered and serves class "note"
+    When a session "report-7" asks host "a1" for a "note"
+    And the session asks host "b1" by its id and host "c1" by its token
+    Then all its answers came from "larch:1"
+    When only "larch:3" is offered
+    Then the session gets "session_version_withdrawn", not run, at each host
+    And the next 6 "note" answers come from "larch:3"
--- a/poplarrun/router/_chat_versions.py
+++ b/poplarrun/router/_chat_versions.py
@@ -75,6 +75,7 @@
     ) -> VersionPick | Refusal:
         """Return the version of a new request."""
         if request.pinned is not None:
+            explanation.considered.append(f"the session keeps {request.pinned}")
             return self._pick_pinned(request.pinned, account, work_class, now)
         choice = self._context.versions.choose(
             ChoiceRequest(
--- a/poplarrun/router/_chats.py
+++ b/poplarrun/router/_chats.py
@@ -158,6 +158,7 @@
             chat.work_class.importance,
             timeout_s,
             sampled=chat.pick.sampled,
+            session_token=chat.request.session_token,
         )
 
     def _note_attempt_end(self, chat: _Chat, reason: str, now: float) -> None:
--- a/poplarrun/router/_messages.py
+++ b/poplarrun/router/_messages.py
@@ -21,6 +21,8 @@
         Length of the prompt, bound of the answer, in tokens.
     session : str, optional
         The caller's session id.
+    session_token : str, optional
+        The token that an earlier answer of the session carried.
     pinned : VersionId, optional
         The version that the session keeps; None while it has none.
     """
@@ -31,6 +33,7 @@
     prompt_tokens: int
     max_tokens: int
     session: str | None = None
+    session_token: str | None = None
     pinned: VersionId | None = None
 
 
@@ -52,6 +55,8 @@
         Seconds left until the request's deadline.
     sampled : bool
         Whether the worker keeps the answer's text, to be rated.
+    session_token : str, optional
+        What the caller may carry to keep the session's version.
     """
 
     endpoint: str
@@ -60,6 +65,7 @@
     priority: int
     timeout_s: float
     sampled: bool = False
+    session_token: str | None = None
 
 
 @dataclass(frozen=True, slots=True)
--- a/poplarrun/router/_router.py
+++ b/poplarrun/router/_router.py
@@ -5,6 +5,7 @@
 from poplarrun.router._chats import ChatRouter
 from poplarrun.router._context import RouterContext
 from poplarrun.router._operations import OperationRouter
+from poplarrun.router._sessions import SessionRouter
 from poplarrun.versions import Versions
 
 
@@ -17,6 +18,8 @@
         What the decisions share, the configuration in force among it.
     chats : ChatRouter
         Decides about chat requests.
+    sessions : SessionRouter
+        Finds the version that a chat request's session keeps.
     operations : OperationRouter
         Decides about calls of plain services.
     """
@@ -24,6 +27,7 @@
     def __init__(self, endpoints: EndpointTable, metrics: Metrics, versions: Versions) -> None:
         self.context = RouterContext(endpoints, metrics, versions)
         self.chats = ChatRouter(self.context)
+        self.sessions = SessionRouter(self.context)
         self.operations = OperationRouter(self.context)
 
     @property
--- /dev/null
+++ b/poplarrun/router/_sessions.py
@@ -0,0 +1,69 @@
+"""The step before a chat request: which version its session keeps."""
+
+from dataclasses import replace
+
+from poplarrun.contracts import ClientAccount
+from poplarrun.errors import ErrorKind, Refusal
+from poplarrun.router._context import RouterContext
+from poplarrun.router._messages import BeginChat
+from poplarrun.versions import (
+    ChoiceRequest,
+    Chosen,
+    SessionKeeper,
+    read_session,
+    sign_session,
+)
+
+TOKEN_PARAM = "X-Poplarrun-Session"
+
+
+class SessionRouter:
+    """Finds the version of a request's session; called on the loop only."""
+
+    def __init__(self, context: RouterContext) -> None:
+        self._context = context
+        self.keeper: SessionKeeper | None = None
+
+    async def pin(self, request: BeginChat) -> BeginChat | Refusal:
+        """Return the request with its session's version; unchanged without a session."""
+        account = self._context.configuration.document.account_for_key(request.api_key)
+        if account is None or (request.session is None and request.session_token is None):
+            return request
+        if request.session_token is not None:
+            return self._pin_by_token(request, account)
+        assert request.session is not None
+        return await self._pin_by_id(request, request.session, account)
+
+    def _pin_by_token(self, request: BeginChat, account: ClientAccount) -> BeginChat | Refusal:
+        read = read_session(account, request.session_token or "")
+        if read is None or request.session not in (None, read[0]):
+            message = "the session token was not given out to this client account and session"
+            return self._context.refuse(ErrorKind.SESSION_TOKEN_INVALID, message, TOKEN_PARAM)
+        session, version = read
+        return replace(request, session=session, pinned=version)
+
+    async def _pin_by_id(
+        self, request: BeginChat, session: str, account: ClientAccount
+    ) -> BeginChat:
+        if self.keeper is None:
+            return request
+        pinned = await self.keeper.find(account.name, session)
+        if pinned is None:
+            proposal = self._propose(request, account)
+            if proposal is None:
+                return request
+            pinned = await self.keeper.open(account.name, session, proposal.version.id)
+        token = sign_session(account, session, pinned)
+        return replace(request, pinned=pinned, session_token=token)
+
+    def _propose(self, request: BeginChat, account: ClientAccount) -> Chosen | None:
+        """Choose for a new session; None where the request will be refused anyway."""
+        work_class = self._context.configuration.document.classes.get(request.class_name)
+        if work_class is None or not account.allows_class(work_class.name):
+            return None
+        choice = self._context.versions.choose(
+            ChoiceRequest(
+                account, work_class, request.prompt_tokens, request.max_tokens, in_session=True
+            )
+        )
+        return choice if isinstance(choice, Chosen) else None
--- a/poplarrun/server/_callers.py
+++ b/poplarrun/server/_callers.py
@@ -27,6 +27,7 @@
 JSON = "application/json"
 EVENT_STREAM = "text/event-stream"
 SESSION_HEADER = "X-Session-Id"
+SESSION_TOKEN_HEADER = "X-Poplarrun-Session"
 IDEMPOTENCY_HEADER = "Idempotency-Key"
 REQUEST_ID_HEADER = "X-Request-Id"
 REPLAY_HEADER = "X-Poplarrun-Replayed"
@@ -116,6 +117,7 @@
             prompt_tokens=len(body.prompt.split()),
             max_tokens=body.token_bound,
             session=session,
+            session_token=cherrypy.request.headers.get(SESSION_TOKEN_HEADER),
         )
         cherrypy.response.headers[REQUEST_ID_HEADER] = request.request_id
         run = ChatRun(self._crossing, self._engine, request, body.prompt)
@@ -123,6 +125,8 @@
         if isinstance(first, Refusal):
             return send_refusal(first)
         cherrypy.response.headers[VERSION_HEADER] = str(run.version)
+        if run.session_token is not None:
+            cherrypy.response.headers[SESSION_TOKEN_HEADER] = run.session_token
         if body.stream:
             return self._stream_answer(run, first, request)
         return self._whole_answer(run, first, request)
--- a/poplarrun/server/_chats.py
+++ b/poplarrun/server/_chats.py
@@ -44,6 +44,7 @@
 
     def __init__(self, crossing: Crossing, engine: Engine, request: BeginChat, prompt: str) -> None:
         self.version: VersionId | None = None
+        self.session_token: str | None = None
         self._crossing = crossing
         self._engine = engine
         self._request = request
@@ -85,6 +86,7 @@
 
     def _open(self, grant: ChatGrant) -> None:
         self.version = grant.version
+        self.session_token = grant.session_token
         self._sampled = grant.sampled
         self._address = grant.address
         call = EngineCall(
--- a/poplarrun/server/_host.py
+++ b/poplarrun/server/_host.py
@@ -30,6 +30,7 @@
     BeginChat,
     BeginOperation,
     CallFailed,
+    ChatGrant,
     EndChat,
     EndOperation,
     FindOperation,
@@ -50,7 +51,7 @@
 from poplarrun.server._peering import make_peers, publish_offset, read_zones
 from poplarrun.server._version_tasks import VersionTasks
 from poplarrun.settings import HostSettings
-from poplarrun.versions import Versions
+from poplarrun.versions import SessionKeeper, Versions
 
 CONFIG_POLL_S = 0.25
 HOST_LIST_POLL_S = 0.5
@@ -106,6 +107,7 @@
         self.router = Router(self._endpoints, self.metrics, versions)
         self.router.operations.keeper = self.claims
         self.router.operations.peers = self.peers
+        self.router.sessions.keeper = SessionKeeper(self.peers)
         self._version_tasks = VersionTasks(
             versions, self.peers, log, ratings, self.metrics, self._in_thread, clock
         )
@@ -141,8 +143,10 @@
         match message:
             case BeginChat() | BeginOperation() if not self.is_ready:
                 return self._refuse_unready()
-            case BeginChat():
+            case BeginChat(session=None, session_token=None):
                 return self.router.chats.begin(message, now)
+            case BeginChat():
+                return self._begin_in_session(message)
             case BeginOperation():
                 return self.router.operations.begin(message)
             case SendOperation():
@@ -238,6 +242,12 @@
                 self.metrics.count_event("load_report_failed")
                 self._endpoints.note_failure(endpoint.name, self._clock())
 
+    async def _begin_in_session(self, message: BeginChat) -> ChatGrant | Refusal:
+        request = await self.router.sessions.pin(message)
+        if isinstance(request, Refusal):
+            return request
+        return self.router.chats.begin(request, self._clock())
+
     def _refuse_unready(self) -> Refusal:
         kind = ErrorKind.STOPPING if self.stopping else ErrorKind.NOT_READY
         self.metrics.count_refusal(kind)
--- a/poplarrun/versions/__init__.py
+++ b/poplarrun/versions/__init__.py
@@ -36,6 +36,12 @@
     name_holder,
 )
 from poplarrun.versions._sampling import RatingSampler, SampledAnswer
+from poplarrun.versions._sessions import (
+    SessionKeeper,
+    choose_homes,
+    read_session,
+    sign_session,
+)
 from poplarrun.versions._steward import DueRecord, Steward, StewardView
 from poplarrun.versions._tests import ChangeDetector, bets_above, bets_below, log_capital
 
@@ -65,6 +71,7 @@
     "Rollouts",
     "SampledAnswer",
     "Selector",
+    "SessionKeeper",
     "Settled",
     "Snapshot",
     "Standing",
@@ -73,6 +80,7 @@
     "Versions",
     "bets_above",
     "bets_below",
+    "choose_homes",
     "decode_rollout",
     "decode_summary",
     "encode_rollout",
@@ -81,4 +89,6 @@
     "log_capital",
     "merge_summaries",
     "name_holder",
+    "read_session",
+    "sign_session",
 ]
