--- /dev/null
+++ b/features/steps/versions_exposure.py
@@ -0,0 +1,149 @@
+from behave import given, then, when
+
+from poplarrun.contracts import ClientAccount, Limits, VersionId
+from poplarrun.versions import CellKey
+from standins.version_world import RatingTraits, Traits, VersionWorld
+
+CLASS = "digest"
+GOOD, BAD = Traits(0.9), Traits(0.45)
+PRICES = {"old:1": 1.0, "new:1": 1.1, "third:1": 1.2}
+CLASS_LINE = (
+    "classes: {digest: {importance: 5, targets: "
+    "{quality: 0.75, first_token_ms: 1000, between_tokens_ms: 50, whole_s: 60}}}"
+)
+VERSION_LINE = (
+    '  {model}: {{versions: {{"{version}": {{stage: offered, '
+    "price: {{input_per_mtok: 0.2, output_per_mtok: {price}}}}}}}}}"
+)
+
+
+def account(*patterns):
+    return ClientAccount("shop", (), ("*",), patterns, (), Limits())
+
+
+def offer(context, *names):
+    lines = [CLASS_LINE, "models:"]
+    for name in names:
+        model, _, version = name.partition(":")
+        lines.append(VERSION_LINE.format(model=model, version=version, price=PRICES[name]))
+    context.world.publish("\n".join(lines))
+    context.world.advance(2.0)
+
+
+def set_traits(context, name, traits):
+    context.world.traits[(CLASS, VersionId.parse(name))] = traits
+
+
+def send(context, count, *patterns, until=None):
+    context.world.run(count, [CLASS], account(*(patterns or ("*",))), until)
+
+
+def is_out(context, name):
+    version = VersionId.parse(name)
+    return all(
+        host.configuration.is_withdrawn(version)
+        or host.versions.rollouts.find(CellKey(CLASS, version)).rejected
+        for host in context.world.hosts.values()
+    )
+
+
+def ran_on(context, name, last=None):
+    served = context.world.served[-last:] if last else context.world.served
+    return sum(s.version == VersionId.parse(name) for s in served)
+
+
+@given('a simulated world of 6 hosts in 3 zones with "old:1" in service for "digest"')
+def step_world(context):
+    context.world = VersionWorld({}, seed=11, ratings=RatingTraits(delay_s=5.0))
+    for name in PRICES:
+        set_traits(context, name, GOOD)
+    offer(context, "old:1")
+    send(context, 200)
+
+
+@when('the {kind} version "{name}" is offered')
+def step_offer(context, kind, name):
+    set_traits(context, name, GOOD if kind == "good" else BAD)
+    offer(context, "old:1", name)
+
+
+@when('the bad version "{bad}" and the good version "{good}" are offered at once')
+def step_offer_two(context, bad, good):
+    set_traits(context, bad, BAD)
+    offer(context, "old:1", bad, good)
+
+
+@when("the operator offers only {name}")
+def step_only(context, name):
+    offer(context, name.strip('"'))
+
+
+@when('"{name}" is mended and offered beside it')
+def step_mended(context, name):
+    set_traits(context, name, GOOD)
+    offer(context, "old:1", name)
+
+
+@when('simulated zone "{zone}" is cut off after {count:d} requests')
+def step_cut(context, zone, count):
+    send(context, count)
+    context.world.cut_zone(zone)
+
+
+@when("the simulated zones are joined again")
+def step_heal(context):
+    context.world.heal()
+    context.world.advance(3.0)
+
+
+@when("every simulated host restarts after {count:d} requests")
+def step_restart(context, count):
+    send(context, count)
+    for name, host in list(context.world.hosts.items()):
+        zone = host.peers.me.zone
+        context.world.kill_host(name)
+        context.world.add_host(name, zone, 2)
+    context.world.advance(2.0)
+
+
+@when("{count:d} simulated requests are sent")
+def step_send(context, count):
+    send(context, count)
+
+
+@when('{count:d} simulated requests are sent for an account that may use only "{pattern}"')
+def step_send_limited(context, count, pattern):
+    send(context, count, pattern)
+
+
+@when('simulated requests are sent until "{name}" is out')
+def step_send_until(context, name):
+    send(context, 4000, until=lambda: is_out(context, name))
+    assert is_out(context, name)
+
+
+@then('at most {count:d} simulated requests ran on "{name}"')
+def step_at_most(context, count, name):
+    assert ran_on(context, name) <= count, ran_on(context, name)
+
+
+@then('none of the last {count:d} simulated requests ran on "{name}"')
+def step_none(context, count, name):
+    assert ran_on(context, name, last=count) == 0
+
+
+@then("no simulated request was refused")
+def step_no_refusal(context):
+    assert all(s.version is not None for s in context.world.served)
+
+
+@then('"{name}" is out at all simulated hosts')
+def step_is_out(context, name):
+    assert is_out(context, name)
+
+
+@then('"{name}" serves "{work_class}" at all simulated hosts')
+def step_serves(context, name, work_class):
+    key = CellKey(work_class, VersionId.parse(name))
+    states = [h.versions.rollouts.find(key) for h in context.world.hosts.values()]
+    assert all(state.serves for state in states), states[0]
--- /dev/null
+++ b/poplarrun/limits/_buckets.py
@@ -0,0 +1,103 @@
+"""What one host lets pass of its share of a limit."""
+
+from collections import deque
+from dataclasses import dataclass, field
+
+from poplarrun.limits._shares import VIEW_ROUNDS
+
+BURST_S = 2.0
+
+
+@dataclass
+class Bucket:
+    """Tokens that come at a rate; one request may take more than there are.
+
+    A request is let through while any token is left, and what it took too much
+    is paid back before the next: large requests pass a small share, and the
+    overshoot is at most one request of each host.
+
+    Attributes
+    ----------
+    rate_per_s : float
+        Tokens a second.
+    burst_s : float
+        Seconds for which unused tokens are kept.
+    """
+
+    rate_per_s: float = 0.0
+    burst_s: float = BURST_S
+    level: float = 0.0
+    offered: float = 0.0
+    _filled_at: float | None = None
+
+    def fill(self, now: float) -> None:
+        """Add what has come since the last time."""
+        since_s = 0.0 if self._filled_at is None else now - self._filled_at
+        self._filled_at = now
+        most = max(1.0, self.rate_per_s * self.burst_s)
+        self.level = min(most, self.level + since_s * self.rate_per_s)
+
+    def fill_up(self) -> None:
+        """Add as much as is kept at most."""
+        self.level = max(1.0, self.rate_per_s * self.burst_s)
+
+    def wait_s(self, now: float, least: float) -> float:
+        """Return the seconds until a request may pass; 0 when it may now."""
+        self.fill(now)
+        if self.level >= least:
+            return 0.0
+        return (least - self.level) / self.rate_per_s if self.rate_per_s > 0.0 else float("inf")
+
+    def take(self, amount: float) -> None:
+        """Take tokens, also more than there are."""
+        self.level -= amount
+
+
+@dataclass
+class Streams:
+    """Concurrent streams."""
+
+    allowed: float = 0.0
+    open: int = 0
+    refused: int = 0
+
+    def has_room(self) -> bool:
+        """Tell whether another stream may begin."""
+        return self.open + 1 <= self.allowed
+
+
+@dataclass
+class Spend:
+    """Spending of a day.
+
+    Attributes
+    ----------
+    used_here : float
+        This host's spending today.
+    left : float
+        What all hosts together may still spend, as last heard.
+    part : float
+        This host's part of that.
+    """
+
+    used_here: float = 0.0
+    left: float = 0.0
+    part: float = 0.0
+    in_round: float = 0.0
+    _unseen: deque[float] = field(default_factory=lambda: deque(maxlen=VIEW_ROUNDS))
+
+    def note(self, amount: float) -> None:
+        """Count what a request cost."""
+        self.used_here += amount
+        self.in_round += amount
+
+    def close_round(self) -> float:
+        """Begin the next round; return what was spent in the last."""
+        spent = self.in_round
+        self._unseen.append(spent)
+        self.in_round = 0.0
+        return spent
+
+    def has_room(self) -> bool:
+        """Tell whether more may be spent; what others can't know of counts twice."""
+        return self.in_round + sum(self._unseen) < self.part * self.left
--- a/poplarrun/router/_messages.py
+++ b/poplarrun/router/_messages.py
@@ -21,6 +21,8 @@
         Length of the prompt, bound of the answer, in tokens.
     session : str, optional
         The caller's session id.
+    blocks : tuple of int
+        Hashes of the prompt's beginnings, by which engines cache them.
     session_token : str, optional
         The token that an earlier answer of the session carried.
     pinned : VersionId, optional
@@ -33,6 +35,7 @@
     prompt_tokens: int
     max_tokens: int
     session: str | None = None
+    blocks: tuple[int, ...] = ()
     session_token: str | None = None
     pinned: VersionId | None = None
 
@@ -53,6 +56,8 @@
         Engine priority.
     timeout_s : float
         Seconds left until the request's deadline.
+    delay_s : float
+        Seconds to wait before sending: the pause before a retry.
     sampled : bool
         Whether the worker keeps the answer's text, to be rated.
     session_token : str, optional
@@ -64,6 +69,7 @@
     version: VersionId
     priority: int
     timeout_s: float
+    delay_s: float = 0.0
     sampled: bool = False
     session_token: str | None = None
 
@@ -151,11 +157,18 @@
 
 @dataclass(frozen=True, slots=True)
 class OperationGrant:
-    """Where the worker must send the call now."""
+    """Where the worker must send the call now.
+
+    Attributes
+    ----------
+    delay_s : float
+        Seconds to wait before sending: the pause before a retry.
+    """
 
     endpoint: str
     address: str
     operation: Operation
+    delay_s: float = 0.0
 
 
 @dataclass(frozen=True, slots=True)
--- a/poplarrun/server/_callers.py
+++ b/poplarrun/server/_callers.py
@@ -1,5 +1,6 @@
 """The callers' API, on CherryPy."""
 
+import math
 from collections.abc import Iterator
 from typing import Any
 
@@ -7,7 +8,7 @@
 
 from poplarrun.claims import KnownOutcome, OutcomeKind, Ran, fingerprint_of
 from poplarrun.errors import ErrorKind, Refusal, answer_for
-from poplarrun.platform import Engine, ServiceAnswer, ServiceCaller, Usage
+from poplarrun.platform import Engine, ServiceAnswer, ServiceCaller, Usage, hash_blocks
 from poplarrun.router import BeginChat, BeginOperation, FindOperation
 from poplarrun.server._bodies import (
     ChatBody,
@@ -49,7 +50,7 @@
     if retry_after_s is None:
         retry_after_s = answer.retry_after_s
     if retry_after_s is not None:
-        cherrypy.response.headers["Retry-After"] = f"{max(0.0, retry_after_s):.0f}"
+        cherrypy.response.headers["Retry-After"] = str(math.ceil(max(0.0, retry_after_s)))
     return send_json(render_error(refusal), answer.status)
 
 
@@ -117,6 +118,7 @@
             prompt_tokens=len(body.prompt.split()),
             max_tokens=body.token_bound,
             session=session,
+            blocks=hash_blocks(body.prompt),
             session_token=cherrypy.request.headers.get(SESSION_TOKEN_HEADER),
         )
         cherrypy.response.headers[REQUEST_ID_HEADER] = request.request_id
--- a/poplarrun/server/_version_tasks.py
+++ b/poplarrun/server/_version_tasks.py
@@ -7,12 +7,13 @@
 from collections.abc import Awaitable, Callable
 from typing import Any
 
-from poplarrun.config import CONFIG_STREAM, Withdrawal, encode_record
+from poplarrun.config import CONFIG_STREAM, NO_KEYS, OperatorKeys, Withdrawal, sign_system_record
 from poplarrun.hosts import Peers
 from poplarrun.log import Appended, Gap, Log, ReadFailed, StreamReader
 from poplarrun.logs import part_logger
 from poplarrun.metrics import Metrics
 from poplarrun.platform import Ratings, RatingsUnavailable
+from poplarrun.server._messages import RolloutStatus
 from poplarrun.versions import ROLLOUTS_STREAM, SampledAnswer, Versions, encode_rollout
 
 # Ratings that never come are given up, the oldest first.
@@ -50,8 +51,10 @@
         metrics: Metrics,
         in_thread: InThread,
         clock: Callable[[], float] = time.monotonic,
+        keys: OperatorKeys = NO_KEYS,
     ) -> None:
         self._versions = versions
+        self._keys = keys
         self._peers = peers
         self._platform_log = log
         self._ratings = ratings
@@ -63,6 +66,19 @@
         self._awaited: OrderedDict[str, SampledAnswer] = OrderedDict()
         self._log = part_logger("versions")
 
+    def read_rollouts(self) -> tuple[RolloutStatus, ...]:
+        """Tell where each roll-out stands, for operators."""
+        return tuple(
+            RolloutStatus(
+                version=str(key.version),
+                work_class=key.class_name,
+                stage=state.stage,
+                exposure=state.budget,
+                state=state.rejected or ("serving" if state.serves else "growing"),
+            )
+            for key, state in self._versions.rollouts.states.items()
+        )
+
     async def follow_rollouts(self) -> None:
         """Fold the roll-out records that came."""
         match await self._in_thread(self._reader.read_new):
@@ -85,7 +101,7 @@
             return
         for record in self._versions.decide(self._peers, self._clock()):
             if isinstance(record, Withdrawal):
-                stream, data = CONFIG_STREAM, encode_record(record)
+                stream, data = CONFIG_STREAM, sign_system_record(record, self._keys)
             else:
                 stream, data = ROLLOUTS_STREAM, encode_rollout(record)
             outcome = await self._in_thread(self._platform_log.append, stream, data)
