Keep roll-outs over the log's retention and over its outages

Cause: the records of a roll-out are dropped by the log's retention, and a host that starts while the log is down would take a version on trial for one in service. Spend limits did not bound the choice.

--- a/features/steps/versions_exposure.py
+++ b/features/steps/versions_exposure.py
@@ -1,7 +1,16 @@
 from behave import given, then, when
 
 from poplarrun.contracts import ClientAccount, Limits, VersionId
-from poplarrun.versions import CellKey
+from poplarrun.log import Entry
+from poplarrun.versions import (
+    CellKey,
+    Granted,
+    Rollouts,
+    Settled,
+    Snapshot,
+    encode_rollout,
+    fold_rollout,
+)
 from standins.version_world import RatingTraits, Traits, VersionWorld
 
 CLASS = "digest"
@@ -147,3 +156,44 @@
     key = CellKey(work_class, VersionId.parse(name))
     states = [h.versions.rollouts.find(key) for h in context.world.hosts.values()]
     assert all(state.serves for state in states), states[0]
+
+
+def rollout_record(kind, offset, state):
+    record_id = f"r-{offset}"
+    match kind:
+        case "grant":
+            number = state.find(CellKey(CLASS, VersionId.parse("new:1"))).grants
+            return Granted(record_id, CLASS, "new:1", number, 0, {"h0/1": 4, "h1/1": 4})
+        case "reject":
+            return Settled(record_id, CLASS, "new:1", False, "quality 0.2")
+        case "snapshot":
+            return state.snapshot(record_id)
+        case "overtaken":
+            return Snapshot(record_id, state.read_to - 1, [])
+    raise ValueError(kind)
+
+
+@given('roll-out records "{kinds}"')
+def step_records(context, kinds):
+    context.state, context.entries = Rollouts(), []
+    for offset, kind in enumerate(kinds.split(", ")):
+        entry = Entry(offset, encode_rollout(rollout_record(kind, offset, context.state)))
+        context.entries.append(entry)
+        context.state = fold_rollout(context.state, entry)
+
+
+@when("one host folds them all and another from record {first:d} on")
+def step_fold_late(context, first):
+    context.late = Rollouts().skip_to(first)
+    for entry in context.entries[first:]:
+        context.late = fold_rollout(context.late, entry)
+
+
+@then("the second knows the roll-outs: {known}")
+def step_known(context, known):
+    assert context.late.is_whole == (known == "yes"), context.late
+
+
+@then("if it does they hold the same roll-outs")
+def step_same_rollouts(context):
+    assert not context.late.is_whole or context.late.states == context.state.states
--- a/features/versions_exposure.feature
+++ b/features/versions_exposure.feature
@@ -55,3 +55,19 @@
     And every simulated host restarts after 10 requests
     And 2000 simulated requests are sent
     Then at most 48 simulated requests ran on "new:1"
+
+  Scenario Outline: The log has dropped the first records of a roll-out
+    # A host starts after the retention horizon has passed the first grants. It
+    # knows nothing until a snapshot that no other record overtook; taking the
+    # later grants alone would let it count a rejected version as new.
+    Given roll-out records "<records>"
+    When one host folds them all and another from record <first> on
+    Then the second knows the roll-outs: <known>
+    And if it does they hold the same roll-outs
+
+    Examples:
+      | records                               | first | known |
+      | grant, grant, snapshot, grant         | 1     | yes   |
+      | grant, reject, snapshot               | 2     | yes   |
+      | grant, grant, overtaken, grant        | 1     | no    |
+      | grant, overtaken, snapshot, grant     | 1     | yes   |
--- a/poplarrun/limits/_accounts.py
+++ b/poplarrun/limits/_accounts.py
@@ -134,6 +134,12 @@
             state.streams.open = max(0, state.streams.open - 1)
             state.spend.note(amount)
 
+    def spend_left(self, account: ClientAccount) -> float | None:
+        """Return what an account may still spend through this host; None without a limit."""
+        if account.limits.spend_per_day is None:
+            return None
+        return max(0.0, self._state(account).spend.room())
+
     def close_round(self, accounts: Iterable[ClientAccount], now: float, wall_s: float) -> None:
         """Move shares after a round of ``ROUND_S``, and tell the others."""
         self._begin_day(int(wall_s // SECONDS_PER_DAY))
--- a/poplarrun/limits/_buckets.py
+++ b/poplarrun/limits/_buckets.py
@@ -98,6 +98,10 @@
         self.in_round = 0.0
         return spent
 
+    def room(self) -> float:
+        """Return what this host may still spend; what others can't know of counts twice."""
+        return self.part * self.left - self.in_round - sum(self._unseen)
+
     def has_room(self) -> bool:
-        """Tell whether more may be spent; what others can't know of counts twice."""
-        return self.in_round + sum(self._unseen) < self.part * self.left
+        """Tell whether more may be spent."""
+        return self.room() > 0.0
--- a/poplarrun/router/_chat_versions.py
+++ b/poplarrun/router/_chat_versions.py
@@ -84,6 +84,7 @@
                 request.prompt_tokens,
                 request.max_tokens,
                 in_session=request.session is not None,
+                spend_left=self._context.spend_left(account),
             )
         )
         match choice:
--- a/poplarrun/router/_context.py
+++ b/poplarrun/router/_context.py
@@ -62,6 +62,10 @@
         self.metrics.count_refusal(kind)
         return Refusal(kind, message, param, retry_after_s)
 
+    def spend_left(self, account: ClientAccount) -> float | None:
+        """Return what an account may still spend through this host; None without a limit."""
+        return None if self.limits is None else self.limits.spend_left(account)
+
     def check_limits(
         self, account: ClientAccount, tokens: int, now: float, is_stream: bool = True
     ) -> Refusal | None:
--- a/poplarrun/router/_sessions.py
+++ b/poplarrun/router/_sessions.py
@@ -63,7 +63,12 @@
             return None
         choice = self._context.versions.choose(
             ChoiceRequest(
-                account, work_class, request.prompt_tokens, request.max_tokens, in_session=True
+                account,
+                work_class,
+                request.prompt_tokens,
+                request.max_tokens,
+                in_session=True,
+                spend_left=self._context.spend_left(account),
             )
         )
         return choice if isinstance(choice, Chosen) else None
--- a/poplarrun/server/_host.py
+++ b/poplarrun/server/_host.py
@@ -175,6 +175,7 @@
         on sending callers here, who did nothing to be refused.
         """
         has_configuration = self.router.context.configuration.offset >= 0
+        has_configuration = has_configuration and self._version_tasks.is_known
         return has_configuration and self._list_seen and not self.stopping
 
     def start_tasks(self) -> None:
--- a/poplarrun/server/_version_tasks.py
+++ b/poplarrun/server/_version_tasks.py
@@ -8,13 +8,20 @@
 from typing import Any
 
 from poplarrun.config import CONFIG_STREAM, NO_KEYS, OperatorKeys, Withdrawal, sign_system_record
-from poplarrun.hosts import Peers
+from poplarrun.hosts import Peers, rank_hosts
 from poplarrun.log import Appended, Gap, Log, ReadFailed, StreamReader
 from poplarrun.logs import part_logger
 from poplarrun.metrics import Metrics
 from poplarrun.platform import Ratings, RatingsUnavailable
 from poplarrun.server._messages import RolloutStatus
-from poplarrun.versions import ROLLOUTS_STREAM, SampledAnswer, Versions, encode_rollout
+from poplarrun.versions import (
+    ROLLOUTS_STREAM,
+    SampledAnswer,
+    Snapshot,
+    Versions,
+    decode_rollout,
+    encode_rollout,
+)
 
 # Ratings that never come are given up, the oldest first.
 AWAITED_RATINGS = 5000
@@ -22,6 +29,14 @@
 # Answers handed in at the same time; the rest wait for the next round.
 SUBMITTED_AT_ONCE = 16
 
+# A snapshot of the roll-outs is written so often; the log keeps records for longer.
+SNAPSHOT_PERIOD_S = 300.0
+# A host without the whole state waits so long for one that has it.
+INCOMPLETE_S = 15.0
+ROLLOUTS_MESSAGE = "rollouts"
+PEERS_ASKED = 3
+ASK_TIMEOUT_S = 0.5
+
 InThread = Callable[..., Awaitable[Any]]
 
 
@@ -63,6 +78,11 @@
         self._clock = clock
         self._reader = StreamReader(log, ROLLOUTS_STREAM)
         self._caught_up = False
+        self._snapshot_due_at = clock() + SNAPSHOT_PERIOD_S
+        self._snapshot_seen = -1
+        self._incomplete_since: float | None = None
+        self.is_known = False
+        peers.serve(ROLLOUTS_MESSAGE, self._tell_rollouts)
         self._awaited: OrderedDict[str, SampledAnswer] = OrderedDict()
         self._log = part_logger("versions")
 
@@ -84,12 +104,38 @@
         match await self._in_thread(self._reader.read_new):
             case ReadFailed():
                 self._metrics.count_event("log_read_failed")
+                if not self.is_known:
+                    await self._ask_peers()
             case Gap() as gap:
                 self._reader.next_offset = gap.horizon
+                self._versions.skip_rollouts(gap.horizon)
+                await self._ask_peers()
             case entries:
                 for entry in entries:
                     self._versions.fold(entry)
                 self._caught_up = not entries
+                self.is_known = self.is_known or self._caught_up
+
+    async def _ask_peers(self) -> None:
+        """Ask another host for the roll-outs that the log does not tell.
+
+        A host that starts while the log is down would else take a version that
+        is being rolled out for one in service, and expose all its callers.
+        """
+        others = [peer.name for peer in self._peers.live() if peer.name != self._peers.me.name]
+        for name in others[:PEERS_ASKED]:
+            answer = await self._peers.ask(name, ROLLOUTS_MESSAGE, b"", ASK_TIMEOUT_S)
+            snapshot = decode_rollout(answer) if isinstance(answer, bytes) else None
+            if isinstance(snapshot, Snapshot):
+                self._versions.adopt_rollouts(snapshot)
+                self.is_known = True
+                return
+
+    async def _tell_rollouts(self, _: str, __: bytes) -> bytes:
+        rollouts = self._versions.rollouts
+        if not self.is_known or not rollouts.is_whole:
+            return b""
+        return encode_rollout(rollouts.snapshot("told"))
 
     async def exchange_evidence(self) -> None:
         """Share this host's counters and take in the others'."""
@@ -99,7 +145,9 @@
         """Append the records that are due; the fold drops what another host did first."""
         if not self._caught_up:
             return
-        for record in self._versions.decide(self._peers, self._clock()):
+        now = self._clock()
+        due = [*self._versions.decide(self._peers, now), *self._due_snapshot(now)]
+        for record in due:
             if isinstance(record, Withdrawal):
                 stream, data = CONFIG_STREAM, sign_system_record(record, self._keys)
             else:
@@ -112,6 +160,28 @@
         # else it would append the same once more.
         self._caught_up = False
 
+    def _due_snapshot(self, now: float) -> list[Snapshot]:
+        """Return the snapshot that is due, so that it outlives the log's retention.
+
+        Where no host has the whole state, as after a long stop of all of them,
+        what is left counts as the whole after a while.
+        """
+        rollouts, me = self._versions.rollouts, self._peers.me
+        if rollouts.snapshot_at != self._snapshot_seen:
+            self._snapshot_seen = rollouts.snapshot_at
+            self._snapshot_due_at = now + SNAPSHOT_PERIOD_S
+        if rollouts.is_whole:
+            self._incomplete_since = None
+        elif self._incomplete_since is None:
+            self._incomplete_since = now
+        since = now if self._incomplete_since is None else self._incomplete_since
+        is_lost = now - since >= INCOMPLETE_S
+        is_due = rollouts.is_whole and bool(rollouts.states) and now >= self._snapshot_due_at
+        names = [peer.name for peer in self._peers.live()]
+        if not (is_lost or is_due) or rank_hosts("rollouts/snapshot", names)[0] != me.name:
+            return []
+        return [rollouts.snapshot(f"snapshot/{me.name}/{me.incarnation}/{rollouts.read_to}")]
+
     async def rate_answers(self) -> None:
         """Hand in the queued answers, and collect the ratings that are ready."""
         if self._ratings is None:
--- a/poplarrun/versions/_part.py
+++ b/poplarrun/versions/_part.py
@@ -12,7 +12,7 @@
 from poplarrun.versions._estimates import Estimates
 from poplarrun.versions._evidence import EVIDENCE_TOPIC, AnswerSeen, CellKey
 from poplarrun.versions._exposure import Exposure
-from poplarrun.versions._rollouts import Rollouts, fold_rollout
+from poplarrun.versions._rollouts import Rollouts, Snapshot, fold_rollout
 from poplarrun.versions._sampling import RatingSampler, SampledAnswer
 from poplarrun.versions._steward import DueRecord, Steward, StewardView
 
@@ -60,16 +60,28 @@
     def fold(self, entry: Entry) -> None:
         """Apply one record of ``ROLLOUTS_STREAM``."""
         before = self.rollouts.states
-        self.rollouts = fold_rollout(self.rollouts, entry)
-        self._selector.rollouts = self.rollouts
-        self._exposure.apply(self.rollouts)
+        self._take_rollouts(fold_rollout(self.rollouts, entry))
         for key in before.keys() - self.rollouts.states.keys():
             self.estimates.forget(key)
 
+    def skip_rollouts(self, horizon: int) -> None:
+        """Note that roll-out records below an offset are gone from the log."""
+        self._take_rollouts(self.rollouts.skip_to(horizon))
+
+    def adopt_rollouts(self, snapshot: Snapshot) -> None:
+        """Take over the roll-outs that another host told."""
+        self._take_rollouts(self.rollouts.adopt(snapshot))
+
     def choose(self, request: ChoiceRequest) -> Choice:
         """Choose a version for a request."""
         return self._selector.choose(request, self._configuration)
 
+    def _take_rollouts(self, rollouts: Rollouts) -> None:
+        self.rollouts = rollouts
+        self._selector.rollouts = rollouts
+        if rollouts.is_whole:
+            self._exposure.apply(rollouts)
+
     def wants_rating(self, class_name: str, version: VersionId, why: str, now: float) -> bool:
         """Tell whether an answer is to be handed to the rating service."""
         key = CellKey(class_name, version)
--- a/poplarrun/versions/_rollouts.py
+++ b/poplarrun/versions/_rollouts.py
@@ -66,9 +66,21 @@
 
 
 class Snapshot(msgspec.Struct, frozen=True, tag="snapshot"):
-    """The whole state, written again before old records are dropped."""
+    """The whole state, written again before old records are dropped.
+
+    Attributes
+    ----------
+    id : str
+        Unique id.
+    read_to : int
+        Offset of the last record in it. Only a snapshot that stands right
+        behind that record counts: one that another record overtook would undo it.
+    cells : list of (str, str, RolloutState)
+        Class, version and state.
+    """
 
     id: str
+    read_to: int
     cells: list[tuple[str, str, "RolloutState"]]
 
 
@@ -141,24 +153,51 @@
     ----------
     read_to : int
         Offset of the last record that was folded; -1 before the first.
+    is_whole : bool
+        False after records were missed, until the next snapshot.
+    snapshot_at : int
+        Offset of the last snapshot that counted; -1 without one.
     states : mapping of CellKey to RolloutState
         One for each version and class that was ever granted or settled.
     """
 
     read_to: int = -1
+    is_whole: bool = True
+    snapshot_at: int = -1
     states: Mapping[CellKey, RolloutState] = field(default_factory=dict)
 
     def find(self, key: CellKey) -> RolloutState:
         """Return where a version stands in a class."""
         return self.states.get(key, UNKNOWN)
 
+    def snapshot(self, record_id: str) -> Snapshot:
+        """Return the record that repeats this state."""
+        cells = [(k.class_name, str(k.version), s) for k, s in self.states.items()]
+        return Snapshot(record_id, self.read_to, cells)
+
+    def adopt(self, snapshot: Snapshot) -> "Rollouts":
+        """Return the state that a snapshot tells, unless this one is as new."""
+        if self.is_whole and snapshot.read_to <= self.read_to:
+            return self
+        states = {CellKey(c, VersionId.parse(v)): s for c, v, s in snapshot.cells}
+        return Rollouts(snapshot.read_to, True, self.snapshot_at, states)
+
+    def skip_to(self, horizon: int) -> "Rollouts":
+        """Return the state after records below an offset were missed."""
+        return Rollouts(horizon - 1, False)
+
 
 def fold_rollout(state: Rollouts, entry: Entry) -> Rollouts:
     """Apply one record of the stream; repeats change nothing."""
     if entry.offset <= state.read_to:
         return state
-    state = replace(state, read_to=entry.offset)
+    before, state = state, replace(state, read_to=entry.offset)
     match decode_rollout(entry.data):
+        case Snapshot() as snapshot if snapshot.read_to == before.read_to:
+            whole = state if state.is_whole else replace(before, is_whole=False).adopt(snapshot)
+            return replace(whole, read_to=entry.offset, snapshot_at=entry.offset)
+        case _ if not state.is_whole:
+            return state
         case Granted() as record:
             return _fold_grant(state, record)
         case Settled() as record:
@@ -166,11 +205,7 @@
         case Closed(version=version):
             kept = {k: s for k, s in state.states.items() if str(k.version) != version}
             return replace(state, states=kept)
-        case Snapshot(cells=cells):
-            # A snapshot repeats what stands before it; it counts only where that is gone.
-            told = {CellKey(c, VersionId.parse(v)): s for c, v, s in cells}
-            return replace(state, states={**told, **state.states})
-        case None:
+        case Snapshot() | None:
             return state
 
 
--- a/poplarrun/versions/_steward.py
+++ b/poplarrun/versions/_steward.py
@@ -107,6 +107,8 @@
     def decide(self, view: StewardView, now: float) -> list[DueRecord]:
         """Return the records that are due now, for the log."""
         due: list[DueRecord] = []
+        if not view.rollouts.is_whole:
+            return due
         for class_name in view.configuration.document.classes:
             if self._owns(class_name, view.live):
                 due += self._decide_class(class_name, view, now)
