--- a/bench/versions.py
+++ b/bench/versions.py
@@ -9,11 +9,17 @@
 from bench.version_costs import bench_costs
 from bench.version_decisions import bench_decisions, measure_summaries
 from bench.version_exposure import bench_exposure
+from bench.version_sessions import bench_sessions
 
 
 def main() -> int:
     """Run all parts, or those that are named."""
-    parts = {"costs": bench_costs, "exposure": bench_exposure, "decisions": bench_decisions}
+    parts = {
+        "costs": bench_costs,
+        "exposure": bench_exposure,
+        "decisions": bench_decisions,
+        "sessions": bench_sessions,
+    }
     named = sys.argv[1:] or list(parts)
     figures = [figure for name in named for figure in parts[name]()]
     if len(named) < len(parts):
