--- a/features/environment.py
+++ b/features/environment.py
@@ -39,10 +39,26 @@
         yield fleet
 
 
+@fixture
+def cascade_fleet(context):
+    """Three zones of one host, engines that give a confidence, answers good or poor."""
+    settings = {
+        "quality": {"cheap:1": 0.95, "dear:1": 0.95},
+        "tokens_per_s": 2000.0,
+        "confidence_noise": 0.02,
+        "poor_share": {"cheap:1": 0.5},
+    }
+    engines = [EnginePlan(f"engine-{zone}", zone, settings) for zone in "abc"]
+    with Fleet(engines, hosts_per_zone=1) as fleet:
+        context.fleet = fleet
+        yield fleet
+
+
 FIXTURES = {
     "fixture.narrow_fleet": narrow_fleet,
     "fixture.small_fleet": small_fleet,
     "fixture.version_fleet": version_fleet,
+    "fixture.cascade_fleet": cascade_fleet,
 }
 
 
--- a/poplarrun/retries/_decisions.py
+++ b/poplarrun/retries/_decisions.py
@@ -7,6 +7,9 @@
 from poplarrun.retries._budgets import RetryBudget
 
 MAX_ATTEMPTS = 3
+# A stream that broke may go on in each way once: at the same engine, at another
+# one with the KV cache, anew.
+MAX_STREAM_ATTEMPTS = 4
 FIRST_BACKOFF_S = 0.02
 LONGEST_BACKOFF_S = 1.0
 
@@ -27,6 +30,8 @@
         Seconds until the request's deadline.
     needed_s : float
         Seconds that another attempt is expected to take at the least.
+    most_attempts : int
+        Bound on the attempts.
     """
 
     attempts: int
@@ -34,6 +39,7 @@
     repeatable: bool
     time_left_s: float
     needed_s: float = 0.0
+    most_attempts: int = MAX_ATTEMPTS
 
 
 @dataclass(frozen=True, slots=True)
@@ -63,7 +69,7 @@
     """
     if failed.started and not failed.repeatable:
         return GiveUp(ErrorKind.OPERATION_OUTCOME_UNKNOWN, "it may have run")
-    if failed.attempts >= MAX_ATTEMPTS:
+    if failed.attempts >= failed.most_attempts:
         kind = ErrorKind.ENDPOINT_FAILED if failed.started else ErrorKind.NO_ENDPOINT
         return GiveUp(kind, f"{failed.attempts} attempts failed")
     ceiling_s = min(LONGEST_BACKOFF_S, FIRST_BACKOFF_S * 2.0 ** (failed.attempts - 1))
--- a/poplarrun/router/__init__.py
+++ b/poplarrun/router/__init__.py
@@ -3,10 +3,10 @@
 from poplarrun.router._context import RouterContext
 from poplarrun.router._dispatch import Dispatch, Job, NoEndpoint, Sent, Start
 from poplarrun.router._messages import (
+    AnswerAccepted,
     AttemptFailed,
     BeginChat,
     BeginOperation,
-    Bill,
     CallFailed,
     ChatGrant,
     EndChat,
@@ -15,6 +15,7 @@
     FindOperation,
     FirstToken,
     HandedOver,
+    JudgeChat,
     OperationGrant,
     Replay,
     SendOperation,
@@ -22,10 +23,10 @@
 from poplarrun.router._router import Router
 
 __all__ = [
+    "AnswerAccepted",
     "AttemptFailed",
     "BeginChat",
     "BeginOperation",
-    "Bill",
     "CallFailed",
     "ChatGrant",
     "Dispatch",
@@ -36,6 +37,7 @@
     "FirstToken",
     "HandedOver",
     "Job",
+    "JudgeChat",
     "NoEndpoint",
     "OperationGrant",
     "Replay",
--- a/poplarrun/router/_chats.py
+++ b/poplarrun/router/_chats.py
@@ -3,8 +3,9 @@
 from dataclasses import dataclass
 
 from poplarrun.admission import Held, Refused
+from poplarrun.billing import Bill
 from poplarrun.contracts import ClientAccount, Unmet, Version, WorkClass
-from poplarrun.endpoints import Demand
+from poplarrun.endpoints import Demand, Endpoint
 from poplarrun.errors import ErrorKind, NotRun, Refusal, answer_for
 from poplarrun.platform import Usage
 from poplarrun.retries import GiveUp
@@ -12,18 +13,21 @@
 from poplarrun.router._context import RouterContext
 from poplarrun.router._dispatch import Dispatch, Job, NoEndpoint, Sent, Start
 from poplarrun.router._messages import (
+    AnswerAccepted,
     AttemptFailed,
     BeginChat,
-    Bill,
     ChatGrant,
     EndChat,
     Explanation,
     FirstToken,
+    JudgeChat,
 )
 
 # Longest time in the queue of a class whose latency targets are best effort.
 BEST_EFFORT_WAIT_S = 10.0
 NO_USAGE = Usage(0, 0)
+# The stream's engine can't be reached, so it can't give out its KV cache either.
+UNREACHABLE = "connect"
 
 
 @dataclass
@@ -35,6 +39,14 @@
     began_at: float
     explanation: Explanation
     job: Job
+    shown_tokens: int = 0
+    resumes: int = 0
+    spent: float = 0.0
+
+    @property
+    def endpoint(self) -> Endpoint | None:
+        """The endpoint of the newest attempt."""
+        return self.job.choice.endpoint if self.job.choice else None
 
     @property
     def version(self) -> Version:
@@ -114,25 +126,22 @@
     def retry(self, failure: AttemptFailed, now: float) -> ChatGrant | Refusal:
         """Decide where a broken chat goes on."""
         chat = self._chats[failure.request_id]
-        endpoint = chat.job.choice.endpoint.name if chat.job.choice else ""
+        chat.shown_tokens = failure.position if failure.is_shown else 0
+        endpoint = chat.endpoint.name if chat.endpoint else ""
         chat.pick.note_broken(endpoint)
         chat.explanation.attempts.append(f"{endpoint}: {failure.reason}")
-        decision = self._dispatch.decide_again(chat.job, failure.reason, failure.started, now)
+        decision = self._dispatch.decide_again(
+            chat.job, failure.reason, failure.started, now, is_stream=failure.position > 0
+        )
         refusal = self._check_version(chat)
         if refusal is not None:
             return refusal
         if isinstance(decision, GiveUp):
-            kind = ErrorKind.ANSWER_INCOMPLETE if failure.position else decision.kind
-            return self._give_up(chat, kind, f"{decision.reason} ({failure.reason})")
+            return self._give_up(chat, decision.kind, f"{decision.reason} ({failure.reason})")
         if failure.position > 0:
-            self._context.metrics.count_retry("resume")
-            again: Start = self._dispatch.resend(chat.job, now, decision.delay_s)
-        else:
-            self._context.metrics.count_retry(failure.reason)
-            again = self._dispatch.send_elsewhere(chat.job, now, decision.delay_s)
-        started = self._follow_start(chat, again, now)
-        assert not isinstance(started, Held)
-        return started
+            return self._resume(chat, failure, now, decision.delay_s)
+        self._context.metrics.count_retry(failure.reason)
+        return self._begin_anew(chat, now, decision.delay_s)
 
     def note_first_token(self, event: FirstToken, now: float) -> None:
         """Record the time to the first token."""
@@ -143,18 +152,76 @@
             "first_token", chat.work_class.name, now - chat.began_at
         )
 
+    def judge(self, message: JudgeChat, now: float) -> AnswerAccepted | ChatGrant:
+        """Give a cascade's first answer out, or send the request to the second version.
+
+        Where the second step can't start, the caller gets the first answer: it
+        is whole, and poorer than the class asks rather than none.
+        """
+        end = message.end
+        chat = self._chats[end.request_id]
+        second = self._versions.escalate(chat.pick, chat.account, chat.work_class, end, now)
+        if second is None:
+            return AnswerAccepted()
+        job = _make_job(chat.request, chat.account, chat.work_class, second.version, now)
+        job.deadline = chat.job.deadline
+        start = self._dispatch.send_elsewhere(job, now, 0.0)
+        if not isinstance(start, Sent):
+            return AnswerAccepted()
+        self._dispatch.end(chat.job, True, now)
+        self._versions.note_end(chat.pick, chat.work_class, end, now - chat.began_at)
+        chat.spent += chat.version.price.cost(end.usage.input_tokens, end.usage.output_tokens)
+        chat.explanation.attempts.append(f"{chat.version.id} answered poorly: {second.version.id}")
+        chat.pick, chat.job = second, job
+        return self._grant(chat, start, now)
+
     def end(self, end: EndChat, now: float) -> Bill:
         """Close a chat and make its bill."""
         chat = self._chats.pop(end.request_id)
         self._dispatch.end(chat.job, end.whole, now)
         self._context.metrics.record_latency("whole", chat.work_class.name, now - chat.began_at)
         self._versions.note_end(chat.pick, chat.work_class, end, now - chat.began_at)
-        amount = chat.version.price.cost(end.usage.input_tokens, end.usage.output_tokens)
-        bill = Bill(end.request_id, chat.account.name, str(chat.version.id), amount)
-        self._end_limits(chat.request, chat.account, end.usage, amount)
+        bill = _make_bill(chat, end.usage.input_tokens, end.usage.output_tokens)
+        self._end_limits(chat.request, chat.account, end.usage, bill.amount)
         chat.explanation.outcome = "answered" if end.whole else "cut off"
         return self._context.add_bill(bill, chat.explanation)
 
+    def _resume(
+        self, chat: _Chat, failure: AttemptFailed, now: float, delay_s: float
+    ) -> ChatGrant | Refusal:
+        """Go on where the stream broke, so that the rest fits what there is.
+
+        The same engine still has the stream; another one gets its KV cache. Only
+        an answer of which nothing was shown may be generated anew, for no two
+        generations are alike and the caller would get a mixed one.
+        """
+        chat.resumes += 1
+        same = chat.endpoint
+        is_known = same is not None and self._context.endpoints.find(same.name) is same
+        if chat.resumes == 1 and is_known:
+            self._context.metrics.count_retry("resume")
+            sent = self._dispatch.resend(chat.job, now, delay_s)
+            return self._grant(chat, sent, now, resumes=True)
+        can_move = is_known and failure.reason != UNREACHABLE and chat.resumes == 2
+        if can_move and same is not None:
+            moved = self._dispatch.send_elsewhere(chat.job, now, delay_s)
+            if isinstance(moved, Sent) and moved.choice.endpoint is not same:
+                self._context.metrics.count_retry("resume_elsewhere")
+                return self._grant(chat, moved, now, resumes=True, cache_from=same.address)
+            if isinstance(moved, Sent):
+                self._dispatch.take_back(chat.job, now)
+        if failure.is_shown:
+            message = "the stream's engine is gone"
+            return self._give_up(chat, ErrorKind.ANSWER_INCOMPLETE, message)
+        self._context.metrics.count_retry("anew")
+        return self._begin_anew(chat, now, delay_s)
+
+    def _begin_anew(self, chat: _Chat, now: float, delay_s: float) -> ChatGrant | Refusal:
+        sent = self._dispatch.send_elsewhere(chat.job, now, delay_s)
+        started = self._follow_start(chat, sent, now)
+        assert not isinstance(started, Held)
+        return started
+
     def _follow_start(self, chat: _Chat, start: Start, now: float) -> ChatGrant | Held | Refusal:
         match start:
             case Sent():
@@ -182,10 +249,14 @@
             return self._give_up(chat, ErrorKind.VERSION_NOT_ALLOWED, message)
         return None
 
-    def _grant(self, chat: _Chat, sent: Sent, now: float) -> ChatGrant:
+    def _grant(
+        self, chat: _Chat, sent: Sent, now: float, resumes: bool = False, cache_from: str = ""
+    ) -> ChatGrant:
         endpoint = sent.choice.endpoint
         timeout_s = max(0.0, chat.job.deadline - now - sent.delay_s)
         importance = chat.work_class.importance
+        if chat.job.attempts == 1:
+            self._context.opened.append(_make_bill(chat, chat.request.prompt_tokens, 0))
         return ChatGrant(
             endpoint.name,
             endpoint.address,
@@ -194,7 +265,10 @@
             timeout_s,
             sent.delay_s,
             sampled=chat.pick.sampled,
+            is_held=chat.pick.escalation is not None,
             session_token=chat.request.session_token,
+            resumes=resumes,
+            cache_from=cache_from,
         )
 
     def _end_limits(
@@ -213,15 +287,32 @@
     def _give_up(
         self, chat: _Chat, kind: ErrorKind, message: str, retry_after_s: float | None = None
     ) -> Refusal:
+        """End a chat without a whole answer, and bill what its caller was shown.
+
+        A kind that says "not run" is true only while no engine began: after
+        that the caller is told what became of its answer instead.
+        """
         self._chats.pop(chat.request.request_id, None)
-        self._end_limits(chat.request, chat.account)
-        # After an attempt that may have begun, "not run" would be untrue.
-        if chat.job.started and answer_for(kind).not_run is NotRun.YES:
-            kind = ErrorKind.ENDPOINT_FAILED
+        if chat.shown_tokens:
+            kind = ErrorKind.ANSWER_INCOMPLETE
+            bill = _make_bill(chat, chat.request.prompt_tokens, chat.shown_tokens)
+            shown = Usage(chat.request.prompt_tokens, chat.shown_tokens)
+            self._end_limits(chat.request, chat.account, shown, bill.amount)
+            self._context.add_bill(bill, chat.explanation)
+        else:
+            if chat.job.started and answer_for(kind).not_run is NotRun.YES:
+                kind = ErrorKind.ENDPOINT_FAILED
+            self._end_limits(chat.request, chat.account)
+            self._context.closed.append(chat.request.request_id)
         chat.explanation.outcome = f"refused: {kind.value}"
         return self._context.refuse(kind, message, retry_after_s=retry_after_s)
 
 
+def _make_bill(chat: _Chat, input_tokens: int, output_tokens: int) -> Bill:
+    amount = chat.spent + chat.version.price.cost(input_tokens, output_tokens)
+    return Bill(chat.request.request_id, chat.account.name, str(chat.version.id), amount)
+
+
 def _make_job(
     request: BeginChat, account: ClientAccount, work_class: WorkClass, version: Version, now: float
 ) -> Job:
--- a/poplarrun/router/_messages.py
+++ b/poplarrun/router/_messages.py
@@ -2,6 +2,7 @@
 
 from dataclasses import dataclass, field
 
+from poplarrun.billing import Bill
 from poplarrun.claims import Ran
 from poplarrun.contracts import Operation, VersionId
 from poplarrun.platform import PreparedCall, ServiceAnswer, Usage
@@ -60,8 +61,14 @@
         Seconds to wait before sending: the pause before a retry.
     sampled : bool
         Whether the worker keeps the answer's text, to be rated.
+    is_held : bool
+        Whether the worker holds the whole answer back and asks ``JudgeChat``.
     session_token : str, optional
         What the caller may carry to keep the session's version.
+    resumes : bool
+        Whether the stream goes on where it broke; else it begins anew.
+    cache_from : str
+        Address of the engine whose KV cache of the stream must be moved first.
     """
 
     endpoint: str
@@ -71,7 +78,10 @@
     timeout_s: float
     delay_s: float = 0.0
     sampled: bool = False
+    is_held: bool = False
     session_token: str | None = None
+    resumes: bool = False
+    cache_from: str = ""
 
 
 @dataclass(frozen=True, slots=True)
@@ -92,13 +102,16 @@
     reason : str
         Counter label.
     position : int
-        Tokens already given to the caller.
+        Tokens that the worker has, in order.
+    is_shown : bool
+        Whether the caller was given them already.
     """
 
     request_id: str
     started: bool
     reason: str
     position: int
+    is_shown: bool = True
 
 
 @dataclass(frozen=True, slots=True)
@@ -135,6 +148,18 @@
     text: str | None = None
 
 
+@dataclass(frozen=True, slots=True)
+class JudgeChat:
+    """The first answer of a cascade is whole; the worker asks whether to give it out."""
+
+    end: EndChat
+
+
+@dataclass(frozen=True, slots=True)
+class AnswerAccepted:
+    """The held answer goes to the caller."""
+
+
 @dataclass(frozen=True, slots=True)
 class BeginOperation:
     """A caller's call of a plain service arrived.
@@ -218,24 +243,6 @@
     key: str
 
 
-@dataclass(frozen=True, slots=True)
-class Bill:
-    """What one request costs its client account, once.
-
-    Attributes
-    ----------
-    id : str
-        The request's id.
-    amount : float
-        In account currency.
-    """
-
-    id: str
-    account: str
-    item: str
-    amount: float
-
-
 @dataclass
 class Explanation:
     """Why a request went where it went, for ``poplarrun explain``."""
--- a/poplarrun/router/_operations.py
+++ b/poplarrun/router/_operations.py
@@ -4,6 +4,7 @@
 from collections.abc import Callable
 from dataclasses import dataclass, field
 
+from poplarrun.billing import Bill
 from poplarrun.claims import (
     RETENTION_S,
     Claim,
@@ -30,7 +31,6 @@
 from poplarrun.router._context import RouterContext
 from poplarrun.router._messages import (
     BeginOperation,
-    Bill,
     CallFailed,
     EndOperation,
     Explanation,
@@ -137,16 +137,17 @@
         """Decide where a broken call goes on: only if it is safe to send it again."""
         call = self._calls[failure.request_id]
         now = self._now()
-        self._context.endpoints.note_ended(call.endpoint, self._now())
+        self._context.endpoints.note_ended(call.endpoint, now)
         self._context.endpoints.note_failure(call.endpoint, now, failure.reason)
         call.explanation.attempts.append(f"{call.endpoint}: {failure.reason}")
-        if call.is_sent and not call.operation.idempotent:
-            return self._give_up_sent(call, failure.reason)
         failed = FailedAttempt(
             call.attempts, call.is_sent, call.operation.idempotent, call.deadline - now
         )
         match self._context.decide_retry(failed, _budget_key(call)):
+            case GiveUp(kind=ErrorKind.OPERATION_OUTCOME_UNKNOWN):
+                return self._give_up_sent(call, failure.reason)
             case GiveUp(kind=kind, reason=reason):
+                kind = ErrorKind.ENDPOINT_FAILED if call.is_sent else kind
                 return self._refuse(call, kind, f"{reason} ({failure.reason})")
             case RetryAfter(delay_s=delay_s):
                 self._context.metrics.count_retry(failure.reason)
@@ -156,6 +157,7 @@
         """Close a call that was answered: keep its answer, and make its bill."""
         call = self._close(end.request_id)
         self._context.endpoints.note_ended(call.endpoint, self._now())
+        self._context.endpoints.note_success(call.endpoint)
         ran = end.answer.status < FIRST_ERROR_STATUS
         call.explanation.outcome = "ran" if ran else "refused by the service"
         if call.claim is not None and self.keeper is not None:
--- a/poplarrun/server/_chats.py
+++ b/poplarrun/server/_chats.py
@@ -10,7 +10,7 @@
 from poplarrun.errors import Refusal
 from poplarrun.logs import part_logger
 from poplarrun.platform import Answer, Chunk, Engine, EngineCall, EngineFailed, Usage
-from poplarrun.router import AttemptFailed, BeginChat, ChatGrant, EndChat, FirstToken
+from poplarrun.router import AttemptFailed, BeginChat, ChatGrant, EndChat, FirstToken, JudgeChat
 from poplarrun.server._crossing import Crossing
 
 _log = part_logger("chats")
@@ -44,21 +44,44 @@
         What the caller asked for.
     prompt : str
         The whole prompt.
+    is_streamed : bool
+        Whether the caller sees each piece at once.
     """
 
-    def __init__(self, crossing: Crossing, engine: Engine, request: BeginChat, prompt: str) -> None:
+    def __init__(
+        self,
+        crossing: Crossing,
+        engine: Engine,
+        request: BeginChat,
+        prompt: str,
+        is_streamed: bool = True,
+    ) -> None:
         self.version: VersionId | None = None
         self.session_token: str | None = None
         self._crossing = crossing
         self._engine = engine
         self._request = request
         self._prompt = prompt
+        self._is_streamed = is_streamed
         self._reassembly = Reassembly()
         self._answers: Iterator[Answer] = iter(())
         self._address = ""
         self._ended = False
         self._sampled = False
         self._texts: list[str] = []
+        self._engine_id = request.request_id
+        self._is_holding = False
+        self._accepted: Iterator[Piece] | None = None
+
+    @property
+    def _is_shown(self) -> bool:
+        """Whether the caller sees the pieces as they come."""
+        return self._is_streamed and not self._is_holding
+
+    @property
+    def text(self) -> str:
+        """The answer so far, where it is not streamed or is to be rated."""
+        return "".join(self._texts)
 
     def start(self) -> Refusal | Piece:
         """Begin, and wait for the first piece; until then a retry is invisible."""
@@ -67,6 +90,8 @@
                 return refusal
             case ChatGrant() as grant:
                 self._open(grant)
+                if grant.is_held:
+                    self._hold_answer()
         first = self._next_piece()
         if isinstance(first, BrokenAnswer):
             return first.refusal
@@ -88,13 +113,42 @@
         finally:
             self._end_early(piece)
 
+    def _hold_answer(self) -> None:
+        """Hold a cascade's first answer back until it is judged.
+
+        Given out at once, it would be followed by the second version's answer,
+        and the caller would see two. The second step has an id of its own, else
+        an engine that knows the first one would resume the first answer.
+        """
+        self._is_holding = True
+        while isinstance(piece := self._read_piece(), str):
+            pass
+        self._is_holding = False
+        if isinstance(piece, BrokenAnswer):
+            self._accepted = iter([piece])
+            return
+        match self._crossing.ask(JudgeChat(self._make_end(piece, whole=True))):
+            case ChatGrant() as grant:
+                self._engine_id = f"{self._request.request_id}.2"
+                self._open(grant)
+            case _:
+                self._end(piece, whole=True)
+                pieces: list[Piece] = [self.text, piece] if self._texts else [piece]
+                self._accepted = iter(pieces)
+
     def _open(self, grant: ChatGrant) -> None:
         self.version = grant.version
         self.session_token = grant.session_token
         self._sampled = grant.sampled
         self._address = grant.address
+        if not grant.resumes:
+            self._reassembly = Reassembly()
+            self._texts.clear()
+        if grant.cache_from and not self._move_cache(grant):
+            self._answers = iter([EngineFailed(started=False, reason="kv_cache")])
+            return
         call = EngineCall(
-            request_id=self._request.request_id,
+            request_id=self._engine_id,
             version=grant.version,
             prompt=self._prompt,
             max_tokens=self._request.max_tokens,
@@ -105,33 +159,52 @@
             time.sleep(grant.delay_s)
         self._answers = self._engine.generate(grant.address, call, grant.timeout_s)
 
+    def _move_cache(self, grant: ChatGrant) -> bool:
+        return self._engine.move_cache(grant.cache_from, grant.address, self._engine_id)
+
     def _next_piece(self) -> Piece:
+        return next(self._accepted) if self._accepted is not None else self._read_piece()
+
+    def _read_piece(self) -> Piece:
         while True:
             match next(self._answers):
                 case Chunk() as chunk:
                     text = self._reassembly.add(chunk)
                     if text:
-                        if self._sampled:
+                        if self._sampled or not self._is_shown:
                             self._texts.append(text)
                         return text
-                case Usage() as usage if self._reassembly.has_gap:
-                    broken = self._go_on(EngineFailed(started=True, reason="gap"))
-                    if broken is not None:
-                        return broken
-                case Usage() as usage:
-                    self._end(usage, whole=True)
+                    failed = EngineFailed(started=True, reason="gap")
+                    if not self._reassembly.is_overfull:
+                        continue
+                case Usage() as usage if self._is_whole(usage):
+                    if not self._is_holding:
+                        self._end(usage, whole=True)
                     return usage
+                case Usage():
+                    failed = EngineFailed(started=True, reason="gap")
                 case EngineFailed() as failed:
-                    broken = self._go_on(failed)
-                    if broken is not None:
-                        return broken
+                    pass
+            broken = self._go_on(failed)
+            if broken is not None:
+                return broken
+
+    def _is_whole(self, usage: Usage) -> bool:
+        """Tell whether every token that the engine counted is there.
+
+        A chunk can be lost before the end, or be the last: without the count
+        the caller would get a clean end of an answer that lacks its last words.
+        """
+        return not self._reassembly.has_gap and (
+            self._reassembly.next_position >= usage.output_tokens
+        )
 
     def _go_on(self, failed: EngineFailed) -> BrokenAnswer | None:
         request_id = self._request.request_id
         _log.warning("An attempt broke.", extra={"request_id": request_id, "reason": failed.reason})
         self._reassembly.drop_held()
         position = self._reassembly.next_position
-        failure = AttemptFailed(request_id, failed.started, failed.reason, position)
+        failure = AttemptFailed(request_id, failed.started, failed.reason, position, self._is_shown)
         match self._crossing.ask(failure):
             case ChatGrant() as grant:
                 self._open(grant)
@@ -144,11 +217,14 @@
     def _end_early(self, last: Piece) -> None:
         if self._ended or not isinstance(last, str):
             return
-        self._engine.cancel(self._address, self._request.request_id)
+        self._engine.cancel(self._address, self._engine_id)
         used = Usage(self._request.prompt_tokens, self._reassembly.next_position)
         self._end(used, whole=False)
 
     def _end(self, usage: Usage, whole: bool) -> None:
         self._ended = True
-        text = "".join(self._texts) if self._sampled and whole else None
-        self._crossing.ask(EndChat(self._request.request_id, usage, whole, text))
+        self._crossing.ask(self._make_end(usage, whole))
+
+    def _make_end(self, usage: Usage, whole: bool) -> EndChat:
+        text = self.text if self._sampled and whole else None
+        return EndChat(self._request.request_id, usage, whole, text)
--- a/poplarrun/server/_version_tasks.py
+++ b/poplarrun/server/_version_tasks.py
@@ -210,9 +210,8 @@
                 for rating in rated:
                     answer = self._awaited.pop(rating.request_id, None)
                     if answer is not None:
-                        self._versions.note_rating(
-                            answer.class_name, answer.version, rating.quality
-                        )
+                        key = answer.key.as_second if answer.is_second else answer.key
+                        self._versions.note_rating(key, rating.quality, answer.score)
                 # Those still awaited go to the end, so that lost ones don't block the rest.
                 for request_id in asked:
                     if request_id in self._awaited:
--- a/poplarrun/versions/_choice.py
+++ b/poplarrun/versions/_choice.py
@@ -5,10 +5,22 @@
 from dataclasses import dataclass, field
 
 from poplarrun.config import Configuration
-from poplarrun.contracts import ClientAccount, Unmet, Version, VersionId, WorkClass
+from poplarrun.contracts import ClientAccount, Unmet, Version, WorkClass
 from poplarrun.versions._estimates import PRIOR_TOKENS, Estimate, Estimates, Standing
 from poplarrun.versions._evidence import CellKey
 from poplarrun.versions._exposure import Exposure
+from poplarrun.versions._plans import (
+    Cascade,
+    Mixture,
+    Option,
+    Plan,
+    Single,
+    by_cost,
+    describe,
+    find_cascades,
+    find_mixtures,
+    lower_end,
+)
 from poplarrun.versions._rollouts import Rollouts
 
 # Ratings of a class up to which exploration stays at its most.
@@ -20,8 +32,8 @@
 MOST_AWAITED = 30.0
 # How far below the target a version is taken to be while little is known of it.
 DOUBT_OF_THE_UNKNOWN = 0.15
-# A version is mixed in only once its quality is known this closely.
-LARGEST_RADIUS = 0.04
+# Ratings of a poor version from which on its judge is known well enough.
+MOST_JUDGED = 100.0
 # Weight of the belief that an unrated version is as good as its class asks.
 PRIOR_RATINGS = 3.0
 
@@ -48,6 +60,22 @@
     spend_left: float | None = None
 
 
+@dataclass(frozen=True, slots=True)
+class Escalation:
+    """The second step of a cascade.
+
+    Attributes
+    ----------
+    version : Version
+        What answers when the first answer is not accepted.
+    least_score : float
+        The lowest judge's score with which the first answer is accepted.
+    """
+
+    version: Version
+    least_score: float
+
+
 @dataclass(frozen=True, slots=True)
 class Chosen:
     """The version for a request.
@@ -55,17 +83,20 @@
     Attributes
     ----------
     why : str
-        Counter label: cheapest, mixture, learning, exploration, roll-out or best-effort.
+        Counter label: cheapest, mixture, cascade, learning, exploration, roll-out or best-effort.
     cost : float
         Expected cost, in account currency.
     considered : list of str
         Every version with what is known of it and why it was passed over.
+    escalation : Escalation, optional
+        The second step, when it is a cascade.
     """
 
     version: Version
     why: str
     cost: float
     considered: list[str]
+    escalation: Escalation | None = None
 
 
 @dataclass(frozen=True, slots=True)
@@ -90,25 +121,6 @@
 Choice = Chosen | NothingAllowed | NothingMeets | NothingAffordable
 
 
-@dataclass(slots=True)
-class _Option:
-    version: Version
-    key: CellKey
-    estimate: Estimate
-    tokens: float
-    ruled_out: str = ""
-    cost: float = 0.0
-
-
-@dataclass(frozen=True, slots=True)
-class _Mixture:
-    """Requests divided between a doubtful version and a good one that covers it."""
-
-    doubtful: _Option
-    cover: _Option
-    share: float
-
-
 @dataclass
 class _Boards:
     """What is known of the options by account and class, until something changes."""
@@ -116,7 +128,7 @@
     configuration: Configuration | None = None
     rollouts: Rollouts | None = None
     revision: int = -1
-    options: dict[tuple[str, str], list[_Option]] = field(default_factory=dict)
+    options: dict[tuple[str, str], list[Option]] = field(default_factory=dict)
 
 
 class Selector:
@@ -146,7 +158,7 @@
             return NothingAllowed()
         payable = [o for o in options if _is_payable(o, request)]
         if not payable:
-            return NothingAffordable(_describe(options))
+            return NothingAffordable(describe(options))
         new = self._find_rollout(request, payable)
         if new is not None:
             self._exposure.use(new.key)
@@ -155,10 +167,65 @@
         usable = [o for o in payable if not o.ruled_out and (bound is None or o.cost <= bound)]
         if not usable:
             return self._settle_for_less(request, payable)
-        option, why = self._weigh(request, usable, _rated(options))
-        return _chosen(option, why, options)
+        judged = [o for o in payable if _is_to_be_judged(o)]
+        rated = sum(option.estimate.rated for option in options)
+        tried = self._find_try(request, usable, judged, rated)
+        if tried is not None:
+            return _chosen(tried, "exploration", options)
+        return self._draw(self._plan(request, usable, payable), options)
+
+    def _plan(self, request: ChoiceRequest, usable: list[Option], payable: list[Option]) -> Plan:
+        """Return the cheapest single version, mixture or cascade that meets the targets."""
+        targets = request.work_class.targets
+        good = [o for o in usable if o.estimate.standing is Standing.GOOD]
+        if not good:
+            return Single(_most_promising(usable, targets.quality), "learning")
+        plans: list[Plan] = [Single(min(good, key=by_cost), "cheapest")]
+        if not request.in_session:
+            plans += find_mixtures(usable, good, targets.quality)
+            plans += find_cascades(payable, good, targets, self._find_escalated)
+        return min(plans, key=lambda plan: plan.cost)
+
+    def _find_escalated(self, second: Option) -> Estimate:
+        return self._estimates.find(second.key.as_second)
+
+    def _draw(self, plan: Plan, options: list[Option]) -> Chosen:
+        match plan:
+            case Single(option=option, why=why):
+                return _chosen(option, why, options)
+            case Mixture(doubtful=doubtful, cover=cover, share=share):
+                drawn = doubtful if self._random.random() < share else cover
+                return _chosen(drawn, "mixture", options)
+            case Cascade(first=first, second=second, cut=cut, cost=cost):
+                considered = describe(options)
+                considered.append(
+                    f"cascade {first.version.id}, from score {cut.score:.3f} on, "
+                    f"else {second.version.id}: cost={cost:.6f}"
+                )
+                escalation = Escalation(second.version, cut.score)
+                return Chosen(first.version, "cascade", cost, considered, escalation)
+
+    def _find_try(
+        self,
+        request: ChoiceRequest,
+        usable: list[Option],
+        judged: list[Option],
+        rated: float,
+    ) -> Option | None:
+        """Return a version of which little is known, for a share of the requests."""
+        target = request.work_class.targets.quality
+        good = [o for o in usable if o.estimate.standing is Standing.GOOD]
+        best = min(good, key=by_cost) if good else _most_promising(usable, target)
+        if request.in_session or self._random.random() >= _exploration(rated, best, target):
+            return None
+        unknown = [o for o in usable if o.estimate.standing is Standing.UNDECIDED]
+        tries = [o for o in (*unknown, *judged) if _is_worth_a_try(o, best)]
+        if not tries:
+            return None
+        weights = [_hope(o, best, target) for o in tries]
+        return self._random.choices(tries, weights)[0]
 
-    def _list_options(self, request: ChoiceRequest, configuration: Configuration) -> list[_Option]:
+    def _list_options(self, request: ChoiceRequest, configuration: Configuration) -> list[Option]:
         """Return the options with their costs for a request.
 
         All but the costs is kept until the configuration, a roll-out or an
@@ -177,7 +244,7 @@
             option.cost = option.version.price.cost(request.prompt_tokens, tokens)
         return options
 
-    def _make_options(self, request: ChoiceRequest, configuration: Configuration) -> list[_Option]:
+    def _make_options(self, request: ChoiceRequest, configuration: Configuration) -> list[Option]:
         class_name = request.work_class.name
         offered = [
             version
@@ -189,7 +256,7 @@
         typical = _typical_tokens(known)
         in_service = self._has_incumbent(class_name, configuration)
         return [
-            _Option(
+            Option(
                 version,
                 key,
                 estimate,
@@ -203,15 +270,16 @@
         state = self.rollouts.find(key)
         if state.rejected:
             return f"rejected: {state.rejected}"
-        if estimate.is_bad(state.serves or not in_service):
-            return "bad"
+        is_serving = state.serves or not in_service
+        if estimate.is_bad(is_serving):
+            return "bad" if is_serving else "bad on trial"
         if in_service and not state.serves:
             return "roll-out"
         if estimate.standing is Standing.POOR:
             return "quality"
         return "latency" if estimate.slow else ""
 
-    def _find_rollout(self, request: ChoiceRequest, options: list[_Option]) -> _Option | None:
+    def _find_rollout(self, request: ChoiceRequest, options: list[Option]) -> Option | None:
         """Return a version in roll-out of which this host has requests left.
 
         A session would keep the version and use up more than the one request,
@@ -224,47 +292,19 @@
                 return option
         return None
 
-    def _weigh(
-        self, request: ChoiceRequest, usable: list[_Option], rated: float
-    ) -> tuple[_Option, str]:
-        target = request.work_class.targets.quality
-        good = [o for o in usable if o.estimate.standing is Standing.GOOD]
-        if not good:
-            best, why = max(usable, key=lambda o: _promise(o, target)), "learning"
-        else:
-            best, why = min(good, key=_by_cost), "cheapest"
-        unknown = [
-            o for o in usable if o.estimate.standing is Standing.UNDECIDED and o.cost < best.cost
-        ]
-        if request.in_session or not unknown:
-            return best, why
-        if self._random.random() < _exploration(rated, best, target):
-            tries = [o for o in unknown if o.estimate.awaited < MOST_AWAITED]
-            if tries:
-                weights = [_hope(o, best, target) for o in tries]
-                return self._random.choices(tries, weights)[0], "exploration"
-        if not good:
-            return best, why
-        mixture = _find_mixture(unknown, good, best, target)
-        if mixture is None:
-            return best, why
-        return (
-            mixture.doubtful if self._random.random() < mixture.share else mixture.cover
-        ), "mixture"
-
-    def _settle_for_less(self, request: ChoiceRequest, options: list[_Option]) -> Choice:
+    def _settle_for_less(self, request: ChoiceRequest, options: list[Option]) -> Choice:
         """Decide when no version meets the targets.
 
         Latency alone never refuses: under overload every version looks slow,
         and refusing all would last until the evidence had aged.
         """
-        considered = _describe(options)
+        considered = describe(options)
         left = [o for o in options if o.ruled_out in ("", "latency", "quality", "bad")]
         if not left:
             return NothingMeets(considered)
         slow = [o for o in left if o.ruled_out == "latency"]
         if slow:
-            return _chosen(min(slow, key=_by_cost), "best-effort", options)
+            return _chosen(min(slow, key=by_cost), "best-effort", options)
         if request.work_class.unmet is Unmet.REFUSE:
             return NothingMeets(considered)
         best = max(left, key=lambda o: (o.estimate.mean_quality or 0.0, -o.cost))
@@ -284,11 +324,11 @@
     return sum(seen) / len(seen) if seen else PRIOR_TOKENS
 
 
-def _by_cost(option: _Option) -> tuple[float, VersionId]:
-    return option.cost, option.version.id
+def _most_promising(usable: Sequence[Option], target: float) -> Option:
+    return max(usable, key=lambda option: _promise(option, target))
 
 
-def _promise(option: _Option, target: float) -> tuple[float, float]:
+def _promise(option: Option, target: float) -> tuple[float, float]:
     """Rank versions of which none is shown good: the expected quality, then the price.
 
     Nothing being known, the dearest comes first: prices say something of quality.
@@ -298,58 +338,34 @@
     return (seen + PRIOR_RATINGS * target) / (rated + PRIOR_RATINGS), option.cost
 
 
-def _rated(options: Sequence[_Option]) -> float:
-    return sum(option.estimate.rated for option in options)
-
-
-def _exploration(rated: float, best: _Option, target: float) -> float:
+def _exploration(rated: float, best: Option, target: float) -> float:
     """Return the share of requests that try versions of which little is known.
 
     Once a class is learnt, its best version's surplus must make up for the tries.
     """
     if rated < EXPLORED_RATINGS:
         return MOST_EXPLORATION
-    surplus = max(0.0, _lower(best) - target)
+    surplus = max(0.0, lower_end(best) - target)
     covered = surplus / (surplus + DOUBT_OF_THE_UNKNOWN)
     share = MOST_EXPLORATION * (EXPLORED_RATINGS / rated) ** 2
     return max(LEAST_EXPLORATION, min(share, covered))
 
 
-def _find_mixture(
-    unknown: Sequence[_Option], good: Sequence[_Option], best: _Option, target: float
-) -> _Mixture | None:
-    """Find the cheapest mixture of a doubtful and a good version, if one saves.
-
-    A version that can't be told from the target serves as large a share of the
-    requests as the surplus of a good one makes up for, counted from the lower
-    ends of both intervals. A version that is shown poor is never mixed in.
-    """
-    found: _Mixture | None = None
-    lowest = best.cost
-    for option in unknown:
-        if option.estimate.radius > LARGEST_RADIUS:
-            continue
-        doubt = target - _lower(option)
-        for cover in good:
-            surplus = _lower(cover) - target
-            share = surplus / (surplus + doubt)
-            cost = share * option.cost + (1.0 - share) * cover.cost
-            if cost < lowest:
-                lowest = cost
-                found = _Mixture(option, cover, share)
-    return found
-
-
-def _lower(option: _Option) -> float:
-    mean = option.estimate.mean_quality
-    return 0.0 if mean is None else mean - option.estimate.radius
-
-
-def _is_payable(option: _Option, request: ChoiceRequest) -> bool:
+def _is_payable(option: Option, request: ChoiceRequest) -> bool:
     return request.spend_left is None or option.cost <= request.spend_left
 
 
-def _hope(option: _Option, best: _Option, target: float) -> float:
+def _is_to_be_judged(option: Option) -> bool:
+    """Tell whether a poor version may serve in a cascade, once enough is known of its judge."""
+    known = option.estimate
+    return option.ruled_out == "quality" and known.is_judged and known.rated < MOST_JUDGED
+
+
+def _is_worth_a_try(option: Option, best: Option) -> bool:
+    return option.cost < best.cost and option.estimate.awaited < MOST_AWAITED
+
+
+def _hope(option: Option, best: Option, target: float) -> float:
     """Weigh what a version would save by how near it is to being shown good."""
     saving = 1.0 - option.cost / best.cost
     known = option.estimate
@@ -360,12 +376,5 @@
     return saving * max(0.01, nearness) ** 3
 
 
-def _chosen(option: _Option, why: str, options: list[_Option]) -> Chosen:
-    return Chosen(option.version, why, option.cost, _describe(options))
-
-
-def _describe(options: Sequence[_Option]) -> list[str]:
-    return [
-        f"{o.version.id} {o.estimate.standing.value} cost={o.cost:.6f} {o.ruled_out or 'usable'}"
-        for o in options
-    ]
+def _chosen(option: Option, why: str, options: list[Option]) -> Chosen:
+    return Chosen(option.version, why, option.cost, describe(options))
--- a/poplarrun/versions/_estimates.py
+++ b/poplarrun/versions/_estimates.py
@@ -8,8 +8,10 @@
 
 from poplarrun.contracts import Document
 from poplarrun.hosts import Gathered
+from poplarrun.versions._cascades import Cut, make_cuts
 from poplarrun.versions._evidence import (
     GRID,
+    MILLI,
     AgedEvidence,
     AnswerSeen,
     CellKey,
@@ -120,6 +122,12 @@
         Whether it is shown to miss the class's latency targets.
     output_tokens : float, optional
         Mean length of its answers.
+    whole_s : float, optional
+        Mean time of its whole answers.
+    is_judged : bool
+        Whether a judge scores its answers.
+    cuts : tuple of Cut
+        What comes of accepting its answers by a judge's score.
     trial : Capitals
         Bets from the first observation on, for a version that is rolled out.
     watch : Capitals
@@ -134,6 +142,9 @@
     growth_log: float = 0.0
     slow: bool = False
     output_tokens: float | None = None
+    whole_s: float | None = None
+    is_judged: bool = False
+    cuts: tuple[Cut, ...] = ()
     trial: Capitals = NO_CAPITALS
     watch: Capitals = NO_CAPITALS
 
@@ -180,6 +191,9 @@
             awaited=aged.awaited,
             growth_log=log_capital(aged.ratings, bets_above(allowed)),
             slow=log_capital(late, bets_above(LATE_ALLOWED)) >= SHOWN,
+            whole_s=aged.whole_ms / MILLI / aged.requests if aged.requests > 1.0 else None,
+            is_judged=bool(aged.judged),
+            cuts=make_cuts(aged.judged, UNCERTAINTY),
             output_tokens=aged.output_tokens / aged.requests if aged.requests > 1.0 else None,
             trial=Capitals(
                 log_capital(aged.ratings, self._bad.bets),
@@ -250,12 +264,13 @@
         """Take over classes, versions and targets; a changed target starts its tests anew."""
         targets = {name: item.targets.quality for name, item in document.classes.items()}
         lowest = min(targets.values(), default=0.0)
-        self._numbers = {
-            key: key.number for key in (CellKey(c, v) for c in targets for v in document.versions)
-        }
+        keys = [CellKey(c, v) for c in targets for v in document.versions]
+        self._numbers = {key: key.number for key in keys}
+        self._numbers |= {key.as_second: key.as_second.number for key in keys}
         self._thresholds = {
-            number: Thresholds(targets[key.class_name], lowest)
-            for key, number in self._numbers.items()
+            self._numbers[cell]: Thresholds(targets[key.class_name], lowest)
+            for key in keys
+            for cell in (key, key.as_second)
         }
         self._cells = {
             number: cell
@@ -275,10 +290,10 @@
         """Count an answer that is handed to the rating service."""
         self._add_own(key, Evidence(sampled=1))
 
-    def note_rating(self, key: CellKey, quality: float) -> None:
+    def note_rating(self, key: CellKey, quality: float, score: float | None = None) -> None:
         """Count a rating of an answer that this host gave."""
         delta = Evidence()
-        delta.add_rating(quality, self._random)
+        delta.add_rating(quality, self._random, score)
         self._add_own(key, delta)
 
     def find(self, key: CellKey) -> Estimate:
@@ -368,5 +383,5 @@
 
 
 def _grew(delta: Evidence) -> bool:
-    counts: Sequence[int] = (delta.requests, delta.sampled, *delta.ratings)
+    counts: Sequence[int] = (delta.requests, delta.sampled, *delta.ratings, *delta.judged)
     return min(counts) >= 0 and any(counts)
--- a/poplarrun/versions/_part.py
+++ b/poplarrun/versions/_part.py
@@ -5,7 +5,6 @@
 from collections import deque
 
 from poplarrun.config import Configuration
-from poplarrun.contracts import VersionId
 from poplarrun.hosts import Peer, Peers
 from poplarrun.log import Entry
 from poplarrun.versions._choice import Choice, ChoiceRequest, Selector
@@ -82,21 +81,20 @@
         if rollouts.is_whole:
             self._exposure.apply(rollouts)
 
-    def wants_rating(self, class_name: str, version: VersionId, why: str, now: float) -> bool:
+    def wants_rating(self, key: CellKey, why: str, now: float) -> bool:
         """Tell whether an answer is to be handed to the rating service."""
-        key = CellKey(class_name, version)
         if not self._sampler.choose(self.estimates.find(key), why, now):
             return False
         self.estimates.note_sampled(key)
         return True
 
-    def note_answer(self, class_name: str, version: VersionId, seen: AnswerSeen) -> None:
+    def note_answer(self, key: CellKey, seen: AnswerSeen) -> None:
         """Count an answer that this host gave."""
-        self.estimates.note_answer(CellKey(class_name, version), seen)
+        self.estimates.note_answer(key, seen)
 
-    def note_rating(self, class_name: str, version: VersionId, quality: float) -> None:
+    def note_rating(self, key: CellKey, quality: float, score: float | None = None) -> None:
         """Count a rating of an answer that this host gave."""
-        self.estimates.note_rating(CellKey(class_name, version), quality)
+        self.estimates.note_rating(key, quality, score)
 
     def keep_sample(self, sample: SampledAnswer) -> None:
         """Keep an answer until it is handed to the rating service."""
--- a/standins/engine.py
+++ b/standins/engine.py
@@ -57,6 +57,8 @@
         Quality by version; overrides the settings.
     empty : bool
         Answer with no tokens.
+    refuse_own_resumes : bool
+        Answer 503 to resumes of streams whose KV cache was not imported.
     """
 
     refuse: bool = False
@@ -69,6 +71,7 @@
     shuffle: bool = False
     quality: dict[str, float] = {}
     empty: bool = False
+    refuse_own_resumes: bool = False
 
 
 class EngineSettings(msgspec.Struct):
@@ -90,6 +93,10 @@
         Prompt blocks that the prefix cache holds.
     checks_fencing : bool
         Whether an order with an old fencing number is refused.
+    poor_share : dict of str to float
+        Share of a version's answers that are poor from end to end.
+    confidence_noise : float, optional
+        Error of the confidence that it gives with each answer; None gives none.
     answer_tokens : int
         Length of an answer, where the call allows it.
     """
@@ -101,6 +108,8 @@
     prefill_s_per_token: float = 0.0
     cache_blocks: int = 2000
     checks_fencing: bool = True
+    poor_share: dict[str, float] = {}
+    confidence_noise: float | None = None
     answer_tokens: int = 40
 
 
@@ -136,6 +145,8 @@
     words: list[str]
     touched_at: float
     cancelled: bool = False
+    is_poor: bool = False
+    imported: bool = False
 
 
 @dataclass
@@ -202,6 +213,9 @@
             return json_response({"error": "version not loaded"}, 404)
         if body.from_position > 0 and body.request_id not in self._streams:
             return json_response({"error": "no such stream"}, 404)
+        is_own = body.from_position > 0 and not self._streams[body.request_id].imported
+        if is_own and self.faults.refuse_own_resumes:
+            return json_response({"error": "refused"}, 503)
         return Response(200, self._stream(body), "application/x-ndjson")
 
     def _stream(self, body: GenerateBody) -> Iterator[bytes]:
@@ -218,6 +232,7 @@
                     "input_tokens": len(prompt_words),
                     "output_tokens": len(self._streams[body.request_id].words),
                     "cached_tokens": cached,
+                    "confidence": self._confidence(self._streams[body.request_id].words),
                 }
             )
             self.record("end", request_id=body.request_id)
@@ -237,7 +252,7 @@
                 raise DropConnection
             if position >= len(stream.words):
                 self._sleep_for_token()
-                stream.words.append(self._word(body.version))
+                stream.words.append(self._word(stream))
             stream.touched_at = time.monotonic()
             self._break_here(position)
             text = stream.words[position] + " "
@@ -253,6 +268,12 @@
         self._random.shuffle(mixed)
         return mixed
 
+    def _confidence(self, words: list[str]) -> float | None:
+        noise = self.settings.confidence_noise
+        if noise is None:
+            return None
+        return min(1.0, max(0.0, judge_text(" ".join(words)) + self._random.gauss(0.0, noise)))
+
     def _break_here(self, position: int) -> None:
         after = self.faults.die_after_tokens
         if after and position >= after and self.faults.break_streams != 0:
@@ -264,7 +285,12 @@
         rate = self.settings.tokens_per_s * (1.0 - self.settings.slowdown * fullness)
         time.sleep(1.0 / rate + self.faults.freeze_s)
 
-    def _word(self, version: str) -> str:
+    def _word(self, stream: _Stream) -> str:
+        version = stream.version
+        if not stream.words:
+            stream.is_poor = self._random.random() < self.settings.poor_share.get(version, 0.0)
+        if stream.is_poor:
+            return POOR_WORD
         quality = self.faults.quality.get(version, self.settings.quality.get(version, 0.0))
         if self._random.random() < quality:
             return self._random.choice(GOOD_WORDS)
@@ -350,8 +376,9 @@
     def _import_kv(self, request: Request) -> Response:
         body = msgspec.json.decode(request.body, type=KvBody)
         self._streams[request.params["request_id"]] = _Stream(
-            body.version, body.words, time.monotonic()
+            body.version, body.words, time.monotonic(), imported=True
         )
+        self.record("imported", request_id=request.params["request_id"], tokens=len(body.words))
         return json_response({"words": len(body.words)})
 
     def _forget_old_streams(self) -> None:
