--- a/poplarrun/limits/_accounts.py
+++ b/poplarrun/limits/_accounts.py
@@ -187,6 +187,12 @@
         tokens = state.tokens.lend(wanted.tokens, LENT_PART)
         return encode_loan(Loan(wanted.account, requests, tokens))
 
+    def spend_left(self, account: ClientAccount) -> float | None:
+        """Return what an account may still spend through this host; None without a limit."""
+        if account.limits.spend_per_day is None:
+            return None
+        return max(0.0, self._state(account).spend.room())
+
     def close_round(self, accounts: Iterable[ClientAccount], now: float, wall_s: float) -> None:
         """Move shares when a round is over, and tell the others.
 
--- a/poplarrun/router/_chats.py
+++ b/poplarrun/router/_chats.py
@@ -13,12 +13,14 @@
 from poplarrun.router._context import RouterContext
 from poplarrun.router._dispatch import Dispatch, Job, NoEndpoint, Sent, Start
 from poplarrun.router._messages import (
+    AnswerAccepted,
     AttemptFailed,
     BeginChat,
     ChatGrant,
     EndChat,
     Explanation,
     FirstToken,
+    JudgeChat,
 )
 
 # Longest time in the queue of a class whose latency targets are best effort.
@@ -39,6 +41,7 @@
     job: Job
     shown_tokens: int = 0
     resumes: int = 0
+    spent: float = 0.0
 
     @property
     def endpoint(self) -> Endpoint | None:
@@ -154,15 +157,37 @@
             "first_token", chat.work_class.name, now - chat.began_at
         )
 
+    def judge(self, message: JudgeChat, now: float) -> AnswerAccepted | ChatGrant:
+        """Give a cascade's first answer out, or send the request to the second version.
+
+        Where the second step can't start, the caller gets the first answer: it
+        is whole, and poorer than the class asks rather than none.
+        """
+        end = message.end
+        chat = self._chats[end.request_id]
+        second = self._versions.escalate(chat.pick, chat.account, chat.work_class, end, now)
+        if second is None:
+            return AnswerAccepted()
+        job = _make_job(chat.request, chat.account, chat.work_class, second.version, now)
+        job.deadline = chat.job.deadline
+        start = self._dispatch.send_elsewhere(job, now, 0.0)
+        if not isinstance(start, Sent):
+            return AnswerAccepted()
+        self._dispatch.end(chat.job, True, now)
+        self._versions.note_end(chat.pick, chat.work_class, end, now - chat.began_at)
+        chat.spent += chat.version.price.cost(end.usage.input_tokens, end.usage.output_tokens)
+        chat.explanation.attempts.append(f"{chat.version.id} answered poorly: {second.version.id}")
+        chat.pick, chat.job = second, job
+        return self._grant(chat, start, now)
+
     def end(self, end: EndChat, now: float) -> Bill:
         """Close a chat and make its bill."""
         chat = self._chats.pop(end.request_id)
         self._dispatch.end(chat.job, end.whole, now)
         self._context.metrics.record_latency("whole", chat.work_class.name, now - chat.began_at)
         self._versions.note_end(chat.pick, chat.work_class, end, now - chat.began_at)
-        amount = chat.version.price.cost(end.usage.input_tokens, end.usage.output_tokens)
         bill = _make_bill(chat, end.usage.input_tokens, end.usage.output_tokens)
-        self._end_limits(chat.request, chat.account, end.usage, amount)
+        self._end_limits(chat.request, chat.account, end.usage, bill.amount)
         chat.explanation.outcome = "answered" if end.whole else "cut off"
         return self._context.add_bill(bill, chat.explanation)
 
@@ -261,6 +286,8 @@
             timeout_s,
             sent.delay_s,
             sampled=chat.pick.sampled,
+            is_held=chat.pick.escalation is not None,
+            session_token=chat.request.session_token,
             resumes=resumes,
             cache_from=cache_from,
         )
@@ -303,7 +330,7 @@
 
 
 def _make_bill(chat: _Chat, input_tokens: int, output_tokens: int) -> Bill:
-    amount = chat.version.price.cost(input_tokens, output_tokens)
+    amount = chat.spent + chat.version.price.cost(input_tokens, output_tokens)
     return Bill(chat.request.request_id, chat.account.name, str(chat.version.id), amount)
 
 
--- a/poplarrun/versions/__init__.py
+++ b/poplarrun/versions/__init__.py
@@ -1,9 +1,11 @@
 """Versions: estimates, the choice among versions, exposure and roll-outs."""
 
+from poplarrun.versions._cascades import Cut, find_cut, make_cuts
 from poplarrun.versions._choice import (
     Choice,
     ChoiceRequest,
     Chosen,
+    Escalation,
     NothingAffordable,
     NothingAllowed,
     NothingMeets,
@@ -20,6 +22,7 @@
     merge_summaries,
 )
 from poplarrun.versions._exposure import Exposure
+from poplarrun.versions._judges import ConfidenceJudge, Judge, JudgedAnswer, MemoryJudge
 from poplarrun.versions._part import Versions
 from poplarrun.versions._rollouts import (
     ROLLOUTS_STREAM,
@@ -36,6 +39,12 @@
     name_holder,
 )
 from poplarrun.versions._sampling import RatingSampler, SampledAnswer
+from poplarrun.versions._sessions import (
+    SessionKeeper,
+    choose_homes,
+    read_session,
+    sign_session,
+)
 from poplarrun.versions._steward import DueRecord, Steward, StewardView
 from poplarrun.versions._tests import ChangeDetector, bets_above, bets_below, log_capital
 
@@ -50,12 +59,18 @@
     "ChoiceRequest",
     "Chosen",
     "Closed",
+    "ConfidenceJudge",
+    "Cut",
     "DueRecord",
+    "Escalation",
     "Estimate",
     "Estimates",
     "Evidence",
     "Exposure",
     "Granted",
+    "Judge",
+    "JudgedAnswer",
+    "MemoryJudge",
     "NothingAffordable",
     "NothingAllowed",
     "NothingMeets",
@@ -65,6 +80,7 @@
     "Rollouts",
     "SampledAnswer",
     "Selector",
+    "SessionKeeper",
     "Settled",
     "Snapshot",
     "Standing",
@@ -73,12 +89,17 @@
     "Versions",
     "bets_above",
     "bets_below",
+    "choose_homes",
     "decode_rollout",
     "decode_summary",
     "encode_rollout",
     "encode_summary",
+    "find_cut",
     "fold_rollout",
     "log_capital",
+    "make_cuts",
     "merge_summaries",
     "name_holder",
+    "read_session",
+    "sign_session",
 ]
--- a/poplarrun/versions/_estimates.py
+++ b/poplarrun/versions/_estimates.py
@@ -6,10 +6,14 @@
 from collections.abc import Sequence
 from dataclasses import dataclass, field
 
+import msgspec
+
 from poplarrun.contracts import Document
 from poplarrun.hosts import Gathered
+from poplarrun.versions._cascades import Cut, make_cuts
 from poplarrun.versions._evidence import (
     GRID,
+    MILLI,
     AgedEvidence,
     AnswerSeen,
     CellKey,
@@ -45,6 +49,8 @@
 PRIOR_TOKENS = 256.0
 # Evidence fades so slowly that it need not be weighed anew more often.
 AGING_PERIOD_S = 15.0
+# Hosts that are gone are forgotten when there are so many of them.
+SILENT_SOURCES = 100
 
 
 class Standing(enum.Enum):
@@ -120,6 +126,12 @@
         Whether it is shown to miss the class's latency targets.
     output_tokens : float, optional
         Mean length of its answers.
+    whole_s : float, optional
+        Mean time of its whole answers.
+    is_judged : bool
+        Whether a judge scores its answers.
+    cuts : tuple of Cut
+        What comes of accepting its answers by a judge's score.
     trial : Capitals
         Bets from the first observation on, for a version that is rolled out.
     watch : Capitals
@@ -134,6 +146,9 @@
     growth_log: float = 0.0
     slow: bool = False
     output_tokens: float | None = None
+    whole_s: float | None = None
+    is_judged: bool = False
+    cuts: tuple[Cut, ...] = ()
     trial: Capitals = NO_CAPITALS
     watch: Capitals = NO_CAPITALS
 
@@ -148,6 +163,10 @@
 NO_EVIDENCE = Evidence()
 
 
+_known_encoder = msgspec.msgpack.Encoder()
+_known_decoder = msgspec.msgpack.Decoder(dict[int, AgedEvidence])
+
+
 class _Cell:
     """The tests of one version in one class."""
 
@@ -180,6 +199,9 @@
             awaited=aged.awaited,
             growth_log=log_capital(aged.ratings, bets_above(allowed)),
             slow=log_capital(late, bets_above(LATE_ALLOWED)) >= SHOWN,
+            whole_s=aged.whole_ms / MILLI / aged.requests if aged.requests > 1.0 else None,
+            is_judged=bool(aged.judged),
+            cuts=make_cuts(aged.judged, UNCERTAINTY),
             output_tokens=aged.output_tokens / aged.requests if aged.requests > 1.0 else None,
             trial=Capitals(
                 log_capital(aged.ratings, self._bad.bets),
@@ -250,12 +272,13 @@
         """Take over classes, versions and targets; a changed target starts its tests anew."""
         targets = {name: item.targets.quality for name, item in document.classes.items()}
         lowest = min(targets.values(), default=0.0)
-        self._numbers = {
-            key: key.number for key in (CellKey(c, v) for c in targets for v in document.versions)
-        }
+        keys = [CellKey(c, v) for c in targets for v in document.versions]
+        self._numbers = {key: key.number for key in keys}
+        self._numbers |= {key.as_second: key.as_second.number for key in keys}
         self._thresholds = {
-            number: Thresholds(targets[key.class_name], lowest)
-            for key, number in self._numbers.items()
+            self._numbers[cell]: Thresholds(targets[key.class_name], lowest)
+            for key in keys
+            for cell in (key, key.as_second)
         }
         self._cells = {
             number: cell
@@ -275,10 +298,10 @@
         """Count an answer that is handed to the rating service."""
         self._add_own(key, Evidence(sampled=1))
 
-    def note_rating(self, key: CellKey, quality: float) -> None:
+    def note_rating(self, key: CellKey, quality: float, score: float | None = None) -> None:
         """Count a rating of an answer that this host gave."""
         delta = Evidence()
-        delta.add_rating(quality, self._random)
+        delta.add_rating(quality, self._random, score)
         self._add_own(key, delta)
 
     def find(self, key: CellKey) -> Estimate:
@@ -310,6 +333,25 @@
         """Return this host's summary, for ``EVIDENCE_TOPIC``."""
         return encode_summary(self._members, self._own)
 
+    def encode_known(self) -> bytes:
+        """Return the aged evidence of all cells, for a host that starts."""
+        return _known_encoder.encode({number: cell.aged for number, cell in self._cells.items()})
+
+    def adopt(self, data: bytes) -> None:
+        """Take over another host's aged evidence where it knows more.
+
+        Counters tell only what comes after a host's start. Without this a host
+        that was just replaced would learn each class anew, at its callers' cost.
+        """
+        for number, told in _known_decoder.decode(data).items():
+            thresholds = self._thresholds.get(number)
+            if thresholds is None or len(told.ratings) != len(GRID):
+                continue
+            cell = self._cells.setdefault(number, _Cell(thresholds))
+            if told.rated + told.requests > cell.aged.rated + cell.aged.requests:
+                cell.aged = told
+                self._changed.add(number)
+
     def take(self, gathered: Gathered) -> None:
         """Add what other hosts and zones counted since the last time."""
         sources = {f"host {name}": data for name, data in gathered.own_zone.items()}
@@ -319,6 +361,8 @@
             summary = decode_summary(data)
             if summary is not None:
                 self._take_source(self._sources.setdefault(name, _Source()), summary)
+        if len(self._sources) > SILENT_SOURCES + len(sources):
+            self._sources = {n: s for n, s in self._sources.items() if n in sources}
 
     def age(self, now: float) -> None:
         """Let what is known count less as time goes by."""
@@ -368,5 +412,5 @@
 
 
 def _grew(delta: Evidence) -> bool:
-    counts: Sequence[int] = (delta.requests, delta.sampled, *delta.ratings)
+    counts: Sequence[int] = (delta.requests, delta.sampled, *delta.ratings, *delta.judged)
     return min(counts) >= 0 and any(counts)
--- a/poplarrun/versions/_tests.py
+++ b/poplarrun/versions/_tests.py
@@ -83,8 +83,13 @@
     if rated <= 0.0:
         return math.inf
     mean = sum_product(counts, GRID) / rated
-    squares = sum_product(counts, GRID_SQUARES) - rated * mean * mean
-    variance = (squares + PRIOR_WEIGHT * PRIOR_VARIANCE) / (rated + PRIOR_WEIGHT)
+    spread = sum_product(counts, GRID_SQUARES) - rated * mean * mean
+    return radius_of(rated, spread, alpha)
+
+
+def radius_of(rated: float, spread: float, alpha: float) -> float:
+    """Return the half width for so many ratings with this sum of squared deviations."""
+    variance = (spread + PRIOR_WEIGHT * PRIOR_VARIANCE) / (rated + PRIOR_WEIGHT)
     relative = rated / TUNED_FOR * -2.0 * math.log(2.0 * alpha)
     width = 2.0 * (relative + 1.0) / (rated * relative)
     return math.sqrt(variance * width * math.log(math.sqrt(relative + 1.0) / (2.0 * alpha)))
