--- a/poplarrun/contracts/_validation.py
+++ b/poplarrun/contracts/_validation.py
@@ -129,12 +129,11 @@
     Document or DocumentProblems
         The document, or every fault found in it at once.
     """
-    if len(text.encode()) > MAX_DOCUMENT_BYTES:
-        return _one_problem(
-            f"{len(text.encode())} bytes", f"at most {MAX_DOCUMENT_BYTES} bytes are allowed"
-        )
+    data = text.encode()
+    if len(data) > MAX_DOCUMENT_BYTES:
+        return _one_problem(f"{len(data)} bytes", f"at most {MAX_DOCUMENT_BYTES} bytes are allowed")
     try:
-        raw = yaml.load(text, Loader=_SafeLoader)
+        raw = yaml.load(data, Loader=_SafeLoader)
     except yaml.YAMLError as error:
         return _one_problem(f"text that is not YAML ({error})".replace("\n", " "), "YAML is needed")
     if not isinstance(raw, dict):
