--- a/poplarrun/endpoints/_sharing.py
+++ b/poplarrun/endpoints/_sharing.py
@@ -14,6 +14,8 @@
 # Polls of endpoints that another host usually polls: those heard of least
 # recently, so that no endpoint stays unknown when its usual host is silent.
 OTHERS_POLLED = 4
+# Of these a new host asks so many before it calls itself ready.
+OTHERS_ASKED_FIRST = 16
 # Engines of the own zone whose cache events this host follows.
 EVENTS_FOLLOWED = 8
 
@@ -98,12 +100,26 @@
         others = [engine for engine in engines if engine.name not in names]
         # By the last try too: dead ones, which never answer, would otherwise
         # always be the oldest and keep the rest from being polled.
-        others.sort(key=lambda e: max(e.true_at, self._tried_at.get(e.name, -math.inf)))
+        others.sort(key=lambda e: max(e.true_at, self._last_try(e)))
         polled = others[:OTHERS_POLLED]
-        self._tried_at = {e.name: self._tried_at.get(e.name, -math.inf) for e in others}
+        self._tried_at = {e.name: self._last_try(e) for e in others}
         self._tried_at.update((engine.name, now) for engine in polled)
         return owned + polled
 
+    def knows_enough(self) -> bool:
+        """Tell whether a new host has asked enough engines to be sent requests.
+
+        All of its own zone that it polls, and some of the others: a host that
+        knows no versions yet would refuse what others can serve.
+        """
+        engines = [e for e in self._table.all() if e.kind is HostKind.MODEL_ENGINE]
+        others = [engine for engine in engines if not self.owns(engine)]
+        asked = [e for e in others if math.isfinite(max(e.true_at, self._last_try(e)))]
+        return len(asked) >= min(len(others), OTHERS_ASKED_FIRST)
+
+    def _last_try(self, engine: Endpoint) -> float:
+        return self._tried_at.get(engine.name, -math.inf)
+
     def list_followed(self) -> list[Endpoint]:
         """Return the engines whose cache events this host follows."""
         me = self._peers.me
--- a/poplarrun/limits/_buckets.py
+++ b/poplarrun/limits/_buckets.py
@@ -22,24 +22,31 @@
         Tokens a second.
     burst_s : float
         Seconds for which unused tokens are kept.
+    level, borrowed : float
+        Tokens that are left, and how many of them other hosts gave.
     """
 
     rate_per_s: float = 0.0
     burst_s: float = BURST_S
     level: float = 0.0
+    borrowed: float = 0.0
     offered: float = 0.0
     _filled_at: float | None = None
 
+    @property
+    def most(self) -> float:
+        """Tokens that are kept at most."""
+        return max(1.0, self.rate_per_s * self.burst_s) + self.borrowed
+
     def fill(self, now: float) -> None:
         """Add what has come since the last time."""
         since_s = 0.0 if self._filled_at is None else now - self._filled_at
         self._filled_at = now
-        most = max(1.0, self.rate_per_s * self.burst_s)
-        self.level = min(most, self.level + since_s * self.rate_per_s)
+        self.level = min(self.most, self.level + since_s * self.rate_per_s)
 
     def fill_up(self) -> None:
         """Add as much as is kept at most."""
-        self.level = max(1.0, self.rate_per_s * self.burst_s)
+        self.level = self.most
 
     def wait_s(self, now: float, least: float) -> float:
         """Return the seconds until a request may pass; 0 when it may now."""
@@ -51,6 +58,18 @@
     def take(self, amount: float) -> None:
         """Take tokens, also more than there are."""
         self.level -= amount
+        self.borrowed = max(0.0, self.borrowed - amount)
+
+    def borrow(self, amount: float) -> None:
+        """Add tokens that another host gave; they are kept until they are used."""
+        self.level += amount
+        self.borrowed += amount
+
+    def lend(self, asked: float, part: float) -> float:
+        """Take off what another host borrows, at most a part of what there is."""
+        given = max(0.0, min(asked, self.level * part))
+        self.level -= given
+        return given
 
 
 @dataclass
