--- a/examples/demo.py
+++ b/examples/demo.py
@@ -26,6 +26,8 @@
 CALLERS = 6
 COUNTER_CLASS = "answer"
 PAUSE_BOUND_S = 0.5
+STATEMENT_SINCE = "2020-01-01"
+STATEMENT_BOUND_S = 12.0
 ASK_AGAIN = ("operation_in_progress", "operation_outcome_unknown")
 OK = 200
 
@@ -91,6 +93,7 @@
     account.say("-- a host dies, another stops as planned")
     kill_host(fleet, account)
     stop_host(fleet, account)
+    check_statement(fleet, account)
 
 
 def publish(fleet: Fleet, document: str, account: Account) -> None:
@@ -262,6 +265,21 @@
     )
 
 
+def check_statement(fleet: Fleet, account: Account) -> None:
+    """Read the statement of the account that asked for one note, out of the log alone."""
+    arguments = ("bill", "--account", "trust-office", "--since", STATEMENT_SINCE)
+    deadline = time.monotonic() + STATEMENT_BOUND_S
+    counted, amount = "0", "0"
+    while counted == "0" and time.monotonic() < deadline:
+        lines = fleet.run_cli(*arguments, "--log", fleet.log.address).stdout.splitlines()
+        totals = [line.split() for line in lines if line.startswith("total ")]
+        _, _, counted, amount = totals[0] if totals else ("", "", "0", "0")
+    account.check(
+        counted == "1",
+        f"trust-office's statement out of the log: {counted} request, {amount} to pay",
+    )
+
+
 def stream(host: HostProcess, key: str, work_class: str, session: str | None) -> Streamed:
     """Stream one answer through the unchanged OpenAI client."""
     began = time.monotonic()
