--- a/poplarrun/versions/_choice.py
+++ b/poplarrun/versions/_choice.py
@@ -5,7 +5,7 @@
 from dataclasses import dataclass, field
 
 from poplarrun.config import Configuration
-from poplarrun.contracts import ClientAccount, Unmet, Version, WorkClass
+from poplarrun.contracts import ClientAccount, Unmet, Version, VersionId, WorkClass
 from poplarrun.versions._estimates import PRIOR_TOKENS, Estimate, Estimates, Standing
 from poplarrun.versions._evidence import CellKey
 from poplarrun.versions._exposure import Exposure
