Let a request wait for an own place for a tenth of a second only

Change: the guard against guessing holds for 0.1 s of waiting. Again 5 % of the places are kept for more important work.

--- a/bench/load_choice.py
+++ b/bench/load_choice.py
@@ -102,7 +102,7 @@
     reports = Reports(lag_s, period_s)
     reports.start(simulation, trace[-1].at)
     Poplarrun.speed = PoolSpeed()
-    deciders = [policy(number, simulation.engines, reports) for number in range(hosts)]
+    deciders = [policy(number, simulation.engines, reports, hosts) for number in range(hosts)]
     simulation.on_first = lambda work: deciders[work.host].note_first(work, simulation.now)
     simulation.on_end = lambda work: deciders[work.host].note_end(work, simulation.now)
 
--- a/bench/load_policies.py
+++ b/bench/load_policies.py
@@ -57,7 +57,9 @@
 class RandomChoice:
     """Any engine."""
 
-    def __init__(self, host: int, engines: list[FakeEngine], reports: Reports) -> None:
+    def __init__(
+        self, host: int, engines: list[FakeEngine], reports: Reports, hosts: int = 1
+    ) -> None:
         self.source = random.Random(host)
         self.engines = engines
         self.reports = reports
@@ -132,7 +134,7 @@
     def __init__(
         self, host: int, engines: list[FakeEngine], reports: Reports, hosts: int = 1
     ) -> None:
-        super().__init__(host, engines, reports)
+        super().__init__(host, engines, reports, hosts)
         zone = ZONES[host % len(ZONES)]
         near = [str(i) for i, engine in enumerate(engines) if engine.zone == zone]
         peers = [f"host-{n}" for n in range(hosts) if ZONES[n % len(ZONES)] == zone]
--- a/poplarrun/admission/_admission.py
+++ b/poplarrun/admission/_admission.py
@@ -12,7 +12,7 @@
 # waited there would be out of reach of importance and fairness.
 FULL_LOAD = 1.0
 # Share of the places kept free for more important work while some of it comes.
-RESERVED_SHARE = 0.03
+RESERVED_SHARE = 0.05
 RATE_WINDOW_S = 2.0
 SHORTEST_RETRY_S = 0.2
 LONGEST_RETRY_S = 30.0
--- a/poplarrun/endpoints/_choice.py
+++ b/poplarrun/endpoints/_choice.py
@@ -110,8 +110,13 @@
         now: float,
         avoid: Container[str] = (),
         find_endpoint: Callable[[str], Endpoint | None] | None = None,
+        may_wait: bool = False,
     ) -> Choice | None:
-        """Return the candidate with the least expected time to the first token."""
+        """Return the candidate with the least expected time to the first token.
+
+        A request that ``may_wait`` rather gets a full endpoint of the own ones than
+        one that another host may be filling at the moment.
+        """
         if now >= pool.refresh_at:
             pool.refresh(now)
         candidates = pool.draw_own(self.source, OWN_DRAWN, avoid)
@@ -125,7 +130,7 @@
         # another host's endpoint must be clearly emptier to be worth the guess.
         places = sum(endpoint.capacity for endpoint in pool.own)
         is_soon = places > 0 and pool.speed.whole_s / places < SOON_S
-        most_load = SPILL_LOAD if is_soon else math.inf
+        most_load = SPILL_LOAD if may_wait and is_soon else math.inf
         if best is None or best.load_after > 1.0:
             drawn = MANY_DRAWN if pool.own_share() > OWN_SHARE_KNOWN else FEW_DRAWN
             near = pool.draw_near(self.source, drawn, avoid)
@@ -134,7 +139,7 @@
             far = pool.draw_far(self.source, FAR_DRAWN if best else FEW_DRAWN, avoid)
             best = self._cheapest(far, best, pool, demand, match, home, now, most_load)
         if best is None and avoid:
-            return self.choose(pool, version, demand, now, (), find_endpoint)
+            return self.choose(pool, version, demand, now, (), find_endpoint, may_wait)
         return best
 
     def _cheapest(
--- a/poplarrun/endpoints/_table.py
+++ b/poplarrun/endpoints/_table.py
@@ -174,12 +174,13 @@
         now: float,
         avoid: Container[str] = (),
         demand: Demand = NO_DEMAND,
+        may_wait: bool = False,
     ) -> Choice | None:
         """Choose a model engine that holds a version."""
         pool = self._current_pool(version)
         if pool is None:
             return None
-        return self.chooser.choose(pool, version, demand, now, avoid, self._endpoints.get)
+        return self.chooser.choose(pool, version, demand, now, avoid, self._endpoints.get, may_wait)
 
     def choose_this(
         self, version: VersionId, endpoint: Endpoint, now: float, demand: Demand = NO_DEMAND
--- a/poplarrun/router/_dispatch.py
+++ b/poplarrun/router/_dispatch.py
@@ -30,6 +30,8 @@
 QUIET_LOAD = 0.7
 # An endpoint where a request waited longer has a queue: its place is not passed on.
 MOST_WAIT_OF_FREED_S = 0.1
+# So long a request waits for a place among the host's own engines.
+OWN_PLACE_WAIT_S = 0.1
 
 
 @dataclass
@@ -58,6 +60,7 @@
     started: bool = False
     tried: set[str] = field(default_factory=set)
     choice: Choice | None = None
+    arrived_at: float = 0.0
     sent_at: float = 0.0
     first_at: float = 0.0
     waited_s: float = 0.0
@@ -98,6 +101,7 @@
 
     def start(self, job: Job, now: float) -> Start:
         """Start a new request, hold it, or refuse it."""
+        job.arrived_at = now
         choice = self._choose(job, now)
         if choice is None:
             return NoEndpoint()
@@ -227,7 +231,10 @@
         return released
 
     def _choose(self, job: Job, now: float) -> Choice | None:
-        return self._endpoints.choose_engine(job.version, now, job.tried, job.demand)
+        # Only for a moment: a host that gets more than its engines can do must use
+        # the others' places to the full.
+        may_wait = job.attempts == 0 and now - job.arrived_at < OWN_PLACE_WAIT_S
+        return self._endpoints.choose_engine(job.version, now, job.tried, job.demand, may_wait)
 
     def _send(self, job: Job, choice: Choice, now: float, delay_s: float = 0.0) -> Sent:
         job.choice = choice
