--- a/features/environment.py
+++ b/features/environment.py
@@ -26,17 +26,38 @@
         yield fleet
 
 
+def _run_hosts(context, zones, stop):
+    engines = [EnginePlan(f"engine-{zone}", zone, {"quality": VERSIONS}) for zone in zones]
+    with Fleet(engines, zones=zones, more_settings={"stop": stop}) as fleet:
+        context.fleet = fleet
+        fleet.wait_in_force(fleet.publish((EXAMPLES / "thistledown.yaml").read_text()))
+        fleet.wait_versions("larch:1", "spruce:1")
+        yield fleet
+
+
 @fixture
 def narrow_fleet(context):
-    """One zone of one host before two engines that are soon full."""
+    """One zone of one host before engines that are soon full."""
     settings = {"quality": {"larch:1": 0.9}, "capacity": 2, "tokens_per_s": 60.0}
     engines = [EnginePlan(f"engine-{number}", "a", settings) for number in (1, 2)]
+    engines.append(EnginePlan("engine-3", "a", {**settings, "quality": {"spruce:1": 0.9}}))
     more = {"limits": {"threads": 64}}
     with Fleet(engines, zones=("a",), hosts_per_zone=1, more_settings=more) as fleet:
         context.fleet = fleet
         yield fleet
 
 
+@fixture
+def few_threads(context):
+    """One host of eight threads before an engine that is slow but has room."""
+    settings = {"quality": {"larch:1": 0.9, "spruce:1": 0.95}, "tokens_per_s": 20.0}
+    more = {"limits": {"threads": 8}}
+    engines = [EnginePlan("engine-a", "a", settings)]
+    with Fleet(engines, zones=("a",), hosts_per_zone=1, more_settings=more) as fleet:
+        context.fleet = fleet
+        yield fleet
+
+
 @fixture
 def version_fleet(context):
     """Three zones of one host, engines that hold three versions, quick ratings."""
@@ -48,15 +69,6 @@
         yield fleet
 
 
-def _run_hosts(context, zones, stop):
-    engines = [EnginePlan(f"engine-{zone}", zone, {"quality": VERSIONS}) for zone in zones]
-    with Fleet(engines, zones=zones, more_settings={"stop": stop}) as fleet:
-        context.fleet = fleet
-        fleet.wait_in_force(fleet.publish((EXAMPLES / "thistledown.yaml").read_text()))
-        fleet.wait_versions("larch:1", "spruce:1")
-        yield fleet
-
-
 @fixture
 def six_hosts(context):
     """Three zones of two hosts and one engine each, a document in force."""
@@ -115,7 +127,23 @@
         yield fleet
 
 
+@fixture
+def cascade_fleet(context):
+    """Three zones of one host, engines that give a confidence, answers good or poor."""
+    settings = {
+        "quality": {"cheap:1": 0.95, "dear:1": 0.95},
+        "tokens_per_s": 2000.0,
+        "confidence_noise": 0.02,
+        "poor_share": {"cheap:1": 0.5},
+    }
+    engines = [EnginePlan(f"engine-{zone}", zone, settings) for zone in "abc"]
+    with Fleet(engines, hosts_per_zone=1) as fleet:
+        context.fleet = fleet
+        yield fleet
+
+
 FIXTURES = {
+    "fixture.few_threads": few_threads,
     "fixture.keyed_host": keyed_host,
     "fixture.tls_host": tls_host,
     "fixture.narrow_fleet": narrow_fleet,
@@ -123,6 +151,7 @@
     "fixture.six_hosts": six_hosts,
     "fixture.two_hosts": two_hosts,
     "fixture.version_fleet": version_fleet,
+    "fixture.cascade_fleet": cascade_fleet,
 }
 
 
--- a/poplarrun/limits/_accounts.py
+++ b/poplarrun/limits/_accounts.py
@@ -7,6 +7,15 @@
 from poplarrun.errors import ErrorKind
 from poplarrun.hosts import Gathered, Peers
 from poplarrun.limits._buckets import Bucket, Spend, Streams
+from poplarrun.limits._loans import (
+    LENT_PART,
+    LOAN_MESSAGE,
+    LOW_PART,
+    Loan,
+    LoanDesk,
+    decode_loan,
+    encode_loan,
+)
 from poplarrun.limits._shares import ROUND_S, Claimant, Share, ShareView
 from poplarrun.limits._summaries import (
     LIMITS_TOPIC,
@@ -19,6 +28,8 @@
     share_claim,
 )
 
+# What a host may spend on hearing the shares of its zone's hosts.
+SUMMARY_BYTES_PER_S = 1000.0
 SECONDS_PER_MINUTE = 60.0
 TOKENS_BURST_S = 10.0
 LONGEST_RETRY_S = 60.0
@@ -59,15 +70,15 @@
         self.requests.fill_up()
         self.tokens.fill_up()
 
-    def demand(self, kind: LimitKind) -> float:
+    def demand(self, kind: LimitKind, round_s: float) -> float:
         """Return what callers asked for since the last round, as a part of the limit."""
         limits = self.limits
         match kind:
             case LimitKind.REQUESTS:
-                return self.requests.offered / ((limits.requests_per_second or 1.0) * ROUND_S)
+                return self.requests.offered / ((limits.requests_per_second or 1.0) * round_s)
             case LimitKind.TOKENS:
                 per_s = (limits.tokens_per_minute or 1.0) / SECONDS_PER_MINUTE
-                return self.tokens.offered / (per_s * ROUND_S)
+                return self.tokens.offered / (per_s * round_s)
             case LimitKind.STREAMS:
                 wanted = self.streams.open + self.streams.refused + 1
                 return wanted / (limits.concurrent_streams or 1)
@@ -88,6 +99,18 @@
         self.requests.offered = self.tokens.offered = 0.0
         self.streams.refused = 0
 
+    def missing(self, account: str) -> Loan | None:
+        """Return what this host would borrow now; None while it has enough."""
+        requests = self._missing_of(LimitKind.REQUESTS, self.requests)
+        tokens = self._missing_of(LimitKind.TOKENS, self.tokens)
+        return Loan(account, requests, tokens) if requests or tokens else None
+
+    def _missing_of(self, kind: LimitKind, bucket: Bucket) -> float:
+        """Return what was asked for in this round beyond what is left, when that is little."""
+        if kind not in self.shares or bucket.level >= bucket.most * LOW_PART:
+            return 0.0
+        return max(bucket.most, bucket.offered) - bucket.level
+
     def _part(self, kind: LimitKind) -> float:
         share = self.shares.get(kind)
         return share.part if share else 0.0
@@ -106,6 +129,10 @@
         self._peers = peers
         self._accounts: dict[str, _Account] = {}
         self._day = 0
+        self._desk = LoanDesk(peers)
+        peers.serve(LOAN_MESSAGE, self._serve_loan)
+        self._bytes = 0
+        self._round_ends_at = 0.0
 
     def admit(
         self, account: ClientAccount, tokens: int, now: float, is_stream: bool = True
@@ -134,8 +161,49 @@
             state.streams.open = max(0, state.streams.open - 1)
             state.spend.note(amount)
 
+    def missing(self, account: str) -> Loan | None:
+        """Return what ``borrow`` should ask for now; None while the account has enough."""
+        state = self._accounts.get(account)
+        return state.missing(account) if state else None
+
+    async def borrow(self, wanted: Loan) -> None:
+        """Borrow from another host what this one runs short of.
+
+        Shares follow demand over some rounds; a host that has just started, or
+        that gets a burst, would refuse until then what its account may have.
+        """
+        lent = await self._desk.borrow(wanted)
+        state = self._accounts.get(wanted.account)
+        if lent is not None and state is not None:
+            state.requests.borrow(lent.requests)
+            state.tokens.borrow(lent.tokens)
+
+    async def _serve_loan(self, _: str, payload: bytes) -> bytes:
+        wanted = decode_loan(payload)
+        if wanted is None or wanted.account not in self._accounts:
+            return encode_loan(Loan("", 0.0, 0.0))
+        state = self._accounts[wanted.account]
+        requests = state.requests.lend(wanted.requests, LENT_PART)
+        tokens = state.tokens.lend(wanted.tokens, LENT_PART)
+        return encode_loan(Loan(wanted.account, requests, tokens))
+
+    def spend_left(self, account: ClientAccount) -> float | None:
+        """Return what an account may still spend through this host; None without a limit."""
+        if account.limits.spend_per_day is None:
+            return None
+        return max(0.0, self._state(account).spend.room())
+
     def close_round(self, accounts: Iterable[ClientAccount], now: float, wall_s: float) -> None:
-        """Move shares after a round of ``ROUND_S``, and tell the others."""
+        """Move shares when a round is over, and tell the others.
+
+        Called every ``ROUND_S``. Rounds get longer when the zone's summaries
+        need longer to reach all hosts: what is safe to take rests on their being
+        heard within a few rounds.
+        """
+        if now < self._round_ends_at:
+            return
+        round_s = max(ROUND_S, self._zone_hosts() * self._bytes / SUMMARY_BYTES_PER_S)
+        self._round_ends_at = now + round_s - ROUND_S / 2.0
         self._begin_day(int(wall_s // SECONDS_PER_DAY))
         gathered = self._peers.gathered(LIMITS_TOPIC)
         own_zone = {
@@ -158,11 +226,16 @@
                     dict(zip(other_zones, _claims(other_zones, name, kind), strict=True)),
                     silent,
                     is_current,
+                    len(self._peers.live()),
                 )
-                state.shares.setdefault(kind, Share()).step(state.demand(kind), view)
+                state.shares.setdefault(kind, Share()).step(state.demand(kind, round_s), view)
             state.use_parts(now)
+            state.requests.fill(now)
+            state.tokens.fill(now)
             summary[name] = self._summarise(state)
-        self._peers.publish(LIMITS_TOPIC, encode(summary))
+        payload = encode(summary)
+        self._bytes = len(payload)
+        self._peers.publish(LIMITS_TOPIC, payload)
 
     def part(self, account: str, kind: LimitKind) -> float:
         """Return this host's part of a limit."""
@@ -202,6 +275,9 @@
             return Limited(ErrorKind.SPEND_EXHAUSTED, reason, SECONDS_PER_DAY)
         return None
 
+    def _zone_hosts(self) -> int:
+        return sum(peer.zone == self._peers.me.zone for peer in self._peers.live())
+
     def _begin_day(self, day: int) -> None:
         if day == self._day:
             return
--- a/poplarrun/router/_context.py
+++ b/poplarrun/router/_context.py
@@ -3,6 +3,7 @@
 import random
 from dataclasses import dataclass, field
 
+from poplarrun.admission import ServiceLimit
 from poplarrun.billing import Bill
 from poplarrun.config import Configuration
 from poplarrun.contracts import ClientAccount
@@ -39,12 +40,16 @@
         Entries of requests that began, not handed on yet.
     closed : list of str
         Ids of requests that ended without a bill, not handed on yet.
+    limited_accounts : set of str
+        Accounts whose limits were just counted against, for the host to look at.
     limits : AccountLimits, optional
         Limits of the client accounts; without them none holds.
     retry_budgets : RetryBudgets
         What first attempts have earned, for chats and operations.
     source : random.Random
         Random source of pauses.
+    service_limits : dict of str to ServiceLimit
+        Concurrency limits of plain services, as this host's calls see them.
     """
 
     endpoints: EndpointTable
@@ -54,10 +59,12 @@
     bills: list[Bill] = field(default_factory=list)
     opened: list[Bill] = field(default_factory=list)
     closed: list[str] = field(default_factory=list)
+    limited_accounts: set[str] = field(default_factory=set)
     explanations: Explanations = field(default_factory=Explanations)
     limits: AccountLimits | None = None
     retry_budgets: RetryBudgets = field(default_factory=RetryBudgets)
     source: random.Random = field(default_factory=random.Random)
+    service_limits: dict[str, ServiceLimit] = field(default_factory=dict)
 
     def refuse(
         self,
@@ -70,17 +77,26 @@
         self.metrics.count_refusal(kind)
         return Refusal(kind, message, param, retry_after_s)
 
+    def spend_left(self, account: ClientAccount) -> float | None:
+        """Return what an account may still spend through this host; None without a limit."""
+        return None if self.limits is None else self.limits.spend_left(account)
+
     def check_limits(
         self, account: ClientAccount, tokens: int, now: float, is_stream: bool = True
     ) -> Refusal | None:
         """Count a request against its account's limits, or refuse it."""
         if self.limits is None:
             return None
+        self.limited_accounts.add(account.name)
         limited = self.limits.admit(account, tokens, now, is_stream)
         if limited is None:
             return None
         return self.refuse(limited.kind, limited.reason, retry_after_s=limited.retry_after_s)
 
+    def service_limit(self, service: str) -> ServiceLimit:
+        """Return the concurrency limit of a plain service."""
+        return self.service_limits.setdefault(service, ServiceLimit())
+
     def decide_retry(self, failed: FailedAttempt, key: BudgetKey) -> RetryDecision:
         """Decide on another attempt, at the expense of a budget."""
         return decide_retry(failed, self.retry_budgets.budget(key), self.source)
--- a/poplarrun/router/_messages.py
+++ b/poplarrun/router/_messages.py
@@ -24,6 +24,8 @@
         The caller's session id.
     blocks : tuple of int
         Hashes of the prompt's beginnings, by which engines cache them.
+    session_token : str, optional
+        The token that an earlier answer of the session carried.
     pinned : VersionId, optional
         The version that the session keeps; None while it has none.
     """
@@ -35,6 +37,7 @@
     max_tokens: int
     session: str | None = None
     blocks: tuple[int, ...] = ()
+    session_token: str | None = None
     pinned: VersionId | None = None
 
 
@@ -58,6 +61,10 @@
         Seconds to wait before sending: the pause before a retry.
     sampled : bool
         Whether the worker keeps the answer's text, to be rated.
+    is_held : bool
+        Whether the worker holds the whole answer back and asks ``JudgeChat``.
+    session_token : str, optional
+        What the caller may carry to keep the session's version.
     resumes : bool
         Whether the stream goes on where it broke; else it begins anew.
     cache_from : str
@@ -71,6 +78,8 @@
     timeout_s: float
     delay_s: float = 0.0
     sampled: bool = False
+    is_held: bool = False
+    session_token: str | None = None
     resumes: bool = False
     cache_from: str = ""
 
@@ -139,6 +148,18 @@
     text: str | None = None
 
 
+@dataclass(frozen=True, slots=True)
+class JudgeChat:
+    """The first answer of a cascade is whole; the worker asks whether to give it out."""
+
+    end: EndChat
+
+
+@dataclass(frozen=True, slots=True)
+class AnswerAccepted:
+    """The held answer goes to the caller."""
+
+
 @dataclass(frozen=True, slots=True)
 class BeginOperation:
     """A caller's call of a plain service arrived.
--- a/poplarrun/router/_router.py
+++ b/poplarrun/router/_router.py
@@ -8,6 +8,7 @@
 from poplarrun.router._context import RouterContext
 from poplarrun.router._dispatch import Dispatch
 from poplarrun.router._operations import OperationRouter
+from poplarrun.router._sessions import SessionRouter
 from poplarrun.versions import Versions
 
 DEFAULT_QUEUE_BOUND = 64
@@ -22,6 +23,8 @@
         What the decisions share, the configuration in force among it.
     chats : ChatRouter
         Decides about chat requests.
+    sessions : SessionRouter
+        Finds the version that a chat request's session keeps.
     operations : OperationRouter
         Decides about calls of plain services.
     """
@@ -38,6 +41,7 @@
         self.context = RouterContext(endpoints, metrics, versions, source=source)
         dispatch = Dispatch(endpoints, queue_bound, source, self.context.retry_budgets)
         self.chats = ChatRouter(self.context, dispatch)
+        self.sessions = SessionRouter(self.context)
         self.operations = OperationRouter(self.context)
 
     @property
--- a/poplarrun/server/_host.py
+++ b/poplarrun/server/_host.py
@@ -48,6 +48,7 @@
     EndOperation,
     FindOperation,
     FirstToken,
+    JudgeChat,
     Router,
     SendOperation,
 )
@@ -64,7 +65,7 @@
 from poplarrun.server._peering import keys_of, make_peers, publish_offset, read_zones
 from poplarrun.server._version_tasks import VersionTasks
 from poplarrun.settings import HostSettings
-from poplarrun.versions import Versions
+from poplarrun.versions import SessionKeeper, Versions
 
 HOST_LIST_POLL_S = 0.5
 LOAD_POLL_S = 0.25
@@ -80,6 +81,9 @@
 ROLLOUTS_POLL_S = 0.25
 EVIDENCE_PERIOD_S = 1.0
 RATINGS_POLL_S = 0.25
+# One thread in so many, and at least so many, answer everything but requests.
+RESERVED_SHARE = 16
+MIN_RESERVED_THREADS = 2
 BLOCKING_THREADS = 32
 HAND_OVER_BOUND_S = 5.0
 FIRST_REPORTS_BOUND_S = 2.0
@@ -131,8 +135,10 @@
         self._load_sharing = LoadSharing(self.peers, self._endpoints)
         self._held: dict[str, asyncio.Future[ChatGrant | Refusal]] = {}
         self._pool = ThreadPoolExecutor(BLOCKING_THREADS, thread_name_prefix="platform")
-        self.claims = ClaimKeeper(self.peers, ThreadedLog(log, self._in_thread), clock, time.time)
-        self.billing = BillKeeper(self.peers, ThreadedLog(log, self._in_thread), clock, time.time)
+        awaited_log = ThreadedLog(log, self._in_thread)
+        count = self.metrics.count_event
+        self.claims = ClaimKeeper(self.peers, awaited_log, clock, time.time, count)
+        self.billing = BillKeeper(self.peers, awaited_log, clock, time.time, count)
         versions = Versions(self.peers.me, random.Random(settings.name))
         self.leases = LeaseKeeper(
             ThreadedLog(log, self._in_thread),
@@ -146,6 +152,7 @@
         self.router.context.limits = self._limits
         self.router.operations.keeper = self.claims
         self.router.operations.peers = self.peers
+        self.router.sessions.keeper = SessionKeeper(self.peers)
         self._version_tasks = VersionTasks(
             versions,
             self.peers,
@@ -169,6 +176,7 @@
         )
         self._log = part_logger("host")
         self._tasks: list[asyncio.Task[None]] = []
+        self._beside: set[asyncio.Task[None]] = set()
 
     @property
     def is_ready(self) -> bool:
@@ -183,6 +191,7 @@
         on sending callers here, who did nothing to be refused.
         """
         has_configuration = self.router.context.configuration.offset >= 0
+        has_configuration = has_configuration and self._version_tasks.is_known
         return has_configuration and self._list_seen_at is not None and not self.stopping
 
     def _knows_engines(self) -> bool:
@@ -220,6 +229,17 @@
         follow = self._repeat(self._follow_config, self.config.wait)
         self._tasks.append(asyncio.get_running_loop().create_task(follow))
 
+    @property
+    def is_crowded(self) -> bool:
+        """Whether only the threads are left that answer everything but requests.
+
+        Each open request holds a thread. Were all of them held, callers, the
+        balancer and operators alike would wait unseen, without an answer.
+        """
+        threads = self.settings.limits.threads
+        reserved = max(MIN_RESERVED_THREADS, threads // RESERVED_SHARE)
+        return self.router.open_requests >= threads - reserved
+
     def handle(self, message: object) -> Any:
         """Answer one message; the only entry for other threads.
 
@@ -228,9 +248,23 @@
         """
         answer = self._answer(message)
         self._hand_entries_on()
+        self._borrow_limits()
         bills, self.router.context.bills = self.router.context.bills, []
         return self._keep_bills(bills, answer) if bills else answer
 
+    def _borrow_limits(self) -> None:
+        for account in self.router.context.limited_accounts:
+            wanted = self._limits.missing(account)
+            if wanted is not None:
+                self._spawn(self._limits.borrow(wanted))
+        self.router.context.limited_accounts.clear()
+
+    def _spawn(self, work: Coroutine[Any, Any, None]) -> None:
+        """Run something beside the message that asked for it; the set keeps it from collection."""
+        task = asyncio.get_running_loop().create_task(work)
+        self._beside.add(task)
+        task.add_done_callback(self._beside.discard)
+
     def _hand_entries_on(self) -> None:
         context = self.router.context
         for bill in context.opened:
@@ -248,10 +282,14 @@
         match message:
             case BeginChat() | BeginOperation() if not self.takes_requests:
                 return self._refuse_unready()
+            case BeginChat() | BeginOperation() if self.is_crowded:
+                return self._refuse_crowded()
             case BeginChat() | BeginOperation() if self.billing.is_full:
                 return self._refuse_unbillable()
-            case BeginChat():
+            case BeginChat(session=None, session_token=None):
                 return self._begin_chat(message, now)
+            case BeginChat():
+                return self._begin_in_session(message)
             case BeginOperation():
                 return self.router.operations.begin(message)
             case SendOperation():
@@ -264,6 +302,8 @@
                 return self.router.operations.retry(message)
             case FirstToken():
                 return self.router.chats.note_first_token(message, now)
+            case JudgeChat():
+                return self.router.chats.judge(message, now)
             case EndChat():
                 bill = self.router.chats.end(message, now)
                 self._answer_held()
@@ -296,6 +336,13 @@
         self._answer_held()
         return _wait_for(future)
 
+    async def _begin_in_session(self, message: BeginChat) -> Any:
+        request = await self.router.sessions.pin(message)
+        if isinstance(request, Refusal):
+            return request
+        answer = self._begin_chat(request, self._clock())
+        return await answer if asyncio.iscoroutine(answer) else answer
+
     def _answer_held(self) -> None:
         for request_id, answer in self.router.chats.release(self._clock()):
             self._held.pop(request_id).set_result(answer)
@@ -326,10 +373,8 @@
         await self.leases.release_all()
 
     async def settle_outcomes(self) -> None:
-        """Put the outcomes and bills that are left into the log."""
-        await asyncio.gather(
-            self.claims.drain(HAND_OVER_BOUND_S), self.billing.drain(HAND_OVER_BOUND_S)
-        )
+        """Put the outcomes and bills that are left into the log; peers finish the rest."""
+        await asyncio.gather(self.claims.drain(), self.billing.drain())
 
     async def _leave(self) -> None:
         """Hand over what this host keeps, each part within a bound, then leave the others."""
@@ -372,6 +417,7 @@
                 self._list_seen_at = self._list_seen_at or self._clock()
 
     async def _poll_loads(self) -> None:
+        self._load_sharing.assign()
         polled = self._load_sharing.list_polled(self._clock())
         await asyncio.gather(*(self._poll_load(engine) for engine in polled))
 
@@ -412,6 +458,10 @@
         self.metrics.count_refusal(kind)
         return Refusal(kind, "this host takes no requests now; try another")
 
+    def _refuse_crowded(self) -> Refusal:
+        self.metrics.count_refusal(ErrorKind.QUEUE_FULL)
+        return Refusal(ErrorKind.QUEUE_FULL, "this host has no thread left; try another")
+
     def _refuse_unbillable(self) -> Refusal:
         self.metrics.count_refusal(ErrorKind.BILL_NOT_KEPT)
         return Refusal(ErrorKind.BILL_NOT_KEPT, "the log has taken no bills for long")
@@ -441,6 +491,9 @@
             peer_bytes_sent=self.peers.bytes_sent,
             peer_bytes_received=self.peers.bytes_received,
             rollouts=self._version_tasks.read_rollouts(),
+            bills_held=self.billing.size,
+            bills_waiting=self.billing.waiting,
+            outcomes_waiting=self.claims.unsettled,
         )
 
 
--- a/poplarrun/server/_http_server.py
+++ b/poplarrun/server/_http_server.py
@@ -12,6 +12,7 @@
 from poplarrun.logs import part_logger
 from poplarrun.server._bodies import render_error
 from poplarrun.server._callers import REQUEST_ID_HEADER
+from poplarrun.server._connections import Connection
 from poplarrun.settings import CallersTls, HostSettings
 
 REQUEST_QUEUE = 512
@@ -113,6 +114,7 @@
         timeout=SOCKET_TIMEOUT_S,
         shutdown_timeout=SHUTDOWN_TIMEOUT_S,
     )
+    server.ConnectionClass = Connection
     server.max_request_header_size = MAX_HEADER_BYTES
     if certificate is not None:
         server.ssl_adapter = certificate.adapter
--- a/poplarrun/server/_messages.py
+++ b/poplarrun/server/_messages.py
@@ -108,6 +108,10 @@
         The own zone first.
     peer_bytes_sent, peer_bytes_received : int
         Bytes exchanged with the other hosts since the start.
+    bills_held, bills_waiting : int
+        Bills in memory here, and those of them that wait for the log.
+    outcomes_waiting : int
+        Outcomes and releases of operations that wait for the log.
     """
 
     host: str
@@ -124,3 +128,6 @@
     peer_bytes_sent: int
     peer_bytes_received: int
     rollouts: tuple[RolloutStatus, ...] = ()
+    bills_held: int = 0
+    bills_waiting: int = 0
+    outcomes_waiting: int = 0
--- a/poplarrun/versions/_evidence.py
+++ b/poplarrun/versions/_evidence.py
@@ -14,7 +14,12 @@
 # Ratings are kept as counts on this grid from 0 to 1.
 GRID_STEPS = 16
 GRID = tuple(step / GRID_STEPS for step in range(GRID_STEPS + 1))
+# Scores of a judge are kept in bins of equal width.
+JUDGE_BINS = 8
+BIN_FIELDS = 4
+MILLI = 1000
 SCHEMA = 1
+SECOND_STEP = "/second"
 MEMBERS_MODULUS = 1 << 64
 
 
@@ -25,6 +30,11 @@
     class_name: str
     version: VersionId
 
+    @property
+    def as_second(self) -> "CellKey":
+        """The same version where it answers what a cascade's first step could not."""
+        return CellKey(self.class_name + SECOND_STEP, self.version)
+
     @property
     def number(self) -> int:
         """The key on the wire: 4 bytes instead of two names."""
@@ -44,11 +54,41 @@
         It missed a latency target of its class.
     output_tokens : int
         Its length.
+    whole_s : float
+        Time that it took, in seconds.
+    score : float, optional
+        What a judge gave it.
     """
 
     failed: bool
     late: bool
     output_tokens: int
+    whole_s: float = 0.0
+    score: float | None = None
+
+
+@dataclass(frozen=True, slots=True)
+class JudgedBin:
+    """Answers whose score fell into one bin.
+
+    Attributes
+    ----------
+    answers, rated : float
+        How many there were, and how many of them were rated.
+    quality, squares : float
+        Sums of their ratings and of the squares of these.
+    """
+
+    answers: float
+    rated: float
+    quality: float
+    squares: float
+
+
+def read_bins(judged: Sequence[float]) -> list[JudgedBin]:
+    """Return the bins of ``Evidence.judged``."""
+    bins = [judged[i : i + BIN_FIELDS] for i in range(0, len(judged), BIN_FIELDS)]
+    return [JudgedBin(a, r, q / MILLI, s / MILLI) for a, r, q, s in bins]
 
 
 class Evidence(msgspec.Struct, array_like=True):
@@ -60,8 +100,13 @@
         Answers, those that failed, those that were late, their tokens.
     sampled : int
         Answers that were handed to the rating service.
+    whole_ms : int
+        Sum of the answers' times, in milliseconds.
     ratings : list of int
         How many ratings fell on each point of ``GRID``.
+    judged : list of int
+        For each bin of a judge's scores: answers, rated answers, and the sums of
+        the ratings and of their squares in thousandths. Empty without a judge.
     """
 
     requests: int = 0
@@ -69,7 +114,9 @@
     late: int = 0
     output_tokens: int = 0
     sampled: int = 0
+    whole_ms: int = 0
     ratings: list[int] = msgspec.field(default_factory=lambda: [0] * len(GRID))
+    judged: list[int] = msgspec.field(default_factory=list)
 
     def add_answer(self, seen: AnswerSeen) -> None:
         """Count one answer."""
@@ -77,8 +124,11 @@
         self.failures += seen.failed
         self.late += seen.late
         self.output_tokens += seen.output_tokens
+        self.whole_ms += int(seen.whole_s * MILLI)
+        if seen.score is not None:
+            self._add_judged(seen.score, [1, 0, 0, 0])
 
-    def add_rating(self, quality: float, source: random.Random) -> None:
+    def add_rating(self, quality: float, source: random.Random, score: float | None = None) -> None:
         """Count one rating, rounded at random to a neighbouring grid point.
 
         The random rounding keeps the mean exact, so that tests of the mean
@@ -87,6 +137,9 @@
         scaled = min(1.0, max(0.0, quality)) * GRID_STEPS
         below = min(GRID_STEPS - 1, math.floor(scaled))
         self.ratings[below + (source.random() < scaled - below)] += 1
+        if score is not None:
+            sums = [round(quality * MILLI), round(quality * quality * MILLI)]
+            self._add_judged(score, [0, 1, *sums])
 
     def plus(self, other: "Evidence") -> "Evidence":
         """Return the sum with another one."""
@@ -96,6 +149,13 @@
         """Return what came since an earlier state."""
         return self._combine(other, -1)
 
+    def _add_judged(self, score: float, counts: list[int]) -> None:
+        if not self.judged:
+            self.judged = [0] * (JUDGE_BINS * BIN_FIELDS)
+        place = min(JUDGE_BINS - 1, max(0, int(score * JUDGE_BINS))) * BIN_FIELDS
+        for offset, count in enumerate(counts):
+            self.judged[place + offset] += count
+
     def _combine(self, other: "Evidence", sign: int) -> "Evidence":
         ratings = [a + sign * b for a, b in zip(self.ratings, other.ratings, strict=True)]
         return Evidence(
@@ -104,10 +164,19 @@
             self.late + sign * other.late,
             self.output_tokens + sign * other.output_tokens,
             self.sampled + sign * other.sampled,
+            self.whole_ms + sign * other.whole_ms,
             ratings,
+            _combine_judged(self.judged, other.judged, sign),
         )
 
 
+def _combine_judged(some: list[int], others: list[int], sign: int) -> list[int]:
+    if not others:
+        return some
+    known = some or [0] * len(others)
+    return [a + sign * b for a, b in zip(known, others, strict=True)]
+
+
 class EvidenceSummary(msgspec.Struct, array_like=True):
     """The counters of a host, or the sum over the hosts of a zone.
 
@@ -177,7 +246,9 @@
         As in ``Evidence``, each halved with every half-life.
     awaited : float
         Answers handed in of which no rating came yet, halved likewise.
-    ratings : list of float
+    whole_ms : float
+        As in ``Evidence``, halved likewise.
+    ratings, judged : list of float
         Likewise.
     """
 
@@ -186,6 +257,8 @@
     late: float = 0.0
     output_tokens: float = 0.0
     awaited: float = 0.0
+    whole_ms: float = 0.0
+    judged: list[float] = field(default_factory=list)
     ratings: list[float] = field(default_factory=lambda: [0.0] * len(GRID))
 
     def add(self, delta: Evidence) -> None:
@@ -195,6 +268,10 @@
         self.late += delta.late
         self.output_tokens += delta.output_tokens
         self.awaited = max(0.0, self.awaited + delta.sampled - sum(delta.ratings))
+        self.whole_ms += delta.whole_ms
+        if delta.judged:
+            known = self.judged or [0.0] * len(delta.judged)
+            self.judged = [a + b for a, b in zip(known, delta.judged, strict=True)]
         for index, count in enumerate(delta.ratings):
             if count:
                 self.ratings[index] += count
@@ -206,6 +283,8 @@
         self.late *= answers_factor
         self.output_tokens *= answers_factor
         self.awaited *= awaited_factor
+        self.whole_ms *= answers_factor
+        self.judged = [count * ratings_factor for count in self.judged]
         self.ratings = [count * ratings_factor for count in self.ratings]
 
     @property
--- a/poplarrun/versions/_part.py
+++ b/poplarrun/versions/_part.py
@@ -5,14 +5,13 @@
 from collections import deque
 
 from poplarrun.config import Configuration
-from poplarrun.contracts import VersionId
 from poplarrun.hosts import Peer, Peers
 from poplarrun.log import Entry
 from poplarrun.versions._choice import Choice, ChoiceRequest, Selector
 from poplarrun.versions._estimates import Estimates
 from poplarrun.versions._evidence import EVIDENCE_TOPIC, AnswerSeen, CellKey
 from poplarrun.versions._exposure import Exposure
-from poplarrun.versions._rollouts import Rollouts, fold_rollout
+from poplarrun.versions._rollouts import Rollouts, Snapshot, fold_rollout
 from poplarrun.versions._sampling import RatingSampler, SampledAnswer
 from poplarrun.versions._steward import DueRecord, Steward, StewardView
 
@@ -50,6 +49,11 @@
         self._configuration = Configuration()
         self._publish_at = -math.inf
 
+    @property
+    def has_document(self) -> bool:
+        """Whether a configuration is in force."""
+        return bool(self._configuration.document.classes)
+
     def apply_configuration(self, configuration: Configuration) -> None:
         """Take over the configuration in force."""
         changed = configuration.document is not self._configuration.document
@@ -60,31 +64,42 @@
     def fold(self, entry: Entry) -> None:
         """Apply one record of ``ROLLOUTS_STREAM``."""
         before = self.rollouts.states
-        self.rollouts = fold_rollout(self.rollouts, entry)
-        self._selector.rollouts = self.rollouts
-        self._exposure.apply(self.rollouts)
+        self._take_rollouts(fold_rollout(self.rollouts, entry))
         for key in before.keys() - self.rollouts.states.keys():
             self.estimates.forget(key)
 
+    def skip_rollouts(self, horizon: int) -> None:
+        """Note that roll-out records below an offset are gone from the log."""
+        self._take_rollouts(self.rollouts.skip_to(horizon))
+
+    def adopt_rollouts(self, snapshot: Snapshot) -> None:
+        """Take over the roll-outs that another host told."""
+        self._take_rollouts(self.rollouts.adopt(snapshot))
+
     def choose(self, request: ChoiceRequest) -> Choice:
         """Choose a version for a request."""
         return self._selector.choose(request, self._configuration)
 
-    def wants_rating(self, class_name: str, version: VersionId, why: str, now: float) -> bool:
+    def _take_rollouts(self, rollouts: Rollouts) -> None:
+        self.rollouts = rollouts
+        self._selector.rollouts = rollouts
+        if rollouts.is_whole:
+            self._exposure.apply(rollouts)
+
+    def wants_rating(self, key: CellKey, why: str, now: float) -> bool:
         """Tell whether an answer is to be handed to the rating service."""
-        key = CellKey(class_name, version)
         if not self._sampler.choose(self.estimates.find(key), why, now):
             return False
         self.estimates.note_sampled(key)
         return True
 
-    def note_answer(self, class_name: str, version: VersionId, seen: AnswerSeen) -> None:
+    def note_answer(self, key: CellKey, seen: AnswerSeen) -> None:
         """Count an answer that this host gave."""
-        self.estimates.note_answer(CellKey(class_name, version), seen)
+        self.estimates.note_answer(key, seen)
 
-    def note_rating(self, class_name: str, version: VersionId, quality: float) -> None:
+    def note_rating(self, key: CellKey, quality: float, score: float | None = None) -> None:
         """Count a rating of an answer that this host gave."""
-        self.estimates.note_rating(CellKey(class_name, version), quality)
+        self.estimates.note_rating(key, quality, score)
 
     def keep_sample(self, sample: SampledAnswer) -> None:
         """Keep an answer until it is handed to the rating service."""
