--- a/poplarrun/versions/_choice.py
+++ b/poplarrun/versions/_choice.py
@@ -38,6 +38,8 @@
         Whether it opens a session, which keeps the version.
     spend_left : float, optional
         What the client account may still spend; None without a limit.
+    without : frozenset of VersionId
+        Versions that have no room for it now.
     """
 
     account: ClientAccount
@@ -46,6 +48,7 @@
     max_tokens: int
     in_session: bool = False
     spend_left: float | None = None
+    without: frozenset[VersionId] = frozenset()
 
 
 @dataclass(frozen=True, slots=True)
@@ -175,6 +178,8 @@
         for option in options:
             tokens = min(request.max_tokens, option.tokens)
             option.cost = option.version.price.cost(request.prompt_tokens, tokens)
+        if request.without:
+            return [option for option in options if option.version.id not in request.without]
         return options
 
     def _make_options(self, request: ChoiceRequest, configuration: Configuration) -> list[_Option]:
--- a/scripts/capacity_roles.py
+++ b/scripts/capacity_roles.py
@@ -21,6 +21,9 @@
 HOST_TOKENS_PER_S = TOKENS_PER_S / HOSTS
 HOST_STREAMS = HOST_TOKENS_PER_S * BETWEEN_TOKENS_S
 HOSTS_PER_ZONE = HOSTS / ZONES
+# Each engine is polled by one host of its zone; each host polls one more, the one
+# heard of least recently.
+POLLED_ENDPOINTS = ENDPOINTS / HOSTS + 1
 # Periods of the tasks of poplarrun/server/_host.py.
 LOAD_POLL_S = 0.25
 LOG_POLL_S = 0.25
@@ -43,9 +46,9 @@
     "tokens/s": Size(HOST_TOKENS_PER_S, f"{TOKENS_PER_S} tokens/s over {HOSTS} hosts"),
     "client accounts": Size(ACCOUNTS, "taken: about 10 today, not given"),
     "publications": Size(CHANGES_PER_DAY, "given, one day"),
-    "polled engines": Size(ENDPOINTS / HOSTS, "as polled endpoints"),
+    "polled engines": Size(POLLED_ENDPOINTS, "as polled endpoints"),
     "polled endpoints": Size(
-        ENDPOINTS / HOSTS, f"{ENDPOINTS} runners over {HOSTS} hosts, each polled by one"
+        POLLED_ENDPOINTS, f"{ENDPOINTS} runners over {HOSTS} hosts, and one more each"
     ),
     "open streams": Size(HOST_STREAMS, f"tokens/s x {BETWEEN_TOKENS_S} s between tokens"),
 }
@@ -126,8 +129,6 @@
     time: str
 
 
-# Each engine is polled by one host of its zone.
-POLLED_ENDPOINTS = ENDPOINTS / HOSTS
 LOAD_POLLS_PER_S = POLLED_ENDPOINTS / LOAD_POLL_S
 LOG_READS_PER_S = 1 / LOG_POLL_S
 
@@ -320,6 +321,10 @@
 LIMITS = f"""
 ## What does not hold, and what would change it
 
+- **Shares of account limits.** A host tells 66 bytes an account with four limits. With ten accounts
+  the summaries of a zone's {HOSTS_PER_ZONE:.0f} hosts need most of a minute at a thousand bytes a
+  second; rounds get that long, so a share follows demand that moves in minutes. The change: tell
+  only shares that moved, and give the accounts of a zone to a few of its hosts each.
 - **Log reads.** {HOSTS} hosts that poll a stream every {LOG_POLL_S} s make
   {HOSTS * LOG_READS_PER_S:,.0f} reads a second. Peers already pass on the offset in force: hosts
   should read only on a newer digest, with a slow poll as the fallback.
