--- a/features/limits.feature
+++ b/features/limits.feature
@@ -66,3 +66,25 @@
     Given account limits of 2 hosts for 100.0 spent a day
     When host 1 spends 50.0 over 30 s and dies
     Then host 2 spends at most 55.0 before it is refused
+
+  Scenario: A host that runs short of streams borrows from its zone, between two rounds
+    # A burst comes to one host. Its share would follow only rounds later, and its
+    # callers would be refused while the account is far below its limit. The other
+    # host gives up a part first, so both together never allow more.
+    Given account limits of 2 hosts for 40 concurrent streams
+    When 24 streams begin at host 1 at once, borrowing as the host does
+    Then all 24 streams are open
+    And both hosts together allow at most 40 streams
+
+  Scenario: A loan moves requests, and makes none
+    # Both hosts are asked for far more than the limit; each borrows all the time.
+    Given account limits of 2 hosts for 40 requests a second
+    When 60 requests a second come to each host for 40 s, borrowing as the host does
+    Then at most 1.05 times 40 requests a second passed in all, and a burst of 80
+
+  Scenario: A lost answer to a loan loses the loan
+    # The lender has taken it off and the borrower never hears. The limit is then
+    # used a little less, never more.
+    Given account limits of 2 hosts for 40 concurrent streams
+    When the answer to a loan of host 1 gets lost
+    Then both hosts together allow at most 40 streams
--- a/features/steps/limits.py
+++ b/features/steps/limits.py
@@ -1,3 +1,5 @@
+import asyncio
+
 from behave import given, then, when
 
 from bench.load_limits import LimitRun
@@ -5,7 +7,7 @@
 from poplarrun.contracts import ClientAccount, Limits
 from poplarrun.errors import ErrorKind
 from poplarrun.hosts import MemoryNetwork, MemoryPeers, Peer
-from poplarrun.limits import ROUND_S, AccountLimits
+from poplarrun.limits import LOAN_MESSAGE, ROUND_S, AccountLimits, LimitKind, encode_loan
 
 SETTLED_ROUNDS = 60
 
@@ -195,3 +197,65 @@
 def step_rest(context, host, amount):
     spent = spend(context, host, 200.0)
     assert 40.0 <= spent <= amount, spent
+
+
+def borrow(clock, number):
+    wanted = clock.hosts[number].missing("acme")
+    if wanted is not None:
+        asyncio.run(clock.hosts[number].borrow(wanted))
+
+
+@when("{count:d} streams begin at host {number:d} at once, borrowing as the host does")
+def step_borrowed_streams(context, count, number):
+    for _ in range(20):
+        context.clock.close_round()
+    context.opened = 0
+    for _ in range(count):
+        context.opened += context.clock.admit(number) is None
+        borrow(context.clock, number)
+
+
+@then("all {count:d} streams are open")
+def step_all_open(context, count):
+    assert context.opened == count, context.opened
+
+
+@then("both hosts together allow at most {count:d} streams")
+def step_allowed_streams(context, count):
+    for _ in range(20):
+        parts = [h.part("acme", LimitKind.STREAMS) for h in context.clock.hosts.values()]
+        assert sum(parts) * count <= count + 1e-6, parts
+        context.clock.close_round()
+
+
+@when("{rate:d} requests a second come to each host for {seconds:d} s, borrowing as the host does")
+def step_borrowed_requests(context, rate, seconds):
+    context.passed = 0
+    context.seconds = seconds
+    for second in range(seconds):
+        for turn in range(rate):
+            context.clock.now = second + turn / rate
+            for number in context.clock.hosts:
+                context.passed += context.clock.admit(number) is None
+                borrow(context.clock, number)
+        context.clock.now = float(second)
+        context.clock.close_round()
+
+
+@then("at most {times:f} times {rate:d} requests a second passed in all, and a burst of {burst:d}")
+def step_passed_in_all(context, times, rate, burst):
+    assert context.passed <= times * rate * context.seconds + burst, context.passed
+
+
+@when("the answer to a loan of host {number:d} gets lost")
+def step_lost_loan(context, number):
+    for _ in range(20):
+        context.clock.close_round()
+    for _ in range(18):
+        context.clock.admit(number)
+    lender = context.clock.hosts[2]
+    before = lender.part("acme", LimitKind.STREAMS)
+    payload = encode_loan(context.clock.hosts[number].missing("acme"))
+    asking = context.clock.network.members[f"a{number}"]
+    asyncio.run(asking.ask("a2", LOAN_MESSAGE, payload, 1.0))
+    assert lender.part("acme", LimitKind.STREAMS) < before
--- a/poplarrun/limits/__init__.py
+++ b/poplarrun/limits/__init__.py
@@ -1,6 +1,7 @@
 """Limits of client accounts over all hosts together."""
 
 from poplarrun.limits._accounts import AccountLimits, Limited
+from poplarrun.limits._loans import LOAN_MESSAGE, Loan, encode_loan
 from poplarrun.limits._shares import (
     MATURE_ROUNDS,
     ROUND_S,
@@ -13,6 +14,7 @@
 
 __all__ = [
     "LIMITS_TOPIC",
+    "LOAN_MESSAGE",
     "MATURE_ROUNDS",
     "ROUND_S",
     "VIEW_ROUNDS",
@@ -20,6 +22,8 @@
     "Claimant",
     "LimitKind",
     "Limited",
+    "Loan",
     "Share",
     "ShareView",
+    "encode_loan",
 ]
--- a/poplarrun/limits/_accounts.py
+++ b/poplarrun/limits/_accounts.py
@@ -37,6 +37,9 @@
 # A zone that was not heard for this long is late: nothing is taken until it
 # is heard again, or known to be silent.
 LATE_AFTER_S = 2.5
+# With fewer streams left a host borrows, and so many at a time.
+STREAMS_SPARE = 2
+STREAMS_BORROWED = 4
 
 
 @dataclass(frozen=True, slots=True)
@@ -103,7 +106,29 @@
         """Return what this host would borrow now; None while it has enough."""
         requests = self._missing_of(LimitKind.REQUESTS, self.requests)
         tokens = self._missing_of(LimitKind.TOKENS, self.tokens)
-        return Loan(account, requests, tokens) if requests or tokens else None
+        streams = self._missing_streams()
+        return Loan(account, requests, tokens, streams) if requests or tokens or streams else None
+
+    def _missing_streams(self) -> float:
+        limit = self.limits.concurrent_streams
+        if limit is None or self.streams.allowed - self.streams.open >= STREAMS_SPARE:
+            return 0.0
+        return STREAMS_BORROWED / limit
+
+    def shift_streams(self, part: float) -> None:
+        """Change the part of the streams that this host may have open."""
+        self.shares[LimitKind.STREAMS].shift(part)
+        self.streams.allowed = self._part(LimitKind.STREAMS) * (self.limits.concurrent_streams or 0)
+
+    def lend_streams(self, asked: float) -> float:
+        """Give up a part of the streams, of what is not in use here."""
+        limit = self.limits.concurrent_streams
+        if limit is None or LimitKind.STREAMS not in self.shares:
+            return 0.0
+        spare = (self.streams.allowed - self.streams.open - STREAMS_SPARE) / limit
+        given = max(0.0, min(asked, spare * LENT_PART))
+        self.shift_streams(-given)
+        return given
 
     def _missing_of(self, kind: LimitKind, bucket: Bucket) -> float:
         """Return what was asked for in this round beyond what is left, when that is little."""
@@ -177,15 +202,20 @@
         if lent is not None and state is not None:
             state.requests.borrow(lent.requests)
             state.tokens.borrow(lent.tokens)
+            if lent.streams_part > 0.0 and LimitKind.STREAMS in state.shares:
+                state.shift_streams(lent.streams_part)
 
-    async def _serve_loan(self, _: str, payload: bytes) -> bytes:
+    async def _serve_loan(self, borrower: str, payload: bytes) -> bytes:
         wanted = decode_loan(payload)
         if wanted is None or wanted.account not in self._accounts:
             return encode_loan(Loan("", 0.0, 0.0))
         state = self._accounts[wanted.account]
         requests = state.requests.lend(wanted.requests, LENT_PART)
         tokens = state.tokens.lend(wanted.tokens, LENT_PART)
-        return encode_loan(Loan(wanted.account, requests, tokens))
+        zones = {peer.name: peer.zone for peer in self._peers.live()}
+        is_near = zones.get(borrower) == self._peers.me.zone
+        streams = state.lend_streams(wanted.streams_part) if is_near else 0.0
+        return encode_loan(Loan(wanted.account, requests, tokens, streams))
 
     def spend_left(self, account: ClientAccount) -> float | None:
         """Return what an account may still spend through this host; None without a limit."""
--- a/poplarrun/limits/_loans.py
+++ b/poplarrun/limits/_loans.py
@@ -23,11 +23,16 @@
         The client account.
     requests, tokens : float
         What passes from one host to another.
+    streams_part : float
+        Part of the limit on concurrent streams that passes for good. Only between
+        hosts of one zone: the zone's sum stays as the other zones know it, so
+        nobody else takes what is under way, whatever is cut.
     """
 
     account: str
     requests: float
     tokens: float
+    streams_part: float = 0.0
 
 
 encode_loan = msgspec.msgpack.Encoder().encode
--- a/poplarrun/limits/_shares.py
+++ b/poplarrun/limits/_shares.py
@@ -160,6 +160,13 @@
         self.part = max(self.part, max(START_PART, free) / hosts)
         self.held = max(self.held, self.part)
 
+    def shift(self, amount: float) -> None:
+        """Take over a part that a host of the own zone gave up, or give one up (negative)."""
+        self.part = max(0.0, self.part + amount)
+        self.held = max(0.0, self.held + amount)
+        moved = (max(0.0, recent + amount) for recent in self._recent)
+        self._recent = deque(moved, MATURE_ROUNDS)
+
     def drop(self) -> None:
         """Give everything back, after this host was paused or cut off alone.
 
