--- a/poplarrun/limits/_accounts.py
+++ b/poplarrun/limits/_accounts.py
@@ -7,6 +7,15 @@
 from poplarrun.errors import ErrorKind
 from poplarrun.hosts import Gathered, Peers
 from poplarrun.limits._buckets import Bucket, Spend, Streams
+from poplarrun.limits._loans import (
+    LENT_PART,
+    LOAN_MESSAGE,
+    LOW_PART,
+    Loan,
+    LoanDesk,
+    decode_loan,
+    encode_loan,
+)
 from poplarrun.limits._shares import ROUND_S, Claimant, Share, ShareView
 from poplarrun.limits._summaries import (
     LIMITS_TOPIC,
@@ -88,6 +97,18 @@
         self.requests.offered = self.tokens.offered = 0.0
         self.streams.refused = 0
 
+    def missing(self, account: str) -> Loan | None:
+        """Return what this host would borrow now; None while it has enough."""
+        requests = self._missing_of(LimitKind.REQUESTS, self.requests)
+        tokens = self._missing_of(LimitKind.TOKENS, self.tokens)
+        return Loan(account, requests, tokens) if requests or tokens else None
+
+    def _missing_of(self, kind: LimitKind, bucket: Bucket) -> float:
+        """Return what was asked for in this round beyond what is left, when that is little."""
+        if kind not in self.shares or bucket.level >= bucket.most * LOW_PART:
+            return 0.0
+        return max(bucket.most, bucket.offered) - bucket.level
+
     def _part(self, kind: LimitKind) -> float:
         share = self.shares.get(kind)
         return share.part if share else 0.0
@@ -106,6 +127,8 @@
         self._peers = peers
         self._accounts: dict[str, _Account] = {}
         self._day = 0
+        self._desk = LoanDesk(peers)
+        peers.serve(LOAN_MESSAGE, self._serve_loan)
 
     def admit(
         self, account: ClientAccount, tokens: int, now: float, is_stream: bool = True
@@ -140,6 +163,32 @@
             return None
         return max(0.0, self._state(account).spend.room())
 
+    def missing(self, account: str) -> Loan | None:
+        """Return what ``borrow`` should ask for now; None while the account has enough."""
+        state = self._accounts.get(account)
+        return state.missing(account) if state else None
+
+    async def borrow(self, wanted: Loan) -> None:
+        """Borrow from another host what this one runs short of.
+
+        Shares follow demand over some rounds; a host that has just started, or
+        that gets a burst, would refuse until then what its account may have.
+        """
+        lent = await self._desk.borrow(wanted)
+        state = self._accounts.get(wanted.account)
+        if lent is not None and state is not None:
+            state.requests.borrow(lent.requests)
+            state.tokens.borrow(lent.tokens)
+
+    async def _serve_loan(self, _: str, payload: bytes) -> bytes:
+        wanted = decode_loan(payload)
+        if wanted is None or wanted.account not in self._accounts:
+            return encode_loan(Loan("", 0.0, 0.0))
+        state = self._accounts[wanted.account]
+        requests = state.requests.lend(wanted.requests, LENT_PART)
+        tokens = state.tokens.lend(wanted.tokens, LENT_PART)
+        return encode_loan(Loan(wanted.account, requests, tokens))
+
     def close_round(self, accounts: Iterable[ClientAccount], now: float, wall_s: float) -> None:
         """Move shares after a round of ``ROUND_S``, and tell the others."""
         self._begin_day(int(wall_s // SECONDS_PER_DAY))
@@ -164,9 +213,12 @@
                     dict(zip(other_zones, _claims(other_zones, name, kind), strict=True)),
                     silent,
                     is_current,
+                    len(self._peers.live()),
                 )
                 state.shares.setdefault(kind, Share()).step(state.demand(kind), view)
             state.use_parts(now)
+            state.requests.fill(now)
+            state.tokens.fill(now)
             summary[name] = self._summarise(state)
         self._peers.publish(LIMITS_TOPIC, encode(summary))
 
