--- a/poplarrun/limits/_accounts.py
+++ b/poplarrun/limits/_accounts.py
@@ -28,6 +28,8 @@
     share_claim,
 )
 
+# What a host may spend on hearing the shares of its zone's hosts.
+SUMMARY_BYTES_PER_S = 1000.0
 SECONDS_PER_MINUTE = 60.0
 TOKENS_BURST_S = 10.0
 LONGEST_RETRY_S = 60.0
@@ -68,15 +70,15 @@
         self.requests.fill_up()
         self.tokens.fill_up()
 
-    def demand(self, kind: LimitKind) -> float:
+    def demand(self, kind: LimitKind, round_s: float) -> float:
         """Return what callers asked for since the last round, as a part of the limit."""
         limits = self.limits
         match kind:
             case LimitKind.REQUESTS:
-                return self.requests.offered / ((limits.requests_per_second or 1.0) * ROUND_S)
+                return self.requests.offered / ((limits.requests_per_second or 1.0) * round_s)
             case LimitKind.TOKENS:
                 per_s = (limits.tokens_per_minute or 1.0) / SECONDS_PER_MINUTE
-                return self.tokens.offered / (per_s * ROUND_S)
+                return self.tokens.offered / (per_s * round_s)
             case LimitKind.STREAMS:
                 wanted = self.streams.open + self.streams.refused + 1
                 return wanted / (limits.concurrent_streams or 1)
@@ -129,6 +131,8 @@
         self._day = 0
         self._desk = LoanDesk(peers)
         peers.serve(LOAN_MESSAGE, self._serve_loan)
+        self._bytes = 0
+        self._round_ends_at = 0.0
 
     def admit(
         self, account: ClientAccount, tokens: int, now: float, is_stream: bool = True
@@ -157,12 +161,6 @@
             state.streams.open = max(0, state.streams.open - 1)
             state.spend.note(amount)
 
-    def spend_left(self, account: ClientAccount) -> float | None:
-        """Return what an account may still spend through this host; None without a limit."""
-        if account.limits.spend_per_day is None:
-            return None
-        return max(0.0, self._state(account).spend.room())
-
     def missing(self, account: str) -> Loan | None:
         """Return what ``borrow`` should ask for now; None while the account has enough."""
         state = self._accounts.get(account)
@@ -189,8 +187,23 @@
         tokens = state.tokens.lend(wanted.tokens, LENT_PART)
         return encode_loan(Loan(wanted.account, requests, tokens))
 
+    def spend_left(self, account: ClientAccount) -> float | None:
+        """Return what an account may still spend through this host; None without a limit."""
+        if account.limits.spend_per_day is None:
+            return None
+        return max(0.0, self._state(account).spend.room())
+
     def close_round(self, accounts: Iterable[ClientAccount], now: float, wall_s: float) -> None:
-        """Move shares after a round of ``ROUND_S``, and tell the others."""
+        """Move shares when a round is over, and tell the others.
+
+        Called every ``ROUND_S``. Rounds get longer when the zone's summaries
+        need longer to reach all hosts: what is safe to take rests on their being
+        heard within a few rounds.
+        """
+        if now < self._round_ends_at:
+            return
+        round_s = max(ROUND_S, self._zone_hosts() * self._bytes / SUMMARY_BYTES_PER_S)
+        self._round_ends_at = now + round_s - ROUND_S / 2.0
         self._begin_day(int(wall_s // SECONDS_PER_DAY))
         gathered = self._peers.gathered(LIMITS_TOPIC)
         own_zone = {
@@ -215,12 +228,14 @@
                     is_current,
                     len(self._peers.live()),
                 )
-                state.shares.setdefault(kind, Share()).step(state.demand(kind), view)
+                state.shares.setdefault(kind, Share()).step(state.demand(kind, round_s), view)
             state.use_parts(now)
             state.requests.fill(now)
             state.tokens.fill(now)
             summary[name] = self._summarise(state)
-        self._peers.publish(LIMITS_TOPIC, encode(summary))
+        payload = encode(summary)
+        self._bytes = len(payload)
+        self._peers.publish(LIMITS_TOPIC, payload)
 
     def part(self, account: str, kind: LimitKind) -> float:
         """Return this host's part of a limit."""
@@ -260,6 +275,9 @@
             return Limited(ErrorKind.SPEND_EXHAUSTED, reason, SECONDS_PER_DAY)
         return None
 
+    def _zone_hosts(self) -> int:
+        return sum(peer.zone == self._peers.me.zone for peer in self._peers.live())
+
     def _begin_day(self, day: int) -> None:
         if day == self._day:
             return
--- a/poplarrun/server/_http_server.py
+++ b/poplarrun/server/_http_server.py
@@ -1,5 +1,7 @@
 """The HTTP server of a host: CherryPy on cheroot, its bounds and its certificate."""
 
+import socket
+import ssl
 from collections.abc import Callable
 
 import cherrypy
@@ -14,21 +16,37 @@
 from poplarrun.settings import CallersTls, HostSettings
 
 REQUEST_QUEUE = 512
+# Threads that a host starts with; the rest start while it already serves. On a
+# busy machine 256 threads took a second, a third of a host's time to be ready.
+FIRST_THREADS = 24
 MAX_HEADER_BYTES = 32_768
 # A socket that neither sends nor takes a byte for so long is closed: a
 # half-open or very slow caller must not hold a thread.
-SOCKET_TIMEOUT_S = 30
+SOCKET_TIMEOUT_S = 10
 # Longest wait for an answer's last bytes to go out, after the last request ended.
 SHUTDOWN_TIMEOUT_S = 5
 
 
+class _LateHandshakeAdapter(BuiltinSSLAdapter):
+    """Shakes hands on the connection's own thread instead of the accepting one.
+
+    cheroot would shake hands where it accepts: one caller that connects and
+    stays silent would keep all others out for the whole socket timeout.
+    """
+
+    def wrap(self, sock: socket.socket) -> tuple[ssl.SSLSocket, dict[str, str]]:
+        """Wrap an accepted socket without waiting for its handshake."""
+        wrapped = self.context.wrap_socket(sock, do_handshake_on_connect=False, server_side=True)
+        return wrapped, {"wsgi.url_scheme": "https", "HTTPS": "on"}
+
+
 class CallerCertificate:
     """The certificate that callers see; it can be renewed while the server runs."""
 
     def __init__(self, files: CallersTls) -> None:
         self._files = files
         self._changed_at = self._read_change()
-        self.adapter = BuiltinSSLAdapter(str(files.certificate), str(files.key))
+        self.adapter = _LateHandshakeAdapter(str(files.certificate), str(files.key))
 
     def renew(self) -> bool:
         """Take new files up for connections from now on; tell whether there were any."""
@@ -91,7 +109,7 @@
     server = _Server(
         (ip, int(port)),
         application,
-        numthreads=settings.limits.threads,
+        numthreads=min(FIRST_THREADS, settings.limits.threads),
         request_queue_size=REQUEST_QUEUE,
         timeout=SOCKET_TIMEOUT_S,
         shutdown_timeout=SHUTDOWN_TIMEOUT_S,
@@ -103,6 +121,11 @@
     return server
 
 
+def start_more_threads(server: wsgi.Server, settings: HostSettings) -> None:
+    """Start the threads that ``make_server`` left out; called once the server serves."""
+    server.requests.grow(max(0, settings.limits.threads - FIRST_THREADS))
+
+
 def _log_no_access() -> None:
     """Spare the work of an access line: metrics count the requests, `explain` tells of each."""
 
