--- a/features/steps/cli.py
+++ b/features/steps/cli.py
@@ -1,13 +1,18 @@
+import io
 import json
 import re
 import shlex
 import subprocess
 import sys
 import tempfile
+from contextlib import redirect_stderr, redirect_stdout
 from pathlib import Path
+from unittest import mock
 
 from behave import given, then, when
 
+from poplarrun.cli import main
+
 ROOT = Path(__file__).resolve().parents[2]
 THISTLEDOWN = str(ROOT / "examples" / "thistledown.yaml")
 
@@ -22,6 +27,21 @@
     )
 
 
+def run_cli_here(context, arguments):
+    """Run the command line in this process, sparing the start of another."""
+    output, errors = io.StringIO(), io.StringIO()
+    argv = mock.patch.object(sys, "argv", ["poplarrun", *arguments])
+    with redirect_stdout(output), redirect_stderr(errors), argv:
+        try:
+            main()
+            code = 0
+        except SystemExit as end:
+            code = end.code or 0
+    context.done = subprocess.CompletedProcess(
+        arguments, code, output.getvalue(), errors.getvalue()
+    )
+
+
 def all_hosts(context):
     return ",".join(host.address for host in context.fleet.hosts.values())
 
@@ -36,7 +56,7 @@
 
 @when('the command line runs "{command}"')
 def step_run(context, command):
-    run_cli(context, *shlex.split(command))
+    run_cli_here(context, shlex.split(command))
 
 
 @given('a document file "{name}" with')
--- a/scripts/capacity_roles.py
+++ b/scripts/capacity_roles.py
@@ -328,6 +328,9 @@
 - **Log reads.** {HOSTS} hosts that poll a stream every {LOG_POLL_S} s make
   {HOSTS * LOG_READS_PER_S:,.0f} reads a second. Peers already pass on the offset in force: hosts
   should read only on a newer digest, with a slow poll as the fallback.
+- **Bytes.** The two large parts are membership with its summaries, counted both ways at the busiest
+  host, and the copies of open bills at two peers. Copies that are sent in batches, or smaller
+  summaries, would lower them.
 - **At rest.** The intercept of `cores_by_endpoints` is what a host without a request spends, its
   polls of the log's streams, the host list, the rating service and its engines among it. Longer
   periods, or one read for several streams, would lower it.
