--- a/features/environment.py
+++ b/features/environment.py
@@ -127,6 +127,21 @@
         yield fleet
 
 
+@fixture
+def cascade_fleet(context):
+    """Three zones of one host, engines that give a confidence, answers good or poor."""
+    settings = {
+        "quality": {"cheap:1": 0.95, "dear:1": 0.95},
+        "tokens_per_s": 2000.0,
+        "confidence_noise": 0.02,
+        "poor_share": {"cheap:1": 0.5},
+    }
+    engines = [EnginePlan(f"engine-{zone}", zone, settings) for zone in "abc"]
+    with Fleet(engines, hosts_per_zone=1) as fleet:
+        context.fleet = fleet
+        yield fleet
+
+
 FIXTURES = {
     "fixture.few_threads": few_threads,
     "fixture.keyed_host": keyed_host,
@@ -136,6 +151,7 @@
     "fixture.six_hosts": six_hosts,
     "fixture.two_hosts": two_hosts,
     "fixture.version_fleet": version_fleet,
+    "fixture.cascade_fleet": cascade_fleet,
 }
 
 
--- a/poplarrun/platform/_engines.py
+++ b/poplarrun/platform/_engines.py
@@ -60,11 +60,18 @@
 
 
 class Usage(msgspec.Struct, frozen=True, tag="usage"):
-    """The end of a whole answer, with what it took, in tokens."""
+    """The end of a whole answer, with what it took, in tokens.
+
+    Attributes
+    ----------
+    confidence : float, optional
+        The engine's mean token probability, where it gives one.
+    """
 
     input_tokens: int
     output_tokens: int
     cached_tokens: int = 0
+    confidence: float | None = None
 
 
 @dataclass(frozen=True, slots=True)
--- a/poplarrun/router/_chat_versions.py
+++ b/poplarrun/router/_chat_versions.py
@@ -8,8 +8,13 @@
 from poplarrun.router._messages import BeginChat, EndChat, Explanation
 from poplarrun.versions import (
     AnswerSeen,
+    CellKey,
     ChoiceRequest,
     Chosen,
+    ConfidenceJudge,
+    Escalation,
+    Judge,
+    JudgedAnswer,
     NothingAffordable,
     NothingAllowed,
     NothingMeets,
@@ -37,6 +42,10 @@
         Time to the first token, once it came.
     broken_at : set of str
         Endpoints at which attempts broke.
+    escalation : Escalation, optional
+        The second step of a cascade, while this is the first.
+    is_second : bool
+        Whether this is the second step.
     """
 
     version: Version
@@ -44,6 +53,8 @@
     why: str
     first_token_s: float | None = None
     broken_at: set[str] | None = None
+    escalation: Escalation | None = None
+    is_second: bool = False
 
     def note_broken(self, endpoint: str) -> None:
         """Remember that an attempt broke at an endpoint."""
@@ -62,8 +73,9 @@
 class ChatVersions:
     """Picks versions; called on the loop only."""
 
-    def __init__(self, context: RouterContext) -> None:
+    def __init__(self, context: RouterContext, judge: Judge | None = None) -> None:
         self._context = context
+        self._judge = judge or ConfidenceJudge()
 
     def pick(
         self,
@@ -75,6 +87,7 @@
     ) -> VersionPick | Refusal:
         """Return the version of a new request."""
         if request.pinned is not None:
+            explanation.considered.append(f"the session keeps {request.pinned}")
             return self._pick_pinned(request.pinned, account, work_class, now)
         choice = self._context.versions.choose(
             ChoiceRequest(
@@ -83,14 +96,17 @@
                 request.prompt_tokens,
                 request.max_tokens,
                 in_session=request.session is not None,
+                spend_left=self._context.spend_left(account),
             )
         )
         match choice:
-            case Chosen(version=version, why=why, considered=considered):
+            case Chosen(version=version, why=why, considered=considered, escalation=escalation):
                 explanation.considered = considered
                 explanation.considered.append(f"chosen: {version.id}, {why}")
                 self._context.metrics.count_event(f"choice_{why.replace('-', '_')}")
-                return self._make_pick(version, work_class, why, now)
+                pick = self._make_pick(version, work_class, why, now)
+                pick.escalation = escalation
+                return pick
             case NothingAllowed():
                 message = f"client account {account.name} has no offered version"
                 return self._context.refuse(ErrorKind.VERSION_NOT_ALLOWED, message, "model")
@@ -139,13 +155,45 @@
         if not end.whole and not failed:
             return
         tokens = end.usage.output_tokens
-        seen = AnswerSeen(failed, _is_late(pick, work_class, tokens, took_s), tokens)
+        late, score = _is_late(pick, work_class, tokens, took_s), self._score(end)
+        seen = AnswerSeen(failed, late, tokens, took_s, score)
         versions = self._context.versions
-        versions.note_answer(work_class.name, pick.version.id, seen)
+        key = CellKey(work_class.name, pick.version.id)
+        versions.note_answer(key.as_second if pick.is_second else key, seen)
         if end.text is not None:
-            versions.keep_sample(
-                SampledAnswer(end.request_id, work_class.name, pick.version.id, end.text)
-            )
+            step = "2" if pick.is_second else "1"
+            sample_id = f"{end.request_id}.{step}"
+            sample = SampledAnswer(sample_id, key, end.text, score, pick.is_second)
+            versions.keep_sample(sample)
+
+    def escalate(
+        self,
+        pick: VersionPick,
+        account: ClientAccount,
+        work_class: WorkClass,
+        end: EndChat,
+        now: float,
+    ) -> VersionPick | None:
+        """Return the second step of a cascade; None when the first answer is accepted.
+
+        The second version is checked like any other before new work: where it
+        may not be used any more, the caller gets the first answer.
+        """
+        if pick.escalation is None:
+            return None
+        second = pick.escalation.version
+        score = self._score(end)
+        is_accepted = score is None or score >= pick.escalation.least_score
+        allowed = account.allows_version(second.id)
+        if is_accepted or not allowed or self._context.configuration.is_withdrawn(second.id):
+            return None
+        self._context.metrics.count_event("cascade_escalated")
+        key = CellKey(work_class.name, second.id).as_second
+        sampled = self._context.versions.wants_rating(key, "cascade", now)
+        return VersionPick(second, sampled, "cascade", is_second=True)
+
+    def _score(self, end: EndChat) -> float | None:
+        return self._judge.score(JudgedAnswer(end.request_id, end.usage.confidence))
 
     def _pick_pinned(
         self, pinned: VersionId, account: ClientAccount, work_class: WorkClass, now: float
@@ -162,7 +210,8 @@
     def _make_pick(
         self, version: Version, work_class: WorkClass, why: str, now: float
     ) -> VersionPick:
-        sampled = self._context.versions.wants_rating(work_class.name, version.id, why, now)
+        key = CellKey(work_class.name, version.id)
+        sampled = self._context.versions.wants_rating(key, why, now)
         return VersionPick(version, sampled, why)
 
 
--- a/poplarrun/server/_host.py
+++ b/poplarrun/server/_host.py
@@ -48,6 +48,7 @@
     EndOperation,
     FindOperation,
     FirstToken,
+    JudgeChat,
     Router,
     SendOperation,
 )
@@ -64,7 +65,7 @@
 from poplarrun.server._peering import keys_of, make_peers, publish_offset, read_zones
 from poplarrun.server._version_tasks import VersionTasks
 from poplarrun.settings import HostSettings
-from poplarrun.versions import Versions
+from poplarrun.versions import SessionKeeper, Versions
 
 HOST_LIST_POLL_S = 0.5
 LOAD_POLL_S = 0.25
@@ -151,6 +152,7 @@
         self.router.context.limits = self._limits
         self.router.operations.keeper = self.claims
         self.router.operations.peers = self.peers
+        self.router.sessions.keeper = SessionKeeper(self.peers)
         self._version_tasks = VersionTasks(
             versions,
             self.peers,
@@ -189,6 +191,7 @@
         on sending callers here, who did nothing to be refused.
         """
         has_configuration = self.router.context.configuration.offset >= 0
+        has_configuration = has_configuration and self._version_tasks.is_known
         return has_configuration and self._list_seen_at is not None and not self.stopping
 
     def _knows_engines(self) -> bool:
@@ -283,8 +286,10 @@
                 return self._refuse_crowded()
             case BeginChat() | BeginOperation() if self.billing.is_full:
                 return self._refuse_unbillable()
-            case BeginChat():
+            case BeginChat(session=None, session_token=None):
                 return self._begin_chat(message, now)
+            case BeginChat():
+                return self._begin_in_session(message)
             case BeginOperation():
                 return self.router.operations.begin(message)
             case SendOperation():
@@ -297,6 +302,8 @@
                 return self.router.operations.retry(message)
             case FirstToken():
                 return self.router.chats.note_first_token(message, now)
+            case JudgeChat():
+                return self.router.chats.judge(message, now)
             case EndChat():
                 bill = self.router.chats.end(message, now)
                 self._answer_held()
@@ -329,6 +336,13 @@
         self._answer_held()
         return _wait_for(future)
 
+    async def _begin_in_session(self, message: BeginChat) -> Any:
+        request = await self.router.sessions.pin(message)
+        if isinstance(request, Refusal):
+            return request
+        answer = self._begin_chat(request, self._clock())
+        return await answer if asyncio.iscoroutine(answer) else answer
+
     def _answer_held(self) -> None:
         for request_id, answer in self.router.chats.release(self._clock()):
             self._held.pop(request_id).set_result(answer)
--- a/poplarrun/versions/_sampling.py
+++ b/poplarrun/versions/_sampling.py
@@ -3,8 +3,8 @@
 import random
 from dataclasses import dataclass
 
-from poplarrun.contracts import VersionId
 from poplarrun.versions._estimates import Estimate, Standing
+from poplarrun.versions._evidence import CellKey
 
 # An answer of a version that is settled tells little.
 SETTLED_SHARE = 0.05
@@ -12,18 +12,32 @@
 WANTED_RATINGS = 150.0
 # Log capital at which a version is suspected of having turned bad.
 SUSPICION = 1.5
+CASCADE = "cascade"
 RATINGS_PER_S = 4.0
 BURST = 60.0
 
 
 @dataclass(frozen=True, slots=True)
 class SampledAnswer:
-    """An answer that is to be rated."""
+    """An answer that is to be rated.
+
+    Attributes
+    ----------
+    request_id : str
+        Id under which the rating comes.
+    key : CellKey
+        Its class and version.
+    score : float, optional
+        What a judge gave it.
+    is_second : bool
+        Whether it is the second step of a cascade.
+    """
 
     request_id: str
-    class_name: str
-    version: VersionId
+    key: CellKey
     text: str
+    score: float | None = None
+    is_second: bool = False
 
 
 class RatingSampler:
@@ -57,6 +71,6 @@
 def _share(estimate: Estimate, why: str) -> float:
     if why in ("roll-out", "exploration") or estimate.watch.highest >= SUSPICION:
         return 1.0
-    if estimate.standing is Standing.UNDECIDED:
+    if estimate.standing is Standing.UNDECIDED or why == CASCADE:
         return max(SETTLED_SHARE, min(1.0, WANTED_RATINGS / max(1.0, estimate.rated)) / 2)
     return SETTLED_SHARE
--- a/standins/engine.py
+++ b/standins/engine.py
@@ -93,6 +93,10 @@
         Prompt blocks that the prefix cache holds.
     checks_fencing : bool
         Whether an order with an old fencing number is refused.
+    poor_share : dict of str to float
+        Share of a version's answers that are poor from end to end.
+    confidence_noise : float, optional
+        Error of the confidence that it gives with each answer; None gives none.
     answer_tokens : int
         Length of an answer, where the call allows it.
     """
@@ -104,6 +108,8 @@
     prefill_s_per_token: float = 0.0
     cache_blocks: int = 2000
     checks_fencing: bool = True
+    poor_share: dict[str, float] = {}
+    confidence_noise: float | None = None
     answer_tokens: int = 40
 
 
@@ -139,6 +145,7 @@
     words: list[str]
     touched_at: float
     cancelled: bool = False
+    is_poor: bool = False
     imported: bool = False
 
 
@@ -225,6 +232,7 @@
                     "input_tokens": len(prompt_words),
                     "output_tokens": len(self._streams[body.request_id].words),
                     "cached_tokens": cached,
+                    "confidence": self._confidence(self._streams[body.request_id].words),
                 }
             )
             self.record("end", request_id=body.request_id)
@@ -244,7 +252,7 @@
                 raise DropConnection
             if position >= len(stream.words):
                 self._sleep_for_token()
-                stream.words.append(self._word(body.version))
+                stream.words.append(self._word(stream))
             stream.touched_at = time.monotonic()
             self._break_here(position)
             text = stream.words[position] + " "
@@ -260,6 +268,12 @@
         self._random.shuffle(mixed)
         return mixed
 
+    def _confidence(self, words: list[str]) -> float | None:
+        noise = self.settings.confidence_noise
+        if noise is None:
+            return None
+        return min(1.0, max(0.0, judge_text(" ".join(words)) + self._random.gauss(0.0, noise)))
+
     def _break_here(self, position: int) -> None:
         after = self.faults.die_after_tokens
         if after and position >= after and self.faults.break_streams != 0:
@@ -271,7 +285,12 @@
         rate = self.settings.tokens_per_s * (1.0 - self.settings.slowdown * fullness)
         time.sleep(1.0 / rate + self.faults.freeze_s)
 
-    def _word(self, version: str) -> str:
+    def _word(self, stream: _Stream) -> str:
+        version = stream.version
+        if not stream.words:
+            stream.is_poor = self._random.random() < self.settings.poor_share.get(version, 0.0)
+        if stream.is_poor:
+            return POOR_WORD
         quality = self.faults.quality.get(version, self.settings.quality.get(version, 0.0))
         if self._random.random() < quality:
             return self._random.choice(GOOD_WORDS)
