--- a/poplarrun/endpoints/_sharing.py
+++ b/poplarrun/endpoints/_sharing.py
@@ -15,6 +15,10 @@
 # Polls of endpoints that another host usually polls: those heard of least
 # recently, so that no endpoint stays unknown when its usual host is silent.
 OTHERS_POLLED = 1
+# A new host polls more of them at a time, and asks so many before it calls itself
+# ready.
+OTHERS_POLLED_FIRST = 4
+OTHERS_ASKED_FIRST = 16
 # Engines of the own zone whose cache events this host follows.
 EVENTS_FOLLOWED = 8
 
@@ -109,9 +113,10 @@
         others = [engine for engine in engines if engine.name not in names]
         # By the last try too: dead ones, which never answer, would otherwise
         # always be the oldest and keep the rest from being polled.
-        others.sort(key=lambda e: max(e.true_at, self._tried_at.get(e.name, -math.inf)))
-        polled = others[:OTHERS_POLLED]
-        self._tried_at = {e.name: self._tried_at.get(e.name, -math.inf) for e in others}
+        others.sort(key=lambda e: max(e.true_at, self._last_try(e)))
+        count = OTHERS_POLLED if self.knows_enough() else OTHERS_POLLED_FIRST
+        polled = others[:count]
+        self._tried_at = {e.name: self._last_try(e) for e in others}
         self._tried_at.update((engine.name, now) for engine in polled)
         return owned + polled
 
@@ -123,6 +128,20 @@
             owners.update(self._owners(zone))
         return [engine for engine in engines if owners[engine.name] == self._peers.me.name]
 
+    def knows_enough(self) -> bool:
+        """Tell whether a new host has asked enough engines to be sent requests.
+
+        All of its own zone that it polls, and some of the others: a host that
+        knows no versions yet would refuse what others can serve.
+        """
+        engines = [e for e in self._table.all() if _is_engine(e)]
+        others = [engine for engine in engines if not self.owns(engine)]
+        asked = [e for e in others if math.isfinite(max(e.true_at, self._last_try(e)))]
+        return len(asked) >= min(len(others), OTHERS_ASKED_FIRST)
+
+    def _last_try(self, engine: Endpoint) -> float:
+        return self._tried_at.get(engine.name, -math.inf)
+
     def list_followed(self) -> list[Endpoint]:
         """Return the engines whose cache events this host follows, the assigned ones first."""
         owners = self._owners(self._peers.me.zone)
--- a/poplarrun/server/_host.py
+++ b/poplarrun/server/_host.py
@@ -78,6 +78,9 @@
 ROLLOUTS_POLL_S = 0.25
 EVIDENCE_PERIOD_S = 1.0
 RATINGS_POLL_S = 0.25
+# One thread in so many, and at least so many, answer everything but requests.
+RESERVED_SHARE = 16
+MIN_RESERVED_THREADS = 2
 BLOCKING_THREADS = 32
 HAND_OVER_BOUND_S = 5.0
 
@@ -128,8 +131,10 @@
         self._load_sharing = LoadSharing(self.peers, self._endpoints)
         self._held: dict[str, asyncio.Future[ChatGrant | Refusal]] = {}
         self._pool = ThreadPoolExecutor(BLOCKING_THREADS, thread_name_prefix="platform")
-        self.claims = ClaimKeeper(self.peers, ThreadedLog(log, self._in_thread), clock, time.time)
-        self.billing = BillKeeper(self.peers, ThreadedLog(log, self._in_thread), clock, time.time)
+        awaited_log = ThreadedLog(log, self._in_thread)
+        count = self.metrics.count_event
+        self.claims = ClaimKeeper(self.peers, awaited_log, clock, time.time, count)
+        self.billing = BillKeeper(self.peers, awaited_log, clock, time.time, count)
         versions = Versions(self.peers.me, random.Random(settings.name))
         self.leases = LeaseKeeper(
             ThreadedLog(log, self._in_thread),
@@ -154,6 +159,9 @@
             keys_of(settings),
         )
         self._list_seen = False
+        # Until the engines told what they have loaded, this host would refuse
+        # requests that others can serve.
+        self._loads_polled = False
         self.config = ConfigFollower(
             log,
             self.peers,
@@ -166,11 +174,12 @@
         )
         self._log = part_logger("host")
         self._tasks: list[asyncio.Task[None]] = []
+        self._beside: set[asyncio.Task[None]] = set()
 
     @property
     def is_ready(self) -> bool:
         """Whether the balancer may send callers here."""
-        return self.takes_requests and not self.leaving
+        return self.takes_requests and self._loads_polled and not self.leaving
 
     @property
     def takes_requests(self) -> bool:
@@ -205,6 +214,17 @@
         follow = self._repeat(self._follow_config, self.config.wait)
         self._tasks.append(asyncio.get_running_loop().create_task(follow))
 
+    @property
+    def is_crowded(self) -> bool:
+        """Whether only the threads are left that answer everything but requests.
+
+        Each open request holds a thread. Were all of them held, callers, the
+        balancer and operators alike would wait unseen, without an answer.
+        """
+        threads = self.settings.limits.threads
+        reserved = max(MIN_RESERVED_THREADS, threads // RESERVED_SHARE)
+        return self.router.open_requests >= threads - reserved
+
     def handle(self, message: object) -> Any:
         """Answer one message; the only entry for other threads.
 
@@ -213,9 +233,23 @@
         """
         answer = self._answer(message)
         self._hand_entries_on()
+        self._borrow_limits()
         bills, self.router.context.bills = self.router.context.bills, []
         return self._keep_bills(bills, answer) if bills else answer
 
+    def _borrow_limits(self) -> None:
+        for account in self.router.context.limited_accounts:
+            wanted = self._limits.missing(account)
+            if wanted is not None:
+                self._spawn(self._limits.borrow(wanted))
+        self.router.context.limited_accounts.clear()
+
+    def _spawn(self, work: Coroutine[Any, Any, None]) -> None:
+        """Run something beside the message that asked for it; the set keeps it from collection."""
+        task = asyncio.get_running_loop().create_task(work)
+        self._beside.add(task)
+        task.add_done_callback(self._beside.discard)
+
     def _hand_entries_on(self) -> None:
         context = self.router.context
         for bill in context.opened:
@@ -233,6 +267,8 @@
         match message:
             case BeginChat() | BeginOperation() if not self.takes_requests:
                 return self._refuse_unready()
+            case BeginChat() | BeginOperation() if self.is_crowded:
+                return self._refuse_crowded()
             case BeginChat() | BeginOperation() if self.billing.is_full:
                 return self._refuse_unbillable()
             case BeginChat():
@@ -311,10 +347,8 @@
         await self.leases.release_all()
 
     async def settle_outcomes(self) -> None:
-        """Put the outcomes and bills that are left into the log."""
-        await asyncio.gather(
-            self.claims.drain(HAND_OVER_BOUND_S), self.billing.drain(HAND_OVER_BOUND_S)
-        )
+        """Put the outcomes and bills that are left into the log; peers finish the rest."""
+        await asyncio.gather(self.claims.drain(), self.billing.drain())
 
     async def _leave(self) -> None:
         """Hand over what this host keeps, each part within a bound, then leave the others."""
@@ -358,8 +392,11 @@
 
     async def _poll_loads(self) -> None:
         self._load_sharing.assign()
+        list_seen = self._list_seen
         polled = self._load_sharing.list_polled(self._clock())
         await asyncio.gather(*(self._poll_load(engine) for engine in polled))
+        knows = list_seen and self._load_sharing.knows_enough()
+        self._loads_polled = self._loads_polled or knows
 
     async def _poll_load(self, endpoint: Endpoint) -> None:
         began = self._clock()
@@ -398,6 +435,10 @@
         self.metrics.count_refusal(kind)
         return Refusal(kind, "this host takes no requests now; try another")
 
+    def _refuse_crowded(self) -> Refusal:
+        self.metrics.count_refusal(ErrorKind.QUEUE_FULL)
+        return Refusal(ErrorKind.QUEUE_FULL, "this host has no thread left; try another")
+
     def _refuse_unbillable(self) -> Refusal:
         self.metrics.count_refusal(ErrorKind.BILL_NOT_KEPT)
         return Refusal(ErrorKind.BILL_NOT_KEPT, "the log has taken no bills for long")
@@ -425,6 +466,9 @@
             refusals=dict(self.metrics.refusal_counts),
             zones=read_zones(self.peers),
             rollouts=self._version_tasks.read_rollouts(),
+            bills_held=self.billing.size,
+            bills_waiting=self.billing.waiting,
+            outcomes_waiting=self.claims.unsettled,
         )
 
 
