--- a/poplarrun/limits/_accounts.py
+++ b/poplarrun/limits/_accounts.py
@@ -129,10 +129,10 @@
         self._peers = peers
         self._accounts: dict[str, _Account] = {}
         self._day = 0
-        self._bytes = 0
-        self._round_ends_at = 0.0
         self._desk = LoanDesk(peers)
         peers.serve(LOAN_MESSAGE, self._serve_loan)
+        self._bytes = 0
+        self._round_ends_at = 0.0
 
     def admit(
         self, account: ClientAccount, tokens: int, now: float, is_stream: bool = True
@@ -187,6 +187,12 @@
         tokens = state.tokens.lend(wanted.tokens, LENT_PART)
         return encode_loan(Loan(wanted.account, requests, tokens))
 
+    def spend_left(self, account: ClientAccount) -> float | None:
+        """Return what an account may still spend through this host; None without a limit."""
+        if account.limits.spend_per_day is None:
+            return None
+        return max(0.0, self._state(account).spend.room())
+
     def close_round(self, accounts: Iterable[ClientAccount], now: float, wall_s: float) -> None:
         """Move shares when a round is over, and tell the others.
 
--- a/poplarrun/server/_http_server.py
+++ b/poplarrun/server/_http_server.py
@@ -1,5 +1,7 @@
 """The HTTP server of a host: CherryPy on cheroot, its bounds and its certificate."""
 
+import socket
+import ssl
 from collections.abc import Callable
 
 import cherrypy
@@ -17,18 +19,31 @@
 MAX_HEADER_BYTES = 32_768
 # A socket that neither sends nor takes a byte for so long is closed: a
 # half-open or very slow caller must not hold a thread.
-SOCKET_TIMEOUT_S = 30
+SOCKET_TIMEOUT_S = 10
 # Longest wait for an answer's last bytes to go out, after the last request ended.
 SHUTDOWN_TIMEOUT_S = 5
 
 
+class _LateHandshakeAdapter(BuiltinSSLAdapter):
+    """Shakes hands on the connection's own thread instead of the accepting one.
+
+    cheroot would shake hands where it accepts: one caller that connects and
+    stays silent would keep all others out for the whole socket timeout.
+    """
+
+    def wrap(self, sock: socket.socket) -> tuple[ssl.SSLSocket, dict[str, str]]:
+        """Wrap an accepted socket without waiting for its handshake."""
+        wrapped = self.context.wrap_socket(sock, do_handshake_on_connect=False, server_side=True)
+        return wrapped, {"wsgi.url_scheme": "https", "HTTPS": "on"}
+
+
 class CallerCertificate:
     """The certificate that callers see; it can be renewed while the server runs."""
 
     def __init__(self, files: CallersTls) -> None:
         self._files = files
         self._changed_at = self._read_change()
-        self.adapter = BuiltinSSLAdapter(str(files.certificate), str(files.key))
+        self.adapter = _LateHandshakeAdapter(str(files.certificate), str(files.key))
 
     def renew(self) -> bool:
         """Take new files up for connections from now on; tell whether there were any."""
