End what a fleet started when its start fails

Cause: a start that timed out left thirteen stand-ins running for 40 minutes: the context manager's exit is not called when its entry raises. Change: the entry ends what it started before it raises.

--- a/standins/fleet.py
+++ b/standins/fleet.py
@@ -201,7 +201,12 @@
         self.hosts: dict[str, HostProcess] = {}
 
     def __enter__(self) -> "Fleet":
-        self.start()
+        try:
+            self.start()
+        except BaseException:
+            # Nobody else ends what was started so far; it would run for ever.
+            self.stop()
+            raise
         return self
 
     def __exit__(self, *_: object) -> None:
