Read a loan at the border: no negative part, no kind that is none

Cause: read again, the loans took a peer's part as it came. A negative one made the lender gain what nobody gave up; an unknown kind raised in the handler. Each request of a host that ran short also started a task, with a loan under way or no lender there. Change: the message's types say so (kinds by name, amounts at least 0), which also drops the conversions; no loan is asked for when none can be; an argument that nobody used is gone.

--- a/features/limits.feature
+++ b/features/limits.feature
@@ -89,6 +89,13 @@
     When the answer to a loan of host 1 gets lost
     Then both hosts together allow at most 40 streams
 
+  Scenario: A negative loan has no effect
+    # A broken peer asks for less than nothing. Were it read, the lender would
+    # gain a part that no other host gave up.
+    Given account limits of 2 hosts for 40 concurrent streams
+    When a peer asks host 2 for a part of -0.2 of the streams
+    Then both hosts together allow at most 40 streams
+
   Scenario: A host that stops as planned hands its parts over
     # The other host of the zone can use them at once. Else they would be taken over
     # rounds later, and hosts restarted one after the other would leave little to use.
--- a/features/steps/limits.py
+++ b/features/steps/limits.py
@@ -7,7 +7,7 @@
 from poplarrun.contracts import ClientAccount, Limits
 from poplarrun.errors import ErrorKind
 from poplarrun.hosts import MemoryNetwork, MemoryPeers, Peer
-from poplarrun.limits import LOAN_MESSAGE, ROUND_S, AccountLimits, LimitKind, encode_loan
+from poplarrun.limits import LOAN_MESSAGE, ROUND_S, AccountLimits, LimitKind, Loan, encode_loan
 
 SETTLED_ROUNDS = 60
 
@@ -277,3 +277,14 @@
 def step_allows_at_least(context, number, share, count):
     part = context.clock.hosts[number].part("acme", LimitKind.STREAMS)
     assert part >= share, part * count
+
+
+@when("a peer asks host 2 for a part of {part:f} of the streams")
+def step_negative_loan(context, part):
+    for _ in range(20):
+        context.clock.close_round()
+    before = context.clock.hosts[2].part("acme", LimitKind.STREAMS)
+    payload = encode_loan(Loan("acme", 0.0, 0.0, {LimitKind.STREAMS: part}))
+    asking = context.clock.network.members["a1"]
+    asyncio.run(asking.ask("a2", LOAN_MESSAGE, payload, 1.0))
+    assert context.clock.hosts[2].part("acme", LimitKind.STREAMS) == before
--- a/poplarrun/limits/_accounts.py
+++ b/poplarrun/limits/_accounts.py
@@ -73,7 +73,7 @@
             share = self.shares[kind] = Share()
             share.begin(hosts)
         self.spend.left = self.limits.spend_per_day or 0.0
-        self.use_parts(0.0)
+        self.use_parts()
         self.requests.fill_up()
         self.tokens.fill_up()
 
@@ -92,7 +92,7 @@
             case LimitKind.SPEND:
                 return self.spend.close_round() / max(1e-9, self.spend.left)
 
-    def use_parts(self, now: float) -> None:
+    def use_parts(self) -> None:
         """Take over the parts that this host holds since the last round."""
         self.take_rates()
         self.requests.offered = self.tokens.offered = 0.0
@@ -117,41 +117,41 @@
         parts = self._missing_parts(requests > 0.0, tokens > 0.0)
         return Loan(account, requests, tokens, parts) if requests or tokens or parts else None
 
-    def _missing_parts(self, lacks_requests: bool, lacks_tokens: bool) -> dict[int, float]:
-        parts = {}
+    def _missing_parts(self, lacks_requests: bool, lacks_tokens: bool) -> dict[LimitKind, float]:
+        parts: dict[LimitKind, float] = {}
         if lacks_requests:
-            parts[int(LimitKind.REQUESTS)] = PART_BORROWED
+            parts[LimitKind.REQUESTS] = PART_BORROWED
         if lacks_tokens:
-            parts[int(LimitKind.TOKENS)] = PART_BORROWED
+            parts[LimitKind.TOKENS] = PART_BORROWED
         limit = self.limits.concurrent_streams
         spare = self.streams.allowed - self.streams.open
         if limit is not None and spare < max(1.0, limit * STREAMS_SPARE_PART):
-            parts[int(LimitKind.STREAMS)] = max(PART_BORROWED, 2.0 / limit)
+            parts[LimitKind.STREAMS] = max(PART_BORROWED, 2.0 / limit)
         return parts
 
-    def shift(self, parts: dict[int, float]) -> None:
+    def shift(self, parts: dict[LimitKind, float]) -> None:
         """Take parts over from a host of the own zone, at once."""
         for kind, part in parts.items():
-            if LimitKind(kind) in self.shares:
-                self.shares[LimitKind(kind)].shift(part)
+            if kind in self.shares:
+                self.shares[kind].shift(part)
         self.take_rates()
 
-    def lend_parts(self, asked: dict[int, float]) -> dict[int, float]:
+    def lend_parts(self, asked: dict[LimitKind, float]) -> dict[LimitKind, float]:
         """Give up some of the parts that this host doesn't need itself."""
         given = {}
         for kind, part in asked.items():
-            share = self.shares.get(LimitKind(kind), Share())
+            share = self.shares.get(kind, Share())
             needed = share.want
-            if LimitKind(kind) is LimitKind.STREAMS:
+            if kind is LimitKind.STREAMS:
                 streams = self.limits.concurrent_streams or 1
                 needed = self.streams.open / streams + STREAMS_SPARE_PART
             given[kind] = min(part, max(0.0, share.part - needed) * LENT_PART)
         self.shift({kind: -part for kind, part in given.items()})
         return given
 
-    def give_up(self) -> dict[int, float]:
+    def give_up(self) -> dict[LimitKind, float]:
         """Give up every part, for a host that takes them over."""
-        parts = {int(kind): share.part for kind, share in self.shares.items()}
+        parts = {kind: share.part for kind, share in self.shares.items()}
         for share in self.shares.values():
             share.drop()
         self.take_rates()
@@ -217,7 +217,9 @@
     def missing(self, account: str) -> Loan | None:
         """Return what ``borrow`` should ask for now; None while the account has enough."""
         state = self._accounts.get(account)
-        return state.missing(account) if state else None
+        if state is None or not self._desk.can_ask(account):
+            return None
+        return state.missing(account)
 
     async def borrow(self, wanted: Loan) -> None:
         """Borrow from another host what this one runs short of.
@@ -307,7 +309,7 @@
                     len(self._peers.live()),
                 )
                 state.shares.setdefault(kind, Share()).step(state.demand(kind, round_s), view)
-            state.use_parts(now)
+            state.use_parts()
             state.requests.fill(now)
             state.tokens.fill(now)
             summary[name] = self._summarise(state)
--- a/poplarrun/limits/_loans.py
+++ b/poplarrun/limits/_loans.py
@@ -1,10 +1,12 @@
 """Loans: a host that runs short borrows what another one has left over."""
 
 from dataclasses import dataclass, field
+from typing import Annotated
 
 import msgspec
 
 from poplarrun.hosts import Peers, PeerSilent
+from poplarrun.limits._summaries import LimitKind
 
 LOAN_MESSAGE = "limits.loan"
 HAND_OVER_MESSAGE = "limits.hand_over"
@@ -15,6 +17,10 @@
 LENT_PART = 0.5
 
 
+# A negative amount would take from the host that it is asked of or given to.
+Amount = Annotated[float, msgspec.Meta(ge=0.0)]
+
+
 class Loan(msgspec.Struct, frozen=True, array_like=True):
     """An amount of an account's limits, asked for or given.
 
@@ -24,16 +30,16 @@
         The client account.
     requests, tokens : float
         What passes from one host to another.
-    parts : dict of int to float
+    parts : dict of LimitKind to float
         Parts of the limits, by kind, that pass for good. Only between hosts of
         one zone: the zone's sum stays as the other zones know it, so nobody
         else takes what is under way, whatever is cut.
     """
 
     account: str
-    requests: float
-    tokens: float
-    parts: dict[int, float] = {}
+    requests: Amount
+    tokens: Amount
+    parts: dict[LimitKind, Amount] = {}
 
 
 encode_loan = msgspec.msgpack.Encoder().encode
@@ -61,6 +67,10 @@
     _asking: set[str] = field(default_factory=set)
     _turn: int = 0
 
+    def can_ask(self, account: str) -> bool:
+        """Tell whether a loan may be asked for: no other is under way, and there is a lender."""
+        return account not in self._asking and len(self.peers.live()) > 1
+
     async def borrow(self, wanted: Loan) -> Loan | None:
         """Return what one other host gave; None when there is none or it is silent."""
         lender = self._next_lender()
