--- a/Makefile
+++ b/Makefile
@@ -39,11 +39,15 @@
 clean:
 	rm -rf $(VENV) build *.egg-info
 
-.PHONY: bench-path bench-versions bench-load bench-hosts bench-outcomes bench-config check-histories capacity
+.PHONY: bench-path bench-versions bench-load bench-hosts bench-outcomes bench-config check-histories capacity reports
 
 bench-path bench-versions bench-load bench-hosts bench-outcomes bench-config: install
 	$(PYTHON) -m bench.$(@:bench-%=%)
 
+# FIRMS="thistledown anellidoro" by default; about two minutes each.
+reports: install
+	$(PYTHON) -m examples.reports $(FIRMS)
+
 SEEDS ?= 200
 check-histories: install
 	$(PYTHON) -m scripts.check_histories --seeds $(SEEDS)
