Split the host's loop side: readiness and tasks have modules of their own

Whether a host takes requests, with its refusals, is one job (_readiness.py); starting steps that repeat and work that runs beside a message is another (_tasks.py). The wiring of periodic steps stays where it was, in EntryHost.start_tasks. The three refusals counted and built alike are built in one place. A session's request that waited for its pin is checked again for all three causes instead of the stop alone.

Behaviour else as before.

--- a/poplarrun/server/_daemon.py
+++ b/poplarrun/server/_daemon.py
@@ -61,7 +61,7 @@
             settings,
             RootApi(self.crossing, callers),
             self._certificate,
-            lambda: self.host.leaving,
+            lambda: self.host.readiness.leaving,
         )
         self._stopped = threading.Event()
         self._log = part_logger("daemon")
@@ -85,10 +85,10 @@
         balancer has noticed. Then it refuses new requests, waits for the open
         ones, hands over what it keeps and leaves the other hosts.
         """
-        self.host.leaving = True
+        self.host.readiness.leaving = True
         self._log.info("Leaving.", extra={"open_requests": self.host.router.open_requests})
         time.sleep(self.host.settings.stop.balancer_time_s)
-        self.host.stopping = True
+        self.host.readiness.stopping = True
         left = self._drain()
         self._close_server()
         self.crossing.ask(Leave())
--- a/poplarrun/server/_host.py
+++ b/poplarrun/server/_host.py
@@ -1,10 +1,9 @@
 """An entry host's loop side: the parts, their tasks, and the messages they answer."""
 
 import asyncio
-import logging
 import random
 import time
-from collections.abc import Awaitable, Callable, Coroutine
+from collections.abc import Awaitable, Callable
 from concurrent.futures import ThreadPoolExecutor
 from functools import partial
 from typing import Any, TypeVar
@@ -58,7 +57,9 @@
     ReadStatus,
 )
 from poplarrun.server._peering import keys_of, make_peers, publish_offset, read_zones
+from poplarrun.server._readiness import Readiness
 from poplarrun.server._status import read_endpoint
+from poplarrun.server._tasks import Tasks
 from poplarrun.server._version_tasks import VersionTasks
 from poplarrun.settings import HostSettings
 from poplarrun.versions import SessionKeeper, Versions
@@ -76,9 +77,6 @@
 ROLLOUTS_POLL_S = 0.25
 EVIDENCE_PERIOD_S = 1.0
 RATINGS_POLL_S = 0.25
-# One thread in so many, and at least so many, answer everything but requests.
-RESERVED_SHARE = 16
-MIN_RESERVED_THREADS = 2
 BLOCKING_THREADS = 32
 HAND_OVER_BOUND_S = 5.0
 
@@ -115,8 +113,6 @@
         self.settings = settings
         self.metrics = Metrics()
         self.peers = peers or make_peers(settings, self.metrics, clock)
-        self.leaving = False
-        self.stopping = False
         self.on_leave: list[Callable[[], Awaitable[None]]] = [
             self.settle_outcomes,
             self.hand_leases_over,
@@ -169,27 +165,13 @@
             keys=keys_of(settings),
         )
         self._log = part_logger("host")
-        self._tasks: list[asyncio.Task[None]] = []
-        self._beside: set[asyncio.Task[None]] = set()
-
-    @property
-    def is_ready(self) -> bool:
-        """Whether the balancer may send callers here."""
-        return self.takes_requests and self._endpoint_tasks.knows_engines() and not self.leaving
-
-    @property
-    def takes_requests(self) -> bool:
-        """Whether a request is served: a configuration is in force and endpoints are known.
-
-        A leaving host still serves: until the balancer has noticed, it goes
-        on sending callers here, who did nothing to be refused.
-        """
-        has_configuration = self.router.context.configuration.offset >= 0
-        has_configuration = has_configuration and self._version_tasks.is_known
-        return (
-            has_configuration
-            and self._endpoint_tasks.list_seen_at is not None
-            and not self.stopping
+        self._tasks = Tasks(self.metrics)
+        self.readiness = Readiness(
+            settings.limits.threads,
+            self.router,
+            self._endpoint_tasks,
+            self._version_tasks,
+            self.billing,
         )
 
     def start_tasks(self) -> None:
@@ -209,24 +191,9 @@
             (self._version_tasks.run_steward, ROLLOUTS_POLL_S),
             (self._version_tasks.rate_answers, RATINGS_POLL_S),
         ):
-            pause = partial(asyncio.sleep, period_s)
-            self._tasks.append(asyncio.get_running_loop().create_task(self._repeat(step, pause)))
-        for step, wait in (
-            (self._follow_config, self.config.wait),
-            (self._release_held, self._held.pause),
-        ):
-            self._tasks.append(asyncio.get_running_loop().create_task(self._repeat(step, wait)))
-
-    @property
-    def is_crowded(self) -> bool:
-        """Whether only the threads are left that answer everything but requests.
-
-        Each open request holds a thread. Were all of them held, callers, the
-        balancer and operators alike would wait unseen, without an answer.
-        """
-        threads = self.settings.limits.threads
-        reserved = max(MIN_RESERVED_THREADS, threads // RESERVED_SHARE)
-        return self.router.open_requests >= threads - reserved
+            self._tasks.repeat(step, partial(asyncio.sleep, period_s))
+        self._tasks.repeat(self._follow_config, self.config.wait)
+        self._tasks.repeat(self._release_held, self._held.pause)
 
     def handle(self, message: object) -> Any:
         """Answer one message; the only entry for other threads.
@@ -244,15 +211,9 @@
         for account in self.router.context.limited_accounts:
             wanted = self._limits.missing(account)
             if wanted is not None:
-                self._spawn(self._limits.borrow(wanted))
+                self._tasks.spawn(self._limits.borrow(wanted))
         self.router.context.limited_accounts.clear()
 
-    def _spawn(self, work: Coroutine[Any, Any, None]) -> None:
-        """Run something beside the message that asked for it; the set keeps it from collection."""
-        task = asyncio.get_running_loop().create_task(work)
-        self._beside.add(task)
-        task.add_done_callback(self._beside.discard)
-
     def _hand_entries_on(self) -> None:
         context = self.router.context
         for bill in context.opened:
@@ -268,12 +229,8 @@
     def _answer(self, message: object) -> Any:
         now = self._clock()
         match message:
-            case BeginChat() | BeginOperation() if not self.takes_requests:
-                return self._refuse_unready()
-            case BeginChat() | BeginOperation() if self.is_crowded:
-                return self._refuse_crowded()
-            case BeginChat() | BeginOperation() if self.billing.is_full:
-                return self._refuse_unbillable()
+            case BeginChat() | BeginOperation() if refusal := self.readiness.refuse():
+                return refusal
             case BeginChat(session=None, session_token=None):
                 return self._begin_chat(message, now)
             case BeginChat():
@@ -309,7 +266,7 @@
             case ReadMetrics():
                 return self.metrics.render()
             case ReadReadiness():
-                return self.is_ready
+                return self.readiness.is_ready
             case Leave():
                 return self._leave()
         raise TypeError(f"no handler for {type(message).__name__}")
@@ -329,8 +286,9 @@
             return request
         # The host may have begun its stop meanwhile, and does not wait for a
         # request that has not begun.
-        if not self.takes_requests:
-            return self._refuse_unready()
+        refusal = self.readiness.refuse()
+        if refusal is not None:
+            return refusal
         answer = self._begin_chat(request, self._clock())
         return await answer if asyncio.iscoroutine(answer) else answer
 
@@ -342,22 +300,6 @@
             self._answer_held()
             self._hand_entries_on()
 
-    async def _repeat(
-        self, step: Callable[[], Coroutine[Any, Any, None]], pause: Callable[[], Awaitable[None]]
-    ) -> None:
-        """Run a task's step for ever; one failure must not end the task.
-
-        A task that died silently would leave this host routing on what it
-        knew at that moment, with nothing to show for it but old figures.
-        """
-        while True:
-            try:
-                await step()
-            except Exception:
-                self.metrics.count_event("task_failed")
-                self._log.log(logging.ERROR, "A task failed.", exc_info=True)
-            await pause()
-
     async def hand_leases_over(self) -> None:
         """Hand the jobs of this host over."""
         await self.leases.release_all()
@@ -406,19 +348,6 @@
         accounts = self.router.context.configuration.document.accounts.values()
         self._limits.close_round(accounts, self._clock(), time.time())
 
-    def _refuse_unready(self) -> Refusal:
-        kind = ErrorKind.STOPPING if self.stopping else ErrorKind.NOT_READY
-        self.metrics.count_refusal(kind)
-        return Refusal(kind, "this host takes no requests now; try another")
-
-    def _refuse_crowded(self) -> Refusal:
-        self.metrics.count_refusal(ErrorKind.QUEUE_FULL)
-        return Refusal(ErrorKind.QUEUE_FULL, "this host has no thread left; try another")
-
-    def _refuse_unbillable(self) -> Refusal:
-        self.metrics.count_refusal(ErrorKind.BILL_NOT_KEPT)
-        return Refusal(ErrorKind.BILL_NOT_KEPT, "the log has taken no bills for long")
-
     def _list_classes(self, message: ListClasses) -> list[str] | Refusal:
         document = self.router.context.configuration.document
         account = document.account_for_key(message.api_key)
@@ -433,7 +362,7 @@
             host=self.settings.name,
             zone=self.settings.zone,
             region=self.settings.region,
-            ready=self.is_ready,
+            ready=self.readiness.is_ready,
             offset=configuration.offset,
             log_age_s=round(now - self.config.log_answered_at, 3),
             open_requests=self.router.open_requests,
