Take all tokens that have arrived in one step, and give connections back at once

Cause: the library gives out one HTTP chunk at a time, so a thread that was late for ten tokens read, rendered and sent them in ten steps. strace showed 23 futex calls a token under load. And the generator that reads an answer stopped at its usage line: its connection went back only when the garbage was collected, so that 105 of 224 requests made a new connection to the engine.

Change: platform/_streams.py reads what is there and takes the chunks out of it; HttpEngine gives out lists of answers; their events go out in one send, still one event a token, and nothing waits for more. An event is a text between two byte strings made once an answer. The end of an engine's stream is read after the caller's end.

Ruled out: read1 of the library (one chunk at a time as well, two buffers more); merging tokens into one event (callers and the bench see one a token).

--- a/poplarrun/answers/_reassembly.py
+++ b/poplarrun/answers/_reassembly.py
@@ -33,6 +33,9 @@
         """Take one chunk; return the text that can be given out now."""
         if chunk.position < self.next_position:
             return ""
+        if chunk.position == self.next_position and not self._held:
+            self.next_position += 1
+            return chunk.text
         self._held[chunk.position] = chunk.text
         text = ""
         while self.next_position in self._held:
--- a/poplarrun/platform/_engines.py
+++ b/poplarrun/platform/_engines.py
@@ -10,6 +10,7 @@
 
 from poplarrun.contracts import VersionId
 from poplarrun.platform._http import pool_for, pool_of, url_of
+from poplarrun.platform._streams import StreamedBody
 
 CONNECT_TIMEOUT_S = 0.5
 REPORT_TIMEOUT_S = 1.0
@@ -18,7 +19,6 @@
 OK = 200
 # An engine answers these before it starts any work.
 NOT_STARTED_STATUSES = frozenset({404, 409, 429, 503})
-READ_BYTES = 65_536
 JSON_HEADERS = {"Content-Type": "application/json"}
 BLOCK_WORDS = 16
 HASH_BYTES = 7
@@ -142,8 +142,11 @@
 class Engine(Protocol):
     """Model engines, by address. Calls block and never raise."""
 
-    def generate(self, address: str, call: EngineCall, timeout_s: float) -> Iterator[Answer]:
-        """Generate an answer; the last item is a ``Usage`` or an ``EngineFailed``."""
+    def generate(self, address: str, call: EngineCall, timeout_s: float) -> Iterator[list[Answer]]:
+        """Generate an answer, all that has arrived at a time.
+
+        The last of all is a ``Usage`` or an ``EngineFailed``.
+        """
 
     def cancel(self, address: str, request_id: str) -> None:
         """Ask the engine to stop a stream; a lost ask costs tokens, nothing else."""
@@ -189,8 +192,11 @@
 class HttpEngine:
     """An ``Engine`` over HTTP, answers as one JSON object a line."""
 
-    def generate(self, address: str, call: EngineCall, timeout_s: float) -> Iterator[Answer]:
-        """Generate an answer; the last item is a ``Usage`` or an ``EngineFailed``."""
+    def generate(self, address: str, call: EngineCall, timeout_s: float) -> Iterator[list[Answer]]:
+        """Generate an answer, all that has arrived at a time.
+
+        The last of all is a ``Usage`` or an ``EngineFailed``.
+        """
         body = _GenerateBody(
             call.request_id,
             str(call.version),
@@ -211,16 +217,16 @@
                 preload_content=False,
             )
         except (urllib3.exceptions.NewConnectionError, urllib3.exceptions.ConnectTimeoutError):
-            yield EngineFailed(started=False, reason="connect")
+            yield [EngineFailed(started=False, reason="connect")]
             return
         except urllib3.exceptions.HTTPError:
-            yield EngineFailed(started=True, reason="broken")
+            yield [EngineFailed(started=True, reason="broken")]
             return
         if response.status != OK:
             response.drain_conn()
             response.release_conn()
             started = response.status not in NOT_STARTED_STATUSES
-            yield EngineFailed(started, f"status_{response.status}")
+            yield [EngineFailed(started, f"status_{response.status}")]
             return
         yield from _read_answers(response)
 
@@ -270,49 +276,34 @@
             return EngineFailed(started=False, reason=type(error).__name__)
 
 
-def _read_answers(response: urllib3.BaseHTTPResponse) -> Iterator[Answer]:
-    pieces = _read_pieces(response)
+def _read_answers(response: urllib3.BaseHTTPResponse) -> Iterator[list[Answer]]:
+    body = StreamedBody(response)
+    rest = b""
     finished = False
     try:
-        for line in _split_lines(pieces):
-            answer = _answer_decoder.decode(line)
-            finished = isinstance(answer, Usage)
-            yield answer
-            if finished:
-                break
+        while not finished and (arrived := body.read()):
+            lines, end, rest = (rest + arrived).rpartition(b"\n")
+            if not end:
+                continue
+            answers: list[Answer] = [*_answer_decoder.decode_lines(lines)]
+            finished = isinstance(answers[-1], Usage)
+            yield answers
     except (urllib3.exceptions.HTTPError, msgspec.DecodeError, OSError):
         finished = False
     finally:
         # A connection with an unread rest must not serve the next call: its
         # caller would read another request's chunks. The caller of this one
         # has its whole answer before the end of the stream is waited for.
-        if finished and _is_drained(pieces):
-            response.release_conn()
-        else:
-            response.close()
+        if finished:
+            _read_end(body)
+        body.release()
     if not finished:
-        yield EngineFailed(started=True, reason="broken")
-
+        yield [EngineFailed(started=True, reason="broken")]
 
-def _read_pieces(response: urllib3.BaseHTTPResponse) -> Iterator[bytes]:
-    """Read whatever has come, as soon as it comes."""
-    if response.chunked:
-        yield from response.read_chunked(READ_BYTES, decode_content=False)
-        return
-    while piece := response.read1(READ_BYTES, decode_content=False):
-        yield piece
 
-
-def _split_lines(pieces: Iterator[bytes]) -> Iterator[bytes]:
-    rest = b""
-    for piece in pieces:
-        *lines, rest = (rest + piece).split(b"\n")
-        yield from lines
-
-
-def _is_drained(pieces: Iterator[bytes]) -> bool:
+def _read_end(body: StreamedBody) -> None:
     """Read the end of the stream, which holds nothing more."""
     try:
-        return next(pieces, None) is None
+        body.read()
     except (urllib3.exceptions.HTTPError, OSError):
-        return False
+        return
--- a/poplarrun/server/_bodies.py
+++ b/poplarrun/server/_bodies.py
@@ -99,10 +99,13 @@
 
     def __init__(self, request_id: str, model: str) -> None:
         self._body = _envelope("chat.completion.chunk", request_id, model)
+        event = self._event({"role": "assistant", "content": ""}, None)
+        # All but the text is the same in each event of the answer.
+        self._before, _, self._after = event.rpartition(b'""')
 
-    def render_text(self, text: str) -> bytes:
-        """Return the event of one piece of text."""
-        return self._event({"role": "assistant", "content": text}, None)
+    def render_texts(self, texts: list[str]) -> bytes:
+        """Return the events of pieces of text, one each."""
+        return b"".join([self._before + msgspec.json.encode(text) + self._after for text in texts])
 
     def render_end(self, usage: Usage) -> bytes:
         """Return the events of a clean end."""
--- a/poplarrun/server/_callers.py
+++ b/poplarrun/server/_callers.py
@@ -198,8 +198,8 @@
 def _render_stream(run: ChatRun, first: Piece, renderer: ChunkRenderer) -> Iterator[bytes]:
     for piece in run.pieces(first):
         match piece:
-            case str():
-                yield renderer.render_text(piece)
+            case list():
+                yield renderer.render_texts(piece)
             case Usage() as usage:
                 yield renderer.render_end(usage)
             case BrokenAnswer(refusal=refusal):
--- a/poplarrun/server/_chats.py
+++ b/poplarrun/server/_chats.py
@@ -28,7 +28,8 @@
     refusal: Refusal
 
 
-Piece = str | Usage | BrokenAnswer
+# Texts that arrived at the same time, the end, or the break.
+Piece = list[str] | Usage | BrokenAnswer
 
 
 class ChatRun:
@@ -64,7 +65,8 @@
         self._prompt = prompt
         self._is_streamed = is_streamed
         self._reassembly = Reassembly()
-        self._answers: Iterator[Answer] = iter(())
+        self._answers: Iterator[list[Answer]] = iter(())
+        self._arrived: list[Answer] = []
         self._address = ""
         self._ended = False
         self._sampled = False
@@ -107,11 +109,13 @@
         piece = first
         try:
             yield piece
-            while isinstance(piece, str):
+            while isinstance(piece, list):
                 piece = self._next_piece()
                 yield piece
         finally:
             self._end_early(piece)
+            if isinstance(piece, Usage):
+                self._read_end()
 
     def _hold_answer(self) -> None:
         """Hold a cascade's first answer back until it is judged.
@@ -121,7 +125,7 @@
         an engine that knows the first one would resume the first answer.
         """
         self._is_holding = True
-        while isinstance(piece := self._read_piece(), str):
+        while isinstance(piece := self._read_piece(), list):
             pass
         self._is_holding = False
         if isinstance(piece, BrokenAnswer):
@@ -129,14 +133,16 @@
             return
         match self._crossing.ask(JudgeChat(self._make_end(piece, whole=True))):
             case ChatGrant() as grant:
+                self._read_end()
                 self._engine_id = f"{self._request.request_id}.2"
                 self._open(grant)
             case _:
                 self._end(piece, whole=True)
-                pieces: list[Piece] = [self.text, piece] if self._texts else [piece]
+                pieces: list[Piece] = [[self.text], piece] if self._texts else [piece]
                 self._accepted = iter(pieces)
 
     def _open(self, grant: ChatGrant) -> None:
+        self._arrived = []
         self.version = grant.version
         self.session_token = grant.session_token
         self._sampled = grant.sampled
@@ -145,7 +151,7 @@
             self._reassembly = Reassembly()
             self._texts.clear()
         if grant.cache_from and not self._move_cache(grant):
-            self._answers = iter([EngineFailed(started=False, reason="kv_cache")])
+            self._answers = iter([[EngineFailed(started=False, reason="kv_cache")]])
             return
         call = EngineCall(
             request_id=self._engine_id,
@@ -167,28 +173,49 @@
 
     def _read_piece(self) -> Piece:
         while True:
-            match next(self._answers):
-                case Chunk() as chunk:
-                    text = self._reassembly.add(chunk)
-                    if text:
-                        if self._sampled or not self._is_shown:
-                            self._texts.append(text)
-                        return text
-                    failed = EngineFailed(started=True, reason="gap")
-                    if not self._reassembly.is_overfull:
-                        continue
-                case Usage() as usage if self._is_whole(usage):
+            if not self._arrived:
+                self._arrived = next(self._answers)
+            texts = self._take_texts()
+            if texts:
+                return texts
+            match self._arrived:
+                case [Usage() as usage, *_] if self._is_whole(usage):
                     if not self._is_holding:
                         self._end(usage, whole=True)
                     return usage
-                case Usage():
-                    failed = EngineFailed(started=True, reason="gap")
-                case EngineFailed() as failed:
+                case [EngineFailed() as failed, *_]:
                     pass
+                case [] if not self._reassembly.is_overfull:
+                    continue
+                case _:
+                    failed = EngineFailed(started=True, reason="gap")
             broken = self._go_on(failed)
             if broken is not None:
                 return broken
 
+    def _take_texts(self) -> list[str]:
+        """Take the chunks that have arrived; return the texts that can be given out."""
+        texts = []
+        taken = 0
+        for answer in self._arrived:
+            if not isinstance(answer, Chunk):
+                break
+            taken += 1
+            if text := self._reassembly.add(answer):
+                texts.append(text)
+        self._arrived = self._arrived[taken:]
+        if self._sampled or not self._is_shown:
+            self._texts += texts
+        return texts
+
+    def _read_end(self) -> None:
+        """Read the end of the engine's stream, so that its connection serves again.
+
+        Left to the collection of garbage, it comes back late or never, and
+        the next request makes a new connection.
+        """
+        next(self._answers, None)
+
     def _is_whole(self, usage: Usage) -> bool:
         """Tell whether every token that the engine counted is there.
 
@@ -215,7 +242,7 @@
         raise TypeError("the loop answers a failure with a grant or a refusal")
 
     def _end_early(self, last: Piece) -> None:
-        if self._ended or not isinstance(last, str):
+        if self._ended or not isinstance(last, list):
             return
         self._engine.cancel(self._address, self._engine_id)
         used = Usage(self._request.prompt_tokens, self._reassembly.next_position)
