Hold keyed operations to their account's limits, after the claim

Cause: a call with an idempotency key skipped the account's rate limit and the service's concurrency limit, because a repeat of a recorded key must not hear "not run".

Ruled out: refusing before the claim when a look at the log shows no record. A first call whose claim is still under way would run after its repeat was told "not run".

Change: a non-idempotent call is counted against the limits when it has won its key; above them it releases the key and is refused with not_run: yes, counted by its reason, with Retry-After. An idempotent one with a key is checked at once. What a call cost counts towards the spend.

Cost: a refused keyed call writes two records (claim, release).

--- a/poplarrun/router/_operations.py
+++ b/poplarrun/router/_operations.py
@@ -169,6 +169,8 @@
         bill = Bill(
             end.request_id, call.account.name, call.explanation.subject, call.operation.price
         )
+        if self._context.limits is not None:
+            self._context.limits.note_spend(call.account, bill.amount)
         return self._context.add_bill(bill, call.explanation)
 
     async def find(self, message: FindOperation) -> KnownOutcome | Refusal:
@@ -205,25 +207,40 @@
         if needs_key and not request.idempotency_key:
             message = f"{request.service}/{request.operation} needs an Idempotency-Key header"
             return self._context.refuse(ErrorKind.IDEMPOTENCY_KEY_REQUIRED, message)
-        # A repeat of a key asks what became of the first call: to refuse it as
-        # "not run" would be read as an answer to that.
-        if not request.idempotency_key:
-            limited = self._context.check_limits(account, 0, self._now(), is_stream=False)
+        if operation.idempotent or not request.idempotency_key:
+            limited = self._check_room(account, request.service)
             if limited is not None:
                 return limited
-            limit = self._context.service_limit(request.service)
-            if not limit.has_room():
-                message = (
-                    f"{limit.in_flight} calls of {request.service} run, as many as it can take"
-                )
-                return self._context.refuse(
-                    ErrorKind.QUEUE_FULL, message, retry_after_s=limit.retry_after_s()
-                )
         subject = f"{request.service}/{request.operation}"
         explanation = self._context.open_explanation(request.request_id, account, subject)
         deadline = self._now() + operation.timeout_s
         return _Call(request, account, operation, explanation, deadline)
 
+    def _check_room(self, account: ClientAccount, service: str) -> Refusal | None:
+        """Count a call against its account's limits, or refuse it, or for want of room."""
+        limited = self._context.check_limits(account, 0, self._now(), is_stream=False)
+        limit = self._context.service_limit(service)
+        if limited is not None or limit.has_room():
+            return limited
+        message = f"{limit.in_flight} calls of {service} run, as many as it can take"
+        return self._context.refuse(
+            ErrorKind.QUEUE_FULL, message, retry_after_s=limit.retry_after_s()
+        )
+
+    def _choose_within_limits(self, call: _Call) -> OperationGrant | Refusal:
+        """Go on with a call that won its key, if its account's limits let it through.
+
+        A repeat asks what became of the first call: were it refused as "not
+        run" before its key is looked up, the caller would take that for the
+        answer and send the work again under another key. So limits come only
+        when the log shows that nothing else stands under the key.
+        """
+        limited = self._check_room(call.account, call.request.service)
+        if limited is None:
+            return self._choose(call)
+        self._release(call, limited.kind)
+        return limited
+
     def _check_key(self, call: _Call, key: str) -> tuple[ErrorKind, str] | None:
         if (call.account.name, key) in self._keys_here:
             return ErrorKind.OPERATION_IN_PROGRESS, "a call with this key is under way here"
@@ -263,7 +280,7 @@
         self._context.metrics.record_latency("claim", request.service, self._now() - began)
         match verdict:
             case Won():
-                return self._choose(call)
+                return self._choose_within_limits(call)
             case Taken(holding=holding):
                 call.claim = None
                 if holding is not None and holding.claim.fingerprint != claim.fingerprint:
@@ -335,12 +352,16 @@
         return self._refuse(call, ErrorKind.OPERATION_OUTCOME_UNKNOWN, message)
 
     def _refuse(self, call: _Call, kind: ErrorKind, message: str) -> Refusal:
-        """Close a call with a refusal, and release a claim under which nothing was sent."""
+        """Close a call with a refusal, and count it."""
+        self._release(call, kind)
+        return self._context.refuse(kind, message)
+
+    def _release(self, call: _Call, kind: ErrorKind) -> None:
+        """Close a call, and release a claim under which nothing was sent."""
         self._close(call.request.request_id)
         if call.claim is not None and not call.is_sent and self.keeper is not None:
             self.keeper.settle(Release(call.claim.id, call.claim.account, call.claim.key))
         call.explanation.outcome = f"refused: {kind.value}"
-        return self._context.refuse(kind, message)
 
     def _close(self, request_id: str) -> _Call:
         call = self._calls.pop(request_id)
