--- a/examples/library/budgets.py
+++ b/examples/library/budgets.py
@@ -9,7 +9,7 @@
     """Let all the demand come to the first host, round by round."""
     first, second = Share(), Share()
     for share in (first, second):
-        share.begin(hosts=2)
+        share.begin(0.5)
     for _ in range(ROUNDS):
         told = first.claimant(), second.claimant()
         first.step(1.0, ShareView(own_zone=[told[1]]))
