--- a/poplarrun/server/_host.py
+++ b/poplarrun/server/_host.py
@@ -172,6 +172,8 @@
             self._endpoint_tasks,
             self._version_tasks,
             self.billing,
+            self._limits,
+            has_peers=bool(settings.seeds),
         )
 
     def start_tasks(self) -> None:
@@ -346,6 +348,8 @@
 
     async def _share_limits(self) -> None:
         accounts = self.router.context.configuration.document.accounts.values()
+        if self.router.context.configuration.offset >= 0:
+            await self._limits.begin(accounts)
         self._limits.close_round(accounts, self._clock(), time.time())
 
     def _list_classes(self, message: ListClasses) -> list[str] | Refusal:
--- a/poplarrun/server/_readiness.py
+++ b/poplarrun/server/_readiness.py
@@ -2,6 +2,7 @@
 
 from poplarrun.billing import BillKeeper
 from poplarrun.errors import ErrorKind, Refusal
+from poplarrun.limits import AccountLimits
 from poplarrun.router import Router
 from poplarrun.server._endpoint_tasks import EndpointTasks
 from poplarrun.server._version_tasks import VersionTasks
@@ -18,8 +19,10 @@
     ----------
     threads : int
         Threads that carry bytes.
-    router, endpoint_tasks, version_tasks, billing
+    router, endpoint_tasks, version_tasks, billing, limits
         The parts that must be able to serve.
+    has_peers : bool
+        Whether other hosts are to be heard before account limits are shared.
 
     Attributes
     ----------
@@ -36,6 +39,8 @@
         endpoint_tasks: EndpointTasks,
         version_tasks: VersionTasks,
         billing: BillKeeper,
+        limits: AccountLimits,
+        has_peers: bool,
     ) -> None:
         self.leaving = False
         self.stopping = False
@@ -44,11 +49,15 @@
         self._endpoint_tasks = endpoint_tasks
         self._version_tasks = version_tasks
         self._billing = billing
+        self._limits = limits
+        self._has_peers = has_peers
 
     @property
     def is_ready(self) -> bool:
         """Whether the balancer may send callers here."""
-        return self.takes_requests and self._endpoint_tasks.knows_engines() and not self.leaving
+        has_limits = self._limits.has_begun or not self._has_peers
+        knows_all = self._endpoint_tasks.knows_engines() and has_limits
+        return self.takes_requests and knows_all and not self.leaving
 
     @property
     def takes_requests(self) -> bool:
