Keep a version that is poor alone while its judge tells its good answers

Cause: the bet "not even the least demanding class wants it" counted every rated answer of a version in service.

Ruled out: the trial's bar (both versions serve from the first decision on; the steward did use the trial's bar until the record was folded, mended too), the judge (calibrated scores of the same answers), cut-offs between hosts.

Change: what a version is worth alone no longer counts against it in service while its judge is still learnt, or a cut accepts answers that meet the target; it may then not answer alone. Learning ends after 100 ratings, or when next to no answer is good. New: change detectors of the accepted answers, so that a judge that goes blind is noticed; how many answers a cut accepts is now aged like answers and not like ratings. On trial nothing changes. `_cells.py` is split off `_estimates.py` unchanged, `_cut_watch.py` is new.

--- a/features/steps/versions_cascades.py
+++ b/features/steps/versions_cascades.py
@@ -5,10 +5,11 @@
 import msgspec
 from behave import given, then, when
 
-from poplarrun.contracts import hash_key
+from poplarrun.contracts import ClientAccount, Limits, VersionId, hash_key, parse_document
 from poplarrun.platform import pool_for
-from poplarrun.versions import Evidence, find_cut, make_cuts
+from poplarrun.versions import AnswerSeen, CellKey, Estimates, Evidence, find_cut, make_cuts
 from poplarrun.versions._cascades import SecondStep
+from standins.version_world import RatingTraits, Traits, VersionWorld
 
 KEY = "cascade-key"
 DOCUMENT = f"""
@@ -23,6 +24,11 @@
   shop: {{keys: ["{hash_key(KEY)}"], classes: ["*"], versions: ["*"]}}
 """
 WORDS = 40
+LAST = 300
+CLASS = "digest"
+CHEAP, DEAR = VersionId("cheap", "1"), VersionId("dear", "1")
+CELL = CellKey(CLASS, CHEAP)
+ACCOUNT = ClientAccount("shop", (), ("*",), ("*",), (), Limits())
 
 
 @given(
@@ -57,6 +63,103 @@
     fleet.wait_versions("cheap:1", "dear:1")
 
 
+def make_world(seed, cheap):
+    world = VersionWorld(
+        {(CLASS, CHEAP): cheap, (CLASS, DEAR): Traits(0.95)},
+        host_count=3,
+        seed=seed,
+        ratings=RatingTraits(delay_s=1.0),
+        judged=True,
+    )
+    world.publish(DOCUMENT)
+    world.advance(3.0)
+    return world
+
+
+@given('simulated worlds of a cheap version with {poor:d} in 10 answers poor and "{judge}" scores')
+def step_worlds(context, poor, judge):
+    blind_score = {"telling": None, "blind": 0.9}[judge]
+    # Hard requests are answered wrong more often: 2 leaves not even easy ones right.
+    wrong = poor / 10 if poor < 10 else 2.0
+    cheap = Traits(0.95, wrong=wrong, wrong_quality=0.0, blind_score=blind_score)
+    context.worlds = [make_world(seed, cheap) for seed in range(1, 13)]
+
+
+@when('simulated callers ask for {count:d} "digest" answers in each')
+def step_ask_worlds(context, count):
+    for world in context.worlds:
+        world.run(count, [CLASS], ACCOUNT)
+
+
+@then("the cheap version ends as {role} in each")
+def step_role(context, role):
+    for seed, world in enumerate(context.worlds, 1):
+        cascades = sum(s.why == "cascade" for s in world.served[-LAST:])
+        assert cascades >= LAST * 0.9 if role == "a first step" else cascades == 0, (seed, cascades)
+
+
+@then("it answered alone at most {most:d} times in each, and never in the last 300 requests")
+def step_alone(context, most):
+    for seed, world in enumerate(context.worlds, 1):
+        alone = [s.version == CHEAP and s.why != "cascade" for s in world.served]
+        assert sum(alone) <= most and not any(alone[-LAST:]), (seed, sum(alone))
+
+
+def order_answers(order, poor, good):
+    match order:
+        case "poor first":
+            return [False] * poor + [True] * good
+        case "good first":
+            return [True] * good + [False] * poor
+        case "in turns":
+            return [number % (1 + good // poor) > 0 for number in range(poor + good)]
+    raise ValueError(order)
+
+
+def rate(context, is_good, score):
+    estimates = context.estimates
+    estimates.note_answer(CELL, AnswerSeen(False, False, WORDS, 0.1, score))
+    estimates.note_rating(CELL, 0.95 if is_good else 0.0, score)
+    estimates.refresh()
+    return estimates.find(CELL)
+
+
+def start_estimates(context):
+    context.estimates = Estimates("h0", 1, random.Random(7))
+    context.estimates.apply_document(parse_document(DOCUMENT))
+
+
+@given("{poor:d} poor and {good:d} good rated answers with telling scores, {order}")
+def step_ordered(context, poor, good, order):
+    start_estimates(context)
+    context.seen = [
+        rate(context, is_good, 0.9 if is_good else 0.1)
+        for is_good in order_answers(order, poor, good)
+    ]
+
+
+@then("the version was at no moment taken out of service")
+def step_never_out(context):
+    assert not any(known.is_bad(in_service=True) for known in context.seen)
+
+
+@given("{count:d} good rated answers with telling scores")
+def step_good_past(context, count):
+    start_estimates(context)
+    known = [rate(context, True, 0.9) for _ in range(count)][-1]
+    assert known.mean_quality > 0.9
+
+
+@when("{count:d} poor rated answers come with the scores of good ones")
+def step_blind(context, count):
+    context.known = [rate(context, False, 0.9) for _ in range(count)][-1]
+
+
+@then("no cut of its judge is trusted, and it is taken out of service")
+def step_cut_gone(context):
+    assert not context.known.cuts and context.known.is_bad(in_service=True), context.known
+
+
 def stream(host, **headers):
     body = {
         "model": "digest",
--- a/poplarrun/versions/__init__.py
+++ b/poplarrun/versions/__init__.py
@@ -1,6 +1,7 @@
 """Versions: estimates, the choice among versions, exposure and roll-outs."""
 
 from poplarrun.versions._cascades import Cut, find_cut, make_cuts
+from poplarrun.versions._cells import TRIAL_BAR, Estimate, Standing
 from poplarrun.versions._choice import (
     Choice,
     ChoiceRequest,
@@ -11,7 +12,7 @@
     NothingMeets,
     Selector,
 )
-from poplarrun.versions._estimates import TRIAL_BAR, Estimate, Estimates, Standing
+from poplarrun.versions._estimates import Estimates
 from poplarrun.versions._evidence import (
     EVIDENCE_TOPIC,
     AnswerSeen,
--- a/poplarrun/versions/_choice.py
+++ b/poplarrun/versions/_choice.py
@@ -6,7 +6,8 @@
 
 from poplarrun.config import Configuration
 from poplarrun.contracts import ClientAccount, Unmet, Version, VersionId, WorkClass
-from poplarrun.versions._estimates import PRIOR_TOKENS, Estimate, Estimates, Standing
+from poplarrun.versions._cells import PRIOR_TOKENS, Estimate, Standing
+from poplarrun.versions._estimates import Estimates
 from poplarrun.versions._evidence import CellKey
 from poplarrun.versions._exposure import Exposure
 from poplarrun.versions._plans import (
@@ -32,8 +33,6 @@
 MOST_AWAITED = 30.0
 # How far below the target a version is taken to be while little is known of it.
 DOUBT_OF_THE_UNKNOWN = 0.15
-# Ratings of a poor version from which on its judge is known well enough.
-MOST_JUDGED = 100.0
 # Weight of the belief that an unrated version is as good as its class asks.
 PRIOR_RATINGS = 3.0
 
@@ -281,7 +280,7 @@
             return "bad" if is_serving else "bad on trial"
         if in_service and not state.serves:
             return "roll-out"
-        if estimate.standing is Standing.POOR:
+        if estimate.is_poor:
             return "quality"
         return "latency" if estimate.slow else ""
 
@@ -363,8 +362,7 @@
 
 def _is_to_be_judged(option: Option) -> bool:
     """Tell whether a poor version may serve in a cascade, once enough is known of its judge."""
-    known = option.estimate
-    return option.ruled_out == "quality" and known.is_judged and known.rated < MOST_JUDGED
+    return option.ruled_out == "quality" and not option.estimate.first_step.is_learnt
 
 
 def _is_worth_a_try(option: Option, best: Option) -> bool:
--- a/poplarrun/versions/_estimates.py
+++ b/poplarrun/versions/_estimates.py
@@ -1,7 +1,5 @@
 """What is known of each version in each class, from all hosts' counters."""
 
-import enum
-import math
 import random
 from collections.abc import Sequence
 from dataclasses import dataclass, field
@@ -10,10 +8,9 @@
 
 from poplarrun.contracts import Document
 from poplarrun.hosts import Gathered
-from poplarrun.versions._cascades import Cut, make_cuts
+from poplarrun.versions._cells import NOTHING_KNOWN, Cell, Estimate, Thresholds
 from poplarrun.versions._evidence import (
     GRID,
-    MILLI,
     AgedEvidence,
     AnswerSeen,
     CellKey,
@@ -23,212 +20,21 @@
     encode_summary,
     hash_member,
 )
-from poplarrun.versions._tests import (
-    ChangeDetector,
-    bets_above,
-    bets_below,
-    confidence_radius,
-    log_capital,
-)
 
 RATINGS_HALF_LIFE_S = 3600.0
 ANSWERS_HALF_LIFE_S = 180.0
 # A rating that has not come by then most likely never will.
 AWAITED_HALF_LIFE_S = 600.0
-# Ratings may be biased by this much; a version is bad only beyond it.
-QUALITY_TOLERANCE = 0.05
-FAILURES_ALLOWED = 0.05
-LATE_ALLOWED = 0.05
-# The stated confidence of a choice is 95%.
-UNCERTAINTY = 0.05
-SHOWN = math.log(1.0 / UNCERTAINTY)
-# Capital at which a version on trial is taken out: one wrongly in 200.
-TRIAL_BAR = math.log(200)
-# Capital at which a version in service is: one wrongly in a million observations.
-SERVICE_BAR = math.log(1e6)
-PRIOR_TOKENS = 256.0
 # Evidence fades so slowly that it need not be weighed anew more often.
 AGING_PERIOD_S = 15.0
 # Hosts that are gone are forgotten when there are so many of them.
 SILENT_SOURCES = 100
-
-
-class Standing(enum.Enum):
-    """What the ratings show of a version in a class."""
-
-    GOOD = "good"
-    UNDECIDED = "undecided"
-    POOR = "poor"
-
-
-@dataclass(frozen=True, slots=True)
-class Thresholds:
-    """The bounds that a class's tests are about.
-
-    Attributes
-    ----------
-    quality : float
-        The class's quality target.
-    lowest : float
-        The lowest quality target of all classes.
-    """
-
-    quality: float
-    lowest: float
-
-
-@dataclass(frozen=True, slots=True)
-class Capitals:
-    """Log capitals of the bets against a version.
-
-    Attributes
-    ----------
-    quality : float
-        Against "as good as the class allows".
-    usefulness : float
-        Against "as good as the least demanding class allows".
-    reliability : float
-        Against "fails no more often than is allowed".
-    """
-
-    quality: float = 0.0
-    usefulness: float = 0.0
-    reliability: float = 0.0
-
-    @property
-    def highest(self) -> float:
-        """The highest of them."""
-        return max(self.quality, self.usefulness, self.reliability)
-
-
-NO_CAPITALS = Capitals()
-
-
-@dataclass(frozen=True, slots=True)
-class Estimate:
-    """What is known of one version in one class.
-
-    Attributes
-    ----------
-    standing : Standing
-        What the ratings show, with 95% confidence.
-    rated : float
-        Weight of the ratings behind it.
-    mean_quality : float, optional
-        Mean rating.
-    radius : float
-        Half width of its 95% interval.
-    awaited : float
-        Answers whose rating is still to come.
-    growth_log : float
-        Log capital against "worse than the target less the tolerance".
-    slow : bool
-        Whether it is shown to miss the class's latency targets.
-    output_tokens : float, optional
-        Mean length of its answers.
-    whole_s : float, optional
-        Mean time of its whole answers.
-    is_judged : bool
-        Whether a judge scores its answers.
-    cuts : tuple of Cut
-        What comes of accepting its answers by a judge's score.
-    trial : Capitals
-        Bets from the first observation on, for a version that is rolled out.
-    watch : Capitals
-        Bets that begin anew at any time, for a version that may turn bad.
-    """
-
-    standing: Standing = Standing.UNDECIDED
-    rated: float = 0.0
-    mean_quality: float | None = None
-    radius: float = math.inf
-    awaited: float = 0.0
-    growth_log: float = 0.0
-    slow: bool = False
-    output_tokens: float | None = None
-    whole_s: float | None = None
-    is_judged: bool = False
-    cuts: tuple[Cut, ...] = ()
-    trial: Capitals = NO_CAPITALS
-    watch: Capitals = NO_CAPITALS
-
-    def is_bad(self, in_service: bool) -> bool:
-        """Tell whether the version is shown bad, in service or on trial."""
-        if self.watch.highest >= SERVICE_BAR:
-            return True
-        return not in_service and self.trial.highest >= TRIAL_BAR
-
-
-NOTHING_KNOWN = Estimate()
 NO_EVIDENCE = Evidence()
 
-
 _known_encoder = msgspec.msgpack.Encoder()
 _known_decoder = msgspec.msgpack.Decoder(dict[int, AgedEvidence])
 
 
-class _Cell:
-    """The tests of one version in one class."""
-
-    def __init__(self, thresholds: Thresholds) -> None:
-        self.thresholds = thresholds
-        self.aged = AgedEvidence()
-        self._bad = ChangeDetector(bets_below(thresholds.quality - QUALITY_TOLERANCE))
-        self._useless = ChangeDetector(bets_below(thresholds.lowest - QUALITY_TOLERANCE))
-        self._failing = ChangeDetector(bets_above(FAILURES_ALLOWED))
-
-    def add(self, delta: Evidence) -> None:
-        self.aged.add(delta)
-        if any(delta.ratings):
-            self._bad.add(delta.ratings)
-            self._useless.add(delta.ratings)
-        if delta.requests:
-            self._failing.add(_yes_no(delta.requests, delta.failures))
-
-    def estimate(self) -> Estimate:
-        aged = self.aged
-        allowed = self.thresholds.quality - QUALITY_TOLERANCE
-        late = _yes_no(aged.requests, aged.late)
-        mean = aged.mean_quality
-        radius = confidence_radius(aged.ratings, UNCERTAINTY)
-        return Estimate(
-            standing=_stand(mean, radius, self.thresholds.quality),
-            rated=aged.rated,
-            mean_quality=mean,
-            radius=radius,
-            awaited=aged.awaited,
-            growth_log=log_capital(aged.ratings, bets_above(allowed)),
-            slow=log_capital(late, bets_above(LATE_ALLOWED)) >= SHOWN,
-            whole_s=aged.whole_ms / MILLI / aged.requests if aged.requests > 1.0 else None,
-            is_judged=bool(aged.judged),
-            cuts=make_cuts(aged.judged, UNCERTAINTY),
-            output_tokens=aged.output_tokens / aged.requests if aged.requests > 1.0 else None,
-            trial=Capitals(
-                log_capital(aged.ratings, self._bad.bets),
-                log_capital(aged.ratings, self._useless.bets),
-                log_capital(_yes_no(aged.requests, aged.failures), self._failing.bets),
-            ),
-            watch=Capitals(
-                self._bad.log_capital, self._useless.log_capital, self._failing.log_capital
-            ),
-        )
-
-
-def _stand(mean: float | None, radius: float, target: float) -> Standing:
-    if mean is None:
-        return Standing.UNDECIDED
-    if mean + radius < target:
-        return Standing.POOR
-    return Standing.GOOD if mean - radius >= target else Standing.UNDECIDED
-
-
-def _yes_no(total: float, yes: float) -> list[float]:
-    counts = [0.0] * len(GRID)
-    counts[0] = total - yes
-    counts[-1] = yes
-    return counts
-
-
 @dataclass
 class _Source:
     """A host, or another zone, whose counters are heard."""
@@ -260,7 +66,7 @@
         self._random = source
         self._own: dict[int, Evidence] = {}
         self._sources: dict[str, _Source] = {}
-        self._cells: dict[int, _Cell] = {}
+        self._cells: dict[int, Cell] = {}
         self._thresholds: dict[int, Thresholds] = {}
         self._known: dict[int, Estimate] = {}
         self._changed: set[int] = set()
@@ -347,7 +153,7 @@
             thresholds = self._thresholds.get(number)
             if thresholds is None or len(told.ratings) != len(GRID):
                 continue
-            cell = self._cells.setdefault(number, _Cell(thresholds))
+            cell = self._cells.setdefault(number, Cell(thresholds))
             if told.rated + told.requests > cell.aged.rated + cell.aged.requests:
                 cell.aged = told
                 self._changed.add(number)
@@ -406,7 +212,7 @@
             return
         cell = self._cells.get(number)
         if cell is None:
-            cell = self._cells[number] = _Cell(self._thresholds[number])
+            cell = self._cells[number] = Cell(self._thresholds[number])
         cell.add(delta)
         self._changed.add(number)
 
--- a/poplarrun/versions/_evidence.py
+++ b/poplarrun/versions/_evidence.py
@@ -284,7 +284,11 @@
         self.output_tokens *= answers_factor
         self.awaited *= awaited_factor
         self.whole_ms *= answers_factor
-        self.judged = [count * ratings_factor for count in self.judged]
+        # How many answers a cut accepts must be known of the present, like their time.
+        self.judged = [
+            count * (ratings_factor if place % BIN_FIELDS else answers_factor)
+            for place, count in enumerate(self.judged)
+        ]
         self.ratings = [count * ratings_factor for count in self.ratings]
 
     @property
--- a/poplarrun/versions/_plans.py
+++ b/poplarrun/versions/_plans.py
@@ -5,7 +5,7 @@
 
 from poplarrun.contracts import Targets, Version, VersionId
 from poplarrun.versions._cascades import Cut, SecondStep, find_cut
-from poplarrun.versions._estimates import Estimate, Standing
+from poplarrun.versions._cells import Estimate, Standing
 from poplarrun.versions._evidence import CellKey
 
 # A version is mixed in only once its quality is known this closely.
--- a/poplarrun/versions/_sampling.py
+++ b/poplarrun/versions/_sampling.py
@@ -3,7 +3,7 @@
 import random
 from dataclasses import dataclass
 
-from poplarrun.versions._estimates import Estimate, Standing
+from poplarrun.versions._cells import Estimate, Standing
 from poplarrun.versions._evidence import CellKey
 
 # An answer of a version that is settled tells little.
@@ -69,8 +69,15 @@
 
 
 def _share(estimate: Estimate, why: str) -> float:
-    if why in ("roll-out", "exploration") or estimate.watch.highest >= SUSPICION:
+    if why in ("roll-out", "exploration") or _is_suspected(estimate):
         return 1.0
     if estimate.standing is Standing.UNDECIDED or why == CASCADE:
         return max(SETTLED_SHARE, min(1.0, WANTED_RATINGS / max(1.0, estimate.rated)) / 2)
     return SETTLED_SHARE
+
+
+def _is_suspected(estimate: Estimate) -> bool:
+    """Tell whether a version may be turning bad in what it still does, alone or as a first step."""
+    watch = estimate.watch_in_service
+    alone = 0.0 if estimate.is_poor else estimate.watch.highest
+    return max(alone, watch.highest, estimate.cut_doubt) >= SUSPICION
--- a/poplarrun/versions/_steward.py
+++ b/poplarrun/versions/_steward.py
@@ -8,13 +8,8 @@
 from poplarrun.config import Configuration, Withdrawal
 from poplarrun.contracts import Stage
 from poplarrun.hosts import Peer, rank_hosts
-from poplarrun.versions._estimates import (
-    SERVICE_BAR,
-    TRIAL_BAR,
-    Capitals,
-    Estimate,
-    Estimates,
-)
+from poplarrun.versions._cells import SERVICE_BAR, TRIAL_BAR, Capitals, Estimate
+from poplarrun.versions._estimates import Estimates
 from poplarrun.versions._evidence import CellKey
 from poplarrun.versions._rollouts import (
     Closed,
@@ -131,21 +126,23 @@
         for version, offered in view.configuration.document.versions.items():
             key = CellKey(class_name, version)
             state = view.rollouts.find(key)
+            # Where nothing serves yet all versions do, also before that is in the log.
+            is_serving = state.serves or not has_incumbent
             if offered.stage is Stage.WITHDRAWN:
                 known = key in view.rollouts.states
                 due.append(Closed(next(self._ids), str(version)) if known else None)
             elif not view.configuration.is_withdrawn(version) and not state.rejected:
                 due.append(
-                    self._withdraw(key, state, view)
-                    or self._reject(key, state)
+                    self._withdraw(key, is_serving, view)
+                    or self._reject(key, is_serving)
                     or self._advance(key, state, view, has_incumbent, now)
                 )
         return [record for record in due if record is not None]
 
-    def _withdraw(self, key: CellKey, state: RolloutState, view: StewardView) -> Withdrawal | None:
+    def _withdraw(self, key: CellKey, is_serving: bool, view: StewardView) -> Withdrawal | None:
         """Withdraw a version that fails, or that not even the least demanding class wants."""
         known = self._estimates.find(key)
-        capitals, bar = _capitals(known, state)
+        capitals, bar = _capitals(known, is_serving)
         if max(capitals.usefulness, capitals.reliability) < bar:
             return None
         reason = "quality" if capitals.usefulness >= bar else "failures"
@@ -159,9 +156,9 @@
         text = f"{reason} in class {key.class_name}"
         return Withdrawal(record_id, str(key.version), text, evidence)
 
-    def _reject(self, key: CellKey, state: RolloutState) -> Settled | None:
+    def _reject(self, key: CellKey, is_serving: bool) -> Settled | None:
         known = self._estimates.find(key)
-        capitals, bar = _capitals(known, state)
+        capitals, bar = _capitals(known, is_serving)
         if capitals.quality < bar:
             return None
         return self._settle(key, False, f"quality {known.mean_quality or 0.0:.2f}")
@@ -220,9 +217,11 @@
         return Settled(next(self._ids), key.class_name, str(key.version), serves, reason)
 
 
-def _capitals(known: Estimate, state: RolloutState) -> tuple[Capitals, float]:
+def _capitals(known: Estimate, is_serving: bool) -> tuple[Capitals, float]:
     """Return the bets that count at this stage, and their bar."""
-    if state.serves or known.watch.highest >= SERVICE_BAR:
+    if is_serving:
+        return known.watch_in_service, SERVICE_BAR
+    if known.watch.highest >= SERVICE_BAR:
         return known.watch, SERVICE_BAR
     return known.trial, TRIAL_BAR
 
--- a/standins/version_world.py
+++ b/standins/version_world.py
@@ -53,7 +53,11 @@
     tokens : float
         Mean length.
     wrong : float
-        Share of answers that are wrong; those have quality ``WRONG``.
+        Share of answers that are wrong.
+    wrong_quality : float
+        Quality of those.
+    blind_score : float, optional
+        What a judge that can't tell right from wrong gives each answer.
     whole_s : float
         Time of a whole answer.
     """
@@ -64,11 +68,13 @@
     tokens: float = 200.0
     wrong: float = 0.0
     whole_s: float = 0.5
+    wrong_quality: float = WRONG
+    blind_score: float | None = None
 
     @property
     def mean_quality(self) -> float:
         """Mean over right and wrong answers."""
-        return self.quality * (1.0 - self.wrong) + WRONG * self.wrong
+        return self.quality * (1.0 - self.wrong) + self.wrong_quality * self.wrong
 
 
 @dataclass
@@ -362,7 +368,8 @@
         quality = 0.0 if failed else self.draw_quality(traits, hardness)
         tokens = max(1, int(self.random.gauss(traits.tokens, traits.tokens / 5)))
         late = self.random.random() < traits.late
-        score = min(1.0, max(0.0, quality + self.random.gauss(0.0, JUDGE_NOISE)))
+        told = quality if traits.blind_score is None else traits.blind_score
+        score = min(1.0, max(0.0, told + self.random.gauss(0.0, JUDGE_NOISE)))
         seen = AnswerSeen(
             failed, late, 0 if failed else tokens, traits.whole_s, score if self.judged else None
         )
@@ -379,7 +386,7 @@
         """Return the quality of one answer."""
         # A hard request is more often answered wrong.
         if traits.wrong and self.random.random() < traits.wrong * (1.0 + hardness / HARDNESS / 2):
-            return WRONG
+            return traits.wrong_quality
         return min(1.0, max(0.0, traits.quality - hardness + self.random.gauss(0.0, NOISE)))
 
     def _serve(
