--- a/poplarrun/versions/_steward.py
+++ b/poplarrun/versions/_steward.py
@@ -8,13 +8,8 @@
 from poplarrun.config import Configuration, Withdrawal
 from poplarrun.contracts import Stage
 from poplarrun.hosts import Peer, rank_hosts
-from poplarrun.versions._estimates import (
-    SERVICE_BAR,
-    TRIAL_BAR,
-    Capitals,
-    Estimate,
-    Estimates,
-)
+from poplarrun.versions._cells import SERVICE_BAR, SHOWN, TRIAL_BAR, Capitals, Estimate
+from poplarrun.versions._estimates import Estimates
 from poplarrun.versions._evidence import CellKey
 from poplarrun.versions._rollouts import (
     Closed,
@@ -30,6 +25,8 @@
 STALL_S = 60.0
 # A stage may be granted so often before it grows.
 STALL_FACTOR = 2
+# A roll-out's ratings are in when so many of its requests are rated; some ratings get lost.
+RATED_SHARE = 0.75
 HIGHEST_LOG = 100.0
 
 
@@ -131,21 +128,23 @@
         for version, offered in view.configuration.document.versions.items():
             key = CellKey(class_name, version)
             state = view.rollouts.find(key)
+            # Where nothing serves yet all versions do, also before that is in the log.
+            is_serving = state.serves or not has_incumbent
             if offered.stage is Stage.WITHDRAWN:
                 known = key in view.rollouts.states
                 due.append(Closed(next(self._ids), str(version)) if known else None)
             elif not view.configuration.is_withdrawn(version) and not state.rejected:
                 due.append(
-                    self._withdraw(key, state, view)
-                    or self._reject(key, state)
+                    self._withdraw(key, is_serving, view)
+                    or self._reject(key, is_serving)
                     or self._advance(key, state, view, has_incumbent, now)
                 )
         return [record for record in due if record is not None]
 
-    def _withdraw(self, key: CellKey, state: RolloutState, view: StewardView) -> Withdrawal | None:
+    def _withdraw(self, key: CellKey, is_serving: bool, view: StewardView) -> Withdrawal | None:
         """Withdraw a version that fails, or that not even the least demanding class wants."""
         known = self._estimates.find(key)
-        capitals, bar = _capitals(known, state)
+        capitals, bar = _capitals(known, is_serving)
         if max(capitals.usefulness, capitals.reliability) < bar:
             return None
         reason = "quality" if capitals.usefulness >= bar else "failures"
@@ -159,9 +158,9 @@
         text = f"{reason} in class {key.class_name}"
         return Withdrawal(record_id, str(key.version), text, evidence)
 
-    def _reject(self, key: CellKey, state: RolloutState) -> Settled | None:
+    def _reject(self, key: CellKey, is_serving: bool) -> Settled | None:
         known = self._estimates.find(key)
-        capitals, bar = _capitals(known, state)
+        capitals, bar = _capitals(known, is_serving)
         if capitals.quality < bar:
             return None
         return self._settle(key, False, f"quality {known.mean_quality or 0.0:.2f}")
@@ -180,11 +179,11 @@
         if state.stage + 1 < len(STAGES) and capital >= STAGES[state.stage + 1].capital:
             budget = max(1, STAGES[state.stage + 1].budget - state.budget)
             return self._grant(key, state, state.stage + 1, budget, view.live)
-        return self._grant_again(key, state, capital, view, now)
+        return self._go_on(key, state, capital, view, now)
 
-    def _grant_again(
+    def _go_on(
         self, key: CellKey, state: RolloutState, capital: float, view: StewardView, now: float
-    ) -> Granted | None:
+    ) -> Granted | Settled | None:
         """Grant a stage's budget a second time when its shares seem to lie idle.
 
         A share lies idle at a host that died or has no such requests. It can't
@@ -196,9 +195,22 @@
             return None
         stage = STAGES[state.stage]
         left = STALL_FACTOR * stage.budget - state.budget
-        if now - since < STALL_S or capital < stage.capital or left <= 0:
+        if now - since < STALL_S:
             return None
-        return self._grant(key, state, state.stage, min(left, stage.budget), view.live)
+        if capital >= stage.capital and left > 0:
+            return self._grant(key, state, state.stage, min(left, stage.budget), view.live)
+        return self._give_up(key, state)
+
+    def _give_up(self, key: CellKey, state: RolloutState) -> Settled | None:
+        """Reject a version that has used up its requests, where its ratings lean against it.
+
+        Nothing would decide it otherwise: without requests no rating comes. This is
+        looked at once all of them are rated, so one chance in 20 is not taken often.
+        """
+        known = self._estimates.find(key)
+        if known.rated < RATED_SHARE * state.budget or known.trial.quality < SHOWN:
+            return None
+        return self._settle(key, False, f"quality {known.mean_quality or 0.0:.2f}")
 
     def _grant(
         self,
@@ -220,9 +232,11 @@
         return Settled(next(self._ids), key.class_name, str(key.version), serves, reason)
 
 
-def _capitals(known: Estimate, state: RolloutState) -> tuple[Capitals, float]:
+def _capitals(known: Estimate, is_serving: bool) -> tuple[Capitals, float]:
     """Return the bets that count at this stage, and their bar."""
-    if state.serves or known.watch.highest >= SERVICE_BAR:
+    if is_serving:
+        return known.watch_in_service, SERVICE_BAR
+    if known.watch.highest >= SERVICE_BAR:
         return known.watch, SERVICE_BAR
     return known.trial, TRIAL_BAR
 
