Order which engine holds which version: plan, order, held, routed

Ruled out: one lease for all zones (a zone cut off from the others would get no orders); load and unload as single steps (a late one undoes a newer one in part, and nobody sees which order an engine follows).

Change: package orders (demand summaries, planner, holder), an adapter to the engines' orders and the weight store, the tasks, and a lease for each zone. An order is the whole set of versions, with the lease's fencing number. Versions drain at all hosts before they are unloaded. A version that no engine holds is refused with the expected time.

Conclusion: the path is whole, from the plan to a routed request.

--- a/features/environment.py
+++ b/features/environment.py
@@ -142,7 +142,18 @@
         yield fleet
 
 
+@fixture
+def order_fleet(context):
+    """Two zones of two hosts and one empty engine each that takes orders."""
+    settings = {"quality": {}, "room": 2, "load_s": 3.0}
+    engines = [EnginePlan(f"engine-{zone}", zone, settings) for zone in "ab"]
+    with Fleet(engines, zones=("a", "b")) as fleet:
+        context.fleet = fleet
+        yield fleet
+
+
 FIXTURES = {
+    "fixture.order_fleet": order_fleet,
     "fixture.few_threads": few_threads,
     "fixture.keyed_host": keyed_host,
     "fixture.tls_host": tls_host,
--- /dev/null
+++ b/features/steps/orders.py
@@ -0,0 +1,89 @@
+import urllib3
+from behave import given, then, when
+
+from features.steps.whole_path import EXAMPLES, KEYS, messages
+from standins.fleet import wait_until
+
+LOAD_TIMEOUT_S = 60
+
+
+@given("the order document is in force")
+def step_document(context):
+    context.offset = context.fleet.publish((EXAMPLES / "thistledown.yaml").read_text())
+
+
+@when('a client asks host "{host}" before anything is loaded')
+def step_ask_early(context, host):
+    fleet = context.fleet
+    status = fleet.hosts[host].status
+    wait_until(lambda: status()["offset"] >= context.offset, "the document is in force")
+    ask = {"model": "note", "messages": messages()}
+
+    def refused():
+        context.response = urllib3.request(
+            "POST",
+            f"http://{fleet.hosts[host].address}/v1/chat/completions",
+            json=ask,
+            headers={"Authorization": f"Bearer {KEYS['borough-north']}"},
+            retries=False,
+        )
+        return context.response.json().get("error", {}).get("code") != "not_ready"
+
+    wait_until(refused, "the host takes requests")
+
+
+@then('the answer is "{code}", not run, with a time to come back')
+def step_refused(context, code):
+    error = context.response.json()["error"]
+    assert (error["code"], error["not_run"]) == (code, "yes"), error
+    assert float(context.response.headers["Retry-After"]) > 0
+
+
+def held_in(context, zone):
+    found = set()
+    for plan in context.fleet.engines:
+        if plan.zone == zone:
+            found |= {e["version"] for e in context.fleet.endpoints[plan.name].events("loaded")}
+    return found
+
+
+@then('every zone\'s engines come to hold "{versions}"')
+def step_come_to_hold(context, versions):
+    wanted = set(versions.split())
+    for zone in context.fleet.zones:
+        wait_until(lambda z=zone: wanted <= held_in(context, z), f"{zone} holds", LOAD_TIMEOUT_S)
+    hosts = [h for h in context.fleet.hosts.values() if h.process.poll() is None]
+    for host in hosts:
+        wait_until(lambda h=host: wanted <= known_to(h), f"{host.name} knows", LOAD_TIMEOUT_S)
+
+
+def known_to(host):
+    return {version for e in host.status()["endpoints"] for version in e["versions"]}
+
+
+@then("no engine loaded a version twice")
+def step_no_doubles(context):
+    for plan in context.fleet.engines:
+        loaded = [e["version"] for e in context.fleet.endpoints[plan.name].events("loaded")]
+        assert len(loaded) == len(set(loaded)), (plan.name, loaded)
+
+
+@given("loads take {seconds:d} s")
+def step_slow_loads(context, seconds):
+    assert context.fleet.engines[0].settings["load_s"] == seconds
+
+
+@when('the sender of zone "{zone}" is killed while an engine loads')
+def step_kill_sender(context, zone):
+    engines = [plan.name for plan in context.fleet.engines if plan.zone == zone]
+
+    def ordered():
+        found = [e for name in engines for e in context.fleet.endpoints[name].events("order")]
+        return any(e["versions"] for e in found)
+
+    wait_until(ordered, "an order", LOAD_TIMEOUT_S)
+    hosts = [h for h in context.fleet.hosts.values() if h.zone == zone]
+    senders = [h for h in hosts if "Order sent." in h.log_file.read_text()]
+    assert len(senders) == 1, senders
+    assert not held_in(context, zone)
+    senders[0].kill()
--- a/poplarrun/cli/_status.py
+++ b/poplarrun/cli/_status.py
@@ -76,7 +76,12 @@
     """Write the view as tables for people."""
     tables = [_zone_rows(view), _host_rows(view)]
     if view.hosts:
-        tables += [_endpoint_rows(view), _rollout_rows(view), _refusal_rows(view)]
+        tables += [
+            _endpoint_rows(view),
+            _order_rows(view),
+            _rollout_rows(view),
+            _refusal_rows(view),
+        ]
     return "\n\n".join(_render_table(rows) for rows in tables if len(rows) > 1)
 
 
@@ -108,6 +113,17 @@
     return rows
 
 
+def _order_rows(view: FleetView) -> list[list[str]]:
+    rows = [["ORDERS IN ZONE", "FENCE", "VERSION", "WHERE", "STATE"]]
+    for orders in view.hosts[0].orders:
+        fence = str(orders.fence)
+        for version, seconds in orders.coming.items():
+            rows.append([orders.zone, fence, version, "-", f"coming, {seconds:.0f} s"])
+        for engine, versions in orders.draining.items():
+            rows += [[orders.zone, fence, version, engine, "draining"] for version in versions]
+    return rows
+
+
 def _rollout_rows(view: FleetView) -> list[list[str]]:
     rows = [["ROLL-OUT", "CLASS", "STAGE", "EXPOSURE", "STATE"]]
     for rollout in view.hosts[0].rollouts:
--- a/poplarrun/endpoints/_table.py
+++ b/poplarrun/endpoints/_table.py
@@ -1,7 +1,7 @@
 """The endpoints that a host knows, and what happens to them."""
 
 import random
-from collections.abc import Container, Sequence
+from collections.abc import Container, Mapping, Sequence
 
 from poplarrun.contracts import VersionId
 from poplarrun.endpoints._choice import NO_DEMAND, Choice, Chooser, Demand
@@ -39,6 +39,7 @@
         self._pools: dict[VersionId | str, Pool] = {}
         self._list_seen = False
         self._pools_stale = False
+        self._retired: Mapping[str, frozenset[VersionId]] = {}
         self._assigned: frozenset[str] = frozenset()
         self.prefixes = PrefixIndex()
         self.chooser = Chooser(source, self.prefixes, zone)
@@ -111,6 +112,12 @@
             self._assigned = names
             self._pools_stale = True
 
+    def retire(self, versions: Mapping[str, frozenset[VersionId]]) -> None:
+        """Give versions no new work at some engines, by name, from the next choice on."""
+        if versions != self._retired:
+            self._retired = versions
+            self._pools_stale = True
+
     def note_link(self, zone: str, seconds: float) -> None:
         """Take in how long a short call to an endpoint of a zone took."""
         before = self.chooser.link_s.get(zone, seconds)
@@ -212,8 +219,10 @@
             pool.mark_changed()
         for endpoint in self._endpoints.values():
             if not endpoint.leaving:
+                retired = self._retired.get(endpoint.name, frozenset())
                 for work in _work_of(endpoint):
-                    self.pool(work).members.append(endpoint)
+                    if work not in retired:
+                        self.pool(work).members.append(endpoint)
 
     def _mark_changed(self, endpoint: Endpoint) -> None:
         for work in _work_of(endpoint):
--- a/poplarrun/leases/_keeper.py
+++ b/poplarrun/leases/_keeper.py
@@ -99,6 +99,7 @@
         self._random = source
         self._clock = clock
         self._wanted: dict[str, float] = {}
+        self._zone_of: dict[str, str] = {}
         self._sent_at: dict[str, float] = {}
         self._valid_until: dict[str, float] = {}
         self._seen: dict[str, _Seen] = {}
@@ -109,9 +110,13 @@
         self._snapshot_tried_at = clock() - SNAPSHOT_PAUSE_S
         self._leaving = False
 
-    def want(self, job: str, duration_s: float = DEFAULT_DURATION_S) -> None:
-        """Stand for a job from now on."""
+    def want(
+        self, job: str, duration_s: float = DEFAULT_DURATION_S, zone: str | None = None
+    ) -> None:
+        """Stand for a job from now on; with a zone, only that zone's hosts are candidates."""
         self._wanted[job] = min(duration_s, LONGEST_LEASE_S)
+        if zone is not None:
+            self._zone_of[job] = zone
 
     def find(self, job: str) -> Lease | None:
         """Return the lease of a job if this host holds it at this moment.
@@ -164,7 +169,8 @@
         return any(self.find(job) or self._rank(job) is not None for job in self._wanted)
 
     def _rank(self, job: str) -> int | None:
-        live = {peer.name: peer for peer in self._peers.live()}
+        zone = self._zone_of.get(job)
+        live = {peer.name: peer for peer in self._peers.live() if zone in (None, peer.zone)}
         ranked = [live[name] for name in rank_hosts(f"lease/{job}", live)]
         candidates = [peer.name for peer in _spread_zones(ranked)[:CANDIDATES]]
         me = self._peers.me.name
--- /dev/null
+++ b/poplarrun/orders/_holder.py
@@ -0,0 +1,305 @@
+"""The sender of a zone's orders: compares what engines hold with the plan, and orders the rest."""
+
+import math
+import random
+from collections.abc import Iterable, Mapping, Sequence
+from dataclasses import dataclass, field
+
+import msgspec
+
+from poplarrun.contracts import VersionId
+from poplarrun.orders._plan import EngineRoom, Need, Plan, Planner
+from poplarrun.orders._summaries import DemandSummary, OrdersSummary, Stamp
+from poplarrun.platform import EngineModels, ModelsOrder
+
+# Each engine is looked at this often, whatever its load reports say. A late
+# order that an engine took is found and undone within this, a round and two timeouts.
+LOOK_S = 5.0
+# An engine that did not answer for so long counts for nothing: its versions go elsewhere.
+GONE_S = 15.0
+# Versions of a zone that are on their way at the same time.
+LOADS_AT_ONCE = 4
+FIRST_PAUSE_S = 1.0
+LONGEST_PAUSE_S = 30.0
+JITTER_SHARE = 0.2
+# Before any load was measured.
+GUESSED_LOAD_S = 10.0
+LOAD_WEIGHT = 0.3
+
+
+@dataclass(frozen=True, slots=True)
+class FetchWeights:
+    """The store is to hand a version's weights to an engine."""
+
+    engine: str
+    version: VersionId
+
+
+@dataclass(frozen=True, slots=True)
+class SendOrder:
+    """An engine is to get an order."""
+
+    engine: str
+    order: ModelsOrder
+
+
+@dataclass
+class _Known:
+    """An engine as it was last looked at."""
+
+    models: EngineModels
+    looked_at: float
+    answered_at: float
+    loaded: frozenset[VersionId]
+    loading: frozenset[VersionId]
+
+    @property
+    def held(self) -> frozenset[VersionId]:
+        return self.loaded | self.loading
+
+
+@dataclass
+class OrderHolder:
+    """Decides on the orders of one zone; every call has the time passed in.
+
+    What engines report is compared with the plan as a whole, round for round,
+    so a successor needs nothing of its predecessor's state.
+
+    Attributes
+    ----------
+    draining : dict of str to set of VersionId
+        Versions that get no new work at an engine, by engine.
+    plan : Plan
+        The last plan.
+    """
+
+    source: random.Random
+    planner: Planner = field(default_factory=Planner)
+    draining: dict[str, frozenset[VersionId]] = field(default_factory=dict)
+    plan: Plan = field(default_factory=lambda: Plan({}, ()))
+
+    def __post_init__(self) -> None:
+        self._known: dict[str, _Known] = {}
+        self._fetching: dict[tuple[str, VersionId], float] = {}
+        self._granted: dict[tuple[str, VersionId], float] = {}
+        self._stamp = Stamp()
+        self._drained_since: dict[tuple[str, VersionId], Stamp] = {}
+        self._paused_until = -math.inf
+        self._pause_s = FIRST_PAUSE_S
+        self._load_s = GUESSED_LOAD_S
+
+    @property
+    def engines(self) -> list[str]:
+        """Engines that take orders."""
+        return list(self._known)
+
+    def list_due(self, reported: Mapping[str, frozenset[VersionId]], now: float) -> list[str]:
+        """Return the engines to look at now.
+
+        Parameters
+        ----------
+        reported : mapping of engine to set of VersionId
+            What their load reports say.
+        """
+        pending = {engine for engine, version in self._pending()}
+        due = []
+        for name, versions in reported.items():
+            known = self._known.get(name)
+            changes = name in pending or name in self.draining
+            if known is None or changes or now - known.looked_at >= LOOK_S:
+                due.append(name)
+                continue
+            if known.loading or known.loaded != versions:
+                due.append(name)
+        return due
+
+    def take_models(self, engine: str, models: EngineModels, now: float) -> None:
+        """Take in what an engine holds."""
+        known = _Known(models, now, now, _parse(models.loaded), _parse(models.loading))
+        before = self._known.get(engine)
+        self._known[engine] = known
+        if models.fence < 0 and before is not None and before.models.fence >= 0:
+            # It started anew and lost what was handed to it.
+            self._granted = {s: at for s, at in self._granted.items() if s[0] != engine}
+        for version in known.loaded - (before.loaded if before else known.loaded):
+            granted_at = self._granted.get((engine, version))
+            if granted_at is not None:
+                self._load_s += LOAD_WEIGHT * (now - granted_at - self._load_s)
+
+    def note_taken(self, engine: str, order: ModelsOrder) -> None:
+        """Note that an engine took an order, so that it is not sent again meanwhile."""
+        known = self._known.get(engine)
+        if known is not None:
+            known.models = msgspec.structs.replace(
+                known.models, wanted=order.versions, fence=order.fence
+            )
+
+    def note_silent(self, engine: str, now: float) -> None:
+        """Note that an engine did not answer."""
+        known = self._known.get(engine)
+        if known is not None:
+            known.looked_at = now
+            if now - known.answered_at > GONE_S:
+                self.forget(engine)
+
+    def forget(self, engine: str) -> None:
+        """Drop an engine that is gone."""
+        self._known.pop(engine, None)
+        self._granted = {s: at for s, at in self._granted.items() if s[0] != engine}
+
+    def note_weights(self, engine: str, version: VersionId, refusal: str, now: float) -> None:
+        """Take in the store's answer."""
+        self._fetching.pop((engine, version), None)
+        if not refusal:
+            self._granted[(engine, version)] = now
+            self._pause_s, self._paused_until = FIRST_PAUSE_S, -math.inf
+            return
+        jitter = 1.0 + JITTER_SHARE * self.source.random()
+        self._paused_until = max(self._paused_until, now + self._pause_s * jitter)
+        self._pause_s = min(LONGEST_PAUSE_S, 2.0 * self._pause_s)
+
+    def rest(self) -> None:
+        """Forget everything: this host sends no orders now.
+
+        The stamp goes on: a lease may come back under its old number, and hosts
+        that hold an older list must not seem to hold the new one.
+        """
+        stamp = self._stamp
+        self.__post_init__()
+        self._stamp = stamp
+        self.planner, self.draining, self.plan = Planner(), {}, Plan({}, ())
+
+    def decide(
+        self,
+        fence: int,
+        needs: Sequence[Need],
+        places: Mapping[str, int],
+        demand: Sequence[DemandSummary],
+        zone: str,
+        now: float,
+    ) -> list[FetchWeights | SendOrder]:
+        """Plan, and return what is to be done now.
+
+        Parameters
+        ----------
+        fence : int
+            Fencing number of the lease.
+        places : mapping of engine to int
+            Requests in each engine's batch; engines not in it get no order.
+        demand : sequence of DemandSummary
+            One for each host of the zone and one for each other zone that is
+            heard: all of them must have stopped using what is to be unloaded.
+        """
+        handed: dict[str, set[VersionId]] = {}
+        for name, version in (*self._granted, *self._fetching):
+            handed.setdefault(name, set()).add(version)
+        engines = [
+            self._room_of(name, known, places[name], handed.get(name, set()))
+            for name, known in self._known.items()
+            if name in places
+        ]
+        self.plan = self.planner.plan(needs, engines, now)
+        self._granted = {s: at for s, at in self._granted.items() if self._is_target(s)}
+        self._set_draining(fence)
+        actions: list[FetchWeights | SendOrder] = []
+        for engine in engines:
+            order = self._order_for(engine.name, fence, demand, zone)
+            if order is not None:
+                actions.append(SendOrder(engine.name, order))
+        return [*actions, *self._fetches(now)]
+
+    def summarize(self) -> OrdersSummary:
+        """Return what all hosts must know."""
+        draining = {e: sorted(map(str, vs)) for e, vs in sorted(self.draining.items())}
+        return OrdersSummary(self._stamp, draining, self._coming())
+
+    def _room_of(self, name: str, known: _Known, places: int, handed: set[VersionId]) -> EngineRoom:
+        # What drains is on its way out: its room counts as free, and stays planned so.
+        taken = (known.held | handed) - self.draining.get(name, frozenset())
+        return EngineRoom(name, known.models.room, places, taken)
+
+    def _is_target(self, slot: tuple[str, VersionId]) -> bool:
+        return slot[1] in self.plan.targets.get(slot[0], ())
+
+    def _pending(self) -> list[tuple[str, VersionId]]:
+        """Return what was handed to engines and is not loaded yet."""
+        return [
+            (engine, version)
+            for engine, version in self._granted
+            if engine in self._known and version not in self._known[engine].loaded
+        ]
+
+    def _set_draining(self, fence: int) -> None:
+        """Drain what engines hold beyond the plan."""
+        draining: dict[str, frozenset[VersionId]] = {}
+        for name, target in self.plan.targets.items():
+            extra = self._known[name].held - target
+            if extra:
+                draining[name] = extra
+        if draining != self.draining or fence != self._stamp.fence:
+            self._stamp = Stamp(fence, self._stamp.number + 1)
+        self.draining = draining
+        slots = {(name, version) for name, extra in draining.items() for version in extra}
+        since = self._drained_since
+        self._drained_since = {slot: since.get(slot, self._stamp) for slot in slots}
+
+    def _is_clear(
+        self, name: str, version: VersionId, demand: Sequence[DemandSummary], zone: str
+    ) -> bool:
+        """Tell whether no host sends a version's work to an engine, nor has any open there."""
+        since = self._drained_since[(name, version)]
+        return all(
+            summary.applied.get(zone, Stamp()) >= since
+            and not summary.open.get(name, {}).get(str(version))
+            for summary in demand
+        )
+
+    def _order_for(
+        self, name: str, fence: int, demand: Sequence[DemandSummary], zone: str
+    ) -> ModelsOrder | None:
+        """Return the order that an engine needs; None when it is as it should be.
+
+        The engine tells which order it follows. One that follows another, such
+        as a late one of a former holder, gets this one again.
+        """
+        known = self._known[name]
+        target = self.plan.targets[name]
+        kept = {v for v in self.draining.get(name, ()) if v in known.loaded}
+        kept = {version for version in kept if not self._is_clear(name, version, demand, zone)}
+        ready = {v for v in target if v in known.held or (name, v) in self._granted}
+        # What is ready waits until the room of what drains is free.
+        room = known.models.room - len(kept)
+        ready_now = sorted(ready, key=lambda v: (v not in known.held, str(v)))[: max(0, room)]
+        versions = sorted(str(version) for version in {*kept, *ready_now})
+        if versions == known.models.wanted and known.models.fence == fence:
+            return None
+        return ModelsOrder(fence, versions)
+
+    def _fetches(self, now: float) -> list[FetchWeights]:
+        """Return the loads to begin, in order of need, a bounded number at a time."""
+        count = LOADS_AT_ONCE - len(self._fetching) - len(self._pending())
+        if now < self._paused_until or count <= 0:
+            return []
+        if self._pause_s > FIRST_PAUSE_S:
+            # The store refused last: one tries it for all.
+            count = min(count, 1 - len(self._fetching))
+        # A version that was to go and is wanted again is still there.
+        missing = [slot for slot in self.plan.loads if slot[1] not in self._known[slot[0]].held]
+        chosen = [FetchWeights(*slot) for slot in missing[: max(0, count)]]
+        self._fetching.update({(f.engine, f.version): now for f in chosen})
+        return chosen
+
+    def _coming(self) -> dict[str, float]:
+        loaded = {version for known in self._known.values() for version in known.loaded}
+        coming: dict[str, float] = {}
+        begun = [version for _, version in (*self._pending(), *self._fetching)]
+        waiting = [version for _, version in self.plan.loads if version not in begun]
+        for place, version in enumerate((*begun, *waiting)):
+            if version not in loaded:
+                rounds = 1 + max(0, place - len(begun) + 1) / LOADS_AT_ONCE
+                coming.setdefault(str(version), math.ceil(rounds * self._load_s + self._pause_s))
+        return coming
+
+
+def _parse(versions: Iterable[str]) -> frozenset[VersionId]:
+    return frozenset(VersionId.parse(version) for version in versions)
--- a/poplarrun/router/_chats.py
+++ b/poplarrun/router/_chats.py
@@ -7,6 +7,7 @@
 from poplarrun.contracts import ClientAccount, Unmet, Version, WorkClass
 from poplarrun.endpoints import Demand, Endpoint
 from poplarrun.errors import ErrorKind, NotRun, Refusal, answer_for
+from poplarrun.orders import OpenWork
 from poplarrun.platform import Usage
 from poplarrun.retries import GiveUp
 from poplarrun.router._chat_versions import ChatVersions, VersionPick
@@ -73,6 +74,18 @@
         """Ids of those requests."""
         return list(self._chats)
 
+    def list_open_work(self) -> list[OpenWork]:
+        """Return what the open chats ask of the engines."""
+        return [
+            OpenWork(
+                chat.version.id,
+                chat.work_class.importance,
+                chat.request.session is not None,
+                chat.endpoint.name if chat.endpoint else "",
+            )
+            for chat in self._chats.values()
+        ]
+
     def begin(self, request: BeginChat, now: float) -> ChatGrant | Held | Refusal:
         """Decide on the version and the endpoint of a new chat request.
 
@@ -109,6 +122,10 @@
         chat = _Chat(request, account, work_class, pick, now, explanation, job)
         self._chats[request.request_id] = chat
         start = self._dispatch.start(job, now)
+        if isinstance(start, NoEndpoint):
+            self._context.demand.note_missed(
+                pick.version.id, work_class.importance, request.session is not None
+            )
         if isinstance(start, Refused | NoEndpoint):
             start = self._start_other(chat, now) or start
         if isinstance(start, Held):
@@ -253,7 +270,8 @@
                 return self._give_up(chat, kind, reason, retry_after_s)
             case NoEndpoint():
                 message = f"no endpoint holds {chat.version.id}"
-                return self._give_up(chat, ErrorKind.NO_ENDPOINT, message)
+                coming_s = self._context.coming.get(chat.version.id)
+                return self._give_up(chat, ErrorKind.NO_ENDPOINT, message, coming_s)
 
     def _check_version(self, chat: _Chat) -> Refusal | None:
         """Check permission anew before each attempt.
--- a/poplarrun/router/_context.py
+++ b/poplarrun/router/_context.py
@@ -6,11 +6,12 @@
 from poplarrun.admission import ServiceLimit
 from poplarrun.billing import Bill
 from poplarrun.config import Configuration
-from poplarrun.contracts import ClientAccount
+from poplarrun.contracts import ClientAccount, VersionId
 from poplarrun.endpoints import EndpointTable
 from poplarrun.errors import ErrorKind, Refusal
 from poplarrun.limits import AccountLimits
 from poplarrun.metrics import Metrics
+from poplarrun.orders import DemandCounter
 from poplarrun.retries import (
     BudgetKey,
     FailedAttempt,
@@ -50,6 +51,10 @@
         Random source of pauses.
     service_limits : dict of str to ServiceLimit
         Concurrency limits of plain services, as this host's calls see them.
+    demand : DemandCounter
+        What requests ask for that no engine holds.
+    coming : dict of VersionId to float
+        Expected seconds until a version is loaded that no engine holds.
     """
 
     endpoints: EndpointTable
@@ -65,6 +70,8 @@
     retry_budgets: RetryBudgets = field(default_factory=RetryBudgets)
     source: random.Random = field(default_factory=random.Random)
     service_limits: dict[str, ServiceLimit] = field(default_factory=dict)
+    demand: DemandCounter = field(default_factory=DemandCounter)
+    coming: dict[VersionId, float] = field(default_factory=dict)
 
     def refuse(
         self,
--- a/poplarrun/server/_daemon.py
+++ b/poplarrun/server/_daemon.py
@@ -13,6 +13,7 @@
     HttpLog,
     HttpRatings,
     HttpServiceCaller,
+    HttpWeightStore,
     PlatformTls,
     use_tls,
 )
@@ -52,6 +53,9 @@
             HttpHostList(settings.platform.host_list),
             engine,
             ratings=HttpRatings(settings.platform.ratings) if settings.platform.ratings else None,
+            weights=(
+                HttpWeightStore(settings.platform.weights) if settings.platform.weights else None
+            ),
         )
         self.crossing = Crossing(self.host.handle)
         callers = CallersApi(self.crossing, engine, HttpServiceCaller(), settings.limits.body_bytes)
--- a/poplarrun/server/_host.py
+++ b/poplarrun/server/_host.py
@@ -31,7 +31,10 @@
 from poplarrun.platform import (
     Engine,
     HostList,
+    HttpOrders,
+    Orders,
     Ratings,
+    WeightStore,
 )
 from poplarrun.router import (
     AttemptFailed,
@@ -57,6 +60,7 @@
     ReadReadiness,
     ReadStatus,
 )
+from poplarrun.server._order_tasks import OrderTasks
 from poplarrun.server._peering import keys_of, make_peers, publish_offset, read_zones
 from poplarrun.server._status import read_endpoint
 from poplarrun.server._version_tasks import VersionTasks
@@ -76,6 +80,7 @@
 ROLLOUTS_POLL_S = 0.25
 EVIDENCE_PERIOD_S = 1.0
 RATINGS_POLL_S = 0.25
+ORDERS_PERIOD_S = 1.0
 # One thread in so many, and at least so many, answer everything but requests.
 RESERVED_SHARE = 16
 MIN_RESERVED_THREADS = 2
@@ -100,6 +105,8 @@
         The other hosts; made from the settings when left out.
     ratings : Ratings, optional
         The rating service.
+    orders, weights : Orders and WeightStore, optional
+        The way of orders to engines; over HTTP and without a store when left out.
     """
 
     def __init__(
@@ -111,6 +118,8 @@
         clock: Callable[[], float] = time.monotonic,
         peers: Peers | None = None,
         ratings: Ratings | None = None,
+        orders: Orders | None = None,
+        weights: WeightStore | None = None,
     ) -> None:
         self.settings = settings
         self.metrics = Metrics()
@@ -158,6 +167,17 @@
             clock,
             keys_of(settings),
         )
+        self._order_tasks = OrderTasks(
+            self.router.context,
+            self.router.chats,
+            self.peers,
+            self.leases,
+            orders or HttpOrders(),
+            weights,
+            self.metrics,
+            self._in_thread,
+            clock,
+        )
         self.config = ConfigFollower(
             log,
             self.peers,
@@ -208,6 +228,8 @@
             (self._version_tasks.exchange_evidence, EVIDENCE_PERIOD_S),
             (self._version_tasks.run_steward, ROLLOUTS_POLL_S),
             (self._version_tasks.rate_answers, RATINGS_POLL_S),
+            (self._order_tasks.share_demand, ORDERS_PERIOD_S),
+            (self._order_tasks.run_orders, ORDERS_PERIOD_S),
         ):
             pause = partial(asyncio.sleep, period_s)
             self._tasks.append(asyncio.get_running_loop().create_task(self._repeat(step, pause)))
@@ -447,4 +469,5 @@
             bills_held=self.billing.size,
             bills_waiting=self.billing.waiting,
             outcomes_waiting=self.claims.unsettled,
+            orders=self._order_tasks.read_status(),
         )
--- a/poplarrun/server/_messages.py
+++ b/poplarrun/server/_messages.py
@@ -94,6 +94,26 @@
     state: str
 
 
+@dataclass(frozen=True, slots=True)
+class OrdersStatus:
+    """What the sender of a zone's orders has under way.
+
+    Attributes
+    ----------
+    fence : int
+        Fencing number of its lease.
+    draining : dict of str to list of str
+        By engine, versions that get no new work there and are then unloaded.
+    coming : dict of str to float
+        Expected seconds until a version is loaded that no engine of the zone holds.
+    """
+
+    zone: str
+    fence: int
+    draining: dict[str, list[str]]
+    coming: dict[str, float]
+
+
 @dataclass(frozen=True, slots=True)
 class HostStatus:
     """What one host knows.
@@ -131,3 +151,4 @@
     bills_held: int = 0
     bills_waiting: int = 0
     outcomes_waiting: int = 0
+    orders: tuple[OrdersStatus, ...] = ()
--- /dev/null
+++ b/poplarrun/server/_order_tasks.py
@@ -0,0 +1,283 @@
+"""The tasks of the orders part: demand, drains, and the orders of the own zone."""
+
+import asyncio
+import random
+import time
+from collections.abc import Awaitable, Callable, Coroutine
+from typing import Any
+
+import msgspec
+
+from poplarrun.contracts import VersionId
+from poplarrun.endpoints import Endpoint
+from poplarrun.hosts import Peers
+from poplarrun.leases import Lease, LeaseKeeper
+from poplarrun.logs import part_logger
+from poplarrun.metrics import Metrics
+from poplarrun.orders import (
+    DEMAND_TOPIC,
+    ORDERS_TOPIC,
+    DemandSummary,
+    FetchWeights,
+    Need,
+    OrderHolder,
+    OrdersSummary,
+    SendOrder,
+    Stamp,
+    VersionDemand,
+    add_demand,
+    decode_demand,
+    decode_orders,
+)
+from poplarrun.platform import (
+    EngineModels,
+    HostKind,
+    OrderFenced,
+    Orders,
+    OrderTaken,
+    TakesNoOrders,
+    WeightStore,
+)
+from poplarrun.router import RouterContext
+from poplarrun.router._chats import ChatRouter
+from poplarrun.server._messages import OrdersStatus
+
+# Engines that tell of no room are asked again after so long.
+NO_ORDERS_S = 30.0
+# Hosts that send no orders look for engines that take them, so many a round.
+PROBED_AT_ONCE = 4
+LOOKED_AT_ONCE = 64
+
+InThread = Callable[..., Awaitable[Any]]
+
+
+class OrderTasks:
+    """What the orders part does besides deciding; its steps run on the loop.
+
+    Parameters
+    ----------
+    context : RouterContext
+        Configuration, endpoints, demand and versions of the host.
+    chats : ChatRouter
+        Whose open requests are the demand.
+    orders : Orders
+        The way to the engines.
+    store : WeightStore, optional
+        Without it weights need no leave.
+    """
+
+    def __init__(
+        self,
+        context: RouterContext,
+        chats: ChatRouter,
+        peers: Peers,
+        leases: LeaseKeeper,
+        orders: Orders,
+        store: WeightStore | None,
+        metrics: Metrics,
+        in_thread: InThread,
+        clock: Callable[[], float] = time.monotonic,
+    ) -> None:
+        self._context = context
+        self._chats = chats
+        self._peers = peers
+        self._leases = leases
+        self._orders = orders
+        self._store = store
+        self._metrics = metrics
+        self._in_thread = in_thread
+        self._clock = clock
+        self._zone = peers.me.zone
+        self._job = f"orders/{self._zone}"
+        self._stands = False
+        self._no_orders_until: dict[str, float] = {}
+        self._beside: set[asyncio.Task[None]] = set()
+        self._heard: dict[str, OrdersSummary] = {}
+        self.holder = OrderHolder(random.Random(peers.me.name))
+        self._log = part_logger("orders")
+
+    def read_status(self) -> tuple[OrdersStatus, ...]:
+        """Tell which versions come and go in each zone, for operators."""
+        return tuple(
+            OrdersStatus(zone, summary.stamp.fence, summary.draining, summary.coming)
+            for zone, summary in sorted(self._heard.items())
+        )
+
+    async def share_demand(self) -> None:
+        """Count the demand, follow the drains, and tell both."""
+        now = self._clock()
+        self._follow_orders()
+        open_work = self._chats.list_open_work()
+        self._context.demand.close_round(open_work, now)
+        summary = self._context.demand.summarize(now)
+        summary.applied = {zone: heard.stamp for zone, heard in self._heard.items()}
+        draining = {
+            (engine, version)
+            for heard in self._heard.values()
+            for engine, versions in heard.draining.items()
+            for version in versions
+        }
+        for work in open_work:
+            if (work.engine, str(work.version)) in draining:
+                counts = summary.open.setdefault(work.engine, {})
+                counts[str(work.version)] = counts.get(str(work.version), 0) + 1
+        self._peers.publish(DEMAND_TOPIC, msgspec.msgpack.encode(summary))
+
+    async def run_orders(self) -> None:
+        """Do one round of orders, if this host holds the zone's lease."""
+        if not self._stands:
+            await self._probe()
+        lease = self._leases.find(self._job)
+        if lease is None or not self._context.configuration.document.versions:
+            self.holder.rest()
+            self._publish_orders(OrdersSummary())
+            return
+        await self._look()
+        # The look took time: the lease may have lapsed meanwhile.
+        lease = self._leases.find(self._job)
+        if lease is None:
+            return
+        await self._act(lease)
+
+    def _engines(self) -> list[Endpoint]:
+        """Return the engines of the own zone that may take orders."""
+        now = self._clock()
+        return [
+            e
+            for e in self._context.endpoints.all()
+            if e.kind is HostKind.MODEL_ENGINE
+            and e.zone == self._zone
+            and not e.leaving
+            and self._no_orders_until.get(e.name, 0.0) <= now
+        ]
+
+    async def _probe(self) -> None:
+        """Look for an engine that takes orders; without one nobody stands for the job."""
+        await self._look_at(self._engines()[:PROBED_AT_ONCE])
+        if self.holder.engines:
+            self._stands = True
+            self._leases.want(self._job, zone=self._zone)
+
+    async def _look(self) -> None:
+        """Read the engines that are due."""
+        engines = {e.name: e for e in self._engines()}
+        for name in set(self.holder.engines) - engines.keys():
+            self.holder.forget(name)
+        reported = {name: e.versions for name, e in engines.items()}
+        due = self.holder.list_due(reported, self._clock())
+        await self._look_at([engines[name] for name in due[:LOOKED_AT_ONCE]])
+
+    async def _look_at(self, engines: list[Endpoint]) -> None:
+        await asyncio.gather(*(self._read_models(engine) for engine in engines))
+
+    async def _read_models(self, engine: Endpoint) -> None:
+        match await self._in_thread(self._orders.read_models, engine.address):
+            case EngineModels() as models:
+                self.holder.take_models(engine.name, models, self._clock())
+            case TakesNoOrders():
+                self._no_orders_until[engine.name] = self._clock() + NO_ORDERS_S
+                self.holder.forget(engine.name)
+            case _:
+                self._metrics.count_event("engine_models_unread")
+                self.holder.note_silent(engine.name, self._clock())
+
+    async def _act(self, lease: Lease) -> None:
+        """Plan, tell the drains, and hand out what is due."""
+        engines = {e.name: e for e in self._engines()}
+        gathered = self._demand()
+        own = add_demand(list(gathered.values()))
+        everywhere = [*gathered.values(), *self._other_zones()]
+        places = {name: e.capacity for name, e in engines.items()}
+        now = self._clock()
+        needs = self._needs(own)
+        actions = self.holder.decide(lease.fence, needs, places, everywhere, self._zone, now)
+        self._publish_orders(self.holder.summarize())
+        sends: list[Coroutine[Any, Any, None]] = []
+        for action in actions:
+            match action:
+                case FetchWeights():
+                    self._spawn(self._fetch(action))
+                case SendOrder(engine=name):
+                    sends.append(self._send(engines[name], action))
+        await asyncio.gather(*sends)
+
+    async def _send(self, engine: Endpoint, action: SendOrder) -> None:
+        # In the same step that hands the order over: a holder that was paused
+        # since it decided would else send an order of a lease that lapsed.
+        lease = self._leases.find(self._job)
+        if lease is None or lease.fence != action.order.fence:
+            self._metrics.count_event("order_kept_back")
+            return
+        match await self._in_thread(self._orders.send, engine.address, action.order):
+            case OrderTaken():
+                self._metrics.count_event("order_sent")
+                self.holder.note_taken(engine.name, action.order)
+                self._log.info(
+                    "Order sent.",
+                    extra={"engine": engine.name, "versions": action.order.versions},
+                )
+            case OrderFenced():
+                self._metrics.count_event("order_refused_fence")
+                self._log.warning("Order refused.", extra={"engine": engine.name})
+                await self._leases.tend()
+            case _:
+                self._metrics.count_event("order_failed")
+
+    async def _fetch(self, action: FetchWeights) -> None:
+        version = str(action.version)
+        refusal = ""
+        if self._store is not None:
+            refusal = await self._in_thread(self._store.fetch, version, action.engine)
+        self._metrics.count_event(f"weights_{refusal}" if refusal else "weights_handed_out")
+        self.holder.note_weights(action.engine, action.version, refusal, self._clock())
+
+    def _spawn(self, work: Coroutine[Any, Any, None]) -> None:
+        task = asyncio.get_running_loop().create_task(work)
+        self._beside.add(task)
+        task.add_done_callback(self._beside.discard)
+
+    def _publish_orders(self, summary: OrdersSummary) -> None:
+        self._peers.publish(ORDERS_TOPIC, msgspec.msgpack.encode(summary))
+
+    def _follow_orders(self) -> None:
+        """Take over the drains and what comes, of every zone."""
+        gathered = self._peers.gathered(ORDERS_TOPIC)
+        own = [decode_orders(payload) for payload in gathered.own_zone.values()]
+        heard = {zone: decode_orders(payload) for zone, payload in gathered.other_zones.items()}
+        heard[self._zone] = max(own, key=lambda s: s.stamp, default=OrdersSummary())
+        self._heard = {zone: s for zone, s in heard.items() if s.stamp != Stamp()}
+        retired: dict[str, frozenset[VersionId]] = {}
+        for summary in self._heard.values():
+            for engine, versions in summary.draining.items():
+                retired[engine] = frozenset(VersionId.parse(version) for version in versions)
+        self._context.endpoints.retire(retired)
+        coming = self._heard.get(self._zone, OrdersSummary()).coming
+        self._context.coming = {VersionId.parse(v): seconds for v, seconds in coming.items()}
+
+    def _demand(self) -> dict[str, DemandSummary]:
+        """Return what each live host of the own zone tells; nothing counts as nothing applied."""
+        payloads = self._peers.gathered(DEMAND_TOPIC).own_zone
+        hosts = [peer.name for peer in self._peers.live() if peer.zone == self._zone]
+        return {name: decode_demand(payloads.get(name, b"")) for name in hosts}
+
+    def _other_zones(self) -> list[DemandSummary]:
+        """Return what the zones tell that are heard; a silent one reaches no engine here."""
+        silent = {view.zone for view in self._peers.zones() if view.silent}
+        payloads = self._peers.gathered(DEMAND_TOPIC).other_zones
+        return [decode_demand(p) for zone, p in payloads.items() if zone not in silent]
+
+    def _needs(self, demand: DemandSummary) -> list[Need]:
+        """Return what the zone needs: every version that is offered, and how much."""
+        configuration = self._context.configuration
+        on_trial = {
+            key.version
+            for key, state in self._context.versions.rollouts.states.items()
+            if not state.serves and not state.rejected
+        }
+        needs = []
+        for version in configuration.document.versions:
+            if not configuration.is_withdrawn(version):
+                seen = demand.versions.get(str(version), VersionDemand())
+                trial = version in on_trial
+                needs.append(Need(version, seen.places, seen.importance, seen.sessions, trial))
+        return needs
--- a/standins/engine.py
+++ b/standins/engine.py
@@ -13,6 +13,7 @@
 import msgspec
 
 from standins._server import DropConnection, Request, Response, Route, StandIn, json_response
+from standins.held_models import HeldModels, OrderBody
 
 GOOD_WORDS = ("stone", "loan", "ring", "council", "gold", "branch", "shelf", "setting", "report")
 POOR_WORD = "um"
@@ -99,6 +100,10 @@
         Error of the confidence that it gives with each answer; None gives none.
     answer_tokens : int
         Length of an answer, where the call allows it.
+    room : int, optional
+        Versions that its memory holds; None tells of no room.
+    load_s : float
+        Time that a load takes, in seconds.
     """
 
     quality: dict[str, float]
@@ -111,6 +116,8 @@
     poor_share: dict[str, float] = {}
     confidence_noise: float | None = None
     answer_tokens: int = 40
+    room: int | None = None
+    load_s: float = 0.0
 
 
 class GenerateBody(msgspec.Struct):
@@ -124,14 +131,6 @@
     from_position: int = 0
 
 
-class OrderBody(msgspec.Struct):
-    """An order: load or unload a version, or change the role."""
-
-    fence: int
-    action: str
-    version: str = ""
-
-
 class KvBody(msgspec.Struct):
     """A stream's state, as another engine can take it over."""
 
@@ -188,7 +187,7 @@
         self._cache: OrderedDict[tuple[str, int], None] = OrderedDict()
         self._cache_events: list[tuple[float, dict[str, object]]] = []
         self._event_numbers = itertools.count(1)
-        self._fence = -1
+        self._models = HeldModels(settings.quality, settings.load_s, self.record)
         self._reports: list[tuple[float, dict[str, object]]] = []
         threads = settings.capacity + WAITING_THREADS
         super().__init__(EngineFaults(), threads=threads, **ports)
@@ -201,6 +200,7 @@
             Route("GET", "/v1/load", self._report_load),
             Route("GET", "/v1/cache-events", self._list_cache_events),
             Route("POST", "/v1/orders", self._take_order),
+            Route("GET", "/v1/models", self._list_models),
             Route("GET", "/v1/kv/{request_id}", self._export_kv),
             Route("PUT", "/v1/kv/{request_id}", self._import_kv),
         ]
@@ -209,6 +209,7 @@
         body = msgspec.json.decode(request.body, type=GenerateBody)
         if self.faults.refuse:
             return json_response({"error": "refused"}, 503)
+        self._models.finish_loads()
         if body.version not in self.settings.quality:
             return json_response({"error": "version not loaded"}, 404)
         if body.from_position > 0 and body.request_id not in self._streams:
@@ -220,6 +221,7 @@
 
     def _stream(self, body: GenerateBody) -> Iterator[bytes]:
         self._batch.enter(body.priority)
+        self._models.open[body.version] += 1
         try:
             prompt_words = body.prompt.split()
             cached = self._touch_cache(body.version, prompt_words)
@@ -237,6 +239,7 @@
             )
             self.record("end", request_id=body.request_id)
         finally:
+            self._models.open[body.version] -= 1
             self._batch.leave()
             self._forget_old_streams()
 
@@ -339,6 +342,7 @@
         return json_response({"cancelled": stream is not None})
 
     def _report_load(self, _: Request) -> Response:
+        self._models.finish_loads()
         now = time.monotonic()
         fullness = min(1.0, self._batch.running / self.settings.capacity)
         report: dict[str, object] = {
@@ -356,17 +360,17 @@
 
     def _take_order(self, request: Request) -> Response:
         order = msgspec.json.decode(request.body, type=OrderBody)
-        if self.settings.checks_fencing and order.fence < self._fence:
+        if self.settings.checks_fencing and order.fence < self._models.fence:
             self.record("order_refused", fence=order.fence, action=order.action)
-            return json_response({"error": "old fencing number", "fence": self._fence}, 409)
-        self._fence = max(self._fence, order.fence)
-        if order.action == "load":
-            self.settings.quality.setdefault(order.version, 0.8)
-        if order.action == "unload":
-            self.settings.quality.pop(order.version, None)
-        self.record("order", fence=order.fence, action=order.action, version=order.version)
+            return json_response({"error": "old fencing number", "fence": self._models.fence}, 409)
+        self._models.take(order)
         return json_response({"versions": sorted(self.settings.quality)})
 
+    def _list_models(self, _: Request) -> Response:
+        if self.settings.room is None:
+            return json_response({"error": "no room is told"}, 404)
+        return json_response(self._models.tell(self.settings.room))
+
     def _export_kv(self, request: Request) -> Response:
         stream = self._streams.get(request.params["request_id"])
         if stream is None:
--- a/standins/weights.py
+++ b/standins/weights.py
@@ -40,5 +40,7 @@
                 return json_response({"error": "rate limited"}, 429)
             self._fetches.append(now)
         time.sleep(self.faults.delay_s)
-        self.record("fetch", version=request.params["version"])
+        self.record(
+            "fetch", version=request.params["version"], engine=request.query.get("engine", "")
+        )
         return json_response({"version": request.params["version"], "bytes": 0})
