Cause the failures of engine orders, and mend what they showed

Cause: the path was whole, its failures untested. Found by the tests: a load that a late order began was carried on by the live holder; a version without a place was refused without a time; room that is free only beside the version that wants it was never used.

Ruled out: unloading at once what a late order loaded (it would cut streams off).

Change: a load that nobody needs is dropped; versions without room have a time and stand in the status; a copy moves to make way. World of hosts, engines, log and store in virtual time (standins/order_world.py), 18 scenarios on it: late orders at checking and at ignoring engines, paused and dead holders, two holders, a slow and a refusing store, sessions, drains, cuts, empty restarts, the log out.

--- /dev/null
+++ b/features/steps/orders_decisions.py
@@ -0,0 +1,385 @@
+import asyncio
+
+import msgspec
+from behave import given, then, when
+
+from poplarrun.contracts import VersionId
+from poplarrun.leases import Lease
+from poplarrun.orders import OpenWork, SendOrder
+from poplarrun.platform import MemoryEngine, ModelsOrder
+from standins.order_world import OrderWorld
+from standins.virtual_time import VirtualTimeLoop
+
+JOB = "orders/a"
+
+
+def passing(context, seconds):
+    context.loop.run_until_complete(asyncio.sleep(seconds))
+
+
+def wait(context, condition, what, timeout_s):
+    for _ in range(int(timeout_s * 10)):
+        if condition():
+            return
+        passing(context, 0.1)
+    assert condition(), what
+
+
+def in_zone(context, zone):
+    return {n: e for n, e in context.world.engines.items() if n[0] == zone}
+
+
+def all_held(context):
+    return {name: set(engine.loaded) for name, engine in context.world.engines.items()}
+
+
+def drains(context):
+    return [holder.tasks.holder.summarize().stamp for holder in context.world.holders("a")]
+
+
+def loads(context):
+    return {name: list(engine.loads) for name, engine in context.world.engines.items()}
+
+
+@given(
+    "{zones:d} zones of {hosts:d} hosts and {count:d} engines with room for {room:d}, "
+    '"{versions}" offered'
+)
+def step_world(context, zones, hosts, count, room, versions):
+    context.loop = VirtualTimeLoop()
+    context.add_cleanup(context.loop.end)
+    letters = "abcdefg"[:zones]
+    engines = {f"{z}-engine-{n}": MemoryEngine(room, set(), load_s=2.0)
+               for z in letters for n in range(count)}  # fmt: skip
+
+    async def start():
+        context.world = OrderWorld(context.loop, letters, hosts, engines)
+        context.world.offer(versions.split())
+
+    context.loop.run_until_complete(start())
+    context.offered = versions.split()
+
+
+@given('the engines of zone "{zone}" already hold "{first}" and "{second}"')
+def step_already(context, zone, first, second):
+    engines = in_zone(context, zone).values()
+    for engine, versions in zip(engines, (first, second), strict=True):
+        engine.loaded = set(versions.split())
+
+
+@given("the engines ignore fencing numbers")
+def step_ignore(context):
+    for engine in context.world.engines.values():
+        engine.checks_fencing = False
+
+
+@given("the versions are loaded")
+def step_loaded(context):
+    for zone in "ab":
+        wait(context, lambda z=zone: set(context.offered) <= context.world.held(z), "loaded", 150)
+    passing(context, 5)
+    (context.holder,) = context.world.holders("a")
+    context.fence = context.holder.leases.find(JOB).fence
+
+
+@given('"{versions}" are loaded')
+def step_these_loaded(context, versions):
+    context.offered = versions.split()
+    context.world.offer(context.offered)
+    step_loaded(context)
+
+
+@given("loads take {seconds:d} s in memory")
+def step_load_time(context, seconds):
+    for engine in context.world.engines.values():
+        engine.load_s = seconds
+
+
+def send(context, holder, engine):
+    action = SendOrder(engine, context.late_order)
+    context.loop.create_task(holder.tasks._send(holder.table.find(engine), action))
+
+
+@when("the holder decides on an order, is paused until another host took over, and goes on")
+def step_paused_before(context):
+    context.holder.paused = True
+    context.world.network.down.add(context.holder.name)
+    wait(context, lambda: context.world.holders("a"), "another holder", 60)
+    context.late_order = ModelsOrder(context.fence, ["stale:1"])
+    send(context, context.holder, next(iter(in_zone(context, "a"))))
+    passing(context, 1)
+
+
+@then("it kept the order back")
+def step_kept_back(context):
+    assert context.holder.counted("order_kept_back") == 1
+    orders = [order for e in context.world.engines.values() for order in e.taken]
+    assert context.late_order not in orders
+
+
+@when("the holder's order for {what} is stuck while another host takes over")
+def step_stuck(context, what):
+    holder, world = context.holder, context.world
+    holder.stuck = True
+    name, context.late_engine = next(iter(in_zone(context, "a").items()))
+    context.wanted_before = set(context.late_engine.wanted)
+    kept = context.wanted_before if what == "one version more" else set()
+    context.late_order = ModelsOrder(context.fence, sorted({*kept, "stale:1"}))
+
+    send(context, holder, name)
+    passing(context, 0.1)
+    holder.paused = True
+    # A paused process answers nobody, so the others take it for dead.
+    world.network.down.add(holder.name)
+    wait(context, lambda: world.holders("a"), "another holder", 60)
+    passing(context, 5)
+
+
+@when("the stuck order gets through")
+def step_through(context):
+    context.holder.stuck = False
+    passing(context, 0.1)
+
+
+@then("what the late order began to load is dropped")
+def step_late_dropped(context):
+    assert "stale:1" not in context.late_engine.wanted
+
+
+@when("the late order's version was loaded")
+def step_late_loaded(context):
+    engine = context.late_engine
+    wait(context, lambda: engine.report(context.loop.time()).loaded == ["stale:1"], "loaded", 5)
+
+
+@then("the engine refused it, which its sender counted")
+def step_refused(context):
+    assert context.late_order not in context.late_engine.taken
+    assert context.holder.counted("order_refused_fence") == 1
+
+
+@then("an engine follows the late order")
+def step_follows_late(context):
+    assert context.late_engine.wanted == context.late_order.versions
+
+
+@then("within {seconds:d} s the engines follow the new holder")
+def step_follow_new(context, seconds):
+    (holder,) = context.world.holders("a")
+    fence = holder.leases.find(JOB).fence
+    assert fence > context.fence
+
+    def follow():
+        engines = in_zone(context, "a").values()
+        back = context.wanted_before <= set(context.late_engine.wanted)
+        return back and all(e.fence == fence for e in engines)
+
+    wait(context, follow, "the engines follow the new holder", seconds)
+    passing(context, 30)
+    step_holds(context, "a", " ".join(context.offered))
+
+
+@when('a second host of zone "{zone}" goes on under an old lease for {seconds:d} s')
+def step_second(context, zone, seconds):
+    hosts = [h for h in context.world.hosts.values() if h.zone == zone]
+    second = next(host for host in hosts if host is not context.holder)
+    old = Lease(JOB, context.fence - 1, float("inf"))
+    second.leases.find = lambda job: old
+    context.before = loads(context)
+    passing(context, seconds)
+
+
+@when('the holder of zone "{zone}" dies while a load is under way')
+def step_holder_dies(context, zone):
+    def under_way():
+        return any(e.loading for e in in_zone(context, zone).values())
+
+    wait(context, under_way, "a load", 60)
+    (holder,) = context.world.holders(zone)
+    context.world.kill(holder.name)
+
+
+@given("the store refuses")
+def step_store_refuses(context):
+    context.world.store.refusal = "status_429"
+
+
+@when("the store hands out again")
+def step_store_again(context):
+    context.world.store.refusal = ""
+
+
+@given("the store takes {seconds:d} s")
+def step_store_slow(context, seconds):
+    context.world.store_s = seconds
+
+
+@then("the store was asked at most {count:d} times")
+def step_asked(context, count):
+    asked = sum(h.counted("weights_status_429") for h in context.world.hosts.values())
+    assert 0 < asked <= count, asked
+
+
+@then("no version was fetched twice for an engine")
+def step_fetched_once(context):
+    fetched = context.world.store.fetched
+    assert len(fetched) == len(set(fetched)), fetched
+
+
+@when('"{version}" is offered too')
+def step_offer_more(context, version):
+    context.offered = [*context.offered, version]
+    context.world.offer(context.offered)
+
+
+@given('only "{versions}" are offered')
+def step_offer_only(context, versions):
+    context.offered = versions.split()
+    context.world.offer(context.offered)
+
+
+@when("{seconds:d} s pass for the orders")
+def step_pass(context, seconds):
+    context.always = {zone: context.world.held(zone) for zone in "ab"}
+    for _ in range(seconds * 2):
+        passing(context, 0.5)
+        for zone in "ab":
+            context.always[zone] &= context.world.held(zone)
+
+
+@then('zone "{zone}" holds "{versions}"')
+def step_holds(context, zone, versions):
+    assert set(versions.split()) <= context.world.held(zone), context.world.held(zone)
+
+
+@then('zone "{zone}" held "{versions}" all the time')
+def step_held_always(context, zone, versions):
+    assert set(versions.split()) <= context.always[zone], context.always
+
+
+@then("no engine in memory began a load twice")
+def step_no_doubles(context):
+    for name, loaded in loads(context).items():
+        assert len(loaded) == len(set(loaded)), (name, loaded)
+
+
+@then('callers are told when "{version}" may come')
+def step_told(context, version):
+    host = context.world.hosts["a1"]
+    assert host.context.coming[VersionId.parse(version)] > 0
+
+
+def work_on(version, in_session=False, engine=""):
+    return OpenWork(VersionId.parse(version), 1, in_session, engine)
+
+
+@given('a session at host "{host}" keeps "{versions}"')
+@given('sessions at host "{host}" keep "{versions}"')
+def step_session(context, host, versions):
+    context.world.hosts[host].open_work = [work_on(v, True) for v in versions.split()]
+    passing(context, 3)
+
+
+@when('{count:d} requests for "{version}" are open at host "{host}"')
+def step_open(context, count, version, host):
+    context.world.hosts[host].open_work = [work_on(version)] * count
+
+
+@when('{count:d} requests of sessions for "{version}" are open at host "{host}"')
+def step_open_sessions(context, count, version, host):
+    context.world.hosts[host].open_work = [work_on(version, True)] * count
+
+
+@when('host "{host}" has {many:d} requests open for "{one}" and {few:d} for "{other}"')
+def step_open_both(context, many, one, few, other, host):
+    work = [work_on(one)] * many + [work_on(other)] * few
+    context.world.hosts[host].open_work = work
+
+
+def engine_with(context, zone, version):
+    return [n for n, e in in_zone(context, zone).items() if version in e.loaded]
+
+
+@given('a stream of "{version}" is open at host "{host}"')
+def step_stream(context, version, host):
+    (engine,) = engine_with(context, "a", version)
+    context.streaming = context.world.hosts[host]
+    context.streaming.open_work = [work_on(version, engine=engine)]
+
+
+@when('the stream of "{version}" ends')
+def step_stream_ends(context, version):
+    context.streaming.open_work = []
+
+
+@then('no host routes "{version}" to zone "{zone}"')
+def step_not_routed(context, version, zone):
+    now = context.loop.time()
+    for host in context.world.hosts.values():
+        choice = host.table.choose_engine(VersionId.parse(version), now)
+        assert choice is None or choice.endpoint.zone != zone, (host.name, choice)
+
+
+@given('zone "{zone}" is cut off from the others')
+def step_cut(context, zone):
+    names = context.world.hosts
+    context.world.network.cut(
+        [n for n in names if n[0] == zone], [n for n in names if n[0] != zone]
+    )
+
+
+@when('the engines of zone "{zone}" restart empty')
+def step_restart(context, zone):
+    for engine in in_zone(context, zone).values():
+        engine.restart()
+
+
+@when("the log is out for the orders")
+def step_log_out(context):
+    context.world.log.down = True
+
+
+@when("the log is back for the orders")
+def step_log_back(context):
+    context.world.log.down = False
+
+
+@then("no order came after the lease lapsed")
+def step_no_orders(context):
+    orders = [o for e in context.world.engines.values() for o in e.taken]
+    assert all("yew:1" not in msgspec.to_builtins(o)["versions"] for o in orders)
+
+
+@then('{count:d} engines of zone "{zone}" hold "{version}"')
+def step_copies(context, count, zone, version):
+    assert len(engine_with(context, zone, version)) == count
+
+
+@when(
+    '{many:d} and {few:d} requests for "{one}" and "{other}" take turns '
+    'at host "{host}" for {seconds:d} s'
+)
+def step_waver(context, many, few, one, other, host, seconds):
+    context.before = (loads(context), all_held(context), drains(context))
+    for number in range(seconds // 20):
+        more, less = (one, other) if number % 2 else (other, one)
+        step_open_both(context, many, more, few, less, host)
+        passing(context, 20)
+
+
+@then('the store handed each version out twice for zone "{zone}"')
+def step_handed_twice(context, zone):
+    fetched = [version for version, engine in context.world.store.fetched if engine[0] == zone]
+    assert sorted(fetched) == sorted(2 * context.offered), fetched
+
+
+@then('every zone has one sender and holds "{versions}"')
+def step_each_zone(context, versions):
+    for zone in {host.zone for host in context.world.hosts.values()}:
+        assert len(context.world.holders(zone)) == 1, zone
+        step_holds(context, zone, versions)
+
+
+@then("nothing was loaded or unloaded in that time")
+def step_nothing_moved(context):
+    assert (loads(context), all_held(context), drains(context)) == context.before
--- a/poplarrun/cli/_status.py
+++ b/poplarrun/cli/_status.py
@@ -119,6 +119,7 @@
         fence = str(orders.fence)
         for version, seconds in orders.coming.items():
             rows.append([orders.zone, fence, version, "-", f"coming, {seconds:.0f} s"])
+        rows += [[orders.zone, fence, v, "-", "no room"] for v in orders.without_room]
         for engine, versions in orders.draining.items():
             rows += [[orders.zone, fence, version, engine, "draining"] for version in versions]
     return rows
--- a/poplarrun/orders/_holder.py
+++ b/poplarrun/orders/_holder.py
@@ -2,7 +2,7 @@
 
 import math
 import random
-from collections.abc import Iterable, Mapping, Sequence
+from collections.abc import Iterable, Iterator, Mapping, Sequence
 from dataclasses import dataclass, field
 
 import msgspec
@@ -87,6 +87,7 @@
         self._paused_until = -math.inf
         self._pause_s = FIRST_PAUSE_S
         self._load_s = GUESSED_LOAD_S
+        self._without_room: list[str] = []
 
     @property
     def engines(self) -> list[str]:
@@ -190,15 +191,15 @@
             One for each host of the zone and one for each other zone that is
             heard: all of them must have stopped using what is to be unloaded.
         """
-        handed: dict[str, set[VersionId]] = {}
-        for name, version in (*self._granted, *self._fetching):
-            handed.setdefault(name, set()).add(version)
+        needed = frozenset(need.version for need in needs)
         engines = [
-            self._room_of(name, known, places[name], handed.get(name, set()))
-            for name, known in self._known.items()
+            EngineRoom(name, known.models.room, places[name], taken)
+            for name, known, taken in self._list_taken(needed)
             if name in places
         ]
         self.plan = self.planner.plan(needs, engines, now)
+        placed = frozenset().union(*self.plan.targets.values())
+        self._without_room = sorted(map(str, needed - placed))
         self._granted = {s: at for s, at in self._granted.items() if self._is_target(s)}
         self._set_draining(fence)
         actions: list[FetchWeights | SendOrder] = []
@@ -211,12 +212,20 @@
     def summarize(self) -> OrdersSummary:
         """Return what all hosts must know."""
         draining = {e: sorted(map(str, vs)) for e, vs in sorted(self.draining.items())}
-        return OrdersSummary(self._stamp, draining, self._coming())
+        return OrdersSummary(self._stamp, draining, self._coming(), self._without_room)
 
-    def _room_of(self, name: str, known: _Known, places: int, handed: set[VersionId]) -> EngineRoom:
-        # What drains is on its way out: its room counts as free, and stays planned so.
-        taken = (known.held | handed) - self.draining.get(name, frozenset())
-        return EngineRoom(name, known.models.room, places, taken)
+    def _list_taken(
+        self, needed: frozenset[VersionId]
+    ) -> Iterator[tuple[str, _Known, frozenset[VersionId]]]:
+        """Go through the engines with the versions that their room is taken by."""
+        handed: dict[str, set[VersionId]] = {}
+        for name, version in (*self._granted, *self._fetching):
+            handed.setdefault(name, set()).add(version)
+        for name, known in self._known.items():
+            # A load that nobody needs, as of a late order, is not carried on.
+            wanted = known.loaded | known.loading & needed | handed.get(name, set())
+            # What drains is on its way out: its room counts as free, and stays planned so.
+            yield name, known, wanted - self.draining.get(name, frozenset())
 
     def _is_target(self, slot: tuple[str, VersionId]) -> bool:
         return slot[1] in self.plan.targets.get(slot[0], ())
--- a/poplarrun/orders/_plan.py
+++ b/poplarrun/orders/_plan.py
@@ -153,12 +153,16 @@
         """Give a version one more copy, if there is room or it may take another's."""
         engine = self._find_free(need.version) or self._make_free(need)
         if engine is None:
+            self._make_way(need)
             return False
-        self._targets[engine].add(need.version)
-        self._copies[need.version] = self.copies(need.version) + 1
-        self._loads.append((engine, need.version))
+        self._add(engine, need.version)
         return True
 
+    def _add(self, engine: str, version: VersionId) -> None:
+        self._targets[engine].add(version)
+        self._copies[version] = self.copies(version) + 1
+        self._loads.append((engine, version))
+
     def finish(self) -> Plan:
         """Return the plan."""
         targets = {name: frozenset(versions) for name, versions in self._targets.items()}
@@ -215,6 +219,25 @@
         self._take_out(engine, version)
         return engine
 
+    def _make_way(self, need: Need) -> None:
+        """Begin to move a copy into room that is only free beside the needed version.
+
+        The copy is loaded there first; then the old one is spare, and goes.
+        """
+        free = [name for name in self._targets if self._free_at(name) > 0]
+        if not free or self._swaps >= MAX_SWAPS:
+            return
+        target = min(free)
+        movable = [
+            (self._worth(version), name, version)
+            for name, versions in self._targets.items()
+            if need.version not in versions
+            for version in versions - self._targets[target]
+        ]
+        if movable:
+            self._swaps += 1
+            self._add(target, min(movable)[2])
+
     def _take_out(self, engine: str, version: VersionId) -> None:
         self._targets[engine].discard(version)
         self._copies[version] -= 1
--- a/poplarrun/orders/_summaries.py
+++ b/poplarrun/orders/_summaries.py
@@ -63,11 +63,14 @@
         By engine, versions that get no new work there.
     coming : dict of str to float
         Expected seconds until a version is loaded that no engine of the zone holds.
+    without_room : list of str
+        Offered versions that have no place in the zone.
     """
 
     stamp: Stamp = Stamp()
     draining: dict[str, list[str]] = {}
     coming: dict[str, float] = {}
+    without_room: list[str] = []
 
 
 _demand_decoder = msgspec.msgpack.Decoder(DemandSummary)
--- a/poplarrun/server/_messages.py
+++ b/poplarrun/server/_messages.py
@@ -106,12 +106,15 @@
         By engine, versions that get no new work there and are then unloaded.
     coming : dict of str to float
         Expected seconds until a version is loaded that no engine of the zone holds.
+    without_room : tuple of str
+        Offered versions that have no place in the zone.
     """
 
     zone: str
     fence: int
     draining: dict[str, list[str]]
     coming: dict[str, float]
+    without_room: tuple[str, ...] = ()
 
 
 @dataclass(frozen=True, slots=True)
--- a/poplarrun/server/_order_tasks.py
+++ b/poplarrun/server/_order_tasks.py
@@ -4,7 +4,7 @@
 import random
 import time
 from collections.abc import Awaitable, Callable, Coroutine
-from typing import Any
+from typing import Any, Protocol
 
 import msgspec
 
@@ -16,10 +16,12 @@
 from poplarrun.metrics import Metrics
 from poplarrun.orders import (
     DEMAND_TOPIC,
+    DWELL_S,
     ORDERS_TOPIC,
     DemandSummary,
     FetchWeights,
     Need,
+    OpenWork,
     OrderHolder,
     OrdersSummary,
     SendOrder,
@@ -39,7 +41,6 @@
     WeightStore,
 )
 from poplarrun.router import RouterContext
-from poplarrun.router._chats import ChatRouter
 from poplarrun.server._messages import OrdersStatus
 
 # Engines that tell of no room are asked again after so long.
@@ -51,6 +52,13 @@
 InThread = Callable[..., Awaitable[Any]]
 
 
+class OpenRequests(Protocol):
+    """Who knows the host's open requests."""
+
+    def list_open_work(self) -> list[OpenWork]:
+        """Return what the open requests ask of the engines."""
+
+
 class OrderTasks:
     """What the orders part does besides deciding; its steps run on the loop.
 
@@ -58,7 +66,7 @@
     ----------
     context : RouterContext
         Configuration, endpoints, demand and versions of the host.
-    chats : ChatRouter
+    chats : OpenRequests
         Whose open requests are the demand.
     orders : Orders
         The way to the engines.
@@ -69,7 +77,7 @@
     def __init__(
         self,
         context: RouterContext,
-        chats: ChatRouter,
+        chats: OpenRequests,
         peers: Peers,
         leases: LeaseKeeper,
         orders: Orders,
@@ -99,7 +107,13 @@
     def read_status(self) -> tuple[OrdersStatus, ...]:
         """Tell which versions come and go in each zone, for operators."""
         return tuple(
-            OrdersStatus(zone, summary.stamp.fence, summary.draining, summary.coming)
+            OrdersStatus(
+                zone,
+                summary.stamp.fence,
+                summary.draining,
+                summary.coming,
+                tuple(summary.without_room),
+            )
             for zone, summary in sorted(self._heard.items())
         )
 
@@ -251,8 +265,10 @@
             for engine, versions in summary.draining.items():
                 retired[engine] = frozenset(VersionId.parse(version) for version in versions)
         self._context.endpoints.retire(retired)
-        coming = self._heard.get(self._zone, OrdersSummary()).coming
-        self._context.coming = {VersionId.parse(v): seconds for v, seconds in coming.items()}
+        own_zone = self._heard.get(self._zone, OrdersSummary())
+        # Room is given up after DWELL_S at the earliest.
+        waits = {**dict.fromkeys(own_zone.without_room, DWELL_S), **own_zone.coming}
+        self._context.coming = {VersionId.parse(v): seconds for v, seconds in waits.items()}
 
     def _demand(self) -> dict[str, DemandSummary]:
         """Return what each live host of the own zone tells; nothing counts as nothing applied."""
