Leave engines that refuse for long to the end, and retries away from them

A refusal paused an engine for 0.25 s each time, and at most half of a pool could be out, so a request met three that refuse in turn. Ruled out: admission (no queue), the retry budget alone (empty only later). Change: pauses double up to 2 s, then doubt (counts as a full batch); a retry avoids what refused last; refusals don't count for the bound on broken answers.

--- a/poplarrun/endpoints/_choice.py
+++ b/poplarrun/endpoints/_choice.py
@@ -200,7 +200,9 @@
         wait_s = max(0.0, requests + 1.0 - capacity) / capacity * speed.whole_s
         batch_s = requests / capacity * BATCH_COST_SHARE * speed.whole_s
         prefill_s = uncached * speed.prefill_s_per_token
-        first_token_s = wait_s + batch_s + prefill_s + self._link(endpoint.zone)
+        # A doubted endpoint counts as one with a full batch: better than a queue.
+        doubt_s = BATCH_COST_SHARE * speed.whole_s if now < endpoint.doubted_until else 0.0
+        first_token_s = wait_s + batch_s + doubt_s + prefill_s + self._link(endpoint.zone)
         load = requests / capacity
         return Choice(endpoint, wait_s, first_token_s, prefill_s, int(uncached), load)
 
--- a/poplarrun/endpoints/_endpoint.py
+++ b/poplarrun/endpoints/_endpoint.py
@@ -86,6 +86,10 @@
         Whether its last failure showed that nothing listens there.
     failed_at : float
         When it last failed.
+    refusals : int
+        Times in a row that it said that it is full.
+    doubted_until : float
+        Time before which it is only asked where the others are full.
     """
 
     name: str
@@ -104,6 +108,8 @@
     failures: int = 0
     unreachable: bool = False
     failed_at: float = -math.inf
+    refusals: int = 0
+    doubted_until: float = -math.inf
     sent_at: deque[float] = field(default_factory=lambda: deque(maxlen=KEPT_TIMES))
     ended_at: deque[float] = field(default_factory=lambda: deque(maxlen=KEPT_TIMES))
 
--- a/poplarrun/endpoints/_pool.py
+++ b/poplarrun/endpoints/_pool.py
@@ -118,9 +118,13 @@
     def refresh(self, now: float) -> None:
         """Sort the members into those that may be drawn; runs on changes only."""
         paused = [e for e in self.members if e.paused_until > now]
-        broken = sorted((e for e in paused if not e.unreachable), key=lambda e: e.paused_until)
+        # A refusal is the endpoint's own word and no fault of the request, so all that
+        # refuse may be out, as long as another one is in.
+        is_any_left = len(paused) < len(self.members)
+        bounded = [e for e in paused if not e.unreachable and not (e.refusals and is_any_left)]
+        bounded.sort(key=lambda e: e.paused_until)
         bound = int(len(self.members) * MAX_EJECTED_SHARE)
-        spared = {e.name for e in broken[: max(0, len(broken) - bound)]}
+        spared = {e.name for e in bounded[: max(0, len(bounded) - bound)]}
         out = {e.name for e in paused} - spared
         # None may be left: then nobody can be reached, and every call would be
         # one more failure. Callers hear so at once, until a pause ends or a
@@ -134,6 +138,15 @@
         self.salts = [(e.name, salt_of(e.name)) for e in self.near or self.far]
         self.refresh_at = min((e.paused_until for e in paused), default=float("inf"))
 
+    def avoid_refusing(self, tried: Container[str]) -> Container[str]:
+        """Return what a retry avoids: what it tried, and what refused others last.
+
+        Pauses end together, and a retry that met one after the other of them would
+        be refused in the end, although the endpoints that never refused have room.
+        """
+        avoided = {e.name for e in self.members if e.refusals or e.name in tried}
+        return avoided if len(avoided) < len(self.members) else tried
+
     def home(self, key: int) -> str | None:
         """Return the endpoint that a prefix usually goes to."""
         if key not in self._homes:
--- a/poplarrun/endpoints/_table.py
+++ b/poplarrun/endpoints/_table.py
@@ -13,8 +13,15 @@
 # A failed endpoint gets nothing for this time, doubled with each further failure.
 FAILURE_PAUSE_S = 1.0
 LONGEST_PAUSE_S = 30.0
-# An endpoint that says it is full is only passed over for a moment.
+# An endpoint that says it is full is passed over for a moment, doubled while it goes on
+# saying so, and then doubted for longer: it is asked where the others have no room.
+# Asked without need, a few that refuse for long would use up the attempts and retry
+# budgets of work that the others could do. The pause itself is short, so that a pool
+# that has room again isn't left idle.
 BUSY_PAUSE_S = 0.25
+LONGEST_BUSY_PAUSE_S = 2.0
+DOUBTED_PAUSES = 10.0
+MOST_DOUBLINGS = 10
 BUSY_REASONS = frozenset({"status_429", "status_503"})
 UNREACHABLE_REASONS = frozenset({"connect"})
 JITTER_SHARE = 0.2
@@ -133,11 +140,15 @@
         endpoint = self._endpoints.get(name)
         if endpoint is None:
             return
-        pause_s = BUSY_PAUSE_S
-        if reason not in BUSY_REASONS:
-            endpoint.failures += now >= endpoint.paused_until
-            doublings = min(max(0, endpoint.failures - 1), 10)
-            pause_s = min(LONGEST_PAUSE_S, FAILURE_PAUSE_S * 2.0**doublings)
+        in_pause = now < endpoint.paused_until
+        if reason in BUSY_REASONS:
+            endpoint.refusals += not in_pause
+            pause_s = _double(BUSY_PAUSE_S, endpoint.refusals, LONGEST_BUSY_PAUSE_S)
+            endpoint.doubted_until = now + pause_s * DOUBTED_PAUSES
+        else:
+            endpoint.refusals = 0
+            endpoint.failures += not in_pause
+            pause_s = _double(FAILURE_PAUSE_S, endpoint.failures, LONGEST_PAUSE_S)
         endpoint.unreachable = reason in UNREACHABLE_REASONS
         endpoint.failed_at = now
         # Jitter: hosts that saw the same failure must not try again as one.
@@ -148,8 +159,9 @@
     def note_success(self, name: str) -> None:
         """Take an endpoint back at once when it answered a call."""
         endpoint = self._endpoints.get(name)
-        if endpoint is not None and endpoint.failures:
-            endpoint.failures = 0
+        if endpoint is not None and (endpoint.failures or endpoint.refusals):
+            endpoint.failures = endpoint.refusals = 0
+            endpoint.doubted_until = float("-inf")
             endpoint.unreachable = False
             endpoint.paused_until = float("-inf")
             self._mark_changed(endpoint)
@@ -187,6 +199,8 @@
         pool = self._current_pool(version)
         if pool is None:
             return None
+        if avoid:
+            avoid = pool.avoid_refusing(avoid)
         return self.chooser.choose(pool, version, demand, now, avoid, self._endpoints.get, may_wait)
 
     def choose_this(
@@ -229,6 +243,11 @@
             self.pool(work).mark_changed()
 
 
+def _double(first_s: float, times: int, longest_s: float) -> float:
+    """Return a pause that doubles with each time but the first, up to the longest."""
+    return min(longest_s, first_s * 2.0 ** min(max(0, times - 1), MOST_DOUBLINGS))
+
+
 def _work_of(endpoint: Endpoint) -> list[VersionId | str]:
     if endpoint.service is not None:
         return [endpoint.service]
