Rate each version once a second at the least, over all hosts together

Ruled out: the bar (13.8 takes some 30 ratings either way), the exchange of evidence. Change: a floor of one rating a second for each version and class, split over the live hosts.

--- a/poplarrun/versions/_part.py
+++ b/poplarrun/versions/_part.py
@@ -88,7 +88,7 @@
 
     def wants_rating(self, key: CellKey, why: str, now: float) -> bool:
         """Tell whether an answer is to be handed to the rating service."""
-        if not self._sampler.choose(self.estimates.find(key), why, now):
+        if not self._sampler.choose(key, self.estimates.find(key), why, now):
             return False
         self.estimates.note_sampled(key)
         return True
@@ -115,6 +115,7 @@
         The more hosts a zone has, the less often each gives its counters out, so
         that the bytes stay bounded; with 6 hosts it is once a call.
         """
+        self._sampler.host_count = len(peers.live())
         if now >= self._publish_at:
             payload = self.estimates.encode_own()
             peers.publish(EVIDENCE_TOPIC, payload)
--- a/poplarrun/versions/_sampling.py
+++ b/poplarrun/versions/_sampling.py
@@ -1,5 +1,6 @@
 """Which answers go to the rating service: those that tell most, at a bounded rate."""
 
+import math
 import random
 from dataclasses import dataclass
 
@@ -13,6 +14,10 @@
 # Log capital at which a version is suspected of having turned bad.
 SUSPICION = 1.5
 CASCADE = "cascade"
+# All hosts together rate each version in each class so often, whatever its share: with
+# few requests a share alone gives no rating for long, and a version that turns bad
+# reaches callers meanwhile.
+LEAST_RATINGS_PER_S = 1.0
 RATINGS_PER_S = 4.0
 BURST = 60.0
 
@@ -49,24 +54,39 @@
         Random source.
     ratings_per_s : float
         Bound of this host's rate.
+
+    Attributes
+    ----------
+    host_count : int
+        Live hosts, which share the least rate of each version.
     """
 
     def __init__(self, source: random.Random, ratings_per_s: float = RATINGS_PER_S) -> None:
+        self.host_count = 1
+        self._sampled_at: dict[CellKey, float] = {}
         self._random = source
         self._rate = ratings_per_s
         self._tokens = BURST
         self._filled_at: float | None = None
 
-    def choose(self, estimate: Estimate, why: str, now: float) -> bool:
+    def choose(self, key: CellKey, estimate: Estimate, why: str, now: float) -> bool:
         """Tell whether an answer is to be rated."""
         elapsed_s = 0.0 if self._filled_at is None else now - self._filled_at
         self._filled_at = now
         self._tokens = min(BURST, self._tokens + elapsed_s * self._rate)
-        if self._tokens < 1.0 or self._random.random() >= _share(estimate, why):
+        if self._tokens < 1.0:
+            return False
+        if not self._is_due(key, now) and self._random.random() >= _share(estimate, why):
             return False
         self._tokens -= 1.0
+        self._sampled_at[key] = now
         return True
 
+    def _is_due(self, key: CellKey, now: float) -> bool:
+        """Tell whether this host's part of a version's least rate is due."""
+        pause_s = self.host_count / LEAST_RATINGS_PER_S
+        return now - self._sampled_at.get(key, -math.inf) >= pause_s
+
 
 def _share(estimate: Estimate, why: str) -> float:
     if why in ("roll-out", "exploration") or _is_suspected(estimate):
