--- a/bench/outcomes.py
+++ b/bench/outcomes.py
@@ -18,7 +18,16 @@
 from bench.figures import Figure, Slope, report
 from poplarrun.billing import Bill, BillKeeper, encode_bills
 from poplarrun.billing._totals import BillTotals
-from poplarrun.claims import Claim, ClaimKeeper, Outcome, Won, make_ran
+from poplarrun.claims import (
+    Claim,
+    ClaimKeeper,
+    Outcome,
+    Won,
+    encode_batch,
+    make_ran,
+    stream_of,
+)
+from poplarrun.claims._shard import Shard
 from poplarrun.hosts import MemoryNetwork, MemoryPeers, Peer, Peers
 from poplarrun.log import PART_BYTES, AppendOutcome, Entry, MemoryLog, ReadOutcome, ThreadedLog
 from poplarrun.platform import HttpLog
@@ -44,6 +53,10 @@
 # shards make 5,400 today; the two-year size's 3,500 a second make 1.6 million.
 SNAPSHOT_BILLS = 400_000
 SNAPSHOT_BATCH = 100
+# 10% of 3,500 calls a second, over 32 shards, in an hour.
+SNAPSHOT_KEYS = 39_400
+SNAPSHOT_KEYS_S = 3500.0
+CLAIMS_STREAM = stream_of(0)
 REMEMBERED_S = 7000.0
 ANSWER = b'{"done": "correct", "record": "4711", "state": "paid"}'
 FINGERPRINT = bytes(16)
@@ -260,6 +273,42 @@
     ]
 
 
+async def measure_claim_snapshot() -> list[Figure]:
+    """Write the snapshot of a shard at the two-year size, and start a host from it."""
+    loop = asyncio.get_running_loop()
+    log = CountingLog()
+    wall_s = [0.0]
+    owner = Shard(0, log, loop.time, lambda: wall_s[0])
+    answer = make_ran(200, "application/json", ANSWER)
+    for first in range(0, SNAPSHOT_KEYS, SNAPSHOT_BATCH):
+        keys = [f"{n:032x}" for n in range(first, first + SNAPSHOT_BATCH)]
+        at = 1e6 + first * SNAPSHOT_KEYS_S / SNAPSHOT_KEYS
+        claims = [Claim(f"req-{k}", "shop", k, FINGERPRINT, "a1", 1, at) for k in keys]
+        outcomes = [Outcome(c.id, c.account, c.key, answer) for c in claims]
+        log.memory.append(CLAIMS_STREAM, encode_batch([*claims, *outcomes]))
+    await owner.refresh()
+    wall_s[0], before = 1e6, log.appends
+    cpu_s = time.process_time()
+    owner.snapshot_when_due()
+    take_s = time.process_time() - cpu_s
+    while log.appends - before < owner.appends:
+        await asyncio.sleep(1.0)
+    log.memory.truncate(CLAIMS_STREAM, owner.fold.next_offset)
+    newcomer = Shard(0, log, loop.time, lambda: wall_s[0])
+    cpu_s, began = time.process_time(), loop.time()
+    await newcomer.refresh()
+    if newcomer.fold.size != owner.fold.size:
+        raise RuntimeError("a start from the snapshot lacks keys")
+    return [
+        Figure("claim_snapshot_keys", owner.fold.size, "keys"),
+        Figure("claim_snapshot_bytes", log.stream_bytes[CLAIMS_STREAM], "bytes"),
+        Figure("claim_snapshot_appends", log.appends - before, "appends"),
+        Figure("claim_snapshot_take", take_s * 1000, "ms of the owner's loop"),
+        Figure("claim_snapshot_start", (time.process_time() - cpu_s) * 1000, "ms of processor"),
+        Figure("claim_snapshot_reads", round((loop.time() - began) / APPEND_S), "reads"),
+    ]
+
+
 def measure_latencies() -> list[Figure]:
     log_process = StandInProcess("log")
     log_process.spawn()
@@ -318,6 +367,7 @@
     figures.append(Figure("bill_in_log", len(batch) / 1000, "bytes"))
     figures.append(Figure("bill_in_memory", run_virtual(measure_bill_memory()), "bytes"))
     figures += measure_bill_snapshot()
+    figures += run_virtual(measure_claim_snapshot())
     return report("outcomes", figures, make_slopes())
 
 
--- a/features/claim_fold.feature
+++ b/features/claim_fold.feature
@@ -48,3 +48,29 @@
     Given a shard with 40 random claims with seed 5, snapshots, and dropped records
     When a new host reads the shard
     Then both hosts hold the same keys
+
+  Scenario: A host starts from a snapshot that stands in parts
+    # The keys of an hour don't fit into one record. The parts stand between other
+    # records of two owners, that both write a snapshot at the same time.
+    Given two owners of a shard that write snapshots in parts, between claims
+    And the log has dropped all that the first snapshot covers
+    When a new host reads the shard
+    Then both hosts hold the same keys
+
+  Scenario: The writer of a snapshot in parts died before its last one
+    # The unfinished one must not count, also not in part: keys that it lacks would
+    # run again. The whole one before it does.
+    Given two owners of a shard that write snapshots in parts, between claims
+    And a later snapshot that lacks its last part
+    And the log has dropped all that the first snapshot covers
+    When a new host reads the shard
+    Then both hosts hold the same keys
+
+  Scenario: Retention drops the first parts of a snapshot
+    # What the snapshot covers is gone, and some of its parts with it: only a later
+    # one counts, and a host reads on to it.
+    Given two owners of a shard that write snapshots in parts, between claims
+    And a later snapshot that stands whole
+    And the log has dropped the first parts of the first snapshot
+    When a new host reads the shard
+    Then both hosts hold the same keys
--- a/features/steps/bill_snapshots.py
+++ b/features/steps/bill_snapshots.py
@@ -149,7 +149,7 @@
         totals.fold(entry)
     whole = totals.take_snapshot(START)
     context.covered = whole.through
-    *parts, _ = split_snapshot("dead", whole)
+    *parts, _ = split_snapshot(whole)
     assert parts
     for part in parts:
         context.bill_log.append(stream_of(0), part)
--- /dev/null
+++ b/features/steps/claim_parts.py
@@ -0,0 +1,92 @@
+import asyncio
+
+from behave import given
+
+import poplarrun.claims._shard as shard_module
+import poplarrun.log._parts as parts_module
+from features.steps.claim_fold import STREAM, LoopLog
+from poplarrun.claims import Claim, encode_batch
+from poplarrun.claims._shard import Shard
+from poplarrun.log import PartCollector, WholeSnapshot, split_snapshot
+
+SMALL = 300
+START = 1_000_000.0
+
+
+def claim(number):
+    return Claim(f"r{number}", "shop", f"k{number}", b"", "a", 1, START + number)
+
+
+def list_snapshots(log):
+    collector = PartCollector()
+    found = [(entry.offset, collector.add(entry)) for entry in read_all(log)]
+    return [(offset, whole) for offset, whole in found if whole is not None]
+
+
+def read_all(log):
+    return log.memory.read(STREAM, 0, 10**6).entries
+
+
+async def write_both(context):
+    clock = asyncio.get_running_loop().time
+    owners = [Shard(0, context.loop_log, clock, lambda: context.wall) for _ in range(2)]
+    for number in range(40):
+        await owners[0].submit(claim(number), 10.0)
+    assert await owners[1].refresh()
+    context.wall += 2000.0
+    for owner in owners:
+        await asyncio.sleep(0.01)
+        context.wall += 1.0
+        owner.snapshot_when_due()
+        await owners[0].submit(claim(40 if owner is owners[0] else 41), 10.0)
+        assert await owners[1].refresh()
+    await asyncio.gather(*(owner._writing for owner in owners))
+    assert await owners[0].refresh()
+    context.old_fold = owners[0].fold
+
+
+@given("two owners of a shard that write snapshots in parts, between claims")
+def step_two_owners(context):
+    for module, name, value in (
+        (shard_module, "PART_BYTES", SMALL),
+        (parts_module, "PART_BYTES", SMALL),
+        (shard_module, "MIN_APPEND_INTERVAL_S", 0.0),
+        (parts_module, "PART_PAUSE_S", 0.001),
+    ):
+        context.add_cleanup(setattr, module, name, getattr(module, name))
+        setattr(module, name, value)
+    context.loop_log = LoopLog()
+    context.wall = START
+    asyncio.run(write_both(context))
+    assert len(list_snapshots(context.loop_log)) == 2
+
+
+def append_snapshot(context, keep):
+    snapshot = context.old_fold.take_snapshot(context.wall)
+    parts = split_snapshot(WholeSnapshot(snapshot.through, snapshot.at, encode_batch([snapshot])))
+    for part in parts[:keep]:
+        context.loop_log.memory.append(STREAM, part)
+    for entry in read_all(context.loop_log):
+        context.old_fold.fold(entry)
+
+
+@given("a later snapshot that lacks its last part")
+def step_unfinished(context):
+    append_snapshot(context, -1)
+
+
+@given("a later snapshot that stands whole")
+def step_whole(context):
+    append_snapshot(context, None)
+
+
+@given("the log has dropped all that the first snapshot covers")
+def step_drop_covered(context):
+    _, first = list_snapshots(context.loop_log)[0]
+    context.loop_log.memory.truncate(STREAM, first.through + 1)
+
+
+@given("the log has dropped the first parts of the first snapshot")
+def step_drop_parts(context):
+    offset, _ = list_snapshots(context.loop_log)[0]
+    context.loop_log.memory.truncate(STREAM, offset - 1)
--- a/poplarrun/billing/_snapshots.py
+++ b/poplarrun/billing/_snapshots.py
@@ -52,7 +52,6 @@
         self._count = count
         self._readings: dict[int, ShardReading] = {}
         self._tried_at: dict[int, float] = {}
-        self._written = 0
         self._ranking = Ranking()
 
     async def tend(self) -> None:
@@ -102,9 +101,6 @@
 
     async def _write(self, shard: int, reading: ShardReading) -> None:
         """Append a snapshot; an interrupted one is never whole, and counts nowhere."""
-        self._written += 1
         whole = reading.totals.take_snapshot(self._wall())
-        me = self._peers.me
-        name = f"{me.name}/{me.incarnation}/{self._written}"
-        is_written = await append_parts(self._log, stream_of(shard), split_snapshot(name, whole))
+        is_written = await append_parts(self._log, stream_of(shard), split_snapshot(whole))
         self._count("bill_snapshot_written" if is_written else "bill_snapshot_failed")
--- a/poplarrun/claims/_records.py
+++ b/poplarrun/claims/_records.py
@@ -1,5 +1,7 @@
 """The records of the claim streams, and the results that hosts tell each other."""
 
+from collections.abc import Sequence
+
 import msgspec
 
 
@@ -145,7 +147,7 @@
 )
 
 
-def encode_batch(records: list[LogRecord] | list[Record]) -> bytes:
+def encode_batch(records: Sequence[LogRecord]) -> bytes:
     """Return the bytes of the records that one append carries."""
     return _encoder.encode(records)
 
--- a/poplarrun/claims/_shard.py
+++ b/poplarrun/claims/_shard.py
@@ -18,12 +18,17 @@
     encode_batch,
 )
 from poplarrun.log import (
+    PART_BYTES,
     Appended,
     AppendRefused,
     AppendUnknown,
     AsyncLog,
     Entry,
     Page,
+    PartCollector,
+    WholeSnapshot,
+    append_parts,
+    split_snapshot,
 )
 
 # With 32 shards this bounds the claims of all hosts to 160 appends a second.
@@ -74,7 +79,9 @@
         self._now = now
         self._wall = wall
         self._snapshot_at = wall()
-        self._snapshot_wanted = False
+        self._snapshot_wanted: Snapshot | None = None
+        self._writing: asyncio.Task[bool] | None = None
+        self._parts = PartCollector()
         self._next_append_at = 0.0
         self._waiting: list[_Waiting] = []
         self._pump: asyncio.Task[None] | None = None
@@ -106,11 +113,24 @@
             return await self._read(None)
 
     def snapshot_when_due(self) -> None:
-        """Write a snapshot when the last one has become old."""
+        """Write a snapshot when the last one has become old.
+
+        One that is too large for a record goes in parts, beside the claims,
+        which would else wait for all of them.
+        """
         is_due = self._wall() - self._snapshot_at >= SNAPSHOT_INTERVAL_S
-        if is_due and self.fold.size and self.is_idle:
-            self._snapshot_wanted = True
+        is_writing = self._writing is not None and not self._writing.done()
+        if not (is_due and self.fold.size and self.is_idle) or is_writing:
+            return
+        snapshot = self.fold.take_snapshot(self._wall())
+        data = encode_batch([snapshot])
+        if len(data) <= PART_BYTES:
+            self._snapshot_wanted = snapshot
             self._start()
+            return
+        parts = split_snapshot(WholeSnapshot(snapshot.through, snapshot.at, data))
+        self.appends += len(parts)
+        self._writing = asyncio.create_task(append_parts(self._log, self._stream, parts))
 
     def _start(self) -> None:
         if self._pump is None:
@@ -130,9 +150,9 @@
 
     async def _append(self, batch: list[_Waiting]) -> None:
         records: list[LogRecord] = [waiting.record for waiting in batch]
-        if self._snapshot_wanted:
-            self._snapshot_wanted = False
-            records.append(self.fold.take_snapshot(self._wall()))
+        if self._snapshot_wanted is not None:
+            records.append(self._snapshot_wanted)
+            self._snapshot_wanted = None
         data = encode_batch(records)
         self.appends += 1
         outcome = await self._log.append(self._stream, data)
@@ -194,20 +214,28 @@
         must then be longer than that of the keys, as the operators' page asks.
         """
         position = horizon
+        self._parts = PartCollector()
         while True:
             page = await self._log.read(self._stream, position, READ_LIMIT)
             if not isinstance(page, Page) or not page.entries:
                 break
             for entry in page.entries:
-                for record in decode_batch(entry.data):
-                    if isinstance(record, Snapshot) and record.through + 1 >= horizon:
-                        self.fold.adopt(record)
-                        return
+                snapshot = self._read_snapshot(entry)
+                if snapshot is not None and snapshot.through + 1 >= horizon:
+                    self.fold.adopt(snapshot)
+                    return
             position = page.entries[-1].offset + 1
         self.fold.next_offset = horizon
 
     def _fold(self, entry: Entry) -> None:
         self.fold.fold(entry)
-        for record in decode_batch(entry.data):
-            if isinstance(record, Snapshot):
-                self._snapshot_at = record.at
+        snapshot = self._read_snapshot(entry)
+        if snapshot is not None:
+            self._snapshot_at = snapshot.at
+
+    def _read_snapshot(self, entry: Entry) -> Snapshot | None:
+        """Return the snapshot that an entry carries, or makes whole as its last part."""
+        whole = self._parts.add(entry)
+        records = decode_batch(entry.data if whole is None else whole.data)
+        found = (record for record in records if isinstance(record, Snapshot))
+        return next(found, None)
--- a/poplarrun/log/_parts.py
+++ b/poplarrun/log/_parts.py
@@ -1,6 +1,7 @@
 """Snapshots in parts of a bounded size, among the records of their own stream."""
 
 import asyncio
+import hashlib
 from dataclasses import dataclass
 
 import msgspec
@@ -73,14 +74,18 @@
         if len(parts) == part.count:
             del self._open[part.snapshot]
             data = b"".join(parts[number].data for number in range(part.count))
-            return WholeSnapshot(part.through, part.at, data)
+            is_intact = part.snapshot == _digest_of(part.through, data)
+            return WholeSnapshot(part.through, part.at, data) if is_intact else None
         if len(self._open) > MAX_OPEN:
             del self._open[next(iter(self._open))]
         return None
 
 
-def split_snapshot(snapshot: str, whole: WholeSnapshot) -> list[bytes]:
-    """Return the records that carry a snapshot; ``snapshot`` is its unique id.
+def split_snapshot(whole: WholeSnapshot) -> list[bytes]:
+    """Return the records that carry a snapshot.
+
+    Its digest names it, so parts of different snapshots are never mixed, and
+    those of two writers of the same one complete each other.
 
     Raises
     ------
@@ -90,9 +95,10 @@
     count = max(1, -(-len(whole.data) // PART_BYTES))
     if count > MAX_PARTS:
         raise ValueError(f"a snapshot of {len(whole.data)} bytes is too large")
+    name = _digest_of(whole.through, whole.data)
     cuts = [whole.data[i * PART_BYTES : (i + 1) * PART_BYTES] for i in range(count)]
     return [
-        _encode(_Part(snapshot, whole.through, whole.at, number, count, cut))
+        _encode(_Part(name, whole.through, whole.at, number, count, cut))
         for number, cut in enumerate(cuts)
     ]
 
@@ -122,6 +128,10 @@
     return False
 
 
+def _digest_of(through: int, data: bytes) -> str:
+    return hashlib.blake2b(data, digest_size=16, salt=through.to_bytes(8)).hexdigest()
+
+
 def _read_part(entry: Entry) -> _Part | None:
     """Read a part; None for every other record, and for one that can't be true."""
     if not entry.data.startswith(_HEADING):
@@ -130,5 +140,5 @@
         part = _decoder.decode(entry.data)
     except (msgspec.MsgspecError, UnicodeDecodeError):
         return None
-    is_sound = 0 <= part.number < part.count <= MAX_PARTS and part.through < entry.offset
+    is_sound = 0 <= part.number < part.count <= MAX_PARTS and 0 <= part.through < entry.offset
     return part if is_sound else None
