Sign the hosts' own records at the border of the log

Cause: only publications of the configuration were signed. Whoever reached the log could forge an outcome, a bill, a lease or a grant.

Ruled out: no signatures; (not in our libraries, no authority for hosts that come and go); the operators' system key (widens who has it, and hosts that have it today would refuse each other's records during a rolling change); a signature in each stream's format.

The config stream keeps its operators' signatures.

--- a/bench/outcomes.py
+++ b/bench/outcomes.py
@@ -29,7 +29,16 @@
 )
 from poplarrun.claims._shard import Shard
 from poplarrun.hosts import MemoryNetwork, MemoryPeers, Peer, Peers
-from poplarrun.log import PART_BYTES, AppendOutcome, Entry, MemoryLog, ReadOutcome, ThreadedLog
+from poplarrun.log import (
+    PART_BYTES,
+    AppendOutcome,
+    Entry,
+    LogKeys,
+    MemoryLog,
+    ReadOutcome,
+    SignedLog,
+    ThreadedLog,
+)
 from poplarrun.platform import HttpLog
 from standins.fleet import StandInProcess
 from standins.histories import VirtualLoop
@@ -273,6 +282,28 @@
     ]
 
 
+def measure_signing() -> list[Figure]:
+    """Sign and check records of the size of a batch, and of a part of a snapshot."""
+    figures = []
+    for name, size, rounds in (("batch", 1000, 20_000), ("part", PART_BYTES, 500)):
+        memory = MemoryLog()
+        log = SignedLog(memory, LogKeys((b"a-key-of-the-hosts",)), print)
+        data, plain = bytes(size), MemoryLog()
+        for step, ours, other in (
+            ("sign", log.append, plain.append),
+            ("check", log.read, plain.read),
+        ):
+            last = ("s", data) if step == "sign" else ("s", 0, 1)
+            took_us = []
+            for call in (ours, other):
+                began = time.process_time()
+                for _ in range(rounds):
+                    call(*last)
+                took_us.append((time.process_time() - began) / rounds * 1e6)
+            figures.append(Figure(f"record_{step}_{name}", took_us[0], "us", baseline=took_us[1]))
+    return figures
+
+
 async def measure_claim_snapshot() -> list[Figure]:
     """Write the snapshot of a shard at the two-year size, and start a host from it."""
     loop = asyncio.get_running_loop()
@@ -366,6 +397,7 @@
     batch = encode_bills([make_bill(number) for number in range(1000)])
     figures.append(Figure("bill_in_log", len(batch) / 1000, "bytes"))
     figures.append(Figure("bill_in_memory", run_virtual(measure_bill_memory()), "bytes"))
+    figures += measure_signing()
     figures += measure_bill_snapshot()
     figures += run_virtual(measure_claim_snapshot())
     return report("outcomes", figures, make_slopes())
--- a/features/security.feature
+++ b/features/security.feature
@@ -66,3 +66,37 @@
       | chat bodies           |
       | documents             |
       | zone members          |
+
+  Scenario Outline: A record counts only with the signature of a host
+    # Whoever reaches the log appends a record of his own. Hosts read it as empty
+    # and count it; its offset stays, so that all folds go on alike.
+    Given a host's record in stream "billing-00", <changed>, read with keys "<keys>"
+    Then the record is <read> and "<counted>" is counted
+
+    Examples:
+      | changed                       | keys             | read    | counted             |
+      | as it was written             | first            | read    | nothing             |
+      | as it was written             | second, first    | read    | nothing             |
+      | as it was written             | none             | read    | nothing             |
+      | as it was written             | second           | refused | log_record_forged   |
+      | with another byte at its end  | first            | refused | log_record_forged   |
+      | cut to half its length        | first            | refused | log_record_forged   |
+      | moved to another stream       | first            | refused | log_record_forged   |
+      | without its signature         | first            | refused | log_record_unsigned |
+      | without its signature         | none             | read    | nothing             |
+      | without its signature         | first, unsigned  | read    | nothing             |
+      | with another byte at its end  | first, unsigned  | refused | log_record_forged   |
+
+  Scenario: Forged bills, outcomes, leases and roll-outs have no effect
+    # The forger knows every format and no key.
+    Given hosts with a log key, whose log a forger reaches
+    When the forger appends a bill, an outcome, a lease and a roll-out
+    Then the statement has nothing of it
+    And the claim has no outcome, the lease no holder, the roll-out no grant
+    And the host counted 4 refused records
+
+  Scenario: The log key is rotated
+    # One host after the other gets both keys, then the new one first, then the new
+    # one alone. At each step all hosts read what each of them writes.
+    Given 3 hosts that rotate their log key one after the other
+    Then every record that one of them wrote is read by all
--- a/poplarrun/cli/_bill.py
+++ b/poplarrun/cli/_bill.py
@@ -1,13 +1,16 @@
 """``poplarrun bill``: a client account's statement, out of the log alone."""
 
 import datetime
+from collections import Counter
 from dataclasses import dataclass
+from pathlib import Path
 from typing import Annotated
 
 import cappa
 
 from poplarrun.billing import Statement, StatementLine, read_statement
 from poplarrun.cli._arguments import EXIT_FAILED, EXIT_INVALID, LogAddress
+from poplarrun.log import LogKeys, SignedLog
 from poplarrun.platform import HttpLog
 
 
@@ -28,13 +31,24 @@
         ),
     ]
     log: LogAddress
+    log_key_file: Annotated[
+        Path | None,
+        cappa.Arg(
+            long=True, help="File with the hosts' log keys, one a line; else none is checked."
+        ),
+    ] = None
 
     def __call__(self) -> None:
         """Print the statement."""
-        statement = read_statement(HttpLog(self.log), self.account, _read_time(self.since))
+        refused: Counter[str] = Counter()
+        keys = LogKeys(() if self.log_key_file is None else _read_keys(self.log_key_file))
+        log = SignedLog(HttpLog(self.log), keys, lambda reason: refused.update([reason]))
+        statement = read_statement(log, self.account, _read_time(self.since))
         if statement is None:
             raise cappa.Exit("the log did not answer", code=EXIT_FAILED)
         print(render_statement(statement))
+        for reason, count in sorted(refused.items()):
+            print(f"{reason}: {count} records left out")
 
 
 def render_statement(statement: Statement) -> str:
@@ -60,6 +74,13 @@
     return f"{line.item:32} {line.count:9d} {line.amount:14.6f}"
 
 
+def _read_keys(path: Path) -> tuple[bytes, ...]:
+    try:
+        return tuple(path.read_bytes().split())
+    except OSError as error:
+        raise cappa.Exit(f"{path}: can't be read: {error}", code=EXIT_INVALID) from error
+
+
 def _read_time(text: str) -> float:
     try:
         at = datetime.datetime.fromisoformat(text)
--- a/poplarrun/log/__init__.py
+++ b/poplarrun/log/__init__.py
@@ -20,6 +20,7 @@
     append_parts,
     split_snapshot,
 )
+from poplarrun.log._signed import LogKeys, SignedLog, seal_record
 from poplarrun.log._stream import Gap, StreamReader, append_until_known
 
 __all__ = [
@@ -32,15 +33,18 @@
     "Entry",
     "Gap",
     "Log",
+    "LogKeys",
     "MemoryLog",
     "Page",
     "PartCollector",
     "ReadFailed",
     "ReadOutcome",
+    "SignedLog",
     "StreamReader",
     "ThreadedLog",
     "WholeSnapshot",
     "append_parts",
     "append_until_known",
+    "seal_record",
     "split_snapshot",
 ]
--- a/poplarrun/server/_host.py
+++ b/poplarrun/server/_host.py
@@ -57,7 +57,7 @@
     ReadReadiness,
     ReadStatus,
 )
-from poplarrun.server._peering import keys_of, make_peers, publish_offset, read_zones
+from poplarrun.server._peering import keys_of, make_peers, publish_offset, read_zones, sign_log
 from poplarrun.server._status import read_endpoint
 from poplarrun.server._version_tasks import VersionTasks
 from poplarrun.settings import HostSettings
@@ -116,6 +116,7 @@
         self.settings = settings
         self.metrics = Metrics()
         self.peers = peers or make_peers(settings, self.metrics, clock)
+        log = sign_log(log, settings, self.metrics)
         self.leaving = False
         self.stopping = False
         self.on_leave: list[Callable[[], Awaitable[None]]] = [
--- a/poplarrun/server/_peering.py
+++ b/poplarrun/server/_peering.py
@@ -7,9 +7,10 @@
 
 import msgspec
 
-from poplarrun.config import OperatorKeys
+from poplarrun.config import CONFIG_STREAM, OperatorKeys
 from poplarrun.hosts import MemoryNetwork, MemoryPeers, NetworkPeers, Peer, Peers, SummaryTopic
 from poplarrun.links import NngLinks, TlsFiles
+from poplarrun.log import Log, LogKeys, SignedLog
 from poplarrun.metrics import Metrics
 from poplarrun.server._messages import ZoneStatus
 from poplarrun.settings import HostSettings
@@ -55,6 +56,13 @@
     return OperatorKeys({name: tuple(k.encode() for k in some) for name, some in keys.items()})
 
 
+def sign_log(log: Log, settings: HostSettings, metrics: Metrics) -> Log:
+    """Return the log as the host's parts use it; publications carry operators' signatures."""
+    keys = tuple(key.encode() for key in settings.log_signing.keys)
+    log_keys = LogKeys(keys, settings.log_signing.accept_unsigned)
+    return SignedLog(log, log_keys, metrics.count_event, frozenset({CONFIG_STREAM}))
+
+
 def publish_offset(peers: Peers, offset: int) -> None:
     """Tell the others which configuration is in force here."""
     peers.publish(OFFSETS, msgspec.msgpack.encode(OffsetSummary(offset, offset)))
--- a/poplarrun/settings/_settings.py
+++ b/poplarrun/settings/_settings.py
@@ -9,6 +9,7 @@
 
 Address = Annotated[str, StringConstraints(pattern=r"^\d{1,3}(\.\d{1,3}){3}:\d{1,5}$")]
 Name = Annotated[str, StringConstraints(pattern=r"^[A-Za-z0-9][A-Za-z0-9._-]{0,63}$")]
+OperatorKey = Annotated[str, StringConstraints(min_length=16, max_length=200)]
 
 
 class _Settings(BaseModel):
@@ -39,6 +40,22 @@
     threads: Annotated[int, Field(ge=4, le=2000)] = 256
 
 
+class LogSigning(_Settings):
+    """How the hosts' own records in the log are signed.
+
+    Attributes
+    ----------
+    keys : tuple of str
+        Secret keys, the same at every host: the first signs, each of them is
+        accepted. Without any, records are neither signed nor checked.
+    accept_unsigned : bool
+        Whether unsigned records count; for the time in which keys are introduced.
+    """
+
+    keys: tuple[OperatorKey, ...] = ()
+    accept_unsigned: bool = False
+
+
 class StopSettings(_Settings):
     """How a planned stop goes.
 
@@ -92,9 +109,6 @@
     platform: PlatformTlsSettings | None = None
 
 
-OperatorKey = Annotated[str, StringConstraints(min_length=16, max_length=200)]
-
-
 class HostSettings(_Settings):
     """Everything that a host learns from its settings.
 
@@ -114,6 +128,8 @@
         Secret keys of the operators by name, and of ``system`` for the hosts
         themselves; the same at every host. Without any, unsigned
         publications count.
+    log_signing : LogSigning
+        Keys for all other records.
     """
 
     name: Name
@@ -127,6 +143,7 @@
     stop: StopSettings = StopSettings()
     tls: TlsSettings = TlsSettings()
     operator_keys: dict[Name, tuple[OperatorKey, ...]] = {}
+    log_signing: LogSigning = LogSigning()
 
 
 @dataclass(frozen=True, slots=True)
