Keep to the own engines in a full pool

Cause: with small batches, what waited at engines waited where a host had sent to another host's engine by a report that was 1 s late (at twice the capacity p80 0.29 s there, 0 at own engines). The owner then saw its engine overfull and passed no place on.

Ruled out, with trials in docs/design/endpoint-choice.md: keeping to own engines always, on any backlog, or by a share of the places; other bounds for the first 0.1 s; bounds after it. For the outage: the adaptive limit's mean load, and spread times to come back; neither mends it.

Change: a pool with less than 1.2 free places an endpoint, filled mostly by others, while more than 0.05 s of work waits here, counts as full for 2 s; then another host's engine is taken below a load of 0.3 only. The same bound (was 0.75) holds in a request's first 0.1 s, unless this host gives 0.9 of the load.

Test: features/admission.feature, "What waits in a full pool keeps to the host's own engines" (fails before), with the opposite case beside it.

--- a/features/admission.feature
+++ b/features/admission.feature
@@ -19,6 +19,25 @@
     And a request of the engines ends at 0.3
     Then "counter" starts and "report" waits
 
+  Scenario Outline: What waits in a full pool keeps to the host's own engines
+    # This host's engine is full and four requests wait. By a late report other
+    # hosts' engines have a few places. If the whole pool is nearly full, each host
+    # that trusts such a report sends there at once, and the most important work
+    # waits there behind what others sent. If it isn't, those places are to be used.
+    Given a dispatch over engines "own, other, third" of 40 places
+    And engine "own" belongs to this host and finishes a request in 1.0 s
+    When 40 chats of importance 5 start at 0.0
+    And engine "other" reports <running> requests, 200 times until 0.1
+    And engine "third" reports <running> requests, 200 times until 0.1
+    And 4 chats of importance 5 start at 0.1
+    Then <waiting> chats wait at 0.5
+    And engine "own" holds 40 requests
+
+    Examples:
+      | running | waiting |
+      | 39      | 4       |
+      | 20      | 0       |
+
   Scenario: The least important makes room in a full queue
     # The queue holds four reports. A fifth report is refused; the counter's
     # request takes the place of one, which hears at once.
--- a/features/steps/admission.py
+++ b/features/steps/admission.py
@@ -30,6 +30,18 @@
     context.released = {}
 
 
+@given('engine "{name}" belongs to this host and finishes a request in {whole:f} s')
+def step_own_engine(context, name, whole):
+    context.endpoint_table.take_assigned(frozenset({name}))
+    context.endpoint_table.pool(VERSION).speed.whole_s = whole
+
+
+@when('engine "{name}" reports {count:d} requests, {times:d} times until {at:f}')
+def step_reports(context, name, count, times, at):
+    for number in range(times):
+        report(context.endpoint_table, name, count, at * (number + 1) / times, 40)
+
+
 def start(context, importance, at, within=30.0, name=None):
     name = name or f"chat-{len(context.jobs)}"
     job = Job(
@@ -121,6 +133,18 @@
     assert sum(endpoint.in_flight for endpoint in context.endpoint_table.all()) == count
 
 
+@then("{count:d} chats wait at {at:f}")
+def step_wait(context, count, at):
+    waited = len(context.jobs) - len(context.running)
+    release(context, at)
+    assert waited - len(context.released) == count, context.released
+
+
+@then('engine "{name}" holds {count:d} requests')
+def step_engine_holds(context, name, count):
+    assert context.endpoint_table.find(name).in_flight == count
+
+
 @then('"{first}" starts and "{second}" waits')
 def step_goes_first(context, first, second):
     assert isinstance(context.released[first], Sent)
--- a/poplarrun/admission/_admission.py
+++ b/poplarrun/admission/_admission.py
@@ -146,6 +146,10 @@
         reserved = RESERVED_SHARE if self._higher_per_s(importance, now) > 0.0 else 0.0
         return load.endpoint <= FULL_LOAD - reserved
 
+    def backlog_s(self, now: float) -> float:
+        """Return how long those that wait need to start, at the present rate."""
+        return len(self.queue) / max(self._starts.per_s(now), 1.0 / RATE_WINDOW_S)
+
     def note_wait(self, wait_s: float, now: float, pool_load: float) -> None:
         """Take in how long a request waited at its endpoint before it began."""
         self.limit.note_wait(wait_s, self.in_flight, now, pool_load)
--- a/poplarrun/endpoints/_choice.py
+++ b/poplarrun/endpoints/_choice.py
@@ -14,7 +14,7 @@
 # Candidates among the endpoints assigned to this host: it sends most of what
 # they get, so that it knows their load better than any late report.
 OWN_DRAWN = 8
-SPILL_LOAD = 0.75
+SPILL_LOAD = 0.3
 SOON_S = 0.1
 # Candidates of the own zone when other hosts give most of the load: with late
 # reports more of them would send every host to the same few endpoints.
@@ -23,6 +23,7 @@
 MANY_DRAWN = 4
 FAR_DRAWN = 1
 OWN_SHARE_KNOWN = 0.5
+OWN_SHARE_ALONE = 0.9
 # A link also costs money: another zone must win by this much more than the delay.
 LINK_MARGIN_S = 0.005
 DEFAULT_LINK_S = 0.01
@@ -128,9 +129,11 @@
         best = self._cheapest(candidates, None, pool, demand, match, home, now)
         # Among many own places one becomes free soon, and this host knows when:
         # another host's endpoint must be clearly emptier to be worth the guess.
+        # Where hardly anybody else sends, there is nothing to guess.
         places = sum(endpoint.capacity for endpoint in pool.own)
         is_soon = places > 0 and pool.speed.whole_s / places < SOON_S
-        most_load = SPILL_LOAD if may_wait and is_soon else math.inf
+        guesses = pool.own_share() < OWN_SHARE_ALONE
+        most_load = SPILL_LOAD if may_wait and is_soon and guesses else math.inf
         if best is None or best.load_after > 1.0:
             drawn = MANY_DRAWN if pool.own_share() > OWN_SHARE_KNOWN else FEW_DRAWN
             near = pool.draw_near(self.source, drawn, avoid)
--- a/poplarrun/endpoints/_pool.py
+++ b/poplarrun/endpoints/_pool.py
@@ -10,6 +10,10 @@
 # Of a pool's endpoints at most this share is passed over for broken answers.
 # A fault of the requests themselves would otherwise take out every endpoint.
 MAX_EJECTED_SHARE = 0.5
+# With fewer free places for each endpoint a pool counts as full; so long the sum
+# over it holds.
+FEW_FREE_PLACES = 1.2
+SUMMED_PERIOD_S = 0.25
 MEAN_DECAY = 0.95
 KEPT_HOMES = 10_000
 SLOPE_DECAY = 0.99
@@ -104,6 +108,8 @@
     salts: list[tuple[str, int]] = field(default_factory=list)
     refresh_at: float = float("-inf")
     _own_load: float = 0.0
+    _is_full: bool = False
+    _summed_until: float = float("-inf")
     _homes: dict[int, str | None] = field(default_factory=dict)
     _usable: set[str] = field(default_factory=set)
 
@@ -162,6 +168,20 @@
         """Return the mean load of the endpoints, as far as it is known."""
         return self._own_load + self.others.mean
 
+    def is_full_of_others(self, now: float) -> bool:
+        """Tell whether nearly no place is free by the reports, and other hosts fill most."""
+        if now >= self._summed_until:
+            drawn = self.near + self.far
+            places = sum(endpoint.capacity for endpoint in drawn)
+            requests = sum(endpoint.load() * endpoint.capacity for endpoint in drawn)
+            own = sum(endpoint.in_flight for endpoint in drawn)
+            # By a share of the places a large pool would count as full with hundreds
+            # of them free, and hosts would wait for their own ones beside these.
+            has_few = places - requests < len(drawn) * FEW_FREE_PLACES
+            self._is_full = has_few and 2 * own < requests
+            self._summed_until = now + SUMMED_PERIOD_S
+        return self._is_full
+
     def own_share(self) -> float:
         """Return which share of the pool's load this host gives."""
         whole = self._own_load + self.others.mean
--- a/poplarrun/router/_dispatch.py
+++ b/poplarrun/router/_dispatch.py
@@ -32,6 +32,10 @@
 MOST_WAIT_OF_FREED_S = 0.1
 # So long a request waits for a place among the host's own engines.
 OWN_PLACE_WAIT_S = 0.1
+# A pool that was full while requests waited here for this long counts as full for
+# some time: reports are late.
+BACKLOG_S = 0.05
+FULL_FOR_S = 2.0
 
 
 @dataclass
@@ -98,6 +102,7 @@
         self._random = source
         self._held: dict[str, Job] = {}
         self._freed: list[tuple[VersionId, str]] = []
+        self._full_until: dict[VersionId, float] = {}
 
     def start(self, job: Job, now: float) -> Start:
         """Start a new request, hold it, or refuse it."""
@@ -233,9 +238,22 @@
     def _choose(self, job: Job, now: float) -> Choice | None:
         # Only for a moment: a host that gets more than its engines can do must use
         # the others' places to the full.
-        may_wait = job.attempts == 0 and now - job.arrived_at < OWN_PLACE_WAIT_S
+        is_new = now - job.arrived_at < OWN_PLACE_WAIT_S
+        may_wait = job.attempts == 0 and (is_new or self._is_full(job.version, now))
         return self._endpoints.choose_engine(job.version, now, job.tried, job.demand, may_wait)
 
+    def _is_full(self, version: VersionId, now: float) -> bool:
+        """Tell whether requests wait here and nearly no place is free anywhere.
+
+        Hosts that then trust late reports of each other's engines all fill the
+        same few, and the most important work waits there behind what runs.
+        """
+        pool = self._endpoints.pool(version)
+        waits = self._admissions.of(version).backlog_s(now) > BACKLOG_S
+        if waits and pool.is_full_of_others(now):
+            self._full_until[version] = now + FULL_FOR_S
+        return now < self._full_until.get(version, 0.0)
+
     def _send(self, job: Job, choice: Choice, now: float, delay_s: float = 0.0) -> Sent:
         job.choice = choice
         job.attempts += 1
