Take a version out of its class whose answers are late

Cause: a new version whose answers were good and late was rolled out fully and only then passed over; one in service that is late came back into use whenever its evidence had aged (some 20 minutes), for good.

Change: late answers reject a version, in its class only, while another version that serves it is in time. On trial at 1 in 200 against the allowed 5%; in service at 1 in a million against half of the answers, and only when ten more are late a minute after.

In the new scenarios the two in which a version must go fail before; under overload and after a pause of 5 s none is thrown out. Missing: a version whose few endpoints are overloaded looks like a slow one.

--- a/bench/version_exposure.py
+++ b/bench/version_exposure.py
@@ -30,7 +30,9 @@
     "40% of answers fail": replace(GOOD, failures=0.4),
     "half of the answers poor, with scores that tell": replace(GOOD, wrong=0.5, wrong_quality=0.0),
     "quality 0.5, with high scores": replace(GOOD, quality=0.5, blind_score=0.9),
+    "half of the answers late": replace(GOOD, late=0.5),
 }
+LATE = "half of the answers late"
 SCORED = {kind for kind in BAD if "scores" in kind}
 # This one may stay as a cascade's first step; what counts is how often it answers alone.
 FIRST_STEP = "half of the answers poor, with scores that tell"
@@ -150,6 +152,9 @@
         large = list(pool.map(expose, *zip(*[(k, 1, 390, 100.0) for k in BAD], strict=True)))
         figures += _exposed("390 hosts, each kind once", large)
         for kind in BAD:
+            # In service a late version is passed over long before it is taken out.
+            if kind == LATE:
+                continue
             took = list(
                 pool.map(turn_bad, *zip(*[(kind, seed) for seed in range(1, 7)], strict=True))
             )
--- a/features/steps/versions_exposure.py
+++ b/features/steps/versions_exposure.py
@@ -118,6 +118,48 @@
     assert share > 0.9 if most == "most" else share < 0.9, share
 
 
+@when('half of the answers of "{name}" are late')
+def step_late(context, name):
+    set_traits(context, name, Traits(0.9, late=0.5))
+    send(context, 200)
+
+
+@when('version "{name}" is offered, of whose answers {share:d} in 100 are late')
+def step_offer_late(context, name, share):
+    set_traits(context, name, Traits(0.9, late=share / 100))
+    offer(context, "old:1", name)
+
+
+@when('only "{name}" of them is cheap and gives late answers for {seconds:d} seconds')
+def step_cheap_and_late(context, name, seconds):
+    lines = [CLASS_LINE, "models:"]
+    for offered, price in (("old:1", 1.0), (name, 0.4)):
+        model, _, version = offered.partition(":")
+        lines.append(VERSION_LINE.format(model=model, version=version, price=price))
+    context.world.publish("\n".join(lines))
+    context.world.advance(2.0)
+    context.late_from = len(context.world.served)
+    context.world.requests_per_s = 4.0
+    set_traits(context, name, Traits(0.9, late=1.0))
+    send(context, int(seconds * 4))
+    context.late = sum(
+        s.version == VersionId.parse(name) for s in context.world.served[context.late_from :]
+    )
+    set_traits(context, name, GOOD)
+    send(context, int((2400 - seconds) * 4))
+
+
+@then('"{name}" {ends} after 2400 simulated seconds, with at most {most:d} late answers')
+def step_ends(context, name, ends, most):
+    assert 0 < context.late <= most, context.late
+    step_is_out(context, name) if ends.startswith("is out") else step_is_not_out(context, name)
+
+
+@then('"{name}" is not out at any simulated host')
+def step_is_not_out(context, name):
+    assert not is_out(context, name)
+
+
 @given('a simulated world of 6 hosts in 3 zones with "old:1" in service for "digest"')
 def step_world(context):
     start_world(context, 11)
--- a/features/versions_exposure.feature
+++ b/features/versions_exposure.feature
@@ -46,6 +46,37 @@
       | 0.05  | 0.72    | the less |
       | -0.05 | 0.79    | most     |
 
+  Scenario: A version whose answers are late is offered
+    # Its answers are good, and half of them miss the class's latency while those of
+    # the old version are in time. It was rolled out fully all the same.
+    When version "new:1" is offered, of whose answers 50 in 100 are late
+    And 2000 simulated requests are sent
+    Then "new:1" is out at all simulated hosts
+    And at most 48 simulated requests ran on "new:1"
+
+  Scenario: Everything is late while a version is offered
+    # Under overload the answers of all versions are late. That is no fault of the
+    # new one, so it stays, and so does the old one.
+    When half of the answers of "old:1" are late
+    And version "new:1" is offered, of whose answers 50 in 100 are late
+    And 2000 simulated requests are sent
+    Then "new:1" is not out at any simulated host
+    And "old:1" is not out at any simulated host
+
+  Scenario Outline: The cheapest version in service gives late answers
+    # It is passed over after some answers, so that callers are served in time by the
+    # other one. After a pause of its endpoint it comes back. When its answers are
+    # late again whenever it is asked, it is taken out.
+    When the good version "new:1" is offered
+    And 4000 simulated requests are sent
+    And only "new:1" of them is cheap and gives late answers for <late_s> seconds
+    Then "new:1" <ends> after 2400 simulated seconds, with at most 200 late answers
+
+    Examples:
+      | late_s | ends                              |
+      | 5      | is not out at any simulated host  |
+      | 2400   | is out at all simulated hosts     |
+
   Scenario: A version that was thrown out is offered again
     # The operator has mended it, withdraws it and offers it anew. Old evidence
     # must not throw it out again, and old shares must not let it in.
--- a/poplarrun/versions/_cells.py
+++ b/poplarrun/versions/_cells.py
@@ -20,6 +20,8 @@
 QUALITY_TOLERANCE = 0.05
 FAILURES_ALLOWED = 0.05
 LATE_ALLOWED = 0.05
+# A version in service turns bad in latency only beyond this: load makes answers late too.
+MOSTLY_LATE = 0.5
 # The stated confidence of a choice is 95%.
 UNCERTAINTY = 0.05
 SHOWN = math.log(1.0 / UNCERTAINTY)
@@ -77,15 +79,19 @@
         Against "as good as the least demanding class allows".
     reliability : float
         Against "fails no more often than is allowed".
+    latency : float
+        Against "late no more often than is allowed" on trial, and against "late
+        in no more than half of its answers" in service.
     """
 
     quality: float = 0.0
     usefulness: float = 0.0
     reliability: float = 0.0
+    latency: float = 0.0
 
     @property
     def highest(self) -> float:
-        """The highest of them."""
+        """The highest of those that need no comparison with other versions."""
         return max(self.quality, self.usefulness, self.reliability)
 
 
@@ -134,6 +140,8 @@
         Log capital against "worse than the target less the tolerance".
     slow : bool
         Whether it is shown to miss the class's latency targets.
+    late_answers : int
+        Late answers so far; never aged.
     output_tokens : float, optional
         Mean length of its answers.
     whole_s : float, optional
@@ -159,6 +167,7 @@
     awaited: float = 0.0
     growth_log: float = 0.0
     slow: bool = False
+    late_answers: int = 0
     output_tokens: float | None = None
     whole_s: float | None = None
     is_judged: bool = False
@@ -181,8 +190,14 @@
             0.0 if step.in_class else watch.quality,
             0.0 if step.anywhere else watch.usefulness,
             watch.reliability,
+            watch.latency,
         )
 
+    @property
+    def is_prompt(self) -> bool:
+        """Whether what was seen leans towards its answers being in time."""
+        return self.output_tokens is not None and self.trial.latency <= 0.0
+
     @property
     def is_poor(self) -> bool:
         """Whether the version is shown too poor to answer alone."""
@@ -207,6 +222,8 @@
         self._bad = ChangeDetector(bets_below(thresholds.quality - QUALITY_TOLERANCE))
         self._useless = ChangeDetector(bets_below(thresholds.lowest - QUALITY_TOLERANCE))
         self._failing = ChangeDetector(bets_above(FAILURES_ALLOWED))
+        self._lagging = ChangeDetector(bets_above(MOSTLY_LATE))
+        self._late_answers = 0
         self._accepted = CutWatch(thresholds.quality - QUALITY_TOLERANCE)
 
     def add(self, delta: Evidence) -> None:
@@ -217,11 +234,13 @@
             self._accepted.add(delta.judged)
         if delta.requests:
             self._failing.add(_yes_no(delta.requests, delta.failures))
+            self._lagging.add(_yes_no(delta.requests, delta.late))
+            self._late_answers += delta.late
 
     def estimate(self) -> Estimate:
         aged = self.aged
         allowed = self.thresholds.quality - QUALITY_TOLERANCE
-        late = _yes_no(aged.requests, aged.late)
+        lateness = log_capital(_yes_no(aged.requests, aged.late), bets_above(LATE_ALLOWED))
         mean = aged.mean_quality
         radius = confidence_radius(aged.ratings, UNCERTAINTY)
         cuts = make_cuts(aged.judged, UNCERTAINTY)
@@ -234,7 +253,8 @@
             radius=radius,
             awaited=aged.awaited,
             growth_log=log_capital(aged.ratings, bets_above(allowed)),
-            slow=log_capital(late, bets_above(LATE_ALLOWED)) >= SHOWN,
+            slow=lateness >= SHOWN,
+            late_answers=self._late_answers,
             whole_s=aged.whole_ms / MILLI / aged.requests if aged.requests > 1.0 else None,
             is_judged=bool(aged.judged),
             cuts=trusted,
@@ -245,9 +265,13 @@
                 log_capital(aged.ratings, self._bad.bets),
                 log_capital(aged.ratings, self._useless.bets),
                 log_capital(_yes_no(aged.requests, aged.failures), self._failing.bets),
+                lateness,
             ),
             watch=Capitals(
-                self._bad.log_capital, self._useless.log_capital, self._failing.log_capital
+                self._bad.log_capital,
+                self._useless.log_capital,
+                self._failing.log_capital,
+                self._lagging.log_capital,
             ),
         )
 
--- a/poplarrun/versions/_evidence.py
+++ b/poplarrun/versions/_evidence.py
@@ -49,7 +49,7 @@
     Attributes
     ----------
     failed : bool
-        It broke at the engine, came empty, or was truncated.
+        It broke at the engine or came empty.
     late : bool
         It missed a latency target of its class.
     output_tokens : int
--- a/poplarrun/versions/_steward.py
+++ b/poplarrun/versions/_steward.py
@@ -28,6 +28,9 @@
 # A roll-out's ratings are in when so many of its requests are rated; some ratings get lost.
 RATED_SHARE = 0.75
 HIGHEST_LOG = 100.0
+# A version in service is late for good when this much later so many more answers were late.
+LASTING_S = 60.0
+LATE_AGAIN = 10
 
 
 @dataclass(frozen=True, slots=True)
@@ -98,6 +101,7 @@
         self._estimates = estimates
         self._ids = (f"{host}/{incarnation}/{number}" for number in itertools.count())
         self._changed_at: dict[CellKey, tuple[int, float]] = {}
+        self._lagging: dict[CellKey, tuple[float, int]] = {}
         self._ranked: tuple[str, ...] = ()
         self._owners: dict[str, str] = {}
 
@@ -137,6 +141,7 @@
                 due.append(
                     self._withdraw(key, is_serving, view)
                     or self._reject(key, is_serving)
+                    or self._reject_slow(key, is_serving, view, now)
                     or self._advance(key, state, view, has_incumbent, now)
                 )
         return [record for record in due if record is not None]
@@ -165,6 +170,41 @@
             return None
         return self._settle(key, False, f"quality {known.mean_quality or 0.0:.2f}")
 
+    def _reject_slow(
+        self, key: CellKey, is_serving: bool, view: StewardView, now: float
+    ) -> Settled | None:
+        """Reject a version whose answers are late while another one's are in time."""
+        known = self._estimates.find(key)
+        capitals, bar = _capitals(known, is_serving)
+        if capitals.latency < bar:
+            self._lagging.pop(key, None)
+            return None
+        is_lasting = not is_serving or self._is_lasting(key, known, now)
+        if not is_lasting or not self._has_prompt_other(key, view):
+            return None
+        return self._settle(key, False, "latency")
+
+    def _is_lasting(self, key: CellKey, known: Estimate, now: float) -> bool:
+        """Tell whether answers are still, or again, late a while after they first were.
+
+        A pause of its endpoint makes some dozen answers late at once; then it is
+        passed over and nothing more is seen of it, which must not count as more.
+        """
+        since, late_answers = self._lagging.setdefault(key, (now, known.late_answers))
+        if now - since < LASTING_S:
+            self._lagging[key] = (since, known.late_answers)
+        return known.late_answers - late_answers >= LATE_AGAIN and now - since >= LASTING_S
+
+    def _has_prompt_other(self, key: CellKey, view: StewardView) -> bool:
+        """Tell whether another version serves the class in time; under overload none does."""
+        return any(
+            version != key.version
+            and not view.configuration.is_withdrawn(version)
+            and view.rollouts.find(CellKey(key.class_name, version)).serves
+            and self._estimates.find(CellKey(key.class_name, version)).is_prompt
+            for version in view.configuration.document.versions
+        )
+
     def _advance(
         self, key: CellKey, state: RolloutState, view: StewardView, has_incumbent: bool, now: float
     ) -> DueRecord | None:
