--- a/poplarrun/server/_host.py
+++ b/poplarrun/server/_host.py
@@ -142,7 +142,8 @@
         self.claims = ClaimKeeper(self.peers, awaited_log, clock, time.time, count)
         self.billing = BillKeeper(self.peers, awaited_log, clock, time.time, count)
         self._bill_snapshots = BillSnapshots(self.peers, awaited_log, clock, time.time, count)
-        versions = Versions(self.peers.me, random.Random(settings.name))
+        bias = settings.platform.ratings_bias
+        versions = Versions(self.peers.me, random.Random(settings.name), bias)
         self.leases = LeaseKeeper(
             awaited_log,
             self.peers,
