Look at every engine before the first plan, and let none starve

Cause: a round looks at 64 engines. A new holder of a larger zone planned on those alone and had loaded what the others held; with many due, the same first ones were looked at each round; a dead engine was asked each second.

Ruled out: no bound on looks a round (830 at once on 32 threads would stop all other calls of the host).

Change: no plan before every engine was looked at once, those longest unseen first, a silent one every 5 s. Plans are paced, looks are not.

--- a/bench/orders.py
+++ b/bench/orders.py
@@ -20,6 +20,7 @@
 from bench.figures import Figure, report
 from poplarrun.contracts import VersionId
 from poplarrun.orders import (
+    LOOK_S,
     DemandCounter,
     DemandSummary,
     Need,
@@ -30,7 +31,8 @@
     Stamp,
     encode_demand,
 )
-from poplarrun.platform import EngineModels, MemoryEngine, MemoryWeightStore
+from poplarrun.platform import EngineModels, HttpOrders, MemoryEngine, MemoryWeightStore
+from standins.fleet import StandInProcess
 from standins.order_world import PLACES, OrderWorld
 from standins.virtual_time import VirtualTimeLoop
 
@@ -40,6 +42,7 @@
 HOSTS = 390
 ROOM = 4
 ROUNDS = 40
+LOOKS = 500
 SEEDS = (1, 2, 3)
 
 # The shift: one zone of 12 engines, 48 places for versions.
@@ -315,9 +318,34 @@
     ]  # fmt: skip
 
 
+def measure_looks() -> list[Figure]:
+    """Measure what reading an engine costs the holder, over HTTP on loopback."""
+    settings = {"quality": {str(version): 0.9 for version in VERSIONS[:ROOM]}, "room": ROOM}
+    engine = StandInProcess("engine", ("--settings", msgspec.json.encode(settings).decode()))
+    engine.spawn()
+    try:
+        engine.wait()
+        orders, times = HttpOrders(), []
+        for _ in SEEDS:
+            began = time.process_time()
+            for _ in range(LOOKS):
+                orders.read_models(engine.address)
+            times.append((time.process_time() - began) * 1000 / LOOKS)
+    finally:
+        engine.kill()
+    value = statistics.median(times)
+    engines = ENDPOINTS // ZONES + 1
+    return [
+        Figure("look at an engine, processor time", value, "ms", spread(times)),
+        Figure(f"looks at {engines} engines every {LOOK_S:g} s", value * engines / LOOK_S / 10,
+               "% of a core", spread(times) * engines / LOOK_S / 10),
+    ]  # fmt: skip
+
+
 def main() -> int:
     """Run everything; return the exit code."""
-    return report("orders", [*measure_plans(), *measure_shift(), *measure_bytes()])
+    figures = [*measure_plans(), *measure_looks(), *measure_shift(), *measure_bytes()]
+    return report("orders", figures)
 
 
 if __name__ == "__main__":
--- a/features/orders.feature
+++ b/features/orders.feature
@@ -154,6 +154,14 @@
       And 40 s pass for the orders
       Then zone "a" holds "larch:1 spruce:1 yew:1 oak:1"
 
+    Scenario: A new holder looks at every engine before it plans
+      # It can't look at all of them in one round. Planning on the first ones alone,
+      # it would load what the others hold.
+      Given 1 zones of 2 hosts and 150 engines with room for 1, "larch:1" offered
+      And the last engine already holds "larch:1"
+      When 60 s pass for the orders
+      Then the store handed nothing out
+
     Scenario: A zone that is cut off from the others still orders inside
       Given zone "a" is cut off from the others
       When 60 s pass for the orders
@@ -175,6 +183,13 @@
       Then zone "a" holds "larch:1 spruce:1"
       And the store handed each version out twice for zone "a"
 
+    Scenario: An engine falls silent, and its version goes elsewhere
+      # After 15 s without an answer it counts for nothing; others take over.
+      Given the versions are loaded
+      When an engine of zone "a" that holds "larch:1" falls silent
+      And 60 s pass for the orders
+      Then another engine of zone "a" holds "larch:1"
+
     Scenario: The log is out
       # No lease, no new orders; what is loaded stays.
       Given the versions are loaded
--- a/features/steps/orders_decisions.py
+++ b/features/steps/orders_decisions.py
@@ -67,6 +67,17 @@
         engine.loaded = set(versions.split())
 
 
+@given('the last engine already holds "{version}"')
+def step_last_holds(context, version):
+    list(context.world.engines.values())[-1].loaded = {version}
+
+
+@then("the store handed nothing out")
+def step_nothing_handed(context):
+    assert context.world.holders("a")
+    assert not context.world.store.fetched
+
+
 @given("the engines ignore fencing numbers")
 def step_ignore(context):
     for engine in context.world.engines.values():
@@ -334,6 +345,17 @@
         engine.restart()
 
 
+@when('an engine of zone "{zone}" that holds "{version}" falls silent')
+def step_silent(context, zone, version):
+    (context.silent,) = engine_with(context, zone, version)
+    context.world.engines[context.silent].silent = True
+
+
+@then('another engine of zone "{zone}" holds "{version}"')
+def step_other_holds(context, zone, version):
+    assert set(engine_with(context, zone, version)) - {context.silent}
+
+
 @when("the log is out for the orders")
 def step_log_out(context):
     context.world.log.down = True
--- a/poplarrun/orders/_holder.py
+++ b/poplarrun/orders/_holder.py
@@ -48,11 +48,13 @@
     """An engine as it was last looked at."""
 
     models: EngineModels
-    looked_at: float
     answered_at: float
     loaded: frozenset[VersionId]
     loading: frozenset[VersionId]
 
+    def is_other(self, reported: frozenset[VersionId]) -> bool:
+        return bool(self.loading) or self.loaded != reported
+
     @property
     def held(self) -> frozenset[VersionId]:
         return self.loaded | self.loading
@@ -80,6 +82,7 @@
 
     def __post_init__(self) -> None:
         self._known: dict[str, _Known] = {}
+        self._looked_at: dict[str, float] = {}
         self._fetching: dict[tuple[str, VersionId], float] = {}
         self._granted: dict[tuple[str, VersionId], float] = {}
         self._stamp = Stamp()
@@ -103,20 +106,29 @@
             What their load reports say.
         """
         pending = {engine for engine, version in self._pending()}
-        due = []
-        for name, versions in reported.items():
-            known = self._known.get(name)
-            changes = name in pending or name in self.draining
-            if known is None or changes or now - known.looked_at >= LOOK_S:
-                due.append(name)
-                continue
-            if known.loading or known.loaded != versions:
-                due.append(name)
+        restless = pending | self.draining.keys()
+        due = [
+            name
+            for name, versions in reported.items()
+            if now - self._looked_at.get(name, -math.inf) >= LOOK_S
+            or (name in self._known and (name in restless or self._known[name].is_other(versions)))
+        ]
+        # Those longest unseen first: where more are due than a round looks at, none starves.
+        due.sort(key=lambda name: self._looked_at.get(name, -math.inf))
         return due
 
+    def has_looked_at(self, engines: Iterable[str]) -> bool:
+        """Tell whether each engine was looked at, whether or not it answered.
+
+        A holder that planned before would load what engines hold that it has
+        not looked at yet.
+        """
+        return all(engine in self._looked_at for engine in engines)
+
     def take_models(self, engine: str, models: EngineModels, now: float) -> None:
         """Take in what an engine holds."""
-        known = _Known(models, now, now, _parse(models.loaded), _parse(models.loading))
+        self._looked_at[engine] = now
+        known = _Known(models, now, _parse(models.loaded), _parse(models.loading))
         before = self._known.get(engine)
         self._known[engine] = known
         if models.fence < 0 and before is not None and before.models.fence >= 0:
@@ -137,15 +149,16 @@
 
     def note_silent(self, engine: str, now: float) -> None:
         """Note that an engine did not answer."""
+        self._looked_at[engine] = now
         known = self._known.get(engine)
-        if known is not None:
-            known.looked_at = now
-            if now - known.answered_at > GONE_S:
-                self.forget(engine)
+        if known is not None and now - known.answered_at > GONE_S:
+            self.forget(engine)
+            self._looked_at[engine] = now
 
     def forget(self, engine: str) -> None:
         """Drop an engine that is gone."""
         self._known.pop(engine, None)
+        self._looked_at.pop(engine, None)
         self._granted = {s: at for s, at in self._granted.items() if s[0] != engine}
 
     def note_weights(self, engine: str, version: VersionId, refusal: str, now: float) -> None:
--- a/poplarrun/orders/_plan.py
+++ b/poplarrun/orders/_plan.py
@@ -224,8 +224,9 @@
             self.copies(need.version) > 0 or self.copies(version) <= 1
         )
         for name in self._holders[version]:
-            is_fresh = self.now - self.since.get((name, version), self.now) < DWELL_S
-            if need.version not in self._targets[name] and not (stays and is_fresh):
+            if need.version in self._targets[name]:
+                continue
+            if not stays or self.now - self.since.get((name, version), self.now) >= DWELL_S:
                 return name
         return None
 
--- a/poplarrun/server/_order_tasks.py
+++ b/poplarrun/server/_order_tasks.py
@@ -151,8 +151,6 @@
         """Do one round of orders, if this host holds the zone's lease."""
         if not self._stands:
             await self._probe()
-        if self._clock() < self._next_plan_at:
-            return
         lease = self._leases.find(self._job)
         if lease is None or not self._context.configuration.document.versions:
             self.holder.rest()
@@ -163,9 +161,9 @@
         await self._look()
         # The look took time: the lease may have lapsed meanwhile.
         lease = self._leases.find(self._job)
-        if lease is None:
-            return
-        await self._act(lease)
+        is_due = self._clock() >= self._next_plan_at
+        if lease and is_due and self.holder.has_looked_at(e.name for e in self._engines()):
+            await self._act(lease)
 
     def _engines(self) -> list[Endpoint]:
         """Return the engines of the own zone that may take orders."""
