--- a/Makefile
+++ b/Makefile
@@ -39,9 +39,10 @@
 clean:
 	rm -rf $(VENV) build *.egg-info
 
-.PHONY: bench-path bench-versions bench-load bench-hosts bench-outcomes bench-config check-histories capacity reports
+BENCHES := bench-path bench-versions bench-load bench-hosts bench-outcomes bench-config bench-orders
+.PHONY: $(BENCHES) check-histories capacity reports
 
-bench-path bench-versions bench-load bench-hosts bench-outcomes bench-config: install
+$(BENCHES): install
 	$(PYTHON) -m bench.$(@:bench-%=%)
 
 # FIRMS="thistledown anellidoro" by default; about two minutes each.
