Hold the platform's host list against what membership sees

Cause: the list of live and leaving hosts was read for endpoints only; where it and membership differed for entry hosts, nobody was told.

Ruled out: no new bills or leases for hosts that the list has as leaving, and hosts gone from the list taken for dead (a list that lags or is wrong would take live peers away); dialling listed hosts (the list tells no address for peers).

Change: one closed decision (hosts/_listed.py): membership decides who is a peer; status shows both where they differ; host_list_differs counts a host that differs for over 60 s, once.

--- a/features/hosts.feature
+++ b/features/hosts.feature
@@ -136,3 +136,33 @@
     When 3000 random and mutated messages reach host "a1"
     Then every host holds just the running hosts to be live
     And host "a1" counted "peer_message_malformed"
+
+  Scenario Outline: The platform's host list and membership say different things
+    # The list lags by up to a minute and may be wrong while the platform is cut
+    # off. Membership decides who is a peer; where the list says something else
+    # for longer than it lags, status shows both and a counter tells.
+    Given a host that the list names "<listed>" and membership sees "<seen>"
+    Then status shows it as "<shown>"
+    And after 2 minutes it was counted <counted> times
+
+    Examples:
+      | listed  | seen    | shown                    | counted |
+      | live    | alive   | alive                    | 0       |
+      | live    | suspect | suspect                  | 0       |
+      | live    | dead    | dead, listed live        | 1       |
+      | live    | left    | left, listed live        | 1       |
+      | live    | silent  | silent                   | 0       |
+      | live    | never   | not seen, listed live    | 1       |
+      | leaving | alive   | alive, listed leaving    | 1       |
+      | leaving | suspect | suspect                  | 0       |
+      | leaving | dead    | left                     | 0       |
+      | leaving | left    | left                     | 0       |
+      | leaving | silent  | silent                   | 0       |
+      | leaving | never   | nothing                  | 0       |
+      | absent  | alive   | alive, not listed        | 1       |
+      | absent  | suspect | suspect                  | 0       |
+      | absent  | dead    | dead                     | 0       |
+      | absent  | left    | left                     | 0       |
+      | absent  | silent  | silent                   | 0       |
+      | no list | alive   | alive                    | 0       |
+      | no list | dead    | dead                     | 0       |
--- /dev/null
+++ b/features/steps/host_list.py
@@ -0,0 +1,37 @@
+from behave import given, then
+
+from poplarrun.hosts import ListedHosts, ZoneView
+from poplarrun.platform import HostKind, HostState, ListedHost
+
+
+def entry(name, state):
+    return ListedHost(name, HostKind.ENTRY, "a", "127.0.0.1:1", HostState(state))
+
+
+@given('a host that the list names "{listed}" and membership sees "{seen}"')
+def step_host(context, listed, seen):
+    context.list_counts = []
+    context.listed = ListedHosts(context.list_counts.append)
+    hosts = {"a1": "alive"} | ({} if seen == "never" else {"a2": seen})
+    context.view = ZoneView("a", False, 0.0, hosts)
+    match listed:
+        case "no list":
+            lines = []
+        case "absent":
+            lines = [entry("a1", "live")]
+        case _:
+            lines = [entry("a1", "live"), entry("a2", listed)]
+    for second in range(120):
+        context.listed.take(lines, [context.view], float(second))
+
+
+@then('status shows it as "{shown}"')
+def step_shown(context, shown):
+    states = context.listed.show(context.view)
+    assert states["a1"] == "alive"
+    assert states.get("a2", "nothing") == shown, states
+
+
+@then("after 2 minutes it was counted {count:d} times")
+def step_counted(context, count):
+    assert len(context.list_counts) == count, context.list_counts
--- a/poplarrun/hosts/__init__.py
+++ b/poplarrun/hosts/__init__.py
@@ -1,5 +1,6 @@
 """The other entry hosts: who is live, messages to them, who usually does a job."""
 
+from poplarrun.hosts._listed import ListedHosts, Listing, reconcile
 from poplarrun.hosts._memory import MemoryNetwork, MemoryPeers
 from poplarrun.hosts._network import NetworkPeers
 from poplarrun.hosts._peers import (
@@ -16,6 +17,8 @@
 __all__ = [
     "Gathered",
     "Handler",
+    "ListedHosts",
+    "Listing",
     "MemoryNetwork",
     "MemoryPeers",
     "NetworkPeers",
@@ -26,4 +29,5 @@
     "SummaryTopic",
     "ZoneView",
     "rank_hosts",
+    "reconcile",
 ]
--- a/poplarrun/server/_endpoint_tasks.py
+++ b/poplarrun/server/_endpoint_tasks.py
@@ -6,7 +6,7 @@
 from typing import Any
 
 from poplarrun.endpoints import Endpoint, EndpointTable, LoadSharing
-from poplarrun.hosts import Peers
+from poplarrun.hosts import ListedHosts, Peers
 from poplarrun.metrics import Metrics
 from poplarrun.platform import (
     Engine,
@@ -44,6 +44,8 @@
     ----------
     list_seen_at : float, optional
         When the host list first answered.
+    entry_hosts : ListedHosts
+        The entry hosts of the list.
     """
 
     def __init__(
@@ -57,6 +59,8 @@
         clock: Callable[[], float],
     ) -> None:
         self.list_seen_at: float | None = None
+        self.entry_hosts = ListedHosts(metrics.count_event)
+        self._peers = peers
         self._endpoints = table
         self._sharing = LoadSharing(peers, table)
         self._host_list = host_list
@@ -84,6 +88,7 @@
                 self._metrics.count_event("host_list_failed")
             case listed:
                 self._endpoints.apply_list(listed, self._clock())
+                self.entry_hosts.take(listed, self._peers.zones(), self._clock())
                 self.list_seen_at = self.list_seen_at or self._clock()
 
     async def poll_loads(self) -> None:
--- a/poplarrun/server/_host.py
+++ b/poplarrun/server/_host.py
@@ -444,7 +444,7 @@
             endpoints=tuple(read_endpoint(e, now) for e in self._endpoints.all()),
             withdrawn=tuple(sorted(configuration.withdrawn)),
             refusals=dict(self.metrics.refusal_counts),
-            zones=read_zones(self.peers),
+            zones=read_zones(self.peers, self._endpoint_tasks.entry_hosts),
             peer_bytes_sent=self.peers.bytes_sent,
             peer_bytes_received=self.peers.bytes_received,
             rollouts=self._version_tasks.read_rollouts(),
--- a/poplarrun/server/_peering.py
+++ b/poplarrun/server/_peering.py
@@ -8,7 +8,15 @@
 import msgspec
 
 from poplarrun.config import CONFIG_STREAM, OperatorKeys
-from poplarrun.hosts import MemoryNetwork, MemoryPeers, NetworkPeers, Peer, Peers, SummaryTopic
+from poplarrun.hosts import (
+    ListedHosts,
+    MemoryNetwork,
+    MemoryPeers,
+    NetworkPeers,
+    Peer,
+    Peers,
+    SummaryTopic,
+)
 from poplarrun.links import NngLinks, TlsFiles
 from poplarrun.log import Log, LogKeys, SignedLog
 from poplarrun.metrics import Metrics
@@ -74,7 +82,7 @@
     highest: int | None = None
 
 
-def read_zones(peers: Peers) -> tuple[ZoneStatus, ...]:
+def read_zones(peers: Peers, listed: ListedHosts) -> tuple[ZoneStatus, ...]:
     """Return what status shows of each zone."""
     gathered = peers.gathered(OFFSETS)
     by_zone = dict(gathered.other_zones)
@@ -89,7 +97,7 @@
                 round(view.silence_s, 1),
                 offsets.lowest,
                 offsets.highest,
-                dict(view.hosts),
+                dict(listed.show(view)),
             )
         )
     return tuple(found)
