Call plain services over TLS

Cause: calls to plain services went out as plain HTTP only.

Ruled out: urllib3's pool (sends on the worker thread, so a stopped process could send after the refusal); a thread that sends for the loop.

Change: tls.services, for all services or none. The worker connects and shakes hands; the loop's step sends one TLS record without blocking, of which a service can't read a part.

--- a/features/security.feature
+++ b/features/security.feature
@@ -100,3 +100,18 @@
     # one alone. At each step all hosts read what each of them writes.
     Given 3 hosts that rotate their log key one after the other
     Then every record that one of them wrote is read by all
+
+  Scenario Outline: A plain service is called over TLS
+    # The handshake is over before the call is handed over: until then no byte of
+    # the call is out, and a wrong certificate means that it was not sent.
+    Given a plain service that listens with TLS
+    When a call with a body of <size> bytes is prepared with the "<authority>" authority
+    Then the call is <prepared> and the service has no effect
+    And handed over and finished it <ends>
+
+    Examples:
+      | size   | authority | prepared | ends                  |
+      | 10     | own       | ready    | ran with its own body |
+      | 200000 | own       | ready    | ran with its own body |
+      | 10     | foreign   | not sent | has no effect         |
+      | 10     | no        | ready    | is unknown, no effect |
--- a/poplarrun/platform/_services.py
+++ b/poplarrun/platform/_services.py
@@ -1,11 +1,14 @@
 """Plain services: one call, handed over in one step, whose outcome is ran or unknown."""
 
 import contextlib
+import ssl
 from dataclasses import dataclass
 from typing import Any, Protocol
 
 import urllib3
 
+from poplarrun.platform._http import PlatformTls
+
 CONNECT_TIMEOUT_S = 0.5
 # What the loop hands to the socket itself: a new connection's buffer holds it.
 FIRST_PIECE_BYTES = 16_384
@@ -78,15 +81,28 @@
         self.held += bytes(data)
 
 
+class _HeldTlsConnection(urllib3.connection.HTTPSConnection):
+    """The same over TLS; the handshake is over before any byte is held."""
+
+    held = b""
+
+    def send(self, data: Any) -> None:
+        self.held += bytes(data)
+
+
 class HttpPreparedCall:
     """A ``PreparedCall`` over HTTP."""
 
-    def __init__(self, connection: _HeldConnection) -> None:
+    def __init__(self, connection: _HeldConnection | _HeldTlsConnection) -> None:
         self._connection = connection
         self._sent = 0
 
     def hand_over(self) -> bool:
-        """Send the first bytes; False when none went. Never blocks, never raises."""
+        """Send the first bytes; False when none went. Never blocks, never raises.
+
+        Over TLS the first piece is one record at most. If the socket takes only
+        a part of it, ``send`` fails, and the service can't read any of it.
+        """
         try:
             self._connection.sock.setblocking(False)
             self._sent = self._connection.sock.send(self._connection.held[:FIRST_PIECE_BYTES])
@@ -112,12 +128,20 @@
 
 
 class HttpServiceCaller:
-    """A ``ServiceCaller`` over HTTP."""
+    """A ``ServiceCaller`` over HTTP.
+
+    Parameters
+    ----------
+    tls : PlatformTls, optional
+        Certificates for the way to the services; without it plain HTTP. Read once.
+    """
+
+    def __init__(self, tls: PlatformTls | None = None) -> None:
+        self._context = None if tls is None else _make_context(tls)
 
     def prepare(self, address: str, call: ServiceCall) -> PreparedCall | ServiceNotSent:
         """Connect, and make the bytes of the call without sending any."""
-        host, _, port = address.rpartition(":")
-        connection = _HeldConnection(host, int(port), timeout=CONNECT_TIMEOUT_S)
+        connection = self._make_connection(address)
         try:
             connection.connect()
             connection.request(
@@ -130,3 +154,18 @@
             connection.close()
             return ServiceNotSent("connect")
         return HttpPreparedCall(connection)
+
+    def _make_connection(self, address: str) -> _HeldConnection | _HeldTlsConnection:
+        host, _, port = address.rpartition(":")
+        if self._context is None:
+            return _HeldConnection(host, int(port), timeout=CONNECT_TIMEOUT_S)
+        return _HeldTlsConnection(
+            host, int(port), timeout=CONNECT_TIMEOUT_S, ssl_context=self._context
+        )
+
+
+def _make_context(tls: PlatformTls) -> ssl.SSLContext:
+    context = ssl.create_default_context(cafile=str(tls.authority))
+    if tls.identity is not None:
+        context.load_cert_chain(str(tls.identity))
+    return context
--- a/poplarrun/server/_daemon.py
+++ b/poplarrun/server/_daemon.py
@@ -22,7 +22,7 @@
 from poplarrun.server._http_server import CallerCertificate, make_server, start_more_threads
 from poplarrun.server._messages import Leave
 from poplarrun.server._observers import RootApi
-from poplarrun.settings import HostSettings
+from poplarrun.settings import HostSettings, PlatformTlsSettings
 
 DRAIN_POLL_S = 0.05
 CERTIFICATE_POLL_S = 5.0
@@ -44,7 +44,7 @@
 
     def __init__(self, settings: HostSettings) -> None:
         if settings.tls.platform is not None:
-            use_tls(PlatformTls(settings.tls.platform.authority, settings.tls.platform.identity))
+            use_tls(_read_tls(settings.tls.platform))
         engine = HttpEngine()
         self.host = EntryHost(
             settings,
@@ -54,7 +54,9 @@
             ratings=HttpRatings(settings.platform.ratings) if settings.platform.ratings else None,
         )
         self.crossing = Crossing(self.host.handle)
-        callers = CallersApi(self.crossing, engine, HttpServiceCaller(), settings.limits.body_bytes)
+        services_tls = settings.tls.services
+        services = HttpServiceCaller(None if services_tls is None else _read_tls(services_tls))
+        callers = CallersApi(self.crossing, engine, services, settings.limits.body_bytes)
         tls = settings.tls.callers
         self._certificate = None if tls is None else CallerCertificate(tls)
         self._server = make_server(
@@ -143,3 +145,7 @@
         logging.shutdown()
         os._exit(EXIT_STILL_OPEN)
     return 0
+
+
+def _read_tls(settings: PlatformTlsSettings) -> PlatformTls:
+    return PlatformTls(settings.authority, settings.identity)
--- a/poplarrun/settings/_settings.py
+++ b/poplarrun/settings/_settings.py
@@ -107,6 +107,7 @@
     callers: CallersTls | None = None
     peers: PeersTls | None = None
     platform: PlatformTlsSettings | None = None
+    services: PlatformTlsSettings | None = None
 
 
 class HostSettings(_Settings):
