--- a/bench/outcomes.py
+++ b/bench/outcomes.py
@@ -41,7 +41,7 @@
 )
 from poplarrun.platform import HttpLog
 from standins.fleet import StandInProcess
-from standins.histories import VirtualLoop
+from standins.histories import run_virtual
 
 COMMAND = "python -m bench.outcomes"
 HOSTS = 6
@@ -172,15 +172,6 @@
     return sum(keeper.appends for keeper in keepers)
 
 
-def run_virtual(work):
-    loop = VirtualLoop()
-    asyncio.set_event_loop(loop)
-    try:
-        return loop.run_until_complete(work)
-    finally:
-        asyncio.set_event_loop(None)
-
-
 async def measure_claims_at(size: int) -> tuple[float, float, float]:
     """Return appends a second, bytes a second of the busiest stream, and CPU a claim."""
     loop = asyncio.get_running_loop()
--- a/features/security.feature
+++ b/features/security.feature
@@ -77,7 +77,7 @@
       | changed                       | keys             | read    | counted             |
       | as it was written             | first            | read    | nothing             |
       | as it was written             | second, first    | read    | nothing             |
-      | as it was written             | none             | read    | nothing             |
+      | as it was written             | none             | read    | log_record_unchecked |
       | as it was written             | second           | refused | log_record_forged   |
       | with another byte at its end  | first            | refused | log_record_forged   |
       | cut to half its length        | first            | refused | log_record_forged   |
--- a/features/steps/bill_snapshots.py
+++ b/features/steps/bill_snapshots.py
@@ -18,7 +18,7 @@
 from poplarrun.billing._totals import BillTotals
 from poplarrun.hosts import MemoryNetwork, MemoryPeers, Peer
 from poplarrun.log import MemoryLog, PartCollector, split_snapshot
-from standins.histories import VirtualLoop
+from standins.histories import run_virtual
 
 START = 1_000_000.0
 DAYS_S = 3 * 86400.0
@@ -40,15 +40,6 @@
         return self._memory.read(stream, from_offset, limit)
 
 
-def run_virtual(work):
-    loop = VirtualLoop()
-    asyncio.set_event_loop(loop)
-    try:
-        return loop.run_until_complete(work)
-    finally:
-        asyncio.set_event_loop(None)
-
-
 def set_part_bytes(context, size):
     context.add_cleanup(setattr, parts_module, "PART_BYTES", parts_module.PART_BYTES)
     parts_module.PART_BYTES = size
--- a/features/steps/billing.py
+++ b/features/steps/billing.py
@@ -16,7 +16,7 @@
 )
 from poplarrun.hosts import MemoryNetwork, MemoryPeers, Peer
 from poplarrun.log import MemoryLog
-from standins.histories import VirtualLoop
+from standins.histories import run_virtual
 
 NOW = 1_000_000.0
 DAY_S = 86400.0
@@ -79,15 +79,6 @@
     assert one.total > 0
 
 
-def run_virtual(work):
-    loop = VirtualLoop()
-    asyncio.set_event_loop(loop)
-    try:
-        return loop.run_until_complete(work)
-    finally:
-        asyncio.set_event_loop(None)
-
-
 async def bill_through_outage(context, per_s, seconds):
     loop = asyncio.get_running_loop()
     log = LoopLog(context.bill_log)
--- a/poplarrun/cli/_bill.py
+++ b/poplarrun/cli/_bill.py
@@ -40,15 +40,15 @@
 
     def __call__(self) -> None:
         """Print the statement."""
-        refused: Counter[str] = Counter()
+        noted: Counter[str] = Counter()
         keys = LogKeys(() if self.log_key_file is None else _read_keys(self.log_key_file))
-        log = SignedLog(HttpLog(self.log), keys, lambda reason: refused.update([reason]))
+        log = SignedLog(HttpLog(self.log), keys, lambda reason: noted.update([reason]))
         statement = read_statement(log, self.account, _read_time(self.since))
         if statement is None:
             raise cappa.Exit("the log did not answer", code=EXIT_FAILED)
         print(render_statement(statement))
-        for reason, count in sorted(refused.items()):
-            print(f"{reason}: {count} records left out")
+        for reason, count in sorted(noted.items()):
+            print(f"{reason}: {count} records")
 
 
 def render_statement(statement: Statement) -> str:
--- a/poplarrun/log/_signed.py
+++ b/poplarrun/log/_signed.py
@@ -12,6 +12,7 @@
 _BODY_AT = len(_HEADING) + _SIGNATURE_BYTES
 UNSIGNED = "log_record_unsigned"
 FORGED = "log_record_forged"
+UNCHECKED = "log_record_unchecked"
 
 
 @dataclass(frozen=True, slots=True)
@@ -45,7 +46,8 @@
     keys : LogKeys
         The hosts' keys; the same at every host, or their folds differ.
     count : callable
-        Counts a refused record by the reason; called on any thread.
+        Counts a record that was refused, or signed and not checked for lack of
+        keys, by its reason; called on any thread.
     plain_streams : frozenset of str
         Streams that carry signatures of their own.
     """
@@ -84,6 +86,7 @@
             return b""
         body = data[_BODY_AT:]
         if not self._keys.keys:
+            self._count(UNCHECKED)
             return body
         given = data[len(_HEADING) : _BODY_AT]
         # No early end: the time taken tells nothing of the keys.
--- a/standins/histories/__init__.py
+++ b/standins/histories/__init__.py
@@ -1,7 +1,7 @@
 """Histories of concurrent runs under faults, in virtual time, and the rules that they must keep."""
 
 from standins.histories._events import Answer, AnswerKind, BillRecorded, Effect, History, Invoke
-from standins.histories._loop import VirtualLoop
+from standins.histories._loop import VirtualLoop, run_virtual
 from standins.histories._rules import Violation, check_history
 from standins.histories._schedule import RunResult, run_schedule
 
@@ -17,4 +17,5 @@
     "VirtualLoop",
     "check_history",
     "run_schedule",
+    "run_virtual",
 ]
--- a/standins/histories/_loop.py
+++ b/standins/histories/_loop.py
@@ -160,3 +160,13 @@
     context = contextvars.copy_context()
     context.run(_current.set, process)
     return context.run(lambda: asyncio.get_running_loop().create_task(make(*arguments)))
+
+
+def run_virtual(work: Coroutine[Any, Any, Any]) -> Any:
+    """Run something to its end on a loop of its own, in virtual time."""
+    loop = VirtualLoop()
+    asyncio.set_event_loop(loop)
+    try:
+        return loop.run_until_complete(work)
+    finally:
+        asyncio.set_event_loop(None)
