--- a/poplarrun/hosts/__init__.py
+++ b/poplarrun/hosts/__init__.py
@@ -1,5 +1,6 @@
 """The other entry hosts: who is live, messages to them, who usually does a job."""
 
+from poplarrun.hosts._listed import ListedHosts, Listing, reconcile
 from poplarrun.hosts._memory import MemoryNetwork, MemoryPeers
 from poplarrun.hosts._network import NetworkPeers
 from poplarrun.hosts._peers import (
@@ -19,6 +20,8 @@
     "TURN_S",
     "Gathered",
     "Handler",
+    "ListedHosts",
+    "Listing",
     "MemoryNetwork",
     "MemoryPeers",
     "NetworkPeers",
@@ -30,4 +33,5 @@
     "SummaryTopic",
     "ZoneView",
     "rank_hosts",
+    "reconcile",
 ]
--- a/scripts/capacity_roles.py
+++ b/scripts/capacity_roles.py
@@ -160,7 +160,7 @@
         "Configuration",
         "the hosts take turns to read the log's stream, announce what came, and fold it; "
         "publications are whole small records",
-        f"{HOSTS} hosts x {LOG_READS_PER_S:g} reads a second at the log service, roll-outs included",
+        f"{HOSTS} hosts x {LOG_READS_PER_S:g} log reads a second, roll-outs included",
         state=Measured("config", "record_by_accounts", unit="bytes, the document in force"),
         messages=f"{LOG_READS_PER_S:g} log reads, {1 / HOST_LIST_POLL_S:.0f} host list reads",
         bytes_per_s=Measured(
