Give listeners ports that no outgoing connection can take

A free port was looked for among those that the system gives to outgoing connections, and one of them could take it before the host listened. Ruled out: load alone (seen beside 4 busy processes and without). Not proven by a trace. Change: ports below that range, each process in a range of its own.

--- a/standins/_server.py
+++ b/standins/_server.py
@@ -1,7 +1,6 @@
 """A small HTTP server with a data port and a control port, for all stand-ins."""
 
 import re
-import socket
 import threading
 import time
 from collections.abc import Callable, Iterable, Iterator
@@ -12,6 +11,8 @@
 import msgspec
 from cheroot import wsgi
 
+from standins._ports import free_port
+
 DATA_THREADS = 48
 CONTROL_THREADS = 2
 JSON = "application/json"
@@ -154,7 +155,7 @@
     server.error_log = _log_nothing
     server.timeout = 600
     # Bind now, so that the address is known before the server runs.
-    server.bind_addr = (host, port or _free_port(host))
+    server.bind_addr = (host, port or free_port(host))
     return server
 
 
@@ -162,12 +163,6 @@
     """Keep dropped connections, which the tests order, off standard error."""
 
 
-def _free_port(host: str) -> int:
-    with socket.socket() as probe:
-        probe.bind((host, 0))
-        return int(probe.getsockname()[1])
-
-
 def _address(server: wsgi.Server) -> str:
     host, port = server.bind_addr
     return f"{host}:{port}"
--- a/standins/fleet.py
+++ b/standins/fleet.py
@@ -2,7 +2,6 @@
 
 import os
 import signal
-import socket
 import subprocess
 import sys
 import tempfile
@@ -16,6 +15,8 @@
 import urllib3
 import yaml
 
+from standins._ports import free_port
+
 START_TIMEOUT_S = 20.0
 STOP_TIMEOUT_S = 10.0
 POLL_S = 0.02
@@ -25,9 +26,7 @@
 
 def free_address() -> str:
     """Return an ``ip:port`` on loopback that is free now."""
-    with socket.socket() as probe:
-        probe.bind(("127.0.0.1", 0))
-        return f"127.0.0.1:{probe.getsockname()[1]}"
+    return f"127.0.0.1:{free_port()}"
 
 
 def wait_until(condition: Callable[[], bool], what: str, timeout_s: float = 20.0) -> float:
