Learn no judge where no cascade can run

Cause: a class whose first token can't wait for a whole first answer gets no cascade, yet a poor version with a judge was tried there until it had 100 ratings. Change: the tries for a judge ask whether a cascade would be quick enough.

--- a/features/steps/versions_cascades.py
+++ b/features/steps/versions_cascades.py
@@ -63,7 +63,7 @@
     fleet.wait_versions("cheap:1", "dear:1")
 
 
-def make_world(seed, cheap):
+def make_world(seed, cheap, document=DOCUMENT):
     world = VersionWorld(
         {(CLASS, CHEAP): cheap, (CLASS, DEAR): Traits(0.95)},
         host_count=3,
@@ -71,11 +71,18 @@
         ratings=RatingTraits(delay_s=1.0),
         judged=True,
     )
-    world.publish(DOCUMENT)
+    world.publish(document)
     world.advance(3.0)
     return world
 
 
+@given("simulated worlds of a class that can't wait and a cheap version half poor")
+def step_hasty_worlds(context):
+    cheap = Traits(0.95, wrong=0.5, wrong_quality=0.0)
+    document = DOCUMENT.replace("first_token_ms: 5000", "first_token_ms: 500")
+    context.worlds = [make_world(seed, cheap, document) for seed in range(1, 13)]
+
+
 @given('simulated worlds of a cheap version with {poor:d} in 10 answers poor and "{judge}" scores')
 def step_worlds(context, poor, judge):
     blind_score = {"telling": None, "blind": 0.9}[judge]
--- a/features/versions_cascades.feature
+++ b/features/versions_cascades.feature
@@ -31,6 +31,14 @@
       | 10   | telling | unused       | 50   |
       | 10   | blind   | unused       | 50   |
 
+  Scenario: A class whose first token can't wait learns no judge
+    # A first answer is held back until it is judged. Where whole answers take longer
+    # than the first token may, no cascade will ever run: some 60 more callers got poor
+    # answers for a judge that was never used. Once shown poor the version is left.
+    Given simulated worlds of a class that can't wait and a cheap version half poor
+    When simulated callers ask for 900 "digest" answers in each
+    Then it answered alone at most 90 times in each, and never in the last 300 requests
+
   Scenario Outline: The order in which answers come decides nothing
     Given 20 poor and 60 good rated answers with telling scores, <order>
     Then the version was at no moment taken out of service
--- a/poplarrun/versions/_choice.py
+++ b/poplarrun/versions/_choice.py
@@ -20,6 +20,7 @@
     describe,
     find_cascades,
     find_mixtures,
+    is_quick,
     lower_end,
 )
 from poplarrun.versions._rollouts import Rollouts
@@ -165,11 +166,12 @@
         if new is not None:
             self._exposure.use(new.key)
             return _chosen(new, "roll-out", options)
-        bound = request.work_class.targets.cost_per_request
+        targets = request.work_class.targets
+        bound = targets.cost_per_request
         usable = [o for o in payable if not o.ruled_out and (bound is None or o.cost <= bound)]
         if not usable:
             return self._settle_for_less(request, payable)
-        judged = [o for o in payable if _is_to_be_judged(o)]
+        judged = [o for o in payable if _is_to_be_judged(o, targets)]
         rated = sum(option.estimate.rated for option in options)
         tried = self._find_try(request, usable, judged, rated)
         if tried is not None:
@@ -366,9 +368,11 @@
     return request.spend_left is None or option.cost <= request.spend_left
 
 
-def _is_to_be_judged(option: Option) -> bool:
+def _is_to_be_judged(option: Option, targets: Targets) -> bool:
     """Tell whether a poor version may serve in a cascade, once enough is known of its judge."""
-    return option.ruled_out == "quality" and not option.estimate.first_step.is_learnt
+    known = option.estimate
+    is_open = option.ruled_out == "quality" and not known.first_step.is_learnt
+    return is_open and is_quick(known, targets)
 
 
 def _is_worth_a_try(option: Option, best: Option) -> bool:
--- a/poplarrun/versions/_plans.py
+++ b/poplarrun/versions/_plans.py
@@ -115,7 +115,7 @@
     for first in options:
         if first.ruled_out not in ("", "quality") or not first.estimate.cuts:
             continue
-        if not _is_quick(first.estimate, targets):
+        if not is_quick(first.estimate, targets):
             continue
         for second in good:
             if second.cost <= first.cost:
@@ -143,7 +143,8 @@
     return [f"{o.label} cost={o.cost:.6f} {o.ruled_out or 'usable'}" for o in options]
 
 
-def _is_quick(known: Estimate, targets: Targets) -> bool:
+def is_quick(known: Estimate, targets: Targets) -> bool:
+    """Tell whether a whole first answer can be awaited before the caller's first token."""
     slowest_s = None if known.whole_s is None else known.whole_s * SLOWEST_TO_MEAN
     return slowest_s is not None and slowest_s <= targets.first_token_s
 
