One system call for each read and each send of a token

Cause: a socket with a timeout of Python's polls before it reads or sends, and gives the interpreter lock away in both calls; perf showed 60 % of a loaded host's time in the kernel, nearly all of it futexes of that lock. So a token waited for the lock four times.

Change: an event is written with os.write, and only what the system doesn't take waits with the socket's timeout; a stream of an engine is read from a blocking socket whose time the system keeps (SO_RCVTIMEO). TLS connections stay as they were. A line without an answer between an engine's lines is passed over.

--- a/poplarrun/platform/_engines.py
+++ b/poplarrun/platform/_engines.py
@@ -286,8 +286,9 @@
             if not end:
                 continue
             answers: list[Answer] = [*_answer_decoder.decode_lines(lines)]
-            finished = isinstance(answers[-1], Usage)
-            yield answers
+            finished = any(isinstance(answer, Usage) for answer in answers)
+            if answers:
+                yield answers
     except (urllib3.exceptions.HTTPError, msgspec.DecodeError, OSError):
         finished = False
     finally:
--- a/poplarrun/platform/_streams.py
+++ b/poplarrun/platform/_streams.py
@@ -1,5 +1,7 @@
 """Streamed bodies: what has arrived, in one read of the socket."""
 
+import socket
+import struct
 from typing import Any
 
 import urllib3
@@ -7,6 +9,7 @@
 # Some 150 chunks of one token. More at once would count as given out before a
 # slow caller took them.
 READ_BYTES = 8192
+MICROSECONDS = 1_000_000
 LINE_END = b"\r\n"
 BODY_END = b"\r\n\r\n"
 # A chunk's size in hexadecimal with its extensions is never longer.
@@ -36,6 +39,8 @@
         self._response = response
         self._chunked = _ChunkedBytes() if response.chunked else None
         self._original: Any = getattr(response, "_original_response", None)
+        self._socket: socket.socket | None = None
+        self._timeout_s: float | None = None
 
     def read(self) -> bytes:
         """Wait for bytes and return all that are there; empty at the body's end.
@@ -50,7 +55,7 @@
             self.is_drained = not data
             return data
         while not self._chunked.is_ended:
-            arrived = self._original.fp.read1(READ_BYTES)
+            arrived = self._receive()
             if not arrived:
                 raise urllib3.exceptions.ProtocolError("the connection closed within the body")
             if data := self._chunked.take(arrived):
@@ -58,8 +63,33 @@
         self.is_drained = self._chunked.is_clean_end
         return b""
 
+    def _receive(self) -> bytes:
+        """Wait for bytes: first those that came with the answer's head, then the socket's."""
+        if self._socket is not None:
+            return self._socket.recv(READ_BYTES)
+        data: bytes = self._original.fp.read1(READ_BYTES)
+        self._wait_in_system()
+        return data
+
+    def _wait_in_system(self) -> None:
+        """Let the system keep the time of a plain socket's reads from now on.
+
+        A socket with a timeout of Python's waits in one system call and reads
+        in another, and each thread waits for the interpreter lock after both.
+        """
+        sock = getattr(getattr(self._response, "connection", None), "sock", None)
+        if type(sock) is not socket.socket or not (timeout_s := sock.gettimeout()):
+            return
+        self._socket, self._timeout_s = sock, timeout_s
+        seconds, fraction = divmod(timeout_s, 1.0)
+        bound = struct.pack("@ll", int(seconds), int(fraction * MICROSECONDS))
+        sock.setsockopt(socket.SOL_SOCKET, socket.SO_RCVTIMEO, bound)
+        sock.settimeout(None)
+
     def release(self) -> None:
         """Give the connection back, where it can serve again."""
+        if self._socket is not None:
+            self._socket.settimeout(self._timeout_s)
         if self.is_drained:
             if self._original is not None:
                 self._original.close()
--- a/poplarrun/server/_connections.py
+++ b/poplarrun/server/_connections.py
@@ -1,5 +1,6 @@
 """Connections of the HTTP server that write a streamed answer without a buffer between."""
 
+import os
 import socket
 from typing import Any
 
@@ -26,12 +27,25 @@
 
     def write(self, data: bytes) -> int:
         """Send everything; the socket's timeout bounds each wait for a slow caller."""
-        left = memoryview(data)
-        while left:
-            left = left[self._socket.send(left) :]
+        sent = self._send_now(data)
+        if sent < len(data):
+            left = memoryview(data)[sent:]
+            while left:
+                left = left[self._socket.send(left) :]
         self.bytes_written += len(data)
         return len(data)
 
+    def _send_now(self, data: bytes) -> int:
+        """Send what the system takes at once; return how many bytes.
+
+        The socket's own ``send`` first asks whether it may: a second system
+        call, and a second wait for the interpreter lock, for each event.
+        """
+        try:
+            return os.write(self._socket.fileno(), data)
+        except BlockingIOError:
+            return 0
+
     def flush(self) -> None:
         """Do nothing: nothing is held back."""
 
