See the takeover of the orders, and the status, in the process scenarios

Cause: after the kill the scenario ended when the engine's own load had, 8 s on, before the successor's lease: a load that it doubled would not have shown. The rows of the status for orders had no test.

Change: the scenario waits until another host orders with a higher fencing number, and looks for a weight fetch made twice; the status is read while the store is out.

Conclusion: the successor begins no load again.

--- a/features/orders.feature
+++ b/features/orders.feature
@@ -10,6 +10,7 @@
       And the order document is in force
       When a client asks host "a1" before anything is loaded
       Then the answer is "no_endpoint", not run, with a time to come back
+      And the status tells that "larch:1" is coming in zone "a"
       When the weight store is back
       Then every zone's engines come to hold "larch:1 spruce:1"
       When a client of "borough-north" asks host "a1" for a "note"
@@ -23,7 +24,8 @@
       Given loads take 8 s
       And the order document is in force
       When the sender of zone "a" is killed while an engine loads
-      Then every zone's engines come to hold "larch:1 spruce:1"
+      Then another host sends orders in zone "a" with a higher number
+      And every zone's engines come to hold "larch:1 spruce:1"
       And no engine loaded a version twice
 
   Rule: Decisions, with engines in memory and a clock of their own
--- a/features/steps/orders.py
+++ b/features/steps/orders.py
@@ -51,6 +51,20 @@
     assert float(context.response.headers["Retry-After"]) > 0
 
 
+@then('the status tells that "{version}" is coming in zone "{zone}"')
+def step_coming(context, version, zone):
+    address = context.fleet.hosts[f"{zone}1"].address
+
+    def told():
+        lines = context.fleet.run_cli("status", "--hosts", address).stdout.splitlines()
+        rows = [line.split() for line in lines]
+        return any(
+            [row[0], row[2], row[4]] == [zone, version, "coming,"] for row in rows if row[4:]
+        )
+
+    wait_until(told, "the status tells it", LOAD_TIMEOUT_S)
+
+
 def held_in(context, zone):
     found = set()
     for plan in context.fleet.engines:
@@ -78,6 +92,8 @@
     for plan in context.fleet.engines:
         loaded = [e["version"] for e in context.fleet.endpoints[plan.name].events("loaded")]
         assert len(loaded) == len(set(loaded)), (plan.name, loaded)
+    fetched = [(e["version"], e["engine"]) for e in context.fleet.weights.events("fetch")]
+    assert len(fetched) == len(set(fetched)), fetched
 
 
 @given("loads take {seconds:d} s")
@@ -100,6 +116,16 @@
     sender = max(hosts, key=lambda host: fences[host.name])
     assert not held_in(context, zone)
     sender.kill()
+    context.killed, context.fence = sender, fences[sender.name]
+
+
+@then('another host sends orders in zone "{zone}" with a higher number')
+def step_other_sends(context, zone):
+    hosts = [h for h in context.fleet.hosts.values() if h.zone == zone]
+    (other,) = [host for host in hosts if host is not context.killed]
+    wait_until(
+        lambda: max(sent_fences(other), default=-1) > context.fence, "orders", LOAD_TIMEOUT_S
+    )
 
 
 def sent_fences(host):
