--- a/features/steps/config_follow.py
+++ b/features/steps/config_follow.py
@@ -26,20 +26,30 @@
 class ReachableLog:
     """A host's own way to the log, which can be cut."""
 
-    def __init__(self, log, clock, reads):
+    def __init__(self, log):
         self.log = log
-        self.clock = clock
-        self.reads = reads
         self.cut = False
 
     def append(self, stream, data):
         return AppendRefused("cut") if self.cut else self.log.append(stream, data)
 
     def read(self, stream, from_offset, limit):
-        self.reads.append(self.clock())
         return ReadFailed("cut") if self.cut else self.log.read(stream, from_offset, limit)
 
 
+class WatchedLog(ReachableLog):
+    """Notes the time of each read."""
+
+    def __init__(self, log, clock, reads):
+        super().__init__(log)
+        self.clock = clock
+        self.reads = reads
+
+    def read(self, stream, from_offset, limit):
+        self.reads.append(self.clock())
+        return super().read(stream, from_offset, limit)
+
+
 async def call(function, *arguments):
     return function(*arguments)
 
@@ -50,7 +60,7 @@
 
 def start_follower(context, name):
     peers = context.virtual.peers[name]
-    context.ways.setdefault(name, ReachableLog(context.log, context.loop.time, context.reads))
+    context.ways.setdefault(name, WatchedLog(context.log, context.loop.time, context.reads))
     context.offsets[name] = []
 
     def note(state, _):
