--- a/features/steps/cut_offs.py
+++ b/features/steps/cut_offs.py
@@ -3,8 +3,6 @@
 
 from behave import given, then, when
 
-from standins.fleet import wait_until
-
 EXAMPLES = Path(__file__).resolve().parents[2] / "examples"
 
 
@@ -39,7 +37,7 @@
 @then('host "{name}" becomes ready with the offset of host "{other}"')
 def step_ready(context, name, other):
     host = context.fleet.hosts[name]
-    wait_until(host.is_ready, f"{name} is ready")
+    host.wait_ready()
     assert host.status()["offset"] == context.fleet.hosts[other].status()["offset"]
 
 
--- a/features/steps/planned_stop.py
+++ b/features/steps/planned_stop.py
@@ -93,7 +93,7 @@
     for host in context.fleet.hosts.values():
         context.exit_codes.append(host.stop())
         host.spawn()
-        wait_until(host.is_ready, f"{host.name} is ready")
+        host.wait_ready()
     context.callers.stop()
 
 
--- a/features/steps/versions_rollout.py
+++ b/features/steps/versions_rollout.py
@@ -215,7 +215,7 @@
     context.fleet.log.set_faults(down=True)
     host.kill()
     host.spawn()
-    wait_until(host.is_ready, f"{name} is ready")
+    host.wait_ready()
     context.fleet.wait_versions("larch:1")
 
 
--- a/poplarrun/server/_host.py
+++ b/poplarrun/server/_host.py
@@ -296,7 +296,7 @@
             case ReadMetrics():
                 return self.metrics.render()
             case ReadReadiness():
-                return self.readiness.is_ready
+                return self.readiness.list_missing()
             case Leave():
                 return self._leave()
         raise TypeError(f"no handler for {type(message).__name__}")
--- a/poplarrun/server/_messages.py
+++ b/poplarrun/server/_messages.py
@@ -24,7 +24,7 @@
 
 @dataclass(frozen=True, slots=True)
 class ReadReadiness:
-    """Asks whether the balancer may send callers here."""
+    """Asks what keeps the balancer's callers away; nothing when the host is ready."""
 
 
 @dataclass(frozen=True, slots=True)
--- a/poplarrun/server/_observers.py
+++ b/poplarrun/server/_observers.py
@@ -10,6 +10,7 @@
 from poplarrun.server._crossing import Crossing
 from poplarrun.server._messages import Explain, ReadMetrics, ReadReadiness, ReadStatus
 
+OK = 200
 UNAVAILABLE = 503
 NOT_FOUND = 404
 
@@ -30,9 +31,9 @@
     @cherrypy.expose
     def readyz(self) -> bytes:
         """Tell the balancer whether callers may come."""
-        if self._crossing.ask(ReadReadiness()):
-            return send_json(b'{"ready": true}')
-        return send_json(b'{"ready": false}', UNAVAILABLE)
+        missing = self._crossing.ask(ReadReadiness())
+        body = _encode({"ready": not missing, "missing": missing})
+        return send_json(body, UNAVAILABLE if missing else OK)
 
     @cherrypy.expose
     def metrics(self) -> bytes:
--- a/poplarrun/server/_readiness.py
+++ b/poplarrun/server/_readiness.py
@@ -55,9 +55,18 @@
     @property
     def is_ready(self) -> bool:
         """Whether the balancer may send callers here."""
-        has_limits = self._limits.has_begun or not self._has_peers
-        knows_all = self._endpoint_tasks.knows_engines() and has_limits
-        return self.takes_requests and knows_all and not self.leaving
+        return not self.list_missing()
+
+    def list_missing(self) -> list[str]:
+        """Return what keeps the balancer's callers away; empty when the host is ready."""
+        missing = self._list_unserved()
+        if not self._endpoint_tasks.knows_engines():
+            missing.append("reports of the engines")
+        if self._has_peers and not self._limits.has_begun:
+            missing.append("first parts of the account limits")
+        if self.leaving:
+            missing.append("the host is leaving")
+        return missing
 
     @property
     def takes_requests(self) -> bool:
@@ -66,13 +75,19 @@
         A leaving host still serves: until the balancer has noticed, it goes
         on sending callers here, who did nothing to be refused.
         """
-        has_configuration = self._router.context.configuration.offset >= 0
-        has_configuration = has_configuration and self._version_tasks.is_known
-        return (
-            has_configuration
-            and self._endpoint_tasks.list_seen_at is not None
-            and not self.stopping
-        )
+        return not self._list_unserved()
+
+    def _list_unserved(self) -> list[str]:
+        missing = []
+        if self._router.context.configuration.offset < 0:
+            missing.append("a configuration")
+        if not self._version_tasks.is_known:
+            missing.append("the roll-outs")
+        if self._endpoint_tasks.list_seen_at is None:
+            missing.append("the host list")
+        if self.stopping:
+            missing.append("the host is stopping")
+        return missing
 
     @property
     def is_crowded(self) -> bool:
--- a/scripts/capacity_roles.py
+++ b/scripts/capacity_roles.py
@@ -131,6 +131,14 @@
     time: str
 
 
+# Processor time of the host that sends a zone's orders: its share of the engines is measured.
+ORDER_LOOKS = Measured("orders", "looks at 119 engines every 5 s", factor=0.01, unit="cores")
+ORDER_PLANS = Measured(
+    "orders", "plan, 119 engines, a zone's share, at a plan a second", factor=0.01, unit="cores"
+)
+ORDER_LOOK_S = 5.0
+LEASE_RENEWAL_S = 4.0
+
 LOAD_POLLS_PER_S = POLLED_ENDPOINTS / LOAD_POLL_S
 LOG_READS_PER_S = LOG_STREAMS_FOLLOWED / min(LONGEST_PERIOD_S, TURN_S * HOSTS)
 
@@ -216,6 +224,20 @@
         state=Measured("config", "record_by_accounts", unit="bytes, the document in force"),
         processor=Measured("config", "fold_by_accounts", unit="ms for each snapshot read"),
     ),
+    Role(
+        "Sender of engine orders (one host of a zone)",
+        "one lease a zone, whose record's offset is the fencing number; an order is an engine's "
+        "whole set of versions; the sender reads each engine in turn and orders again",
+        "plans and looks grow with the engines of a zone: plans are paced to 1% of a core",
+        state=f"what is wanted of {ENDPOINTS / ZONES:.0f} engines",
+        messages=f"{ENDPOINTS / ZONES / ORDER_LOOK_S:.0f} looks at engines",
+        bytes_per_s=Measured(
+            "orders", "demand summary of a host, all 26 versions", unit="bytes a summary of a host"
+        ),
+        processor=ORDER_LOOKS,
+        memory=None,
+        appends=f"{ZONES / LEASE_RENEWAL_S:.2f}: a renewal each {LEASE_RENEWAL_S:g} s a zone",
+    ),
     Role(
         "Membership in a zone",
         "probes and suspicion between the hosts of one zone, announcements to three others",
@@ -265,6 +287,8 @@
             "claims": Measured("outcomes", "claims_cpu", factor=1e-6),
             "billing": Measured("outcomes", "bills_cpu", factor=HOST_REQUESTS_PER_S / 1e6),
             "membership": HOSTS_CORES,
+            "looks at engines (the sender of orders)": ORDER_LOOKS,
+            "plans (the sender of orders)": ORDER_PLANS,
         },
     ),
     Budget(
--- a/standins/fleet.py
+++ b/standins/fleet.py
@@ -1,5 +1,6 @@
 """Starts stand-ins and entry hosts as processes on loopback, for demo, tests and benches."""
 
+import contextlib
 import os
 import signal
 import subprocess
@@ -22,6 +23,7 @@
 POLL_S = 0.02
 HTTP_TIMEOUT_S = 10.0
 OK = 200
+LOG_TAIL = 2000
 
 
 def free_address() -> str:
@@ -123,6 +125,31 @@
         """Tell whether the balancer would send callers there."""
         return get_json(self.address, "/readyz") is not None
 
+    def wait_ready(self) -> None:
+        """Wait until the balancer would send callers there.
+
+        Raises
+        ------
+        TimeoutError
+            Naming what the host says it misses, or how its process ended.
+        """
+        try:
+            wait_until(self.is_ready, f"{self.name} is ready")
+        except TimeoutError as error:
+            raise TimeoutError(f"{error}; {self._describe()}") from error
+
+    def _describe(self) -> str:
+        """Return why this host isn't ready, as far as it can be told."""
+        code = self.process.poll() if self.process is not None else None
+        if code is not None:
+            return f"it ended with code {code}: {self.log_file.read_text()[-LOG_TAIL:]}"
+        with contextlib.suppress(urllib3.exceptions.HTTPError):
+            answer = urllib3.request(
+                "GET", f"http://{self.address}/readyz", timeout=1, retries=False
+            )
+            return answer.data.decode(errors="replace")
+        return f"it doesn't answer: {self.log_file.read_text()[-LOG_TAIL:]}"
+
     def status(self) -> Any:
         """Return the host's status; None when it is silent."""
         return get_json(self.address, "/status")
