Tell operators the offset to publish on, what a conflict asks of them, and what status left out

A conflict printed a difference without names and without the next step. outcomes.md promised waiting bills in status, hosts.md the hosts that are not alive; the tables had neither. status ended with 0 while a zone was silent, against its own help, when the hosts that were asked all answered. Serving roll-outs showed stage -1.

Change: config show tells the offset on the error output; the page uses it; the conflict names both sides and the next command; status has BILLS WAITING and HOST NOT ALIVE, exits with 4 for a silent zone.

--- a/features/cli.feature
+++ b/features/cli.feature
@@ -103,9 +103,28 @@
     And the status of all hosts is read
     Then the command exits with 4
     And the command's output says "silent"
+    When the others have noticed, and the status is read
+    Then the command exits with 4
+    And the command's output says "HOST NOT ALIVE ZONE SEEN AS c1 c silent"
     When the history is read as JSON
     Then the command's output says ""verdict": "accepted""
 
+  @fixture.small_fleet
+  Scenario: Two operators edit the same document
+    # Both show the document and edit it; the slower one publishes on the offset
+    # that was shown to both. The tool tells the difference and what to do next;
+    # nothing of the slower one is in force.
+    When the Thistledown document is published with wait at all hosts
+    And "ada" publishes the Anellidoro document based on 0
+    Then the command exits with 0
+    When "bob" publishes the Thistledown document based on 0
+    Then the command exits with 3
+    And the command's error says "+++ accepted at offset 1"
+    And the command's error says "publish with --based-on 1"
+    When the accepted document is shown
+    Then the command's output says "verona-shop"
+    And the command's error says "--based-on 1"
+
   @fixture.small_fleet
   Scenario: Asking, and explaining the answer
     When the Thistledown document is published with wait at all hosts
--- a/features/steps/cli.py
+++ b/features/steps/cli.py
@@ -14,6 +14,7 @@
 from behave import given, then, when
 
 from poplarrun.cli import main
+from standins.fleet import wait_until
 
 ROOT = Path(__file__).resolve().parents[2]
 THISTLEDOWN = str(ROOT / "examples" / "thistledown.yaml")
@@ -88,11 +89,34 @@
     context.fleet.wait_versions("larch:1")
 
 
+@when('"{operator}" publishes the {firm} document based on {offset:d}')
+def step_publish_based_on(context, operator, firm, offset):
+    document = str(ROOT / "examples" / f"{firm.lower()}.yaml")
+    options = ("--log", context.fleet.log.address, "--operator", operator)
+    run_cli(context, "config", "publish", document, *options, "--based-on", str(offset))
+
+
+@when("the accepted document is shown")
+def step_show(context):
+    run_cli(context, "config", "show", "--log", context.fleet.log.address)
+
+
 @when("the status of all hosts is read")
 def step_read_status(context):
     run_cli(context, "status", "--hosts", all_hosts(context))
 
 
+@when("the others have noticed, and the status is read")
+def step_read_noticed(context):
+    hosts = all_hosts(context)
+
+    def shows():
+        run_cli_here(context, ["status", "--hosts", hosts])
+        return "HOST NOT ALIVE" in context.done.stdout
+
+    wait_until(shows, "the status shows a host that is not alive")
+
+
 @when("the status of all hosts is read as JSON")
 def step_read_status_json(context):
     run_cli(context, "status", "--hosts", all_hosts(context), "--json")
--- a/poplarrun/cli/_config.py
+++ b/poplarrun/cli/_config.py
@@ -3,6 +3,7 @@
 import difflib
 import getpass
 import json
+import sys
 import time
 import uuid
 from dataclasses import dataclass, field
@@ -163,8 +164,7 @@
                     print(f"accepted at offset {offset}", flush=True)
                     return offset
                 case Conflict(based_on=based_on, accepted=accepted):
-                    difference = "\n".join(_difference(record.document, state.text))
-                    message = f"conflict: based on {based_on}, accepted is {accepted}\n{difference}"
+                    message = _tell_conflict(based_on, accepted, record.document, state.text)
                     raise cappa.Exit(message, code=EXIT_CONFLICT)
                 case Invalid() | Ignored() | Refused():
                     raise cappa.Exit(f"refused: {verdict}", code=EXIT_FAILED)
@@ -186,6 +186,10 @@
         state, history = folded.state, folded.history
         if self.offset is None:
             print(state.text, end="")
+            print(
+                f"offset {state.offset}; publish an edited one with --based-on {state.offset}",
+                file=sys.stderr,
+            )
             return
         print(_text_at(history, self.offset), end="")
 
@@ -221,7 +225,10 @@
     def __call__(self) -> None:
         """Print a unified difference."""
         history = read_configuration(HttpLog(self.log)).history
-        print("\n".join(_difference(_text_at(history, self.a), _text_at(history, self.b))))
+        before, after = _text_at(history, self.a), _text_at(history, self.b)
+        names = (f"offset {self.a}", f"offset {self.b}")
+        lines = difflib.unified_diff(before.splitlines(), after.splitlines(), *names, lineterm="")
+        print("\n".join(lines))
 
 
 @dataclass
@@ -253,6 +260,17 @@
     raise cappa.Exit("\n".join(left), code=EXIT_SILENT)
 
 
+def _tell_conflict(based_on: int, accepted: int, own: str, theirs: str) -> str:
+    names = ("yours", f"accepted at offset {accepted}")
+    lines = [
+        f"conflict: based on {based_on}, accepted is {accepted}; nothing of yours is in force",
+        *difflib.unified_diff(own.splitlines(), theirs.splitlines(), *names, lineterm=""),
+        f"make your change in the accepted document (config show), publish with --based-on "
+        f"{accepted}",
+    ]
+    return "\n".join(lines)
+
+
 def _tell_left(zone: ZoneView) -> str:
     return "silent" if zone.silent else f"still at offset {zone.offset}"
 
@@ -272,7 +290,3 @@
         if entry.offset == offset and isinstance(record, Publication):
             return record.document
     raise cappa.Exit(f"no publication at offset {offset}", code=EXIT_FAILED)
-
-
-def _difference(a: str, b: str) -> list[str]:
-    return list(difflib.unified_diff(a.splitlines(), b.splitlines(), lineterm=""))
--- a/poplarrun/cli/_status.py
+++ b/poplarrun/cli/_status.py
@@ -14,6 +14,7 @@
 from poplarrun.cli._views import FleetView, ask_fleet
 
 WATCH_PERIOD_S = 1.0
+USUAL_STATES = ("alive", "left")
 CLEAR_SCREEN = "\x1b[2J\x1b[H"
 
 
@@ -39,7 +40,7 @@
             time.sleep(WATCH_PERIOD_S)
         if not view.hosts:
             raise cappa.Exit("no host answered", code=EXIT_FAILED)
-        if view.silent:
+        if view.silent or any(zone.silent for zone in view.zones()):
             raise cappa.Exit(code=EXIT_SILENT)
 
 
@@ -77,6 +78,7 @@
     tables = [_zone_rows(view), _host_rows(view)]
     if view.hosts:
         tables += [
+            _missed_rows(view),
             _endpoint_rows(view),
             _order_rows(view),
             _rollout_rows(view),
@@ -94,13 +96,25 @@
 
 
 def _host_rows(view: FleetView) -> list[list[str]]:
-    rows = [["HOST", "ZONE", "READY", "OFFSET", "LOG AGE", "OPEN"]]
+    rows = [["HOST", "ZONE", "READY", "OFFSET", "LOG AGE", "OPEN", "BILLS WAITING"]]
     for status in view.hosts:
         ready = "yes" if status.ready else "no"
         age = f"{status.log_age_s:.1f} s"
         offset, open_requests = str(status.offset), str(status.open_requests)
-        rows.append([status.host, status.zone, ready, offset, age, open_requests])
-    rows += [[silent.address, "-", "silent", "-", "-", silent.reason] for silent in view.silent]
+        waiting = str(status.bills_waiting)
+        rows.append([status.host, status.zone, ready, offset, age, open_requests, waiting])
+    for silent in view.silent:
+        rows.append([silent.address, "-", "silent", "-", "-", "-", silent.reason])
+    return rows
+
+
+def _missed_rows(view: FleetView) -> list[list[str]]:
+    """Return the hosts that others don't see alive, as the first host tells."""
+    rows = [["HOST NOT ALIVE", "ZONE", "SEEN AS"]]
+    for zone in view.hosts[0].zones:
+        for host, state in sorted(zone.hosts.items()):
+            if state not in USUAL_STATES:
+                rows.append([host, zone.zone, state])
     return rows
 
 
@@ -128,7 +142,8 @@
 def _rollout_rows(view: FleetView) -> list[list[str]]:
     rows = [["ROLL-OUT", "CLASS", "STAGE", "EXPOSURE", "STATE"]]
     for rollout in view.hosts[0].rollouts:
-        stage, exposure = str(rollout.stage), str(rollout.exposure)
+        stage = "-" if rollout.stage < 0 else str(rollout.stage)
+        exposure = str(rollout.exposure)
         rows.append([rollout.version, rollout.work_class, stage, exposure, rollout.state])
     rows += [[str(v), "-", "-", "-", "withdrawn"] for v in view.hosts[0].withdrawn]
     return rows
