Log an outage of the log once, and its end

Cause (on-call walk): with the log down for 4 s a host's own log held nothing; only LOG AGE and log_read_failed (26) told. Change: one line when it stops answering, one when it answers again. The scenario's lines did not exist before.

--- a/features/config_follow.feature
+++ b/features/config_follow.feature
@@ -16,6 +16,16 @@
     Then within 2 s "second" is in force at every host
     And host "b2" counted event "config_from_peer"
 
+  Scenario: An outage of the log stands in the host's own log, once
+    # The follower reads some times a second. A line for each failed read would
+    # hide the others; none would leave the operator with a counter only.
+    Given the host's log lines are kept
+    When the log is out of reach of "b2"
+    And 10 s pass for the followers
+    And the log is in reach of "b2"
+    And 10 s pass for the followers
+    Then the kept lines are "config: The log does not answer.; config: The log answers again."
+
   Scenario: A whole zone that the log does not reach follows another zone
     When the log is out of reach of "c1, c2"
     And "second" is published
--- a/features/steps/config_follow.py
+++ b/features/steps/config_follow.py
@@ -1,5 +1,6 @@
 import asyncio
 import itertools
+import logging
 import random
 
 from behave import given, then, when
@@ -18,6 +19,7 @@
     sign_record,
 )
 from poplarrun.log import Appended, AppendRefused, MemoryLog, ReadFailed
+from poplarrun.logs._logs import ROOT_NAME
 
 VERSION = "{stage: offered, price: {input_per_mtok: 1, output_per_mtok: 1}}"
 KEY = b"a key of sixteen"
@@ -258,3 +260,29 @@
 @then('host "{name}" counted event "{event}"')
 def step_counted_event(context, name, event):
     assert events(context, name, event) > 0
+
+
+class KeptLines(logging.Handler):
+    """Keeps the messages."""
+
+    def __init__(self):
+        super().__init__()
+        self.lines = []
+
+    def emit(self, record):
+        self.lines.append(record.getMessage())
+
+
+@given("the host's log lines are kept")
+def step_keep_lines(context):
+    logger = logging.getLogger(ROOT_NAME)
+    context.kept = KeptLines()
+    context.add_cleanup(logger.setLevel, logger.level)
+    context.add_cleanup(logger.removeHandler, context.kept)
+    logger.setLevel(logging.INFO)
+    logger.addHandler(context.kept)
+
+
+@then('the kept lines are "{lines}"')
+def step_kept_lines(context, lines):
+    assert context.kept.lines == lines.split("; "), context.kept.lines
--- a/poplarrun/config/_follower.py
+++ b/poplarrun/config/_follower.py
@@ -22,8 +22,10 @@
 from poplarrun.config._state import Configuration
 from poplarrun.hosts import Peers, PeerSilent, StreamPoll, rank_hosts
 from poplarrun.log import Entry, Gap, Log, ReadFailed, StreamReader
+from poplarrun.logs import part_logger
 from poplarrun.metrics import Metrics
 
+_notes = part_logger("config")
 ANNOUNCEMENT = "config"
 ASKED_PEERS = 2
 ASK_TIMEOUT_S = 1.0
@@ -109,7 +111,9 @@
     async def _read_log(self) -> None:
         self._reader.next_offset = self.state.read_to + 1
         match await self._run(self._reader.read_new):
-            case ReadFailed():
+            case ReadFailed(reason=reason):
+                if not self._log_failed:
+                    _notes.warning("The log does not answer.", extra={"reason": reason})
                 self._log_failed = True
                 self._metrics.count_event("log_read_failed")
             case Gap() as gap:
@@ -124,6 +128,8 @@
                     self.poll.wake()
 
     def _note_answer(self) -> None:
+        if self._log_failed:
+            _notes.info("The log answers again.")
         self._log_failed = False
         self.log_answered_at = self._clock()
 
