--- a/features/steps/cli.py
+++ b/features/steps/cli.py
@@ -5,13 +5,16 @@
 import subprocess
 import sys
 import tempfile
+import threading
 from contextlib import redirect_stderr, redirect_stdout
+from http.server import BaseHTTPRequestHandler, HTTPServer
 from pathlib import Path
 from unittest import mock
 
 from behave import given, then, when
 
 from poplarrun.cli import main
+from standins.fleet import wait_until
 
 ROOT = Path(__file__).resolve().parents[2]
 THISTLEDOWN = str(ROOT / "examples" / "thistledown.yaml")
@@ -86,11 +89,34 @@
     context.fleet.wait_versions("larch:1")
 
 
+@when('"{operator}" publishes the {firm} document based on {offset:d}')
+def step_publish_based_on(context, operator, firm, offset):
+    document = str(ROOT / "examples" / f"{firm.lower()}.yaml")
+    options = ("--log", context.fleet.log.address, "--operator", operator)
+    run_cli(context, "config", "publish", document, *options, "--based-on", str(offset))
+
+
+@when("the accepted document is shown")
+def step_show(context):
+    run_cli(context, "config", "show", "--log", context.fleet.log.address)
+
+
 @when("the status of all hosts is read")
 def step_read_status(context):
     run_cli(context, "status", "--hosts", all_hosts(context))
 
 
+@when("the others have noticed, and the status is read")
+def step_read_noticed(context):
+    hosts = all_hosts(context)
+
+    def shows():
+        run_cli_here(context, ["status", "--hosts", hosts])
+        return "HOST NOT ALIVE" in context.done.stdout
+
+    wait_until(shows, "the status shows a host that is not alive")
+
+
 @when("the status of all hosts is read as JSON")
 def step_read_status_json(context):
     run_cli(context, "status", "--hosts", all_hosts(context), "--json")
@@ -112,6 +138,61 @@
     run_cli(context, "ask", work_class, "hello", "--host", address, "--key", "borough-north-key")
 
 
+class BreaksOff(BaseHTTPRequestHandler):
+    """Answers with a stream that ends before its length."""
+
+    def do_POST(self):
+        self.send_response(200)
+        self.send_header("X-Request-Id", "req-1")
+        self.send_header("Content-Length", "1000")
+        self.end_headers()
+        self.wfile.write(b'data: {"choices": [{"delta": {"content": "gold "}}]}\n')
+
+    def log_message(self, *_):
+        """Write nothing."""
+
+
+@given("a host that breaks off each answer")
+def step_breaking_host(context):
+    server = HTTPServer(("127.0.0.1", 0), BreaksOff)
+    context.add_cleanup(server.server_close)
+    context.add_cleanup(server.shutdown)
+    threading.Thread(target=server.serve_forever, daemon=True).start()
+    context.breaking = f"127.0.0.1:{server.server_port}"
+
+
+@when('the command line asks it for a "{work_class}"')
+def step_ask_breaking(context, work_class):
+    run_cli(context, "ask", work_class, "hello", "--host", context.breaking, "--key", "k")
+
+
+@when('the command line asks host "{name}" for a "{work_class}" as JSON')
+def step_ask_json(context, name, work_class):
+    where = ("--host", context.fleet.hosts[name].address, "--key", "borough-north-key")
+    run_cli(context, "ask", work_class, "hello", *where, "--json")
+
+
+@then("the JSON answer has a request id, a version and words")
+def step_json_answer(context):
+    answer = json.loads(context.done.stdout)
+    assert set(answer) == {"request_id", "version", "answer"}, answer
+    assert answer["request_id"].startswith("req-") and ":" in answer["version"], answer
+    assert answer["answer"], answer
+
+
+@when('the bill of "{account}" is read as JSON')
+def step_json_bill(context, account):
+    where = ("--since", "2020-01-01", "--log", context.fleet.log.address)
+    run_cli(context, "bill", "--account", account, *where, "--json")
+
+
+@then("the JSON bill names its account, lines and total")
+def step_bill_keys(context):
+    assert context.done.returncode == 0, context.done.stderr
+    keys = "account first_day lines late ends missing_below total noted"
+    assert list(json.loads(context.done.stdout)) == keys.split(), context.done.stdout
+
+
 @then("the command exits with {code:d}")
 def step_code(context, code):
     assert context.done.returncode == code, (context.done.stdout, context.done.stderr)
