Start stand-ins although another process takes their port, and bound the wait

Cause: two feature runs hung for 280 s: a stand-in listened at one of its two ports only. A port was let go before it was bound; the failed bind of the second ended the main thread while the first one's threads kept the process, and the wait had no bound.

--- /dev/null
+++ b/features/steps/standins.py
@@ -0,0 +1,27 @@
+import socket
+
+from behave import given, then, when
+
+from standins import LogStandIn
+from standins.fleet import get_json
+
+
+@given("a stand-in whose control port is taken before it starts")
+def step_taken(context):
+    context.stand_in = LogStandIn()
+    context.taken = context.stand_in.control_address
+    host, port = context.taken.split(":")
+    listener = socket.create_server((host, int(port)))
+    context.add_cleanup(listener.close)
+
+
+@when("it starts")
+def step_start(context):
+    context.stand_in.start()
+    context.add_cleanup(context.stand_in.stop)
+
+
+@then("it answers at another control port")
+def step_answers(context):
+    assert context.stand_in.control_address != context.taken
+    assert get_json(context.stand_in.control_address, "/faults") is not None
--- a/standins/_server.py
+++ b/standins/_server.py
@@ -15,6 +15,7 @@
 
 DATA_THREADS = 48
 CONTROL_THREADS = 2
+BIND_TRIES = 5
 JSON = "application/json"
 # A dropped connection promises more bytes than it sends, so the reader sees the break.
 PROMISED_BYTES = 1000
@@ -96,6 +97,7 @@
         self.events: list[dict[str, Any]] = []
         self._data = _make_server(host, port, self.routes(), threads)
         self._control = _make_server(host, control_port, self._control_routes(), CONTROL_THREADS)
+        self._may_move = {self._data: port == 0, self._control: control_port == 0}
 
     @property
     def address(self) -> str:
@@ -114,10 +116,22 @@
     def start(self) -> "StandIn":
         """Serve in threads of this process."""
         for server in (self._data, self._control):
-            server.prepare()
+            self._bind(server)
             threading.Thread(target=server.serve, daemon=True).start()
         return self
 
+    def _bind(self, server: wsgi.Server) -> None:
+        """Bind a port; another process may have taken it since it was looked for."""
+        for tries_left in reversed(range(BIND_TRIES)):
+            try:
+                server.prepare()
+                return
+            except OSError:
+                if not self._may_move[server] or not tries_left:
+                    raise
+                host, _ = server.bind_addr
+                server.bind_addr = (host, free_port(host))
+
     def stop(self) -> None:
         """Stop both ports."""
         self._data.stop()
--- a/standins/fleet.py
+++ b/standins/fleet.py
@@ -2,6 +2,7 @@
 
 import contextlib
 import os
+import select
 import signal
 import subprocess
 import sys
@@ -82,7 +83,9 @@
         """Wait until it listens."""
         assert self.process is not None
         assert self.process.stdout is not None
-        line = self.process.stdout.readline()
+        # A stand-in that hangs would else hang whoever waits for it, without a word.
+        is_told, _, _ = select.select([self.process.stdout], [], [], START_TIMEOUT_S)
+        line = self.process.stdout.readline() if is_told else ""
         if not line:
             raise RuntimeError(f"the stand-in {self.kind} did not start")
         self.address, self.control_address = line.split()
