--- a/features/security.feature
+++ b/features/security.feature
@@ -44,6 +44,15 @@
     When the callers' certificate files are replaced
     Then soon it is answered with the renewed certificate
 
+  @fixture.tls_host
+  Scenario: An operator's command line asks a host that speaks TLS
+    # With the authority's file it reads the status; without it the host can't be told
+    # from an impostor, and nothing is read.
+    When the command line asks the host's status over TLS with the authority's file
+    Then it prints the host
+    When the command line asks the host's status over TLS without the authority's file
+    Then it says that the host gave no answer
+
   @fixture.tls_host
   Scenario: Half-open and slow callers don't hold a host
     # 40 connections send half a request, or never read: threads wait for them
--- a/features/steps/engine_bodies.py
+++ b/features/steps/engine_bodies.py
@@ -1,3 +1,4 @@
+import contextlib
 import socket
 import threading
 
@@ -50,7 +51,8 @@
 
     def _serve(self, connection):
         connection.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
-        with connection:
+        # The client may close while bytes are under way.
+        with connection, contextlib.suppress(ConnectionError):
             while connection.recv(65_536):
                 for at in range(0, len(self._answer), self._size):
                     connection.sendall(self._answer[at : at + self._size])
--- a/poplarrun/cli/_arguments.py
+++ b/poplarrun/cli/_arguments.py
@@ -19,6 +19,8 @@
 
 _ADDRESS = re.compile(r"\d{1,3}(\.\d{1,3}){3}:\d{1,5}")
 HIGHEST_PORT = 65_535
+TLS_SCHEME = "https://"
+TLS_HELP = "https:// before it where callers speak TLS; SSL_CERT_FILE names the authority's file"
 
 
 def read_address(text: str) -> str:
@@ -35,9 +37,15 @@
     return text
 
 
+def read_host_address(text: str) -> str:
+    """Check a host's ``ip:port``, with ``https://`` before it where callers speak TLS."""
+    scheme = TLS_SCHEME if text.startswith(TLS_SCHEME) else ""
+    return scheme + read_address(text.removeprefix(scheme))
+
+
 def read_addresses(text: str) -> list[str]:
-    """Check a comma-separated list of ``ip:port``."""
-    return [read_address(part.strip()) for part in text.split(",")]
+    """Check a comma-separated list of hosts' addresses."""
+    return [read_host_address(part.strip()) for part in text.split(",")]
 
 
 LogAddress = Annotated[
@@ -46,7 +54,10 @@
 HostAddresses = Annotated[
     list[str],
     cappa.Arg(
-        long="--hosts", num_args=1, parse=read_addresses, help="ip:port of hosts, with commas."
+        long="--hosts",
+        num_args=1,
+        parse=read_addresses,
+        help=f"ip:port of hosts, with commas; {TLS_HELP}.",
     ),
 ]
 
@@ -56,4 +67,8 @@
     return f"{count} {noun}" if count == 1 else f"{count} {noun}s"
 
 
+HostAddress = Annotated[
+    str, cappa.Arg(long="--host", parse=read_host_address, help=f"ip:port of a host; {TLS_HELP}.")
+]
+
 AsJson = Annotated[bool, cappa.Arg(long="--json", help="Print JSON, for scripts.")]
--- a/poplarrun/cli/_ask.py
+++ b/poplarrun/cli/_ask.py
@@ -9,7 +9,8 @@
 import msgspec
 import urllib3
 
-from poplarrun.cli._arguments import EXIT_FAILED, AsJson, read_address
+from poplarrun.cli._arguments import EXIT_FAILED, AsJson, HostAddress
+from poplarrun.cli._http import make_url
 
 OK = 200
 DATA_PREFIX = b"data: "
@@ -23,7 +24,7 @@
 
     work_class: Annotated[str, cappa.Arg(help="The class of work.")]
     prompt: Annotated[str, cappa.Arg(help="The prompt.")]
-    host: Annotated[str, cappa.Arg(long=True, parse=read_address, help="ip:port of a host.")]
+    host: HostAddress
     key: Annotated[str, cappa.Arg(long=True, help="API key of the client account.")]
     session: Annotated[
         str | None, cappa.Arg(long=True, help="Session id; a session keeps its version.")
@@ -56,7 +57,7 @@
         try:
             return urllib3.request(
                 "POST",
-                f"http://{self.host}/v1/chat/completions",
+                make_url(self.host, "/v1/chat/completions"),
                 body=body,
                 headers=headers,
                 preload_content=False,
--- a/poplarrun/cli/_http.py
+++ b/poplarrun/cli/_http.py
@@ -6,6 +6,8 @@
 import msgspec
 import urllib3
 
+from poplarrun.cli._arguments import TLS_SCHEME
+
 TIMEOUT_S = 5.0
 OK = 200
 
@@ -21,12 +23,15 @@
         return f"{self.address}: {self.reason}"
 
 
+def make_url(address: str, path: str) -> str:
+    """Return the URL of a path at a host; an address may name ``https://`` itself."""
+    return f"{address}{path}" if address.startswith(TLS_SCHEME) else f"http://{address}{path}"
+
+
 def get_json(address: str, path: str) -> Any | Silent:
     """Read a JSON answer of a host."""
     try:
-        response = urllib3.request(
-            "GET", f"http://{address}{path}", timeout=TIMEOUT_S, retries=False
-        )
+        response = urllib3.request("GET", make_url(address, path), timeout=TIMEOUT_S, retries=False)
     except urllib3.exceptions.HTTPError as error:
         return Silent(address, f"no answer ({type(error).__name__})")
     if response.status != OK:
