--- a/features/histories.feature
+++ b/features/histories.feature
@@ -61,6 +61,7 @@
       | a version that the account lost        | an attempt's version is allowed       |
       | an attempt before any configuration    | an attempt's version is allowed       |
       | a version withdrawn at this host       | no attempt on a withdrawn version     |
+      | a withdrawal that a host forgot        | what is in force is what the log says |
       | a withdrawal that comes late           | a withdrawal is in force soon         |
       | a withdrawal late out of reach         | none                                  |
       | a session that moves                   | a session keeps its version           |
@@ -80,6 +81,7 @@
       | a bill of another usage                | a bill is of its own usage            |
       | a cascade's first answer not billed    | a bill is of its own usage            |
       | a bill of what never ran               | only a chat that ran is billed        |
+      | a bill of what never ran, by a peer    | none                                  |
       | a refusal of what began                | a chat told as not run has not        |
       | a message that failed                  | every message is answered             |
 
--- a/features/steps/histories_chats.py
+++ b/features/steps/histories_chats.py
@@ -53,6 +53,7 @@
             Began(3.0, "c3", 2, "cheap:1"),
             Began(3.2, "c3", 3, "dear:1"),
         ],
+        accepted={0: TERMS},
         generations={g.number: g for g in (FIRST, SECOND, POOR, BETTER)},
         answers=[
             answer(FIRST, "c1", 1.5),
@@ -85,14 +86,19 @@
             pass
         case "a version that the account lost":
             narrow = Terms(ALL, {"shop": ALL - {"dear:1"}})
+            history.accepted[1] = narrow
             history.in_force.append(InForce(3.1, "a1", 1, narrow))
             history.granted[3] = replace(history.granted[3], after=3)
         case "an attempt before any configuration":
             history.granted[0] = replace(history.granted[0], host="c1")
         case "a version withdrawn at this host":
             gone = Terms(ALL - {"dear:1"}, TERMS.allowed)
+            history.accepted[1] = gone
             history.in_force.append(InForce(3.1, "a1", 1, gone))
             history.granted[3] = replace(history.granted[3], after=3)
+        case "a withdrawal that a host forgot":
+            history.accepted[1] = Terms(ALL - {"dear:1"}, TERMS.allowed)
+            history.in_force.append(InForce(3.1, "a1", 1, TERMS))
         case "a withdrawal that comes late":
             withdraw(history, 10.0)
         case "a withdrawal late out of reach":
@@ -140,6 +146,9 @@
             history.bills[2] = BillRecorded("c3", 500.0)
         case "a bill of what never ran":
             history.bills.append(BillRecorded("c4", 3.0))
+        case "a bill of what never ran, by a peer":
+            history.bills.append(BillRecorded("c4", 3.0))
+            history.finished_by_peers.add("c4")
         case "a refusal of what began":
             history.began.append(Began(4.1, "c4", 4, "cheap:1"))
         case "a message that failed":
--- a/standins/histories/_chat_events.py
+++ b/standins/histories/_chat_events.py
@@ -46,11 +46,11 @@
 
 @dataclass(frozen=True, slots=True)
 class InForce:
-    """A host put a configuration in force."""
+    """A host put a configuration in force, having read the log up to ``read_to``."""
 
     at: float
     host: str
-    offset: int
+    read_to: int
     terms: Terms
 
 
@@ -142,11 +142,13 @@
 
     Attributes
     ----------
+    accepted : dict of int to Terms
+        What the log says after each of its records, by a fold of the checker's own.
     out_of_reach : dict of str to list of (float, float)
         When each host reached neither the log nor a peer that reached it.
-    kept_alone, lost_holders, died : set of str
+    kept_alone, lost_holders, finished_by_peers : set of str
         Requests whose bill only their host held, whose holders were all killed,
-        and whose host was killed.
+        and whose open bill peers finished because they took the host for dead.
     failed : list of str
         Messages of workers that the host's loop could not answer.
     """
@@ -157,11 +159,12 @@
     began: list[Began] = field(default_factory=list)
     generations: dict[int, Generation] = field(default_factory=dict)
     answers: list[ChatAnswer] = field(default_factory=list)
+    accepted: dict[int, Terms] = field(default_factory=dict)
     withdrawn: list[Withdrawn] = field(default_factory=list)
     disturbed: list[Disturbed] = field(default_factory=list)
     bills: list[BillRecorded] = field(default_factory=list)
     out_of_reach: dict[str, list[tuple[float, float]]] = field(default_factory=dict)
     kept_alone: set[str] = field(default_factory=set)
     lost_holders: set[str] = field(default_factory=set)
-    died: set[str] = field(default_factory=set)
+    finished_by_peers: set[str] = field(default_factory=set)
     failed: list[str] = field(default_factory=list)
--- a/standins/histories/_chat_rules.py
+++ b/standins/histories/_chat_rules.py
@@ -24,6 +24,7 @@
 def check_chats(history: ChatHistory) -> list[Violation]:
     """Return every violation of a history of chats."""
     return [
+        *_check_configuration(history),
         *_check_grants(history),
         *_check_withdrawals(history),
         *_check_sessions(history),
@@ -52,6 +53,14 @@
     return excused
 
 
+def _check_configuration(history: ChatHistory) -> Iterator[Violation]:
+    """Find hosts that had something else in force than the log says."""
+    for event in history.in_force:
+        if history.accepted.get(event.read_to) != event.terms:
+            where = f"{event.host} at {event.at:.2f} s, read to {event.read_to}"
+            yield Violation("what is in force is what the log says", where)
+
+
 def _check_grants(history: ChatHistory) -> Iterator[Violation]:
     """Find attempts on versions that their account did not allow, or that were withdrawn."""
     accounts = {invoke.request_id: invoke.account for invoke in history.invokes}
@@ -148,7 +157,7 @@
     for request_id, count in bills.items():
         if count > 1:
             yield Violation("one bill a chat", request_id)
-        if request_id not in ran and request_id not in history.died:
+        if request_id not in ran and request_id not in history.finished_by_peers:
             yield Violation("only a chat that ran is billed", request_id)
     for answer in history.answers:
         is_excused = answer.request_id in history.kept_alone | history.lost_holders
