Bill nothing for what was refused as not run, whoever heard that it began

Change: a refusal of a request that peers know of goes to the log as a final bill of nothing, which outweighs their entry. The history rule asks that no chat that did not run is paid; one that a peer finished stays excused, for a host may die before that append.

--- a/features/billing.feature
+++ b/features/billing.feature
@@ -81,3 +81,11 @@
     # stream of the peer that told it, two streams would bill it once each.
     Given a host and the peers that finish its bill die one after the other
     Then all copies of the bill stand in one stream
+
+  Scenario: A request is refused as not run, and its host is cut off from its peers
+    # The peers were told that it had begun. They take the host for dead and bill
+    # its prompt in its place; the host, which still reaches the log, must outweigh
+    # that, or the caller pays for what it was told had not run.
+    Given a host whose peers know of a request that it then refuses as not run
+    When the host is cut off from them, and they finish its bills
+    Then the statement's total is 0.0
--- a/features/steps/engine_bodies.py
+++ b/features/steps/engine_bodies.py
@@ -1,4 +1,5 @@
 import contextlib
+import re
 import socket
 import threading
 
@@ -25,6 +26,20 @@
 }
 
 
+def read_request(connection):
+    """Read one request, head and body, which may come in pieces; False at the end."""
+    data = b""
+    while (piece := connection.recv(65_536)) and not is_whole(data + piece):
+        data += piece
+    return bool(piece)
+
+
+def is_whole(data):
+    head, _, body = data.partition(b"\r\n\r\n")
+    found = re.search(rb"(?i)content-length: *(\d+)", head)
+    return found is not None and len(body) >= int(found.group(1))
+
+
 class RawEngine:
     """Answers each request with the same bytes, cut where it is told."""
 
@@ -53,7 +68,7 @@
         connection.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
         # The client may close while bytes are under way.
         with connection, contextlib.suppress(ConnectionError):
-            while connection.recv(65_536):
+            while read_request(connection):
                 for at in range(0, len(self._answer), self._size):
                     connection.sendall(self._answer[at : at + self._size])
                 if self._closes:
--- /dev/null
+++ b/features/steps/refused_bills.py
@@ -0,0 +1,49 @@
+import asyncio
+
+from behave import given, then, when
+
+from features.steps.billing import LoopLog
+from poplarrun.billing import Bill, BillKeeper, read_statement
+from poplarrun.hosts import MemoryNetwork, MemoryPeers, Peer
+from poplarrun.log import MemoryLog
+from standins.histories import run_virtual
+
+HOSTS = {"a1": "a", "b1": "b", "c1": "c"}
+SETTLED_S = 5
+
+
+@given("a host whose peers know of a request that it then refuses as not run")
+def step_refused(context):
+    context.bill_log = MemoryLog()
+
+
+async def refuse_and_cut(log):
+    loop = asyncio.get_running_loop()
+    network = MemoryNetwork()
+    keepers = {
+        name: BillKeeper(
+            MemoryPeers(network, Peer(name, zone, "r", 1)), LoopLog(log), loop.time, loop.time
+        )
+        for name, zone in HOSTS.items()
+    }
+    keepers["a1"].open(Bill("r1", "shop", "larch:1", 0.1))
+    await keepers["a1"].tend()
+    assert all(keepers[name].holds("r1") for name in ("b1", "c1"))
+    keepers["a1"].drop("r1")
+    network.cut(["a1"], ["b1", "c1"])
+    for _ in range(SETTLED_S):
+        await asyncio.gather(*(keeper.tend() for keeper in keepers.values()))
+        await asyncio.sleep(1.0)
+    assert keepers["b1"].finished
+
+
+@when("the host is cut off from them, and they finish its bills")
+def step_cut(context):
+    run_virtual(refuse_and_cut(context.bill_log))
+
+
+@then("the statement's total is {total:f}")
+def step_total(context, total):
+    statement = read_statement(context.bill_log, "shop", 0.0)
+    assert statement is not None
+    assert abs(statement.total - total) < 1e-9, statement
--- a/poplarrun/billing/_keeper.py
+++ b/poplarrun/billing/_keeper.py
@@ -131,10 +131,20 @@
         self._open[bill.id] = self._untold[bill.id] = stamped
 
     def drop(self, bill_id: str) -> None:
-        """Forget a request that ended without any cost."""
+        """Forget a request that ended without any cost.
+
+        Peers that were told of it would bill it in this host's place, should it be
+        cut off before it tells them to forget it too: its caller was told "not run"
+        and would pay. A final bill of nothing in the log outweighs theirs.
+        """
         self._untold.pop(bill_id, None)
-        if self._open.pop(bill_id, None) is not None:
-            self._settle([bill_id])
+        bill = self._open.pop(bill_id, None)
+        if bill is None:
+            return
+        if bill_id in self._keepers_of:
+            free = msgspec.structs.replace(bill, amount=0.0, is_final=True)
+            self._batches.add(self._shard, free)
+            self._batches.start()
 
     async def keep(self, bill: Bill) -> KeptBy:
         """Keep a final bill, and return once it outlives this host.
--- a/standins/histories/_chat_rules.py
+++ b/standins/histories/_chat_rules.py
@@ -157,7 +157,9 @@
     for request_id, count in bills.items():
         if count > 1:
             yield Violation("one bill a chat", request_id)
-        if request_id not in ran and request_id not in history.finished_by_peers:
+        # A bill of nothing outweighs what peers may have billed for a refused chat.
+        is_paid = amounts[request_id] > 0.0 and request_id not in history.finished_by_peers
+        if request_id not in ran and is_paid:
             yield Violation("only a chat that ran is billed", request_id)
     for answer in history.answers:
         is_excused = answer.request_id in history.kept_alone | history.lost_holders
