--- a/standins/histories/_chat_schedule.py
+++ b/standins/histories/_chat_schedule.py
@@ -38,6 +38,7 @@
 from standins.histories._loop import VirtualLoop, spawn
 from standins.histories._rules import Violation
 from standins.histories._schedule import (
+    COMMON_FAULTS,
     FAULTS_END_S,
     HOSTS,
     MANY,
@@ -57,19 +58,7 @@
 STALE = 0.1
 OPERATOR = "operator"
 CHAT_FAULTS = (
-    "kill at a point",
-    "stop at a point",
-    "kill",
-    "stop",
-    "cut host from log",
-    "cut zone from log",
-    "cut zone from zones",
-    "cut zone from both",
-    "cut one link",
-    "log down",
-    "log slow",
-    "log loses answers",
-    "log holds appends",
+    *COMMON_FAULTS,
     "engine refuses",
     "streams break",
     "chunks lost",
--- a/standins/histories/_schedule.py
+++ b/standins/histories/_schedule.py
@@ -28,7 +28,8 @@
 MANY = 100_000
 MAX_ATTEMPTS = 4
 FINAL_ATTEMPTS = 30
-FAULTS = (
+# What fails whatever is asked for; the schedules of chats have these too.
+COMMON_FAULTS = (
     "kill at a point",
     "stop at a point",
     "kill",
@@ -42,6 +43,9 @@
     "log slow",
     "log loses answers",
     "log holds appends",
+)
+FAULTS = (
+    *COMMON_FAULTS,
     "service refuses",
     "service dies before",
     "service dies after",
