Ask in one place whether an account may use a version now

Cause: reading the change again: the second step of a cascade repeated the check that each attempt makes against the account in force. Change: RouterContext.may_use serves both; behaviour as before.

--- a/poplarrun/router/_chat_versions.py
+++ b/poplarrun/router/_chat_versions.py
@@ -177,17 +177,14 @@
         """Return the second step of a cascade; None when the first answer is accepted.
 
         The second version is checked like any other before new work: where it
-        may not be used any more, the caller gets the first answer. The account is
-        the one in force now: as it was when the request began, it would let the
-        second step run on a version that operators took from it meanwhile.
+        may not be used any more, the caller gets the first answer.
         """
         if pick.escalation is None:
             return None
         second = pick.escalation.version
         score = self._score(end)
         is_accepted = score is None or score >= pick.escalation.least_score
-        in_force = self._context.configuration.document.accounts.get(account.name)
-        allowed = in_force is not None and in_force.allows_version(second.id)
+        allowed = self._context.may_use(account.name, second.id)
         if is_accepted or not allowed or self._context.configuration.is_withdrawn(second.id):
             return None
         self._context.metrics.count_event("cascade_escalated")
--- a/poplarrun/router/_chats.py
+++ b/poplarrun/router/_chats.py
@@ -287,11 +287,10 @@
         A version withdrawn between two attempts would otherwise get new work
         after its withdrawal was in force at this host.
         """
-        account = self._context.configuration.document.accounts.get(chat.account.name)
         if self._context.configuration.is_withdrawn(chat.version.id):
             message = f"version {chat.version.id} was withdrawn"
             return self._give_up(chat, ErrorKind.VERSION_NOT_ALLOWED, message)
-        if account is None or not account.allows_version(chat.version.id):
+        if not self._context.may_use(chat.account.name, chat.version.id):
             message = f"client account {chat.account.name} may no longer use {chat.version.id}"
             return self._give_up(chat, ErrorKind.VERSION_NOT_ALLOWED, message)
         return None
--- a/poplarrun/router/_context.py
+++ b/poplarrun/router/_context.py
@@ -73,6 +73,15 @@
     demand: DemandCounter = field(default_factory=DemandCounter)
     coming: dict[VersionId, float] = field(default_factory=dict)
 
+    def may_use(self, account: str, version: VersionId) -> bool:
+        """Tell whether a client account may use a version by the configuration in force now.
+
+        An account as it was when its request began would let work start on a
+        version that operators took from it meanwhile.
+        """
+        in_force = self.configuration.document.accounts.get(account)
+        return in_force is not None and in_force.allows_version(version)
+
     def refuse(
         self,
         kind: ErrorKind,
