Use the library's awaited log where tests and an example had their own

Cause: three step files wrapped a MemoryLog in a class of their own and two more places had a function that runs a call at once; ThreadedLog over that function is the same. Change: call_here stands beside ThreadedLog and is public; the copies are gone.

--- a/examples/library/keepers.py
+++ b/examples/library/keepers.py
@@ -2,12 +2,10 @@
 
 import asyncio
 import random
-from collections.abc import Callable
-from typing import Any
 
 from poplarrun.hosts import MemoryNetwork, MemoryPeers, Peer
 from poplarrun.leases import LeaseKeeper
-from poplarrun.log import MemoryLog, ThreadedLog
+from poplarrun.log import MemoryLog, ThreadedLog, call_here
 from poplarrun.metrics import Metrics
 
 JOB = "nightly-report"
@@ -27,11 +25,6 @@
         return self.now
 
 
-async def call_here(call: Callable[..., Any], *arguments: Any) -> Any:
-    """Run a call at once; a program with a real log runs it in a thread."""
-    return call(*arguments)
-
-
 async def wait_for_fence(keeper: LeaseKeeper, clock: Clock) -> int:
     """Do rounds until a keeper holds the job; return its fencing number."""
     while clock.now < BOUND_S:
--- a/features/steps/bill_snapshots.py
+++ b/features/steps/bill_snapshots.py
@@ -17,7 +17,7 @@
 )
 from poplarrun.billing._totals import BillTotals
 from poplarrun.hosts import MemoryNetwork, MemoryPeers, Peer
-from poplarrun.log import MemoryLog, PartCollector, split_snapshot
+from poplarrun.log import MemoryLog, PartCollector, ThreadedLog, call_here, split_snapshot
 from standins.histories import run_virtual
 
 START = 1_000_000.0
@@ -27,19 +27,6 @@
 LATELY = 500
 
 
-class ReadableLog:
-    """Awaits a ``MemoryLog``."""
-
-    def __init__(self, memory):
-        self._memory = memory
-
-    async def append(self, stream, data):
-        return self._memory.append(stream, data)
-
-    async def read(self, stream, from_offset, limit):
-        return self._memory.read(stream, from_offset, limit)
-
-
 def set_part_bytes(context, size):
     context.add_cleanup(setattr, parts_module, "PART_BYTES", parts_module.PART_BYTES)
     parts_module.PART_BYTES = size
@@ -49,7 +36,7 @@
     """Return a writer that sees no other host, so every shard is its own."""
     peers = MemoryPeers(MemoryNetwork(), Peer(name, "a", "r", 1))
     return BillSnapshots(
-        peers, ReadableLog(context.bill_log), lambda: context.wall, lambda: context.wall
+        peers, ThreadedLog(context.bill_log, call_here), lambda: context.wall, lambda: context.wall
     )
 
 
@@ -196,7 +183,7 @@
     """Cut off a host with a bill, then all that finish it, in the order of their names."""
     loop = asyncio.get_running_loop()
     network = MemoryNetwork()
-    log = ReadableLog(context.bill_log)
+    log = ThreadedLog(context.bill_log, call_here)
     peers = [MemoryPeers(network, Peer(name, name[0], "r", 1)) for name in names]
     keepers = [BillKeeper(p, log, loop.time, loop.time) for p in peers]
     # The log takes what each host appends, and its answers are lost; then it is gone.
--- a/features/steps/billing.py
+++ b/features/steps/billing.py
@@ -15,23 +15,13 @@
     stream_of,
 )
 from poplarrun.hosts import MemoryNetwork, MemoryPeers, Peer
-from poplarrun.log import MemoryLog
+from poplarrun.log import MemoryLog, ThreadedLog, call_here
 from standins.histories import run_virtual
 
 NOW = 1_000_000.0
 DAY_S = 86400.0
 
 
-class LoopLog:
-    """Awaits a ``MemoryLog``."""
-
-    def __init__(self, memory):
-        self._memory = memory
-
-    async def append(self, stream, data):
-        return self._memory.append(stream, data)
-
-
 def bill_of(text, account="shop", at=NOW):
     name, amount, *is_open = text.split()
     return Bill(name, account, "larch:1", float(amount), at, is_final=not is_open)
@@ -81,7 +71,7 @@
 
 async def bill_through_outage(context, per_s, seconds):
     loop = asyncio.get_running_loop()
-    log = LoopLog(context.bill_log)
+    log = ThreadedLog(context.bill_log, call_here)
     network = MemoryNetwork()
     keepers = [
         BillKeeper(MemoryPeers(network, Peer(f"{zone}1", zone, "r", 1)), log, loop.time, loop.time)
@@ -142,7 +132,7 @@
     async def fill():
         loop = asyncio.get_running_loop()
         network = MemoryNetwork()
-        log = LoopLog(MemoryLog())
+        log = ThreadedLog(MemoryLog(), call_here)
         keepers = [
             BillKeeper(MemoryPeers(network, Peer(name, "a", "r", 1)), log, loop.time, loop.time)
             for name in ("a1", "a2")
--- a/features/steps/claim_fold.py
+++ b/features/steps/claim_fold.py
@@ -5,24 +5,11 @@
 
 from poplarrun.claims import Claim, ClaimFold, Lost, Outcome, Release, encode_batch
 from poplarrun.claims._shard import Shard
-from poplarrun.log import Entry, MemoryLog
+from poplarrun.log import Entry, MemoryLog, ThreadedLog, call_here
 
 STREAM = "claims-00"
 
 
-class LoopLog:
-    """Awaits a ``MemoryLog``."""
-
-    def __init__(self):
-        self.memory = MemoryLog()
-
-    async def append(self, stream, data):
-        return self.memory.append(stream, data)
-
-    async def read(self, stream, from_offset, limit):
-        return self.memory.read(stream, from_offset, limit)
-
-
 def claim_of(name, key, at=0.0):
     return Claim(name, "shop", key, b"", name[0], 1, 1_000_000.0 + at)
 
@@ -79,7 +66,8 @@
 @given("a shard with {count:d} random claims with seed {seed:d}, snapshots, and dropped records")
 def step_random_shard(context, count, seed):
     source = random.Random(seed)
-    context.loop_log = LoopLog()
+    context.claim_log = MemoryLog()
+    context.loop_log = ThreadedLog(context.claim_log, call_here)
     context.wall = 0.0
 
     async def fill():
@@ -97,8 +85,8 @@
         return shard.fold
 
     context.old_fold = asyncio.run(fill())
-    end = context.loop_log.memory.read(STREAM, 0, 1000).end
-    context.loop_log.memory.truncate(STREAM, end - 10)
+    end = context.claim_log.read(STREAM, 0, 1000).end
+    context.claim_log.truncate(STREAM, end - 10)
 
 
 @when("a new host reads the shard")
--- a/features/steps/claim_parts.py
+++ b/features/steps/claim_parts.py
@@ -4,10 +4,17 @@
 
 import poplarrun.claims._shard as shard_module
 import poplarrun.log._parts as parts_module
-from features.steps.claim_fold import STREAM, LoopLog
+from features.steps.claim_fold import STREAM
 from poplarrun.claims import Claim, encode_batch
 from poplarrun.claims._shard import Shard
-from poplarrun.log import PartCollector, WholeSnapshot, split_snapshot
+from poplarrun.log import (
+    MemoryLog,
+    PartCollector,
+    ThreadedLog,
+    WholeSnapshot,
+    call_here,
+    split_snapshot,
+)
 
 SMALL = 300
 START = 1_000_000.0
@@ -24,7 +31,7 @@
 
 
 def read_all(log):
-    return log.memory.read(STREAM, 0, 10**6).entries
+    return log.read(STREAM, 0, 10**6).entries
 
 
 async def write_both(context):
@@ -55,18 +62,19 @@
     ):
         context.add_cleanup(setattr, module, name, getattr(module, name))
         setattr(module, name, value)
-    context.loop_log = LoopLog()
+    context.claim_log = MemoryLog()
+    context.loop_log = ThreadedLog(context.claim_log, call_here)
     context.wall = START
     asyncio.run(write_both(context))
-    assert len(list_snapshots(context.loop_log)) == 2
+    assert len(list_snapshots(context.claim_log)) == 2
 
 
 def append_snapshot(context, keep):
     snapshot = context.old_fold.take_snapshot(context.wall)
     parts = split_snapshot(WholeSnapshot(snapshot.through, snapshot.at, encode_batch([snapshot])))
     for part in parts[:keep]:
-        context.loop_log.memory.append(STREAM, part)
-    for entry in read_all(context.loop_log):
+        context.claim_log.append(STREAM, part)
+    for entry in read_all(context.claim_log):
         context.old_fold.fold(entry)
 
 
@@ -82,11 +90,11 @@
 
 @given("the log has dropped all that the first snapshot covers")
 def step_drop_covered(context):
-    _, first = list_snapshots(context.loop_log)[0]
-    context.loop_log.memory.truncate(STREAM, first.through + 1)
+    _, first = list_snapshots(context.claim_log)[0]
+    context.claim_log.truncate(STREAM, first.through + 1)
 
 
 @given("the log has dropped the first parts of the first snapshot")
 def step_drop_parts(context):
-    offset, _ = list_snapshots(context.loop_log)[0]
-    context.loop_log.memory.truncate(STREAM, offset - 1)
+    offset, _ = list_snapshots(context.claim_log)[0]
+    context.claim_log.truncate(STREAM, offset - 1)
--- a/features/steps/config_follow.py
+++ b/features/steps/config_follow.py
@@ -18,7 +18,7 @@
     make_snapshot,
     sign_record,
 )
-from poplarrun.log import Appended, AppendRefused, MemoryLog, ReadFailed
+from poplarrun.log import Appended, AppendRefused, MemoryLog, ReadFailed, call_here
 from poplarrun.logs._logs import ROOT_NAME
 
 VERSION = "{stage: offered, price: {input_per_mtok: 1, output_per_mtok: 1}}"
@@ -52,10 +52,6 @@
         return super().read(stream, from_offset, limit)
 
 
-async def call(function, *arguments):
-    return function(*arguments)
-
-
 def document_of(name):
     return f"models: {{{name}: {{versions: {{'1': {VERSION}}}}}}}"
 
@@ -72,7 +68,7 @@
         context.ways[name],
         peers,
         context.virtual.metrics[name],
-        call,
+        call_here,
         note,
         random.Random(name),
         clock=context.loop.time,
--- a/features/steps/refused_bills.py
+++ b/features/steps/refused_bills.py
@@ -2,10 +2,9 @@
 
 from behave import given, then, when
 
-from features.steps.billing import LoopLog
 from poplarrun.billing import Bill, BillKeeper, read_statement
 from poplarrun.hosts import MemoryNetwork, MemoryPeers, Peer
-from poplarrun.log import MemoryLog
+from poplarrun.log import MemoryLog, ThreadedLog, call_here
 from standins.histories import run_virtual
 
 HOSTS = {"a1": "a", "b1": "b", "c1": "c"}
@@ -22,7 +21,10 @@
     network = MemoryNetwork()
     keepers = {
         name: BillKeeper(
-            MemoryPeers(network, Peer(name, zone, "r", 1)), LoopLog(log), loop.time, loop.time
+            MemoryPeers(network, Peer(name, zone, "r", 1)),
+            ThreadedLog(log, call_here),
+            loop.time,
+            loop.time,
         )
         for name, zone in HOSTS.items()
     }
--- a/poplarrun/log/__init__.py
+++ b/poplarrun/log/__init__.py
@@ -1,6 +1,6 @@
 """The platform's append-only log: the interface, an in-memory version, records."""
 
-from poplarrun.log._async import AsyncLog, ThreadedLog
+from poplarrun.log._async import AsyncLog, ThreadedLog, call_here
 from poplarrun.log._interface import (
     Appended,
     AppendOutcome,
@@ -45,6 +45,7 @@
     "WholeSnapshot",
     "append_parts",
     "append_until_known",
+    "call_here",
     "seal_record",
     "split_snapshot",
 ]
