--- a/bench/load_costs.py
+++ b/bench/load_costs.py
@@ -7,11 +7,11 @@
 from bench.figures import Figure, Slope
 from bench.load_common import COMMAND
 from bench.load_policies import VERSION
+from poplarrun.clients import HostKind, HostState, ListedHost
 from poplarrun.contracts import ClientAccount, Limits
 from poplarrun.endpoints import LOAD_TOPIC, Demand, EndpointTable, LoadSharing, PrefixIndex
 from poplarrun.hosts import MemoryNetwork, MemoryPeers, Peer
 from poplarrun.limits import LIMITS_TOPIC, AccountLimits
-from poplarrun.platform import HostKind, HostState, ListedHost
 
 
 def make_table(endpoints: int) -> EndpointTable:
--- a/bench/load_policies.py
+++ b/bench/load_policies.py
@@ -6,9 +6,9 @@
 from typing import Protocol
 
 from bench.load_engines import FakeEngine, Simulation, Work
+from poplarrun.clients import CacheEvent, HostKind, HostState, ListedHost
 from poplarrun.contracts import VersionId
 from poplarrun.endpoints import Demand, EndpointTable, PoolSpeed, assign_endpoints
-from poplarrun.platform import CacheEvent, HostKind, HostState, ListedHost
 
 QUIET_LOAD = 0.7
 VERSION = VersionId("larch", "1")
--- a/bench/orders.py
+++ b/bench/orders.py
@@ -18,6 +18,7 @@
 import msgspec
 
 from bench.figures import Figure, report
+from poplarrun.clients import EngineModels, HttpOrders, MemoryEngine, MemoryWeightStore
 from poplarrun.contracts import VersionId
 from poplarrun.orders import (
     LOOK_S,
@@ -31,7 +32,6 @@
     Stamp,
     encode_demand,
 )
-from poplarrun.platform import EngineModels, HttpOrders, MemoryEngine, MemoryWeightStore
 from standins.fleet import StandInProcess
 from standins.order_world import PLACES, OrderWorld
 from standins.virtual_time import VirtualTimeLoop
--- a/bench/outcomes.py
+++ b/bench/outcomes.py
@@ -28,6 +28,7 @@
     stream_of,
 )
 from poplarrun.claims._shard import Shard
+from poplarrun.clients import HttpLog
 from poplarrun.hosts import MemoryNetwork, MemoryPeers, Peer, Peers
 from poplarrun.log import (
     PART_BYTES,
@@ -39,7 +40,6 @@
     SignedLog,
     ThreadedLog,
 )
-from poplarrun.platform import HttpLog
 from standins.fleet import StandInProcess
 from standins.histories import run_virtual
 
--- a/features/steps/answers.py
+++ b/features/steps/answers.py
@@ -1,7 +1,7 @@
 from behave import given, then, when
 
 from poplarrun.answers import Reassembly
-from poplarrun.platform import Chunk
+from poplarrun.clients import Chunk
 
 
 @given("the chunks {positions}")
--- a/features/steps/endpoints.py
+++ b/features/steps/endpoints.py
@@ -3,10 +3,10 @@
 
 from behave import given, then, when
 
+from poplarrun.clients import BLOCK_WORDS, CacheEvent, HostKind, HostState, ListedHost, LoadReport
 from poplarrun.contracts import VersionId
 from poplarrun.endpoints import Demand, EndpointTable, LoadSharing, assign_endpoints
 from poplarrun.hosts import MemoryNetwork, MemoryPeers, Peer
-from poplarrun.platform import BLOCK_WORDS, CacheEvent, HostKind, HostState, ListedHost, LoadReport
 
 VERSION = VersionId("larch", "1")
 
--- a/features/steps/engine_bodies.py
+++ b/features/steps/engine_bodies.py
@@ -5,8 +5,8 @@
 
 from behave import given, then, when
 
+from poplarrun.clients import Chunk, EngineCall, EngineFailed, HttpEngine, Usage
 from poplarrun.contracts import VersionId
-from poplarrun.platform import Chunk, EngineCall, EngineFailed, HttpEngine, Usage
 
 WORDS = [f"word-{position} " for position in range(20)]
 LINES = [
--- a/features/steps/host_list.py
+++ b/features/steps/host_list.py
@@ -1,7 +1,7 @@
 from behave import given, then
 
+from poplarrun.clients import HostKind, HostState, ListedHost
 from poplarrun.hosts import ListedHosts, ZoneView
-from poplarrun.platform import HostKind, HostState, ListedHost
 
 
 def entry(name, state):
--- a/features/steps/orders_decisions.py
+++ b/features/steps/orders_decisions.py
@@ -3,10 +3,10 @@
 import msgspec
 from behave import given, then, when
 
+from poplarrun.clients import MemoryEngine, ModelsOrder
 from poplarrun.contracts import VersionId
 from poplarrun.leases import Lease
 from poplarrun.orders import OpenWork, SendOrder
-from poplarrun.platform import MemoryEngine, ModelsOrder
 from standins.order_world import OrderWorld
 from standins.virtual_time import VirtualTimeLoop
 
--- a/features/steps/security.py
+++ b/features/steps/security.py
@@ -15,6 +15,7 @@
 from hypothesis import HealthCheck, Phase, settings, strategies
 from hypothesis import given as given_values
 
+from poplarrun.clients import HttpLog, PlatformTls, use_plain_http, use_tls
 from poplarrun.config import Publication, encode_record, open_record, sign_record
 from poplarrun.config._sharing import ShareAnswer, read_answer
 from poplarrun.contracts import parse_document
@@ -25,7 +26,6 @@
 from poplarrun.leases import Acquire, decode_lease_record, encode_lease_record
 from poplarrun.links import NngLinks, TlsFiles
 from poplarrun.log import Appended
-from poplarrun.platform import HttpLog, PlatformTls, use_plain_http, use_tls
 from poplarrun.server._bodies import read_chat_body
 from standins import LogStandIn
 from standins.fleet import free_address, wait_until
--- a/features/steps/service_tls.py
+++ b/features/steps/service_tls.py
@@ -2,7 +2,7 @@
 from cheroot.ssl.builtin import BuiltinSSLAdapter
 
 from features.environment import CERTIFICATES
-from poplarrun.platform import (
+from poplarrun.clients import (
     HttpServiceCaller,
     PlatformTls,
     ServiceAnswer,
--- a/features/steps/versions_cascades.py
+++ b/features/steps/versions_cascades.py
@@ -6,8 +6,8 @@
 import msgspec
 from behave import given, then, when
 
+from poplarrun.clients import pool_for
 from poplarrun.contracts import ClientAccount, Limits, VersionId, hash_key, parse_document
-from poplarrun.platform import pool_for
 from poplarrun.versions import AnswerSeen, CellKey, Estimates, Evidence, find_cut, make_cuts
 from poplarrun.versions._cascades import SecondStep
 from standins.version_world import RatingTraits, Traits, VersionWorld
--- a/features/steps/versions_rollout.py
+++ b/features/steps/versions_rollout.py
@@ -3,10 +3,10 @@
 
 from behave import given, then, when
 
+from poplarrun.clients import HttpLog, pool_for
 from poplarrun.config import Withdrawal
 from poplarrun.config import decode_record as decode_config
 from poplarrun.contracts import hash_key
-from poplarrun.platform import HttpLog, pool_for
 from poplarrun.versions import (
     ROLLOUTS_STREAM,
     Granted,
--- a/poplarrun/answers/_reassembly.py
+++ b/poplarrun/answers/_reassembly.py
@@ -1,6 +1,6 @@
 """Late, repeated and out-of-order chunks become one answer."""
 
-from poplarrun.platform import Chunk
+from poplarrun.clients import Chunk
 
 # An engine that runs so far ahead of a missing chunk has lost it for good.
 MAX_HELD_CHUNKS = 1000
--- a/poplarrun/cli/_bill.py
+++ b/poplarrun/cli/_bill.py
@@ -11,8 +11,8 @@
 
 from poplarrun.billing import Statement, StatementLine, read_statement
 from poplarrun.cli._arguments import EXIT_FAILED, EXIT_INVALID, AsJson, LogAddress
+from poplarrun.clients import HttpLog
 from poplarrun.log import LogKeys, SignedLog
-from poplarrun.platform import HttpLog
 
 
 @dataclass
--- a/poplarrun/cli/_config.py
+++ b/poplarrun/cli/_config.py
@@ -23,6 +23,7 @@
     count_noun,
 )
 from poplarrun.cli._views import ZoneView, ask_fleet
+from poplarrun.clients import HttpLog
 from poplarrun.config import (
     CONFIG_STREAM,
     Accepted,
@@ -48,7 +49,6 @@
     ReadFailed,
     append_until_known,
 )
-from poplarrun.platform import HttpLog
 
 APPEND_ATTEMPTS = 5
 DocumentFile = Annotated[Path, cappa.Arg(help="The operators' document, YAML.")]
--- a/poplarrun/platform/__init__.py
+++ b/poplarrun/clients/__init__.py
@@ -1,6 +1,6 @@
 """Adapters to the outside systems, one small module each."""
 
-from poplarrun.platform._engines import (
+from poplarrun.clients._engines import (
     BLOCK_WORDS,
     Answer,
     CacheEvent,
@@ -13,7 +13,7 @@
     Usage,
     hash_blocks,
 )
-from poplarrun.platform._hostlist import (
+from poplarrun.clients._hostlist import (
     HostKind,
     HostList,
     HostState,
@@ -21,9 +21,9 @@
     ListedHost,
     ListUnavailable,
 )
-from poplarrun.platform._http import PlatformTls, close_pool, pool_for, use_plain_http, use_tls
-from poplarrun.platform._log import HttpLog
-from poplarrun.platform._orders import (
+from poplarrun.clients._http import PlatformTls, close_pool, pool_for, use_plain_http, use_tls
+from poplarrun.clients._log import HttpLog
+from poplarrun.clients._orders import (
     EngineModels,
     HttpOrders,
     HttpWeightStore,
@@ -38,8 +38,8 @@
     TakesNoOrders,
     WeightStore,
 )
-from poplarrun.platform._ratings import HttpRatings, RatedAnswer, Ratings, RatingsUnavailable
-from poplarrun.platform._services import (
+from poplarrun.clients._ratings import HttpRatings, RatedAnswer, Ratings, RatingsUnavailable
+from poplarrun.clients._services import (
     HttpServiceCaller,
     PreparedCall,
     ServiceAnswer,
--- a/poplarrun/platform/_engines.py
+++ b/poplarrun/clients/_engines.py
@@ -8,9 +8,9 @@
 import msgspec
 import urllib3
 
+from poplarrun.clients._http import pool_for, pool_of, url_of
+from poplarrun.clients._streams import StreamedBody
 from poplarrun.contracts import VersionId
-from poplarrun.platform._http import pool_for, pool_of, url_of
-from poplarrun.platform._streams import StreamedBody
 
 CONNECT_TIMEOUT_S = 0.5
 REPORT_TIMEOUT_S = 1.0
--- a/poplarrun/platform/_hostlist.py
+++ b/poplarrun/clients/_hostlist.py
@@ -7,7 +7,7 @@
 import msgspec
 import urllib3
 
-from poplarrun.platform._http import pool_for, url_of
+from poplarrun.clients._http import pool_for, url_of
 
 TIMEOUT_S = 2.0
 OK = 200
--- a/poplarrun/platform/_log.py
+++ b/poplarrun/clients/_log.py
@@ -5,6 +5,7 @@
 import msgspec
 import urllib3
 
+from poplarrun.clients._http import pool_for, url_of
 from poplarrun.log import (
     Appended,
     AppendOutcome,
@@ -15,7 +16,6 @@
     ReadFailed,
     ReadOutcome,
 )
-from poplarrun.platform._http import pool_for, url_of
 
 APPEND_TIMEOUT_S = 3.0
 READ_TIMEOUT_S = 3.0
--- a/poplarrun/platform/_services.py
+++ b/poplarrun/clients/_services.py
@@ -7,7 +7,7 @@
 
 import urllib3
 
-from poplarrun.platform._http import PlatformTls
+from poplarrun.clients._http import PlatformTls
 
 CONNECT_TIMEOUT_S = 0.5
 # What the loop hands to the socket itself: a new connection's buffer holds it.
--- a/poplarrun/endpoints/_choice.py
+++ b/poplarrun/endpoints/_choice.py
@@ -5,11 +5,11 @@
 from collections.abc import Callable, Container
 from dataclasses import dataclass, field
 
+from poplarrun.clients import BLOCK_WORDS as BLOCK_TOKENS
 from poplarrun.contracts import VersionId
 from poplarrun.endpoints._endpoint import Endpoint
 from poplarrun.endpoints._pool import Pool
 from poplarrun.endpoints._prefix import NO_MATCH, PrefixIndex, PrefixMatch
-from poplarrun.platform import BLOCK_WORDS as BLOCK_TOKENS
 
 # Candidates among the endpoints assigned to this host: it sends most of what
 # they get, so that it knows their load better than any late report.
--- a/poplarrun/endpoints/_endpoint.py
+++ b/poplarrun/endpoints/_endpoint.py
@@ -5,8 +5,8 @@
 from collections.abc import Sequence
 from dataclasses import dataclass, field
 
+from poplarrun.clients import HostKind
 from poplarrun.contracts import VersionId
-from poplarrun.platform import HostKind
 
 # Sends and ends that are remembered between two reports; more are forgotten,
 # oldest first, so that an engine without reports can't grow this host's memory.
--- a/poplarrun/endpoints/_prefix.py
+++ b/poplarrun/endpoints/_prefix.py
@@ -7,8 +7,8 @@
 from dataclasses import dataclass, field
 from functools import lru_cache
 
+from poplarrun.clients import CacheEvent
 from poplarrun.contracts import VersionId
-from poplarrun.platform import CacheEvent
 
 # Pairs of block and endpoint that are remembered; the least used go first.
 KEPT_BLOCKS = 20_000
--- a/poplarrun/endpoints/_sharing.py
+++ b/poplarrun/endpoints/_sharing.py
@@ -5,12 +5,12 @@
 
 import msgspec
 
+from poplarrun.clients import HostKind
 from poplarrun.contracts import VersionId
 from poplarrun.endpoints._endpoint import Endpoint
 from poplarrun.endpoints._ownership import assign_endpoints
 from poplarrun.endpoints._table import EndpointTable
 from poplarrun.hosts import Peers, SummaryTopic
-from poplarrun.platform import HostKind
 
 # Polls of endpoints that another host usually polls: those heard of least
 # recently, so that no endpoint stays unknown when its usual host is silent.
--- a/poplarrun/endpoints/_table.py
+++ b/poplarrun/endpoints/_table.py
@@ -3,12 +3,12 @@
 import random
 from collections.abc import Container, Mapping, Sequence
 
+from poplarrun.clients import CacheEvent, HostKind, HostState, ListedHost, LoadReport
 from poplarrun.contracts import VersionId
 from poplarrun.endpoints._choice import NO_DEMAND, Choice, Chooser, Demand
 from poplarrun.endpoints._endpoint import Endpoint
 from poplarrun.endpoints._pool import Pool
 from poplarrun.endpoints._prefix import NO_MATCH, PrefixIndex
-from poplarrun.platform import CacheEvent, HostKind, HostState, ListedHost, LoadReport
 
 # A failed endpoint gets nothing for this time, doubled with each further failure.
 FAILURE_PAUSE_S = 1.0
--- a/poplarrun/hosts/_listed.py
+++ b/poplarrun/hosts/_listed.py
@@ -3,8 +3,8 @@
 import enum
 from collections.abc import Callable, Iterable, Mapping
 
+from poplarrun.clients import HostKind, HostState, ListedHost
 from poplarrun.hosts._peers import ZoneView
-from poplarrun.platform import HostKind, HostState, ListedHost
 
 # The list lags by less than this; what differs for longer an operator should see.
 LAG_S = 60.0
--- a/poplarrun/orders/_holder.py
+++ b/poplarrun/orders/_holder.py
@@ -7,10 +7,10 @@
 
 import msgspec
 
+from poplarrun.clients import EngineModels, ModelsOrder
 from poplarrun.contracts import VersionId
 from poplarrun.orders._plan import EngineRoom, Need, Plan, Planner
 from poplarrun.orders._summaries import DemandSummary, OrdersSummary, Stamp
-from poplarrun.platform import EngineModels, ModelsOrder
 
 # Each engine is looked at this often, whatever its load reports say. A late
 # order that an engine took is found and undone within this, a round and two timeouts.
--- a/poplarrun/router/_chats.py
+++ b/poplarrun/router/_chats.py
@@ -4,11 +4,11 @@
 
 from poplarrun.admission import Held, Refused
 from poplarrun.billing import Bill
+from poplarrun.clients import Usage
 from poplarrun.contracts import ClientAccount, Unmet, Version, WorkClass
 from poplarrun.endpoints import Demand, Endpoint
 from poplarrun.errors import ErrorKind, NotRun, Refusal, answer_for
 from poplarrun.orders import OpenWork
-from poplarrun.platform import Usage
 from poplarrun.retries import GiveUp
 from poplarrun.router._chat_versions import ChatVersions, VersionPick
 from poplarrun.router._context import RouterContext
--- a/poplarrun/router/_messages.py
+++ b/poplarrun/router/_messages.py
@@ -4,8 +4,8 @@
 
 from poplarrun.billing import Bill
 from poplarrun.claims import Ran
+from poplarrun.clients import PreparedCall, ServiceAnswer, Usage
 from poplarrun.contracts import Operation, VersionId
-from poplarrun.platform import PreparedCall, ServiceAnswer, Usage
 
 
 @dataclass(frozen=True, slots=True)
--- /dev/null
+++ b/poplarrun/routing/_requests.py
@@ -0,0 +1,113 @@
+"""A request as the decisions see it, whatever protocol it came by."""
+
+from dataclasses import dataclass, field
+
+from poplarrun.routing._catalogue import Account, Route
+
+Headers = tuple[tuple[bytes, bytes], ...]
+
+
+@dataclass(frozen=True, slots=True)
+class PromptPart:
+    """A beginning of a prompt that other requests may share.
+
+    Attributes
+    ----------
+    key : str
+        Names the part's content.
+    tokens : int
+        Its length.
+    """
+
+    key: str
+    tokens: int
+
+
+@dataclass(frozen=True, slots=True)
+class Request:
+    """What a caller sent.
+
+    Attributes
+    ----------
+    id : str
+        The caller's id of this attempt.
+    headers : tuple of (bytes, bytes)
+        Headers that go to the endpoint as they are.
+    time_left_s : float
+        How long the caller waits.
+    api_key : str, optional
+        The presented key.
+    parts : tuple of PromptPart
+        The prompt in order.
+    prompt_tokens, most_tokens : int
+        Length of the prompt, bound of the answer, in tokens.
+    model : str, optional
+        The model that the caller names; "*" leaves it to the route's sizes.
+    session : str, optional
+        Requests of one session belong together.
+    resume_after : int, optional
+        Id of the last event of a broken stream that the caller has.
+    """
+
+    id: str
+    method: bytes
+    target: bytes
+    host: str
+    headers: Headers
+    body: bytes
+    time_left_s: float
+    api_key: str | None = None
+    parts: tuple[PromptPart, ...] = ()
+    prompt_tokens: int = 0
+    most_tokens: int = 0
+    model: str | None = None
+    session: str | None = None
+    resume_after: int | None = None
+
+
+@dataclass(slots=True)
+class Work:
+    """An admitted request on its way; changed by the decisions only.
+
+    Attributes
+    ----------
+    arrived_at, give_up_at : float
+        When it came, and when its caller must have an answer, in seconds of the
+        clock that counts suspension.
+    attempts : int
+        Sends so far.
+    may_have_run : bool
+        Whether an endpoint may have begun.
+    tried : set of str
+        Endpoints that it was sent to.
+    last_event : int, optional
+        Id of the last event that the caller has.
+    version : str, optional
+        Endpoint version that its session keeps.
+    size : str, optional
+        Model of the present send.
+    """
+
+    request: Request
+    route: Route
+    account: Account | None
+    service: str
+    arrived_at: float
+    give_up_at: float
+    attempts: int = 0
+    may_have_run: bool = False
+    tried: set[str] = field(default_factory=set)
+    last_event: int | None = None
+    version: str | None = None
+    size: str | None = None
+
+    @property
+    def rank(self) -> int:
+        """Importance; 0 is the highest."""
+        if self.account is not None and self.account.rank is not None:
+            return self.account.rank
+        return self.route.rank
+
+    def left_s(self, now: float) -> float:
+        """Return the seconds until the caller must have an answer."""
+        return self.give_up_at - now
--- a/poplarrun/server/_bodies.py
+++ b/poplarrun/server/_bodies.py
@@ -7,8 +7,8 @@
 from pydantic import BaseModel, ConfigDict, Field, ValidationError
 
 from poplarrun.claims import KnownOutcome
+from poplarrun.clients import Usage
 from poplarrun.errors import ErrorKind, Refusal, answer_for
-from poplarrun.platform import Usage
 
 DEFAULT_MAX_TOKENS = 1024
 DATA_PREFIX = b"data: "
--- a/poplarrun/server/_callers.py
+++ b/poplarrun/server/_callers.py
@@ -7,8 +7,8 @@
 import cherrypy
 
 from poplarrun.claims import KnownOutcome, OutcomeKind, Ran, fingerprint_of
+from poplarrun.clients import Engine, ServiceAnswer, ServiceCaller, Usage, hash_blocks
 from poplarrun.errors import ErrorKind, Refusal, answer_for
-from poplarrun.platform import Engine, ServiceAnswer, ServiceCaller, Usage, hash_blocks
 from poplarrun.router import BeginChat, BeginOperation, FindOperation
 from poplarrun.server._bodies import (
     ChatBody,
--- a/poplarrun/server/_chats.py
+++ b/poplarrun/server/_chats.py
@@ -6,10 +6,10 @@
 from dataclasses import dataclass
 
 from poplarrun.answers import Reassembly
+from poplarrun.clients import Answer, Chunk, Engine, EngineCall, EngineFailed, Usage
 from poplarrun.contracts import VersionId
 from poplarrun.errors import Refusal
 from poplarrun.logs import part_logger
-from poplarrun.platform import Answer, Chunk, Engine, EngineCall, EngineFailed, Usage
 from poplarrun.router import AttemptFailed, BeginChat, ChatGrant, EndChat, FirstToken, JudgeChat
 from poplarrun.server._crossing import Crossing
 
--- a/poplarrun/server/_daemon.py
+++ b/poplarrun/server/_daemon.py
@@ -7,8 +7,7 @@
 import threading
 import time
 
-from poplarrun.logs import part_logger, set_up_logs
-from poplarrun.platform import (
+from poplarrun.clients import (
     HttpEngine,
     HttpHostList,
     HttpLog,
@@ -18,6 +17,7 @@
     PlatformTls,
     use_tls,
 )
+from poplarrun.logs import part_logger, set_up_logs
 from poplarrun.server._callers import CallersApi
 from poplarrun.server._crossing import Crossing
 from poplarrun.server._host import EntryHost
--- a/poplarrun/server/_endpoint_tasks.py
+++ b/poplarrun/server/_endpoint_tasks.py
@@ -5,10 +5,7 @@
 from collections.abc import Awaitable, Callable
 from typing import Any
 
-from poplarrun.endpoints import Endpoint, EndpointTable, LoadSharing
-from poplarrun.hosts import ListedHosts, Peers
-from poplarrun.metrics import Metrics
-from poplarrun.platform import (
+from poplarrun.clients import (
     Engine,
     EngineFailed,
     HostKind,
@@ -16,6 +13,9 @@
     ListUnavailable,
     LoadReport,
 )
+from poplarrun.endpoints import Endpoint, EndpointTable, LoadSharing
+from poplarrun.hosts import ListedHosts, Peers
+from poplarrun.metrics import Metrics
 
 FIRST_REPORTS_BOUND_S = 2.0
 
--- a/poplarrun/server/_host.py
+++ b/poplarrun/server/_host.py
@@ -11,6 +11,14 @@
 from poplarrun.admission import Held
 from poplarrun.billing import Bill, BillKeeper, BillSnapshots
 from poplarrun.claims import ClaimKeeper
+from poplarrun.clients import (
+    Engine,
+    HostList,
+    HttpOrders,
+    Orders,
+    Ratings,
+    WeightStore,
+)
 from poplarrun.config import (
     Accepted,
     ConfigFollower,
@@ -27,14 +35,6 @@
 from poplarrun.log import Log, ThreadedLog
 from poplarrun.logs import part_logger
 from poplarrun.metrics import Metrics
-from poplarrun.platform import (
-    Engine,
-    HostList,
-    HttpOrders,
-    Orders,
-    Ratings,
-    WeightStore,
-)
 from poplarrun.router import (
     AttemptFailed,
     BeginChat,
--- a/poplarrun/server/_operations.py
+++ b/poplarrun/server/_operations.py
@@ -3,9 +3,7 @@
 import time
 
 from poplarrun.claims import Ran
-from poplarrun.errors import Refusal
-from poplarrun.logs import part_logger
-from poplarrun.platform import (
+from poplarrun.clients import (
     PreparedCall,
     ServiceAnswer,
     ServiceCall,
@@ -13,6 +11,8 @@
     ServiceNotSent,
     ServiceUnknown,
 )
+from poplarrun.errors import Refusal
+from poplarrun.logs import part_logger
 from poplarrun.router import (
     BeginOperation,
     CallFailed,
--- a/poplarrun/server/_order_tasks.py
+++ b/poplarrun/server/_order_tasks.py
@@ -9,6 +9,15 @@
 
 import msgspec
 
+from poplarrun.clients import (
+    EngineModels,
+    HostKind,
+    OrderFenced,
+    Orders,
+    OrderTaken,
+    TakesNoOrders,
+    WeightStore,
+)
 from poplarrun.contracts import VersionId
 from poplarrun.endpoints import Endpoint
 from poplarrun.hosts import Peers
@@ -34,15 +43,6 @@
     encode_demand,
     hash_version,
 )
-from poplarrun.platform import (
-    EngineModels,
-    HostKind,
-    OrderFenced,
-    Orders,
-    OrderTaken,
-    TakesNoOrders,
-    WeightStore,
-)
 from poplarrun.router import RouterContext
 from poplarrun.server._messages import OrdersStatus
 
--- a/standins/histories/_chat_engines.py
+++ b/standins/histories/_chat_engines.py
@@ -4,7 +4,7 @@
 from collections.abc import Iterator
 from dataclasses import dataclass, field
 
-from poplarrun.platform import (
+from poplarrun.clients import (
     Answer,
     CacheEvent,
     Chunk,
--- a/standins/histories/_chat_hosts.py
+++ b/standins/histories/_chat_hosts.py
@@ -10,11 +10,11 @@
 from typing import Any
 
 from poplarrun.billing import Bill, KeptBy
+from poplarrun.clients import Usage
 from poplarrun.config import Configuration, Verdict
 from poplarrun.contracts import VersionId
 from poplarrun.errors import NotRun, Refusal, answer_for
 from poplarrun.hosts import Peer
-from poplarrun.platform import Usage
 from poplarrun.router import BeginChat, ChatGrant
 from poplarrun.server._chats import BrokenAnswer, ChatRun, Piece
 from poplarrun.server._host import EntryHost
--- a/standins/histories/_chat_world.py
+++ b/standins/histories/_chat_world.py
@@ -6,6 +6,7 @@
 
 import msgspec
 
+from poplarrun.clients import ListedHost
 from poplarrun.hosts import Peer, PeerSilent, ZoneView
 from poplarrun.log import (
     Appended,
@@ -15,7 +16,6 @@
     ReadFailed,
     ReadOutcome,
 )
-from poplarrun.platform import ListedHost
 from poplarrun.versions import choose_homes
 from standins.histories._chat_engines import LISTED
 from standins.histories._chat_events import ChatHistory, Disturbed
--- a/standins/histories/_hosts.py
+++ b/standins/histories/_hosts.py
@@ -6,13 +6,13 @@
 
 from poplarrun.billing import BillKeeper, KeptBy
 from poplarrun.claims import ClaimKeeper, fingerprint_of
+from poplarrun.clients import HostKind, HostState, ListedHost, ServiceAnswer
 from poplarrun.config import Configuration
 from poplarrun.contracts import Document, hash_key, parse_document
 from poplarrun.endpoints import EndpointTable
 from poplarrun.errors import ErrorKind, NotRun, Refusal, answer_for
 from poplarrun.hosts import Peer
 from poplarrun.metrics import Metrics
-from poplarrun.platform import HostKind, HostState, ListedHost, ServiceAnswer
 from poplarrun.router import (
     BeginOperation,
     CallFailed,
--- a/standins/order_world.py
+++ b/standins/order_world.py
@@ -5,6 +5,14 @@
 from collections.abc import Awaitable, Callable
 from typing import Any
 
+from poplarrun.clients import (
+    HostKind,
+    HostState,
+    ListedHost,
+    MemoryEngine,
+    MemoryOrders,
+    MemoryWeightStore,
+)
 from poplarrun.config import Configuration
 from poplarrun.contracts import Document, Price, Stage, Version, VersionId
 from poplarrun.endpoints import EndpointTable
@@ -13,14 +21,6 @@
 from poplarrun.log import AppendOutcome, AppendRefused, MemoryLog, ReadFailed, ReadOutcome
 from poplarrun.metrics import Metrics
 from poplarrun.orders import OpenWork
-from poplarrun.platform import (
-    HostKind,
-    HostState,
-    ListedHost,
-    MemoryEngine,
-    MemoryOrders,
-    MemoryWeightStore,
-)
 from poplarrun.router import RouterContext
 from poplarrun.server._order_tasks import OrderTasks
 from poplarrun.versions import Versions
