--- /dev/null
+++ b/poplarrun/dispatch/__init__.py
@@ -0,0 +1,28 @@
+"""Dispatch: whether a request may run, where it goes, and what follows a failure."""
+
+from poplarrun.dispatch._dispatch import Dispatch, Send
+from poplarrun.dispatch._failures import (
+    AnswerFailed,
+    Attempt,
+    ConnectionBroke,
+    Failure,
+    Garbled,
+    NoConnection,
+    SaidNotRun,
+    TookTooLong,
+)
+from poplarrun.dispatch._knowledge import Knowledge
+
+__all__ = [
+    "AnswerFailed",
+    "Attempt",
+    "ConnectionBroke",
+    "Dispatch",
+    "Failure",
+    "Garbled",
+    "Knowledge",
+    "NoConnection",
+    "SaidNotRun",
+    "Send",
+    "TookTooLong",
+]
--- /dev/null
+++ b/poplarrun/dispatch/_dispatch.py
@@ -0,0 +1,284 @@
+"""The decisions about one request, from its arrival to its last send.
+
+All of it is plain state: time and random source are passed in, no network is used.
+"""
+
+import zlib
+from dataclasses import dataclass
+
+from poplarrun.dispatch._failures import (
+    AnswerFailed,
+    Attempt,
+    Failure,
+    NoConnection,
+    SaidNotRun,
+    may_have_run,
+)
+from poplarrun.dispatch._knowledge import Knowledge
+from poplarrun.errors import ErrorKind, Refusal
+from poplarrun.placement import Member, Placement, Seat
+from poplarrun.retries import RetryBudget
+from poplarrun.rollouts import Rollouts
+from poplarrun.routing import Repeat, Request, Work
+from poplarrun.sizes import SizePolicy
+
+# Sends that endpoints refused are no runs, but each costs the caller time: so many
+# more than the route's attempts are made at the most.
+REFUSED_SENDS = 2
+# Connections that may fail before the caller is told to come back.
+MOST_CONNECT_FAILURES = 4
+# Least time that a send must have left, in seconds: one that is cut at once would
+# only occupy the endpoint.
+LEAST_TIME_S = 0.03
+# When a caller should come back after a refusal, in seconds: about the time in which
+# a place becomes free, or another host is found.
+RETRY_SOON_S = 0.3
+# The same where this host waits for its own knowledge.
+RETRY_KNOWLEDGE_S = 0.5
+# Urgency at an endpoint of the highest rank; each rank below adds one.
+FIRST_URGENCY = 2
+
+
+@dataclass(frozen=True, slots=True)
+class Send:
+    """The request goes to an endpoint now.
+
+    Attributes
+    ----------
+    urgency : int
+        Order at the endpoint, 0 to 9, 0 first.
+    """
+
+    seat: Seat
+    size: str | None
+    urgency: int
+
+
+class Dispatch:
+    """Decides about requests; called on the loop only, never blocks.
+
+    Parameters
+    ----------
+    earned : float
+        Part of a second send that each first one earns.
+    allowance : float
+        Second sends that this host may make beyond that.
+    """
+
+    def __init__(
+        self,
+        knowledge: Knowledge,
+        placement: Placement,
+        rollouts: Rollouts,
+        sizes: SizePolicy,
+        earned: float,
+        allowance: float,
+    ) -> None:
+        self.knowledge = knowledge
+        self.placement = placement
+        self.rollouts = rollouts
+        self.sizes = sizes
+        self.earned = earned
+        self.allowance = allowance
+        self._budgets: dict[str, RetryBudget] = {}
+
+    def admit(self, request: Request, now: float) -> Work | Refusal:
+        """Find a new request's route, account and service, or refuse it."""
+        catalogue = self.knowledge.catalogue
+        if catalogue is None:
+            return self._refuse(ErrorKind.NOT_READY, "no configuration yet", RETRY_KNOWLEDGE_S)
+        may_deny = self.knowledge.may_deny(now)
+        path = request.target.decode("latin-1").split("?", 1)[0]
+        route = catalogue.find_route(request.host, path)
+        if route is None:
+            if not may_deny:
+                return self._refuse(ErrorKind.NOT_READY, "configuration is old", RETRY_KNOWLEDGE_S)
+            return Refusal(ErrorKind.ROUTE_UNKNOWN, "no route for this host and path")
+        account = None
+        if catalogue.accounts is not None and not route.is_public:
+            account = catalogue.find_account(request.api_key)
+            if account is None:
+                if not may_deny:
+                    return self._refuse(ErrorKind.NOT_READY, "keys are old", RETRY_KNOWLEDGE_S)
+                return Refusal(ErrorKind.UNAUTHENTICATED, "the key is not known")
+            if not self.knowledge.may_use_keys(now):
+                return self._refuse(ErrorKind.NOT_READY, "keys are old", RETRY_KNOWLEDGE_S)
+        service = route.pick_service(_point(request.session or request.id))
+        time_s = min(request.time_left_s, route.pace.timeout_s)
+        return Work(request, route, account, service, now, now + time_s)
+
+    def recheck(self, work: Work, now: float) -> Refusal | None:
+        """Tell why a request may not be sent any more; asked in the step that sends it.
+
+        A key may be taken away, or the host suspended, while a request waits for a
+        connection. Sent all the same, it would run seconds after its refusal was due.
+        """
+        if work.left_s(now) < LEAST_TIME_S:
+            return self._give_up(work, ErrorKind.DEADLINE_UNREACHABLE, "no time is left")
+        if work.account is None:
+            return None
+        catalogue = self.knowledge.catalogue
+        if catalogue is None or not self.knowledge.may_use_keys(now):
+            return self._give_up(work, ErrorKind.NOT_READY, "keys are old")
+        if catalogue.find_account(work.request.api_key) != work.account:
+            return self._give_up(work, ErrorKind.UNAUTHENTICATED, "the key was taken away")
+        return None
+
+    def choose(self, work: Work, now: float) -> Send | Refusal:
+        """Choose the endpoint of the next send."""
+        refusal = self.recheck(work, now)
+        if refusal is not None:
+            return refusal
+        catalogue = self.knowledge.catalogue
+        service = None if catalogue is None else catalogue.services.get(work.service)
+        if service is None:
+            return self._give_up(work, ErrorKind.NO_ENDPOINT, "the service is not configured")
+        size = work.size or self.sizes.first(work)
+        versions, avoided = self._versions(work, now)
+        seat = self.placement.choose(work, service, now, size or "", versions, avoided)
+        if seat is None and versions is not None:
+            # Without an endpoint of its version the request rather runs on another.
+            seat = self.placement.choose(work, service, now, size or "", None, avoided)
+        if seat is None:
+            return self._give_up(work, ErrorKind.NO_ENDPOINT, "no endpoint is listed")
+        return Send(seat, size, self._urgency(work))
+
+    def note_sent(self, work: Work, send: Send, now: float) -> Attempt:
+        """Note that the request's bytes went to the socket."""
+        member = send.seat.member
+        if work.sends == 0:
+            self._budget(work.service).note_attempt()
+        work.sends += 1
+        work.size = send.size
+        work.tried.add(member.listing.lifetime)
+        work.version = member.listing.version
+        member.in_flight += 1
+        member.pending_s += send.seat.read_s
+        if send.size is not None:
+            member.remember(send.size, work.request.parts, now)
+        return Attempt(send.seat, send.size, now)
+
+    def note_first(self, work: Work, attempt: Attempt, now: float) -> None:
+        """Note that the first event came, or the answer of a plain service."""
+        attempt.first_at = now
+        seat = attempt.seat
+        seat.member.pending_s = max(0.0, seat.member.pending_s - seat.read_s)
+        taken_s = now - attempt.sent_at
+        seat.member.note_first(seat.first_s, taken_s, now)
+        if seat.unread_tokens:
+            speed = self.placement.speed(work.service, attempt.size or "")
+            speed.note_first_token(seat.unread_tokens, taken_s)
+
+    def note_end(self, work: Work, attempt: Attempt, now: float) -> None:
+        """Note that an answer is whole."""
+        self._leave(attempt)
+        attempt.seat.member.note_good()
+        self._note_evidence(work, attempt, False)
+        self.rollouts.note_end(work, attempt.seat.member.listing.version, now)
+
+    def note_abandoned(self, attempt: Attempt) -> None:
+        """Note that an attempt was ended by this side."""
+        self._leave(attempt)
+
+    def note_failure(
+        self, work: Work, member: Member, attempt: Attempt | None, failure: Failure, now: float
+    ) -> Refusal | None:
+        """Learn from a failure, and tell whether the request ends with it.
+
+        Parameters
+        ----------
+        attempt : Attempt, optional
+            None where nothing was sent.
+        """
+        if attempt is not None:
+            self._leave(attempt)
+        match failure:
+            case SaidNotRun(is_other_lifetime=True):
+                member.note_failure(now)
+            case SaidNotRun():
+                member.note_full(now)
+            case AnswerFailed():
+                self._note_bad(work, attempt)
+            case NoConnection():
+                work.connect_failures += 1
+                work.tried.add(member.listing.lifetime)
+                member.note_failure(now)
+            case _:
+                member.note_failure(now)
+                self._note_bad(work, attempt)
+        if may_have_run(failure):
+            work.runs += 1
+            work.may_have_run = True
+        return self._may_go_on(work, failure, now)
+
+    def _may_go_on(self, work: Work, failure: Failure, now: float) -> Refusal | None:
+        kind = ErrorKind.ENDPOINT_FAILED if work.may_have_run else ErrorKind.NO_ENDPOINT
+        if may_have_run(failure) and not work.route.may_repeat:
+            return Refusal(kind, "it may have run")
+        if work.runs >= work.route.most_attempts:
+            return Refusal(kind, f"{work.runs} attempts failed")
+        if work.sends >= work.route.most_attempts + REFUSED_SENDS:
+            return self._refuse_or(work, kind, f"{work.sends} sends failed")
+        if work.connect_failures >= MOST_CONNECT_FAILURES:
+            return self._refuse_or(work, kind, f"{work.connect_failures} connections failed")
+        if work.left_s(now) < LEAST_TIME_S:
+            return self._refuse_or(work, kind, "no time is left")
+        if work.sends and not self._budget(work.service).take():
+            return self._refuse_or(work, kind, "too many second sends")
+        return None
+
+    def _versions(self, work: Work, now: float) -> tuple[frozenset[str] | None, str | None]:
+        if work.version is not None and work.last_event is not None:
+            return frozenset((work.version,)), None
+        return self.rollouts.pick_version(work, now)
+
+    def _urgency(self, work: Work) -> int:
+        match work.route.repeat:
+            case Repeat.STREAM:
+                return FIRST_URGENCY + work.rank
+            case _:
+                return FIRST_URGENCY
+
+    def _note_bad(self, work: Work, attempt: Attempt | None) -> None:
+        if attempt is not None:
+            self._note_evidence(work, attempt, True)
+
+    def _note_evidence(self, work: Work, attempt: Attempt, is_bad: bool) -> None:
+        rollout = self.rollouts.find(work.service)
+        if rollout is None or (rollout.recorded is not None and rollout.recorded.is_final):
+            return
+        key = (work.service, attempt.seat.member.listing.version, work.route.name)
+        first_s = None if attempt.first_at is None else attempt.first_at - attempt.sent_at
+        evidence = self.rollouts.evidence
+        usual_s = evidence.usual_first_s(work.service, work.route.name, rollout.order.target)
+        evidence.note(key, is_bad, first_s, usual_s)
+
+    def _leave(self, attempt: Attempt) -> None:
+        member = attempt.seat.member
+        member.in_flight = max(0, member.in_flight - 1)
+        if attempt.first_at is None:
+            member.pending_s = max(0.0, member.pending_s - attempt.seat.read_s)
+
+    def _budget(self, service: str) -> RetryBudget:
+        budget = self._budgets.get(service)
+        if budget is None:
+            budget = RetryBudget(self.allowance, self.earned, self.allowance)
+            self._budgets[service] = budget
+        return budget
+
+    def _give_up(self, work: Work, kind: ErrorKind, text: str) -> Refusal:
+        """Refuse a request; one that may have run is never said not to have run."""
+        if work.may_have_run:
+            return Refusal(ErrorKind.ENDPOINT_FAILED, text)
+        return self._refuse(kind, text, RETRY_SOON_S)
+
+    def _refuse_or(self, work: Work, kind: ErrorKind, text: str) -> Refusal:
+        return Refusal(kind, text) if work.may_have_run else self._refuse(kind, text, RETRY_SOON_S)
+
+    @staticmethod
+    def _refuse(kind: ErrorKind, text: str, retry_after_s: float) -> Refusal:
+        return Refusal(kind, text, retry_after_s=retry_after_s)
+
+
+def _point(text: str) -> float:
+    return zlib.crc32(text.encode()) / 2.0**32
--- /dev/null
+++ b/poplarrun/dispatch/_failures.py
@@ -0,0 +1,99 @@
+"""How a send to an endpoint can fail, and what each way says about "has it run"."""
+
+from dataclasses import dataclass
+
+from poplarrun.placement import Seat
+
+
+@dataclass(frozen=True, slots=True)
+class NoConnection:
+    """No connection came about, so no byte of the request left this host."""
+
+    reason: str
+
+
+@dataclass(frozen=True, slots=True)
+class SaidNotRun:
+    """The endpoint states that it did not run the request.
+
+    Attributes
+    ----------
+    is_other_lifetime : bool
+        Whether another endpoint has the address now.
+    """
+
+    status: int
+    is_other_lifetime: bool = False
+
+
+@dataclass(frozen=True, slots=True)
+class AnswerFailed:
+    """The endpoint ran the request and answered with a failure of its own."""
+
+    status: int
+
+
+@dataclass(frozen=True, slots=True)
+class ConnectionBroke:
+    """The connection ended before the answer was whole; the request may have run."""
+
+    reason: str
+
+
+@dataclass(frozen=True, slots=True)
+class Garbled:
+    """What came is no answer of this endpoint to this request, which may have run."""
+
+    reason: str
+
+
+@dataclass(frozen=True, slots=True)
+class TookTooLong:
+    """Nothing came for so long that another endpoint is asked; it may have run."""
+
+    waited_s: float
+
+
+Failure = NoConnection | SaidNotRun | AnswerFailed | ConnectionBroke | Garbled | TookTooLong
+
+
+def may_have_run(failure: Failure) -> bool:
+    """Tell whether the endpoint may have begun to work on the request."""
+    return not isinstance(failure, NoConnection | SaidNotRun)
+
+
+def reason_of(failure: Failure) -> str:
+    """Return the label under which a failure is counted."""
+    match failure:
+        case NoConnection():
+            return "no_connection"
+        case SaidNotRun(is_other_lifetime=True):
+            return "other_lifetime"
+        case SaidNotRun(status=status):
+            return f"not_run_{status}"
+        case AnswerFailed(status=status):
+            return f"answer_{status}"
+        case ConnectionBroke():
+            return "broken"
+        case Garbled():
+            return "garbled"
+        case TookTooLong():
+            return "too_long"
+
+
+@dataclass(slots=True)
+class Attempt:
+    """One send of a request.
+
+    Attributes
+    ----------
+    sent_at : float
+        When its bytes were handed to the socket.
+    first_at : float, optional
+        When the first event came, or the answer of a plain service.
+    """
+
+    seat: Seat
+    size: str | None
+    sent_at: float
+    first_at: float | None = None
--- /dev/null
+++ b/poplarrun/gateway/__main__.py
@@ -0,0 +1,26 @@
+"""``python -m poplarrun.gateway``: a host on the users' platform."""
+
+import asyncio
+import os
+import sys
+from pathlib import Path
+
+from poplarrun.gateway import GatewayHost
+from poplarrun.logs import set_up_logs
+from poplarrun.platform import PATH_VARIABLE, BadSettings, load_node_settings
+
+
+def main() -> int:
+    """Serve until the platform asks to stop; return the exit code."""
+    path = Path(os.environ.get(PATH_VARIABLE, ""))
+    settings = load_node_settings(path)
+    if isinstance(settings, BadSettings):
+        print("\n".join(settings.lines), file=sys.stderr)
+        return 2
+    set_up_logs(settings.name)
+    asyncio.run(GatewayHost(path, settings).run())
+    return 0
+
+
+if __name__ == "__main__":
+    sys.exit(main())
--- /dev/null
+++ b/poplarrun/gateway/_exchange.py
@@ -0,0 +1,371 @@
+"""One request from its arrival to its answer: sends, failures and sends elsewhere."""
+
+import asyncio
+from collections.abc import Callable
+from dataclasses import dataclass
+
+from poplarrun.dispatch import (
+    AnswerFailed,
+    Attempt,
+    ConnectionBroke,
+    Dispatch,
+    Failure,
+    Garbled,
+    NoConnection,
+    SaidNotRun,
+    Send,
+    TookTooLong,
+)
+from poplarrun.errors import ErrorKind, NotRun, Refusal, answer_for
+from poplarrun.gateway._events import Event, EventCutter, NoEvents
+from poplarrun.gateway._records import RequestLog
+from poplarrun.platform import EndpointAnswer, decode_answer, encode_send
+from poplarrun.routing import Repeat, Work
+from poplarrun.transport import (
+    Broken,
+    CallerConnection,
+    ClientConnection,
+    ConnectFailed,
+    ConnectionPool,
+    boot_time,
+)
+
+# Longest wait for a connection, in seconds. Both ways between zones take some 10 ms;
+# an opening packet that was dropped is repeated only after a second.
+CONNECT_TIMEOUT_S = 0.4
+# Patience with an endpoint that has sent nothing yet: so many times the expected
+# time to the first event, and so many seconds at the least. Endpoints that went dark
+# are found so before callers leave, while slow ones are left to finish.
+FIRST_PATIENCE = 4.0
+LEAST_FIRST_PATIENCE_S = 2.5
+# Patience with a pause inside a stream, as a multiple of the pause that is in time.
+GAP_PATIENCE = 2.5
+# Patience with a plain service, as a multiple of the time that is in time.
+ANSWER_PATIENCE = 2.0
+# Largest answer of a plain service that is kept until it is whole, in bytes.
+MOST_ANSWER_BYTES = 8 * 1024 * 1024
+SUCCESS = range(200, 300)
+
+
+class AttemptError(Exception):
+    """Carries a failure of one send out of the reading of its answer."""
+
+    def __init__(self, failure: Failure) -> None:
+        super().__init__(str(failure))
+        self.failure = failure
+
+
+@dataclass(slots=True)
+class _Open:
+    """A send whose answer is awaited."""
+
+    attempt: Attempt
+    connection: ClientConnection
+    answer: EndpointAnswer
+
+
+@dataclass(frozen=True, slots=True)
+class _Whole:
+    """An answer that was read to its end."""
+
+    answer: EndpointAnswer
+    body: bytes
+
+
+class Exchange:
+    """One admitted request.
+
+    Parameters
+    ----------
+    caller : CallerConnection
+        Gets the answer; the exchange is cancelled when it leaves.
+    """
+
+    def __init__(
+        self,
+        dispatch: Dispatch,
+        pool: ConnectionPool,
+        caller: CallerConnection,
+        work: Work,
+        log: RequestLog,
+        count_retry: Callable[[str], None],
+    ) -> None:
+        self._dispatch = dispatch
+        self._pool = pool
+        self._caller = caller
+        self._work = work
+        self._log = log
+        self._count_retry = count_retry
+        self._is_started = False
+        self._failed_answer: _Whole | None = None
+        self._attempt: Attempt | None = None
+        self._connection: ClientConnection | None = None
+
+    async def run(self) -> None:
+        """Answer the caller, by a whole answer, a refusal or a break-off."""
+        work = self._work
+        try:
+            async with asyncio.timeout(max(0.0, work.left_s(boot_time()))):
+                refusal = await self._try_endpoints()
+        except TimeoutError:
+            self._end_attempt(TookTooLong(boot_time() - work.arrived_at))
+            refusal = self._out_of_time()
+        finally:
+            self._drop_attempt()
+        if refusal is not None:
+            self._refuse(refusal)
+
+    async def _try_endpoints(self) -> Refusal | None:
+        """Send until an answer is whole; None when the caller has it."""
+        while True:
+            now = boot_time()
+            step = self._dispatch.choose(self._work, now)
+            if isinstance(step, Refusal):
+                return step
+            try:
+                await self._try_one(step)
+                return None
+            except AttemptError as error:
+                refusal = self._learn(step, error.failure)
+                if refusal is not None:
+                    return refusal
+
+    async def _try_one(self, step: Send) -> None:
+        is_stream = self._work.route.repeat is Repeat.STREAM
+        opened = await self._open(step)
+        answer = opened.answer
+        if answer.status not in SUCCESS:
+            await self._read_failure(opened)
+        elif is_stream:
+            await self._relay_stream(opened)
+        else:
+            await self._relay_whole(opened)
+
+    async def _open(self, step: Send) -> _Open:
+        """Connect, send and wait for the head of the answer."""
+        connection = await self._connect(step)
+        self._connection = connection
+        work = self._work
+        # Nothing may be awaited between this check and the hand-over: a request that
+        # waited, or a host that was suspended, would send what is due to be refused.
+        now = boot_time()
+        refusal = self._dispatch.recheck(work, now)
+        if refusal is not None:
+            raise AttemptError(NoConnection("too late to send"))
+        lifetime = step.seat.member.listing.lifetime
+        is_resumed, work.size = work.last_event is not None, step.size
+        headers = encode_send(work, lifetime, work.left_s(now), step.urgency)
+        request = work.request
+        is_sent = connection.send(request.method, request.target, headers, request.body)
+        if not is_sent:
+            raise AttemptError(NoConnection("closed before the send"))
+        attempt = self._dispatch.note_sent(work, step, now)
+        self._attempt = attempt
+        # What may run only once is left to end although its caller has gone: whether it
+        # ran would stay unknown otherwise.
+        self._caller.is_shielded = not work.route.may_repeat
+        self._log.sent(work, step, connection.uses > 1, is_resumed)
+        patience_s = self._first_patience_s(step)
+        try:
+            async with asyncio.timeout(patience_s):
+                head = await connection.read_head()
+        except TimeoutError as error:
+            raise AttemptError(TookTooLong(boot_time() - attempt.sent_at)) from error
+        except Broken as error:
+            raise AttemptError(ConnectionBroke(str(error))) from error
+        answer = decode_answer(head.status, head.headers)
+        self._check_answer(answer, connection)
+        return _Open(attempt, connection, answer)
+
+    async def _connect(self, step: Send) -> ClientConnection:
+        listing = step.seat.member.listing
+        if self._work.route.may_repeat:
+            idle = self._pool.take_idle(listing.address, listing.lifetime)
+            if idle is not None:
+                return idle
+        # What may run only once gets a connection of its own: on one that was used
+        # before, the endpoint may be closing it, and a late second answer of the
+        # request before would be taken for this one's.
+        try:
+            return await self._pool.open(listing.address, CONNECT_TIMEOUT_S)
+        except ConnectFailed as error:
+            raise AttemptError(NoConnection(str(error))) from error
+
+    def _check_answer(self, answer: EndpointAnswer, connection: ClientConnection) -> None:
+        """Tell apart what the endpoint states, and bytes that answer something else."""
+        is_ours = answer.request_id == self._work.request.id
+        if answer.request_id is not None and not is_ours:
+            raise AttemptError(Garbled("answers another request"))
+        # Without an id, only the first answer on a connection is surely this one's.
+        if answer.is_not_run and (is_ours or connection.uses == 1):
+            raise AttemptError(SaidNotRun(answer.status, answer.status == 421))
+        if not answer.is_genuine or not is_ours:
+            raise AttemptError(Garbled("bears no signature"))
+
+    def _first_patience_s(self, step: Send) -> float | None:
+        """Return how long the endpoint may send nothing; None for the time that is left."""
+        work = self._work
+        if not work.route.may_repeat or work.runs + 1 >= work.route.most_attempts:
+            return None
+        match work.route.repeat:
+            case Repeat.STREAM:
+                return max(LEAST_FIRST_PATIENCE_S, FIRST_PATIENCE * step.seat.first_s)
+            case _:
+                return ANSWER_PATIENCE * work.route.pace.target_s
+
+    async def _relay_whole(self, opened: _Open) -> None:
+        body = await self._read_body(opened)
+        now = boot_time()
+        self._dispatch.note_first(self._work, opened.attempt, now)
+        self._end_well(opened, now)
+        self._is_started = True
+        self._caller.respond(opened.answer.status, list(opened.answer.headers), body)
+
+    async def _read_failure(self, opened: _Open) -> None:
+        """Keep a failure of the endpoint's own; the caller gets it if nothing follows."""
+        body = await self._read_body(opened)
+        self._give_back(opened)
+        self._failed_answer = _Whole(opened.answer, body)
+        raise AttemptError(AnswerFailed(opened.answer.status))
+
+    async def _read_body(self, opened: _Open) -> bytes:
+        parts: list[bytes] = []
+        size = 0
+        try:
+            while (data := await opened.connection.read_data()) is not None:
+                parts.append(data)
+                size += len(data)
+                if size > MOST_ANSWER_BYTES:
+                    raise AttemptError(Garbled("the answer is too large"))
+        except Broken as error:
+            raise AttemptError(ConnectionBroke(str(error))) from error
+        return b"".join(parts)
+
+    async def _relay_stream(self, opened: _Open) -> None:
+        cutter = EventCutter()
+        gap_s = max(1.0, GAP_PATIENCE * self._work.route.pace.gap_s)
+        patience_s: float | None = self._first_patience_s_of(opened)
+        try:
+            while True:
+                async with asyncio.timeout(patience_s):
+                    data = await opened.connection.read_data()
+                if data is None:
+                    break
+                events = cutter.feed(data)
+                if events:
+                    await self._pass_on(opened, events)
+                    patience_s = gap_s if self._work.route.may_repeat else None
+        except TimeoutError as error:
+            raise AttemptError(TookTooLong(gap_s)) from error
+        except (Broken, NoEvents) as error:
+            raise AttemptError(ConnectionBroke(str(error))) from error
+        if not cutter.is_between:
+            raise AttemptError(ConnectionBroke("ended inside an event"))
+        if not self._is_started:
+            self._caller.start_stream(opened.answer.status, list(opened.answer.headers))
+            self._is_started = True
+        self._end_well(opened, boot_time())
+        self._caller.finish()
+
+    def _first_patience_s_of(self, opened: _Open) -> float | None:
+        work = self._work
+        if not work.route.may_repeat or work.runs + 1 >= work.route.most_attempts:
+            return None
+        return max(LEAST_FIRST_PATIENCE_S, FIRST_PATIENCE * opened.attempt.seat.first_s)
+
+    async def _pass_on(self, opened: _Open, events: list[Event]) -> None:
+        """Send whole events to the caller, each once and in order."""
+        if opened.attempt.first_at is None:
+            self._dispatch.note_first(self._work, opened.attempt, boot_time())
+        due = self._due(events)
+        if not due:
+            return
+        if not self._is_started:
+            self._is_started = True
+            self._caller.start_stream(opened.answer.status, list(opened.answer.headers))
+        await self._caller.push(b"".join(event.data for event in due))
+
+    def _due(self, events: list[Event]) -> list[Event]:
+        """Return the events that follow those that the caller has."""
+        work = self._work
+        due = []
+        for event in events:
+            if event.id is None:
+                due.append(event)
+                continue
+            before = work.last_event
+            if before is not None and event.id <= before:
+                continue
+            if before is not None and event.id > before + 1:
+                raise AttemptError(Garbled(f"event {event.id} follows {before}"))
+            work.last_event = event.id
+            due.append(event)
+        return due
+
+    def _end_well(self, opened: _Open, now: float) -> None:
+        self._attempt = None
+        self._give_back(opened)
+        self._dispatch.note_end(self._work, opened.attempt, now)
+        self._log.ended(self._work, "whole")
+
+    def _give_back(self, opened: _Open) -> None:
+        self._connection = None
+        lifetime = opened.attempt.seat.member.listing.lifetime
+        self._pool.give_back(opened.connection, lifetime)
+
+    def _learn(self, step: Send, failure: Failure) -> Refusal | None:
+        """Close a broken send; None where another one follows."""
+        attempt, self._attempt = self._attempt, None
+        self._abort_connection()
+        refusal = self._dispatch.note_failure(
+            self._work, step.seat.member, attempt, failure, boot_time()
+        )
+        self._log.failed(self._work, step, failure)
+        if refusal is None:
+            self._count_retry(type(failure).__name__)
+        return refusal
+
+    def _end_attempt(self, failure: Failure) -> None:
+        if self._attempt is not None:
+            member = self._attempt.seat.member
+            attempt, self._attempt = self._attempt, None
+            self._dispatch.note_failure(self._work, member, attempt, failure, boot_time())
+
+    def _drop_attempt(self) -> None:
+        """Stop what is still under way at an endpoint: nobody waits for it."""
+        if self._attempt is not None:
+            self._dispatch.note_abandoned(self._attempt)
+            self._attempt = None
+        self._abort_connection()
+
+    def _abort_connection(self) -> None:
+        if self._connection is not None:
+            self._connection.abort()
+            self._connection = None
+
+    def _out_of_time(self) -> Refusal:
+        if self._work.may_have_run:
+            return Refusal(ErrorKind.ENDPOINT_SILENT, "no answer in time")
+        return Refusal(ErrorKind.DEADLINE_UNREACHABLE, "no endpoint in time", retry_after_s=0.0)
+
+    def _refuse(self, refusal: Refusal) -> None:
+        """Tell the caller that there is no answer, or break a begun one off."""
+        self._log.refused(self._work, refusal, self._is_started)
+        if self._is_started:
+            self._caller.break_off()
+            return
+        if self._failed_answer is not None:
+            answer = self._failed_answer.answer
+            self._caller.respond(answer.status, list(answer.headers), self._failed_answer.body)
+            return
+        respond_refusal(self._caller, refusal, self._work.request.id)
+
+
+def respond_refusal(caller: CallerConnection, refusal: Refusal, request_id: str = "") -> None:
+    """Answer with a refusal; 429 and 503 promise that the request has not run."""
+    answer = answer_for(refusal.kind)
+    headers = [(b"Content-Type", b"text/plain")]
+    retry_s = refusal.retry_after_s if refusal.retry_after_s is not None else answer.retry_after_s
+    if retry_s is not None and answer.not_run is NotRun.YES:
+        headers.append((b"Retry-After", f"{retry_s:.2f}".encode()))
+    caller.respond(answer.status, headers, f"{refusal.kind.value}: {refusal.message}".encode())
--- /dev/null
+++ b/poplarrun/gateway/_followers.py
@@ -0,0 +1,289 @@
+"""Followers of the store: the operators' documents, and the listed endpoints."""
+
+import asyncio
+from collections.abc import Callable
+from dataclasses import dataclass
+
+from poplarrun.dispatch import Knowledge
+from poplarrun.logs import part_logger
+from poplarrun.placement import Directory, DirectoryEvent, Placement
+from poplarrun.platform import (
+    CONFIG_KEY,
+    ENDPOINT_TOPIC,
+    OPERATOR_TOPIC,
+    ROLLOUT_PREFIX,
+    STATUS_TOPIC,
+    Entry,
+    Forgotten,
+    Malformed,
+    Newest,
+    NoAnswer,
+    Records,
+    Refused,
+    StoreClient,
+    decode_catalogue,
+    decode_listing,
+    decode_order,
+    decode_status,
+)
+from poplarrun.rollouts import Rollouts
+from poplarrun.transport import boot_time
+
+# How long the store holds a read of the operators' documents back, in seconds. A
+# change is told at once; the wait bounds how long a connection that fell silent goes
+# unnoticed, and must leave several tries within the bound on the age of keys.
+DOCUMENT_WAIT_S = 1.2
+# Pause between two reads of the listed endpoints, in seconds. They must be heard of
+# within 2 s when they leave, and each read is paid for.
+LISTING_PERIOD_S = 0.5
+# Pause after a failed call, in seconds: long enough not to press a busy store.
+FAILED_PAUSE_S = 0.25
+# Calls that failed for longer than this are an outage, in which endpoints' records
+# may lapse although they live, in seconds.
+OUTAGE_S = 1.0
+
+
+@dataclass
+class StoreHealth:
+    """Whether the store answers this host.
+
+    Attributes
+    ----------
+    answered_at : float
+        When it last did.
+    back_at : float
+        When it last did again after an outage.
+    is_out : bool
+        Whether an outage is under way.
+    """
+
+    answered_at: float = 0.0
+    back_at: float = float("-inf")
+    is_out: bool = False
+
+    def note_answer(self, now: float) -> bool:
+        """Take in an answer; True at the end of an outage."""
+        was_out = self.is_out or now - self.answered_at > OUTAGE_S + LISTING_PERIOD_S
+        self.answered_at = now
+        self.is_out = False
+        if was_out:
+            self.back_at = now
+        return was_out
+
+    def note_failure(self, now: float) -> bool:
+        """Take in a failure; True at the beginning of an outage."""
+        begins = not self.is_out and now - self.answered_at > OUTAGE_S
+        self.is_out = self.is_out or begins
+        return begins
+
+
+class DocumentFollower:
+    """Follows the operators' configuration and roll-out orders."""
+
+    def __init__(
+        self,
+        store: StoreClient,
+        knowledge: Knowledge,
+        rollouts: Rollouts,
+        changed: Callable[[], None],
+    ) -> None:
+        self.offset: int | None = None
+        self._store = store
+        self._knowledge = knowledge
+        self._rollouts = rollouts
+        self._changed = changed
+        self._health = StoreHealth(boot_time())
+        self._log = part_logger("documents")
+
+    async def run(self) -> None:
+        """Follow for ever."""
+        while True:
+            if not await self._step():
+                await asyncio.sleep(FAILED_PAUSE_S)
+
+    async def _step(self) -> bool:
+        answer = await self._read()
+        now = boot_time()
+        match answer:
+            case Newest(entries=entries, end=end, true_at=true_at):
+                self._take_all(entries, now)
+                self.offset = end
+            case Records(entries=entries, end=end, true_at=true_at):
+                self._take_all(entries, now)
+                self.offset = entries[-1].offset + 1 if entries else self.offset
+                if self.offset is not None and self.offset < end:
+                    return True
+            case Forgotten():
+                self._log.info("The store dropped its history; reading all anew.")
+                self.offset = None
+                return True
+            case Refused() | NoAnswer():
+                if self._health.note_failure(now):
+                    self._log.warning("The store does not answer.", extra={"why": repr(answer)})
+                return False
+        if self._health.note_answer(now):
+            self._log.info("The store answers.", extra={"offset": self.offset})
+        if self._knowledge.catalogue is not None:
+            self._knowledge.confirm(true_at)
+        return True
+
+    async def _read(self) -> Newest | Records | Forgotten | Refused | NoAnswer:
+        if self.offset is None:
+            return await self._store.newest(OPERATOR_TOPIC)
+        return await self._store.read(OPERATOR_TOPIC, self.offset, DOCUMENT_WAIT_S)
+
+    def _take_all(self, entries: tuple[Entry, ...], now: float) -> None:
+        for entry in entries:
+            self._take(entry, now)
+
+    def _take(self, entry: Entry, now: float) -> None:
+        if entry.value is None:
+            return
+        try:
+            if entry.key == CONFIG_KEY:
+                self.take_config(entry.value)
+            elif entry.key.startswith(ROLLOUT_PREFIX):
+                order = decode_order(entry.value, entry.offset)
+                if self._rollouts.take_order(order, now):
+                    self._log.info(
+                        "A roll-out is ordered.",
+                        extra={"service": order.service, "target": order.target},
+                    )
+        except Malformed as error:
+            self._log.warning(
+                "A document has no effect.", extra={"key": entry.key, "reason": str(error)}
+            )
+
+    def take_config(self, value: bytes) -> None:
+        """Take in a configuration as it stands in the store.
+
+        Raises
+        ------
+        Malformed
+            When it can't be decoded.
+        """
+        catalogue = decode_catalogue(value)
+        if self._knowledge.take(catalogue):
+            self._log.info("A configuration is in force.", extra={"version": catalogue.version})
+            self._changed()
+
+
+class ListingFollower:
+    """Follows the listed endpoints."""
+
+    def __init__(self, store: StoreClient, directory: Directory, placement: Placement) -> None:
+        self.is_known = False
+        self._store = store
+        self._directory = directory
+        self._placement = placement
+        self._health = StoreHealth(boot_time())
+        self._log = part_logger("endpoints")
+
+    async def run(self) -> None:
+        """Follow for ever."""
+        while True:
+            is_good = await self._step()
+            self._expire(boot_time())
+            await asyncio.sleep(LISTING_PERIOD_S if is_good else FAILED_PAUSE_S)
+
+    async def _step(self) -> bool:
+        answer = await self._read()
+        now = boot_time()
+        match answer:
+            case Newest(entries=entries, end=end):
+                self._take_newest(entries, now)
+                self._directory.offset = end
+                self.is_known = True
+            case Records(entries=entries):
+                self._note_answer(now)
+                for entry in entries:
+                    self._take(entry, now)
+                if entries:
+                    self._directory.offset = entries[-1].offset + 1
+            case Forgotten():
+                self.is_known = False
+                return await self._step()
+            case Refused() | NoAnswer():
+                if self._health.note_failure(now):
+                    self._log.warning("The store does not answer.", extra={"why": repr(answer)})
+                return False
+        self._note_answer(now)
+        self._placement.update(self._directory.listings())
+        return True
+
+    async def _read(self) -> Newest | Records | Forgotten | Refused | NoAnswer:
+        if not self.is_known:
+            return await self._store.newest(ENDPOINT_TOPIC)
+        return await self._store.read(ENDPOINT_TOPIC, self._directory.offset)
+
+    def _note_answer(self, now: float) -> None:
+        if self._health.note_answer(now):
+            self._log.info("The store answers.", extra={"offset": self._directory.offset})
+
+    def _take_newest(self, entries: tuple[Entry, ...], now: float) -> None:
+        listed = {entry.key for entry in entries}
+        for entry in entries:
+            self._take(entry, now)
+        for listing in self._directory.listings():
+            if listing.lifetime not in listed:
+                self._remove(listing.lifetime, now)
+
+    def _take(self, entry: Entry, now: float) -> None:
+        if entry.value is None:
+            self._remove(entry.key, now)
+            return
+        listing = decode_listing(entry.key, entry.value)
+        if listing is None:
+            self._log.warning("A record names no endpoint.", extra={"endpoint": entry.key})
+            return
+        event = self._directory.apply(listing, now)
+        if event not in (DirectoryEvent.NOTHING, DirectoryEvent.CHANGED):
+            self._log.info(
+                "An endpoint changed.",
+                extra={
+                    "endpoint": listing.lifetime,
+                    "event": event.value,
+                    "service": listing.service,
+                    "version": listing.version,
+                },
+            )
+
+    def _remove(self, lifetime: str, now: float) -> None:
+        is_lapse = self._health.is_out or now - self._health.back_at < LISTING_PERIOD_S
+        event = self._directory.remove(lifetime, now, is_lapse)
+        if event is DirectoryEvent.REMOVED:
+            self._log.info("An endpoint is gone.", extra={"endpoint": lifetime})
+
+    def _expire(self, now: float) -> None:
+        if self._health.is_out:
+            return
+        gone = self._directory.expire(now)
+        if gone:
+            self._log.info("Endpoints did not come back.", extra={"endpoints": gone})
+            self._placement.update(self._directory.listings())
+
+
+class StatusFollower:
+    """Reads what is recorded of roll-outs, while any is under way."""
+
+    def __init__(self, store: StoreClient, rollouts: Rollouts) -> None:
+        self.offset = 0
+        self._store = store
+        self._rollouts = rollouts
+
+    async def read(self) -> bool:
+        """Read to the end of the records; False when the store does not answer."""
+        answer = await self._store.newest(STATUS_TOPIC)
+        if not isinstance(answer, Newest):
+            return False
+        for entry in answer.entries:
+            if entry.value is None or not entry.key.startswith(ROLLOUT_PREFIX):
+                continue
+            try:
+                status = decode_status(entry.key[len(ROLLOUT_PREFIX) :], entry.value)
+            except Malformed:
+                part_logger("rollouts").warning("A status has no effect.", extra={"key": entry.key})
+                continue
+            self._rollouts.take_status(status)
+        self.offset = answer.end
+        return True
--- /dev/null
+++ b/poplarrun/gateway/_host.py
@@ -0,0 +1,225 @@
+"""One host of the gateway: its parts, their tasks, and the planned stop."""
+
+import asyncio
+import contextlib
+import random
+import signal
+from collections.abc import Coroutine
+from pathlib import Path
+from typing import Any
+
+from poplarrun.dispatch import Dispatch, Knowledge
+from poplarrun.errors import ErrorKind, Refusal
+from poplarrun.gateway._exchange import Exchange, respond_refusal
+from poplarrun.gateway._followers import DocumentFollower, ListingFollower
+from poplarrun.gateway._records import RequestLog
+from poplarrun.gateway._steward import Steward
+from poplarrun.logs import part_logger
+from poplarrun.metrics import Metrics
+from poplarrun.placement import Directory, Placement
+from poplarrun.platform import (
+    BadRequest,
+    BadSettings,
+    NodeSettings,
+    StoreClient,
+    decode_request,
+    load_node_settings,
+)
+from poplarrun.rollouts import Rollouts
+from poplarrun.sizes import SizePolicy
+from poplarrun.transport import (
+    CallerConnection,
+    CallerServer,
+    ConnectionPool,
+    RequestHead,
+    boot_time,
+)
+
+# Part of the operators' bound on second sends that is used, and the hosts among
+# which the allowance is divided until it is known how many there are.
+RETRY_PART = 0.85
+FIRST_HOSTS = 8
+# Requests that one host has open at once. One takes about 60 KB with its body and
+# buffers, so that these stay below half of the memory of a small host.
+MOST_OPEN = 700
+# While it stops, a host still takes new connections for so long, in seconds: the
+# balancer asks once a second and takes a host out after two misses.
+BALANCER_S = 2.6
+# Time kept free before the platform kills a host that stops, in seconds.
+STOP_MARGIN_S = 0.7
+HOUSEKEEPING_S = 1.0
+STOP_POLL_S = 0.05
+
+
+class GatewayHost:
+    """A host that serves callers and follows the store.
+
+    Parameters
+    ----------
+    path : Path
+        The settings file, read again on a signal and when it changes.
+    """
+
+    def __init__(self, path: Path, settings: NodeSettings) -> None:
+        self._path = path
+        self.settings = settings
+        self.metrics = Metrics()
+        self._store = StoreClient(settings.store)
+        self._knowledge = Knowledge(settings.key_bound_s)
+        self._directory = Directory()
+        self._placement = Placement(settings.zone, random.Random())
+        self._rollouts = Rollouts(settings.session_s)
+        self._dispatch = Dispatch(
+            self._knowledge,
+            self._placement,
+            self._rollouts,
+            SizePolicy(),
+            RETRY_PART * settings.retry_earned,
+            max(1.0, RETRY_PART * settings.retry_allowance / FIRST_HOSTS),
+        )
+        self._pool = ConnectionPool()
+        self._requests = RequestLog()
+        self._callers = CallerServer(self._serve, self._report_crash)
+        self._observers = CallerServer(self._observe, self._report_crash)
+        self._documents = DocumentFollower(
+            self._store, self._knowledge, self._rollouts, self._apply_limits
+        )
+        self._listings = ListingFollower(self._store, self._directory, self._placement)
+        self._steward = Steward(
+            self._store, self._rollouts, self._placement, lambda _: 0, lambda *_: 0
+        )
+        self._open = 0
+        self._leaving = asyncio.Event()
+        self._tasks: set[asyncio.Task[None]] = set()
+        self._log = part_logger("host")
+
+    @property
+    def is_ready(self) -> bool:
+        """Whether callers may come."""
+        is_known = self._knowledge.catalogue is not None and self._listings.is_known
+        return is_known and not self._leaving.is_set()
+
+    async def run(self) -> None:
+        """Serve until the platform asks to stop."""
+        loop = asyncio.get_running_loop()
+        loop.add_signal_handler(signal.SIGTERM, self._leaving.set)
+        loop.add_signal_handler(signal.SIGINT, self._leaving.set)
+        loop.add_signal_handler(signal.SIGHUP, self._reload)
+        self._start(self._documents.run())
+        self._start(self._listings.run())
+        self._start(self._steward.run())
+        self._start(self._keep_house())
+        await self._callers.listen(self.settings.callers)
+        await self._observers.listen(self.settings.readiness)
+        with contextlib.suppress(OSError):
+            await self._observers.listen(self.settings.metrics)
+        self._log.info("Serving.", extra={"zone": self.settings.zone})
+        await self._leaving.wait()
+        await self._stop()
+
+    async def _stop(self) -> None:
+        """Let the balancer turn callers away, then finish what is open."""
+        begun_at = boot_time()
+        self._log.info("Stopping.", extra={"open": self._open})
+        self._callers.is_stopping = True
+        await asyncio.sleep(BALANCER_S)
+        self._callers.close_idle()
+        stop_at = begun_at + self.settings.stop_s - STOP_MARGIN_S
+        while self._open and boot_time() < stop_at:
+            await asyncio.sleep(STOP_POLL_S)
+            self._callers.close_idle()
+        self._callers.stop_accepting()
+        self._log.info("Stopped.", extra={"open": self._open})
+
+    async def _serve(self, caller: CallerConnection, head: RequestHead, body: bytes) -> None:
+        """Answer one request of a caller."""
+        request = decode_request(head.method, head.target, head.headers, body)
+        if isinstance(request, BadRequest):
+            respond_refusal(caller, Refusal(ErrorKind.INVALID_REQUEST, request.text))
+            return
+        if self._open >= MOST_OPEN:
+            respond_refusal(caller, self._count(Refusal(ErrorKind.QUEUE_FULL, "host is full")))
+            return
+        work = self._dispatch.admit(request, boot_time())
+        if isinstance(work, Refusal):
+            respond_refusal(caller, self._count(work))
+            return
+        self._open += 1
+        try:
+            exchange = Exchange(
+                self._dispatch,
+                self._pool,
+                caller,
+                work,
+                self._requests,
+                self.metrics.count_retry,
+            )
+            await exchange.run()
+        finally:
+            self._open -= 1
+            self.metrics.count_request(work.route.name)
+
+    async def _observe(self, caller: CallerConnection, head: RequestHead, _: bytes) -> None:
+        """Answer the balancer, or a reader of the counters."""
+        if head.target.startswith(b"/metrics"):
+            caller.respond(200, [(b"Content-Type", b"text/plain")], self.metrics.render())
+            return
+        status = 200 if self.is_ready else 503
+        caller.respond(status, [], b"ready" if self.is_ready else b"not ready")
+
+    def _count(self, refusal: Refusal) -> Refusal:
+        self.metrics.count_refusal(refusal.kind)
+        return refusal
+
+    def _apply_limits(self) -> None:
+        catalogue = self._knowledge.catalogue
+        if catalogue is None:
+            return
+        bounds, limits = self._callers.bounds, catalogue.limits
+        bounds.header_bytes = limits.header_bytes
+        bounds.body_bytes = limits.body_bytes
+        bounds.header_timeout_s = limits.header_timeout_s
+        bounds.idle_timeout_s = limits.idle_timeout_s
+
+    async def _keep_house(self) -> None:
+        changed_at = self._modified_at()
+        while True:
+            await asyncio.sleep(HOUSEKEEPING_S)
+            self._pool.drop_stale()
+            modified_at = self._modified_at()
+            if modified_at != changed_at:
+                changed_at = modified_at
+                self._reload()
+
+    def _modified_at(self) -> float:
+        try:
+            return self._path.stat().st_mtime
+        except OSError:
+            return 0.0
+
+    def _reload(self) -> None:
+        """Read the settings again; a bad file changes nothing."""
+        loaded = load_node_settings(self._path)
+        if isinstance(loaded, BadSettings):
+            self._log.warning("The settings are bad.", extra={"lines": list(loaded.lines)})
+            return
+        self._log.info("Settings read.", extra={"changed": loaded != self.settings})
+        self.settings = loaded
+        self._knowledge.key_bound_s = loaded.key_bound_s
+        self._rollouts.session_s = loaded.session_s
+        self._store.address = loaded.store
+
+    def _report_crash(self, error: BaseException | None) -> None:
+        self._log.error("A request crashed.", exc_info=error)
+
+    def _start(self, work: Coroutine[Any, Any, None]) -> None:
+        task = asyncio.get_running_loop().create_task(work)
+        self._tasks.add(task)
+        task.add_done_callback(self._note_done)
+
+    def _note_done(self, task: asyncio.Task[None]) -> None:
+        """End the host when one of its tasks fails: the platform starts it anew."""
+        self._tasks.discard(task)
+        if not task.cancelled() and task.exception() is not None:
+            self._log.error("A task failed.", exc_info=task.exception())
+            raise SystemExit(1)
--- /dev/null
+++ b/poplarrun/gateway/_steward.py
@@ -0,0 +1,124 @@
+"""Carries roll-outs out: judges them, and records each phase once, under a condition."""
+
+import asyncio
+from collections.abc import Callable
+
+from poplarrun.gateway._followers import StatusFollower
+from poplarrun.logs import part_logger
+from poplarrun.placement import Placement
+from poplarrun.platform import (
+    ROLLOUT_PREFIX,
+    STATUS_TOPIC,
+    Appended,
+    Moved,
+    StoreClient,
+    encode_status,
+)
+from poplarrun.rollouts import Rollout, Rollouts, Verdict
+from poplarrun.routing import RolloutPhase, RolloutStatus
+from poplarrun.transport import boot_time
+
+# Pause between two looks at the roll-outs that are under way, in seconds.
+PERIOD_S = 0.25
+# What the hosts recorded is read again after so long while a roll-out is under way,
+# in seconds: another host may have recorded its end.
+READ_PERIOD_S = 1.5
+# A host that isn't first in line writes only after so long for each before it, in
+# seconds: the first may be cut off or dead.
+TURN_S = 1.2
+
+PHASES = {
+    Verdict.ACTIVE: RolloutPhase.ACTIVE,
+    Verdict.COMPLETED: RolloutPhase.COMPLETED,
+    Verdict.ROLLED_BACK: RolloutPhase.ROLLED_BACK,
+}
+
+
+class Steward:
+    """Judges and records the roll-outs; one on every host.
+
+    Who writes is a matter of turns and may be two hosts at once. Each append names
+    the end of the records that its writer has read, so the later of two writers is
+    turned away, reads the other's word, and never records over a final phase.
+
+    Parameters
+    ----------
+    turn : callable
+        How many hosts are before this one in line.
+    others_in_flight : callable
+        Requests of the other hosts on all versions of a service but the target.
+    """
+
+    def __init__(
+        self,
+        store: StoreClient,
+        rollouts: Rollouts,
+        placement: Placement,
+        turn: Callable[[str], int],
+        others_in_flight: Callable[[str, str], int],
+    ) -> None:
+        self._store = store
+        self._rollouts = rollouts
+        self._placement = placement
+        self._turn = turn
+        self._others_in_flight = others_in_flight
+        self._follower = StatusFollower(store, rollouts)
+        self._wanted: dict[tuple[str, Verdict], float] = {}
+        self._read_at = float("-inf")
+        self._log = part_logger("rollouts")
+
+    async def run(self) -> None:
+        """Look after the roll-outs for ever."""
+        while True:
+            for rollout in self._rollouts.active():
+                await self._look_after(rollout)
+            await asyncio.sleep(PERIOD_S)
+
+    async def _look_after(self, rollout: Rollout) -> None:
+        now = boot_time()
+        if now - self._read_at > READ_PERIOD_S:
+            self._read_at = now
+            if not await self._follower.read():
+                return
+            if rollout not in self._rollouts.active():
+                return
+        verdict = self._rollouts.judge(rollout, now, self._old_in_flight(rollout))
+        if verdict is Verdict.NOTHING:
+            return
+        wanted_since = self._wanted.setdefault((rollout.order.target, verdict), now)
+        if now - wanted_since < TURN_S * self._turn(rollout.order.service):
+            return
+        await self._record(rollout, verdict)
+
+    async def _record(self, rollout: Rollout, verdict: Verdict) -> None:
+        if not await self._follower.read() or rollout not in self._rollouts.active():
+            return
+        order = rollout.order
+        status = RolloutStatus(order.service, order.target, PHASES[verdict])
+        key = ROLLOUT_PREFIX + order.service
+        value = encode_status(status)
+        answer = await self._store.append(STATUS_TOPIC, [(key, value)], self._follower.offset)
+        match answer:
+            case Appended():
+                self._rollouts.take_status(status)
+            case Moved():
+                self._read_at = float("-inf")
+        self._log.info(
+            "A roll-out was judged.",
+            extra={
+                "service": order.service,
+                "target": order.target,
+                "phase": status.phase.value,
+                "seen": self._rollouts.evidence.seen(order.service, order.target),
+                "answer": type(answer).__name__,
+            },
+        )
+
+    def _old_in_flight(self, rollout: Rollout) -> int:
+        order = rollout.order
+        own = sum(
+            member.in_flight
+            for member in self._placement.members(order.service)
+            if member.listing.version != order.target
+        )
+        return own + self._others_in_flight(order.service, order.target)
--- /dev/null
+++ b/poplarrun/placement/_members.py
@@ -0,0 +1,120 @@
+"""One endpoint as this host sees it: load, health and the prompts that it remembers."""
+
+import math
+from collections import OrderedDict
+from dataclasses import dataclass, field
+
+from poplarrun.endpoints import salt_of
+from poplarrun.placement._directory import Listing
+from poplarrun.routing import PromptPart
+
+# A failed endpoint gets nothing for this time, doubled with each further failure,
+# in seconds: most crashed ones are listed as gone within a few seconds.
+FIRST_PAUSE_S = 0.5
+LONGEST_PAUSE_S = 4.0
+# An endpoint that says it is full is passed over for a moment, in seconds.
+FULL_PAUSE_S = 0.15
+# Prompt parts that are remembered for each endpoint, and for how long, in seconds.
+KEPT_PARTS = 4000
+PART_KEPT_S = 45.0
+# Weight of a new time among those before, in the mean of how slow an endpoint is.
+SLOWNESS_WEIGHT = 0.2
+MOST_SLOWNESS = 30.0
+LEAST_SLOWNESS = 0.6
+# Without news an endpoint is taken for as fast as the others again, in seconds.
+SLOWNESS_HALF_S = 8.0
+
+
+@dataclass(eq=False)
+class Member:
+    """An endpoint.
+
+    Attributes
+    ----------
+    in_flight : int
+        Requests of this host that run there.
+    others : float
+        Requests of the other hosts, by their last word.
+    pending_s : float
+        Time that the prompts of this host that are still being read there take.
+    others_pending_s : float
+        The same of the other hosts.
+    slowness : float
+        How many times longer than expected its first events take.
+    """
+
+    listing: Listing
+    in_flight: int = 0
+    others: float = 0.0
+    pending_s: float = 0.0
+    others_pending_s: float = 0.0
+    slowness: float = 1.0
+    slowness_at: float = -math.inf
+    failures: int = 0
+    paused_until: float = -math.inf
+    _parts: OrderedDict[tuple[str, str], float] = field(default_factory=OrderedDict)
+
+    def __post_init__(self) -> None:
+        self.salt = salt_of(self.listing.lifetime)
+
+    @property
+    def load(self) -> float:
+        """Requests for each of its places."""
+        return (self.in_flight + self.others) / self.listing.places
+
+    @property
+    def queue_s(self) -> float:
+        """Time until the prompts that wait there are read."""
+        return self.pending_s + self.others_pending_s
+
+    def slowness_now(self, now: float) -> float:
+        """Return how slow it is, which is believed less with time."""
+        faded: float = 0.5 ** (max(0.0, now - self.slowness_at) / SLOWNESS_HALF_S)
+        return 1.0 + (self.slowness - 1.0) * faded
+
+    def note_first(self, expected_s: float, taken_s: float, now: float) -> None:
+        """Take in the time to a first event."""
+        ratio = min(MOST_SLOWNESS, max(LEAST_SLOWNESS, taken_s / max(0.02, expected_s)))
+        before = self.slowness_now(now)
+        self.slowness = before + SLOWNESS_WEIGHT * (ratio - before)
+        self.slowness_at = now
+
+    def note_good(self) -> None:
+        """Take in a whole answer."""
+        self.failures = 0
+        self.paused_until = -math.inf
+
+    def note_failure(self, now: float) -> None:
+        """Pass it over for a while; failures within one pause count once."""
+        if now < self.paused_until:
+            return
+        pause_s = min(LONGEST_PAUSE_S, FIRST_PAUSE_S * 2.0 ** min(self.failures, 6))
+        self.failures += 1
+        self.paused_until = now + pause_s
+
+    def note_full(self, now: float) -> None:
+        """Pass it over for a moment."""
+        self.paused_until = max(self.paused_until, now + FULL_PAUSE_S)
+
+    def remember(self, size: str, parts: tuple[PromptPart, ...], now: float) -> None:
+        """Note that it has read a prompt."""
+        for part in parts:
+            key = (size, part.key)
+            self._parts[key] = now
+            self._parts.move_to_end(key)
+        while len(self._parts) > KEPT_PARTS:
+            self._parts.popitem(last=False)
+
+    def forget_parts(self) -> None:
+        """Note that it has started anew."""
+        self._parts.clear()
+
+    def known_tokens(self, size: str, parts: tuple[PromptPart, ...], now: float) -> int:
+        """Return how many tokens of a prompt's beginning it has read before."""
+        known = 0
+        for part in parts:
+            read_at = self._parts.get((size, part.key))
+            if read_at is None or now - read_at > PART_KEPT_S:
+                break
+            known += part.tokens
+        return known
--- /dev/null
+++ b/poplarrun/placement/_placement.py
@@ -0,0 +1,163 @@
+"""The choice of an endpoint: least expected time to the first event.
+
+It answers a load of long prompts of which large beginnings are shared: an endpoint
+that has read a beginning before starts up to four times sooner, and one that reads
+another long prompt meanwhile starts later.
+"""
+
+import random
+from collections.abc import Container
+from dataclasses import dataclass
+
+from poplarrun.endpoints import PoolSpeed, home_of, salt_of
+from poplarrun.placement._directory import Listing
+from poplarrun.placement._members import Member
+from poplarrun.routing import Service, Work
+
+# Time that a full batch adds to the first event, in seconds.
+FULL_BATCH_S = 0.6
+# What one more call costs at a plain service for each taken place, in seconds.
+PLACE_S = 0.1
+# A call to another zone: delay of both ways, and the price of the bytes, in seconds.
+FAR_S = 0.03
+# How far the home of a beginning is trusted to hold it while nobody told so.
+HOME_CERTAINTY = 0.5
+# Prompt tokens that an endpoint reads in a second until some were measured.
+FIRST_TOKENS_PER_S = 25_000.0
+
+
+@dataclass(frozen=True, slots=True)
+class Seat:
+    """A chosen endpoint and what is expected of it.
+
+    Attributes
+    ----------
+    read_s : float
+        Time to read the part of the prompt that it does not remember.
+    first_s : float
+        Time to the first event, or to the answer of a plain service.
+    unread_tokens : int
+        Prompt tokens that it has to read.
+    """
+
+    member: Member
+    read_s: float
+    first_s: float
+    unread_tokens: int
+
+
+class Placement:
+    """Chooses among the members; called on the loop only.
+
+    Parameters
+    ----------
+    zone : str
+        The host's own availability zone.
+    """
+
+    def __init__(self, zone: str, source: random.Random) -> None:
+        self._zone = zone
+        self._random = source
+        self._members: dict[str, Member] = {}
+        self._speeds: dict[tuple[str, str], PoolSpeed] = {}
+
+    def update(self, listings: list[Listing]) -> None:
+        """Take over the listed endpoints."""
+        members: dict[str, Member] = {}
+        for listing in listings:
+            member = self._members.get(listing.lifetime)
+            if member is None or member.listing.started_ms != listing.started_ms:
+                member = Member(listing)
+            member.listing = listing
+            members[listing.lifetime] = member
+        self._members = members
+
+    def members(self, service: str | None = None) -> list[Member]:
+        """Return the members of a service, leaving ones included, or all."""
+        return [
+            member
+            for member in self._members.values()
+            if service is None or member.listing.service == service
+        ]
+
+    def find(self, lifetime: str) -> Member | None:
+        """Return a member by its id."""
+        return self._members.get(lifetime)
+
+    def speed(self, service: str, size: str) -> PoolSpeed:
+        """Return what was learnt of how fast a model reads prompts."""
+        speed = self._speeds.get((service, size))
+        if speed is None:
+            speed = PoolSpeed(prefill_s_per_token=1.0 / FIRST_TOKENS_PER_S)
+            self._speeds[(service, size)] = speed
+        return speed
+
+    def choose(
+        self,
+        work: Work,
+        service: Service,
+        now: float,
+        size: str = "",
+        versions: Container[str] | None = None,
+        avoided_version: str | None = None,
+    ) -> Seat | None:
+        """Return the member that should answer first; None where none may be asked.
+
+        Parameters
+        ----------
+        versions : container of str, optional
+            Only members of these versions.
+        avoided_version : str, optional
+            No members of this version.
+        """
+        usable = [
+            member
+            for member in self._members.values()
+            if member.listing.service == work.service
+            and not member.listing.is_leaving
+            and (versions is None or member.listing.version in versions)
+            and member.listing.version != avoided_version
+        ]
+        free = [member for member in usable if member.paused_until <= now]
+        fresh = [member for member in free if member.listing.lifetime not in work.tried]
+        candidates = fresh or free or usable
+        if not candidates:
+            return None
+        start = self._random.randrange(len(candidates))
+        candidates = candidates[start:] + candidates[:start]
+        if service.cache_tokens == 0:
+            return min(map(self._weigh_plain, candidates), key=_first)
+        return self._choose_engine(candidates, work, size, now)
+
+    def _choose_engine(self, candidates: list[Member], work: Work, size: str, now: float) -> Seat:
+        parts = work.request.parts
+        shared = parts[-2:-1] or parts[-1:]
+        home: str | None = None
+        if shared:
+            salts = [(member.listing.lifetime, member.salt) for member in candidates]
+            home = home_of(salt_of(size + shared[0].key), salts)
+        shared_tokens = sum(part.tokens for part in parts[:-1])
+        speed = self.speed(work.service, size)
+        prompt = max(work.request.prompt_tokens, sum(part.tokens for part in parts))
+        seats = []
+        for member in candidates:
+            known = float(member.known_tokens(size, parts, now))
+            if member.listing.lifetime == home:
+                known = max(known, HOME_CERTAINTY * shared_tokens)
+            unread = max(0.0, prompt - known)
+            read_s = unread * speed.prefill_s_per_token
+            waits_s = member.queue_s + member.load * FULL_BATCH_S + speed.least_first_token_s
+            first_s = (waits_s + read_s) * member.slowness_now(now) + self._far_s(member)
+            seats.append(Seat(member, read_s, first_s, int(unread)))
+        return min(seats, key=_first)
+
+    def _weigh_plain(self, member: Member) -> Seat:
+        first_s = (1.0 + member.in_flight + member.others) * PLACE_S * member.slowness
+        return Seat(member, 0.0, first_s + self._far_s(member), 0)
+
+    def _far_s(self, member: Member) -> float:
+        return 0.0 if member.listing.zone == self._zone else FAR_S
+
+
+def _first(seat: Seat) -> float:
+    return seat.first_s
--- /dev/null
+++ b/poplarrun/platform/_documents.py
@@ -0,0 +1,222 @@
+"""The operators' documents in the store, validated and turned into the product's types."""
+
+import json
+from typing import Any, TypeVar
+
+from pydantic import BaseModel, ConfigDict, Field, ValidationError
+from pydantic.alias_generators import to_camel
+
+from poplarrun.routing import (
+    Account,
+    CallerLimits,
+    Catalogue,
+    Pace,
+    Repeat,
+    RolloutOrder,
+    RolloutPhase,
+    RolloutStatus,
+    Route,
+    Service,
+    Share,
+    Size,
+)
+
+MILLISECONDS = 1000.0
+REPEATS = {
+    "idempotent": Repeat.IDEMPOTENT,
+    "non_idempotent": Repeat.ONCE,
+    "streaming": Repeat.STREAM,
+}
+DEFAULT_GAP_MS = 1000.0
+
+M = TypeVar("M", bound=BaseModel)
+
+
+class _Model(BaseModel):
+    model_config = ConfigDict(extra="ignore", frozen=True, alias_generator=to_camel)
+
+
+class _Split(_Model):
+    service: str
+    weight: float = Field(ge=0)
+
+
+class _Route(_Model):
+    name: str
+    host: str
+    path_prefix: str
+    type: str
+    timeout_ms: float = Field(gt=0)
+    target_latency_ms: float = Field(gt=0)
+    priority: int = 5
+    service: str | None = None
+    split: tuple[_Split, ...] = ()
+    max_attempts: int = Field(default=1, ge=1)
+    public: bool = False
+    resumable: bool = False
+    gap_goal_ms: float | None = None
+    sizes: tuple[str, ...] = ()
+
+
+class _EngineModel(_Model):
+    name: str
+    cost: float = 0.0
+
+
+class _Engine(_Model):
+    slots: int = 0
+    kv_capacity: int = 0
+    models: tuple[_EngineModel, ...] = ()
+
+
+class _Service(_Model):
+    name: str
+    max_conns: int = Field(default=64, gt=0)
+    engine: _Engine | None = None
+
+
+class _Limits(_Model):
+    max_header_bytes: int = Field(default=16_384, gt=0)
+    max_body_bytes: int = Field(default=4_194_304, gt=0)
+    header_timeout_ms: float = Field(default=3000, gt=0)
+    idle_timeout_ms: float = Field(default=15_000, gt=0)
+
+
+class _Tenant(_Model):
+    name: str
+    api_keys: tuple[str, ...] = ()
+    priority: int | None = None
+
+
+class _Config(_Model):
+    version: int
+    routes: tuple[_Route, ...]
+    services: tuple[_Service, ...]
+    limits: _Limits = _Limits()
+    tenants: tuple[_Tenant, ...] | None = None
+
+
+class _Rollout(_Model):
+    service: str
+    target: str
+    duration_s: float = Field(gt=0)
+
+
+class _Status(_Model):
+    service: str | None = None
+    target: str
+    phase: RolloutPhase
+
+
+class Malformed(Exception):
+    """A document that has no effect; the text names the field."""
+
+
+def decode_catalogue(value: bytes) -> Catalogue:
+    """Decode a configuration.
+
+    Raises
+    ------
+    Malformed
+        When any field is missing or of another type.
+    """
+    config = _validate(_Config, value)
+    by_host: dict[str, list[Route]] = {}
+    for route in config.routes:
+        by_host.setdefault(route.host.lower(), []).append(_route(route))
+    routes = {
+        host: tuple(sorted(listed, key=lambda route: len(route.prefix), reverse=True))
+        for host, listed in by_host.items()
+    }
+    accounts = None
+    if config.tenants is not None:
+        accounts = {
+            key: Account(tenant.name, tenant.priority)
+            for tenant in config.tenants
+            for key in tenant.api_keys
+        }
+    limits = CallerLimits(
+        config.limits.max_header_bytes,
+        config.limits.max_body_bytes,
+        config.limits.header_timeout_ms / MILLISECONDS,
+        config.limits.idle_timeout_ms / MILLISECONDS,
+    )
+    services = {service.name: _service(service) for service in config.services}
+    return Catalogue(config.version, routes, services, accounts, limits)
+
+
+def decode_order(value: bytes, offset: int) -> RolloutOrder:
+    """Decode the order of a roll-out.
+
+    Raises
+    ------
+    Malformed
+        When any field is missing or of another type.
+    """
+    order = _validate(_Rollout, value)
+    return RolloutOrder(order.service, order.target, order.duration_s, offset)
+
+
+def decode_status(service: str, value: bytes) -> RolloutStatus:
+    """Decode what is recorded of a roll-out.
+
+    Raises
+    ------
+    Malformed
+        When any field is missing or of another type.
+    """
+    status = _validate(_Status, value)
+    return RolloutStatus(service, status.target, status.phase)
+
+
+def encode_status(status: RolloutStatus) -> bytes:
+    """Encode what is to be recorded of a roll-out."""
+    document = {"service": status.service, "target": status.target, "phase": status.phase.value}
+    return json.dumps(document).encode()
+
+
+def _route(route: _Route) -> Route:
+    if route.type not in REPEATS:
+        raise Malformed(f"routes.{route.name}.type: {route.type!r} is not known")
+    shares = tuple(Share(split.service, split.weight) for split in route.split)
+    if not shares and route.service is not None:
+        shares = (Share(route.service, 1.0),)
+    if not shares:
+        raise Malformed(f"routes.{route.name}.service: is missing")
+    return Route(
+        name=route.name,
+        host=route.host.lower(),
+        prefix=route.path_prefix,
+        repeat=REPEATS[route.type],
+        pace=Pace(
+            route.timeout_ms / MILLISECONDS,
+            route.target_latency_ms / MILLISECONDS,
+            (route.gap_goal_ms or DEFAULT_GAP_MS) / MILLISECONDS,
+        ),
+        rank=route.priority,
+        shares=shares,
+        most_attempts=route.max_attempts,
+        is_public=route.public,
+        is_resumable=route.resumable,
+        sizes=route.sizes,
+    )
+
+
+def _service(service: _Service) -> Service:
+    engine = service.engine
+    if engine is None:
+        return Service(service.name, service.max_conns)
+    sizes = tuple(Size(model.name, model.cost) for model in engine.models)
+    return Service(service.name, service.max_conns, engine.slots, engine.kv_capacity, sizes)
+
+
+def _validate(model: type[M], value: bytes) -> M:
+    try:
+        raw: Any = json.loads(value)
+        return model.model_validate(raw, strict=False)
+    except ValidationError as error:
+        first = error.errors()[0]
+        field = ".".join(map(str, first["loc"])) or "document"
+        raise Malformed(f"{field}: {first['msg']}") from error
+    except (ValueError, RecursionError) as error:
+        raise Malformed(f"document: {error}") from error
--- /dev/null
+++ b/poplarrun/platform/_settings.py
@@ -0,0 +1,134 @@
+"""The settings file that the platform writes for each process."""
+
+from dataclasses import dataclass
+from pathlib import Path
+from typing import Annotated
+
+import yaml
+from pydantic import BaseModel, ConfigDict, Field, StringConstraints, ValidationError
+from pydantic.alias_generators import to_camel
+
+PATH_VARIABLE = "POPLARRUN_NODE_FILE"
+MILLISECONDS = 1000.0
+Address = Annotated[str, StringConstraints(pattern=r"^\d{1,3}(\.\d{1,3}){3}:\d{1,5}$")]
+
+
+class _Model(BaseModel):
+    model_config = ConfigDict(extra="ignore", frozen=True, alias_generator=to_camel)
+
+
+class _Listen(_Model):
+    frontend: Address
+    readiness: Address
+    control_plane: Address | None = None
+
+
+class _Bounds(_Model):
+    drain_ms: float = 2000
+    grace_s: float = 8
+    config_apply_ms: float = 2000
+    revoke_strict: bool = False
+    revoke_ms: float = 5000
+    retry_ratio: float = 0.9
+    retry_window_s: float = 10
+    retry_allowance: float = 20
+    exposure_share: float = 0.15
+    exposure_allowance: float = 30
+    session_s: float = 5
+
+
+class _Platform(_Model):
+    address: Address
+
+
+class _Limits(_Model):
+    memory_mb: int = 150
+    max_fds: int = 1024
+
+
+class _Node(_Model):
+    node_name: str
+    ip: str
+    zone: str
+    listen: _Listen
+    port_range: tuple[int, int] = (0, 0)
+    seeds: tuple[Address, ...] = ()
+    platform: _Platform
+    bounds: _Bounds = Field(default_factory=_Bounds)
+    limits: _Limits = Field(default_factory=_Limits)
+
+
+@dataclass(frozen=True, slots=True)
+class NodeSettings:
+    """What a host of the platform learns from its settings.
+
+    Attributes
+    ----------
+    callers, readiness : str
+        ``ip:port`` for callers and for the balancer's question whether it is ready.
+    peers : str
+        ``ip:port`` for the other hosts.
+    metrics : str
+        ``ip:port`` for counters and histograms.
+    key_bound_s : float, optional
+        Time in which a key that was taken away must be refused; None for none.
+    stop_s : float
+        Time from the request to stop until the host is killed.
+    retry_earned, retry_allowance : float
+        Second sends of all hosts together for each request, and beyond that.
+    """
+
+    name: str
+    zone: str
+    callers: str
+    readiness: str
+    peers: str
+    metrics: str
+    seeds: tuple[str, ...]
+    store: str
+    key_bound_s: float | None
+    stop_s: float
+    retry_earned: float
+    retry_allowance: float
+    session_s: float
+    memory_mb: int
+
+
+@dataclass(frozen=True, slots=True)
+class BadSettings:
+    """Why a settings file can't be used, a line a field."""
+
+    lines: tuple[str, ...]
+
+
+def load_node_settings(path: Path) -> NodeSettings | BadSettings:
+    """Read the platform's settings file."""
+    try:
+        node = _Node.model_validate(yaml.safe_load(path.read_text()))
+    except (OSError, yaml.YAMLError) as error:
+        return BadSettings((str(error),))
+    except ValidationError as error:
+        return BadSettings(
+            tuple(
+                f"{'.'.join(map(str, detail['loc'])) or 'settings'}: {detail['msg']}"
+                for detail in error.errors()
+            )
+        )
+    bounds = node.bounds
+    first_port, last_port = node.port_range
+    return NodeSettings(
+        name=node.node_name,
+        zone=node.zone,
+        callers=node.listen.frontend,
+        readiness=node.listen.readiness,
+        peers=node.listen.control_plane or f"{node.ip}:{first_port}",
+        metrics=f"{node.ip}:{last_port}",
+        seeds=node.seeds,
+        store=node.platform.address,
+        key_bound_s=bounds.revoke_ms / MILLISECONDS if bounds.revoke_strict else None,
+        stop_s=bounds.grace_s,
+        retry_earned=bounds.retry_ratio,
+        retry_allowance=bounds.retry_allowance,
+        session_s=bounds.session_s,
+        memory_mb=node.limits.memory_mb,
+    )
--- a/poplarrun/retries/_budgets.py
+++ b/poplarrun/retries/_budgets.py
@@ -31,15 +31,26 @@
 class RetryBudget:
     """A bucket of retry tokens, filled by first attempts and not by time.
 
-    Over any span the retries are at most ``EARNED_BY_ATTEMPT`` times the first
-    attempts of that span, plus ``MOST_TOKENS``.
+    Over any span the retries are at most ``earned`` times the first attempts of
+    that span, plus ``most``.
+
+    Attributes
+    ----------
+    tokens : float
+        Retries that may be made now.
+    earned : float
+        What a first attempt adds.
+    most : float
+        Bound on the tokens.
     """
 
     tokens: float = MOST_TOKENS
+    earned: float = EARNED_BY_ATTEMPT
+    most: float = MOST_TOKENS
 
     def note_attempt(self) -> None:
         """Earn a share of a retry by a first attempt."""
-        self.tokens = min(MOST_TOKENS, self.tokens + EARNED_BY_ATTEMPT)
+        self.tokens = min(self.most, self.tokens + self.earned)
 
     def take(self) -> bool:
         """Spend one retry, if there is one."""
--- /dev/null
+++ b/poplarrun/rollouts/_rollouts.py
@@ -0,0 +1,194 @@
+"""The course of roll-outs: who gets the new version, and when it is through or out."""
+
+import enum
+import zlib
+from collections import OrderedDict
+from dataclasses import dataclass, field
+
+from poplarrun.rollouts._evidence import Evidence
+from poplarrun.routing import RolloutOrder, RolloutPhase, RolloutStatus, Work
+
+# Share of the sessions that try a new version. The operators bound the requests
+# that a bad version may get; the rest of the bound is for the shift, in which a
+# version that is bad only under load shows itself.
+TRIAL_SHARE = 0.1
+# Part of the order's time for the trial. Sessions may change to the new version
+# only in the second half.
+TRIAL_PART = 0.5
+# Answers without which a version isn't trusted with all traffic.
+FEWEST_SEEN = 8
+# Part of the order's time at which the old endpoints may be stopped although some
+# of their answers still run.
+LATEST_PART = 0.88
+# Margin after the middle of the time for clocks and reading of the order that
+# differ between hosts, in seconds.
+HALF_MARGIN_S = 0.4
+# Sessions whose version is remembered.
+KEPT_SESSIONS = 20_000
+
+
+class Verdict(enum.Enum):
+    """What should be recorded of a roll-out now."""
+
+    NOTHING = "nothing"
+    ACTIVE = "active"
+    COMPLETED = "completed"
+    ROLLED_BACK = "rolled_back"
+
+
+@dataclass(slots=True)
+class Rollout:
+    """One order and how far it is.
+
+    Attributes
+    ----------
+    begun_at : float
+        When the order was first seen by any host.
+    recorded : RolloutPhase, optional
+        What the store holds.
+    """
+
+    order: RolloutOrder
+    begun_at: float
+    recorded: RolloutPhase | None = None
+    is_shifted: bool = False
+
+    def part(self, now: float) -> float:
+        """Return how much of its time is over, 1 at its end."""
+        return (now - self.begun_at) / self.order.duration_s
+
+    def may_shift(self, now: float) -> bool:
+        """Tell whether sessions may change to the new version."""
+        return now - self.begun_at > TRIAL_PART * self.order.duration_s + HALF_MARGIN_S
+
+
+@dataclass(slots=True)
+class _Session:
+    version: str
+    ended_at: float
+
+
+@dataclass
+class Rollouts:
+    """The roll-outs of all services.
+
+    Parameters
+    ----------
+    session_s : float
+        Requests of a session that follow each other within this time keep a version.
+    """
+
+    session_s: float = 5.0
+    evidence: Evidence = field(default_factory=Evidence)
+    _rollouts: dict[str, Rollout] = field(default_factory=dict)
+    _sessions: OrderedDict[tuple[str, str], _Session] = field(default_factory=OrderedDict)
+
+    def find(self, service: str) -> Rollout | None:
+        """Return the last roll-out of a service."""
+        return self._rollouts.get(service)
+
+    def active(self) -> list[Rollout]:
+        """Return the roll-outs that are under way."""
+        return [
+            rollout
+            for rollout in self._rollouts.values()
+            if rollout.recorded is None or not rollout.recorded.is_final
+        ]
+
+    def take_order(self, order: RolloutOrder, now: float, age_s: float = 0.0) -> bool:
+        """Take in an order; True when it is new.
+
+        Parameters
+        ----------
+        age_s : float
+            How long ago it was seen first.
+        """
+        known = self._rollouts.get(order.service)
+        if known is not None and known.order.offset >= order.offset:
+            known.begun_at = min(known.begun_at, now - age_s)
+            return False
+        if known is not None:
+            self.evidence.forget(order.service)
+        self._rollouts[order.service] = Rollout(order, now - age_s)
+        return True
+
+    def take_status(self, status: RolloutStatus) -> bool:
+        """Take in what is recorded; True when that is news.
+
+        A final phase stays: a record of a host that was paused meanwhile can't
+        bring a withdrawn version back.
+        """
+        rollout = self._rollouts.get(status.service)
+        if rollout is None or rollout.order.target != status.target:
+            return False
+        if rollout.recorded is status.phase:
+            return False
+        if rollout.recorded is not None and rollout.recorded.is_final:
+            return False
+        rollout.recorded = status.phase
+        return True
+
+    def pick_version(self, work: Work, now: float) -> tuple[frozenset[str] | None, str | None]:
+        """Return the only versions that may answer, and the one that may not.
+
+        A request goes on in the version that its session has, and once it has begun
+        in the version that it began in.
+        """
+        rollout = self._rollouts.get(work.service)
+        if rollout is None:
+            return None, None
+        target = rollout.order.target
+        match rollout.recorded:
+            case RolloutPhase.COMPLETED:
+                return frozenset((target,)), None
+            case RolloutPhase.ROLLED_BACK:
+                return None, target
+        if rollout.is_shifted:
+            return frozenset((target,)), None
+        session = self._session(work)
+        known = self._sessions.get(session)
+        if known is not None and now - known.ended_at < self.session_s:
+            is_new = known.version == target
+        else:
+            is_new = _point(session[1]) < TRIAL_SHARE
+        return (frozenset((target,)), None) if is_new else (None, target)
+
+    def note_end(self, work: Work, version: str, now: float) -> None:
+        """Remember the version of a session."""
+        if work.service not in self._rollouts and work.request.session is None:
+            return
+        session = self._session(work)
+        self._sessions[session] = _Session(version, now)
+        self._sessions.move_to_end(session)
+        if len(self._sessions) > KEPT_SESSIONS:
+            self._sessions.popitem(last=False)
+
+    def judge(self, rollout: Rollout, now: float, old_in_flight: int) -> Verdict:
+        """Decide what should be recorded of a roll-out now.
+
+        Parameters
+        ----------
+        old_in_flight : int
+            Requests of all hosts that still run on the old version. Its endpoints
+            are stopped at once when the roll-out is recorded as completed.
+        """
+        order = rollout.order
+        if rollout.recorded is not None and rollout.recorded.is_final:
+            return Verdict.NOTHING
+        if self.evidence.is_bad(order.service, order.target):
+            return Verdict.ROLLED_BACK
+        enough = self.evidence.seen(order.service, order.target) >= FEWEST_SEEN
+        if rollout.may_shift(now) and enough:
+            rollout.is_shifted = True
+        if rollout.is_shifted and rollout.part(now) >= LATEST_PART:
+            return Verdict.COMPLETED
+        if rollout.part(now) >= 1.0:
+            return Verdict.ROLLED_BACK
+        return Verdict.NOTHING if rollout.recorded is not None else Verdict.ACTIVE
+
+    def _session(self, work: Work) -> tuple[str, str]:
+        return work.service, work.request.session or work.request.id
+
+
+def _point(text: str) -> float:
+    return zlib.crc32(text.encode()) / 2.0**32
--- a/poplarrun/routing/_requests.py
+++ b/poplarrun/routing/_requests.py
@@ -74,8 +74,9 @@
     arrived_at, give_up_at : float
         When it came, and when its caller must have an answer, in seconds of the
         clock that counts suspension.
-    attempts : int
-        Sends so far.
+    sends, runs, connect_failures : int
+        Times that its bytes went to a socket, that an endpoint may have run it and
+        failed, and that no connection came about.
     may_have_run : bool
         Whether an endpoint may have begun.
     tried : set of str
@@ -94,7 +95,9 @@
     service: str
     arrived_at: float
     give_up_at: float
-    attempts: int = 0
+    sends: int = 0
+    runs: int = 0
+    connect_failures: int = 0
     may_have_run: bool = False
     tried: set[str] = field(default_factory=set)
     last_event: int | None = None
