Ask the smallest model first, the largest where its confidence is low

Change: the smallest answers; while the caller has seen nothing, a doubtful answer is dropped for the largest model where the expected gain exceeds its cost and the queue's.

--- a/poplarrun/dispatch/_dispatch.py
+++ b/poplarrun/dispatch/_dispatch.py
@@ -19,7 +19,7 @@
 from poplarrun.placement import Member, Placement, Seat
 from poplarrun.retries import RetryBudget
 from poplarrun.rollouts import Rollouts
-from poplarrun.routing import Repeat, Request, Work
+from poplarrun.routing import Repeat, Request, Service, Work
 from poplarrun.sizes import SizePolicy
 
 # Sends that endpoints refused are no runs, but each costs the caller time: so many
@@ -35,6 +35,8 @@
 RETRY_SOON_S = 0.3
 # The same where this host waits for its own knowledge.
 RETRY_KNOWLEDGE_S = 0.5
+# Part of the budget of second sends that larger models leave for failures.
+KEPT_FOR_FAILURES = 0.5
 # Urgency at an endpoint of the highest rank; each rank below adds one.
 FIRST_URGENCY = 2
 
@@ -129,8 +131,7 @@
         refusal = self.recheck(work, now)
         if refusal is not None:
             return refusal
-        catalogue = self.knowledge.catalogue
-        service = None if catalogue is None else catalogue.services.get(work.service)
+        service = self._service(work)
         if service is None:
             return self._give_up(work, ErrorKind.NO_ENDPOINT, "the service is not configured")
         size = work.size or self.sizes.first(work)
@@ -158,6 +159,37 @@
             member.remember(send.size, work.request.parts, now)
         return Attempt(send.seat, send.size, now)
 
+    def ask_larger(
+        self, work: Work, attempt: Attempt, confidence: float | None, now: float
+    ) -> bool:
+        """Tell whether a larger model is asked instead; the caller has seen nothing yet.
+
+        The dropped answer counts as a run, and the next send takes from the budget of
+        second sends, of which a part is kept for failures.
+        """
+        largest = self.sizes.largest(work)
+        service = self._service(work)
+        if largest is None or confidence is None or service is None:
+            return False
+        if work.runs + 1 >= work.route.most_attempts or work.last_event is not None:
+            return False
+        budget = self._budget(work.service)
+        if budget.tokens < 1.0 + KEPT_FOR_FAILURES * budget.most:
+            return False
+        versions = frozenset((attempt.seat.member.listing.version,))
+        seat = self.placement.choose(work, service, now, largest, versions, is_new=True)
+        if seat is None:
+            return False
+        if not self.sizes.is_worth_more(work, confidence, seat, service, now):
+            return False
+        budget.take()
+        self._leave(attempt)
+        work.runs += 1
+        work.may_have_run = True
+        work.size = largest
+        work.tried.clear()
+        return True
+
     def note_first(self, work: Work, attempt: Attempt, now: float) -> None:
         """Note that the first event came, or the answer of a plain service."""
         attempt.first_at = now
@@ -227,7 +259,12 @@
             return self._refuse_or(work, kind, "too many second sends")
         return None
 
+    def _service(self, work: Work) -> Service | None:
+        catalogue = self.knowledge.catalogue
+        return None if catalogue is None else catalogue.services.get(work.service)
+
     def _versions(self, work: Work, now: float) -> tuple[frozenset[str] | None, str | None]:
+        # A stream goes on in the version that it began in.
         if work.version is not None and work.last_event is not None:
             return frozenset((work.version,)), None
         return self.rollouts.pick_version(work, now)
--- a/poplarrun/gateway/_exchange.py
+++ b/poplarrun/gateway/_exchange.py
@@ -123,23 +123,41 @@
             if isinstance(step, Refusal):
                 return step
             try:
-                await self._try_one(step)
-                return None
+                if await self._try_one(step):
+                    return None
             except AttemptError as error:
                 refusal = self._learn(step, error.failure)
                 if refusal is not None:
                     return refusal
 
-    async def _try_one(self, step: Send) -> None:
+    async def _try_one(self, step: Send) -> bool:
+        """Send once; False when a larger model is to be asked instead."""
         is_stream = self._work.route.repeat is Repeat.STREAM
         opened = await self._open(step)
         answer = opened.answer
         if answer.status not in SUCCESS:
             await self._read_failure(opened)
-        elif is_stream:
-            await self._relay_stream(opened)
-        else:
+        elif not is_stream:
             await self._relay_whole(opened)
+        elif self._drop_for_larger(opened):
+            return False
+        else:
+            await self._relay_stream(opened)
+        return True
+
+    def _drop_for_larger(self, opened: _Open) -> bool:
+        """Drop a doubtful answer, of which the caller has seen nothing."""
+        confidence = opened.answer.confidence
+        now = boot_time()
+        if self._is_started:
+            return False
+        if not self._dispatch.ask_larger(self._work, opened.attempt, confidence, now):
+            return False
+        self._attempt = None
+        self._abort_connection()
+        self._count_retry("larger_model")
+        self._log.dropped(self._work, confidence)
+        return True
 
     async def _open(self, step: Send) -> _Open:
         """Connect, send and wait for the head of the answer."""
--- a/poplarrun/gateway/_records.py
+++ b/poplarrun/gateway/_records.py
@@ -30,6 +30,10 @@
         """Note a failed send."""
         self._write("A send failed.", work, failure=repr(failure), **_seat_fields(send))
 
+    def dropped(self, work: Work, confidence: float | None) -> None:
+        """Note that a larger model is asked in place of an answer."""
+        self._write("A larger model is asked.", work, confidence=confidence, size=work.size)
+
     def ended(self, work: Work, outcome: str) -> None:
         """Note an answer that went to the caller."""
         if self._level <= logging.DEBUG or work.sends > 1 or outcome != "whole":
--- a/poplarrun/placement/_placement.py
+++ b/poplarrun/placement/_placement.py
@@ -100,6 +100,7 @@
         size: str = "",
         versions: Container[str] | None = None,
         avoided_version: str | None = None,
+        is_new: bool = False,
     ) -> Seat | None:
         """Return the member that should answer first; None where none may be asked.
 
@@ -109,6 +110,8 @@
             Only members of these versions.
         avoided_version : str, optional
             No members of this version.
+        is_new : bool
+            Whether members that it was sent to before count like all others.
         """
         usable = [
             member
@@ -119,7 +122,8 @@
             and member.listing.version != avoided_version
         ]
         free = [member for member in usable if member.paused_until <= now]
-        fresh = [member for member in free if member.listing.lifetime not in work.tried]
+        tried = set() if is_new else work.tried
+        fresh = [member for member in free if member.listing.lifetime not in tried]
         candidates = fresh or free or usable
         if not candidates:
             return None
