Hosts tell each other loads, roll-out evidence, freshness of keys, endpoints and configuration

Cause: each host judged roll-outs alone, knew only its own load, and one that the store turns away refused keyed requests although its peers were served. Change: digests over pynng, proven by echoed stamps; addresses through the store and seeds; a host that stops refuses streams once the balancer has had its time.

--- a/poplarrun/gateway/_followers.py
+++ b/poplarrun/gateway/_followers.py
@@ -88,6 +88,7 @@
         changed: Callable[[], None],
     ) -> None:
         self.offset: int | None = None
+        self.raw_config = b""
         self._store = store
         self._knowledge = knowledge
         self._rollouts = rollouts
@@ -164,6 +165,7 @@
         """
         catalogue = decode_catalogue(value)
         if self._knowledge.take(catalogue):
+            self.raw_config = value
             self._log.info("A configuration is in force.", extra={"version": catalogue.version})
             self._changed()
 
@@ -173,6 +175,8 @@
 
     def __init__(self, store: StoreClient, directory: Directory, placement: Placement) -> None:
         self.is_known = False
+        self.is_served = False
+        self.read_at = float("-inf")
         self._store = store
         self._directory = directory
         self._placement = placement
@@ -194,6 +198,7 @@
                 self._take_newest(entries, now)
                 self._directory.offset = end
                 self.is_known = True
+                self.is_served = True
             case Records(entries=entries):
                 self._note_answer(now)
                 for entry in entries:
@@ -208,9 +213,18 @@
                     self._log.warning("The store does not answer.", extra={"why": repr(answer)})
                 return False
         self._note_answer(now)
+        self.read_at = now
         self._placement.update(self._directory.listings())
         return True
 
+    def take_from_peer(self) -> None:
+        """Put what a peer told of the endpoints into force.
+
+        The place in the log stays: records that a peer has read are read again.
+        """
+        self.is_served = True
+        self._placement.update(self._directory.listings())
+
     async def _read(self) -> Newest | Records | Forgotten | Refused | NoAnswer:
         if not self.is_known:
             return await self._store.newest(ENDPOINT_TOPIC)
--- a/poplarrun/gateway/_host.py
+++ b/poplarrun/gateway/_host.py
@@ -12,10 +12,13 @@
 from poplarrun.errors import ErrorKind, Refusal
 from poplarrun.gateway._exchange import Exchange, respond_refusal
 from poplarrun.gateway._followers import DocumentFollower, ListingFollower
+from poplarrun.gateway._peering import Peering
 from poplarrun.gateway._records import RequestLog
 from poplarrun.gateway._steward import Steward
+from poplarrun.links import NngLinks
 from poplarrun.logs import part_logger
 from poplarrun.metrics import Metrics
+from poplarrun.peers import PeerBook
 from poplarrun.placement import Directory, Placement
 from poplarrun.platform import (
     BadRequest,
@@ -85,10 +88,26 @@
             self._store, self._knowledge, self._rollouts, self._apply_limits
         )
         self._listings = ListingFollower(self._store, self._directory, self._placement)
+        self._peering = Peering(
+            PeerBook(settings.peers, settings.zone),
+            NngLinks(settings.peers),
+            self._store,
+            self._knowledge,
+            self._documents,
+            self._listings,
+            self._directory,
+            self._placement,
+            self._rollouts,
+        )
         self._steward = Steward(
-            self._store, self._rollouts, self._placement, lambda _: 0, lambda *_: 0
+            self._store,
+            self._rollouts,
+            self._placement,
+            self._peering.turn,
+            self._peering.others_in_flight,
         )
         self._open = 0
+        self._is_closed = False
         self._leaving = asyncio.Event()
         self._tasks: set[asyncio.Task[None]] = set()
         self._log = part_logger("host")
@@ -96,7 +115,7 @@
     @property
     def is_ready(self) -> bool:
         """Whether callers may come."""
-        is_known = self._knowledge.catalogue is not None and self._listings.is_known
+        is_known = self._knowledge.catalogue is not None and self._listings.is_served
         return is_known and not self._leaving.is_set()
 
     async def run(self) -> None:
@@ -108,6 +127,8 @@
         self._start(self._documents.run())
         self._start(self._listings.run())
         self._start(self._steward.run())
+        self._start(self._peering.run(self.settings.seeds))
+        self._start(self._peering.announce())
         self._start(self._keep_house())
         await self._callers.listen(self.settings.callers)
         await self._observers.listen(self.settings.readiness)
@@ -123,6 +144,7 @@
         self._log.info("Stopping.", extra={"open": self._open})
         self._callers.is_stopping = True
         await asyncio.sleep(BALANCER_S)
+        self._is_closed = True
         self._callers.close_idle()
         stop_at = begun_at + self.settings.stop_s - STOP_MARGIN_S
         while self._open and boot_time() < stop_at:
@@ -140,6 +162,11 @@
         if self._open >= MOST_OPEN:
             respond_refusal(caller, self._count(Refusal(ErrorKind.QUEUE_FULL, "host is full")))
             return
+        if self._is_closed:
+            # A stream that begins now would be cut off in the middle when the host is
+            # killed; told at once, its caller still finds another host in time.
+            respond_refusal(caller, self._count(Refusal(ErrorKind.STOPPING, "host stops")))
+            return
         work = self._dispatch.admit(request, boot_time())
         if isinstance(work, Refusal):
             respond_refusal(caller, self._count(work))
--- /dev/null
+++ b/poplarrun/peers/_book.py
@@ -0,0 +1,127 @@
+"""The other hosts as this one knows them."""
+
+import math
+import random
+from dataclasses import dataclass, field
+
+from poplarrun.hosts import rank_hosts
+from poplarrun.peers._messages import MOST_NAMED, Digest
+
+# A host that has not been heard of for so long doesn't count as alive, in seconds:
+# three of the longest periods between two digests.
+ALIVE_S = 3.2
+# One that has not been heard of for so long isn't written to any more, in seconds;
+# it writes first when it is back.
+KEPT_S = 30.0
+# Digests a round. All hosts of a small installation hear each other; in a large one
+# each hears some others in turn, and the messages of a host stay the same.
+MOST_A_ROUND = 12
+
+
+@dataclass(slots=True)
+class Peer:
+    """Another host.
+
+    Attributes
+    ----------
+    heard_at : float
+        When a digest last came.
+    last_stamp : float
+        The stamp that it bore.
+    """
+
+    address: str
+    zone: str = ""
+    named_at: float = -math.inf
+    heard_at: float = -math.inf
+    last_stamp: float = 0.0
+    told_at: float = -math.inf
+
+
+@dataclass
+class PeerBook:
+    """Peers by address.
+
+    Attributes
+    ----------
+    address, zone : str
+        Where this host receives, and its availability zone.
+    """
+
+    address: str
+    zone: str
+    source: random.Random = field(default_factory=random.Random)
+    _peers: dict[str, Peer] = field(default_factory=dict)
+
+    def name(self, address: str, now: float) -> None:
+        """Take in that a host may be at an address."""
+        if address == self.address:
+            return
+        peer = self._peers.setdefault(address, Peer(address))
+        peer.named_at = now
+
+    def take(self, digest: Digest, now: float) -> bool:
+        """Take in a digest; False where it is older than the last one of its sender."""
+        if digest.address == self.address:
+            return False
+        peer = self._peers.setdefault(digest.address, Peer(digest.address))
+        # A host that started anew has a later clock as well, as hosts don't go back
+        # in time; one that was replaced may have an earlier one.
+        if digest.stamp <= peer.last_stamp and now - peer.heard_at < ALIVE_S:
+            return False
+        peer.zone = digest.zone
+        peer.heard_at = now
+        peer.last_stamp = digest.stamp
+        for address in digest.named:
+            if address not in self._peers:
+                self.name(address, now)
+        return True
+
+    def proven_at(self, digest: Digest) -> float | None:
+        """Return since when, by this host's clock, the digest's facts are surely true.
+
+        The sender held this host's stamp for a time that its own clock measured, so
+        it sent the digest at least that long after the stamp. How long the digest
+        then was on its way, or lay unread while this host was suspended, can't make
+        its facts look younger than they are. None without such a stamp.
+        """
+        if digest.echo <= 0.0:
+            return None
+        return digest.echo + digest.held_s - digest.age_s
+
+    def alive(self, now: float) -> list[Peer]:
+        """Return the hosts that were heard of lately."""
+        return [peer for peer in self._peers.values() if now - peer.heard_at < ALIVE_S]
+
+    def due(self, now: float, near_s: float, far_s: float) -> list[Peer]:
+        """Return the hosts that a digest should go to now.
+
+        Parameters
+        ----------
+        near_s, far_s : float
+            Pause between two digests to a host of the own zone, and to another one:
+            bytes between zones are dear.
+        """
+        due = []
+        for address, peer in list(self._peers.items()):
+            if now - max(peer.heard_at, peer.named_at) > KEPT_S:
+                del self._peers[address]
+                continue
+            period_s = near_s if peer.zone == self.zone else far_s
+            if now - peer.told_at >= period_s:
+                due.append(peer)
+        if len(due) > MOST_A_ROUND:
+            due = self.source.sample(due, MOST_A_ROUND)
+        for peer in due:
+            peer.told_at = now
+        return due
+
+    def named(self) -> list[str]:
+        """Return some addresses to pass on."""
+        addresses = [peer.address for peer in self._peers.values() if peer.heard_at > 0.0]
+        return addresses if len(addresses) <= MOST_NAMED else self.source.sample(addresses, 8)
+
+    def turn(self, job: str, now: float) -> int:
+        """Return how many live hosts come before this one for a job."""
+        hosts = [self.address, *(peer.address for peer in self.alive(now))]
+        return rank_hosts(job, hosts).index(self.address)
--- /dev/null
+++ b/poplarrun/peers/_messages.py
@@ -0,0 +1,146 @@
+"""Messages between hosts, as bytes."""
+
+import msgspec
+
+MOST_NAMED = 8
+
+
+class EndpointLoad(msgspec.Struct, frozen=True, array_like=True):
+    """What the sender runs at an endpoint.
+
+    Attributes
+    ----------
+    pending_ms : int
+        Time that its prompts which are still being read take.
+    """
+
+    lifetime: str
+    in_flight: int
+    pending_ms: int
+
+
+class RolloutNews(msgspec.Struct, frozen=True, array_like=True):
+    """What the sender knows of a roll-out.
+
+    Attributes
+    ----------
+    age_s : float
+        How long ago the order was first seen by any host that the sender heard of.
+    phase : str
+        What is recorded; empty for nothing.
+    """
+
+    service: str
+    target: str
+    duration_s: float
+    offset: int
+    age_s: float
+    phase: str
+    is_shifted: bool
+
+
+class TallyNews(msgspec.Struct, frozen=True, array_like=True):
+    """What the sender itself saw of a version on a route."""
+
+    service: str
+    version: str
+    route: str
+    ended: int
+    bad: int
+    slow: int
+    first_s: float
+
+
+class Digest(msgspec.Struct, frozen=True, array_like=True, tag=1):
+    """What a host tells its peers regularly.
+
+    Attributes
+    ----------
+    address, zone : str
+        Where the sender receives, and its availability zone.
+    stamp : float
+        The sender's clock as it sent this.
+    echo : float
+        The last stamp that the sender got from the receiver; 0 for none.
+    held_s : float
+        How long before this digest it got that.
+    version : int
+        Version of the configuration that it has; -1 for none.
+    age_s : float
+        How long ago that was the newest for sure.
+    listing_age_s : float
+        How long ago it read the listed endpoints.
+    named : list of str
+        Some addresses of other hosts.
+    """
+
+    address: str
+    zone: str
+    stamp: float
+    echo: float
+    held_s: float
+    version: int
+    age_s: float
+    listing_age_s: float
+    loads: list[EndpointLoad] = []
+    rollouts: list[RolloutNews] = []
+    tallies: list[TallyNews] = []
+    named: list[str] = []
+
+
+class Ask(msgspec.Struct, frozen=True, array_like=True, tag=2):
+    """Asks a peer for what it has and the sender lacks."""
+
+    address: str
+    wants_config: bool
+    wants_listing: bool
+
+
+class Listed(msgspec.Struct, frozen=True, array_like=True):
+    """An endpoint as the sender knows it."""
+
+    lifetime: str
+    service: str
+    address: str
+    zone: str
+    version: str
+    places: int
+    is_leaving: bool
+    started_ms: int
+    sequence: int
+
+
+class Documents(msgspec.Struct, frozen=True, array_like=True, tag=3):
+    """Answers an ``Ask``.
+
+    Attributes
+    ----------
+    config : bytes
+        The configuration as it stands in the store; empty where not asked for.
+    gone : list of str
+        Endpoints that were removed lately.
+    """
+
+    address: str
+    config: bytes = b""
+    listed: list[Listed] = []
+    gone: list[str] = []
+
+
+Message = Digest | Ask | Documents
+
+_ENCODER = msgspec.msgpack.Encoder()
+_DECODER = msgspec.msgpack.Decoder(Message)
+
+
+def encode_message(message: Message) -> bytes:
+    """Return a message as bytes."""
+    return _ENCODER.encode(message)
+
+
+def decode_message(data: bytes) -> Message | None:
+    """Return the message; None where the bytes hold none that this host knows."""
+    try:
+        return _DECODER.decode(data)
+    except (msgspec.ValidationError, msgspec.DecodeError):
+        return None
--- a/poplarrun/placement/_directory.py
+++ b/poplarrun/placement/_directory.py
@@ -83,6 +83,10 @@
         """Return the endpoints that are listed, leaving ones included."""
         return [known.listing for known in self._known.values()]
 
+    def gone(self) -> list[str]:
+        """Return the endpoints that were removed lately."""
+        return list(self._tombstones)
+
     def find(self, lifetime: str) -> Listing | None:
         """Return what an endpoint last said of itself."""
         known = self._known.get(lifetime)
--- a/poplarrun/placement/_placement.py
+++ b/poplarrun/placement/_placement.py
@@ -59,6 +59,7 @@
         self._zone = zone
         self._random = source
         self._members: dict[str, Member] = {}
+        self._others: dict[str, dict[str, tuple[int, float]]] = {}
         self._speeds: dict[tuple[str, str], PoolSpeed] = {}
 
     def update(self, listings: list[Listing]) -> None:
@@ -71,6 +72,23 @@
             member.listing = listing
             members[listing.lifetime] = member
         self._members = members
+        self._sum_others()
+
+    def take_others(self, host: str, loads: dict[str, tuple[int, float]]) -> None:
+        """Take over what another host runs: requests and pending seconds by lifetime."""
+        self._others[host] = loads
+        self._sum_others()
+
+    def keep_others(self, hosts: set[str]) -> None:
+        """Forget what hosts run that are not alive."""
+        self._others = {host: loads for host, loads in self._others.items() if host in hosts}
+        self._sum_others()
+
+    def _sum_others(self) -> None:
+        for lifetime, member in self._members.items():
+            loads = [known[lifetime] for known in self._others.values() if lifetime in known]
+            member.others = float(sum(requests for requests, _ in loads))
+            member.others_pending_s = sum(pending_s for _, pending_s in loads)
 
     def members(self, service: str | None = None) -> list[Member]:
         """Return the members of a service, leaving ones included, or all."""
--- a/poplarrun/rollouts/_rollouts.py
+++ b/poplarrun/rollouts/_rollouts.py
@@ -23,6 +23,8 @@
 # Margin after the middle of the time for clocks and reading of the order that
 # differ between hosts, in seconds.
 HALF_MARGIN_S = 0.4
+# The end of a roll-out is told to other hosts for so long after its time, in seconds.
+TOLD_S = 20.0
 # Sessions whose version is remembered.
 KEPT_SESSIONS = 20_000
 
@@ -95,6 +97,14 @@
             if rollout.recorded is None or not rollout.recorded.is_final
         ]
 
+    def recent(self, now: float) -> list[Rollout]:
+        """Return the roll-outs that are under way, or ended not long ago."""
+        return [
+            rollout
+            for rollout in self._rollouts.values()
+            if now - rollout.begun_at < rollout.order.duration_s + TOLD_S
+        ]
+
     def take_order(self, order: RolloutOrder, now: float, age_s: float = 0.0) -> bool:
         """Take in an order; True when it is new.
 
