--- /dev/null
+++ b/standins/installation/_installation.py
@@ -0,0 +1,266 @@
+"""A whole installation on loopback: store and endpoints here, hosts as processes."""
+
+import asyncio
+import http.client
+import json
+import os
+import signal
+import subprocess
+import sys
+import tempfile
+import threading
+import time
+from collections.abc import Callable, Coroutine
+from dataclasses import dataclass, field
+from pathlib import Path
+from typing import Any
+
+import yaml
+
+from standins._ports import free_port
+from standins.installation._runner import Runner
+from standins.installation._store import Store
+
+START_TIMEOUT_S = 20.0
+POLL_S = 0.02
+CALL_TIMEOUT_S = 15.0
+KEY = "counter-key"
+HOST_NAME = "shop.example"
+SIZES = ("small", "large")
+
+
+@dataclass(frozen=True)
+class Answer:
+    """What a caller got; status 0 for a connection that closed without an answer."""
+
+    status: int
+    headers: dict[str, str] = field(default_factory=dict)
+    body: bytes = b""
+    is_whole: bool = True
+
+
+def _address() -> str:
+    return f"127.0.0.1:{free_port()}"
+
+
+class Installation:
+    """Store, endpoints and hosts of the users' platform.
+
+    Attributes
+    ----------
+    config : dict
+        The operators' configuration; ``publish`` writes it.
+    """
+
+    def __init__(self, hosts: int = 1) -> None:
+        self.store = Store()
+        self.runners: dict[str, Runner] = {}
+        self.config = self._first_config()
+        self._folder = tempfile.TemporaryDirectory(prefix="poplarrun-installation-")
+        self._loop = asyncio.new_event_loop()
+        self._thread = threading.Thread(target=self._loop.run_forever, daemon=True)
+        self._store_address = _address()
+        self._addresses = [self._host_addresses(number) for number in range(hosts)]
+        self.processes: dict[int, subprocess.Popen[bytes]] = {}
+
+    def __enter__(self) -> "Installation":
+        self._thread.start()
+        self.run(self.store.start(self._store_address))
+        return self
+
+    def __exit__(self, *_: object) -> None:
+        for process in self.processes.values():
+            process.kill()
+            process.wait()
+        self._loop.call_soon_threadsafe(self._loop.stop)
+        self._thread.join()
+        self._folder.cleanup()
+
+    def run(self, work: Coroutine[Any, Any, Any]) -> Any:
+        """Run something on the loop of the stand-ins."""
+        return asyncio.run_coroutine_threadsafe(work, self._loop).result(CALL_TIMEOUT_S)
+
+    def append(self, topic: str, key: str, value: bytes) -> None:
+        """Write a record, as operators and endpoints do."""
+
+        async def write() -> None:
+            self.store.topic(topic).append(key, value)
+
+        self.run(write())
+
+    def publish(self) -> None:
+        """Write the configuration with the next version."""
+        self.config["version"] += 3
+        self.append("keyed.op", "config", json.dumps(self.config).encode())
+
+    def add_runner(self, lifetime: str, service: str, **more: Any) -> Runner:
+        """Start an endpoint and list it."""
+        runner = Runner(lifetime, service, _address(), is_engine=service == "engines", **more)
+        self.run(runner.start())
+        self.runners[lifetime] = runner
+        self.list_runner(runner)
+        return runner
+
+    def list_runner(self, runner: Runner) -> None:
+        """Write an endpoint's record."""
+        self.append("keyed.servers", runner.lifetime, runner.record())
+
+    def remove_runner(self, lifetime: str) -> None:
+        """Take an endpoint's record away."""
+        self.append("keyed.servers", lifetime, b"")
+
+    def start_host(self, number: int = 0, is_awaited: bool = True) -> None:
+        """Start a host's process, and wait until it is ready."""
+        path = self._write_settings(number)
+        environment = {**os.environ, "POPLARRUN_NODE_FILE": str(path)}
+        log = (Path(self._folder.name) / f"host-{number}.log").open("ab")
+        self.processes[number] = subprocess.Popen(
+            [sys.executable, "-m", "poplarrun.gateway"],
+            env=environment,
+            stdout=log,
+            stderr=subprocess.STDOUT,
+        )
+        log.close()
+        if is_awaited:
+            self.wait_for(lambda: self.ready_status(number) == 200, f"host {number} is ready")
+
+    def log_of(self, number: int = 0) -> str:
+        """Return what a host wrote."""
+        return (Path(self._folder.name) / f"host-{number}.log").read_text()
+
+    def signal_host(self, number: int, name: str) -> None:
+        """Send a signal to a host's process."""
+        self.processes[number].send_signal(getattr(signal, name))
+
+    def ready_status(self, number: int = 0) -> int:
+        """Return the status with which a host answers the balancer; 0 for none."""
+        try:
+            return self._call(self._addresses[number]["readiness"], "GET", "/readyz", {}).status
+        except OSError:
+            return 0
+
+    def read_metrics(self, number: int = 0) -> str:
+        """Return a host's counters and histograms."""
+        address = f"127.0.0.1:{self._addresses[number]['metrics']}"
+        return self._call(address, "GET", "/metrics", {}).body.decode()
+
+    def call(
+        self,
+        path: str,
+        number: int = 0,
+        key: str = KEY,
+        body: bytes = b"",
+        method: str = "POST",
+        **headers: str,
+    ) -> Answer:
+        """Send a request as a caller does; names of headers have ``_`` for ``-``."""
+        sent = {
+            "Host": HOST_NAME,
+            "X-Attempt-Id": f"req-{time.monotonic_ns():x}",
+            "X-Deadline-Ms": "4000",
+            "Authorization": f"Bearer {key}",
+        }
+        sent |= {name.replace("_", "-"): value for name, value in headers.items()}
+        return self._call(self.caller_address(number), method, path, sent, body)
+
+    def caller_address(self, number: int = 0) -> str:
+        """Return where a host serves callers."""
+        return self._addresses[number]["frontend"]
+
+    def wait_for(self, is_so: Callable[[], bool], what: str) -> None:
+        """Wait until something holds."""
+        until = time.monotonic() + START_TIMEOUT_S
+        while not is_so():
+            if time.monotonic() > until:
+                logs = "\n".join(self.log_of(number)[-2000:] for number in self.processes)
+                raise AssertionError(f"not within {START_TIMEOUT_S:.0f} s: {what}\n{logs}")
+            time.sleep(POLL_S)
+
+    def _call(
+        self, address: str, method: str, path: str, headers: dict[str, str], body: bytes = b""
+    ) -> Answer:
+        connection = http.client.HTTPConnection(address, timeout=CALL_TIMEOUT_S)
+        try:
+            connection.request(method, path, body, headers)
+            response = connection.getresponse()
+            found = {name.lower(): value for name, value in response.getheaders()}
+            try:
+                return Answer(response.status, found, response.read())
+            except http.client.IncompleteRead as error:
+                return Answer(response.status, found, error.partial, False)
+        except (http.client.RemoteDisconnected, ConnectionResetError):
+            return Answer(0, is_whole=False)
+        finally:
+            connection.close()
+
+    def _host_addresses(self, number: int) -> dict[str, Any]:
+        return {
+            "frontend": _address(),
+            "readiness": _address(),
+            "controlPlane": _address(),
+            "metrics": free_port(),
+            "zone": "abc"[number % 3],
+        }
+
+    def _write_settings(self, number: int) -> Path:
+        addresses = self._addresses[number]
+        names = ("frontend", "readiness", "controlPlane")
+        settings = {
+            "nodeName": f"edge-{number}",
+            "role": "entry",
+            "ip": "127.0.0.1",
+            "zone": addresses["zone"],
+            "listen": {name: addresses[name] for name in names},
+            "portRange": [addresses["metrics"], addresses["metrics"]],
+            "seeds": [other["controlPlane"] for other in self._addresses[:3]],
+            "platform": {"address": self._store_address},
+            "limits": {"memoryMb": 150, "maxFds": 1000},
+            "bounds": {"revokeStrict": True, "revokeMs": 5000, "graceS": 8, "sessionS": 5},
+            "aFieldOfTomorrow": True,
+        }
+        path = Path(self._folder.name) / f"host-{number}.yaml"
+        path.write_text(yaml.safe_dump(settings))
+        return path
+
+    @staticmethod
+    def _first_config() -> dict[str, Any]:
+        models = [{"name": "small", "cost": 0.008}, {"name": "large", "cost": 0.12}]
+        engine = {"slots": 8, "kvCapacity": 400_000, "models": models}
+        times = {"timeoutMs": 4000, "targetLatencyMs": 1000, "maxAttempts": 3}
+        base = {"host": HOST_NAME, "priority": 1, **times}
+        return {
+            "version": 1,
+            "routes": [
+                {
+                    **base,
+                    "name": "draft",
+                    "pathPrefix": "/draft/",
+                    "type": "streaming",
+                    "service": "engines",
+                    "sizes": list(SIZES),
+                    "resumable": True,
+                    "gapGoalMs": 1000,
+                },
+                {
+                    **base,
+                    "name": "order",
+                    "pathPrefix": "/order/",
+                    "type": "non_idempotent",
+                    "service": "stock",
+                    "maxAttempts": 1,
+                },
+                {
+                    **base,
+                    "name": "lookup",
+                    "pathPrefix": "/lookup/",
+                    "type": "idempotent",
+                    "service": "stock",
+                },
+            ],
+            "services": [
+                {"name": "engines", "healthPath": "/healthz", "maxConns": 100, "engine": engine},
+                {"name": "stock", "healthPath": "/healthz", "maxConns": 100},
+            ],
+            "limits": {"maxHeaderBytes": 4096, "maxBodyBytes": 10_000},
+            "tenants": [{"name": "shop", "apiKeys": [KEY, "second-key"]}],
+        }
