--- a/features/environment.py
+++ b/features/environment.py
@@ -10,6 +10,7 @@
 from poplarrun.settings import HostSettings
 from standins import HostListStandIn, LogStandIn
 from standins.fleet import EnginePlan, Fleet, ServicePlan, free_address
+from standins.installation import Installation
 
 EXAMPLES = Path(__file__).resolve().parent.parent / "examples"
 CERTIFICATES = Path(__file__).resolve().parent / "certificates"
@@ -152,6 +153,18 @@
         yield fleet
 
 
+@fixture
+def installation(context):
+    """The users' platform with one host, one model engine and one plain service."""
+    with Installation() as installation:
+        installation.publish()
+        installation.add_runner("engine-1", "engines")
+        installation.add_runner("stock-1", "stock")
+        installation.start_host()
+        context.installation = installation
+        yield installation
+
+
 FIXTURES = {
     "fixture.order_fleet": order_fleet,
     "fixture.few_threads": few_threads,
@@ -170,3 +183,9 @@
     """Set up the fixture that a tag asks for."""
     if tag in FIXTURES:
         use_fixture(FIXTURES[tag], context)
+
+
+def before_scenario(context, scenario):
+    """Set up what each scenario of a feature gets for itself."""
+    if "each.installation" in scenario.effective_tags:
+        use_fixture(installation, context)
--- /dev/null
+++ b/features/steps/gateway.py
@@ -0,0 +1,444 @@
+import json
+import re
+import socket
+import time
+
+from behave import given, then, when
+
+from standins.installation import Fault
+from standins.installation._installation import HOST_NAME, KEY
+
+EVENT = re.compile(rb"id: (\d+)\ndata: (\w+) \d+\n\n")
+KEYS_OLD_S = 4.6
+DENIAL_OLD_S = 2.6
+CONFIG_BOUND_S = 3.0
+
+
+def events_of(answer):
+    return [(int(number), model.decode()) for number, model in EVENT.findall(answer.body)]
+
+
+def wait_status(context, path, status, **more):
+    def is_so():
+        context.answer = context.installation.call(path, method="GET", **more)
+        return context.answer.status == status
+
+    context.installation.wait_for(is_so, f"{path} is answered with {status}")
+
+
+def ran(context, service):
+    runners = [r for r in context.installation.runners.values() if r.service == service]
+    return [seen for runner in runners for seen in runner.seen if seen.is_run]
+
+
+def set_faults(context, service, fault, count=1):
+    """Arm all endpoints of a service; which one is asked is the host's choice."""
+    context.runners = [r for r in context.installation.runners.values() if r.service == service]
+    if count > 1 or len(context.runners) == 1:
+        for runner in context.runners:
+            runner.faults.extend([Fault[fault]] * count)
+        return
+    # One fault for whichever endpoint is asked first.
+    shared = context.runners[0].faults
+    for runner in context.runners:
+        runner.faults = shared
+    shared.append(Fault[fault])
+
+
+def open_raw(context, path, key=KEY, attempt="raw-1"):
+    host, _, port = context.installation.caller_address().rpartition(":")
+    connection = socket.create_connection((host, int(port)), timeout=10)
+    send_raw(connection, path, key, attempt)
+    return connection
+
+
+def send_raw(connection, path, key, attempt):
+    head = (
+        f"POST {path} HTTP/1.1\r\nHost: {HOST_NAME}\r\nX-Attempt-Id: {attempt}\r\n"
+        f"X-Deadline-Ms: 4000\r\nAuthorization: Bearer {key}\r\nX-Model: *\r\n"
+        "Content-Length: 0\r\n\r\n"
+    )
+    connection.sendall(head.encode())
+
+
+def draft(context, **headers):
+    context.answer = context.installation.call("/draft/brief", X_Model="*", **headers)
+    return context.answer
+
+
+@when('a caller looks up "{lookup}" and orders "{order}"')
+def step_calm(context, lookup, order):
+    context.lookup = context.installation.call(lookup, method="GET", X_Attempt_Id="look-1")
+    context.order = context.installation.call(order, body=b"one ring", X_Attempt_Id="order-1")
+
+
+@then("both answers are whole, signed and of status 200")
+def step_both(context):
+    for answer in (context.lookup, context.order):
+        assert answer.status == 200 and answer.is_whole, answer
+        assert answer.headers["x-instance-signature"] == "signed-stock-1", answer
+
+
+@then("the endpoint saw the path, the body and the id as the caller sent them")
+def step_unchanged(context):
+    look, order = context.installation.runners["stock-1"].seen
+    assert (look.method, look.target) == (b"GET", b"/lookup/ring?size=5"), look
+    assert (order.method, order.body) == (b"POST", b"one ring"), order
+    assert [s.headers["x-attempt-id"] for s in (look, order)] == ["look-1", "order-1"]
+    assert 0 < int(look.headers["x-deadline-ms"]) <= 4000
+
+
+@then('the endpoint saw the account "{account}" and no key')
+def step_account(context, account):
+    for seen in context.installation.runners["stock-1"].seen:
+        assert seen.headers["x-tenant"] == account
+        assert "authorization" not in seen.headers
+
+
+@when("a caller asks for a draft")
+def step_draft(context):
+    draft(context)
+
+
+@when("a caller asks for a draft after event {number:d}")
+def step_draft_after(context, number):
+    draft(context, Last_Event_Id=str(number))
+
+
+@then('the answer has the events {first:d} to {last:d} of the model "{model}"')
+def step_events(context, first, last, model):
+    assert context.answer.status == 200 and context.answer.is_whole, context.answer
+    expected = [(number, model) for number in range(first, last + 1)]
+    assert events_of(context.answer) == expected, events_of(context.answer)
+
+
+@given('the model "{one}" is sure by {low:d} and the model "{other}" by {high:d}')
+def step_confidence(context, one, low, other, high):
+    for runner in context.installation.runners.values():
+        runner.confidence = {one: low, other: high}
+
+
+@then('the counters have retries for "{reason}"')
+def step_counters(context, reason):
+    assert (
+        f'poplarrun_retries_total{{reason="{reason}"}} 1.0' in context.installation.read_metrics()
+    )
+
+
+@when("a caller calls a path without a route, and one with a key that nobody holds")
+def step_denied(context):
+    call = context.installation.call
+    context.answers = [call("/nowhere/x"), call("/lookup/x", key="stolen", method="GET")]
+
+
+@when("a caller sends a body of {size:d} bytes, and headers of {head:d} bytes")
+def step_too_large(context, size, head):
+    call = context.installation.call
+    context.answers = [call("/order/x", body=b"x" * size), call("/order/x", X_Long="x" * head)]
+
+
+@then("the answers are {first:d} and {second:d}")
+def step_statuses(context, first, second):
+    assert [answer.status for answer in context.answers] == [first, second], context.answers
+
+
+@then("no endpoint saw either")
+def step_unseen(context):
+    assert not any(runner.seen for runner in context.installation.runners.values())
+
+
+@when('the operators add the path "{path}" and an older version is written after it')
+def step_new_route(context, path):
+    installation = context.installation
+    old = json.dumps(installation.config).encode()
+    route = {**installation.config["routes"][2], "name": "new", "pathPrefix": path}
+    installation.config["routes"].append(route)
+    installation.publish()
+    installation.append("keyed.op", "config", old)
+
+
+@when("the operators write a configuration without services")
+def step_malformed(context):
+    config = {**context.installation.config, "version": 99}
+    del config["services"]
+    context.installation.append("keyed.op", "config", json.dumps(config).encode())
+    text = "A document has no effect."
+    context.installation.wait_for(lambda: text in context.installation.log_of(), text)
+
+
+@then('a call of "{path}" is answered with {status:d}')
+def step_call_status(context, path, status):
+    wait_status(context, path, status)
+
+
+@when('the key "{key}" is taken away while its caller keeps a connection')
+def step_revoke(context, key):
+    installation = context.installation
+    context.connection = open_raw(context, "/order/ring", key)
+    assert b" 200 " in context.connection.recv(65536).split(b"\r\n")[0]
+    installation.config["tenants"][0]["apiKeys"].remove(key)
+    installation.publish()
+    text = f'"version": {installation.config["version"]}'
+    installation.wait_for(lambda: text in installation.log_of(), "the version is in force")
+    context.before = len(installation.runners["stock-1"].seen)
+    send_raw(context.connection, "/order/ring", key, "raw-2")
+
+
+@then("the caller's next request is answered with 401 and no endpoint saw it")
+def step_revoked(context):
+    assert b" 401 " in context.connection.recv(65536).split(b"\r\n")[0]
+    assert len(context.installation.runners["stock-1"].seen) == context.before
+    context.connection.close()
+
+
+@when("the store says nothing for longer than keys may be trusted")
+def step_silent(context):
+    context.installation.store.is_silent = True
+    time.sleep(KEYS_OLD_S)
+
+
+@when("the store says nothing for longer than routes may be denied")
+def step_silent_short(context):
+    context.installation.store.is_silent = True
+    time.sleep(DENIAL_OLD_S)
+
+
+@then('a call of "{path}" is answered with 503 and a time to come back')
+def step_come_back(context, path):
+    answer = context.installation.call(path, method="GET")
+    assert answer.status == 503, answer
+    assert float(answer.headers["retry-after"]) > 0.0, answer
+
+
+@then('once the store answers again a call of "{path}" is answered with 200')
+def step_store_back(context, path):
+    context.installation.store.is_silent = False
+    wait_status(context, path, 200)
+
+
+@given('a second endpoint "{lifetime}" of "{service}"')
+def step_second(context, lifetime, service):
+    installation = context.installation
+    runner = installation.add_runner(lifetime, service)
+    text = f'"endpoint": "{lifetime}"'
+    installation.wait_for(lambda: text in installation.log_of(), f"{lifetime} is known")
+    assert runner.lifetime == lifetime
+
+
+@when('the endpoint "{lifetime}" says that it leaves')
+def step_leaves(context, lifetime):
+    installation = context.installation
+    runner = installation.runners[lifetime]
+    runner.is_leaving = True
+    installation.list_runner(runner)
+    text = '"event": "leaving"'
+    installation.wait_for(lambda: text in installation.log_of(), f"{lifetime} leaves")
+    context.before = len(runner.seen)
+    context.leaving = runner
+
+
+@then('{count:d} more lookups all reach "{lifetime}"')
+def step_all_reach(context, count, lifetime):
+    step_answered_by(context, count, lifetime)
+    assert len(context.leaving.seen) == context.before
+
+
+@when('the endpoint "{lifetime}" has started anew under another id, unlisted')
+def step_anew(context, lifetime):
+    context.installation.runners[lifetime].lifetime = "somebody-else"
+
+
+@then('{count:d} lookups are answered by "{lifetime}"')
+def step_answered_by(context, count, lifetime):
+    for _ in range(count):
+        answer = context.installation.call("/lookup/ring", method="GET")
+        assert answer.status == 200, answer
+        assert answer.body == f"answer of {lifetime}".encode(), answer
+
+
+@given("the endpoints stream slowly")
+def step_slowly(context):
+    for runner in context.installation.runners.values():
+        runner.faults.extend([Fault.SLOW] * 9)
+
+
+@when("a host is asked to stop while a caller's draft is running")
+def step_stop(context):
+    installation = context.installation
+    connection = open_raw(context, "/draft/brief")
+    received = connection.recv(65536)
+    installation.signal_host(0, "SIGTERM")
+    context.statuses = []
+    while data := connection.recv(65536):
+        received += data
+        context.statuses.append(installation.ready_status())
+    context.received = received
+    context.code = installation.processes[0].wait(timeout=15)
+
+
+@then("the draft is whole and the host ends with code {code:d}")
+def step_stopped(context, code):
+    assert context.received.endswith(b"0\r\n\r\n"), context.received[-200:]
+    assert [int(number) for number, _ in EVENT.findall(_dechunk(context.received))] == [
+        1,
+        2,
+        3,
+        4,
+        5,
+    ]
+    assert context.code == code, context.code
+
+
+def _dechunk(received):
+    return re.sub(
+        rb"\r\n[0-9a-f]+\r\n", b"", received.partition(b"\r\n\r\n")[2].join([b"\r\n", b""])
+    )
+
+
+@then("the host was not ready while it stopped")
+def step_not_ready(context):
+    assert context.statuses and 200 not in context.statuses[1:], context.statuses
+
+
+@when("the settings file is spoilt and the host gets SIGHUP")
+def step_spoilt(context):
+    context.installation.spoil_settings()
+    context.installation.signal_host(0, "SIGHUP")
+
+
+@then('the log tells "{text}"')
+def step_log(context, text):
+    context.installation.wait_for(lambda: text in context.installation.log_of(), text)
+
+
+@given('an endpoint "{lifetime}" of the version "{version}"')
+def step_version(context, lifetime, version):
+    context.installation.add_runner(lifetime, "engines", version=version)
+    text = f'"endpoint": "{lifetime}"'
+    context.installation.wait_for(lambda: text in context.installation.log_of(), text)
+
+
+@given('an endpoint "{lifetime}" of the version "{version}" that fails each request')
+def step_bad_version(context, lifetime, version):
+    step_version(context, lifetime, version)
+    context.installation.runners[lifetime].faults.extend([Fault.ERROR] * 1000)
+
+
+@when(
+    'the operators order the version "{version}" within {within:d} s, and callers ask for drafts meanwhile'
+)
+def step_order_version(context, version, within):
+    installation = context.installation
+    order = {"service": "engines", "target": version, "durationS": within}
+    installation.append("keyed.op", "rollout/engines", json.dumps(order).encode())
+    until = time.monotonic() + within + 1.0
+    while time.monotonic() < until and _phase(context) in (None, "active"):
+        assert draft(context).status == 200, context.answer
+
+
+def _phase(context):
+    entry = context.installation.store.topic("keyed.status").newest().get("rollout/engines")
+    return None if entry is None else json.loads(entry[1])["phase"]
+
+
+@then('the store holds "{phase}" for the service "{service}"')
+def step_phase(context, phase, service):
+    context.installation.wait_for(lambda: _phase(context) == phase, f"{service} is {phase}")
+
+
+@then('a draft is answered by "{lifetime}"')
+def step_draft_by(context, lifetime):
+    draft(context)
+    assert context.answer.headers["x-instance-signature"] == f"signed-{lifetime}", context.answer
+
+
+@when('the endpoints of "{service}" meet the next {count:d} {what} with "{fault}"')
+def step_many_faults(context, service, count, what, fault):
+    set_faults(context, service, fault, count)
+    _call_what(context, what.rstrip("s"))
+
+
+@when('the endpoints of "{service}" meet the next {what:w} with "{fault:w}"')
+def step_one_fault(context, service, what, fault):
+    set_faults(context, service, fault)
+    _call_what(context, what)
+
+
+def _call_what(context, what):
+    if what == "draft":
+        draft(context)
+        return
+    method = "POST" if what == "order" else "GET"
+    context.answer = context.installation.call(f"/{what}/ring", method=method)
+
+
+@then("the {what:w} is answered with {status:d}")
+def step_answered(context, what, status):
+    assert context.answer.status == status, context.answer
+
+
+@then("exactly one endpoint ran it")
+def step_one_ran(context):
+    assert len(ran(context, "stock")) == 1, ran(context, "stock")
+
+
+@then("no endpoint ran it")
+def step_none_ran(context):
+    assert not ran(context, "stock")
+
+
+@then('the answer is signed by "{lifetime}"')
+def step_signed(context, lifetime):
+    assert context.answer.headers["x-instance-signature"] == f"signed-{lifetime}", context.answer
+
+
+@then("the second endpoint was asked to go on after event {number:d}")
+def step_resumed(context, number):
+    asked = [s.headers.get("last-event-id") for r in context.runners for s in r.seen]
+    assert sorted(asked, key=str) == [str(number), None], asked
+
+
+@then("the answer is broken off")
+def step_broken(context):
+    assert not context.answer.is_whole, context.answer
+
+
+@when("a caller leaves in the middle of a draft")
+def step_leave(context):
+    connection = open_raw(context, "/draft/brief")
+    connection.recv(65536)
+    connection.close()
+    context.left_at = time.monotonic()
+
+
+@when('the endpoints of "{service}" meet the next draft with "MUTE" and its caller leaves')
+def step_leave_early(context, service):
+    set_faults(context, service, "MUTE")
+    connection = open_raw(context, "/draft/brief")
+    runner = context.installation.runners["engine-1"]
+    context.installation.wait_for(lambda: runner.seen and runner.seen[0].is_run, "it runs")
+    connection.close()
+    context.left_at = time.monotonic()
+
+
+@then("its endpoint sees it leave within half a second")
+def step_left(context):
+    runner = context.installation.runners["engine-1"]
+    context.installation.wait_for(lambda: any(seen.is_left for seen in runner.seen), "it left")
+
+
+@when('the endpoints of "{service}" are all taken away')
+def step_taken_away(context, service):
+    installation = context.installation
+    for lifetime in [r.lifetime for r in installation.runners.values() if r.service == service]:
+        installation.remove_runner(lifetime)
+        text = "An endpoint is gone."
+        installation.wait_for(lambda: text in installation.log_of(), text)
+
+
+@then("a lookup is answered with {status:d} within one second")
+def step_at_once(context, status):
+    # The caller would wait 4 s; the answer comes with a time to come back long before.
+    answer = context.installation.call("/lookup/ring", method="GET")
+    assert answer.status == status, answer
+    assert float(answer.headers["retry-after"]) < 1.0, answer
--- a/standins/installation/_installation.py
+++ b/standins/installation/_installation.py
@@ -72,10 +72,19 @@
         for process in self.processes.values():
             process.kill()
             process.wait()
+        self.run(self._end_tasks())
         self._loop.call_soon_threadsafe(self._loop.stop)
         self._thread.join()
         self._folder.cleanup()
 
+    @staticmethod
+    async def _end_tasks() -> None:
+        """End what still waits, such as calls that a silent store never answers."""
+        waiting = asyncio.all_tasks() - {asyncio.current_task()}
+        for task in waiting:
+            task.cancel()
+        await asyncio.gather(*waiting, return_exceptions=True)
+
     def run(self, work: Coroutine[Any, Any, Any]) -> Any:
         """Run something on the loop of the stand-ins."""
         return asyncio.run_coroutine_threadsafe(work, self._loop).result(CALL_TIMEOUT_S)
@@ -132,6 +141,10 @@
         """Send a signal to a host's process."""
         self.processes[number].send_signal(getattr(signal, name))
 
+    def spoil_settings(self, number: int = 0) -> None:
+        """Overwrite a host's settings file with one that lacks fields."""
+        (Path(self._folder.name) / f"host-{number}.yaml").write_text("nodeName: edge\n")
+
     def ready_status(self, number: int = 0) -> int:
         """Return the status with which a host answers the balancer; 0 for none."""
         try:
@@ -215,7 +228,13 @@
             "seeds": [other["controlPlane"] for other in self._addresses[:3]],
             "platform": {"address": self._store_address},
             "limits": {"memoryMb": 150, "maxFds": 1000},
-            "bounds": {"revokeStrict": True, "revokeMs": 5000, "graceS": 8, "sessionS": 5},
+            "bounds": {
+                "revokeStrict": True,
+                "revokeMs": 5000,
+                "graceS": 8,
+                "sessionS": 5,
+                "retryAllowance": 60,
+            },
             "aFieldOfTomorrow": True,
         }
         path = Path(self._folder.name) / f"host-{number}.yaml"
--- a/standins/installation/_runner.py
+++ b/standins/installation/_runner.py
@@ -132,9 +132,7 @@
                 if fault is Fault.EXTRA and caller._transport is not None:
                     caller._transport.write(b"HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nextra")
 
-    def _headers(
-        self, headers: dict[str, str], fault: Fault | None
-    ) -> list[tuple[bytes, bytes]]:
+    def _headers(self, headers: dict[str, str], fault: Fault | None) -> list[tuple[bytes, bytes]]:
         request_id = "another" if fault is Fault.OTHER_ID else headers["x-attempt-id"]
         found = [(b"X-Attempt-Id", request_id.encode())]
         if fault is not Fault.UNSIGNED:
--- a/standins/installation/_store.py
+++ b/standins/installation/_store.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import base64
+import contextlib
 import json
 import struct
 from dataclasses import dataclass, field
@@ -128,10 +129,8 @@
             return
         if offset >= len(topic.records) and "waitMs" in query:
             changed = topic.changed
-            try:
+            with contextlib.suppress(TimeoutError):
                 await asyncio.wait_for(changed.wait(), int(query["waitMs"]) / 1000.0)
-            except TimeoutError:
-                pass
         body = ENDS.pack(len(topic.records), topic.first)
         for key, value in topic.records[offset:]:
             name = key.encode()
