--- a/features/gateway.feature
+++ b/features/gateway.feature
@@ -81,7 +81,7 @@
 
   Scenario: A good version is rolled out and recorded
     Given an endpoint "engine-2" of the version "v2"
-    When the operators order the version "v2" within 4 s, and callers ask for drafts meanwhile
+    When the operators order "v2" within 4 s, and callers ask for drafts meanwhile
     Then the store holds "completed" for the service "engines"
     And a draft is answered by "engine-2"
 
@@ -89,6 +89,6 @@
     # Each answer of the new version is a failure. Callers get theirs from the old one,
     # and the store says so before the order's time is over.
     Given an endpoint "engine-2" of the version "v2" that fails each request
-    When the operators order the version "v2" within 8 s, and callers ask for drafts meanwhile
+    When the operators order "v2" within 8 s, and callers ask for drafts meanwhile
     Then the store holds "rolled_back" for the service "engines"
     And a draft is answered by "engine-1"
--- a/features/steps/gateway.py
+++ b/features/steps/gateway.py
@@ -9,9 +9,6 @@
 from standins.installation._installation import HOST_NAME, KEY
 
 EVENT = re.compile(rb"id: (\d+)\ndata: (\w+) \d+\n\n")
-KEYS_OLD_S = 4.6
-DENIAL_OLD_S = 2.6
-CONFIG_BOUND_S = 3.0
 
 
 def events_of(answer):
@@ -194,13 +191,13 @@
 @when("the store says nothing for longer than keys may be trusted")
 def step_silent(context):
     context.installation.store.is_silent = True
-    time.sleep(KEYS_OLD_S)
+    wait_status(context, "/lookup/ring", 503)
 
 
 @when("the store says nothing for longer than routes may be denied")
 def step_silent_short(context):
     context.installation.store.is_silent = True
-    time.sleep(DENIAL_OLD_S)
+    wait_status(context, "/nowhere/ring", 503)
 
 
 @then('a call of "{path}" is answered with 503 and a time to come back')
@@ -324,9 +321,7 @@
     context.installation.runners[lifetime].faults.extend([Fault.ERROR] * 1000)
 
 
-@when(
-    'the operators order the version "{version}" within {within:d} s, and callers ask for drafts meanwhile'
-)
+@when('the operators order "{version}" within {within:d} s, and callers ask for drafts meanwhile')
 def step_order_version(context, version, within):
     installation = context.installation
     order = {"service": "engines", "target": version, "durationS": within}
@@ -355,6 +350,9 @@
 @when('the endpoints of "{service}" meet the next {count:d} {what} with "{fault}"')
 def step_many_faults(context, service, count, what, fault):
     set_faults(context, service, fault, count)
+    for runner in context.runners:
+        # Longer than all attempts together come to before they break.
+        runner.events = 20
     _call_what(context, what.rstrip("s"))
 
 
@@ -432,8 +430,8 @@
     installation = context.installation
     for lifetime in [r.lifetime for r in installation.runners.values() if r.service == service]:
         installation.remove_runner(lifetime)
-        text = "An endpoint is gone."
-        installation.wait_for(lambda: text in installation.log_of(), text)
+    text = "An endpoint is gone."
+    installation.wait_for(lambda: text in installation.log_of(), text)
 
 
 @then("a lookup is answered with {status:d} within one second")
--- a/poplarrun/dispatch/_dispatch.py
+++ b/poplarrun/dispatch/_dispatch.py
@@ -18,7 +18,7 @@
 from poplarrun.errors import ErrorKind, Refusal
 from poplarrun.placement import Member, Placement, Seat
 from poplarrun.retries import RetryBudget
-from poplarrun.rollouts import Rollouts
+from poplarrun.rollouts import Rollouts, Times
 from poplarrun.routing import Repeat, Request, Service, Work
 from poplarrun.sizes import SizePolicy
 
@@ -184,6 +184,8 @@
             return False
         budget.take()
         self._leave(attempt)
+        attempt.first_at = now
+        self._note_evidence(work, attempt, False)
         work.runs += 1
         work.may_have_run = True
         work.size = largest
@@ -205,7 +207,7 @@
         """Note that an answer is whole."""
         self._leave(attempt)
         attempt.seat.member.note_good()
-        self._note_evidence(work, attempt, False)
+        self._note_evidence(work, attempt, False, now)
         self.rollouts.note_end(work, attempt.seat.member.listing.version, now)
 
     def note_abandoned(self, attempt: Attempt) -> None:
@@ -280,15 +282,18 @@
         if attempt is not None:
             self._note_evidence(work, attempt, True)
 
-    def _note_evidence(self, work: Work, attempt: Attempt, is_bad: bool) -> None:
+    def _note_evidence(
+        self, work: Work, attempt: Attempt, is_bad: bool, ended_at: float | None = None
+    ) -> None:
         rollout = self.rollouts.find(work.service)
-        if rollout is None or (rollout.recorded is not None and rollout.recorded.is_final):
-            return
-        key = (work.service, attempt.seat.member.listing.version, work.route.name)
+        version = attempt.seat.member.listing.version
+        is_trial = rollout is not None and rollout.is_open and version == rollout.order.target
         first_s = None if attempt.first_at is None else attempt.first_at - attempt.sent_at
-        evidence = self.rollouts.evidence
-        usual_s = evidence.usual_first_s(work.service, work.route.name, rollout.order.target)
-        evidence.note(key, is_bad, first_s, usual_s)
+        pace_s = None
+        if ended_at is not None and attempt.first_at is not None and attempt.events > 1:
+            pace_s = (ended_at - attempt.first_at) / (attempt.events - 1)
+        key = (work.service, version, f"{work.route.name}/{attempt.size or ''}")
+        self.rollouts.evidence.note(key, is_bad, Times(first_s, pace_s), is_trial)
 
     def _leave(self, attempt: Attempt) -> None:
         member = attempt.seat.member
--- a/poplarrun/dispatch/_failures.py
+++ b/poplarrun/dispatch/_failures.py
@@ -91,9 +91,12 @@
         When its bytes were handed to the socket.
     first_at : float, optional
         When the first event came, or the answer of a plain service.
+    events : int
+        Events so far.
     """
 
     seat: Seat
     size: str | None
     sent_at: float
     first_at: float | None = None
+    events: int = 0
--- a/poplarrun/gateway/_exchange.py
+++ b/poplarrun/gateway/_exchange.py
@@ -295,6 +295,7 @@
         """Send whole events to the caller, each once and in order."""
         if opened.attempt.first_at is None:
             self._dispatch.note_first(self._work, opened.attempt, boot_time())
+        opened.attempt.events += len(events)
         due = self._due(events)
         if not due:
             return
--- a/poplarrun/gateway/_peering.py
+++ b/poplarrun/gateway/_peering.py
@@ -173,7 +173,7 @@
     def _tally_news(self) -> list[TallyNews]:
         active = {rollout.order.service for rollout in self._rollouts.active()}
         return [
-            TallyNews(*key, tally.ended, tally.bad, tally.slow, round(tally.first_s, 3))
+            TallyNews(*key, tally.ended, tally.bad, tally.slow)
             for key, tally in self._rollouts.evidence.own.items()
             if key[0] in active
         ]
@@ -221,9 +221,7 @@
                 phase = RolloutPhase(news.phase)
                 self._rollouts.take_status(RolloutStatus(news.service, news.target, phase))
         tallies = {
-            (news.service, news.version, news.route): Tally(
-                news.ended, news.bad, news.slow, news.first_s
-            )
+            (news.service, news.version, news.kind): Tally(news.ended, news.bad, news.slow)
             for news in digest.tallies
         }
         self._rollouts.evidence.take(digest.address, tallies)
--- a/poplarrun/peers/_messages.py
+++ b/poplarrun/peers/_messages.py
@@ -40,15 +40,14 @@
 
 
 class TallyNews(msgspec.Struct, frozen=True, array_like=True):
-    """What the sender itself saw of a version on a route."""
+    """What the sender itself saw of a version in a kind of work."""
 
     service: str
     version: str
-    route: str
+    kind: str
     ended: int
     bad: int
     slow: int
-    first_s: float
 
 
 class Digest(msgspec.Struct, frozen=True, array_like=True, tag=1):
--- a/poplarrun/rollouts/_evidence.py
+++ b/poplarrun/rollouts/_evidence.py
@@ -10,35 +10,81 @@
 MOST_CHANCE = 0.002
 # Share of bad answers that the old version is taken to have at the least.
 LEAST_OLD_SHARE = 0.02
-# A first event that takes so many times the old version's mean counts as bad. Bad
-# versions that are slow take several times as long; a cold or far endpoint doesn't.
-SLOW_TIMES = 4.0
+# An answer whose first event, or whose events after it, take so many times as long as
+# usual counts as slow. Bad versions take several times as long; a full batch or a long
+# prompt makes less of a difference to the pace, and is rare enough at the first event.
+SLOW_FIRST_TIMES = 5.0
+SLOW_PACE_TIMES = 3.0
+# Answers before a usual time is known, and the weight of each one after that.
 FEWEST_TIMES = 5
+USUAL_WEIGHT = 0.05
+# Share of slow answers that a good version may have under load.
+MOST_SLOW_SHARE = 0.08
+
+
+@dataclass(frozen=True, slots=True)
+class Times:
+    """How long an answer took.
+
+    Attributes
+    ----------
+    first_s : float, optional
+        Time to the first event, or to the answer of a plain service, in seconds.
+    pace_s : float, optional
+        Mean time from one event to the next, in seconds.
+    """
+
+    first_s: float | None = None
+    pace_s: float | None = None
+
+
+@dataclass(slots=True)
+class Usual:
+    """The mean times of the versions that are not on trial."""
+
+    count: int = 0
+    first_s: float = 0.0
+    pace_s: float = 0.0
+
+    def learn(self, times: Times) -> None:
+        """Take in the times of an answer."""
+        if times.first_s is None:
+            return
+        self.count += 1
+        weight = max(USUAL_WEIGHT, 1.0 / self.count)
+        self.first_s += weight * (times.first_s - self.first_s)
+        if times.pace_s is not None:
+            self.pace_s += weight * (times.pace_s - self.pace_s)
+
+    def is_slow(self, times: Times) -> bool:
+        """Tell whether an answer took much longer than usual."""
+        if self.count < FEWEST_TIMES:
+            return False
+        if times.first_s is not None and times.first_s > SLOW_FIRST_TIMES * self.first_s:
+            return True
+        known = self.pace_s > 0.0 and times.pace_s is not None
+        return known and (times.pace_s or 0.0) > SLOW_PACE_TIMES * self.pace_s
 
 
 @dataclass(slots=True)
 class Tally:
-    """Answers of one version on one route.
+    """Answers of one version to one kind of work.
 
     Attributes
     ----------
     ended, bad, slow : int
         Answers, those that failed, and those that came much too late.
-    first_s : float
-        Sum of the times to the first event, in seconds.
     """
 
     ended: int = 0
     bad: int = 0
     slow: int = 0
-    first_s: float = 0.0
 
     def add(self, other: "Tally") -> None:
         """Add another host's tally."""
         self.ended += other.ended
         self.bad += other.bad
         self.slow += other.slow
-        self.first_s += other.first_s
 
 
 TallyKey = tuple[str, str, str]
@@ -46,35 +92,37 @@
 
 @dataclass
 class Evidence:
-    """Tallies by service, version and route: this host's own, and the others'.
+    """Tallies by service, version and kind of work: this host's own, and the others'.
+
+    A kind of work is a route and a model size: a small model's times say nothing of a
+    large one's.
 
     Attributes
     ----------
-    own : dict of (service, version, route) to Tally
+    own : dict of (service, version, kind) to Tally
         What this host saw.
     """
 
     own: dict[TallyKey, Tally] = field(default_factory=dict)
     _others: dict[str, dict[TallyKey, Tally]] = field(default_factory=dict)
+    _usual: dict[tuple[str, str], Usual] = field(default_factory=dict)
 
-    def note(
-        self, key: TallyKey, is_bad: bool, first_s: float | None, usual_s: float | None
-    ) -> None:
+    def note(self, key: TallyKey, is_bad: bool, times: Times, is_trial: bool) -> None:
         """Take in the end of an answer.
 
         Parameters
         ----------
-        first_s : float, optional
-            Time to its first event, in seconds.
-        usual_s : float, optional
-            That of the old version.
+        is_trial : bool
+            Whether its version is the one that is being rolled out.
         """
+        service, _, kind = key
+        usual = self._usual.setdefault((service, kind), Usual())
         tally = self.own.setdefault(key, Tally())
         tally.ended += 1
         tally.bad += is_bad
-        if first_s is not None:
-            tally.first_s += first_s
-            tally.slow += usual_s is not None and first_s > SLOW_TIMES * usual_s
+        tally.slow += usual.is_slow(times)
+        if not is_trial:
+            usual.learn(times)
 
     def take(self, host: str, tallies: dict[TallyKey, Tally]) -> None:
         """Take over another host's tallies in place of its last ones."""
@@ -95,38 +143,27 @@
                     merged.setdefault((version, route), Tally()).add(tally)
         return merged
 
-    def usual_first_s(self, service: str, route: str, target: str) -> float | None:
-        """Return the mean time to the first event of the versions but the target."""
-        whole = Tally()
-        for (version, of), tally in self.merged(service).items():
-            if version != target and of == route:
-                whole.add(tally)
-        if whole.ended < FEWEST_TIMES:
-            return None
-        return whole.first_s / whole.ended
-
     def is_bad(self, service: str, target: str) -> bool:
-        """Tell whether a version is worse than the others, as a whole or on one route."""
+        """Tell whether a version is worse than the others, as a whole or in one kind."""
         merged = self.merged(service)
-        new, old = Tally(), Tally()
-        for (version, _), tally in merged.items():
-            (new if version == target else old).add(tally)
-        if _is_worse(new.bad, new.ended, old.bad, old.ended):
+        kinds = {kind for version, kind in merged if version == target}
+        if self._is_worse_in(merged, target, None):
             return True
-        if _is_worse(new.slow, new.ended, 0, 0):
+        return any(self._is_worse_in(merged, target, kind) for kind in kinds)
+
+    @staticmethod
+    def _is_worse_in(merged: dict[tuple[str, str], Tally], target: str, kind: str | None) -> bool:
+        new, old = Tally(), Tally()
+        for (version, of), tally in merged.items():
+            if kind is None or of == kind:
+                (new if version == target else old).add(tally)
+        if _is_worse(new.bad, new.ended, old.bad, old.ended, LEAST_OLD_SHARE):
             return True
-        for (version, route), tally in merged.items():
-            if version != target:
-                continue
-            same = Tally()
-            for (other, of), other_tally in merged.items():
-                if other != target and of == route:
-                    same.add(other_tally)
-            if _is_worse(tally.bad, tally.ended, same.bad, same.ended):
-                return True
-            if _is_worse(tally.slow, tally.ended, 0, 0):
-                return True
-        return False
+        return _is_worse(new.slow, new.ended, old.slow, old.ended, MOST_SLOW_SHARE)
+
+    def all_ended(self, service: str) -> int:
+        """Return how many answers of all versions all hosts saw."""
+        return sum(tally.ended for tally in self.merged(service).values())
 
     def seen(self, service: str, target: str) -> int:
         """Return how many answers of a version all hosts saw."""
@@ -134,10 +171,10 @@
         return sum(tally.ended for (version, _), tally in merged.items() if version == target)
 
 
-def _is_worse(bad: int, ended: int, old_bad: int, old_ended: int) -> bool:
+def _is_worse(bad: int, ended: int, old_bad: int, old_ended: int, least_share: float) -> bool:
     if bad < FEWEST_BAD:
         return False
-    share = max(LEAST_OLD_SHARE, (old_bad + 1.0) / (old_ended + 10.0))
+    share = max(least_share, (old_bad + 1.0) / (old_ended + 10.0))
     return _chance_of(bad, ended, share) < MOST_CHANCE
 
 
--- a/poplarrun/rollouts/_rollouts.py
+++ b/poplarrun/rollouts/_rollouts.py
@@ -17,6 +17,8 @@
 TRIAL_PART = 0.5
 # Answers without which a version isn't trusted with all traffic.
 FEWEST_SEEN = 8
+# The same as a part of all answers, where there are few.
+FEWEST_SEEN_PART = 0.03
 # Part of the order's time at which the old endpoints may be stopped although some
 # of their answers still run.
 LATEST_PART = 0.88
@@ -55,6 +57,11 @@
     recorded: RolloutPhase | None = None
     is_shifted: bool = False
 
+    @property
+    def is_open(self) -> bool:
+        """Whether it is under way."""
+        return self.recorded is None or not self.recorded.is_final
+
     def part(self, now: float) -> float:
         """Return how much of its time is over, 1 at its end."""
         return (now - self.begun_at) / self.order.duration_s
@@ -91,11 +98,7 @@
 
     def active(self) -> list[Rollout]:
         """Return the roll-outs that are under way."""
-        return [
-            rollout
-            for rollout in self._rollouts.values()
-            if rollout.recorded is None or not rollout.recorded.is_final
-        ]
+        return [rollout for rollout in self._rollouts.values() if rollout.is_open]
 
     def recent(self, now: float) -> list[Rollout]:
         """Return the roll-outs that are under way, or ended not long ago."""
@@ -133,7 +136,7 @@
             return False
         if rollout.recorded is status.phase:
             return False
-        if rollout.recorded is not None and rollout.recorded.is_final:
+        if not rollout.is_open:
             return False
         rollout.recorded = status.phase
         return True
@@ -155,6 +158,9 @@
                 return None, target
         if rollout.is_shifted:
             return frozenset((target,)), None
+        if work.runs and work.last_event is None and work.version == target:
+            # What failed on the version on trial is not tried there once more.
+            return None, target
         session = self._session(work)
         known = self._sessions.get(session)
         if known is not None and now - known.ended_at < self.session_s:
@@ -183,11 +189,13 @@
             are stopped at once when the roll-out is recorded as completed.
         """
         order = rollout.order
-        if rollout.recorded is not None and rollout.recorded.is_final:
+        if not rollout.is_open:
             return Verdict.NOTHING
         if self.evidence.is_bad(order.service, order.target):
             return Verdict.ROLLED_BACK
-        enough = self.evidence.seen(order.service, order.target) >= FEWEST_SEEN
+        all_ended = self.evidence.all_ended(order.service)
+        needed = max(1.0, min(FEWEST_SEEN, FEWEST_SEEN_PART * all_ended))
+        enough = self.evidence.seen(order.service, order.target) >= needed
         if rollout.may_shift(now) and enough:
             rollout.is_shifted = True
         if rollout.is_shifted and rollout.part(now) >= LATEST_PART:
