Write a closed list of events as bounded JSON lines to standard output

Cause: on-call engineers have only logs and metrics; lines were ad hoc, unbounded and could hold the loop up at a full pipe. Change: one module of events with their fields; a writer thread with budgets for usual and notable lines, left out ones counted; counters and latencies of sends, retries, resumes.

--- a/features/steps/gateway.py
+++ b/features/steps/gateway.py
@@ -228,7 +228,7 @@
     runner = installation.runners[lifetime]
     runner.is_leaving = True
     installation.list_runner(runner)
-    text = '"event": "leaving"'
+    text = '"change": "leaving"'
     installation.wait_for(lambda: text in installation.log_of(), f"{lifetime} leaves")
     context.before = len(runner.seen)
     context.leaving = runner
--- a/poplarrun/dispatch/__init__.py
+++ b/poplarrun/dispatch/__init__.py
@@ -10,6 +10,8 @@
     NoConnection,
     SaidNotRun,
     TookTooLong,
+    may_have_run,
+    reason_of,
 )
 from poplarrun.dispatch._knowledge import Knowledge
 
@@ -25,4 +27,6 @@
     "SaidNotRun",
     "Send",
     "TookTooLong",
+    "may_have_run",
+    "reason_of",
 ]
--- a/poplarrun/gateway/__main__.py
+++ b/poplarrun/gateway/__main__.py
@@ -17,8 +17,11 @@
     if isinstance(settings, BadSettings):
         print("\n".join(settings.lines), file=sys.stderr)
         return 2
-    set_up_logs(settings.name)
-    asyncio.run(GatewayHost(path, settings).run())
+    handler = set_up_logs(settings.name)
+    try:
+        asyncio.run(GatewayHost(path, settings, handler).run())
+    finally:
+        handler.flush()
     return 0
 
 
--- a/poplarrun/gateway/_exchange.py
+++ b/poplarrun/gateway/_exchange.py
@@ -1,7 +1,6 @@
 """One request from its arrival to its answer: sends, failures and sends elsewhere."""
 
 import asyncio
-from collections.abc import Callable
 from dataclasses import dataclass
 
 from poplarrun.dispatch import (
@@ -18,7 +17,7 @@
 )
 from poplarrun.errors import ErrorKind, NotRun, Refusal, answer_for
 from poplarrun.gateway._events import Event, EventCutter, NoEvents
-from poplarrun.gateway._records import RequestLog
+from poplarrun.gateway._records import RequestRecorder
 from poplarrun.platform import EndpointAnswer, decode_answer, encode_send
 from poplarrun.routing import Repeat, Work
 from poplarrun.transport import (
@@ -87,15 +86,13 @@
         pool: ConnectionPool,
         caller: CallerConnection,
         work: Work,
-        log: RequestLog,
-        count_retry: Callable[[str], None],
+        recorder: RequestRecorder,
     ) -> None:
         self._dispatch = dispatch
         self._pool = pool
         self._caller = caller
         self._work = work
-        self._log = log
-        self._count_retry = count_retry
+        self._recorder = recorder
         self._is_started = False
         self._failed_answer: _Whole | None = None
         self._attempt: Attempt | None = None
@@ -110,6 +107,9 @@
         except TimeoutError:
             self._end_attempt(TookTooLong(boot_time() - work.arrived_at))
             refusal = self._out_of_time()
+        except asyncio.CancelledError:
+            self._recorder.left(work)
+            raise
         finally:
             self._drop_attempt()
         if refusal is not None:
@@ -155,8 +155,7 @@
             return False
         self._attempt = None
         self._abort_connection()
-        self._count_retry("larger_model")
-        self._log.dropped(self._work, confidence)
+        self._recorder.dropped(self._work, confidence)
         return True
 
     async def _open(self, step: Send) -> _Open:
@@ -182,7 +181,7 @@
         # What may run only once is left to end although its caller has gone: whether it
         # ran would stay unknown otherwise.
         self._caller.is_shielded = not work.route.may_repeat
-        self._log.sent(work, step, connection.uses > 1, is_resumed)
+        self._recorder.sent(work, step, now, is_resumed)
         patience_s = self._first_patience_s(step)
         try:
             async with asyncio.timeout(patience_s):
@@ -235,6 +234,7 @@
         body = await self._read_body(opened)
         now = boot_time()
         self._dispatch.note_first(self._work, opened.attempt, now)
+        self._recorder.first(self._work, opened.attempt)
         self._end_well(opened, now)
         self._is_started = True
         self._caller.respond(opened.answer.status, list(opened.answer.headers), body)
@@ -295,6 +295,7 @@
         """Send whole events to the caller, each once and in order."""
         if opened.attempt.first_at is None:
             self._dispatch.note_first(self._work, opened.attempt, boot_time())
+            self._recorder.first(self._work, opened.attempt)
         opened.attempt.events += len(events)
         due = self._due(events)
         if not due:
@@ -325,7 +326,7 @@
         self._attempt = None
         self._give_back(opened)
         self._dispatch.note_end(self._work, opened.attempt, now)
-        self._log.ended(self._work, "whole")
+        self._recorder.answered(self._work, opened.answer.status)
 
     def _give_back(self, opened: _Open) -> None:
         self._connection = None
@@ -339,9 +340,7 @@
         refusal = self._dispatch.note_failure(
             self._work, step.seat.member, attempt, failure, boot_time()
         )
-        self._log.failed(self._work, step, failure)
-        if refusal is None:
-            self._count_retry(type(failure).__name__)
+        self._recorder.failed(self._work, step, failure, refusal is not None)
         return refusal
 
     def _end_attempt(self, failure: Failure) -> None:
@@ -369,18 +368,20 @@
 
     def _refuse(self, refusal: Refusal) -> None:
         """Tell the caller that there is no answer, or break a begun one off."""
-        self._log.refused(self._work, refusal, self._is_started)
         if self._is_started:
+            self._recorder.refused(self._work, refusal, True)
             self._caller.break_off()
             return
         if self._failed_answer is not None:
             answer = self._failed_answer.answer
+            self._recorder.answered(self._work, answer.status)
             self._caller.respond(answer.status, list(answer.headers), self._failed_answer.body)
             return
-        respond_refusal(self._caller, refusal, self._work.request.id)
+        self._recorder.refused(self._work, refusal, False)
+        respond_refusal(self._caller, refusal)
 
 
-def respond_refusal(caller: CallerConnection, refusal: Refusal, request_id: str = "") -> None:
+def respond_refusal(caller: CallerConnection, refusal: Refusal) -> None:
     """Answer with a refusal; 429 and 503 promise that the request has not run."""
     answer = answer_for(refusal.kind)
     headers = [(b"Content-Type", b"text/plain")]
--- a/poplarrun/gateway/_followers.py
+++ b/poplarrun/gateway/_followers.py
@@ -5,7 +5,7 @@
 from dataclasses import dataclass
 
 from poplarrun.dispatch import Knowledge
-from poplarrun.logs import part_logger
+from poplarrun.logs import events, write_event
 from poplarrun.placement import Directory, DirectoryEvent, Placement
 from poplarrun.platform import (
     CONFIG_KEY,
@@ -94,7 +94,6 @@
         self._rollouts = rollouts
         self._changed = changed
         self._health = StoreHealth(boot_time())
-        self._log = part_logger("documents")
 
     async def run(self) -> None:
         """Follow for ever."""
@@ -115,15 +114,15 @@
                 if self.offset is not None and self.offset < end:
                     return True
             case Forgotten():
-                self._log.info("The store dropped its history; reading all anew.")
+                write_event(events.HistoryDropped("documents"))
                 self.offset = None
                 return True
             case Refused() | NoAnswer():
                 if self._health.note_failure(now):
-                    self._log.warning("The store does not answer.", extra={"why": repr(answer)})
+                    write_event(events.StoreLost("documents", repr(answer)))
                 return False
         if self._health.note_answer(now):
-            self._log.info("The store answers.", extra={"offset": self.offset})
+            write_event(events.StoreBack("documents", self.offset or 0))
         if self._knowledge.catalogue is not None:
             self._knowledge.confirm(true_at)
         return True
@@ -146,16 +145,13 @@
             elif entry.key.startswith(ROLLOUT_PREFIX):
                 order = decode_order(entry.value, entry.offset)
                 if self._rollouts.take_order(order, now):
-                    self._log.info(
-                        "A roll-out is ordered.",
-                        extra={"service": order.service, "target": order.target},
+                    write_event(
+                        events.RolloutOrdered(order.service, order.target, order.duration_s)
                     )
         except Malformed as error:
-            self._log.warning(
-                "A document has no effect.", extra={"key": entry.key, "reason": str(error)}
-            )
+            write_event(events.DocumentIgnored(entry.key, str(error)))
 
-    def take_config(self, value: bytes) -> None:
+    def take_config(self, value: bytes, source: str = "store") -> None:
         """Take in a configuration as it stands in the store.
 
         Raises
@@ -166,7 +162,7 @@
         catalogue = decode_catalogue(value)
         if self._knowledge.take(catalogue):
             self.raw_config = value
-            self._log.info("A configuration is in force.", extra={"version": catalogue.version})
+            write_event(events.ConfigInForce(catalogue.version, source))
             self._changed()
 
 
@@ -181,7 +177,6 @@
         self._directory = directory
         self._placement = placement
         self._health = StoreHealth(boot_time())
-        self._log = part_logger("endpoints")
 
     async def run(self) -> None:
         """Follow for ever."""
@@ -206,11 +201,12 @@
                 if entries:
                     self._directory.offset = entries[-1].offset + 1
             case Forgotten():
+                write_event(events.HistoryDropped("endpoints"))
                 self.is_known = False
                 return await self._step()
             case Refused() | NoAnswer():
                 if self._health.note_failure(now):
-                    self._log.warning("The store does not answer.", extra={"why": repr(answer)})
+                    write_event(events.StoreLost("endpoints", repr(answer)))
                 return False
         self._note_answer(now)
         self.read_at = now
@@ -232,7 +228,7 @@
 
     def _note_answer(self, now: float) -> None:
         if self._health.note_answer(now):
-            self._log.info("The store answers.", extra={"offset": self._directory.offset})
+            write_event(events.StoreBack("endpoints", self._directory.offset))
 
     def _take_newest(self, entries: tuple[Entry, ...], now: float) -> None:
         listed = {entry.key for entry in entries}
@@ -248,32 +244,32 @@
             return
         listing = decode_listing(entry.key, entry.value)
         if listing is None:
-            self._log.warning("A record names no endpoint.", extra={"endpoint": entry.key})
+            write_event(events.RecordIgnored(entry.key))
             return
         event = self._directory.apply(listing, now)
         if event not in (DirectoryEvent.NOTHING, DirectoryEvent.CHANGED):
-            self._log.info(
-                "An endpoint changed.",
-                extra={
-                    "endpoint": listing.lifetime,
-                    "event": event.value,
-                    "service": listing.service,
-                    "version": listing.version,
-                },
+            write_event(
+                events.EndpointChanged(
+                    listing.lifetime,
+                    event.value,
+                    listing.service,
+                    listing.address,
+                    listing.version,
+                )
             )
 
     def _remove(self, lifetime: str, now: float) -> None:
         is_lapse = self._health.is_out or now - self._health.back_at < LISTING_PERIOD_S
         event = self._directory.remove(lifetime, now, is_lapse)
         if event is DirectoryEvent.REMOVED:
-            self._log.info("An endpoint is gone.", extra={"endpoint": lifetime})
+            write_event(events.EndpointsGone([lifetime], "removed"))
 
     def _expire(self, now: float) -> None:
         if self._health.is_out:
             return
         gone = self._directory.expire(now)
         if gone:
-            self._log.info("Endpoints did not come back.", extra={"endpoints": gone})
+            write_event(events.EndpointsGone(gone, "lapsed"))
             self._placement.update(self._directory.listings())
 
 
@@ -295,8 +291,8 @@
                 continue
             try:
                 status = decode_status(entry.key[len(ROLLOUT_PREFIX) :], entry.value)
-            except Malformed:
-                part_logger("rollouts").warning("A status has no effect.", extra={"key": entry.key})
+            except Malformed as error:
+                write_event(events.DocumentIgnored(entry.key, str(error)))
                 continue
             self._rollouts.take_status(status)
         self.offset = answer.end
--- a/poplarrun/gateway/_host.py
+++ b/poplarrun/gateway/_host.py
@@ -4,6 +4,7 @@
 import contextlib
 import random
 import signal
+import traceback
 from collections.abc import Coroutine
 from pathlib import Path
 from typing import Any
@@ -13,10 +14,10 @@
 from poplarrun.gateway._exchange import Exchange, respond_refusal
 from poplarrun.gateway._followers import DocumentFollower, ListingFollower
 from poplarrun.gateway._peering import Peering
-from poplarrun.gateway._records import RequestLog
+from poplarrun.gateway._records import RequestRecorder
 from poplarrun.gateway._steward import Steward
 from poplarrun.links import NngLinks
-from poplarrun.logs import part_logger
+from poplarrun.logs import BoundedHandler, events, write_event
 from poplarrun.metrics import Metrics
 from poplarrun.peers import PeerBook
 from poplarrun.placement import Directory, Placement
@@ -29,6 +30,7 @@
     load_node_settings,
 )
 from poplarrun.rollouts import Rollouts
+from poplarrun.routing import Request, Work
 from poplarrun.sizes import SizePolicy
 from poplarrun.transport import (
     CallerConnection,
@@ -63,8 +65,9 @@
         The settings file, read again on a signal and when it changes.
     """
 
-    def __init__(self, path: Path, settings: NodeSettings) -> None:
+    def __init__(self, path: Path, settings: NodeSettings, handler: BoundedHandler) -> None:
         self._path = path
+        self._handler = handler
         self.settings = settings
         self.metrics = Metrics()
         self._store = StoreClient(settings.store)
@@ -81,7 +84,7 @@
             max(1.0, RETRY_PART * settings.retry_allowance / FIRST_HOSTS),
         )
         self._pool = ConnectionPool()
-        self._requests = RequestLog()
+        self._recorder = RequestRecorder(self.metrics)
         self._callers = CallerServer(self._serve, self._report_crash)
         self._observers = CallerServer(self._observe, self._report_crash)
         self._documents = DocumentFollower(
@@ -108,9 +111,9 @@
         )
         self._open = 0
         self._is_closed = False
+        self._was_ready = False
         self._leaving = asyncio.Event()
         self._tasks: set[asyncio.Task[None]] = set()
-        self._log = part_logger("host")
 
     @property
     def is_ready(self) -> bool:
@@ -134,14 +137,15 @@
         await self._observers.listen(self.settings.readiness)
         with contextlib.suppress(OSError):
             await self._observers.listen(self.settings.metrics)
-        self._log.info("Serving.", extra={"zone": self.settings.zone})
+        settings = self.settings
+        write_event(events.HostStarted(settings.zone, settings.callers, settings.peers))
         await self._leaving.wait()
         await self._stop()
 
     async def _stop(self) -> None:
         """Let the balancer turn callers away, then finish what is open."""
         begun_at = boot_time()
-        self._log.info("Stopping.", extra={"open": self._open})
+        write_event(events.HostStopping(self._open))
         self._callers.is_stopping = True
         await asyncio.sleep(BALANCER_S)
         self._is_closed = True
@@ -151,7 +155,7 @@
             await asyncio.sleep(STOP_POLL_S)
             self._callers.close_idle()
         self._callers.stop_accepting()
-        self._log.info("Stopped.", extra={"open": self._open})
+        write_event(events.HostStopped(self._open))
 
     async def _serve(self, caller: CallerConnection, head: RequestHead, body: bytes) -> None:
         """Answer one request of a caller."""
@@ -159,32 +163,33 @@
         if isinstance(request, BadRequest):
             respond_refusal(caller, Refusal(ErrorKind.INVALID_REQUEST, request.text))
             return
-        if self._open >= MOST_OPEN:
-            respond_refusal(caller, self._count(Refusal(ErrorKind.QUEUE_FULL, "host is full")))
-            return
-        if self._is_closed:
-            # A stream that begins now would be cut off in the middle when the host is
-            # killed; told at once, its caller still finds another host in time.
-            respond_refusal(caller, self._count(Refusal(ErrorKind.STOPPING, "host stops")))
-            return
-        work = self._dispatch.admit(request, boot_time())
+        now = boot_time()
+        self._note_belief(now)
+        work = self._admit(request, now)
         if isinstance(work, Refusal):
-            respond_refusal(caller, self._count(work))
+            self._recorder.turned_away(request, work)
+            respond_refusal(caller, work)
             return
+        self._recorder.admitted(work, now)
         self._open += 1
         try:
-            exchange = Exchange(
-                self._dispatch,
-                self._pool,
-                caller,
-                work,
-                self._requests,
-                self.metrics.count_retry,
-            )
-            await exchange.run()
+            await Exchange(self._dispatch, self._pool, caller, work, self._recorder).run()
         finally:
             self._open -= 1
-            self.metrics.count_request(work.route.name)
+
+    def _admit(self, request: Request, now: float) -> Work | Refusal:
+        if self._open >= MOST_OPEN:
+            return Refusal(ErrorKind.QUEUE_FULL, "host is full")
+        if self._is_closed:
+            # A stream that begins now would be cut off in the middle when the host is
+            # killed; told at once, its caller still finds another host in time.
+            return Refusal(ErrorKind.STOPPING, "host stops")
+        return self._dispatch.admit(request, now)
+
+    def _note_belief(self, now: float) -> None:
+        catalogue = self._knowledge.catalogue
+        self._recorder.config_version = -1 if catalogue is None else catalogue.version
+        self._recorder.config_age_s = min(1e6, self._knowledge.age_s(now))
 
     async def _observe(self, caller: CallerConnection, head: RequestHead, _: bytes) -> None:
         """Answer the balancer, or a reader of the counters."""
@@ -194,10 +199,6 @@
         status = 200 if self.is_ready else 503
         caller.respond(status, [], b"ready" if self.is_ready else b"not ready")
 
-    def _count(self, refusal: Refusal) -> Refusal:
-        self.metrics.count_refusal(refusal.kind)
-        return refusal
-
     def _apply_limits(self) -> None:
         catalogue = self._knowledge.catalogue
         if catalogue is None:
@@ -213,11 +214,28 @@
         while True:
             await asyncio.sleep(HOUSEKEEPING_S)
             self._pool.drop_stale()
+            self._tell_readiness()
+            left_out = self._handler.take_left_out()
+            if left_out:
+                write_event(events.LinesLeftOut(left_out))
             modified_at = self._modified_at()
             if modified_at != changed_at:
                 changed_at = modified_at
                 self._reload()
 
+    def _tell_readiness(self) -> None:
+        if self.is_ready == self._was_ready:
+            return
+        self._was_ready = self.is_ready
+        missing = []
+        if self._knowledge.catalogue is None:
+            missing.append("configuration")
+        if not self._listings.is_served:
+            missing.append("endpoints")
+        if self._leaving.is_set():
+            missing.append("stopping")
+        write_event(events.HostReady(self.is_ready, ", ".join(missing)))
+
     def _modified_at(self) -> float:
         try:
             return self._path.stat().st_mtime
@@ -228,16 +246,16 @@
         """Read the settings again; a bad file changes nothing."""
         loaded = load_node_settings(self._path)
         if isinstance(loaded, BadSettings):
-            self._log.warning("The settings are bad.", extra={"lines": list(loaded.lines)})
+            write_event(events.SettingsBad(list(loaded.lines)))
             return
-        self._log.info("Settings read.", extra={"changed": loaded != self.settings})
+        write_event(events.SettingsRead(loaded != self.settings))
         self.settings = loaded
         self._knowledge.key_bound_s = loaded.key_bound_s
         self._rollouts.session_s = loaded.session_s
         self._store.address = loaded.store
 
     def _report_crash(self, error: BaseException | None) -> None:
-        self._log.error("A request crashed.", exc_info=error)
+        write_event(events.RequestCrashed("".join(traceback.format_exception(error))))
 
     def _start(self, work: Coroutine[Any, Any, None]) -> None:
         task = asyncio.get_running_loop().create_task(work)
@@ -248,5 +266,5 @@
         """End the host when one of its tasks fails: the platform starts it anew."""
         self._tasks.discard(task)
         if not task.cancelled() and task.exception() is not None:
-            self._log.error("A task failed.", exc_info=task.exception())
+            self._report_crash(task.exception())
             raise SystemExit(1)
--- a/poplarrun/gateway/_peering.py
+++ b/poplarrun/gateway/_peering.py
@@ -7,7 +7,7 @@
 from poplarrun.dispatch import Knowledge
 from poplarrun.gateway._followers import DocumentFollower, ListingFollower
 from poplarrun.links import Links
-from poplarrun.logs import part_logger
+from poplarrun.logs import events, write_event
 from poplarrun.peers import (
     Ask,
     Digest,
@@ -72,7 +72,6 @@
         self._rollouts = rollouts
         self._asked_at = float("-inf")
         self._alive: set[str] = set()
-        self._log = part_logger("peers")
 
     def others_in_flight(self, service: str, target: str) -> int:
         """Return the other hosts' requests on all versions of a service but the target."""
@@ -128,7 +127,7 @@
         if alive != self._alive:
             lost = sorted(self._alive - alive)
             found = sorted(alive - self._alive)
-            self._log.info("Peers changed.", extra={"lost": lost, "found": found})
+            write_event(events.PeersChanged(lost, found))
             self._alive = alive
             self._placement.keep_others(alive)
 
@@ -189,7 +188,7 @@
             case Documents() as documents:
                 self._take_documents(documents, now)
             case None:
-                self._log.warning("A message can't be read.", extra={"bytes": len(data)})
+                write_event(events.MessageUnreadable(len(data)))
 
     def _take(self, digest: Digest, now: float) -> None:
         catalogue = self._knowledge.catalogue
@@ -249,9 +248,9 @@
     def _take_documents(self, documents: Documents, now: float) -> None:
         if documents.config:
             try:
-                self._documents.take_config(documents.config)
+                self._documents.take_config(documents.config, documents.address)
             except Malformed as error:
-                self._log.warning("A peer's document has no effect.", extra={"why": str(error)})
+                write_event(events.DocumentIgnored("config of a peer", str(error)))
         if not documents.listed and not documents.gone:
             return
         for listed in documents.listed:
--- a/poplarrun/gateway/_records.py
+++ b/poplarrun/gateway/_records.py
@@ -1,64 +1,144 @@
-"""Log lines of the gateway: one for each decision that touches a request."""
+"""What the gateway writes of one request, and counts of it."""
 
-import logging
+from poplarrun.dispatch import Attempt, Failure, Send, may_have_run, reason_of
+from poplarrun.errors import Refusal, answer_for
+from poplarrun.logs import events, write_event
+from poplarrun.metrics import Metrics
+from poplarrun.routing import Request, Work
+from poplarrun.transport import boot_time
 
-from poplarrun.dispatch import Failure, Send
-from poplarrun.errors import Refusal
-from poplarrun.logs import part_logger
-from poplarrun.routing import Work
 
-
-class RequestLog:
-    """Writes what happens to requests; good ones at debug level only.
+class RequestRecorder:
+    """Writes and counts the decisions about requests.
 
     Parameters
     ----------
-    level : int
-        Least level that is written.
+    version, age_s : int, float
+        Of the configuration by which a decision was made; asked with each line.
     """
 
-    def __init__(self, level: int = logging.INFO) -> None:
-        self._log = part_logger("request")
-        self._level = level
+    def __init__(self, metrics: Metrics) -> None:
+        self._metrics = metrics
+        self.config_version = -1
+        self.config_age_s = 0.0
+
+    def admitted(self, work: Work, now: float) -> None:
+        """Note that a request may run."""
+        self._metrics.count_request(work.route.name)
+        account = "" if work.account is None else work.account.name
+        write_event(
+            events.RequestAdmitted(
+                work.request.id,
+                work.route.name,
+                account,
+                work.service,
+                work.left_s(now),
+                self.config_version,
+                self.config_age_s,
+            )
+        )
 
-    def sent(self, work: Work, send: Send, is_reused: bool, is_resumed: bool) -> None:
+    def sent(self, work: Work, send: Send, now: float, is_resumed: bool) -> None:
         """Note a send."""
-        if self._level <= logging.DEBUG or work.sends > 1:
-            self._write("Sent.", work, send=work.sends, **_seat_fields(send), resumed=is_resumed)
+        if work.sends > 1:
+            self._metrics.count_event("resumed" if is_resumed else "sent_again")
+        member = send.seat.member
+        write_event(
+            events.RequestSent(
+                work.request.id,
+                work.sends,
+                member.listing.lifetime,
+                member.listing.zone,
+                member.listing.version,
+                send.size or "",
+                send.seat.first_s,
+                member.load,
+                member.queue_s,
+                work.left_s(now),
+                is_resumed,
+            )
+        )
 
-    def failed(self, work: Work, send: Send, failure: Failure) -> None:
-        """Note a failed send."""
-        self._write("A send failed.", work, failure=repr(failure), **_seat_fields(send))
+    def failed(self, work: Work, send: Send, failure: Failure, is_last: bool) -> None:
+        """Note a failed send; it counts as a retry unless the request ends with it."""
+        reason = reason_of(failure)
+        self._metrics.count_event(f"send_failed_{reason}")
+        if not is_last:
+            self._metrics.count_retry(reason)
+        write_event(
+            events.SendFailed(
+                work.request.id,
+                send.seat.member.listing.lifetime,
+                reason,
+                repr(failure),
+                may_have_run(failure),
+            )
+        )
 
     def dropped(self, work: Work, confidence: float | None) -> None:
         """Note that a larger model is asked in place of an answer."""
-        self._write("A larger model is asked.", work, confidence=confidence, size=work.size)
+        self._metrics.count_retry("larger_model")
+        write_event(events.LargerModelAsked(work.request.id, confidence or 0.0, work.size or ""))
 
-    def ended(self, work: Work, outcome: str) -> None:
+    def first(self, work: Work, attempt: Attempt) -> None:
+        """Note the first event, or the answer of a plain service."""
+        if attempt.first_at is not None:
+            taken_s = attempt.first_at - work.arrived_at
+            self._metrics.record_latency("first", work.route.name, taken_s)
+
+    def answered(self, work: Work, status: int) -> None:
         """Note an answer that went to the caller."""
-        if self._level <= logging.DEBUG or work.sends > 1 or outcome != "whole":
-            self._write("Answered.", work, outcome=outcome, sends=work.sends)
+        took_s = boot_time() - work.arrived_at
+        self._metrics.record_latency("whole", work.route.name, took_s)
+        write_event(
+            events.RequestAnswered(work.request.id, work.route.name, status, work.sends, took_s)
+        )
+
+    def turned_away(self, request: Request, refusal: Refusal) -> None:
+        """Note a refusal before admission."""
+        self._refuse(request.id, "", refusal, 0, 0.0)
 
     def refused(self, work: Work, refusal: Refusal, is_started: bool) -> None:
         """Note a refusal, or an answer that was broken off."""
-        self._write(
-            "Broken off." if is_started else "Refused.",
-            work,
-            kind=refusal.kind.value,
-            reason=refusal.message,
-            sends=work.sends,
-            may_have_run=work.may_have_run,
+        took_s = boot_time() - work.arrived_at
+        if not is_started:
+            self._refuse(work.request.id, work.route.name, refusal, work.sends, took_s)
+            return
+        self._metrics.count_event("broken_off")
+        write_event(
+            events.AnswerBroken(
+                work.request.id,
+                work.route.name,
+                refusal.kind.value,
+                refusal.message,
+                work.sends,
+                took_s,
+                work.last_event or 0,
+            )
         )
 
-    def _write(self, text: str, work: Work, **fields: object) -> None:
-        fields |= {"request": work.request.id, "route": work.route.name}
-        self._log.info(text, extra=fields)
+    def left(self, work: Work) -> None:
+        """Note that the caller closed its connection."""
+        self._metrics.count_event("caller_left")
+        took_s = boot_time() - work.arrived_at
+        write_event(events.CallerLeft(work.request.id, work.route.name, work.sends, took_s))
 
-
-def _seat_fields(send: Send) -> dict[str, object]:
-    return {
-        "endpoint": send.seat.member.listing.lifetime,
-        "size": send.size,
-        "expected_s": round(send.seat.first_s, 3),
-        "load": round(send.seat.member.load, 2),
-    }
+    def _refuse(
+        self, request_id: str, route: str, refusal: Refusal, sends: int, took_s: float
+    ) -> None:
+        self._metrics.count_refusal(refusal.kind)
+        answer = answer_for(refusal.kind)
+        write_event(
+            events.RequestRefused(
+                request_id,
+                route,
+                refusal.kind.value,
+                refusal.message,
+                answer.status,
+                answer.not_run.value,
+                sends,
+                took_s,
+                self.config_version,
+                self.config_age_s,
+            )
+        )
--- a/poplarrun/gateway/_steward.py
+++ b/poplarrun/gateway/_steward.py
@@ -4,7 +4,7 @@
 from collections.abc import Callable
 
 from poplarrun.gateway._followers import StatusFollower
-from poplarrun.logs import part_logger
+from poplarrun.logs import events, write_event
 from poplarrun.placement import Placement
 from poplarrun.platform import (
     ROLLOUT_PREFIX,
@@ -65,7 +65,6 @@
         self._follower = StatusFollower(store, rollouts)
         self._wanted: dict[tuple[str, Verdict], float] = {}
         self._read_at = float("-inf")
-        self._log = part_logger("rollouts")
 
     async def run(self) -> None:
         """Look after the roll-outs for ever."""
@@ -103,15 +102,17 @@
                 self._rollouts.take_status(status)
             case Moved():
                 self._read_at = float("-inf")
-        self._log.info(
-            "A roll-out was judged.",
-            extra={
-                "service": order.service,
-                "target": order.target,
-                "phase": status.phase.value,
-                "seen": self._rollouts.evidence.seen(order.service, order.target),
-                "answer": type(answer).__name__,
-            },
+        tally = self._rollouts.evidence.of_version(order.service, order.target)
+        write_event(
+            events.RolloutJudged(
+                order.service,
+                order.target,
+                status.phase.value,
+                tally.ended,
+                tally.bad,
+                tally.slow,
+                type(answer).__name__,
+            )
         )
 
     def _old_in_flight(self, rollout: Rollout) -> int:
--- /dev/null
+++ b/poplarrun/logs/_events.py
@@ -0,0 +1,373 @@
+"""The closed list of what a host of the gateway writes to its log.
+
+Each event is one JSON line with the event's name, a short sentence and its fields.
+Fields never hold a key, a prompt or a body.
+"""
+
+import dataclasses
+import logging
+from collections.abc import Mapping
+from dataclasses import dataclass
+from typing import Any, ClassVar
+
+from poplarrun.logs._logs import part_logger
+
+
+@dataclass(frozen=True, slots=True)
+class Event:
+    """What a host decided or learnt.
+
+    Attributes
+    ----------
+    part : str
+        Prefix of the line.
+    text : str
+        The sentence.
+    level : int
+        Level of the line.
+    is_usual : bool
+        Whether it is left out first when there are too many lines.
+    """
+
+    part: ClassVar[str] = "host"
+    text: ClassVar[str] = ""
+    level: ClassVar[int] = logging.INFO
+    is_usual: ClassVar[bool] = False
+
+
+@dataclass(frozen=True, slots=True)
+class RequestAdmitted(Event):
+    """A request may run; by which configuration, and how old that belief is."""
+
+    part: ClassVar[str] = "request"
+    text: ClassVar[str] = "Admitted."
+    is_usual: ClassVar[bool] = True
+    request: str
+    route: str
+    account: str
+    service: str
+    left_s: float
+    config_version: int
+    config_age_s: float
+
+
+@dataclass(frozen=True, slots=True)
+class RequestSent(Event):
+    """A request went to an endpoint; what was expected of it."""
+
+    part: ClassVar[str] = "request"
+    text: ClassVar[str] = "Sent."
+    is_usual: ClassVar[bool] = True
+    request: str
+    send: int
+    endpoint: str
+    zone: str
+    version: str
+    model: str
+    expected_s: float
+    load: float
+    queue_s: float
+    left_s: float
+    is_resumed: bool
+
+
+@dataclass(frozen=True, slots=True)
+class SendFailed(Event):
+    """A send failed; whether the endpoint may have run the request."""
+
+    part: ClassVar[str] = "request"
+    text: ClassVar[str] = "A send failed."
+    request: str
+    endpoint: str
+    failure: str
+    detail: str
+    may_have_run: bool
+
+
+@dataclass(frozen=True, slots=True)
+class LargerModelAsked(Event):
+    """An answer was dropped unseen because its model doubted it."""
+
+    part: ClassVar[str] = "request"
+    text: ClassVar[str] = "A larger model is asked."
+    is_usual: ClassVar[bool] = True
+    request: str
+    confidence: float
+    model: str
+
+
+@dataclass(frozen=True, slots=True)
+class RequestAnswered(Event):
+    """The caller has a whole answer, or an endpoint's own failure."""
+
+    part: ClassVar[str] = "request"
+    text: ClassVar[str] = "Answered."
+    is_usual: ClassVar[bool] = True
+    request: str
+    route: str
+    status: int
+    sends: int
+    took_s: float
+
+
+@dataclass(frozen=True, slots=True)
+class RequestRefused(Event):
+    """The caller gets no answer, and is told whether the request has run."""
+
+    part: ClassVar[str] = "request"
+    text: ClassVar[str] = "Refused."
+    request: str
+    route: str
+    kind: str
+    reason: str
+    status: int
+    not_run: str
+    sends: int
+    took_s: float
+    config_version: int
+    config_age_s: float
+
+
+@dataclass(frozen=True, slots=True)
+class AnswerBroken(Event):
+    """An answer that had begun was broken off, visibly."""
+
+    part: ClassVar[str] = "request"
+    text: ClassVar[str] = "Broken off."
+    request: str
+    route: str
+    kind: str
+    reason: str
+    sends: int
+    took_s: float
+    last_event: int
+
+
+@dataclass(frozen=True, slots=True)
+class CallerLeft(Event):
+    """The caller closed its connection before the answer was whole."""
+
+    part: ClassVar[str] = "request"
+    text: ClassVar[str] = "The caller left."
+    request: str
+    route: str
+    sends: int
+    took_s: float
+
+
+@dataclass(frozen=True, slots=True)
+class HostStarted(Event):
+    """The host serves."""
+
+    text: ClassVar[str] = "Serving."
+    zone: str
+    callers: str
+    peers: str
+
+
+@dataclass(frozen=True, slots=True)
+class HostReady(Event):
+    """Whether callers may come has changed."""
+
+    text: ClassVar[str] = "Readiness changed."
+    is_ready: bool
+    missing: str
+
+
+@dataclass(frozen=True, slots=True)
+class HostStopping(Event):
+    """The platform asked the host to stop."""
+
+    text: ClassVar[str] = "Stopping."
+    open_requests: int
+
+
+@dataclass(frozen=True, slots=True)
+class HostStopped(Event):
+    """The host ends."""
+
+    text: ClassVar[str] = "Stopped."
+    open_requests: int
+
+
+@dataclass(frozen=True, slots=True)
+class SettingsRead(Event):
+    """The settings file was read again."""
+
+    text: ClassVar[str] = "Settings read."
+    is_changed: bool
+
+
+@dataclass(frozen=True, slots=True)
+class SettingsBad(Event):
+    """The settings file can't be used; the settings before stay in force."""
+
+    text: ClassVar[str] = "The settings are bad."
+    level: ClassVar[int] = logging.WARNING
+    lines: list[str]
+
+
+@dataclass(frozen=True, slots=True)
+class RequestCrashed(Event):
+    """A fault of ours ended a request."""
+
+    part: ClassVar[str] = "request"
+    text: ClassVar[str] = "A request crashed."
+    level: ClassVar[int] = logging.ERROR
+    error: str
+
+
+@dataclass(frozen=True, slots=True)
+class StoreLost(Event):
+    """The store does not answer this host."""
+
+    part: ClassVar[str] = "store"
+    text: ClassVar[str] = "The store does not answer."
+    level: ClassVar[int] = logging.WARNING
+    reader: str
+    reason: str
+
+
+@dataclass(frozen=True, slots=True)
+class StoreBack(Event):
+    """The store answers this host again."""
+
+    part: ClassVar[str] = "store"
+    text: ClassVar[str] = "The store answers."
+    reader: str
+    offset: int
+
+
+@dataclass(frozen=True, slots=True)
+class HistoryDropped(Event):
+    """The store no longer keeps records that were not read yet."""
+
+    part: ClassVar[str] = "store"
+    text: ClassVar[str] = "History was dropped; all is read anew."
+    reader: str
+
+
+@dataclass(frozen=True, slots=True)
+class ConfigInForce(Event):
+    """A newer configuration is in force."""
+
+    part: ClassVar[str] = "config"
+    text: ClassVar[str] = "A configuration is in force."
+    version: int
+    source: str
+
+
+@dataclass(frozen=True, slots=True)
+class DocumentIgnored(Event):
+    """A document is malformed and has no effect."""
+
+    part: ClassVar[str] = "config"
+    text: ClassVar[str] = "A document has no effect."
+    level: ClassVar[int] = logging.WARNING
+    key: str
+    reason: str
+
+
+@dataclass(frozen=True, slots=True)
+class EndpointChanged(Event):
+    """An endpoint came, started anew or leaves."""
+
+    part: ClassVar[str] = "endpoints"
+    text: ClassVar[str] = "An endpoint changed."
+    endpoint: str
+    change: str
+    service: str
+    address: str
+    version: str
+
+
+@dataclass(frozen=True, slots=True)
+class EndpointsGone(Event):
+    """Endpoints are not listed any more and get nothing new."""
+
+    part: ClassVar[str] = "endpoints"
+    text: ClassVar[str] = "An endpoint is gone."
+    endpoints: list[str]
+    reason: str
+
+
+@dataclass(frozen=True, slots=True)
+class RecordIgnored(Event):
+    """A record of the listing names no endpoint."""
+
+    part: ClassVar[str] = "endpoints"
+    text: ClassVar[str] = "A record names no endpoint."
+    level: ClassVar[int] = logging.WARNING
+    endpoint: str
+
+
+@dataclass(frozen=True, slots=True)
+class RolloutOrdered(Event):
+    """Operators ordered a roll-out."""
+
+    part: ClassVar[str] = "rollouts"
+    text: ClassVar[str] = "A roll-out is ordered."
+    service: str
+    target: str
+    duration_s: float
+
+
+@dataclass(frozen=True, slots=True)
+class RolloutJudged(Event):
+    """A phase of a roll-out was recorded, or another host was before."""
+
+    part: ClassVar[str] = "rollouts"
+    text: ClassVar[str] = "A roll-out was judged."
+    service: str
+    target: str
+    phase: str
+    seen: int
+    bad: int
+    slow: int
+    answer: str
+
+
+@dataclass(frozen=True, slots=True)
+class PeersChanged(Event):
+    """Hosts were lost or found."""
+
+    part: ClassVar[str] = "peers"
+    text: ClassVar[str] = "Peers changed."
+    lost: list[str]
+    found: list[str]
+
+
+@dataclass(frozen=True, slots=True)
+class MessageUnreadable(Event):
+    """A peer's message can't be read."""
+
+    part: ClassVar[str] = "peers"
+    text: ClassVar[str] = "A message can't be read."
+    level: ClassVar[int] = logging.WARNING
+    size: int
+
+
+@dataclass(frozen=True, slots=True)
+class LinesLeftOut(Event):
+    """Lines were left out, by event, since the last such line."""
+
+    part: ClassVar[str] = "log"
+    text: ClassVar[str] = "Lines were left out."
+    level: ClassVar[int] = logging.WARNING
+    counts: Mapping[str, int]
+
+
+EVENTS: tuple[type[Event], ...] = tuple(Event.__subclasses__())
+_LOGGERS = {event.part: part_logger(event.part) for event in EVENTS}
+_FIELDS = {event: tuple(field.name for field in dataclasses.fields(event)) for event in EVENTS}
+PLACES = 4
+
+
+def write_event(event: Event) -> None:
+    """Write one event as a line."""
+    kind = type(event)
+    fields: dict[str, Any] = {"event": kind.__name__, "is_usual": kind.is_usual}
+    for name in _FIELDS[kind]:
+        value = getattr(event, name)
+        fields[name] = round(value, PLACES) if isinstance(value, float) else value
+    _LOGGERS[kind.part].log(kind.level, kind.text, extra=fields)
--- a/poplarrun/logs/_logs.py
+++ b/poplarrun/logs/_logs.py
@@ -6,6 +6,8 @@
 
 from pythonjsonlogger.json import JsonFormatter
 
+from poplarrun.logs._writer import BoundedHandler
+
 ROOT_NAME = "poplarrun"
 LINE_FIELDS = "%(asctime)s %(levelname)s %(message)s"
 
@@ -25,11 +27,12 @@
     return _PartLogger(logging.getLogger(ROOT_NAME), {"prefix": part})
 
 
-def set_up_logs(host: str, level: int = logging.INFO) -> None:
-    """Write JSON lines to standard error, each with the host's name."""
-    handler = logging.StreamHandler()
+def set_up_logs(host: str, level: int = logging.INFO) -> BoundedHandler:
+    """Write JSON lines to standard output, each with the host's name."""
+    handler = BoundedHandler()
     handler.setFormatter(JsonFormatter(LINE_FIELDS, static_fields={"host": host}))
     logger = logging.getLogger(ROOT_NAME)
     logger.handlers = [handler]
     logger.setLevel(level)
     logger.propagate = False
+    return handler
--- a/poplarrun/rollouts/_evidence.py
+++ b/poplarrun/rollouts/_evidence.py
@@ -165,10 +165,13 @@
         """Return how many answers of all versions all hosts saw."""
         return sum(tally.ended for tally in self.merged(service).values())
 
-    def seen(self, service: str, target: str) -> int:
-        """Return how many answers of a version all hosts saw."""
-        merged = self.merged(service)
-        return sum(tally.ended for (version, _), tally in merged.items() if version == target)
+    def of_version(self, service: str, target: str) -> Tally:
+        """Return what all hosts saw of a version."""
+        whole = Tally()
+        for (version, _), tally in self.merged(service).items():
+            if version == target:
+                whole.add(tally)
+        return whole
 
 
 def _is_worse(bad: int, ended: int, old_bad: int, old_ended: int, least_share: float) -> bool:
--- a/poplarrun/rollouts/_rollouts.py
+++ b/poplarrun/rollouts/_rollouts.py
@@ -195,7 +195,7 @@
             return Verdict.ROLLED_BACK
         all_ended = self.evidence.all_ended(order.service)
         needed = max(1.0, min(FEWEST_SEEN, FEWEST_SEEN_PART * all_ended))
-        enough = self.evidence.seen(order.service, order.target) >= needed
+        enough = self.evidence.of_version(order.service, order.target).ended >= needed
         if rollout.may_shift(now) and enough:
             rollout.is_shifted = True
         if rollout.is_shifted and rollout.part(now) >= LATEST_PART:
