--- a/poplarrun/cli/_status.py
+++ b/poplarrun/cli/_status.py
@@ -2,15 +2,24 @@
 
 import json
 import time
-from dataclasses import dataclass
+from dataclasses import dataclass, field
 from typing import Annotated, Any
 from urllib.parse import quote
 
 import cappa
 import msgspec
 
-from poplarrun.cli._arguments import EXIT_FAILED, EXIT_SILENT, AsJson, HostAddresses
+from poplarrun.cli._arguments import (
+    EXIT_FAILED,
+    EXIT_INVALID,
+    EXIT_SILENT,
+    TLS_HELP,
+    AsJson,
+    HostAddresses,
+    read_addresses,
+)
 from poplarrun.cli._http import Silent, get_json
+from poplarrun.cli._story import encode_story, read_lines, render_story, tell_story
 from poplarrun.cli._views import FleetView, ask_fleet
 
 WATCH_PERIOD_S = 1.0
@@ -46,14 +55,33 @@
 
 @dataclass
 class Explain:
-    """Show why a request went where it went."""
-
-    request_id: Annotated[str, cappa.Arg(help="The X-Request-Id of its answer.")]
-    hosts: HostAddresses
+    """Show why a request went where it went: ask the hosts, or read their log lines."""
+
+    request_id: Annotated[
+        str, cappa.Arg(help="The X-Request-Id of its answer, or the id in the log lines.")
+    ]
+    hosts: Annotated[
+        list[str],
+        cappa.Arg(
+            long="--hosts",
+            num_args=1,
+            parse=read_addresses,
+            help=f"ip:port of hosts, with commas; {TLS_HELP}.",
+        ),
+    ] = field(default_factory=list)
+    logs: Annotated[
+        list[str],
+        cappa.Arg(long="--logs", num_args=-1, help="Files of log lines, - for standard input."),
+    ] = field(default_factory=list)
     json: AsJson = False
 
     def __call__(self) -> None:
-        """Ask each host until one knows the request."""
+        """Read the logs, or ask each host until one knows the request."""
+        if self.logs:
+            self._read_logs()
+            return
+        if not self.hosts:
+            raise cappa.Exit("hosts, logs: one of --hosts and --logs is needed", code=EXIT_INVALID)
         for address in self.hosts:
             found = get_json(address, f"/explain?request_id={quote(self.request_id)}")
             if not isinstance(found, Silent):
@@ -62,6 +90,15 @@
         message = f"no host that answers knows {self.request_id}; each keeps its newest 2,000"
         raise cappa.Exit(message, code=EXIT_FAILED)
 
+    def _read_logs(self) -> None:
+        try:
+            story = tell_story(self.request_id, read_lines(self.logs))
+        except OSError as error:
+            raise cappa.Exit(f"logs: {error}", code=EXIT_INVALID) from error
+        if not story.lines:
+            raise cappa.Exit(f"no line names the request {self.request_id}", code=EXIT_FAILED)
+        print(encode_story(story) if self.json else render_story(story))
+
 
 def _encode_view(view: FleetView) -> str:
     whole = {
