--- a/poplarrun/gateway/_peering.py
+++ b/poplarrun/gateway/_peering.py
@@ -130,6 +130,7 @@
             write_event(events.PeersChanged(lost, found))
             self._alive = alive
             self._placement.keep_others(alive)
+            self._placement.silent_zones = self.book.silent_zones(now)
 
     def _digest(self, now: float, echo: float, held_s: float) -> Digest:
         catalogue = self._knowledge.catalogue
--- a/poplarrun/peers/_book.py
+++ b/poplarrun/peers/_book.py
@@ -93,6 +93,12 @@
         """Return the hosts that were heard of lately."""
         return [peer for peer in self._peers.values() if now - peer.heard_at < ALIVE_S]
 
+    def silent_zones(self, now: float) -> frozenset[str]:
+        """Return the other zones that had hosts, of which none is heard any more."""
+        known = {peer.zone for peer in self._peers.values() if peer.zone}
+        heard = {peer.zone for peer in self.alive(now)}
+        return frozenset(known - heard - {self.zone})
+
     def due(self, now: float, near_s: float, far_s: float) -> list[Peer]:
         """Return the hosts that a digest should go to now.
 
--- a/poplarrun/placement/_placement.py
+++ b/poplarrun/placement/_placement.py
@@ -20,6 +20,9 @@
 PLACE_S = 0.1
 # A call to another zone: delay of both ways, and the price of the bytes, in seconds.
 FAR_S = 0.03
+# Added for an endpoint in a zone of which no host is heard any more, in seconds: the
+# zone is most likely cut off, and a send there costs the patience of a silent answer.
+SILENT_ZONE_S = 2.5
 # How far the home of a beginning is trusted to hold it while nobody told so.
 HOME_CERTAINTY = 0.5
 # Prompt tokens that an endpoint reads in a second until some were measured.
@@ -53,12 +56,18 @@
     ----------
     zone : str
         The host's own availability zone.
+
+    Attributes
+    ----------
+    silent_zones : frozenset of str
+        Zones that had hosts, of which none is heard any more.
     """
 
     def __init__(self, zone: str, source: random.Random) -> None:
         self._zone = zone
         self._random = source
         self._members: dict[str, Member] = {}
+        self.silent_zones: frozenset[str] = frozenset()
         self._others: dict[str, dict[str, tuple[int, float]]] = {}
         self._speeds: dict[tuple[str, str], PoolSpeed] = {}
 
@@ -178,7 +187,10 @@
         return Seat(member, 0.0, first_s + self._far_s(member), 0)
 
     def _far_s(self, member: Member) -> float:
-        return 0.0 if member.listing.zone == self._zone else FAR_S
+        zone = member.listing.zone
+        if zone == self._zone:
+            return 0.0
+        return FAR_S + (SILENT_ZONE_S if zone in self.silent_zones else 0.0)
 
 
 def _first(seat: Seat) -> float:
