Judge versions by answers under way as well, and move traffic in two steps

Ruled out: the trial's share (10%) alone. Change: open answers that take much longer than usual count as slow; usual times are geometric means; a third of the sessions moves first. Test: gateway_decisions, fails before. Also: a whole answer is one write (a test read its parts as two answers).

--- a/features/gateway_decisions.feature
+++ b/features/gateway_decisions.feature
@@ -104,6 +104,13 @@
     Given usual answers of 0.2 s, and 8 of 20 new ones of 1.6 s
     Then the new version is judged bad
 
+  Scenario: A version is judged by answers that have not ended yet
+    # The answers of the new version that end are its fast ones; the slow ones take
+    # eight times as long and are still under way when the version would be trusted.
+    Given a dispatch whose endpoints usually begin after 0.1 s
+    When 6 of 12 answers of the version on trial have not begun after 0.9 s
+    Then the new version is judged bad although none of its answers failed
+
   Scenario: A good version is not judged bad by as many failures as the old one has
     Given 4 bad of 30 new answers and 30 bad of 250 old ones
     Then the new version is judged good
--- a/features/steps/gateway.py
+++ b/features/steps/gateway.py
@@ -58,6 +58,18 @@
     connection.sendall(head.encode())
 
 
+def read_status(connection):
+    """Read one whole answer of a kept connection and return its status."""
+    received = b""
+    while b"\r\n\r\n" not in received:
+        received += connection.recv(65536)
+    head, _, body = received.partition(b"\r\n\r\n")
+    length = int(re.search(rb"(?i)content-length: (\d+)", head).group(1))
+    while len(body) < length:
+        body += connection.recv(65536)
+    return int(head.split(b" ", 2)[1])
+
+
 def draft(context, **headers):
     context.answer = context.installation.call("/draft/brief", X_Model="*", **headers)
     return context.answer
@@ -172,7 +184,7 @@
 def step_revoke(context, key):
     installation = context.installation
     context.connection = open_raw(context, "/order/ring", key)
-    assert b" 200 " in context.connection.recv(65536).split(b"\r\n")[0]
+    assert read_status(context.connection) == 200
     installation.config["tenants"][0]["apiKeys"].remove(key)
     installation.publish()
     text = f'"version": {installation.config["version"]}'
@@ -183,7 +195,7 @@
 
 @then("the caller's next request is answered with 401 and no endpoint saw it")
 def step_revoked(context):
-    assert b" 401 " in context.connection.recv(65536).split(b"\r\n")[0]
+    assert read_status(context.connection) == 401
     assert len(context.installation.runners["stock-1"].seen) == context.before
     context.connection.close()
 
--- a/features/steps/gateway_decisions.py
+++ b/features/steps/gateway_decisions.py
@@ -418,7 +418,44 @@
         context.evidence.note(("engines", "v2", "a"), False, times, True)
 
 
-@then("the new version is judged {judgement}")
+@given("a dispatch whose endpoints usually begin after {usual:f} s")
+def step_usual(context, usual):
+    knowledge = Knowledge(None)
+    knowledge.take(make_catalogue())
+    knowledge.confirm(100.0)
+    context.dispatch = make_dispatch(knowledge)
+    context.dispatch.placement.update([make_listing("old"), make_listing("new", "v2")])
+    for number in range(40):
+        send_to(context, "old", number, 100.0, 100.0 + usual)
+
+
+def send_to(context, name, number, sent_at, first_at=None):
+    dispatch = context.dispatch
+    work = dispatch.admit(make_request(number=number), sent_at)
+    seat = Seat(dispatch.placement.find(name), 0.0, 0.1, 0)
+    attempt = dispatch.note_sent(work, Send(seat, "small", 3), sent_at)
+    if first_at is not None:
+        dispatch.note_first(work, attempt, first_at)
+        dispatch.note_end(work, attempt, first_at)
+
+
+@when("{slow:d} of {count:d} answers of the version on trial have not begun after {late:f} s")
+def step_not_begun(context, slow, count, late):
+    context.dispatch.rollouts.take_order(RolloutOrder("engines", "v2", 20.0, 7), 101.0)
+    for number in range(count):
+        first_at = None if number < slow else 102.1
+        send_to(context, "new", 100 + number, 102.0, first_at)
+    context.dispatch.judge_open(102.0 + late)
+
+
+@then("the new version is judged bad although none of its answers failed")
+def step_judged_open(context):
+    evidence = context.dispatch.rollouts.evidence
+    assert evidence.of_version("engines", "v2").bad == 0
+    assert evidence.is_bad("engines", "v2"), evidence.own
+
+
+@then("the new version is judged {judgement:w}")
 def step_judged(context, judgement):
     assert context.evidence.is_bad("engines", "v2") == (judgement == "bad")
 
--- a/poplarrun/dispatch/_dispatch.py
+++ b/poplarrun/dispatch/_dispatch.py
@@ -83,6 +83,7 @@
         self.earned = earned
         self.allowance = allowance
         self._budgets: dict[str, RetryBudget] = {}
+        self._open: dict[Attempt, Work] = {}
 
     def admit(self, request: Request, now: float) -> Work | Refusal:
         """Find a new request's route, account and service, or refuse it."""
@@ -157,7 +158,9 @@
         member.pending_s += send.seat.read_s
         if send.size is not None:
             member.remember(send.size, work.request.parts, now)
-        return Attempt(send.seat, send.size, now)
+        attempt = Attempt(send.seat, send.size, now)
+        self._open[attempt] = work
+        return attempt
 
     def ask_larger(
         self, work: Work, attempt: Attempt, confidence: float | None, now: float
@@ -185,7 +188,7 @@
         budget.take()
         self._leave(attempt)
         attempt.first_at = now
-        self._note_evidence(work, attempt, False)
+        self._note_evidence(work, attempt, False, attempt.times(now))
         work.runs += 1
         work.may_have_run = True
         work.size = largest
@@ -207,7 +210,7 @@
         """Note that an answer is whole."""
         self._leave(attempt)
         attempt.seat.member.note_good()
-        self._note_evidence(work, attempt, False, now)
+        self._note_evidence(work, attempt, False, attempt.times(now))
         self.rollouts.note_end(work, attempt.seat.member.listing.version, now)
 
     def note_abandoned(self, attempt: Attempt) -> None:
@@ -280,22 +283,34 @@
 
     def _note_bad(self, work: Work, attempt: Attempt | None) -> None:
         if attempt is not None:
-            self._note_evidence(work, attempt, True)
+            self._note_evidence(work, attempt, True, Times())
 
-    def _note_evidence(
-        self, work: Work, attempt: Attempt, is_bad: bool, ended_at: float | None = None
-    ) -> None:
+    def judge_open(self, now: float) -> None:
+        """Count answers under way that take much too long already.
+
+        Those that end first are the fast ones. A version that takes eight times as
+        long would look good until it has had many more requests than it may.
+        """
+        for attempt, work in list(self._open.items()):
+            if attempt.is_judged:
+                continue
+            kind = _kind_of(work, attempt)
+            times = attempt.times(now, is_ended=False)
+            if self.rollouts.evidence.is_slow(work.service, kind, times):
+                self._note_evidence(work, attempt, False, times)
+
+    def _note_evidence(self, work: Work, attempt: Attempt, is_bad: bool, times: Times) -> None:
+        if attempt.is_judged:
+            return
+        attempt.is_judged = True
         rollout = self.rollouts.find(work.service)
         version = attempt.seat.member.listing.version
         is_trial = rollout is not None and rollout.is_open and version == rollout.order.target
-        first_s = None if attempt.first_at is None else attempt.first_at - attempt.sent_at
-        pace_s = None
-        if ended_at is not None and attempt.first_at is not None and attempt.events > 1:
-            pace_s = (ended_at - attempt.first_at) / (attempt.events - 1)
-        key = (work.service, version, f"{work.route.name}/{attempt.size or ''}")
-        self.rollouts.evidence.note(key, is_bad, Times(first_s, pace_s), is_trial)
+        key = (work.service, version, _kind_of(work, attempt))
+        self.rollouts.evidence.note(key, is_bad, times, is_trial)
 
     def _leave(self, attempt: Attempt) -> None:
+        self._open.pop(attempt, None)
         member = attempt.seat.member
         member.in_flight = max(0, member.in_flight - 1)
         if attempt.first_at is None:
@@ -322,5 +337,9 @@
         return Refusal(kind, text, retry_after_s=retry_after_s)
 
 
+def _kind_of(work: Work, attempt: Attempt) -> str:
+    return f"{work.route.name}/{attempt.size or ''}"
+
+
 def _point(text: str) -> float:
     return zlib.crc32(text.encode()) / 2.0**32
--- a/poplarrun/dispatch/_failures.py
+++ b/poplarrun/dispatch/_failures.py
@@ -3,6 +3,10 @@
 from dataclasses import dataclass
 
 from poplarrun.placement import Seat
+from poplarrun.rollouts import Times
+
+# Events of which the mean pause tells the pace of an answer.
+FEWEST_PACED = 3
 
 
 @dataclass(frozen=True, slots=True)
@@ -81,7 +85,7 @@
             return "too_long"
 
 
-@dataclass(slots=True)
+@dataclass(eq=False, slots=True)
 class Attempt:
     """One send of a request.
 
@@ -93,6 +97,8 @@
         When the first event came, or the answer of a plain service.
     events : int
         Events so far.
+    is_judged : bool
+        Whether it counts already as evidence of its version.
     """
 
     seat: Seat
@@ -100,3 +106,16 @@
     sent_at: float
     first_at: float | None = None
     events: int = 0
+    is_judged: bool = False
+
+    def times(self, now: float, is_ended: bool = True) -> Times:
+        """Return how long the answer took, or has taken so far.
+
+        The first pause after the start of an answer under way says little of its pace.
+        """
+        if self.first_at is None:
+            return Times(None if is_ended else now - self.sent_at)
+        pace_s = None
+        if self.events >= FEWEST_PACED:
+            pace_s = (now - self.first_at) / (self.events - 1 if is_ended else self.events)
+        return Times(self.first_at - self.sent_at, pace_s)
--- a/poplarrun/gateway/_host.py
+++ b/poplarrun/gateway/_host.py
@@ -108,6 +108,7 @@
             self._placement,
             self._peering.turn,
             self._peering.others_in_flight,
+            self._dispatch.judge_open,
         )
         self._open = 0
         self._is_closed = False
--- a/poplarrun/gateway/_peering.py
+++ b/poplarrun/gateway/_peering.py
@@ -216,7 +216,8 @@
             rollout = self._rollouts.find(news.service)
             if rollout is None or rollout.order.offset != news.offset:
                 continue
-            rollout.is_shifted = rollout.is_shifted or news.is_shifted
+            if news.is_shifted:
+                rollout.shift(now)
             if news.phase:
                 phase = RolloutPhase(news.phase)
                 self._rollouts.take_status(RolloutStatus(news.service, news.target, phase))
--- a/poplarrun/gateway/_steward.py
+++ b/poplarrun/gateway/_steward.py
@@ -47,6 +47,8 @@
         How many hosts are before this one in line.
     others_in_flight : callable
         Requests of the other hosts on all versions of a service but the target.
+    judge_open : callable
+        Counts answers under way that take much too long already.
     """
 
     def __init__(
@@ -56,12 +58,14 @@
         placement: Placement,
         turn: Callable[[str], int],
         others_in_flight: Callable[[str, str], int],
+        judge_open: Callable[[float], None],
     ) -> None:
         self._store = store
         self._rollouts = rollouts
         self._placement = placement
         self._turn = turn
         self._others_in_flight = others_in_flight
+        self._judge_open = judge_open
         self._follower = StatusFollower(store, rollouts)
         self._wanted: dict[tuple[str, Verdict], float] = {}
         self._read_at = float("-inf")
@@ -69,6 +73,8 @@
     async def run(self) -> None:
         """Look after the roll-outs for ever."""
         while True:
+            if self._rollouts.active():
+                self._judge_open(boot_time())
             for rollout in self._rollouts.active():
                 await self._look_after(rollout)
             await asyncio.sleep(PERIOD_S)
--- a/poplarrun/rollouts/_evidence.py
+++ b/poplarrun/rollouts/_evidence.py
@@ -18,6 +18,8 @@
 # Answers before a usual time is known, and the weight of each one after that.
 FEWEST_TIMES = 5
 USUAL_WEIGHT = 0.05
+# Shorter times than this count as this, in seconds.
+LEAST_TIME_S = 0.001
 # Share of slow answers that a good version may have under load.
 MOST_SLOW_SHARE = 0.08
 
@@ -40,30 +42,40 @@
 
 @dataclass(slots=True)
 class Usual:
-    """The mean times of the versions that are not on trial."""
+    """The geometric mean times of the versions that are not on trial.
+
+    A few answers behind long queues take a hundred times as long as the others. In an
+    arithmetic mean they would hide a version that takes eight times as long.
+    """
 
     count: int = 0
-    first_s: float = 0.0
-    pace_s: float = 0.0
+    paced: int = 0
+    _log_first: float = 0.0
+    _log_pace: float = 0.0
 
     def learn(self, times: Times) -> None:
         """Take in the times of an answer."""
-        if times.first_s is None:
-            return
-        self.count += 1
-        weight = max(USUAL_WEIGHT, 1.0 / self.count)
-        self.first_s += weight * (times.first_s - self.first_s)
+        if times.first_s is not None:
+            self.count += 1
+            weight = max(USUAL_WEIGHT, 1.0 / self.count)
+            self._log_first += weight * (_log(times.first_s) - self._log_first)
         if times.pace_s is not None:
-            self.pace_s += weight * (times.pace_s - self.pace_s)
+            self.paced += 1
+            weight = max(USUAL_WEIGHT, 1.0 / self.paced)
+            self._log_pace += weight * (_log(times.pace_s) - self._log_pace)
 
     def is_slow(self, times: Times) -> bool:
-        """Tell whether an answer took much longer than usual."""
-        if self.count < FEWEST_TIMES:
-            return False
-        if times.first_s is not None and times.first_s > SLOW_FIRST_TIMES * self.first_s:
-            return True
-        known = self.pace_s > 0.0 and times.pace_s is not None
-        return known and (times.pace_s or 0.0) > SLOW_PACE_TIMES * self.pace_s
+        """Tell whether an answer takes much longer than usual."""
+        is_first_slow = is_pace_slow = False
+        if times.first_s is not None and self.count >= FEWEST_TIMES:
+            is_first_slow = times.first_s > SLOW_FIRST_TIMES * math.exp(self._log_first)
+        if times.pace_s is not None and self.paced >= FEWEST_TIMES:
+            is_pace_slow = times.pace_s > SLOW_PACE_TIMES * math.exp(self._log_pace)
+        return is_first_slow or is_pace_slow
+
+
+def _log(seconds: float) -> float:
+    return math.log(max(LEAST_TIME_S, seconds))
 
 
 @dataclass(slots=True)
@@ -124,6 +136,11 @@
         if not is_trial:
             usual.learn(times)
 
+    def is_slow(self, service: str, kind: str, times: Times) -> bool:
+        """Tell whether an answer that has taken so long is slow already."""
+        usual = self._usual.get((service, kind))
+        return usual is not None and usual.is_slow(times)
+
     def take(self, host: str, tallies: dict[TallyKey, Tally]) -> None:
         """Take over another host's tallies in place of its last ones."""
         self._others[host] = tallies
--- a/poplarrun/rollouts/_rollouts.py
+++ b/poplarrun/rollouts/_rollouts.py
@@ -15,6 +15,11 @@
 # Part of the order's time for the trial. Sessions may change to the new version
 # only in the second half.
 TRIAL_PART = 0.5
+# Share of the sessions that a version gets first once it has passed its trial, and
+# the part of the order's time for that: a version that is bad only under load shows
+# itself before it has all traffic.
+SHIFT_SHARE = 0.35
+SHIFT_PART = 0.1
 # Answers without which a version isn't trusted with all traffic.
 FEWEST_SEEN = 8
 # The same as a part of all answers, where there are few.
@@ -56,6 +61,20 @@
     begun_at: float
     recorded: RolloutPhase | None = None
     is_shifted: bool = False
+    shifted_at: float | None = None
+
+    def shift(self, now: float) -> None:
+        """Begin to move sessions to the new version."""
+        self.is_shifted = True
+        if self.shifted_at is None:
+            self.shifted_at = now
+
+    def share(self, now: float) -> float:
+        """Return the share of the sessions that the new version gets."""
+        if self.shifted_at is None:
+            return TRIAL_SHARE
+        is_first = now - self.shifted_at < SHIFT_PART * self.order.duration_s
+        return SHIFT_SHARE if is_first else 1.0
 
     @property
     def is_open(self) -> bool:
@@ -156,17 +175,15 @@
                 return frozenset((target,)), None
             case RolloutPhase.ROLLED_BACK:
                 return None, target
-        if rollout.is_shifted:
-            return frozenset((target,)), None
         if work.runs and work.last_event is None and work.version == target:
             # What failed on the version on trial is not tried there once more.
             return None, target
         session = self._session(work)
         known = self._sessions.get(session)
-        if known is not None and now - known.ended_at < self.session_s:
+        is_kept = known is not None and now - known.ended_at < self.session_s
+        is_new = _point(session[1]) < rollout.share(now)
+        if known is not None and is_kept and not rollout.is_shifted:
             is_new = known.version == target
-        else:
-            is_new = _point(session[1]) < TRIAL_SHARE
         return (frozenset((target,)), None) if is_new else (None, target)
 
     def note_end(self, work: Work, version: str, now: float) -> None:
@@ -197,7 +214,7 @@
         needed = max(1.0, min(FEWEST_SEEN, FEWEST_SEEN_PART * all_ended))
         enough = self.evidence.of_version(order.service, order.target).ended >= needed
         if rollout.may_shift(now) and enough:
-            rollout.is_shifted = True
+            rollout.shift(now)
         if rollout.is_shifted and rollout.part(now) >= LATEST_PART:
             return Verdict.COMPLETED
         if rollout.part(now) >= 1.0:
--- a/poplarrun/transport/_server.py
+++ b/poplarrun/transport/_server.py
@@ -126,16 +126,21 @@
         return self._task is None and not self._has_part
 
     def respond(self, status: int, headers: list[tuple[bytes, bytes]], body: bytes) -> None:
-        """Send a whole answer."""
+        """Send a whole answer, in one write."""
         sized = [*headers, (b"Content-Length", str(len(body)).encode())]
-        if self._start(status, sized):
-            if body:
-                self._write(h11.Data(data=body))
-            self.finish()
+        head = self._head_bytes(status, sized)
+        if head is None:
+            return
+        data = head + (self._machine.send(h11.Data(data=body)) or b"")
+        data += self._machine.send(h11.EndOfMessage()) or b""
+        self._write_bytes(data)
+        self._close_if_last()
 
     def start_stream(self, status: int, headers: list[tuple[bytes, bytes]]) -> None:
         """Send the head of an answer whose length nobody knows yet."""
-        self._start(status, [*headers, (b"Transfer-Encoding", b"chunked")])
+        head = self._head_bytes(status, [*headers, (b"Transfer-Encoding", b"chunked")])
+        if head is not None:
+            self._write_bytes(head)
 
     async def push(self, data: bytes) -> None:
         """Send a part of a stream, once the caller has read enough of what came before."""
@@ -145,8 +150,7 @@
     def finish(self) -> None:
         """End an answer in full."""
         self._write(h11.EndOfMessage())
-        if self._is_closing or self._machine.our_state is h11.MUST_CLOSE:
-            self.close()
+        self._close_if_last()
 
     def break_off(self) -> None:
         """End an answer so that the caller sees that it is not whole."""
@@ -157,21 +161,26 @@
         if self._transport is not None and not self._transport.is_closing():
             self._transport.close()
 
-    def _start(self, status: int, headers: list[tuple[bytes, bytes]]) -> bool:
+    def _head_bytes(self, status: int, headers: list[tuple[bytes, bytes]]) -> bytes | None:
         if self._transport is None or self._transport.is_closing():
-            return False
+            return None
         if self._server.is_stopping or self._is_closing:
             self._is_closing = True
             headers = [*headers, (b"Connection", b"close")]
-        # Headers of an endpoint's answer may hold what the library refuses to send.
-        self._write(h11.Response(status_code=status, headers=headers, reason=b""))
-        return True
+        head = h11.Response(status_code=status, headers=headers, reason=b"")
+        return self._machine.send(head) or b""
+
+    def _close_if_last(self) -> None:
+        if self._is_closing or self._machine.our_state is h11.MUST_CLOSE:
+            self.close()
 
     def _write(self, event: h11.Event) -> None:
         if self._transport is None or self._transport.is_closing():
             return
-        data = self._machine.send(event)
-        if data:
+        self._write_bytes(self._machine.send(event) or b"")
+
+    def _write_bytes(self, data: bytes) -> None:
+        if data and self._transport is not None and not self._transport.is_closing():
             self._transport.write(data)
 
     def _read_request(self) -> None:
