--- a/examples/demo.py
+++ b/examples/demo.py
@@ -10,6 +10,7 @@
 import openai
 import urllib3
 
+from examples.installation import run_installation
 from standins.fleet import EnginePlan, Fleet, HostProcess, ServicePlan, wait_until
 
 EXAMPLES = Path(__file__).resolve().parent
@@ -324,6 +325,7 @@
         run_demo(fleet, account)
         if "--stay-up" in sys.argv:
             stay_up(fleet)
+    run_installation(account.check)
     account.say("all promises held" if not account.broken else f"broken: {account.broken}")
     return 1 if account.broken else 0
 
--- a/features/documents.feature
+++ b/features/documents.feature
@@ -39,3 +39,8 @@
     Given code that counts "a_new_event" and "some_family_" with an ending
     When it is compared with the page
     Then the page lacks "a_new_event, some_family_*"
+
+  Scenario: The platform's names stand in its adapter alone
+    # A name of the platform's pages outside the adapter would make each change of the
+    # pages a change of the decisions.
+    Then no name on the platform's wire stands in poplarrun/ outside poplarrun/platform/
--- a/features/gateway.feature
+++ b/features/gateway.feature
@@ -79,6 +79,11 @@
     Then the log tells "The settings are bad."
     And a call of "/lookup/ring" is answered with 200
 
+  Scenario: A settings file that changes without a signal is read again
+    When the settings file is spoilt without a signal
+    Then the log tells "The settings are bad."
+    And a call of "/lookup/ring" is answered with 200
+
   Scenario: A good version is rolled out and recorded
     Given an endpoint "engine-2" of the version "v2"
     When the operators order "v2" within 4 s, and callers ask for drafts meanwhile
--- a/features/gateway_decisions.feature
+++ b/features/gateway_decisions.feature
@@ -15,6 +15,13 @@
     When a keyed request is admitted at 100.5 and its host is suspended until 105.5
     Then it may not be sent, and the refusal says "not run"
 
+  Scenario: A stream that has begun goes on in a zone that is cut off
+    # Its zone is cut off and its endpoint lost. The key held when the request came, so
+    # it goes on at another endpoint although new requests are refused by now.
+    Given a dispatch whose configuration was confirmed at 100.0 and keys bound by 5.0 s
+    When a keyed request was sent at 100.5 and its endpoint breaks at 105.0
+    Then it is sent again, and a new request is refused with "not_ready" at 105.0
+
   Scenario: A key taken away while a request waits for its connection
     Given a dispatch whose configuration was confirmed at 100.0 and keys bound by 5.0 s
     When a keyed request is admitted at 100.5 and its key is taken away
--- a/features/steps/documents.py
+++ b/features/steps/documents.py
@@ -95,3 +95,24 @@
 @then('the page lacks "{names}"')
 def step_lacking(context, names):
     assert context.lacking == names.split(", "), context.lacking
+
+
+@then("no name on the platform's wire stands in poplarrun/ outside poplarrun/platform/")
+def step_wire_names(context):
+    from poplarrun.platform import _names
+
+    values = [value for name, value in vars(_names).items() if name.isupper()]
+    headers = {value for value in values if isinstance(value, str) and "-" in value}
+    headers |= {name.decode() for name in _names.SYSTEM_HEADERS} | {"pathPrefix", "apiKeys"}
+    # Standard names of HTTP belong to everybody, and topics are reached by constants.
+    headers -= {"authorization"}
+    assert len(headers) > 12
+    words = re.compile("|".join(re.escape(header) for header in sorted(headers)), re.IGNORECASE)
+    package = ROOT / "poplarrun"
+    found = [
+        f"{path.relative_to(ROOT)}: {match.group(0)}"
+        for path in package.rglob("*.py")
+        if package / "platform" not in path.parents
+        for match in words.finditer(path.read_text())
+    ]
+    assert not found, found
--- a/features/steps/gateway.py
+++ b/features/steps/gateway.py
@@ -315,6 +315,11 @@
     context.installation.signal_host(0, "SIGHUP")
 
 
+@when("the settings file is spoilt without a signal")
+def step_spoilt_silently(context):
+    context.installation.spoil_settings()
+
+
 @then('the log tells "{text}"')
 def step_log(context, text):
     context.installation.wait_for(lambda: text in context.installation.log_of(), text)
--- a/features/steps/gateway_decisions.py
+++ b/features/steps/gateway_decisions.py
@@ -111,6 +111,23 @@
     context.refusal = context.dispatch.recheck(context.work, until)
 
 
+@when("a keyed request was sent at {at:f} and its endpoint breaks at {broken:f}")
+def step_sent_and_broken(context, at, broken):
+    step_admitted(context, at)
+    dispatch, work = context.dispatch, context.work
+    step = dispatch.choose(work, at)
+    attempt = dispatch.note_sent(work, step, at)
+    failure = ConnectionBroke("reset")
+    assert dispatch.note_failure(work, step.seat.member, attempt, failure, broken) is None
+    context.broken_at = broken
+
+
+@then('it is sent again, and a new request is refused with "{kind}" at {at:f}')
+def step_sent_again(context, kind, at):
+    assert isinstance(context.dispatch.choose(context.work, context.broken_at), Send)
+    step_refused(context, kind, at)
+
+
 @when("a keyed request is admitted at {at:f} and its key is taken away")
 def step_key_gone(context, at):
     step_admitted(context, at)
--- a/poplarrun/dispatch/_dispatch.py
+++ b/poplarrun/dispatch/_dispatch.py
@@ -121,7 +121,10 @@
         if work.account is None:
             return None
         catalogue = self.knowledge.catalogue
-        if catalogue is None or not self.knowledge.may_use_keys(now):
+        # A request that has begun goes on: its key held when it came, and the bound is
+        # on requests that come later. Only a key that is known to be gone ends it.
+        is_old = work.sends == 0 and not self.knowledge.may_use_keys(now)
+        if catalogue is None or is_old:
             return self._give_up(work, ErrorKind.NOT_READY, "keys are old")
         if catalogue.find_account(work.request.api_key) != work.account:
             return self._give_up(work, ErrorKind.UNAUTHENTICATED, "the key was taken away")
--- a/poplarrun/gateway/_followers.py
+++ b/poplarrun/gateway/_followers.py
@@ -32,10 +32,10 @@
 # How long the store holds a read of the operators' documents back, in seconds. A
 # change is told at once; the wait bounds how long a connection that fell silent goes
 # unnoticed, and must leave several tries within the bound on the age of keys.
-DOCUMENT_WAIT_S = 1.2
+DOCUMENT_WAIT_S = 1.6
 # Pause between two reads of the listed endpoints, in seconds. They must be heard of
 # within 2 s when they leave, and each read is paid for.
-LISTING_PERIOD_S = 0.5
+LISTING_PERIOD_S = 0.8
 # Pause after a failed call, in seconds: long enough not to press a busy store.
 FAILED_PAUSE_S = 0.25
 # Calls that failed for longer than this are an outage, in which endpoints' records
--- a/poplarrun/gateway/_peering.py
+++ b/poplarrun/gateway/_peering.py
@@ -35,7 +35,7 @@
 ROUND_S = 0.2
 # Where this host can't read the listed endpoints itself for so long, it asks a peer
 # that has read them, in seconds.
-OLD_LISTING_S = 1.5
+OLD_LISTING_S = 1.8
 ASK_PERIOD_S = 0.5
 # Pauses between two writings of the own address until one succeeds, and between two
 # readings of all addresses, in seconds.
