Judge versions by their mean pace; keep a cascade in the version that it began in

Change: failures are counted apart from runs; the mean log pace of 8 answers against the usual one. Tests: two in gateway_decisions, failing before.

--- a/features/gateway_decisions.feature
+++ b/features/gateway_decisions.feature
@@ -118,6 +118,18 @@
     When 6 of 12 answers of the version on trial have not begun after 0.9 s
     Then the new version is judged bad although none of its answers failed
 
+  Scenario: A version whose answers drip is bad, although they begin in time
+    Given usual answers of 0.02 s an event
+    When 6 of 10 answers of the new version take 0.16 s an event
+    Then the new version is judged bad
+
+  Scenario: A cascade stays in the version that it began in
+    # A session is on the new version, and its small model doubts the answer. The larger
+    # model is asked in the same version; the old one would break the session's promise.
+    Given a roll-out of 20 s ordered at 100.0 and 0 sessions on the old version
+    When a request on the new version is asked of a larger model
+    Then its next send goes to the new version, and after a failure to the old one
+
   Scenario: A good version is not judged bad by as many failures as the old one has
     Given 4 bad of 30 new answers and 30 bad of 250 old ones
     Then the new version is judged good
--- a/features/steps/gateway_decisions.py
+++ b/features/steps/gateway_decisions.py
@@ -472,6 +472,37 @@
     assert evidence.is_bad("engines", "v2"), evidence.own
 
 
+@given("usual answers of {pace:f} s an event")
+def step_usual_pace(context, pace):
+    context.evidence = Evidence()
+    context.pace = pace
+    for _ in range(50):
+        context.evidence.note(("engines", "v1", "a"), False, Times(0.1, pace), False)
+
+
+@when("{slow:d} of {count:d} answers of the new version take {pace:f} s an event")
+def step_dripping(context, slow, count, pace):
+    for number in range(count):
+        times = Times(0.1, pace if number < slow else context.pace)
+        context.evidence.note(("engines", "v2", "a"), False, times, True)
+
+
+@when("a request on the new version is asked of a larger model")
+def step_cascade(context):
+    for number in range(100):
+        context.work = make_work(number=number)
+        if context.rollouts.pick_version(context.work, 101.0)[0] == {"v2"}:
+            break
+    context.work.version, context.work.runs = "v2", 1
+
+
+@then("its next send goes to the new version, and after a failure to the old one")
+def step_stays(context):
+    assert context.rollouts.pick_version(context.work, 101.0)[0] == {"v2"}
+    context.work.failures = 1
+    assert context.rollouts.pick_version(context.work, 101.0) == (None, "v2")
+
+
 @then("the new version is judged {judgement:w}")
 def step_judged(context, judgement):
     assert context.evidence.is_bad("engines", "v2") == (judgement == "bad")
--- a/poplarrun/dispatch/_dispatch.py
+++ b/poplarrun/dispatch/_dispatch.py
@@ -37,6 +37,8 @@
 RETRY_KNOWLEDGE_S = 0.5
 # Part of the budget of second sends that larger models leave for failures.
 KEPT_FOR_FAILURES = 0.5
+# Events of an answer under way after which its pace is known well enough.
+EVENTS_JUDGED = 6
 # Urgency at an endpoint of the highest rank; each rank below adds one.
 FIRST_URGENCY = 2
 
@@ -248,6 +250,7 @@
                 self._note_bad(work, attempt)
         if may_have_run(failure):
             work.runs += 1
+            work.failures += 1
             work.may_have_run = True
         return self._may_go_on(work, failure, now)
 
@@ -289,7 +292,7 @@
             self._note_evidence(work, attempt, True, Times())
 
     def judge_open(self, now: float) -> None:
-        """Count answers under way that take much too long already.
+        """Count answers under way whose pace is known, or that take much too long already.
 
         Those that end first are the fast ones. A version that takes eight times as
         long would look good until it has had many more requests than it may.
@@ -299,17 +302,20 @@
                 continue
             kind = _kind_of(work, attempt)
             times = attempt.times(now, is_ended=False)
-            if self.rollouts.evidence.is_slow(work.service, kind, times):
+            is_slow = self.rollouts.evidence.is_slow(work.service, kind, times)
+            if is_slow or attempt.events >= EVENTS_JUDGED:
                 self._note_evidence(work, attempt, False, times)
 
     def _note_evidence(self, work: Work, attempt: Attempt, is_bad: bool, times: Times) -> None:
+        version = attempt.seat.member.listing.version
+        key = (work.service, version, _kind_of(work, attempt))
         if attempt.is_judged:
+            if is_bad:
+                self.rollouts.evidence.note_late_failure(key)
             return
         attempt.is_judged = True
         rollout = self.rollouts.find(work.service)
-        version = attempt.seat.member.listing.version
         is_trial = rollout is not None and rollout.is_open and version == rollout.order.target
-        key = (work.service, version, _kind_of(work, attempt))
         self.rollouts.evidence.note(key, is_bad, times, is_trial)
 
     def _leave(self, attempt: Attempt) -> None:
--- a/poplarrun/gateway/_peering.py
+++ b/poplarrun/gateway/_peering.py
@@ -173,7 +173,9 @@
     def _tally_news(self) -> list[TallyNews]:
         active = {rollout.order.service for rollout in self._rollouts.active()}
         return [
-            TallyNews(*key, tally.ended, tally.bad, tally.slow)
+            TallyNews(
+                *key, tally.ended, tally.bad, tally.slow, tally.paced, round(tally.log_pace, 2)
+            )
             for key, tally in self._rollouts.evidence.own.items()
             if key[0] in active
         ]
@@ -222,7 +224,9 @@
                 phase = RolloutPhase(news.phase)
                 self._rollouts.take_status(RolloutStatus(news.service, news.target, phase))
         tallies = {
-            (news.service, news.version, news.kind): Tally(news.ended, news.bad, news.slow)
+            (news.service, news.version, news.kind): Tally(
+                news.ended, news.bad, news.slow, news.paced, news.log_pace
+            )
             for news in digest.tallies
         }
         self._rollouts.evidence.take(digest.address, tallies)
--- a/poplarrun/peers/_messages.py
+++ b/poplarrun/peers/_messages.py
@@ -48,6 +48,8 @@
     ended: int
     bad: int
     slow: int
+    paced: int
+    log_pace: float
 
 
 class Digest(msgspec.Struct, frozen=True, array_like=True, tag=1):
--- a/poplarrun/rollouts/_evidence.py
+++ b/poplarrun/rollouts/_evidence.py
@@ -18,6 +18,11 @@
 # Answers before a usual time is known, and the weight of each one after that.
 FEWEST_TIMES = 5
 USUAL_WEIGHT = 0.05
+# A version is slow as well when the seconds an event of so many answers are on
+# average so many times the usual: of answers that take eight times as long, half are
+# enough, and neither queues nor cold memory change the pace so much.
+FEWEST_PACES = 8
+SLOW_MEAN_TIMES = 1.9
 # Shorter times than this count as this, in seconds.
 LEAST_TIME_S = 0.001
 # Share of slow answers that a good version may have under load.
@@ -64,6 +69,12 @@
             weight = max(USUAL_WEIGHT, 1.0 / self.paced)
             self._log_pace += weight * (_log(times.pace_s) - self._log_pace)
 
+    def log_pace_ratio(self, times: Times) -> float | None:
+        """Return the logarithm of an answer's pace in units of the usual one."""
+        if times.pace_s is None or self.paced < FEWEST_TIMES:
+            return None
+        return _log(times.pace_s) - self._log_pace
+
     def is_slow(self, times: Times) -> bool:
         """Tell whether an answer takes much longer than usual."""
         is_first_slow = is_pace_slow = False
@@ -86,17 +97,32 @@
     ----------
     ended, bad, slow : int
         Answers, those that failed, and those that came much too late.
+    paced : int
+        Answers whose pace is compared with the usual one.
+    log_pace : float
+        Sum of the logarithms of their ratios.
     """
 
     ended: int = 0
     bad: int = 0
     slow: int = 0
+    paced: int = 0
+    log_pace: float = 0.0
 
     def add(self, other: "Tally") -> None:
         """Add another host's tally."""
         self.ended += other.ended
         self.bad += other.bad
         self.slow += other.slow
+        self.paced += other.paced
+        self.log_pace += other.log_pace
+
+    @property
+    def is_slow_on_average(self) -> bool:
+        """Whether the mean pace is far from the usual one."""
+        if self.paced < FEWEST_PACES:
+            return False
+        return self.log_pace / self.paced > math.log(SLOW_MEAN_TIMES)
 
 
 TallyKey = tuple[str, str, str]
@@ -133,9 +159,17 @@
         tally.ended += 1
         tally.bad += is_bad
         tally.slow += usual.is_slow(times)
+        ratio = usual.log_pace_ratio(times)
+        if ratio is not None:
+            tally.paced += 1
+            tally.log_pace += ratio
         if not is_trial:
             usual.learn(times)
 
+    def note_late_failure(self, key: TallyKey) -> None:
+        """Take in that an answer failed that counted as good before its end."""
+        self.own.setdefault(key, Tally()).bad += 1
+
     def is_slow(self, service: str, kind: str, times: Times) -> bool:
         """Tell whether an answer that has taken so long is slow already."""
         usual = self._usual.get((service, kind))
@@ -176,6 +210,8 @@
                 (new if version == target else old).add(tally)
         if _is_worse(new.bad, new.ended, old.bad, old.ended, LEAST_OLD_SHARE):
             return True
+        if new.is_slow_on_average and not old.is_slow_on_average:
+            return True
         return _is_worse(new.slow, new.ended, old.slow, old.ended, MOST_SLOW_SHARE)
 
     def all_ended(self, service: str) -> int:
--- a/poplarrun/rollouts/_rollouts.py
+++ b/poplarrun/rollouts/_rollouts.py
@@ -175,8 +175,8 @@
                 return frozenset((target,)), None
             case RolloutPhase.ROLLED_BACK:
                 return None, target
-        if work.runs and work.last_event is None and work.version == target:
-            # What failed on the version on trial is not tried there once more.
+        if work.failures and not rollout.is_shifted and work.last_event is None:
+            # What failed while a version is on trial is not tried there once more.
             return None, target
         session = self._session(work)
         known = self._sessions.get(session)
--- a/poplarrun/routing/_requests.py
+++ b/poplarrun/routing/_requests.py
@@ -74,9 +74,9 @@
     arrived_at, give_up_at : float
         When it came, and when its caller must have an answer, in seconds of the
         clock that counts suspension.
-    sends, runs, connect_failures : int
-        Times that its bytes went to a socket, that an endpoint may have run it and
-        failed, and that no connection came about.
+    sends, runs, failures, connect_failures : int
+        Times that its bytes went to a socket, that an endpoint may have run it without
+        an answer for the caller, that it failed there, and that no connection came about.
     may_have_run : bool
         Whether an endpoint may have begun.
     tried : set of str
@@ -97,6 +97,7 @@
     give_up_at: float
     sends: int = 0
     runs: int = 0
+    failures: int = 0
     connect_failures: int = 0
     may_have_run: bool = False
     tried: set[str] = field(default_factory=set)
