--- a/features/standins.feature
+++ b/features/standins.feature
@@ -6,3 +6,9 @@
     Given a stand-in whose control port is taken before it starts
     When it starts
     Then it answers at another control port
+
+  Scenario: Ports of one installation are never given out twice
+    # An installation draws its ports first and binds them one by one. A port that is
+    # given out twice is taken by a stand-in before the host it was meant for starts.
+    When 1000 free ports are drawn
+    Then any 40 in a row differ
--- a/features/steps/standins.py
+++ b/features/steps/standins.py
@@ -3,6 +3,7 @@
 from behave import given, then, when
 
 from standins import LogStandIn
+from standins._ports import free_port
 from standins.fleet import get_json
 
 
@@ -25,3 +26,14 @@
 def step_answers(context):
     assert context.stand_in.control_address != context.taken
     assert get_json(context.stand_in.control_address, "/faults") is not None
+
+
+@when("{count:d} free ports are drawn")
+def step_draw_ports(context, count):
+    context.ports = [free_port() for _ in range(count)]
+
+
+@then("any {count:d} in a row differ")
+def step_ports_differ(context, count):
+    for first in range(len(context.ports) - count):
+        assert len(set(context.ports[first : first + count])) == count
--- a/standins/_ports.py
+++ b/standins/_ports.py
@@ -13,7 +13,12 @@
 PORTS_OF_A_PROCESS = 80
 PROCESSES = 250
 
-_given: set[int] = set()
+# Ports that are remembered as given out, the latest last. Those of one installation
+# are given out one after the other and bound only later: forgotten all at once, a port
+# that is not bound yet would be given to another stand-in of the same installation.
+KEPT_GIVEN = 40
+
+_given: dict[int, None] = {}
 _source = random.Random()
 
 
@@ -21,12 +26,12 @@
     """Return a port that is free now and that this process has not given out before."""
     first = FIRST_PORT + os.getpid() % PROCESSES * PORTS_OF_A_PROCESS
     while True:
-        if len(_given) >= PORTS_OF_A_PROCESS:
-            _given.clear()
+        if len(_given) > KEPT_GIVEN:
+            del _given[next(iter(_given))]
         port = first + _source.randrange(PORTS_OF_A_PROCESS)
         if port in _given:
             continue
-        _given.add(port)
+        _given[port] = None
         with socket.socket() as probe, contextlib.suppress(OSError):
             probe.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
             probe.bind((host, port))
