--- a/scripts/capacity_roles.py
+++ b/scripts/capacity_roles.py
@@ -142,7 +142,38 @@
 LOAD_POLLS_PER_S = POLLED_ENDPOINTS / LOAD_POLL_S
 LOG_READS_PER_S = LOG_STREAMS_FOLLOWED / min(LONGEST_PERIOD_S, TURN_S * HOSTS)
 
+# A digest names the endpoints at which its sender has requests: by Little's law at most
+# its open streams. Twelve go out a round; periods of poplarrun/gateway/_peering.py.
+DIGESTS_PER_S = 12 / 0.4
+LISTING_READS_PER_S = HOSTS / 0.8
+DOCUMENT_READS_PER_S = HOSTS / 1.6
+
 ROLES = (
+    Role(
+        "Gateway (choice of an endpoint, on the users' platform)",
+        "each request weighs all endpoints of its service; one loop carries and decides",
+        "the choice grows with the endpoints: home and a few drawn ones have to do at this size",
+        state="prompt parts of 45 s, at most 4,000 an endpoint",
+        messages=f"{HOST_REQUESTS_PER_S:.1f} requests, {HOST_TOKENS_PER_S:,.0f} token events",
+        processor=Measured(
+            "gateway", "choice_by_endpoints", factor=HOST_REQUESTS_PER_S * 1e-6, unit="cores"
+        ),
+        appends="0: no record per request",
+    ),
+    Role(
+        "Gateway (digests between hosts)",
+        "pynng, msgspec; 12 hosts a round, each digest with its sender's own loads and evidence",
+        "at 390 hosts a host hears each other one every 13 s: loads and evidence have to go "
+        "through one host a zone, as the summaries of the own interface do",
+        state="the last digest of each host",
+        messages=f"{DIGESTS_PER_S:.0f} digests",
+        bytes_per_s=f"{DIGESTS_PER_S * 285:,.0f} bytes/s with 12 endpoints named",
+        processor=Measured(
+            "gateway", "digest_us_by_endpoints", factor=DIGESTS_PER_S * 1e-6, unit="cores"
+        ),
+        appends=f"1 a start; {LISTING_READS_PER_S + DOCUMENT_READS_PER_S:.0f} reads a second of "
+        "2,000 while each host reads for itself",
+    ),
     Role(
         "Entry (callers' data path)",
         "CherryPy's threads carry bytes, one asyncio loop decides, urllib3 to endpoints",
