--- /dev/null
+++ b/features/gateway_parts.feature
@@ -0,0 +1,22 @@
+Feature: Parts of the gateway: peers, events, log lines
+
+  Scenario: Freshness that a peer proves is no younger than its facts
+    # A peer's digest lay unread while this host was suspended. Its facts count from the
+    # stamp that it echoes, not from the moment at which it is read.
+    Given a book of peers
+    When a digest arrives at 109.0 that echoes 100.0 after 0.5 s, facts 0.2 s old
+    Then the facts are proven true at 100.3
+
+  Scenario: Events are cut whole from any bytes
+    Given a stream of 50 events in pieces of 1 to 30 bytes
+    Then the cutter gives 50 events with the ids in order, and none is torn
+
+  Scenario: Lines that nobody reads are left out and counted
+    # Standard output is a full pipe. The loop writes on without waiting; notable lines
+    # go before usual ones, and a line tells how many were left out.
+    Given a log whose reader has stopped
+    When 5000 usual lines and 100 notable ones are written
+    Then the loop never waited, and the lines left out are counted by event
+
+  Scenario: Each event of the log stands in a page with its meaning
+    Then docs/OPERATIONS.md explains every event, and no other
--- /dev/null
+++ b/features/placement.feature
@@ -0,0 +1,50 @@
+Feature: Endpoints on the gateway: directory, placement, sizes
+
+  Scenario: A record of before doesn't bring an endpoint back
+    # A record that was written before the endpoint left arrives late. Taken in, it
+    # would put an endpoint back that is gone, whose address another one may have.
+    Given a directory that lists "e1" with record 5 and then removes it
+    When record 4 of "e1" arrives
+    Then the directory lists nothing
+    And record 6 of "e1" lists it again
+
+  Scenario: A reborn endpoint under its old id starts with a clean sheet
+    Given a directory that lists "e1" with record 50 of its first start
+    When record 1 of its second start arrives
+    Then the directory tells that "e1" was restarted
+
+  Scenario: Endpoints that lapsed in an outage get time to come back
+    # The store was away and forgot its records, though the endpoints live. They are
+    # used for the promised two seconds; then a missing one is gone.
+    Given a directory that lists "e1" with record 5
+    When "e1" is removed at 10.0 as the store comes back
+    Then it is still listed at 11.5 and gone at 12.5
+
+  Scenario: A prompt goes back to the endpoint that has read its beginning
+    Given a placement of 4 engines
+    When a prompt of 20000 tokens was read at one engine
+    Then the next prompt with the same beginning goes there
+    And with 12 prompts waiting there it goes elsewhere
+
+  Scenario: Endpoints of a zone that fell silent are asked last
+    # All hosts of another zone fell silent at once: it is cut off. A send there would
+    # hang until the host's patience ends, so busy endpoints in reach go first.
+    Given a placement of engines in the zones "a, b, c" and a book that heard hosts of "b, c"
+    When the hosts of "b" fall silent and those of "c" don't
+    Then 200 prompts go to "a" and "c" only, although these are half full
+
+  Scenario: An endpoint that keeps failing is passed over, longer each time
+    Given a placement of 2 engines
+    When "engine-0" fails
+    Then it gets nothing for 0.5 s
+    And it gets nothing for 1.0 s after a second failure
+
+  Scenario: A doubtful answer is worth a larger model, a sure one isn't
+    Given a policy of sizes before empty engines
+    Then an answer of confidence 0.1 is asked again and one of 0.95 is kept
+
+  Scenario: Full engines keep doubtful answers
+    # Each large answer delays all that wait behind it: with long queues only the
+    # worst answers are asked again.
+    Given a policy of sizes before engines with 3.0 s of prompts waiting
+    Then an answer of confidence 0.6 is asked again on empty engines only
--- /dev/null
+++ b/features/rollouts.feature
@@ -0,0 +1,47 @@
+Feature: Roll-outs on the gateway
+
+  Scenario: A version that fails on one route alone is bad
+    # The new version answers four of five routes well. Its mean looks good, and callers
+    # of the fifth get failures.
+    Given 40 good answers of the new version on "a" and 6 bad of 8 on "b"
+    And 200 good answers of the old version on "a" and 50 on "b"
+    Then the new version is judged bad
+
+  Scenario: A version that takes many times as long is bad
+    Given usual answers of 0.2 s, and 8 of 20 new ones of 1.6 s
+    Then the new version is judged bad
+
+  Scenario: A version is judged by answers that have not ended yet
+    # The answers of the new version that end are its fast ones; the slow ones take
+    # eight times as long and are still under way when the version would be trusted.
+    Given a dispatch whose endpoints usually begin after 0.1 s
+    When 6 of 12 answers of the version on trial have not begun after 0.9 s
+    Then the new version is judged bad although none of its answers failed
+
+  Scenario: A version whose answers drip is bad, although they begin in time
+    Given usual answers of 0.02 s an event
+    When 6 of 10 answers of the new version take 0.16 s an event
+    Then the new version is judged bad
+
+  Scenario: A cascade stays in the version that it began in
+    # A session is on the new version, and its small model doubts the answer. The larger
+    # model is asked in the same version; the old one would break the session's promise.
+    Given a roll-out of 20 s ordered at 100.0 and 0 sessions on the old version
+    When a request on the new version is asked of a larger model
+    Then its next send goes to the new version, and after a failure to the old one
+
+  Scenario: A good version is not judged bad by as many failures as the old one has
+    Given 4 bad of 30 new answers and 30 bad of 250 old ones
+    Then the new version is judged good
+
+  Scenario: Sessions keep their version in the first half of a roll-out
+    # A session ran on the old version when the roll-out was ordered; 0 of its later
+    # requests may move before the middle of the order's time.
+    Given a roll-out of 20 s ordered at 100.0 and 50 sessions on the old version
+    Then none of them is sent to the new version until 110.0
+    And about a tenth of 1000 new sessions tries the new version
+
+  Scenario: A final phase is never overwritten
+    Given a roll-out of 20 s ordered at 100.0 and 50 sessions on the old version
+    When it is recorded as "rolled_back" and then as "active" by a host that was paused
+    Then it is rolled back and no request goes to the new version
--- /dev/null
+++ b/features/steps/dispatch.py
@@ -0,0 +1,167 @@
+from behave import given, then, when
+
+from features.steps.gateway_world import make_catalogue, make_dispatch, make_request, make_route
+from poplarrun.dispatch import ConnectionBroke, Knowledge, Send
+from poplarrun.errors import NotRun, Refusal, answer_for
+from poplarrun.gateway._host import RETRY_PART, part_of_allowance
+from poplarrun.routing import Account, Work
+
+
+def send_until_refused(dispatch, number):
+    now = 100.0 + number * 0.01
+    work = dispatch.admit(make_request(number=number), now)
+    while True:
+        step = dispatch.choose(work, now)
+        if isinstance(step, Refusal):
+            return work.sends
+        attempt = dispatch.note_sent(work, step, now)
+        failure = ConnectionBroke("reset")
+        if dispatch.note_failure(work, step.seat.member, attempt, failure, now) is not None:
+            return work.sends
+
+
+@given("a dispatch whose configuration was confirmed at {at:f} and keys bound by {bound:f} s")
+def step_dispatch(context, at, bound):
+    context.knowledge = Knowledge(bound)
+    context.knowledge.take(make_catalogue())
+    context.knowledge.confirm(at)
+    context.dispatch = make_dispatch(context.knowledge)
+
+
+@then("a keyed request is admitted at {at:f}")
+def step_admitted(context, at):
+    context.work = context.dispatch.admit(make_request(), at)
+    assert isinstance(context.work, Work), context.work
+
+
+@then('a keyed request is refused with "{kind}" at {at:f}')
+def step_refused(context, kind, at):
+    refusal = context.dispatch.admit(make_request(), at)
+    assert isinstance(refusal, Refusal) and refusal.kind.value == kind, refusal
+    assert answer_for(refusal.kind).not_run is NotRun.YES and refusal.retry_after_s > 0.0
+
+
+@then("after a new confirmation at {confirmed:f} a keyed request is admitted at {at:f}")
+def step_confirmed(context, confirmed, at):
+    context.knowledge.confirm(confirmed)
+    step_admitted(context, at)
+
+
+@when("a keyed request is admitted at {at:f} and its host is suspended until {until:f}")
+def step_suspended(context, at, until):
+    step_admitted(context, at)
+    context.refusal = context.dispatch.recheck(context.work, until)
+
+
+@when("a keyed request was sent at {at:f} and its endpoint breaks at {broken:f}")
+def step_sent_and_broken(context, at, broken):
+    step_admitted(context, at)
+    dispatch, work = context.dispatch, context.work
+    step = dispatch.choose(work, at)
+    attempt = dispatch.note_sent(work, step, at)
+    failure = ConnectionBroke("reset")
+    assert dispatch.note_failure(work, step.seat.member, attempt, failure, broken) is None
+    context.broken_at = broken
+
+
+@then('it is sent again, and a new request is refused with "{kind}" at {at:f}')
+def step_sent_again(context, kind, at):
+    assert isinstance(context.dispatch.choose(context.work, context.broken_at), Send)
+    step_refused(context, kind, at)
+
+
+@when("a keyed request is admitted at {at:f} and its key is taken away")
+def step_key_gone(context, at):
+    step_admitted(context, at)
+    context.knowledge.take(make_catalogue(version=2, keys=()))
+    context.refusal = context.dispatch.recheck(context.work, at + 0.1)
+
+
+@then('it may not be sent, and the refusal says "not run"')
+def step_not_sent(context):
+    assert isinstance(context.refusal, Refusal), context.refusal
+    assert answer_for(context.refusal.kind).not_run is NotRun.YES, context.refusal
+
+
+@when("the versions {first:d}, {second:d} and {third:d} arrive in this order")
+def step_versions(context, first, second, third):
+    context.taken = [context.knowledge.take(make_catalogue(v)) for v in (first, second, third)]
+
+
+@then("version {version:d} is in force and {older:d} changed nothing")
+def step_in_force(context, version, older):
+    assert context.taken == [True, False, False]
+    assert context.knowledge.catalogue.version == version
+
+
+@when('a stream fails at its endpoint with "broken" and no endpoint is left')
+def step_broken(context):
+    dispatch = context.dispatch
+    work = dispatch.admit(make_request(), 100.1)
+    step = dispatch.choose(work, 100.1)
+    assert isinstance(step, Send)
+    attempt = dispatch.note_sent(work, step, 100.1)
+    dispatch.note_failure(work, step.seat.member, attempt, ConnectionBroke("reset"), 100.2)
+    dispatch.placement.update([])
+    context.refusal = dispatch.choose(work, 100.3)
+
+
+@then('the refusal doesn\'t say "not run"')
+def step_not_promised(context):
+    assert isinstance(context.refusal, Refusal)
+    answer = answer_for(context.refusal.kind)
+    assert answer.not_run is not NotRun.YES and answer.status not in (408, 421, 429, 503)
+
+
+@given(
+    "{count:d} dispatches with {ratio:f} second sends for each request and {allowance:d} besides"
+)
+def step_dispatches(context, count, ratio, allowance):
+
+    context.dispatches = []
+    for _ in range(count):
+        knowledge = Knowledge(None)
+        knowledge.take(make_catalogue())
+        knowledge.confirm(100.0)
+        share = part_of_allowance(allowance, count - 1)
+        context.dispatches.append(make_dispatch(knowledge, 4, RETRY_PART * ratio, share))
+
+
+@when("each of them gets {count:d} requests that fail at each endpoint")
+def step_all_fail(context, count):
+    context.sends = context.requests = 0
+    for dispatch in context.dispatches:
+        for number in range(count):
+            context.requests += 1
+            context.sends += send_until_refused(dispatch, number)
+
+
+@then("{hosts:d} hosts together take no more than {allowance:d} besides")
+def step_more_hosts(context, hosts, allowance):
+    assert hosts * part_of_allowance(allowance, hosts - 1) <= allowance
+
+
+@then("all second sends together are at most {ratio:f} times {count:d} and {allowance:d}")
+def step_budget(context, ratio, count, allowance):
+    assert context.requests == count
+    assert context.sends - context.requests <= ratio * count + allowance, context.sends
+    # A budget that lets nothing through would pass too.
+    assert context.sends > 1.5 * context.requests
+
+
+@given('a catalogue with the prefixes "{one}", "{two}" and "{three}" of one host')
+def step_prefixes(context, one, two, three):
+    context.catalogue = make_catalogue(routes=tuple(make_route(p) for p in (one, two, three)))
+
+
+@then('"{one}" goes to "{first}", "{two}" to "{second}" and "{three}" to "{third}"')
+def step_longest(context, one, first, two, second, three, third):
+    found = [context.catalogue.find_route("shop", path).prefix for path in (one, two, three)]
+    assert found == [first, second, third], found
+    assert context.catalogue.find_route("other", one) is None
+
+
+@then("a request of an account of rank {rank:d} on a route of rank {route:d} has rank {whole:d}")
+def step_rank(context, rank, route, whole):
+    work = Work(make_request(), make_route(rank=route), Account("a", rank), "engines", 0.0, 1.0)
+    assert work.rank == whole
--- /dev/null
+++ b/features/steps/gateway_parts.py
@@ -0,0 +1,80 @@
+import logging
+import random
+import re
+from pathlib import Path
+
+from behave import given, then, when
+
+from poplarrun.gateway._events import EventCutter
+from poplarrun.logs import EVENTS, BoundedHandler
+from poplarrun.peers import Digest, PeerBook
+
+ROOT = Path(__file__).resolve().parents[2]
+
+
+@given("a book of peers")
+def step_book(context):
+    context.book = PeerBook("10.0.0.1:1", "a")
+
+
+@when("a digest arrives at {at:f} that echoes {stamp:f} after {held:f} s, facts {age:f} s old")
+def step_digest(context, at, stamp, held, age):
+    context.digest = Digest("10.0.0.2:1", "b", 5000.0, stamp, held, 3, age, 0.1)
+    assert context.book.take(context.digest, at)
+
+
+@then("the facts are proven true at {at:f}")
+def step_proven(context, at):
+    assert abs(context.book.proven_at(context.digest) - at) < 1e-6
+
+
+@given("a stream of {count:d} events in pieces of {least:d} to {most:d} bytes")
+def step_pieces(context, count, least, most):
+    whole = b"".join(f"id: {n}\ndata: text {n}\n\n".encode() for n in range(1, count + 1))
+    source, cutter = random.Random(5), EventCutter()
+    context.events, context.whole = [], whole
+    while whole:
+        size = source.randint(least, most)
+        context.events += cutter.feed(whole[:size])
+        whole = whole[size:]
+    assert cutter.is_between
+
+
+@then("the cutter gives {count:d} events with the ids in order, and none is torn")
+def step_cut(context, count):
+    assert [event.id for event in context.events] == list(range(1, count + 1))
+    assert b"".join(event.data for event in context.events) == context.whole
+
+
+@given("a log whose reader has stopped")
+def step_stopped_reader(context):
+    # The thread that writes stays at its first write, as at a full pipe.
+    import threading
+
+    context.reads = threading.Event()
+    context.add_cleanup(context.reads.set)
+    context.handler = BoundedHandler(lambda _: context.reads.wait(30.0), lambda: 50.0)
+
+
+@when("{usual:d} usual lines and {notable:d} notable ones are written")
+def step_lines(context, usual, notable):
+    logger = logging.Logger("test")
+    logger.addHandler(context.handler)
+    for _ in range(usual):
+        logger.info("usual", extra={"event": "Usual", "is_usual": True})
+    for _ in range(notable):
+        logger.info("notable", extra={"event": "Notable", "is_usual": False})
+
+
+@then("the loop never waited, and the lines left out are counted by event")
+def step_left_out(context):
+    assert context.handler.left_out["Usual"] > 4000
+    assert context.handler.left_out["Notable"] == 0
+
+
+@then("docs/OPERATIONS.md explains every event, and no other")
+def step_events_page(context):
+    text = (ROOT / "docs" / "OPERATIONS.md").read_text()
+    explained = set(re.findall(r"^\| `([A-Z]\w+)` \|", text, re.MULTILINE))
+    named = {event.__name__ for event in EVENTS}
+    assert explained == named, explained ^ named
--- /dev/null
+++ b/features/steps/gateway_world.py
@@ -0,0 +1,64 @@
+import random
+
+from poplarrun.dispatch import Dispatch
+from poplarrun.placement import Listing, Placement
+from poplarrun.rollouts import Rollouts
+from poplarrun.routing import (
+    Account,
+    Catalogue,
+    Pace,
+    Repeat,
+    Request,
+    Route,
+    Service,
+    Share,
+    Size,
+    Work,
+)
+from poplarrun.sizes import SizePolicy
+
+PACE = Pace(10.0, 2.0, 1.0)
+SIZES = (Size("small", 0.008), Size("large", 0.12))
+ENGINES = Service("engines", 100, 8, 400_000, SIZES)
+
+
+def make_route(prefix="/", repeat=Repeat.STREAM, rank=1, attempts=3, name="draft"):
+    shares = (Share("engines", 1.0),)
+    sizes = ("small", "large")
+    return Route(name, "shop", prefix, repeat, PACE, rank, shares, attempts, False, True, sizes)
+
+
+def make_catalogue(version=1, routes=None, keys=("key",)):
+    routes = routes or (make_route(),)
+    ordered = tuple(sorted(routes, key=lambda route: -len(route.prefix)))
+    accounts = {key: Account("acme") for key in keys}
+    return Catalogue(version, {"shop": ordered}, {"engines": ENGINES}, accounts)
+
+
+def make_request(path="/x", parts=(), session=None, number=0):
+    tokens = sum(part.tokens for part in parts)
+    return Request(
+        f"req-{number}", b"POST", path.encode(), "shop", (), b"", 10.0, "key", parts,
+        tokens or 1000, 100, "*", session,
+    )  # fmt: skip
+
+
+def make_listing(name, version="v1", sequence=1, started_ms=1, zone="a"):
+    return Listing(
+        name, "engines", "127.0.0.1:1", zone, version, 8, False, 0.0, started_ms, sequence
+    )
+
+
+def make_placement(count):
+    placement = Placement("a", random.Random(3))
+    placement.update([make_listing(f"engine-{number}") for number in range(count)])
+    return placement
+
+
+def make_dispatch(knowledge, engines=2, earned=0.8, allowance=10.0):
+    return Dispatch(knowledge, make_placement(engines), Rollouts(), SizePolicy(), earned, allowance)
+
+
+def make_work(parts=(), number=0, session=None):
+    request = make_request(parts=parts, number=number, session=session)
+    return Work(request, make_route(), Account("acme"), "engines", 100.0, 110.0, size=None)
--- /dev/null
+++ b/features/steps/rollouts.py
@@ -0,0 +1,164 @@
+from behave import given, then, when
+
+from features.steps.gateway_world import (
+    make_catalogue,
+    make_dispatch,
+    make_listing,
+    make_request,
+    make_work,
+)
+from poplarrun.dispatch import Knowledge, Send
+from poplarrun.placement import Seat
+from poplarrun.rollouts import Evidence, Rollouts, Tally, Times, Verdict
+from poplarrun.routing import RolloutOrder, RolloutPhase, RolloutStatus
+
+
+def tally(context, version, route, ended, bad):
+    if not hasattr(context, "evidence"):
+        context.evidence = Evidence()
+    context.evidence.own[("engines", version, route)] = Tally(ended, bad)
+
+
+def send_to(context, name, number, sent_at, first_at=None):
+    dispatch = context.dispatch
+    work = dispatch.admit(make_request(number=number), sent_at)
+    seat = Seat(dispatch.placement.find(name), 0.0, 0.1, 0)
+    attempt = dispatch.note_sent(work, Send(seat, "small", 3), sent_at)
+    if first_at is not None:
+        dispatch.note_first(work, attempt, first_at)
+        dispatch.note_end(work, attempt, first_at)
+
+
+@given('{good:d} good answers of the new version on "{one}" and {bad:d} bad of {all:d} on "{two}"')
+def step_new_answers(context, good, one, bad, all, two):
+    tally(context, "v2", one, good, 0)
+    tally(context, "v2", two, all, bad)
+
+
+@given('{good:d} good answers of the old version on "{one}" and {more:d} on "{two}"')
+def step_old_answers(context, good, one, more, two):
+    tally(context, "v1", one, good, 0)
+    tally(context, "v1", two, more, 0)
+
+
+@given("{bad:d} bad of {ended:d} new answers and {old_bad:d} bad of {old:d} old ones")
+def step_like_old(context, bad, ended, old_bad, old):
+    tally(context, "v2", "a", ended, bad)
+    tally(context, "v1", "a", old, old_bad)
+
+
+@given("usual answers of {usual:f} s, and {slow:d} of {ended:d} new ones of {long:f} s")
+def step_slow(context, usual, slow, ended, long):
+    context.evidence = Evidence()
+    for _ in range(50):
+        context.evidence.note(("engines", "v1", "a"), False, Times(usual), False)
+    for number in range(ended):
+        times = Times(long if number < slow else usual)
+        context.evidence.note(("engines", "v2", "a"), False, times, True)
+
+
+@given("a dispatch whose endpoints usually begin after {usual:f} s")
+def step_usual(context, usual):
+    knowledge = Knowledge(None)
+    knowledge.take(make_catalogue())
+    knowledge.confirm(100.0)
+    context.dispatch = make_dispatch(knowledge)
+    context.dispatch.placement.update([make_listing("old"), make_listing("new", "v2")])
+    for number in range(40):
+        send_to(context, "old", number, 100.0, 100.0 + usual)
+
+
+@when("{slow:d} of {count:d} answers of the version on trial have not begun after {late:f} s")
+def step_not_begun(context, slow, count, late):
+    context.dispatch.rollouts.take_order(RolloutOrder("engines", "v2", 20.0, 7), 101.0)
+    for number in range(count):
+        first_at = None if number < slow else 102.1
+        send_to(context, "new", 100 + number, 102.0, first_at)
+    context.dispatch.judge_open(102.0 + late)
+
+
+@then("the new version is judged bad although none of its answers failed")
+def step_judged_open(context):
+    evidence = context.dispatch.rollouts.evidence
+    assert evidence.of_version("engines", "v2").bad == 0
+    assert evidence.is_bad("engines", "v2"), evidence.own
+
+
+@given("usual answers of {pace:f} s an event")
+def step_usual_pace(context, pace):
+    context.evidence = Evidence()
+    context.pace = pace
+    for _ in range(50):
+        context.evidence.note(("engines", "v1", "a"), False, Times(0.1, pace), False)
+
+
+@when("{slow:d} of {count:d} answers of the new version take {pace:f} s an event")
+def step_dripping(context, slow, count, pace):
+    for number in range(count):
+        times = Times(0.1, pace if number < slow else context.pace)
+        context.evidence.note(("engines", "v2", "a"), False, times, True)
+
+
+@when("a request on the new version is asked of a larger model")
+def step_cascade(context):
+    for number in range(100):
+        context.work = make_work(number=number)
+        if context.rollouts.pick_version(context.work, 101.0)[0] == {"v2"}:
+            break
+    context.work.version, context.work.runs = "v2", 1
+
+
+@then("its next send goes to the new version, and after a failure to the old one")
+def step_stays(context):
+    assert context.rollouts.pick_version(context.work, 101.0)[0] == {"v2"}
+    context.work.failures = 1
+    assert context.rollouts.pick_version(context.work, 101.0) == (None, "v2")
+
+
+@then("the new version is judged {judgement:w}")
+def step_judged(context, judgement):
+    assert context.evidence.is_bad("engines", "v2") == (judgement == "bad")
+
+
+@given("a roll-out of {seconds:d} s ordered at {at:f} and {count:d} sessions on the old version")
+def step_rollout(context, seconds, at, count):
+    context.rollouts = Rollouts(session_s=5.0)
+    context.rollouts.take_order(RolloutOrder("engines", "v2", seconds, 7), at)
+    context.sessions = [f"session-{number}" for number in range(count)]
+    for session in context.sessions:
+        context.rollouts.note_end(make_work(session=session), "v1", at)
+
+
+@then("none of them is sent to the new version until {until:f}")
+def step_keep(context, until):
+    now = 100.0
+    while now < until:
+        for session in context.sessions:
+            work = make_work(session=session)
+            versions, avoided = context.rollouts.pick_version(work, now)
+            assert versions is None and avoided == "v2", (session, now)
+            context.rollouts.note_end(work, "v1", now)
+        now += 1.0
+
+
+@then("about a tenth of {count:d} new sessions tries the new version")
+def step_tenth(context, count):
+    works = [make_work(session=f"new-{number}") for number in range(count)]
+    tries = sum(context.rollouts.pick_version(work, 101.0)[0] is not None for work in works)
+    assert 0.06 * count < tries < 0.14 * count, tries
+
+
+@when('it is recorded as "{first}" and then as "{second}" by a host that was paused')
+def step_recorded(context, first, second):
+    for phase in (first, second):
+        context.rollouts.take_status(RolloutStatus("engines", "v2", RolloutPhase(phase)))
+
+
+@then("it is rolled back and no request goes to the new version")
+def step_rolled_back(context):
+    rollout = context.rollouts.find("engines")
+    assert rollout.recorded is RolloutPhase.ROLLED_BACK
+    assert context.rollouts.judge(rollout, 130.0, 0) is Verdict.NOTHING
+    for number in range(200):
+        _, avoided = context.rollouts.pick_version(make_work(number=number), 105.0)
+        assert avoided == "v2"
--- a/poplarrun/dispatch/_dispatch.py
+++ b/poplarrun/dispatch/_dispatch.py
@@ -87,6 +87,13 @@
         self._budgets: dict[str, RetryBudget] = {}
         self._open: dict[Attempt, Work] = {}
 
+    def divide_allowance(self, allowance: float) -> None:
+        """Take over this host's part of the allowance, as hosts come and go."""
+        self.allowance = allowance
+        for budget in self._budgets.values():
+            budget.most = allowance
+            budget.tokens = min(budget.tokens, allowance)
+
     def admit(self, request: Request, now: float) -> Work | Refusal:
         """Find a new request's route, account and service, or refuse it."""
         catalogue = self.knowledge.catalogue
--- a/poplarrun/gateway/_host.py
+++ b/poplarrun/gateway/_host.py
@@ -56,6 +56,15 @@
 STOP_POLL_S = 0.05
 
 
+def part_of_allowance(whole: float, peers: int) -> float:
+    """Return one host's part of the second sends that all hosts may make besides.
+
+    A host that hears fewer peers than there are would take too much: it never counts
+    on fewer than ``FIRST_HOSTS``. Below one no second send could ever be made.
+    """
+    return max(1.0, RETRY_PART * whole / max(FIRST_HOSTS, peers + 1))
+
+
 class GatewayHost:
     """A host that serves callers and follows the store.
 
@@ -81,7 +90,7 @@
             self._rollouts,
             SizePolicy(),
             RETRY_PART * settings.retry_earned,
-            max(1.0, RETRY_PART * settings.retry_allowance / FIRST_HOSTS),
+            part_of_allowance(settings.retry_allowance, 0),
         )
         self._pool = ConnectionPool()
         self._recorder = RequestRecorder(self.metrics)
@@ -216,6 +225,8 @@
             await asyncio.sleep(HOUSEKEEPING_S)
             self._pool.drop_stale()
             self._tell_readiness()
+            peers = self._peering.count_alive()
+            self._dispatch.divide_allowance(part_of_allowance(self.settings.retry_allowance, peers))
             left_out = self._handler.take_left_out()
             if left_out:
                 write_event(events.LinesLeftOut(left_out))
--- a/poplarrun/gateway/_peering.py
+++ b/poplarrun/gateway/_peering.py
@@ -81,6 +81,10 @@
             if member.listing.version != target
         )
 
+    def count_alive(self) -> int:
+        """Return how many other hosts are heard of."""
+        return len(self.book.alive(boot_time()))
+
     def turn(self, service: str) -> int:
         """Return how many live hosts come before this one for a service's roll-outs."""
         return self.book.turn(service, boot_time())
