--- a/features/rollouts.feature
+++ b/features/rollouts.feature
@@ -18,6 +18,13 @@
     When 6 of 12 answers of the version on trial have not begun after 0.9 s
     Then the new version is judged bad although none of its answers failed
 
+  Scenario: A good version whose endpoints are cold is not judged bad
+    # All traffic moves to the new version, whose endpoints have read no prompts yet.
+    # A sixth of its answers begin late; once begun, they come at the usual pace.
+    Given usual answers of 0.02 s an event
+    When 17 of 98 answers of the new version begin after 2.0 s, at the usual pace
+    Then the new version is judged good while all traffic moves to it
+
   Scenario: A version whose answers drip is bad, although they begin in time
     Given usual answers of 0.02 s an event
     When 6 of 10 answers of the new version take 0.16 s an event
--- a/features/steps/rollouts.py
+++ b/features/steps/rollouts.py
@@ -99,6 +99,18 @@
         context.evidence.note(("engines", "v2", "a"), False, times, True)
 
 
+@when("{late:d} of {count:d} answers of the new version begin after {first:f} s, at the usual pace")
+def step_cold(context, late, count, first):
+    for number in range(count):
+        times = Times(first if number < late else 0.1, context.pace)
+        context.evidence.note(("engines", "v2", "a"), False, times, True)
+
+
+@then("the new version is judged good while all traffic moves to it")
+def step_judged_cold(context):
+    assert not context.evidence.is_bad("engines", "v2", is_cold=True)
+
+
 @when("a request on the new version is asked of a larger model")
 def step_cascade(context):
     for number in range(100):
--- a/poplarrun/rollouts/_evidence.py
+++ b/poplarrun/rollouts/_evidence.py
@@ -25,8 +25,8 @@
 SLOW_MEAN_TIMES = 1.9
 # Shorter times than this count as this, in seconds.
 LEAST_TIME_S = 0.001
-# Share of slow answers that a good version may have under load.
-MOST_SLOW_SHARE = 0.08
+# Share of slow answers that a good version may have while it is on trial.
+MOST_SLOW_SHARE = 0.12
 
 
 @dataclass(frozen=True, slots=True)
@@ -194,16 +194,26 @@
                     merged.setdefault((version, route), Tally()).add(tally)
         return merged
 
-    def is_bad(self, service: str, target: str) -> bool:
-        """Tell whether a version is worse than the others, as a whole or in one kind."""
+    def is_bad(self, service: str, target: str, is_cold: bool = False) -> bool:
+        """Tell whether a version is worse than the others, as a whole or in one kind.
+
+        Parameters
+        ----------
+        is_cold : bool
+            Whether all traffic moves to its endpoints now. They have read no prompts
+            yet, and a sixth of the answers begin late: only failures and the pace of
+            answers that have begun tell a bad version then.
+        """
         merged = self.merged(service)
         kinds = {kind for version, kind in merged if version == target}
-        if self._is_worse_in(merged, target, None):
+        if self._is_worse_in(merged, target, None, is_cold):
             return True
-        return any(self._is_worse_in(merged, target, kind) for kind in kinds)
+        return any(self._is_worse_in(merged, target, kind, is_cold) for kind in kinds)
 
     @staticmethod
-    def _is_worse_in(merged: dict[tuple[str, str], Tally], target: str, kind: str | None) -> bool:
+    def _is_worse_in(
+        merged: dict[tuple[str, str], Tally], target: str, kind: str | None, is_cold: bool
+    ) -> bool:
         new, old = Tally(), Tally()
         for (version, of), tally in merged.items():
             if kind is None or of == kind:
@@ -212,7 +222,7 @@
             return True
         if new.is_slow_on_average and not old.is_slow_on_average:
             return True
-        return _is_worse(new.slow, new.ended, old.slow, old.ended, MOST_SLOW_SHARE)
+        return not is_cold and _is_worse(new.slow, new.ended, old.slow, old.ended, MOST_SLOW_SHARE)
 
     def all_ended(self, service: str) -> int:
         """Return how many answers of all versions all hosts saw."""
--- a/poplarrun/rollouts/_rollouts.py
+++ b/poplarrun/rollouts/_rollouts.py
@@ -208,7 +208,7 @@
         order = rollout.order
         if not rollout.is_open:
             return Verdict.NOTHING
-        if self.evidence.is_bad(order.service, order.target):
+        if self.evidence.is_bad(order.service, order.target, rollout.is_shifted):
             return Verdict.ROLLED_BACK
         all_ended = self.evidence.all_ended(order.service)
         needed = max(1.0, min(FEWEST_SEEN, FEWEST_SEEN_PART * all_ended))
