--- a/features/gateway_faults.feature
+++ b/features/gateway_faults.feature
@@ -6,7 +6,7 @@
     # because the endpoint may have run it; another endpoint is not asked.
     Given a second endpoint "stock-2" of "stock"
     When the endpoints of "stock" meet the next order with "<fault>"
-    Then the order is answered with 502
+    Then the caller's order gets 502
     And exactly one endpoint ran it
 
     Examples:
@@ -18,7 +18,7 @@
 
   Scenario: An order whose endpoint fails gets that failure
     When the endpoints of "stock" meet the next order with "ERROR"
-    Then the order is answered with 500
+    Then the caller's order gets 500
     And the answer is signed by "stock-1"
 
   Scenario: An order that was not run is sent to another endpoint
@@ -26,18 +26,18 @@
     # run the order twice. The caller sees one good answer.
     Given a second endpoint "stock-2" of "stock"
     When the endpoints of "stock" meet the next order with "NOT_RUN"
-    Then the order is answered with 200
+    Then the caller's order gets 200
     And exactly one endpoint ran it
 
   Scenario: An order that no endpoint ran is refused as not run
     When the endpoints of "stock" meet the next 9 orders with "NOT_RUN"
-    Then the order is answered with 503
+    Then the caller's order gets 503
     And no endpoint ran it
 
   Scenario Outline: A lookup survives an endpoint that <does>
     Given a second endpoint "stock-2" of "stock"
     When the endpoints of "stock" meet the next lookup with "<fault>"
-    Then the lookup is answered with 200
+    Then the caller's lookup gets 200
 
     Examples:
       | does                          | fault    |
@@ -52,7 +52,7 @@
     # The endpoint answers twice on a kept connection. The bytes belong to no request:
     # the connection is not used again and the next caller gets its own answer.
     When the endpoints of "stock" meet the next lookup with "EXTRA"
-    Then the lookup is answered with 200
+    Then the caller's lookup gets 200
     And 5 lookups are answered by "stock-1"
 
   Scenario: A stream goes on at another endpoint within the same answer
--- a/features/steps/gateway_faults.py
+++ b/features/steps/gateway_faults.py
@@ -48,7 +48,7 @@
     context.answer = context.installation.call(f"/{what}/ring", method=method)
 
 
-@then("the {what:w} is answered with {status:d}")
+@then("the caller's {what:w} gets {status:d}")
 def step_answered(context, what, status):
     assert context.answer.status == status, context.answer
 
--- a/poplarrun/server/_daemon.py
+++ b/poplarrun/server/_daemon.py
@@ -165,6 +165,8 @@
     left = daemon.stop()
     if left:
         # Threads that still write an answer would keep the interpreter alive.
+        # Lines wait up to a tenth of a second for their thread; the last one says what
+        # was still open.
         logging.shutdown()
         os._exit(EXIT_STILL_OPEN)
     return 0
--- a/standins/fleet.py
+++ b/standins/fleet.py
@@ -122,7 +122,7 @@
         """Start the process without waiting for it."""
         command = [sys.executable, "-m", "poplarrun", "serve", "--settings", str(self.settings)]
         with self.log_file.open("ab") as output:
-            self.process = subprocess.Popen(command, stderr=output)
+            self.process = subprocess.Popen(command, stdout=output, stderr=output)
 
     def is_ready(self) -> bool:
         """Tell whether the balancer would send callers there."""
