Patience with endpoints as a decision of its own; a request refused in the last step blames no endpoint

Cause: patience stood twice in the data path; a request that came too late to be sent counted as a failed connection of an endpoint that had done nothing, and paused it for half a second.

--- a/features/dispatch.feature
+++ b/features/dispatch.feature
@@ -51,3 +51,9 @@
     Given a catalogue with the prefixes "/a/", "/a/b/" and "/" of one host
     Then "/a/b/c" goes to "/a/b/", "/a/c" to "/a/" and "/x" to "/"
     And a request of an account of rank 0 on a route of rank 2 has rank 0
+
+  Scenario: An endpoint that says nothing is left before its caller leaves
+    # The endpoint went dark. Another one is asked while the caller still waits, but not
+    # where nothing else may be asked, and never for what may run once only.
+    Then a stream expected after 0.2 s is left after 2.5 s, and one expected after 1.0 s after 4.0 s
+    And its last attempt, and an order, are never left
--- a/features/steps/dispatch.py
+++ b/features/steps/dispatch.py
@@ -1,10 +1,20 @@
+import re
+
 from behave import given, then, when
 
-from features.steps.gateway_world import make_catalogue, make_dispatch, make_request, make_route
-from poplarrun.dispatch import ConnectionBroke, Knowledge, Send
+from features.steps.gateway_world import (
+    make_catalogue,
+    make_dispatch,
+    make_placement,
+    make_request,
+    make_route,
+    make_work,
+)
+from poplarrun.dispatch import ConnectionBroke, Knowledge, Send, first_patience_s, gap_patience_s
 from poplarrun.errors import NotRun, Refusal, answer_for
 from poplarrun.gateway._host import RETRY_PART, part_of_allowance
-from poplarrun.routing import Account, Work
+from poplarrun.placement import Seat
+from poplarrun.routing import Account, Repeat, Work
 
 
 def send_until_refused(dispatch, number):
@@ -165,3 +175,23 @@
 def step_rank(context, rank, route, whole):
     work = Work(make_request(), make_route(rank=route), Account("a", rank), "engines", 0.0, 1.0)
     assert work.rank == whole
+
+
+@then("a stream expected after {one:f} s is left after {first:f} s, {rest}")
+def step_patience(context, one, first, rest):
+    other, second = (float(number) for number in re.findall(r"[0-9.]+(?= s)", rest))
+    member = make_placement(1).find("engine-0")
+    for expected, patience in ((one, first), (other, second)):
+        seat = Seat(member, 0.0, expected, 0)
+        assert first_patience_s(make_work(), seat) == patience
+
+
+@then("its last attempt, and an order, are never left")
+def step_no_patience(context):
+    seat = Seat(make_placement(1).find("engine-0"), 0.0, 0.2, 0)
+    last = make_work()
+    last.runs = 2
+    order = make_work()
+    order.route = make_route(repeat=Repeat.ONCE, attempts=1)
+    assert first_patience_s(last, seat) is None and first_patience_s(order, seat) is None
+    assert gap_patience_s(order) is None
--- a/poplarrun/dispatch/__init__.py
+++ b/poplarrun/dispatch/__init__.py
@@ -14,6 +14,7 @@
     reason_of,
 )
 from poplarrun.dispatch._knowledge import Knowledge
+from poplarrun.dispatch._patience import first_patience_s, gap_patience_s
 
 __all__ = [
     "AnswerFailed",
@@ -27,6 +28,8 @@
     "SaidNotRun",
     "Send",
     "TookTooLong",
+    "first_patience_s",
+    "gap_patience_s",
     "may_have_run",
     "reason_of",
 ]
--- a/poplarrun/gateway/_exchange.py
+++ b/poplarrun/gateway/_exchange.py
@@ -14,6 +14,8 @@
     SaidNotRun,
     Send,
     TookTooLong,
+    first_patience_s,
+    gap_patience_s,
 )
 from poplarrun.errors import ErrorKind, NotRun, Refusal, answer_for
 from poplarrun.gateway._events import Event, EventCutter, NoEvents
@@ -32,15 +34,6 @@
 # Longest wait for a connection, in seconds. Both ways between zones take some 10 ms;
 # an opening packet that was dropped is repeated only after a second.
 CONNECT_TIMEOUT_S = 0.4
-# Patience with an endpoint that has sent nothing yet: so many times the expected
-# time to the first event, and so many seconds at the least. Endpoints that went dark
-# are found so before callers leave, while slow ones are left to finish.
-FIRST_PATIENCE = 4.0
-LEAST_FIRST_PATIENCE_S = 2.5
-# Patience with a pause inside a stream, as a multiple of the pause that is in time.
-GAP_PATIENCE = 2.5
-# Patience with a plain service, as a multiple of the time that is in time.
-ANSWER_PATIENCE = 2.0
 # Largest answer of a plain service that is kept until it is whole, in bytes.
 MOST_ANSWER_BYTES = 8 * 1024 * 1024
 SUCCESS = range(200, 300)
@@ -54,6 +47,14 @@
         self.failure = failure
 
 
+class RefusedError(Exception):
+    """Carries a refusal out of the step that would have sent the request."""
+
+    def __init__(self, refusal: Refusal) -> None:
+        super().__init__(refusal.message)
+        self.refusal = refusal
+
+
 @dataclass(slots=True)
 class _Open:
     """A send whose answer is awaited."""
@@ -125,6 +126,8 @@
             try:
                 if await self._try_one(step):
                     return None
+            except RefusedError as error:
+                return error.refusal
             except AttemptError as error:
                 refusal = self._learn(step, error.failure)
                 if refusal is not None:
@@ -168,7 +171,7 @@
         now = boot_time()
         refusal = self._dispatch.recheck(work, now)
         if refusal is not None:
-            raise AttemptError(NoConnection("too late to send"))
+            raise RefusedError(refusal)
         lifetime = step.seat.member.listing.lifetime
         is_resumed, work.size = work.last_event is not None, step.size
         headers = encode_send(work, lifetime, work.left_s(now), step.urgency)
@@ -182,7 +185,7 @@
         # ran would stay unknown otherwise.
         self._caller.is_shielded = not work.route.may_repeat
         self._recorder.sent(work, step, now, is_resumed)
-        patience_s = self._first_patience_s(step)
+        patience_s = first_patience_s(work, step.seat)
         try:
             async with asyncio.timeout(patience_s):
                 head = await connection.read_head()
@@ -219,17 +222,6 @@
         if not answer.is_genuine or not is_ours:
             raise AttemptError(Garbled("bears no signature"))
 
-    def _first_patience_s(self, step: Send) -> float | None:
-        """Return how long the endpoint may send nothing; None for the time that is left."""
-        work = self._work
-        if not work.route.may_repeat or work.runs + 1 >= work.route.most_attempts:
-            return None
-        match work.route.repeat:
-            case Repeat.STREAM:
-                return max(LEAST_FIRST_PATIENCE_S, FIRST_PATIENCE * step.seat.first_s)
-            case _:
-                return ANSWER_PATIENCE * work.route.pace.target_s
-
     async def _relay_whole(self, opened: _Open) -> None:
         body = await self._read_body(opened)
         now = boot_time()
@@ -261,8 +253,7 @@
 
     async def _relay_stream(self, opened: _Open) -> None:
         cutter = EventCutter()
-        gap_s = max(1.0, GAP_PATIENCE * self._work.route.pace.gap_s)
-        patience_s: float | None = self._first_patience_s_of(opened)
+        patience_s = first_patience_s(self._work, opened.attempt.seat)
         try:
             while True:
                 async with asyncio.timeout(patience_s):
@@ -272,9 +263,9 @@
                 events = cutter.feed(data)
                 if events:
                     await self._pass_on(opened, events)
-                    patience_s = gap_s if self._work.route.may_repeat else None
+                    patience_s = gap_patience_s(self._work)
         except TimeoutError as error:
-            raise AttemptError(TookTooLong(gap_s)) from error
+            raise AttemptError(TookTooLong(patience_s or 0.0)) from error
         except (Broken, NoEvents) as error:
             raise AttemptError(ConnectionBroke(str(error))) from error
         if not cutter.is_between:
@@ -285,12 +276,6 @@
         self._end_well(opened, boot_time())
         self._caller.finish()
 
-    def _first_patience_s_of(self, opened: _Open) -> float | None:
-        work = self._work
-        if not work.route.may_repeat or work.runs + 1 >= work.route.most_attempts:
-            return None
-        return max(LEAST_FIRST_PATIENCE_S, FIRST_PATIENCE * opened.attempt.seat.first_s)
-
     async def _pass_on(self, opened: _Open, events: list[Event]) -> None:
         """Send whole events to the caller, each once and in order."""
         if opened.attempt.first_at is None:
--- a/poplarrun/gateway/_records.py
+++ b/poplarrun/gateway/_records.py
@@ -11,10 +11,12 @@
 class RequestRecorder:
     """Writes and counts the decisions about requests.
 
-    Parameters
+    Attributes
     ----------
-    version, age_s : int, float
-        Of the configuration by which a decision was made; asked with each line.
+    config_version : int
+        Version of the configuration by which decisions are made now; -1 for none.
+    config_age_s : float
+        How long ago that was the newest for sure, in seconds.
     """
 
     def __init__(self, metrics: Metrics) -> None:
