--- /dev/null
+++ b/features/steps/explanations.py
@@ -0,0 +1,104 @@
+import io
+import json
+from contextlib import redirect_stdout
+
+from behave import then, when
+
+from features.steps.gateway_faults import set_faults
+from poplarrun.cli._status import Explain
+from poplarrun.cli._story import read_lines, tell_story
+
+KEYS = ("counter-key", "second-key", "stolen-key")
+
+
+def explain(context, request_id):
+    """Run the command on the host's log, as an engineer does."""
+    path = context.installation.log_path(0)
+
+    def is_told():
+        return tell_story(request_id, read_lines([str(path)])).end is not None
+
+    context.installation.wait_for(is_told, f"the end of {request_id} is told")
+    output = io.StringIO()
+    with redirect_stdout(output):
+        Explain(request_id, logs=[str(path)], json=True)()
+    return json.loads(output.getvalue())
+
+
+@when('the store is silent until a lookup "{request_id}" is refused')
+def step_silent(context, request_id):
+    installation = context.installation
+    installation.store.is_silent = True
+
+    def is_refused():
+        answer = installation.call("/lookup/ring", method="GET", X_Attempt_Id=request_id)
+        return answer.status == 503
+
+    installation.wait_for(is_refused, "a lookup is refused")
+
+
+@when('all endpoints of "{service}" break off the draft "{request_id}"')
+def step_break_off(context, service, request_id):
+    set_faults(context, service, "CUT", 9)
+    for runner in context.runners:
+        runner.events = 20
+    context.installation.call("/draft/brief", X_Model="*", X_Attempt_Id=request_id)
+
+
+@when('the endpoint of the order "{request_id}" loses its answer')
+def step_lose(context, request_id):
+    set_faults(context, "stock", "LOST")
+    answer = context.installation.call("/order/ring", X_Attempt_Id=request_id)
+    assert answer.status == 502, answer
+
+
+@then('the story of "{request_id}" ends with "{event}" of kind "{kind}"')
+def step_ends(context, request_id, event, kind):
+    context.story = explain(context, request_id)
+    end = context.story["lines"][-1]
+    assert (end["event"], end["kind"]) == (event, kind), end
+
+
+@then('the story of "{request_id}" tells that the host learnt "{event}" before')
+def step_learnt(context, request_id, event):
+    assert event in {line["event"] for line in context.story["context"]}, context.story
+
+
+@then('the story of "{request_id}" names {count:d} sends that failed as "{failure}"')
+def step_sends(context, request_id, count, failure):
+    failed = [line for line in context.story["lines"] if line["event"] == "SendFailed"]
+    assert [line["failure"] for line in failed] == [failure] * count, failed
+    sent = [line for line in context.story["lines"] if line["event"] == "RequestSent"]
+    assert [line["endpoint"] for line in sent] == [line["endpoint"] for line in failed]
+
+
+@when('a caller with the body "{body}" orders with a good and an unknown key')
+def step_body(context, body):
+    context.secrets = (body, *KEYS)
+    for key, request_id in (("counter-key", "good-1"), ("stolen-key", "bad-1")):
+        context.installation.call("/order/x", key=key, body=body.encode(), X_Attempt_Id=request_id)
+    path = context.installation.log_path(0)
+    told = ("good-1", "bad-1")
+    context.installation.wait_for(
+        lambda: all(request_id in path.read_text() for request_id in told), "both are told"
+    )
+
+
+@then("no log line holds the body or a key, and each request line has its id")
+def step_no_secrets(context):
+    text = context.installation.log_of()
+    assert not [secret for secret in context.secrets if secret in text], text
+    lines = [json.loads(line) for line in text.splitlines()]
+    told = [line for line in lines if line["message"].startswith("request: ")]
+    assert {line["request"] for line in told} == {"good-1", "bad-1"}, told
+
+
+@then('the metrics have the latencies "{names}"')
+def step_latencies(context, names):
+    text = context.installation.read_metrics()
+    missing = [
+        name
+        for name in names.split(", ")
+        if "latency_seconds{label=" not in text or f'name="{name}"' not in text
+    ]
+    assert not missing, (missing, text)
--- a/poplarrun/gateway/_exchange.py
+++ b/poplarrun/gateway/_exchange.py
@@ -121,6 +121,7 @@
         while True:
             now = boot_time()
             step = self._dispatch.choose(self._work, now)
+            self._recorder.chosen(self._work, boot_time() - now)
             if isinstance(step, Refusal):
                 return step
             try:
--- a/poplarrun/gateway/_host.py
+++ b/poplarrun/gateway/_host.py
@@ -79,7 +79,7 @@
         self._handler = handler
         self.settings = settings
         self.metrics = Metrics()
-        self._store = StoreClient(settings.store)
+        self._store = StoreClient(settings.store, self._record_call)
         self._knowledge = Knowledge(settings.key_bound_s)
         self._directory = Directory()
         self._placement = Placement(settings.zone, random.Random())
@@ -201,6 +201,11 @@
         self._recorder.config_version = -1 if catalogue is None else catalogue.version
         self._recorder.config_age_s = min(1e6, self._knowledge.age_s(now))
 
+    def _record_call(self, name: str, outcome: str, seconds: float) -> None:
+        self.metrics.record_latency("store", name, seconds)
+        if outcome != "200":
+            self.metrics.count_event(f"store_{outcome}")
+
     async def _observe(self, caller: CallerConnection, head: RequestHead, _: bytes) -> None:
         """Answer the balancer, or a reader of the counters."""
         if head.target.startswith(b"/metrics"):
--- a/poplarrun/gateway/_records.py
+++ b/poplarrun/gateway/_records.py
@@ -40,6 +40,10 @@
             )
         )
 
+    def chosen(self, work: Work, seconds: float) -> None:
+        """Note how long the choice of an endpoint took."""
+        self._metrics.record_latency("choice", work.service, seconds)
+
     def sent(self, work: Work, send: Send, now: float, is_resumed: bool) -> None:
         """Note a send."""
         if work.sends > 1:
--- a/poplarrun/placement/_placement.py
+++ b/poplarrun/placement/_placement.py
@@ -19,7 +19,7 @@
 # What one more call costs at a plain service for each taken place, in seconds.
 PLACE_S = 0.1
 # A call to another zone: delay of both ways, and the price of the bytes, in seconds.
-FAR_S = 0.03
+FAR_S = 0.07
 # Added for an endpoint in a zone of which no host is heard any more, in seconds: the
 # zone is most likely cut off, and a send there costs the patience of a silent answer.
 SILENT_ZONE_S = 2.5
--- a/poplarrun/platform/_store.py
+++ b/poplarrun/platform/_store.py
@@ -4,7 +4,7 @@
 import base64
 import json
 import struct
-from collections.abc import Sequence
+from collections.abc import Callable, Sequence
 from dataclasses import dataclass
 from typing import Any
 from urllib.parse import urlencode
@@ -130,6 +130,8 @@
     ----------
     address : str
         ``ip:port`` of the store.
+    record : callable, optional
+        Told of each call's name, outcome and seconds.
 
     Attributes
     ----------
@@ -137,9 +139,12 @@
         Calls so far, failed ones included.
     """
 
-    def __init__(self, address: str) -> None:
+    def __init__(
+        self, address: str, record: Callable[[str, str, float], None] | None = None
+    ) -> None:
         self.address = address
         self.calls = 0
+        self._record = record
         self._pool = ConnectionPool()
 
     async def read(
@@ -224,8 +229,19 @@
     async def _call(
         self, method: str, path: str, query: dict[str, Any], body: bytes, timeout_s: float
     ) -> tuple[int, bytes] | NoAnswer:
-        """Make one call; a connection without an answer is never used again."""
+        """Make one call, and tell how long it took."""
         self.calls += 1
+        began_at = boot_time()
+        answer = await self._exchange(method, path, query, body, timeout_s)
+        if self._record is not None:
+            outcome = "no_answer" if isinstance(answer, NoAnswer) else str(answer[0])
+            self._record(path.lstrip("/"), outcome, boot_time() - began_at)
+        return answer
+
+    async def _exchange(
+        self, method: str, path: str, query: dict[str, Any], body: bytes, timeout_s: float
+    ) -> tuple[int, bytes] | NoAnswer:
+        """Send and read once; a connection without an answer is never used again."""
         connection: ClientConnection | None = None
         try:
             async with asyncio.timeout(timeout_s):
--- a/standins/installation/_installation.py
+++ b/standins/installation/_installation.py
@@ -122,7 +122,7 @@
         """Start a host's process, and wait until it is ready."""
         path = self._write_settings(number)
         environment = {**os.environ, "POPLARRUN_NODE_FILE": str(path)}
-        log = (Path(self._folder.name) / f"host-{number}.log").open("ab")
+        log = self.log_path(number).open("ab")
         self.processes[number] = subprocess.Popen(
             [sys.executable, "-m", "poplarrun.gateway"],
             env=environment,
@@ -135,7 +135,11 @@
 
     def log_of(self, number: int = 0) -> str:
         """Return what a host wrote."""
-        return (Path(self._folder.name) / f"host-{number}.log").read_text()
+        return self.log_path(number).read_text()
+
+    def log_path(self, number: int = 0) -> Path:
+        """Return where a host's output is kept."""
+        return Path(self._folder.name) / f"host-{number}.log"
 
     def signal_host(self, number: int, name: str) -> None:
         """Send a signal to a host's process."""
