--- a/features/steps/explanations.py
+++ b/features/steps/explanations.py
@@ -31,10 +31,11 @@
     installation.store.is_silent = True
 
     def is_refused():
-        answer = installation.call("/lookup/ring", method="GET", X_Attempt_Id=request_id)
-        return answer.status == 503
+        return installation.call("/lookup/ring", method="GET").status == 503
 
     installation.wait_for(is_refused, "a lookup is refused")
+    answer = installation.call("/lookup/ring", method="GET", X_Attempt_Id=request_id)
+    assert answer.status == 503, answer
 
 
 @when('all endpoints of "{service}" break off the draft "{request_id}"')
