--- a/features/gateway_parts.feature
+++ b/features/gateway_parts.feature
@@ -7,6 +7,13 @@
     When a digest arrives at 109.0 that echoes 100.0 after 0.5 s, facts 0.2 s old
     Then the facts are proven true at 100.3
 
+  Scenario: The address of a host that was killed is taken out
+    # A host is killed and leaves its address in the store. After two minutes without a
+    # word it counts as gone; one that is heard now and then doesn't.
+    Given a book of peers
+    When "10.0.0.2:1" and "10.0.0.3:1" are read at 10.0 and "10.0.0.3:1" is heard at 100.0
+    Then at 131.0 only "10.0.0.2:1" is gone
+
   Scenario: Events are cut whole from any bytes
     Given a stream of 50 events in pieces of 1 to 30 bytes
     Then the cutter gives 50 events with the ids in order, and none is torn
--- a/features/steps/gateway_parts.py
+++ b/features/steps/gateway_parts.py
@@ -28,6 +28,20 @@
     assert abs(context.book.proven_at(context.digest) - at) < 1e-6
 
 
+@when('"{one}" and "{two}" are read at {at:f} and "{heard}" is heard at {then_at:f}')
+def step_addresses(context, one, two, at, heard, then_at):
+    context.addresses = (one, two)
+    for address in context.addresses:
+        context.book.name(address, at)
+    assert context.book.take(Digest(heard, "b", 1.0, 0.0, 0.0, 1, 0.0, 0.0), then_at)
+
+
+@then('at {at:f} only "{address}" is gone')
+def step_gone(context, at, address):
+    gone = [known for known in context.addresses if context.book.is_gone(known, at, 120.0)]
+    assert gone == [address], gone
+
+
 @given("a stream of {count:d} events in pieces of {least:d} to {most:d} bytes")
 def step_pieces(context, count, least, most):
     whole = b"".join(f"id: {n}\ndata: text {n}\n\n".encode() for n in range(1, count + 1))
--- a/features/steps/rollouts.py
+++ b/features/steps/rollouts.py
@@ -170,7 +170,7 @@
 def step_rolled_back(context):
     rollout = context.rollouts.find("engines")
     assert rollout.recorded is RolloutPhase.ROLLED_BACK
-    assert context.rollouts.judge(rollout, 130.0, 0) is Verdict.NOTHING
+    assert context.rollouts.judge(rollout, 130.0) is Verdict.NOTHING
     for number in range(200):
         _, avoided = context.rollouts.pick_version(make_work(number=number), 105.0)
         assert avoided == "v2"
--- a/poplarrun/gateway/_host.py
+++ b/poplarrun/gateway/_host.py
@@ -114,9 +114,7 @@
         self._steward = Steward(
             self._store,
             self._rollouts,
-            self._placement,
             self._peering.turn,
-            self._peering.others_in_flight,
             self._dispatch.judge_open,
         )
         self._open = 0
@@ -157,6 +155,7 @@
         begun_at = boot_time()
         write_event(events.HostStopping(self._open))
         self._callers.is_stopping = True
+        self._start(self._peering.withdraw())
         await asyncio.sleep(BALANCER_S)
         self._is_closed = True
         self._callers.close_idle()
--- a/poplarrun/gateway/_peering.py
+++ b/poplarrun/gateway/_peering.py
@@ -41,9 +41,11 @@
 # readings of all addresses, in seconds.
 ANNOUNCE_PAUSE_S = 1.0
 READ_HOSTS_S = 12.0
-# Addresses that were written longer ago than this belong to hosts that are gone, in
-# seconds of the time of day, which may be wrong by some seconds.
-OLD_ADDRESS_S = 600.0
+# An address of which nothing was heard for so long since it was first read belongs to a
+# host that is gone, in seconds: longer than a zone is usually cut off.
+GONE_S = 120.0
+# The job of taking such addresses out of the store.
+SWEEP_JOB = "addresses"
 
 
 class Peering:
@@ -72,14 +74,7 @@
         self._rollouts = rollouts
         self._asked_at = float("-inf")
         self._alive: set[str] = set()
-
-    def others_in_flight(self, service: str, target: str) -> int:
-        """Return the other hosts' requests on all versions of a service but the target."""
-        return sum(
-            round(member.others)
-            for member in self._placement.members(service)
-            if member.listing.version != target
-        )
+        self._is_leaving = False
 
     def count_alive(self) -> int:
         """Return how many other hosts are heard of."""
@@ -99,24 +94,46 @@
             await asyncio.sleep(ROUND_S)
 
     async def announce(self) -> None:
-        """Write the own address to the store, and read the others' now and then."""
-        value = json.dumps({"zone": self.book.zone}).encode()
-        while True:
-            answer = await self._store.append(HOST_TOPIC, [(self.book.address, value)])
-            if isinstance(answer, Appended):
-                break
-            await asyncio.sleep(ANNOUNCE_PAUSE_S * random.uniform(0.5, 1.5))
-        while True:
+        """Keep the own address in the store, and read the others' now and then."""
+        is_listed = False
+        while not self._is_leaving:
+            if not is_listed:
+                is_listed = await self._write_address()
+                await asyncio.sleep(0.0 if is_listed else _spread(ANNOUNCE_PAUSE_S))
+                continue
             newest = await self._store.newest(HOST_TOPIC)
             if isinstance(newest, Newest):
-                for entry in newest.entries:
-                    self.book.name(entry.key, boot_time())
-            await asyncio.sleep(READ_HOSTS_S * random.uniform(0.8, 1.2))
+                addresses = [entry.key for entry in newest.entries]
+                is_listed = self.book.address in addresses
+                await self._read_addresses(addresses, boot_time())
+            await asyncio.sleep(_spread(READ_HOSTS_S))
 
     async def withdraw(self) -> None:
-        """Take the own address out of the store."""
+        """Take the own address out of the store, and write it no more."""
+        self._is_leaving = True
         await self._store.append(HOST_TOPIC, [(self.book.address, None)])
 
+    async def _write_address(self) -> bool:
+        value = json.dumps({"zone": self.book.zone}).encode()
+        answer = await self._store.append(HOST_TOPIC, [(self.book.address, value)])
+        return isinstance(answer, Appended)
+
+    async def _read_addresses(self, addresses: list[str], now: float) -> None:
+        """Name the listed hosts; one host takes out those that are gone.
+
+        Hosts that are killed leave their addresses behind. Some hundred a day would
+        make each start read, and write to, thousands that nobody answers. A host that
+        was only cut off finds its address missing and writes it again.
+        """
+        for address in addresses:
+            self.book.name(address, now)
+        if self.book.turn(SWEEP_JOB, now) > 0:
+            return
+        gone = [address for address in addresses if self.book.is_gone(address, now, GONE_S)]
+        if gone:
+            await self._store.append(HOST_TOPIC, [(address, None) for address in gone])
+            write_event(events.PeersChanged(gone, []))
+
     def _tell(self, now: float) -> None:
         active = self._rollouts.active()
         far_s = ROLLOUT_PERIOD_S if active else FAR_PERIOD_S
@@ -280,3 +297,8 @@
         for lifetime in documents.gone:
             self._directory.remove(lifetime, now)
         self._listings.take_from_peer()
+
+
+def _spread(seconds: float) -> float:
+    """Return about so many seconds, so that hosts that start together don't call together."""
+    return seconds * random.uniform(0.7, 1.3)
--- a/poplarrun/gateway/_steward.py
+++ b/poplarrun/gateway/_steward.py
@@ -5,7 +5,6 @@
 
 from poplarrun.gateway._followers import StatusFollower
 from poplarrun.logs import events, write_event
-from poplarrun.placement import Placement
 from poplarrun.platform import (
     ROLLOUT_PREFIX,
     STATUS_TOPIC,
@@ -45,8 +44,6 @@
     ----------
     turn : callable
         How many hosts are before this one in line.
-    others_in_flight : callable
-        Requests of the other hosts on all versions of a service but the target.
     judge_open : callable
         Counts answers under way that take much too long already.
     """
@@ -55,16 +52,12 @@
         self,
         store: StoreClient,
         rollouts: Rollouts,
-        placement: Placement,
         turn: Callable[[str], int],
-        others_in_flight: Callable[[str, str], int],
         judge_open: Callable[[float], None],
     ) -> None:
         self._store = store
         self._rollouts = rollouts
-        self._placement = placement
         self._turn = turn
-        self._others_in_flight = others_in_flight
         self._judge_open = judge_open
         self._follower = StatusFollower(store, rollouts)
         self._wanted: dict[tuple[str, Verdict], float] = {}
@@ -87,7 +80,7 @@
                 return
             if rollout not in self._rollouts.active():
                 return
-        verdict = self._rollouts.judge(rollout, now, self._old_in_flight(rollout))
+        verdict = self._rollouts.judge(rollout, now)
         if verdict is Verdict.NOTHING:
             return
         wanted_since = self._wanted.setdefault((rollout.order.target, verdict), now)
@@ -120,12 +113,3 @@
                 type(answer).__name__,
             )
         )
-
-    def _old_in_flight(self, rollout: Rollout) -> int:
-        order = rollout.order
-        own = sum(
-            member.in_flight
-            for member in self._placement.members(order.service)
-            if member.listing.version != order.target
-        )
-        return own + self._others_in_flight(order.service, order.target)
--- a/poplarrun/peers/_book.py
+++ b/poplarrun/peers/_book.py
@@ -24,6 +24,8 @@
 
     Attributes
     ----------
+    first_named_at, named_at : float
+        When its address was first and last read.
     heard_at : float
         When a digest last came.
     last_stamp : float
@@ -32,6 +34,7 @@
 
     address: str
     zone: str = ""
+    first_named_at: float = math.inf
     named_at: float = -math.inf
     heard_at: float = -math.inf
     last_stamp: float = 0.0
@@ -58,8 +61,16 @@
         if address == self.address:
             return
         peer = self._peers.setdefault(address, Peer(address))
+        peer.first_named_at = min(peer.first_named_at, now)
         peer.named_at = now
 
+    def is_gone(self, address: str, now: float, bound_s: float) -> bool:
+        """Tell whether nothing was heard for a time of a host whose address is known."""
+        peer = self._peers.get(address)
+        if peer is None:
+            return False
+        return now - max(peer.first_named_at, peer.heard_at) > bound_s
+
     def take(self, digest: Digest, now: float) -> bool:
         """Take in a digest; False where it is older than the last one of its sender."""
         if digest.address == self.address:
--- a/poplarrun/platform/_store.py
+++ b/poplarrun/platform/_store.py
@@ -132,18 +132,12 @@
         ``ip:port`` of the store.
     record : callable, optional
         Told of each call's name, outcome and seconds.
-
-    Attributes
-    ----------
-    calls : int
-        Calls so far, failed ones included.
     """
 
     def __init__(
         self, address: str, record: Callable[[str, str, float], None] | None = None
     ) -> None:
         self.address = address
-        self.calls = 0
         self._record = record
         self._pool = ConnectionPool()
 
@@ -230,7 +224,6 @@
         self, method: str, path: str, query: dict[str, Any], body: bytes, timeout_s: float
     ) -> tuple[int, bytes] | NoAnswer:
         """Make one call, and tell how long it took."""
-        self.calls += 1
         began_at = boot_time()
         answer = await self._exchange(method, path, query, body, timeout_s)
         if self._record is not None:
--- a/poplarrun/rollouts/_rollouts.py
+++ b/poplarrun/rollouts/_rollouts.py
@@ -196,14 +196,11 @@
         if len(self._sessions) > KEPT_SESSIONS:
             self._sessions.popitem(last=False)
 
-    def judge(self, rollout: Rollout, now: float, old_in_flight: int) -> Verdict:
+    def judge(self, rollout: Rollout, now: float) -> Verdict:
         """Decide what should be recorded of a roll-out now.
 
-        Parameters
-        ----------
-        old_in_flight : int
-            Requests of all hosts that still run on the old version. Its endpoints
-            are stopped at once when the roll-out is recorded as completed.
+        The old endpoints are stopped at once when it is recorded as completed. So that
+        their last answers end before, all traffic moves well ahead of that.
         """
         order = rollout.order
         if not rollout.is_open:
--- a/poplarrun/transport/_pool.py
+++ b/poplarrun/transport/_pool.py
@@ -10,16 +10,9 @@
 
 
 class ConnectionPool:
-    """Connections by peer; a peer is an address in one lifetime.
-
-    Attributes
-    ----------
-    opened : int
-        Connections opened so far.
-    """
+    """Connections by peer; a peer is an address in one lifetime."""
 
     def __init__(self) -> None:
-        self.opened = 0
         self._idle: dict[tuple[str, str], deque[ClientConnection]] = {}
 
     def take_idle(self, address: str, lifetime: str = "") -> ClientConnection | None:
@@ -40,7 +33,6 @@
         ConnectFailed
             When none came about in time.
         """
-        self.opened += 1
         return await open_connection(address, timeout_s)
 
     def give_back(self, connection: ClientConnection, lifetime: str = "") -> None:
