--- a/poplarrun/gateway/_host.py
+++ b/poplarrun/gateway/_host.py
@@ -1,7 +1,6 @@
 """One host of the gateway: its parts, their tasks, and the planned stop."""
 
 import asyncio
-import contextlib
 import random
 import signal
 import traceback
@@ -143,13 +142,19 @@
         self._start(self._keep_house())
         await self._callers.listen(self.settings.callers)
         await self._observers.listen(self.settings.readiness)
-        with contextlib.suppress(OSError):
-            await self._observers.listen(self.settings.metrics)
+        await self._listen_for_metrics()
         settings = self.settings
         write_event(events.HostStarted(settings.zone, settings.callers, settings.peers))
         await self._leaving.wait()
         await self._stop()
 
+    async def _listen_for_metrics(self) -> None:
+        try:
+            await self._observers.listen(self.settings.metrics)
+        except OSError as error:
+            # Callers are served without metrics rather than not at all.
+            write_event(events.MetricsUnavailable(self.settings.metrics, str(error)))
+
     async def _stop(self) -> None:
         """Let the balancer turn callers away, then finish what is open."""
         begun_at = boot_time()
--- a/poplarrun/logs/_events.py
+++ b/poplarrun/logs/_events.py
@@ -165,6 +165,16 @@
     peers: str
 
 
+@dataclass(frozen=True, slots=True)
+class MetricsUnavailable(Event):
+    """Nobody can read the counters: their address can't be used."""
+
+    text: ClassVar[str] = "Metrics are not served."
+    level: ClassVar[int] = logging.WARNING
+    address: str
+    reason: str
+
+
 @dataclass(frozen=True, slots=True)
 class HostReady(Event):
     """Whether callers may come has changed."""
--- a/poplarrun/platform/_settings.py
+++ b/poplarrun/platform/_settings.py
@@ -1,5 +1,6 @@
 """The settings file that the platform writes for each process."""
 
+import os
 from dataclasses import dataclass
 from pathlib import Path
 from typing import Annotated
@@ -9,6 +10,9 @@
 from pydantic.alias_generators import to_camel
 
 PATH_VARIABLE = "POPLARRUN_NODE_FILE"
+# The platform reads metrics at a port that the deploy file names, while the ports of the
+# settings are new each day: the deploy file tells the process the same port.
+METRICS_VARIABLE = "POPLARRUN_METRICS_PORT"
 MILLISECONDS = 1000.0
 Address = Annotated[str, StringConstraints(pattern=r"^\d{1,3}(\.\d{1,3}){3}:\d{1,5}$")]
 
@@ -122,7 +126,7 @@
         callers=node.listen.frontend,
         readiness=node.listen.readiness,
         peers=node.listen.control_plane or f"{node.ip}:{first_port}",
-        metrics=f"{node.ip}:{last_port}",
+        metrics=f"{node.ip}:{os.environ.get(METRICS_VARIABLE) or last_port}",
         seeds=node.seeds,
         store=node.platform.address,
         key_bound_s=bounds.revoke_ms / MILLISECONDS if bounds.revoke_strict else None,
