--- a/features/gateway.feature
+++ b/features/gateway.feature
@@ -97,3 +97,11 @@
     When the operators order "v2" within 8 s, and callers ask for drafts meanwhile
     Then the store holds "rolled_back" for the service "engines"
     And a draft is answered by "engine-1"
+
+  Scenario: Callers that read nothing don't fill the host's memory
+    # Eight callers ask for drafts and read nothing, while their endpoint sends 8 MB to
+    # each as fast as it can. The host holds the endpoint back instead of buffering it.
+    Given the endpoint floods 8 drafts with 2000 events of 4 KB
+    When 8 callers ask for drafts and read nothing until the endpoint is held back
+    Then the host has grown by less than 16 MB
+    And a caller that reads at last gets the events 1 to 2000
--- a/features/steps/gateway.py
+++ b/features/steps/gateway.py
@@ -2,12 +2,14 @@
 import re
 import socket
 import time
+from pathlib import Path
 
 from behave import given, then, when
 
 from standins.installation import Fault
 from standins.installation._installation import HOST_NAME, KEY
 
+FLOOD_TIME_MS = 60_000
 EVENT = re.compile(rb"id: (\d+)\ndata: (\w+) \d+\n\n")
 
 
@@ -23,17 +25,17 @@
     context.installation.wait_for(is_so, f"{path} is answered with {status}")
 
 
-def open_raw(context, path, key=KEY, attempt="raw-1"):
+def open_raw(context, path, key=KEY, attempt="raw-1", within_ms=4000):
     host, _, port = context.installation.caller_address().rpartition(":")
     connection = socket.create_connection((host, int(port)), timeout=10)
-    send_raw(connection, path, key, attempt)
+    send_raw(connection, path, key, attempt, within_ms)
     return connection
 
 
-def send_raw(connection, path, key, attempt):
+def send_raw(connection, path, key, attempt, within_ms=4000):
     head = (
         f"POST {path} HTTP/1.1\r\nHost: {HOST_NAME}\r\nX-Attempt-Id: {attempt}\r\n"
-        f"X-Deadline-Ms: 4000\r\nAuthorization: Bearer {key}\r\nX-Model: *\r\n"
+        f"X-Deadline-Ms: {within_ms}\r\nAuthorization: Bearer {key}\r\nX-Model: *\r\n"
         "Content-Length: 0\r\n\r\n"
     )
     connection.sendall(head.encode())
@@ -343,3 +345,59 @@
 def step_draft_by(context, lifetime):
     draft(context)
     assert context.answer.headers["x-instance-signature"] == f"signed-{lifetime}", context.answer
+
+
+def memory_mb(context):
+    status = Path(f"/proc/{context.installation.processes[0].pid}/status").read_text()
+    return int(re.search(r"VmRSS:\s+(\d+) kB", status).group(1)) / 1000.0
+
+
+@given("the endpoint floods {drafts:d} drafts with {events:d} events of 4 KB")
+def step_flood(context, drafts, events):
+    installation = context.installation
+    # A busy machine must not run into the time limits before the callers read.
+    installation.config["routes"][0]["timeoutMs"] = FLOOD_TIME_MS
+    installation.publish()
+    text = f'"version": {installation.config["version"]}'
+    installation.wait_for(lambda: text in installation.log_of(), "the version is in force")
+    runner = installation.runners["engine-1"]
+    runner.events = events
+    runner.faults.extend([Fault.FLOOD] * drafts)
+
+
+@when("{count:d} callers ask for drafts and read nothing until the endpoint is held back")
+def step_read_nothing(context, count):
+    runner = context.installation.runners["engine-1"]
+    context.before_mb = memory_mb(context)
+    context.connections = [
+        open_raw(context, "/draft/brief", attempt=f"flood-{number}", within_ms=FLOOD_TIME_MS)
+        for number in range(count)
+    ]
+    context.installation.wait_for(lambda: len(runner.seen) == count, "all drafts run")
+    # Held back: the endpoint has pushed nothing more between two looks.
+    context.installation.wait_for(lambda: is_steady(context), "the endpoint is held back")
+
+
+def is_steady(context):
+    first = memory_mb(context)
+    time.sleep(0.5)
+    return abs(memory_mb(context) - first) < 0.2
+
+
+@then("the host has grown by less than {bound:d} MB")
+def step_grown(context, bound):
+    grown = memory_mb(context) - context.before_mb
+    assert grown < bound, grown
+
+
+@then("a caller that reads at last gets the events {first:d} to {last:d}")
+def step_reads_at_last(context, first, last):
+    received = bytearray()
+    while not received.endswith(b"0\r\n\r\n"):
+        data = context.connections[0].recv(1 << 20)
+        assert data, received[-200:]
+        received += data
+    found = [int(number) for number in re.findall(rb"\nid: (\d+)\n", bytes(received))]
+    assert found == list(range(first, last + 1)), (len(found), found[:3], found[-3:])
+    for connection in context.connections:
+        connection.close()
--- a/standins/installation/_runner.py
+++ b/standins/installation/_runner.py
@@ -10,6 +10,7 @@
 from poplarrun.transport import CallerConnection, CallerServer, RequestHead
 
 EVENT_S = 0.01
+FLOOD_BYTES = 4096
 
 
 class Fault(enum.Enum):
@@ -24,6 +25,7 @@
     EXTRA = "answers twice"
     MUTE = "runs it and says nothing"
     SLOW = "streams slowly"
+    FLOOD = "streams without a pause, events of 4 KB"
 
 
 @dataclass
@@ -154,6 +156,9 @@
         model = headers.get("x-model", "")
         for number in range(first, self.events + 1):
             event = f"id: {number}\ndata: {model} {number}\n\n".encode()
+            if fault is Fault.FLOOD:
+                await caller.push(b": " + b"x" * FLOOD_BYTES + b"\n" + event)
+                continue
             if fault is Fault.CUT and number == first + 2:
                 await caller.push(event[:7])
                 # The half event must be on its way before the connection is reset.
