Bound callers' connections, open requests and trials by the host's settings; one digest a round

Cause: a host with few descriptors would run out of sockets under a burst, since 700 open requests and any number of idle callers were allowed whatever its limits. The trial of a new version took a tenth of the sessions although operators may allow less. Each digest gathered loads and evidence anew for each peer of a round. Ruled out: closing new connections in place of idle ones, which would refuse callers that have work.

--- a/features/gateway.feature
+++ b/features/gateway.feature
@@ -105,3 +105,11 @@
     When 8 callers ask for drafts and read nothing until the endpoint is held back
     Then the host has grown by less than 16 MB
     And a caller that reads at last gets the events 1 to 2000
+
+  Scenario: Idle connections of callers give way to new ones
+    # A caller's draft runs while others connect and send nothing, more than the host has
+    # sockets for. The oldest idle ones are closed; the draft and new callers are served.
+    Given the endpoints stream slowly
+    When a caller's draft is running and 600 others connect and send nothing
+    Then the draft is whole and the first idle connection was closed
+    And a call of "/lookup/ring" is answered with 200
--- a/features/gateway_parts.feature
+++ b/features/gateway_parts.feature
@@ -27,3 +27,10 @@
 
   Scenario: Each event of the log stands in a page with its meaning
     Then docs/OPERATIONS.md explains every event, and no other
+
+  Scenario: A host takes on what its memory and its sockets allow
+    # With fewer descriptors the host would run out of sockets under a burst, and with
+    # less memory the platform would kill it with all requests that it has open.
+    Given a host of 150 MB and 3900 sockets
+    Then it has about 770 requests open at the most, of 2340 callers
+    And one of 150 MB and 800 sockets has 280, and one of 88 MB has 350
--- a/features/rollouts.feature
+++ b/features/rollouts.feature
@@ -48,6 +48,11 @@
     Then none of them is sent to the new version until 110.0
     And about a tenth of 1000 new sessions tries the new version
 
+  Scenario: The trial keeps to the operators' bound on exposure
+    # Operators who let a bad version reach 3 in 100 requests must not see it reach 10.
+    Given a roll-out whose version may reach 0.03 of the requests
+    Then at most 0.03 of 4000 new sessions try the new version
+
   Scenario: A final phase is never overwritten
     Given a roll-out of 20 s ordered at 100.0 and 50 sessions on the old version
     When it is recorded as "rolled_back" and then as "active" by a host that was paused
--- a/features/steps/gateway.py
+++ b/features/steps/gateway.py
@@ -401,3 +401,27 @@
     assert found == list(range(first, last + 1)), (len(found), found[:3], found[-3:])
     for connection in context.connections:
         connection.close()
+
+
+@when("a caller's draft is running and {count:d} others connect and send nothing")
+def step_idle_callers(context, count):
+    connection = open_raw(context, "/draft/brief")
+    received = connection.recv(65536)
+    host, _, port = context.installation.caller_address().rpartition(":")
+    context.idle = []
+    for _ in range(count):
+        idle = socket.create_connection((host, int(port)), timeout=10)
+        context.add_cleanup(idle.close)
+        context.idle.append(idle)
+    while data := connection.recv(65536):
+        received += data
+        if received.endswith(b"0\r\n\r\n"):
+            break
+    context.received = received
+
+
+@then("the draft is whole and the first idle connection was closed")
+def step_idle_closed(context):
+    numbers = [int(number) for number, _ in EVENT.findall(_dechunk(context.received))]
+    assert numbers == [1, 2, 3, 4, 5], context.received[-200:]
+    assert context.idle[0].recv(1) == b""
--- a/features/steps/gateway_parts.py
+++ b/features/steps/gateway_parts.py
@@ -5,6 +5,7 @@
 
 from behave import given, then, when
 
+from poplarrun.gateway._capacity import find_capacity
 from poplarrun.gateway._events import EventCutter
 from poplarrun.logs import EVENTS, BoundedHandler
 from poplarrun.peers import Digest, PeerBook
@@ -60,6 +61,26 @@
     assert b"".join(event.data for event in context.events) == context.whole
 
 
+@given("a host of {memory:d} MB and {sockets:d} sockets")
+def step_size(context, memory, sockets):
+    context.capacity = find_capacity(memory, sockets)
+    context.sockets = sockets
+
+
+@then("it has about {requests:d} requests open at the most, of {callers:d} callers")
+def step_capacity(context, requests, callers):
+    assert abs(context.capacity.requests - requests) <= 10, context.capacity
+    assert context.capacity.callers == callers, context.capacity
+
+
+@then(
+    "one of {memory:d} MB and {few:d} sockets has {fewer:d}, and one of {small:d} MB has {less:d}"
+)
+def step_small(context, memory, few, fewer, small, less):
+    assert abs(find_capacity(memory, few).requests - fewer) <= 10
+    assert abs(find_capacity(small, context.sockets).requests - less) <= 10
+
+
 @given("a log whose reader has stopped")
 def step_stopped_reader(context):
     # The thread that writes stays at its first write, as at a full pipe.
--- a/features/steps/rollouts.py
+++ b/features/steps/rollouts.py
@@ -19,6 +19,11 @@
     context.evidence.own[("engines", version, route)] = Tally(ended, bad)
 
 
+def count_tries(context, count):
+    works = [make_work(session=f"new-{number}") for number in range(count)]
+    return sum(context.rollouts.pick_version(work, 101.0)[0] is not None for work in works)
+
+
 def send_to(context, name, number, sent_at, first_at=None):
     dispatch = context.dispatch
     work = dispatch.admit(make_request(number=number), sent_at)
@@ -155,9 +160,18 @@
 
 @then("about a tenth of {count:d} new sessions tries the new version")
 def step_tenth(context, count):
-    works = [make_work(session=f"new-{number}") for number in range(count)]
-    tries = sum(context.rollouts.pick_version(work, 101.0)[0] is not None for work in works)
-    assert 0.06 * count < tries < 0.14 * count, tries
+    assert 0.06 * count < count_tries(context, count) < 0.14 * count
+
+
+@given("a roll-out whose version may reach {share:f} of the requests")
+def step_exposure(context, share):
+    context.rollouts = Rollouts(exposure=share)
+    context.rollouts.take_order(RolloutOrder("engines", "v2", 20, 7), 100.0)
+
+
+@then("at most {share:f} of {count:d} new sessions try the new version")
+def step_exposed(context, share, count):
+    assert 0 < count_tries(context, count) <= share * count
 
 
 @when('it is recorded as "{first}" and then as "{second}" by a host that was paused')
--- a/poplarrun/dispatch/_dispatch.py
+++ b/poplarrun/dispatch/_dispatch.py
@@ -268,13 +268,14 @@
         if work.runs >= work.route.most_attempts:
             return Refusal(kind, f"{work.runs} attempts failed")
         if work.sends >= work.route.most_attempts + REFUSED_SENDS:
-            return self._refuse_or(work, kind, f"{work.sends} sends failed")
+            return self._give_up(work, ErrorKind.NO_ENDPOINT, f"{work.sends} sends failed")
         if work.connect_failures >= MOST_CONNECT_FAILURES:
-            return self._refuse_or(work, kind, f"{work.connect_failures} connections failed")
+            text = f"{work.connect_failures} connections failed"
+            return self._give_up(work, ErrorKind.NO_ENDPOINT, text)
         if work.left_s(now) < LEAST_TIME_S:
-            return self._refuse_or(work, kind, "no time is left")
+            return self._give_up(work, ErrorKind.NO_ENDPOINT, "no time is left")
         if work.sends and not self._budget(work.service).take():
-            return self._refuse_or(work, kind, "too many second sends")
+            return self._give_up(work, ErrorKind.NO_ENDPOINT, "too many second sends")
         return None
 
     def _service(self, work: Work) -> Service | None:
@@ -345,9 +346,6 @@
             return Refusal(ErrorKind.ENDPOINT_FAILED, text)
         return self._refuse(kind, text, RETRY_SOON_S)
 
-    def _refuse_or(self, work: Work, kind: ErrorKind, text: str) -> Refusal:
-        return Refusal(kind, text) if work.may_have_run else self._refuse(kind, text, RETRY_SOON_S)
-
     @staticmethod
     def _refuse(kind: ErrorKind, text: str, retry_after_s: float) -> Refusal:
         return Refusal(kind, text, retry_after_s=retry_after_s)
--- a/poplarrun/gateway/_host.py
+++ b/poplarrun/gateway/_host.py
@@ -10,6 +10,7 @@
 
 from poplarrun.dispatch import Dispatch, Knowledge
 from poplarrun.errors import ErrorKind, Refusal
+from poplarrun.gateway._capacity import find_capacity
 from poplarrun.gateway._exchange import Exchange, respond_refusal
 from poplarrun.gateway._followers import DocumentFollower, ListingFollower
 from poplarrun.gateway._peering import Peering
@@ -43,9 +44,6 @@
 # which the allowance is divided until it is known how many there are.
 RETRY_PART = 0.85
 FIRST_HOSTS = 8
-# Requests that one host has open at once. One takes about 60 KB with its body and
-# buffers, so that these stay below half of the memory of a small host.
-MOST_OPEN = 700
 # While it stops, a host still takes new connections for so long, in seconds: the
 # balancer asks once a second and takes a host out after two misses.
 BALANCER_S = 2.6
@@ -82,7 +80,7 @@
         self._knowledge = Knowledge(settings.key_bound_s)
         self._directory = Directory()
         self._placement = Placement(settings.zone, random.Random())
-        self._rollouts = Rollouts(settings.session_s)
+        self._rollouts = Rollouts(settings.session_s, settings.exposure)
         self._dispatch = Dispatch(
             self._knowledge,
             self._placement,
@@ -95,6 +93,8 @@
         self._recorder = RequestRecorder(self.metrics)
         self._callers = CallerServer(self._serve, self._report_crash)
         self._observers = CallerServer(self._observe, self._report_crash)
+        self._capacity = find_capacity(settings.memory_mb, settings.most_sockets)
+        self._callers.most_connections = self._capacity.callers
         self._documents = DocumentFollower(
             self._store, self._knowledge, self._rollouts, self._apply_limits
         )
@@ -192,7 +192,7 @@
             self._open -= 1
 
     def _admit(self, request: Request, now: float) -> Work | Refusal:
-        if self._open >= MOST_OPEN:
+        if self._open >= self._capacity.requests:
             return Refusal(ErrorKind.QUEUE_FULL, "host is full")
         if self._is_closed:
             # A stream that begins now would be cut off in the middle when the host is
@@ -273,6 +273,9 @@
         self.settings = loaded
         self._knowledge.key_bound_s = loaded.key_bound_s
         self._rollouts.session_s = loaded.session_s
+        self._rollouts.exposure = loaded.exposure
+        self._capacity = find_capacity(loaded.memory_mb, loaded.most_sockets)
+        self._callers.most_connections = self._capacity.callers
         self._store.address = loaded.store
 
     def _report_crash(self, error: BaseException | None) -> None:
--- a/poplarrun/gateway/_peering.py
+++ b/poplarrun/gateway/_peering.py
@@ -4,6 +4,8 @@
 import json
 import random
 
+import msgspec
+
 from poplarrun.dispatch import Knowledge
 from poplarrun.gateway._followers import DocumentFollower, ListingFollower
 from poplarrun.links import Links
@@ -14,6 +16,7 @@
     Documents,
     EndpointLoad,
     Listed,
+    Peer,
     PeerBook,
     RolloutNews,
     TallyNews,
@@ -137,12 +140,18 @@
     def _tell(self, now: float) -> None:
         active = self._rollouts.active()
         far_s = ROLLOUT_PERIOD_S if active else FAR_PERIOD_S
-        for peer in self.book.due(now, NEAR_PERIOD_S, far_s):
-            held_s = now - peer.heard_at if peer.last_stamp else 0.0
-            digest = self._digest(now, peer.last_stamp, held_s)
-            self._links.send(peer.address, encode_message(digest))
+        due = self.book.due(now, NEAR_PERIOD_S, far_s)
+        if due:
+            self._send_digests(due, now)
         self._note_alive(now)
 
+    def _send_digests(self, peers: list[Peer], now: float) -> None:
+        digest = self._digest(now)
+        for peer in peers:
+            held_s = now - peer.heard_at if peer.last_stamp else 0.0
+            message = msgspec.structs.replace(digest, echo=peer.last_stamp, held_s=held_s)
+            self._links.send(peer.address, encode_message(message))
+
     def _note_alive(self, now: float) -> None:
         alive = {peer.address for peer in self.book.alive(now)}
         if alive != self._alive:
@@ -153,14 +162,15 @@
             self._placement.keep_others(alive)
             self._placement.silent_zones = self.book.silent_zones(now)
 
-    def _digest(self, now: float, echo: float, held_s: float) -> Digest:
+    def _digest(self, now: float) -> Digest:
+        """Return what all peers are told alike in one round."""
         catalogue = self._knowledge.catalogue
         return Digest(
             address=self.book.address,
             zone=self.book.zone,
             stamp=now,
-            echo=echo,
-            held_s=held_s,
+            echo=0.0,
+            held_s=0.0,
             version=-1 if catalogue is None else catalogue.version,
             age_s=min(1e6, self._knowledge.age_s(now)),
             listing_age_s=min(1e6, now - self._listings.read_at),
--- a/poplarrun/placement/_members.py
+++ b/poplarrun/placement/_members.py
@@ -105,10 +105,6 @@
         while len(self._parts) > KEPT_PARTS:
             self._parts.popitem(last=False)
 
-    def forget_parts(self) -> None:
-        """Note that it has started anew."""
-        self._parts.clear()
-
     def known_tokens(self, size: str, parts: tuple[PromptPart, ...], now: float) -> int:
         """Return how many tokens of a prompt's beginning it has read before."""
         known = 0
--- a/poplarrun/platform/_settings.py
+++ b/poplarrun/platform/_settings.py
@@ -14,6 +14,8 @@
 # settings are new each day: the deploy file tells the process the same port.
 METRICS_VARIABLE = "POPLARRUN_METRICS_PORT"
 MILLISECONDS = 1000.0
+# Of its descriptors a process has so many for files only.
+FILE_DESCRIPTORS = 200
 Address = Annotated[str, StringConstraints(pattern=r"^\d{1,3}(\.\d{1,3}){3}:\d{1,5}$")]
 
 
@@ -80,6 +82,10 @@
         Time from the request to stop until the host is killed.
     retry_earned, retry_allowance : float
         Second sends of all hosts together for each request, and beyond that.
+    exposure : float
+        Share of a service's requests that a bad version may get.
+    memory_mb, most_sockets : int
+        Memory and open sockets above which the platform stops or hinders the process.
     """
 
     name: str
@@ -95,7 +101,9 @@
     retry_earned: float
     retry_allowance: float
     session_s: float
+    exposure: float
     memory_mb: int
+    most_sockets: int
 
 
 @dataclass(frozen=True, slots=True)
@@ -134,5 +142,7 @@
         retry_earned=bounds.retry_ratio,
         retry_allowance=bounds.retry_allowance,
         session_s=bounds.session_s,
+        exposure=bounds.exposure_share,
         memory_mb=node.limits.memory_mb,
+        most_sockets=node.limits.max_fds - FILE_DESCRIPTORS,
     )
--- a/poplarrun/rollouts/_rollouts.py
+++ b/poplarrun/rollouts/_rollouts.py
@@ -8,10 +8,11 @@
 from poplarrun.rollouts._evidence import Evidence
 from poplarrun.routing import RolloutOrder, RolloutPhase, RolloutStatus, Work
 
-# Share of the sessions that try a new version. The operators bound the requests
-# that a bad version may get; the rest of the bound is for the shift, in which a
-# version that is bad only under load shows itself.
-TRIAL_SHARE = 0.1
+# Part of the operators' bound on the share of requests that a bad version may get which
+# the trial uses; the rest is for the shift, in which a version that is bad only under
+# load shows itself. The bound where the operators name none.
+TRIAL_PART_OF_BOUND = 2.0 / 3.0
+USUAL_EXPOSURE = 0.15
 # Part of the order's time for the trial. Sessions may change to the new version
 # only in the second half.
 TRIAL_PART = 0.5
@@ -53,12 +54,15 @@
     ----------
     begun_at : float
         When the order was first seen by any host.
+    trial_share : float
+        Share of the sessions that try the new version.
     recorded : RolloutPhase, optional
         What the store holds.
     """
 
     order: RolloutOrder
     begun_at: float
+    trial_share: float
     recorded: RolloutPhase | None = None
     is_shifted: bool = False
     shifted_at: float | None = None
@@ -72,7 +76,7 @@
     def share(self, now: float) -> float:
         """Return the share of the sessions that the new version gets."""
         if self.shifted_at is None:
-            return TRIAL_SHARE
+            return self.trial_share
         is_first = now - self.shifted_at < SHIFT_PART * self.order.duration_s
         return SHIFT_SHARE if is_first else 1.0
 
@@ -104,9 +108,12 @@
     ----------
     session_s : float
         Requests of a session that follow each other within this time keep a version.
+    exposure : float
+        Share of a service's requests that a bad version may get.
     """
 
     session_s: float = 5.0
+    exposure: float = USUAL_EXPOSURE
     evidence: Evidence = field(default_factory=Evidence)
     _rollouts: dict[str, Rollout] = field(default_factory=dict)
     _sessions: OrderedDict[tuple[str, str], _Session] = field(default_factory=OrderedDict)
@@ -141,7 +148,8 @@
             return False
         if known is not None:
             self.evidence.forget(order.service)
-        self._rollouts[order.service] = Rollout(order, now - age_s)
+        trial_share = TRIAL_PART_OF_BOUND * self.exposure
+        self._rollouts[order.service] = Rollout(order, now - age_s, trial_share)
         return True
 
     def take_status(self, status: RolloutStatus) -> bool:
--- a/poplarrun/transport/_server.py
+++ b/poplarrun/transport/_server.py
@@ -79,8 +79,8 @@
         self._transport = transport
         transport.set_write_buffer_limits(high=MOST_UNSENT_BYTES)
         detect_dead_peers(transport.get_extra_info("socket"))
-        self._server.connections.add(self)
         self._set_timer(self._server.bounds.idle_timeout_s)
+        self._server.take(self)
 
     def data_received(self, data: bytes) -> None:
         """Take in bytes, and start the request once it is whole."""
@@ -108,7 +108,7 @@
         """Note that the connection is gone."""
         self._can_write.set()
         self._cancel_timer()
-        self._server.connections.discard(self)
+        self._server.connections.pop(self, None)
         if self._task is not None and not self.is_shielded:
             self._task.cancel()
 
@@ -313,6 +313,10 @@
         In force for all connections from the next request on.
     is_stopping : bool
         Whether answers tell callers to close their connections.
+    most_connections : int, optional
+        Connections that are kept at once; None for no bound.
+    connections : dict of CallerConnection to None
+        In the order in which they were accepted.
     """
 
     def __init__(self, handler: Handler, report_crash: Callable[[BaseException | None], None]):
@@ -320,7 +324,8 @@
         self.report_crash = report_crash
         self.bounds = ServerBounds()
         self.is_stopping = False
-        self.connections: set[CallerConnection] = set()
+        self.most_connections: int | None = None
+        self.connections: dict[CallerConnection, None] = {}
         self._servers: list[asyncio.Server] = []
 
     async def listen(self, address: str) -> None:
@@ -332,6 +337,18 @@
         )
         self._servers.append(server)
 
+    def take(self, connection: CallerConnection) -> None:
+        """Keep a new connection, in place of an idle one where there are too many.
+
+        Callers that connect and stay idle would take all sockets of the host, which
+        then could neither accept a caller nor connect to an endpoint.
+        """
+        is_full = self.most_connections is not None
+        if is_full and len(self.connections) >= (self.most_connections or 0):
+            idle = (kept for kept in self.connections if kept.is_idle)
+            next(idle, connection).close()
+        self.connections[connection] = None
+
     def close_idle(self) -> None:
         """Close the connections on which nothing is under way."""
         for connection in list(self.connections):
