Two hosts as processes: what a peer proves serves a host that the store turns away

The stand-in of the store listens for each host by itself and can turn one away; its refusal of all hosts was unused.

--- a/features/environment.py
+++ b/features/environment.py
@@ -165,7 +165,21 @@
         yield installation
 
 
+@fixture
+def host_pair(context):
+    """The users' platform with a host in each of two zones."""
+    with Installation(hosts=2) as installation:
+        installation.publish()
+        installation.add_runner("engine-1", "engines")
+        installation.add_runner("stock-1", "stock")
+        for number in range(2):
+            installation.start_host(number)
+        context.installation = installation
+        yield installation
+
+
 FIXTURES = {
+    "fixture.host_pair": host_pair,
     "fixture.order_fleet": order_fleet,
     "fixture.few_threads": few_threads,
     "fixture.keyed_host": keyed_host,
--- /dev/null
+++ b/features/steps/gateway_peers.py
@@ -0,0 +1,66 @@
+import time
+
+from behave import then, when
+
+# The stand-in's bound on keys is 5 s, of which 4 s are used.
+PAST_BOUND_S = 5.0
+
+
+@when("the store turns host {number:d} away for longer than keys may be trusted")
+def step_turned_away(context, number):
+    context.installation.turn_away(number)
+    time.sleep(PAST_BOUND_S)
+
+
+@when('the endpoint "{new}" takes the place of "{old}"')
+def step_replaced(context, new, old):
+    context.installation.add_runner(new, "stock")
+    context.installation.remove_runner(old)
+
+
+@when("host {number:d} is killed and the bound on keys passes")
+def step_killed(context, number):
+    process = context.installation.processes[number]
+    process.kill()
+    process.wait()
+    time.sleep(PAST_BOUND_S)
+
+
+@then('calls of "{path}" at host {number:d} are answered with {status:d}')
+def step_answered(context, path, number, status):
+    answers = [context.installation.call(path, number) for _ in range(5)]
+    assert [answer.status for answer in answers] == [status] * 5, answers
+
+
+@then('once the key "{key}" is taken away it gets 401 at host {number:d}')
+def step_key_gone(context, key, number):
+    installation = context.installation
+    assert installation.call("/lookup/ring", number, key).status == 200
+    for account in installation.config["tenants"]:
+        account["apiKeys"] = [kept for kept in account["apiKeys"] if kept != key]
+    installation.publish()
+    installation.wait_for(
+        lambda: installation.call("/lookup/ring", number, key).status == 401, "the key is refused"
+    )
+    assert installation.call("/lookup/ring", number).status == 200
+
+
+@then('soon all calls of "{path}" at host {number:d} reach "{lifetime}"')
+def step_reach(context, path, number, lifetime):
+    installation = context.installation
+    runner = installation.runners[lifetime]
+
+    def reach():
+        before = len(runner.seen)
+        for _ in range(5):
+            installation.call(path, number)
+        return len(runner.seen) == before + 5
+
+    installation.wait_for(reach, f"all calls reach {lifetime}")
+
+
+@then('a call of "{path}" at host {number:d} is answered with {status:d} and a time to come back')
+def step_refused(context, path, number, status):
+    answer = context.installation.call(path, number)
+    assert answer.status == status, answer
+    assert float(answer.headers["retry-after"]) > 0.0, answer
--- a/standins/installation/_installation.py
+++ b/standins/installation/_installation.py
@@ -59,13 +59,13 @@
         self._folder = tempfile.TemporaryDirectory(prefix="poplarrun-installation-")
         self._loop = asyncio.new_event_loop()
         self._thread = threading.Thread(target=self._loop.run_forever, daemon=True)
-        self._store_address = _address()
         self._addresses = [self._host_addresses(number) for number in range(hosts)]
         self.processes: dict[int, subprocess.Popen[bytes]] = {}
 
     def __enter__(self) -> "Installation":
         self._thread.start()
-        self.run(self.store.start(self._store_address))
+        for addresses in self._addresses:
+            self.run(self.store.start(addresses["store"]))
         return self
 
     def __exit__(self, *_: object) -> None:
@@ -180,6 +180,10 @@
         sent |= {name.replace("_", "-"): value for name, value in headers.items()}
         return self._call(self.caller_address(number), method, path, sent, body)
 
+    def turn_away(self, number: int) -> None:
+        """Have the store refuse all calls of one host."""
+        self.store.turned_away.add(self._addresses[number]["store"])
+
     def caller_address(self, number: int = 0) -> str:
         """Return where a host serves callers."""
         return self._addresses[number]["frontend"]
@@ -215,6 +219,7 @@
             "frontend": _address(),
             "readiness": _address(),
             "controlPlane": _address(),
+            "store": _address(),
             "metrics": free_port(),
             "zone": "abc"[number % 3],
         }
@@ -230,7 +235,7 @@
             "listen": {name: addresses[name] for name in names},
             "portRange": [addresses["metrics"], addresses["metrics"]],
             "seeds": [other["controlPlane"] for other in self._addresses[:3]],
-            "platform": {"address": self._store_address},
+            "platform": {"address": addresses["store"]},
             "limits": {"memoryMb": 150, "maxFds": 1000},
             "bounds": {
                 "revokeStrict": True,
--- a/standins/installation/_store.py
+++ b/standins/installation/_store.py
@@ -43,10 +43,10 @@
     ----------
     is_silent : bool
         Calls get no answer and do nothing.
-    is_refusing : bool
-        Calls get 503 and do nothing.
     lost_appends : int
         So many next appends are done and get no answer.
+    turned_away : set of str
+        Addresses of its own at which calls get 503 and do nothing.
     calls : list of str
         Paths of the calls so far.
     """
@@ -54,16 +54,25 @@
     def __init__(self) -> None:
         self.topics: dict[str, Topic] = {}
         self.is_silent = False
-        self.is_refusing = False
         self.lost_appends = 0
+        self.turned_away: set[str] = set()
         self.calls: list[str] = []
         self.crashes: list[BaseException | None] = []
-        self._server = CallerServer(self._serve, self.crashes.append)
+        self._servers: list[CallerServer] = []
 
     async def start(self, address: str) -> None:
-        """Listen."""
-        self._server.bounds.body_bytes = 4 * 1024 * 1024
-        await self._server.listen(address)
+        """Listen at one more address."""
+
+        async def serve(caller: CallerConnection, head: RequestHead, body: bytes) -> None:
+            if address in self.turned_away:
+                caller.respond(503, [], b"{}")
+                return
+            await self._serve(caller, head, body)
+
+        server = CallerServer(serve, self.crashes.append)
+        server.bounds.body_bytes = 4 * 1024 * 1024
+        self._servers.append(server)
+        await server.listen(address)
 
     def topic(self, name: str) -> Topic:
         """Return a topic, which its first use creates."""
@@ -76,9 +85,6 @@
         if self.is_silent:
             await asyncio.sleep(30.0)
             return
-        if self.is_refusing:
-            caller.respond(503, [], b"{}")
-            return
         topic = self.topic(query["topic"])
         match url.path:
             case "/log-append":
