Compare a new version's pace with the old one's while both run, and trust it more once it is alone

Its pace was compared with that of the calm time before, and a burst or a lost endpoint made it look 1.9 times as slow. Ruled out: endpoints that are cold (slow first events are left out once traffic moves). Change: the old version's own pace, where it is above usual, is the measure; a version gets at most 0.35 for a fifth of the time in place of a tenth, beside the old one; alone it is slow from 2.6 times on. The share follows the operators' bound.

--- a/features/rollouts.feature
+++ b/features/rollouts.feature
@@ -25,6 +25,17 @@
     When 17 of 98 answers of the new version begin after 2.0 s, at the usual pace
     Then the new version is judged good while all traffic moves to it
 
+  Scenario: A burst is not taken for a slow version
+    # Traffic jumps after all of it moved to the new version, or while both run. Answers
+    # take twice as long, the old version's as well: nothing is wrong with the new one.
+    Given 40 answers 2.2 times as slow as usual, and old ones 1.0 times
+    Then the new version is judged bad in the stage "shift"
+    And the new version is judged good in the stage "alone"
+    Given 40 answers 2.2 times as slow as usual, and old ones 1.6 times
+    Then the new version is judged good in the stage "shift"
+    Given 40 answers 2.8 times as slow as usual, and old ones 1.0 times
+    Then the new version is judged bad in the stage "alone"
+
   Scenario: A version whose answers drip is bad, although they begin in time
     Given usual answers of 0.02 s an event
     When 6 of 10 answers of the new version take 0.16 s an event
--- a/poplarrun/rollouts/_evidence.py
+++ b/poplarrun/rollouts/_evidence.py
@@ -1,5 +1,6 @@
 """What was seen of the versions of a service, by host, and the test of a new one."""
 
+import enum
 import math
 from dataclasses import dataclass, field
 
@@ -23,6 +24,10 @@
 # enough, and neither queues nor cold memory change the pace so much.
 FEWEST_PACES = 8
 SLOW_MEAN_TIMES = 1.9
+# The same once the new version has all traffic. Nothing runs beside it any more, so that
+# a burst or a lost endpoint looks like a slow version: good ones came to 1.6 on ordinary
+# days, and one in ten was taken out for it.
+SLOW_MEAN_TIMES_ALONE = 2.6
 # Shorter times than this count as this, in seconds.
 LEAST_TIME_S = 0.001
 # Share of slow answers that a good version may have while it is on trial.
@@ -118,11 +123,21 @@
         self.log_pace += other.log_pace
 
     @property
-    def is_slow_on_average(self) -> bool:
-        """Whether the mean pace is far from the usual one."""
-        if self.paced < FEWEST_PACES:
-            return False
-        return self.log_pace / self.paced > math.log(SLOW_MEAN_TIMES)
+    def mean_log_pace(self) -> float:
+        """Mean logarithm of the paces in units of the usual one; 0 for too few."""
+        return self.log_pace / self.paced if self.paced >= FEWEST_PACES else 0.0
+
+
+class Stage(enum.Enum):
+    """How much a new version can be compared with the old one.
+
+    ``TRIAL``: few sessions try it. ``SHIFT``: traffic moves to its endpoints, which have
+    read no prompts yet. ``ALONE``: it has all traffic.
+    """
+
+    TRIAL = "trial"
+    SHIFT = "shift"
+    ALONE = "alone"
 
 
 TallyKey = tuple[str, str, str]
@@ -194,25 +209,17 @@
                     merged.setdefault((version, route), Tally()).add(tally)
         return merged
 
-    def is_bad(self, service: str, target: str, is_cold: bool = False) -> bool:
-        """Tell whether a version is worse than the others, as a whole or in one kind.
-
-        Parameters
-        ----------
-        is_cold : bool
-            Whether all traffic moves to its endpoints now. They have read no prompts
-            yet, and a sixth of the answers begin late: only failures and the pace of
-            answers that have begun tell a bad version then.
-        """
+    def is_bad(self, service: str, target: str, stage: Stage = Stage.TRIAL) -> bool:
+        """Tell whether a version is worse than the others, as a whole or in one kind."""
         merged = self.merged(service)
         kinds = {kind for version, kind in merged if version == target}
-        if self._is_worse_in(merged, target, None, is_cold):
+        if self._is_worse_in(merged, target, None, stage):
             return True
-        return any(self._is_worse_in(merged, target, kind, is_cold) for kind in kinds)
+        return any(self._is_worse_in(merged, target, kind, stage) for kind in kinds)
 
     @staticmethod
     def _is_worse_in(
-        merged: dict[tuple[str, str], Tally], target: str, kind: str | None, is_cold: bool
+        merged: dict[tuple[str, str], Tally], target: str, kind: str | None, stage: Stage
     ) -> bool:
         new, old = Tally(), Tally()
         for (version, of), tally in merged.items():
@@ -220,9 +227,12 @@
                 (new if version == target else old).add(tally)
         if _is_worse(new.bad, new.ended, old.bad, old.ended, LEAST_OLD_SHARE):
             return True
-        if new.is_slow_on_average and not old.is_slow_on_average:
+        if _is_slower(new, old, stage):
             return True
-        return not is_cold and _is_worse(new.slow, new.ended, old.slow, old.ended, MOST_SLOW_SHARE)
+        # Cold endpoints begin a sixth of their answers late: only failures and the pace
+        # of answers that have begun tell a bad version once traffic moves there.
+        is_warm = stage is Stage.TRIAL
+        return is_warm and _is_worse(new.slow, new.ended, old.slow, old.ended, MOST_SLOW_SHARE)
 
     def all_ended(self, service: str) -> int:
         """Return how many answers of all versions all hosts saw."""
@@ -237,6 +247,12 @@
         return whole
 
 
+def _is_slower(new: Tally, old: Tally, stage: Stage) -> bool:
+    """Tell whether the mean pace is far from that of the old version, or the usual one."""
+    times = SLOW_MEAN_TIMES_ALONE if stage is Stage.ALONE else SLOW_MEAN_TIMES
+    return new.mean_log_pace - max(0.0, old.mean_log_pace) > math.log(times)
+
+
 def _is_worse(bad: int, ended: int, old_bad: int, old_ended: int, least_share: float) -> bool:
     if bad < FEWEST_BAD:
         return False
--- a/poplarrun/rollouts/_rollouts.py
+++ b/poplarrun/rollouts/_rollouts.py
@@ -5,22 +5,24 @@
 from collections import OrderedDict
 from dataclasses import dataclass, field
 
-from poplarrun.rollouts._evidence import Evidence
+from poplarrun.rollouts._evidence import Evidence, Stage
 from poplarrun.routing import RolloutOrder, RolloutPhase, RolloutStatus, Work
 
 # Part of the operators' bound on the share of requests that a bad version may get which
 # the trial uses; the rest is for the shift, in which a version that is bad only under
 # load shows itself. The bound where the operators name none.
-TRIAL_PART_OF_BOUND = 2.0 / 3.0
+TRIAL_OF_BOUND = 2.0 / 3.0
 USUAL_EXPOSURE = 0.15
 # Part of the order's time for the trial. Sessions may change to the new version
 # only in the second half.
 TRIAL_PART = 0.5
-# Share of the sessions that a version gets first once it has passed its trial, and
-# the part of the order's time for that: a version that is bad only under load shows
-# itself before it has all traffic.
-SHIFT_SHARE = 0.35
-SHIFT_PART = 0.1
+# What a version gets first once it has passed its trial, in units of that bound but at
+# most so much, and the part of the order's time for that: a version that is bad only
+# under load, or slow in a way that few answers don't show, shows itself beside the old
+# one before it has all traffic. Trial and this together stay below the bound.
+SHIFT_OF_BOUND = 7.0 / 3.0
+MOST_SHIFT_SHARE = 0.35
+SHIFT_PART = 0.2
 # Answers without which a version isn't trusted with all traffic.
 FEWEST_SEEN = 8
 # The same as a part of all answers, where there are few.
@@ -54,15 +56,15 @@
     ----------
     begun_at : float
         When the order was first seen by any host.
-    trial_share : float
-        Share of the sessions that try the new version.
+    exposure : float
+        Share of the requests that a bad version may get.
     recorded : RolloutPhase, optional
         What the store holds.
     """
 
     order: RolloutOrder
     begun_at: float
-    trial_share: float
+    exposure: float
     recorded: RolloutPhase | None = None
     is_shifted: bool = False
     shifted_at: float | None = None
@@ -76,9 +78,22 @@
     def share(self, now: float) -> float:
         """Return the share of the sessions that the new version gets."""
         if self.shifted_at is None:
-            return self.trial_share
-        is_first = now - self.shifted_at < SHIFT_PART * self.order.duration_s
-        return SHIFT_SHARE if is_first else 1.0
+            return TRIAL_OF_BOUND * self.exposure
+        if self.has_all(now):
+            return 1.0
+        return min(MOST_SHIFT_SHARE, SHIFT_OF_BOUND * self.exposure)
+
+    def has_all(self, now: float) -> bool:
+        """Tell whether the new version gets all sessions."""
+        if self.shifted_at is None:
+            return False
+        return now - self.shifted_at >= SHIFT_PART * self.order.duration_s
+
+    def stage(self, now: float) -> Stage:
+        """Return how much the new version can be compared with the old one."""
+        if self.has_all(now):
+            return Stage.ALONE
+        return Stage.TRIAL if self.shifted_at is None else Stage.SHIFT
 
     @property
     def is_open(self) -> bool:
@@ -148,8 +163,7 @@
             return False
         if known is not None:
             self.evidence.forget(order.service)
-        trial_share = TRIAL_PART_OF_BOUND * self.exposure
-        self._rollouts[order.service] = Rollout(order, now - age_s, trial_share)
+        self._rollouts[order.service] = Rollout(order, now - age_s, self.exposure)
         return True
 
     def take_status(self, status: RolloutStatus) -> bool:
@@ -213,7 +227,7 @@
         order = rollout.order
         if not rollout.is_open:
             return Verdict.NOTHING
-        if self.evidence.is_bad(order.service, order.target, rollout.is_shifted):
+        if self.evidence.is_bad(order.service, order.target, rollout.stage(now)):
             return Verdict.ROLLED_BACK
         all_ended = self.evidence.all_ended(order.service)
         needed = max(1.0, min(FEWEST_SEEN, FEWEST_SEEN_PART * all_ended))
