Count a crash of one endpoint once as evidence against its version

There three endpoints crashed at 18.9 s and broke six answers at once: 6 bad of 60. Ruled out: pace (0 slow), failures of the version's own (0 answers with a status). Change: where an endpoint is passed over already, further broken answers of it are no evidence. The scenario fails before (6 bad answers).

--- a/features/rollouts.feature
+++ b/features/rollouts.feature
@@ -18,6 +18,13 @@
     When 6 of 12 answers of the version on trial have not begun after 0.9 s
     Then the new version is judged bad although none of its answers failed
 
+  Scenario: An endpoint that crashes is no bad version
+    # One endpoint of the new version crashes while it answers six callers; all six see
+    # their answers go on elsewhere. The other answers were good, so the version stays.
+    Given a dispatch whose endpoints usually begin after 0.1 s
+    When 40 answers of the version on trial end well and 6 break off at the same moment
+    Then the version on trial is judged good, with 1 bad answer
+
   Scenario: A good version whose endpoints are cold is not judged bad
     # All traffic moves to the new version, whose endpoints have read no prompts yet.
     # A sixth of its answers begin late; once begun, they come at the usual pace.
--- a/features/steps/rollouts.py
+++ b/features/steps/rollouts.py
@@ -9,7 +9,7 @@
     make_request,
     make_work,
 )
-from poplarrun.dispatch import Knowledge, Send
+from poplarrun.dispatch import ConnectionBroke, Knowledge, Send
 from poplarrun.placement import Seat
 from poplarrun.rollouts import Evidence, Rollouts, Stage, Tally, Times, Verdict
 from poplarrun.routing import RolloutOrder, RolloutPhase, RolloutStatus
@@ -27,6 +27,7 @@
 
 
 def send_to(context, name, number, sent_at, first_at=None):
+    """Send a request to an endpoint; return it and its attempt."""
     dispatch = context.dispatch
     work = dispatch.admit(make_request(number=number), sent_at)
     seat = Seat(dispatch.placement.find(name), 0.0, 0.1, 0)
@@ -34,6 +35,7 @@
     if first_at is not None:
         dispatch.note_first(work, attempt, first_at)
         dispatch.note_end(work, attempt, first_at)
+    return work, attempt
 
 
 @given('{good:d} good answers of the new version on "{one}" and {bad:d} bad of {all:d} on "{two}"')
@@ -91,6 +93,26 @@
     assert evidence.is_bad("engines", "v2"), evidence.own
 
 
+@when(
+    "{good:d} answers of the version on trial end well and {broken:d} break off at the same moment"
+)
+def step_crash(context, good, broken):
+    dispatch = context.dispatch
+    dispatch.rollouts.take_order(RolloutOrder("engines", "v2", 20.0, 7), 101.0)
+    for number in range(good):
+        send_to(context, "new", number, 102.0, 102.1)
+    for work, attempt in [send_to(context, "new", 100 + n, 103.0) for n in range(broken)]:
+        member = attempt.seat.member
+        dispatch.note_failure(work, member, attempt, ConnectionBroke("reset"), 103.5)
+
+
+@then("the version on trial is judged good, with {bad:d} bad answer")
+def step_crash_judged(context, bad):
+    evidence = context.dispatch.rollouts.evidence
+    assert not evidence.is_bad("engines", "v2"), evidence.own
+    assert evidence.of_version("engines", "v2").bad == bad, evidence.own
+
+
 @given("usual answers of {pace:f} s an event")
 def step_usual_pace(context, pace):
     context.evidence = Evidence()
--- a/poplarrun/dispatch/_dispatch.py
+++ b/poplarrun/dispatch/_dispatch.py
@@ -253,8 +253,12 @@
                 work.tried.add(member.listing.lifetime)
                 member.note_failure(now)
             case _:
+                # An endpoint that crashes breaks all its answers at once. Counted one by
+                # one, a crash of one endpoint would look like a version that fails often,
+                # and good versions were taken back for it.
+                if not member.is_paused(now):
+                    self._note_bad(work, attempt)
                 member.note_failure(now)
-                self._note_bad(work, attempt)
         if may_have_run(failure):
             work.runs += 1
             work.failures += 1
--- a/poplarrun/placement/_members.py
+++ b/poplarrun/placement/_members.py
@@ -84,9 +84,13 @@
         self.failures = 0
         self.paused_until = -math.inf
 
+    def is_paused(self, now: float) -> bool:
+        """Tell whether it is passed over at a time."""
+        return now < self.paused_until
+
     def note_failure(self, now: float) -> None:
         """Pass it over for a while; failures within one pause count once."""
-        if now < self.paused_until:
+        if self.is_paused(now):
             return
         pause_s = min(LONGEST_PAUSE_S, FIRST_PAUSE_S * 2.0 ** min(self.failures, 6))
         self.failures += 1
--- a/poplarrun/placement/_placement.py
+++ b/poplarrun/placement/_placement.py
@@ -152,7 +152,7 @@
             and (versions is None or member.listing.version in versions)
             and member.listing.version != avoided_version
         ]
-        free = [member for member in usable if member.paused_until <= now]
+        free = [member for member in usable if not member.is_paused(now)]
         tried = set() if is_new else work.tried
         fresh = [member for member in free if member.listing.lifetime not in tried]
         candidates = fresh or free or usable
