--- a/poplarrun/dispatch/_dispatch.py
+++ b/poplarrun/dispatch/_dispatch.py
@@ -174,9 +174,7 @@
         self._open[attempt] = work
         return attempt
 
-    def ask_larger(
-        self, work: Work, attempt: Attempt, confidence: float | None, now: float
-    ) -> bool:
+    def ask_larger(self, work: Work, attempt: Attempt, confidence: float, now: float) -> bool:
         """Tell whether a larger model is asked instead; the caller has seen nothing yet.
 
         The dropped answer counts as a run, and the next send takes from the budget of
@@ -184,7 +182,7 @@
         """
         largest = self.sizes.largest(work)
         service = self._service(work)
-        if largest is None or confidence is None or service is None:
+        if largest is None or service is None:
             return False
         if work.runs + 1 >= work.route.most_attempts or work.last_event is not None:
             return False
--- a/poplarrun/gateway/_exchange.py
+++ b/poplarrun/gateway/_exchange.py
@@ -153,7 +153,7 @@
         """Drop a doubtful answer, of which the caller has seen nothing."""
         confidence = opened.answer.confidence
         now = boot_time()
-        if self._is_started:
+        if self._is_started or confidence is None:
             return False
         if not self._dispatch.ask_larger(self._work, opened.attempt, confidence, now):
             return False
--- a/poplarrun/gateway/_peering.py
+++ b/poplarrun/gateway/_peering.py
@@ -26,7 +26,7 @@
 from poplarrun.placement import Directory, Listing, Placement
 from poplarrun.platform import HOST_TOPIC, Appended, Malformed, Newest, StoreClient
 from poplarrun.rollouts import Rollouts, Tally
-from poplarrun.routing import RolloutOrder, RolloutPhase, RolloutStatus
+from poplarrun.routing import RolloutOrder, RolloutStatus
 from poplarrun.transport import boot_time
 
 # Pause between two digests, in seconds: to hosts of the own zone, and to others.
@@ -195,7 +195,7 @@
                 rollout.order.duration_s,
                 rollout.order.offset,
                 now - rollout.begun_at,
-                "" if rollout.recorded is None else rollout.recorded.value,
+                rollout.recorded,
                 rollout.is_shifted,
             )
             for rollout in self._rollouts.recent(now)
@@ -251,9 +251,9 @@
                 continue
             if news.is_shifted:
                 rollout.shift(now)
-            if news.phase:
-                phase = RolloutPhase(news.phase)
-                self._rollouts.take_status(RolloutStatus(news.service, news.target, phase))
+            if news.phase is not None:
+                status = RolloutStatus(news.service, news.target, news.phase)
+                self._rollouts.take_status(status)
         tallies = {
             (news.service, news.version, news.kind): Tally(
                 news.ended, news.bad, news.slow, news.paced, news.log_pace
--- a/poplarrun/gateway/_records.py
+++ b/poplarrun/gateway/_records.py
@@ -81,10 +81,10 @@
             )
         )
 
-    def dropped(self, work: Work, confidence: float | None) -> None:
+    def dropped(self, work: Work, confidence: float) -> None:
         """Note that a larger model is asked in place of an answer."""
         self._metrics.count_retry("larger_model")
-        write_event(events.LargerModelAsked(work.request.id, confidence or 0.0, work.size or ""))
+        write_event(events.LargerModelAsked(work.request.id, confidence, work.size or ""))
 
     def first(self, work: Work, attempt: Attempt) -> None:
         """Note the first event, or the answer of a plain service."""
--- a/poplarrun/peers/_messages.py
+++ b/poplarrun/peers/_messages.py
@@ -2,6 +2,8 @@
 
 import msgspec
 
+from poplarrun.routing import RolloutPhase
+
 MOST_NAMED = 8
 
 
@@ -26,8 +28,8 @@
     ----------
     age_s : float
         How long ago the order was first seen by any host that the sender heard of.
-    phase : str
-        What is recorded; empty for nothing.
+    phase : RolloutPhase, optional
+        What is recorded.
     """
 
     service: str
@@ -35,7 +37,7 @@
     duration_s: float
     offset: int
     age_s: float
-    phase: str
+    phase: RolloutPhase | None
     is_shifted: bool
 
 
