--- a/bench/gateway.py
+++ b/bench/gateway.py
@@ -91,9 +91,12 @@
     ]
     document = {"version": 1, "routes": routes, "services": [{"name": "engines"}], "tenants": []}
     value = json.dumps(document).encode()
-    began = time.perf_counter()
-    decode_catalogue(value)
-    seconds = time.perf_counter() - began
+    seconds = float("inf")
+    for _ in range(REPETITIONS):
+        began = time.perf_counter()
+        decode_catalogue(value)
+        # The fastest: a collection of garbage in between takes some 30 ms by itself.
+        seconds = min(seconds, time.perf_counter() - began)
     tracemalloc.start()
     kept = decode_catalogue(value)
     held, _ = tracemalloc.get_traced_memory()
--- a/poplarrun/placement/_placement.py
+++ b/poplarrun/placement/_placement.py
@@ -188,13 +188,14 @@
         so that they don't all go to the same one on old news.
         """
         near = [member for member in candidates if member.listing.zone == self._zone]
-        far = [member for member in candidates if member.listing.zone != self._zone]
-        drawn = self._random.sample(near, min(len(near), MOST_NEAR))
-        drawn += self._random.sample(far, min(len(far), MOST_FAR))
-        if len(drawn) < len(candidates):
+        if len(near) > MOST_NEAR or len(candidates) - len(near) > MOST_FAR:
+            far = [member for member in candidates if member.listing.zone != self._zone]
+            drawn = self._random.sample(near, min(len(near), MOST_NEAR))
+            drawn += self._random.sample(far, min(len(far), MOST_FAR))
             drawn += [member for member in candidates if member.listing.lifetime == home]
-        self._random.shuffle(drawn)
-        return drawn
+            candidates = drawn
+        start = self._random.randrange(len(candidates))
+        return candidates[start:] + candidates[:start]
 
     def _pick(self, seats: list[Seat], work: Work) -> Seat:
         far_s = FAR_S + FAR_BYTE_S * len(work.request.body)
--- a/scripts/capacity_roles.py
+++ b/scripts/capacity_roles.py
@@ -151,8 +151,8 @@
 ROLES = (
     Role(
         "Gateway (choice of an endpoint, on the users' platform)",
-        "each request weighs all endpoints of its service; one loop carries and decides",
-        "the choice grows with the endpoints: home and a few drawn ones have to do at this size",
+        "each request weighs at most 48 drawn endpoints and the home; one loop carries and decides",
+        "finding the usable endpoints and the home among all of a service",
         state="prompt parts of 45 s, at most 4,000 an endpoint",
         messages=f"{HOST_REQUESTS_PER_S:.1f} requests, {HOST_TOKENS_PER_S:,.0f} token events",
         processor=Measured(
