--- a/features/rollouts.feature
+++ b/features/rollouts.feature
@@ -71,6 +71,14 @@
     Given a roll-out whose version may reach 0.03 of the requests
     Then at most 0.03 of 4000 new sessions try the new version
 
+  Scenario: A peer that still tells of the order before doesn't age the new one
+    # Two roll-outs follow each other while the store turns one host away, which goes on
+    # telling of the first. The second must have its whole trial, or a bad version gets
+    # all traffic at once.
+    Given a roll-out of 16 s ordered at 100.0 and 50 sessions on the old version
+    When one of "v3" is ordered at 116.0 and a peer tells at 117.0 that "v2" is 17.0 s old
+    Then "v3" is at the beginning of its trial at 117.0 and nothing is recorded but its start
+
   Scenario: A final phase is never overwritten
     Given a roll-out of 20 s ordered at 100.0 and 50 sessions on the old version
     When it is recorded as "rolled_back" and then as "active" by a host that was paused
--- a/features/steps/rollouts.py
+++ b/features/steps/rollouts.py
@@ -226,3 +226,19 @@
     for number in range(200):
         _, avoided = context.rollouts.pick_version(make_work(number=number), 105.0)
         assert avoided == "v2"
+
+
+@when(
+    'one of "{new}" is ordered at {at:f} and a peer tells at {told:f} that "{old}" is {age:f} s old'
+)
+def step_second_order(context, new, at, told, old, age):
+    assert context.rollouts.take_order(RolloutOrder("engines", new, 16.0, 9), at)
+    assert not context.rollouts.take_order(RolloutOrder("engines", old, 16.0, 7), told, age)
+
+
+@then('"{target}" is at the beginning of its trial at {at:f} and nothing is recorded but its start')
+def step_trial_begins(context, target, at):
+    rollout = context.rollouts.find("engines")
+    assert rollout.order.target == target and rollout.part(at) < 0.1, rollout
+    assert context.rollouts.judge(rollout, at) is Verdict.ACTIVE
+    assert not rollout.is_shifted
--- a/poplarrun/rollouts/_rollouts.py
+++ b/poplarrun/rollouts/_rollouts.py
@@ -159,7 +159,10 @@
         """
         known = self._rollouts.get(order.service)
         if known is not None and known.order.offset >= order.offset:
-            known.begun_at = min(known.begun_at, now - age_s)
+            # Hosts that the store turns away still tell of the order before. Its age taken
+            # for this one's would end the trial at once, and a bad version had all traffic.
+            if known.order.offset == order.offset:
+                known.begun_at = min(known.begun_at, now - age_s)
             return False
         if known is not None:
             self.evidence.forget(order.service)
