--- a/features/standins.feature
+++ b/features/standins.feature
@@ -12,3 +12,10 @@
     # given out twice is taken by a stand-in before the host it was meant for starts.
     When 1000 free ports are drawn
     Then any 40 in a row differ
+
+  Scenario: Ports that other processes hold push none of the given ones out
+    # Beside other work many of the ports looked at are taken. Remembered like those that
+    # were given out, they made the list forget ports that were not bound yet.
+    Given another process holds 25 of the ports that are drawn from
+    When 1000 free ports are drawn
+    Then any 40 in a row differ
--- a/features/steps/standins.py
+++ b/features/steps/standins.py
@@ -37,3 +37,12 @@
 def step_ports_differ(context, count):
     for first in range(len(context.ports) - count):
         assert len(set(context.ports[first : first + count])) == count
+
+
+@given("another process holds {count:d} of the ports that are drawn from")
+def step_held(context, count):
+    for _ in range(count):
+        held = socket.socket()
+        context.add_cleanup(held.close)
+        held.bind(("127.0.0.1", free_port()))
+        held.listen()
--- a/standins/_ports.py
+++ b/standins/_ports.py
@@ -31,8 +31,10 @@
         port = first + _source.randrange(PORTS_OF_A_PROCESS)
         if port in _given:
             continue
-        _given[port] = None
         with socket.socket() as probe, contextlib.suppress(OSError):
             probe.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
             probe.bind((host, port))
+            # Only what is given out is remembered. Ports that other processes hold would
+            # push those out that are given out and not yet bound.
+            _given[port] = None
             return port
