--- a/features/steps/standins.py
+++ b/features/steps/standins.py
@@ -42,7 +42,6 @@
 @given("another process holds {count:d} of the ports that are drawn from")
 def step_held(context, count):
     for _ in range(count):
-        held = socket.socket()
+        # As a server does: a port whose last connection still lingers can be taken.
+        held = socket.create_server(("127.0.0.1", free_port()))
         context.add_cleanup(held.close)
-        held.bind(("127.0.0.1", free_port()))
-        held.listen()
