Put a renewed certificate in use whole, or not at all

The files were loaded into the context in use, where the new certificate stands with the old key until the key is loaded, for good where the key's file follows later. Ruled out: the stand-in's port, the waiting step (it met a handshake that failed, not a silence). Change: a context of its own, swapped in whole.

--- a/features/security.feature
+++ b/features/security.feature
@@ -37,6 +37,13 @@
     When operator "ada" publishes with key "ada-signs-with-this"
     Then the host has the publication in force
 
+  Scenario: A certificate without its key yet does no harm
+    # Whoever renews writes the certificate first and the key a moment later. Taken up in
+    # between, the new certificate with the old key would fail every caller's handshake.
+    Given the certificate that callers see, in two files
+    When only the certificate's file is replaced, and both are read again
+    Then callers still see the first certificate
+
   @fixture.tls_host
   Scenario: Callers speak TLS, and the certificate is renewed without a restart
     When the readiness is asked over TLS
--- a/features/steps/security.py
+++ b/features/steps/security.py
@@ -1,5 +1,7 @@
 import asyncio
+import contextlib
 import itertools
+import os
 import random
 import shutil
 import socket
@@ -27,6 +29,8 @@
 from poplarrun.links import NngLinks, TlsFiles
 from poplarrun.log import Appended
 from poplarrun.server._bodies import read_chat_body
+from poplarrun.server._http_server import CallerCertificate
+from poplarrun.settings import CallersTls
 from standins import LogStandIn
 from standins.fleet import free_address, wait_until
 
@@ -188,6 +192,44 @@
     return ssl.PEM_cert_to_DER_cert((CERTIFICATES / f"{name}.crt").read_text())
 
 
+@given("the certificate that callers see, in two files")
+def step_two_files(context):
+    temporary = tempfile.TemporaryDirectory()
+    context.add_cleanup(temporary.cleanup)
+    folder = Path(temporary.name)
+    context.files = CallersTls(certificate=folder / "host.crt", key=folder / "host.key")
+    shutil.copy(CERTIFICATES / "own-host.crt", context.files.certificate)
+    shutil.copy(CERTIFICATES / "own-host.key", context.files.key)
+    context.shown = CallerCertificate(context.files)
+
+
+@when("only the certificate's file is replaced, and both are read again")
+def step_one_file(context):
+    shutil.copy(CERTIFICATES / "renewed-host.crt", context.files.certificate)
+    later_s = time.time() + 10.0
+    os.utime(context.files.certificate, (later_s, later_s))
+    assert not context.shown.renew()
+
+
+@then("callers still see the first certificate")
+def step_first_seen(context):
+    assert shake_hands(context.shown.adapter.context) == certificate_of("own-host")
+
+
+def shake_hands(server_context):
+    """Return the certificate that a caller gets, without a network."""
+    to_server, to_client = ssl.MemoryBIO(), ssl.MemoryBIO()
+    trust = ssl.create_default_context(cafile=str(OWN))
+    trust.check_hostname = False
+    client = trust.wrap_bio(to_client, to_server)
+    server = server_context.wrap_bio(to_server, to_client, server_side=True)
+    for _ in range(4):
+        for side in (client, server):
+            with contextlib.suppress(ssl.SSLWantReadError):
+                side.do_handshake()
+    return client.getpeercert(binary_form=True)
+
+
 @when("the readiness is asked over TLS")
 def step_ask_tls(context):
     context.certificate = seen_certificate(context)
--- a/poplarrun/server/_http_server.py
+++ b/poplarrun/server/_http_server.py
@@ -54,14 +54,17 @@
         if changed_at in (0.0, self._changed_at):
             return False
         self._changed_at = changed_at
+        # Loaded into the context in use, a certificate would for a moment, or until the key
+        # follows, stand there with the old key, and handshakes would fail.
         try:
-            self.adapter.context.load_cert_chain(str(self._files.certificate), str(self._files.key))
+            fresh = _LateHandshakeAdapter(str(self._files.certificate), str(self._files.key))
         except OSError as error:
             # A half-written file: the old certificate stays, the next change is tried again.
             part_logger("http").warning(
                 "A certificate can't be read.", extra={"reason": str(error)}
             )
             return False
+        self.adapter.context = fresh.context
         return True
 
     def _read_change(self) -> float:
