Weigh a larger model's price against the usual request of the route

Cause: the price was compared with 0.2 cost units a thousand prompt tokens, which suited two installations. A short question with a usual answer looked too dear: of 478 badge questions 111 went on to the largest model where about half were too hard for the smallest. The unit of the prices makes no difference.

--- a/bench/gateway_load.py
+++ b/bench/gateway_load.py
@@ -42,11 +42,12 @@
     """A baseline: one model for all requests."""
 
     def __init__(self, place: int) -> None:
-        object.__setattr__(self, "place", place)
+        super().__init__()
+        self._place = place
 
     def first(self, work: Work) -> str | None:
         """Return the one model."""
-        return work.route.sizes[self.place]  # type: ignore[attr-defined,no-any-return]
+        return work.route.sizes[self._place]
 
     def largest(self, work: Work) -> str | None:
         """Ask no other one."""
--- a/features/sizes.feature
+++ b/features/sizes.feature
@@ -23,3 +23,15 @@
     When 4000 requests of mixed difficulty are answered
     Then at least 0.95 of the callers get a good answer
     And at most 0.06 of them wait for the larger model in vain
+
+  Scenario: A short question with a usual answer is not too dear
+    # Prices have no unit that is known beforehand. Weighed against the length of its own
+    # prompt, the answer to each short question would look dear, and callers who ask
+    # them would keep poor answers however much the answers are worth to them.
+    Given a policy of sizes before empty engines
+    And 200 usual requests of 800 tokens in and 300 out
+    Then a doubtful one of 800 tokens in and 300 out is asked again
+
+  Scenario: The unit of the prices makes no difference
+    Given a policy of sizes before empty engines
+    Then the same confidences are asked again at prices a thousand times as high
--- a/features/steps/sizes.py
+++ b/features/steps/sizes.py
@@ -22,11 +22,15 @@
     return Seat(member, 0.1, 0.1 + queue_s, 1000)
 
 
-def is_asked_again(confidence, seat, request=None):
+def is_asked_again(confidence, seat, request=None, policy=None, engines=ENGINES):
     work = make_work()
     work.size = "small"
     work.request = request or work.request
-    return SizePolicy().is_worth_more(work, confidence, seat, ENGINES, 100.1)
+    return (policy or SizePolicy()).is_worth_more(work, confidence, seat, engines, 100.1)
+
+
+def make_sized_request(prompt, most):
+    return dataclasses.replace(make_work().request, prompt_tokens=prompt, most_tokens=most)
 
 
 @given("a policy of sizes before empty engines")
@@ -55,7 +59,7 @@
     "where its caller expects {hint:d}"
 )
 def step_asked_short(context, prompt, most, hint):
-    request = dataclasses.replace(make_work().request, prompt_tokens=prompt, most_tokens=most)
+    request = make_sized_request(prompt, most)
     assert not is_asked_again(EVEN, context.seat, request)
     request = dataclasses.replace(request, hinted_tokens=hint)
     assert is_asked_again(EVEN, context.seat, request)
@@ -83,3 +87,29 @@
 @then("at most {share:f} of them wait for the larger model in vain")
 def step_in_vain(context, share):
     assert context.in_vain <= share * context.count, context.in_vain / context.count
+
+
+@given("{count:d} usual requests of {prompt:d} tokens in and {most:d} out")
+def step_usual(context, count, prompt, most):
+    context.policy = SizePolicy()
+    work = make_work()
+    work.request = make_sized_request(prompt, most)
+    for _ in range(count):
+        context.policy.note_request(work)
+
+
+@then("a doubtful one of {prompt:d} tokens in and {most:d} out is {outcome}")
+def step_doubtful(context, prompt, most, outcome):
+    request = make_sized_request(prompt, most)
+    is_asked = is_asked_again(EVEN, context.seat, request, context.policy)
+    assert is_asked == (outcome == "asked again"), is_asked
+
+
+@then("the same confidences are asked again at prices a thousand times as high")
+def step_unit(context):
+    dear = tuple(dataclasses.replace(size, cost=size.cost * 1000.0) for size in ENGINES.sizes)
+    engines = dataclasses.replace(ENGINES, sizes=dear)
+    for percent in range(101):
+        confidence = percent / 100.0
+        at_usual = is_asked_again(confidence, context.seat)
+        assert is_asked_again(confidence, context.seat, engines=engines) == at_usual, percent
--- a/poplarrun/dispatch/_dispatch.py
+++ b/poplarrun/dispatch/_dispatch.py
@@ -17,7 +17,7 @@
 from poplarrun.dispatch._knowledge import Knowledge
 from poplarrun.errors import ErrorKind, Refusal
 from poplarrun.placement import Member, Placement, Seat
-from poplarrun.retries import RetryBudget
+from poplarrun.retries import WindowBudget
 from poplarrun.rollouts import Rollouts, Times
 from poplarrun.routing import Repeat, Request, Service, Work
 from poplarrun.sizes import SizePolicy
@@ -35,7 +35,7 @@
 RETRY_SOON_S = 0.3
 # The same where this host waits for its own knowledge.
 RETRY_KNOWLEDGE_S = 0.5
-# Part of the budget of second sends that larger models leave for failures.
+# Part of the allowance of second sends that larger models leave for failures.
 KEPT_FOR_FAILURES = 0.5
 # Events of an answer under way after which its pace is known well enough.
 EVENTS_JUDGED = 6
@@ -67,6 +67,8 @@
         Part of a second send that each first one earns.
     allowance : float
         Second sends that this host may make beyond that.
+    window_s : float
+        Time over which the operators count second sends.
     """
 
     def __init__(
@@ -77,6 +79,7 @@
         sizes: SizePolicy,
         earned: float,
         allowance: float,
+        window_s: float,
     ) -> None:
         self.knowledge = knowledge
         self.placement = placement
@@ -84,7 +87,8 @@
         self.sizes = sizes
         self.earned = earned
         self.allowance = allowance
-        self._budgets: dict[str, RetryBudget] = {}
+        self.window_s = window_s
+        self._budgets: dict[str, WindowBudget] = {}
         self._open: dict[Attempt, Work] = {}
 
     def divide_allowance(self, allowance: float) -> None:
@@ -92,7 +96,6 @@
         self.allowance = allowance
         for budget in self._budgets.values():
             budget.most = allowance
-            budget.tokens = min(budget.tokens, allowance)
 
     def admit(self, request: Request, now: float) -> Work | Refusal:
         """Find a new request's route, account and service, or refuse it."""
@@ -117,7 +120,9 @@
                 return self._refuse(ErrorKind.NOT_READY, "keys are old", RETRY_KNOWLEDGE_S)
         service = route.pick_service(_point(request.session or request.id))
         time_s = min(request.time_left_s, route.pace.timeout_s)
-        return Work(request, route, account, service, now, now + time_s)
+        work = Work(request, route, account, service, now, now + time_s)
+        self.sizes.note_request(work)
+        return work
 
     def recheck(self, work: Work, now: float) -> Refusal | None:
         """Tell why a request may not be sent any more; asked in the step that sends it.
@@ -161,7 +166,7 @@
         """Note that the request's bytes went to the socket."""
         member = send.seat.member
         if work.sends == 0:
-            self._budget(work.service).note_attempt()
+            self._budget(work.service).note_attempt(now)
         work.sends += 1
         work.size = send.size
         work.tried.add(member.listing.lifetime)
@@ -187,7 +192,7 @@
         if work.runs + 1 >= work.route.most_attempts or work.last_event is not None:
             return False
         budget = self._budget(work.service)
-        if budget.tokens < 1.0 + KEPT_FOR_FAILURES * budget.most:
+        if budget.left(now) < 1.0 + KEPT_FOR_FAILURES * budget.most:
             return False
         versions = frozenset((attempt.seat.member.listing.version,))
         seat = self.placement.choose(work, service, now, largest, versions, is_new=True)
@@ -195,7 +200,7 @@
             return False
         if not self.sizes.is_worth_more(work, confidence, seat, service, now):
             return False
-        budget.take()
+        budget.take(now)
         self._leave(attempt)
         attempt.first_at = now
         self._note_evidence(work, attempt, False, attempt.times(now))
@@ -276,7 +281,7 @@
             return self._give_up(work, ErrorKind.NO_ENDPOINT, text)
         if work.left_s(now) < LEAST_TIME_S:
             return self._give_up(work, ErrorKind.NO_ENDPOINT, "no time is left")
-        if work.sends and not self._budget(work.service).take():
+        if work.sends and not self._budget(work.service).take(now):
             return self._give_up(work, ErrorKind.NO_ENDPOINT, "too many second sends")
         return None
 
@@ -335,10 +340,10 @@
         if attempt.first_at is None:
             member.pending_s = max(0.0, member.pending_s - attempt.seat.read_s)
 
-    def _budget(self, service: str) -> RetryBudget:
+    def _budget(self, service: str) -> WindowBudget:
         budget = self._budgets.get(service)
         if budget is None:
-            budget = RetryBudget(self.allowance, self.earned, self.allowance)
+            budget = WindowBudget(self.earned, self.allowance, self.window_s)
             self._budgets[service] = budget
         return budget
 
--- a/poplarrun/sizes/_sizes.py
+++ b/poplarrun/sizes/_sizes.py
@@ -9,13 +9,11 @@
 from dataclasses import dataclass
 
 from poplarrun.placement import Seat
-from poplarrun.routing import Service, Work
+from poplarrun.routing import Request, Service, Work
 
 # The confidence with which an answer is as often good as poor, and the steps from there
-# in which the odds change by a factor of e. The smallest and the largest model of 435
-# requests differ in confidence as if it were a steep function of how hard the request is
-# for the model, 0.1 off as a rule: answers below 0.4 are nearly all poor, those above 0.6
-# nearly all good.
+# in which the odds change by a factor of e: confidence is a steep sign, so answers well
+# below the middle are nearly all poor and those well above it nearly all good.
 EVEN_CONFIDENCE = 0.5
 ODDS_STEP = 0.06
 # Probability that the largest model answers well.
@@ -24,11 +22,18 @@
 # late, and when it is poor.
 LATE_WORTH = 0.3
 POOR_WORTH = 0.05
-# What a good answer in time is worth in the operators' cost units, for 1,000 prompt
-# tokens: the mean over long and short prompts, by which the costs of models are
-# made comparable with what a better answer gains.
-WORTH_PER_1000_TOKENS = 0.2
-PROMPT_COST_PART = 0.25
+# Part of what a good answer is worth that the dearest model takes for a usual request of
+# its route. Operators tell prices and not what an answer is worth to them; a model whose
+# price came near that would not be offered.
+PRICE_PART = 0.15
+# Price of a prompt token, as a part of that of a generated one.
+PROMPT_PRICE = 0.25
+# A request is worth more the longer it is, counted in prompt tokens: a generated token
+# counts for so many, and so much of the worth doesn't depend on the length.
+GENERATED_LENGTH = 10.0
+FIXED_WORTH = 0.3
+# Part that a new request takes in the means of its route.
+MEAN_WEIGHT = 0.05
 # Least gain for which a larger model is asked, and what full queues add to it: each
 # large answer delays those that wait behind it.
 LEAST_GAIN = 0.08
@@ -43,9 +48,52 @@
     return 1.0 / (1.0 + math.exp((EVEN_CONFIDENCE - confidence) / ODDS_STEP))
 
 
-@dataclass(frozen=True, slots=True)
+def _price(request: Request) -> float:
+    """Return what a request costs, in generated tokens."""
+    return PROMPT_PRICE * max(1, request.prompt_tokens) + request.expected_tokens
+
+
+def _length(request: Request) -> float:
+    """Return how long a request is, in prompt tokens."""
+    return max(1, request.prompt_tokens) + GENERATED_LENGTH * request.expected_tokens
+
+
+@dataclass(slots=True)
+class UsualRequest:
+    """Means over the requests of a route, against which one of them is weighed.
+
+    Attributes
+    ----------
+    price, length : float
+        Mean price, in generated tokens, and mean length, in prompt tokens.
+    """
+
+    price: float
+    length: float
+    weight: float = 1.0
+
+    def note(self, request: Request) -> None:
+        """Take in a request; the first few count alike."""
+        self.weight += 1.0
+        part = max(MEAN_WEIGHT, 1.0 / self.weight)
+        self.price += part * (_price(request) - self.price)
+        self.length += part * (_length(request) - self.length)
+
+
 class SizePolicy:
-    """Chooses the model of each send."""
+    """Chooses the model of each send; knows the usual request of each route."""
+
+    def __init__(self) -> None:
+        self._usual: dict[str, UsualRequest] = {}
+
+    def note_request(self, work: Work) -> None:
+        """Learn how long and dear the requests of a route are."""
+        request = work.request
+        usual = self._usual.get(work.route.name)
+        if usual is None:
+            self._usual[work.route.name] = UsualRequest(_price(request), _length(request))
+        else:
+            usual.note(request)
 
     def first(self, work: Work) -> str | None:
         """Return the model that a new request goes to; None where the caller names one."""
@@ -84,8 +132,18 @@
 
     def _cost(self, work: Work, service: Service) -> float:
         """Return the largest model's cost as a share of what a good answer is worth."""
-        prompt = max(1, work.request.prompt_tokens)
-        tokens = PROMPT_COST_PART * prompt + work.request.expected_tokens
-        costs = {size.name: size.cost for size in service.sizes}
-        cost = costs.get(work.route.sizes[-1], 0.0) * tokens / 1000.0
-        return cost / (WORTH_PER_1000_TOKENS * prompt / 1000.0)
+        prices = {size.name: size.cost for size in service.sizes}
+        dearest = max(prices.values(), default=0.0)
+        if dearest <= 0.0:
+            return 0.0
+        model_part = prices.get(work.route.sizes[-1], 0.0) / dearest
+        return PRICE_PART * model_part * self._price_to_worth(work)
+
+    def _price_to_worth(self, work: Work) -> float:
+        """Return how dear a request is for its worth, 1 for the usual one of its route."""
+        request = work.request
+        usual = self._usual.get(work.route.name)
+        if usual is None:
+            return _price(request) / (PROMPT_PRICE * max(1, request.prompt_tokens))
+        worth = FIXED_WORTH + (1.0 - FIXED_WORTH) * _length(request) / usual.length
+        return _price(request) / usual.price / worth
