Prove a version under load before it has all traffic; count a crash once over all hosts

On many idle endpoints the version never fails, so it got all traffic. Change: between its trial and all traffic, the new version's requests fill one endpoint, the same for all hosts, up to 0.9 requests a place. Answers at loaded endpoints are a kind of work of their own: only failures count, compared with all of the old version. Broken answers count by endpoint, over all hosts: a crash of the proving endpoint had looked like nine bad answers. The queue that was known of is left out of the time to the first event.

--- a/features/placement.feature
+++ b/features/placement.feature
@@ -51,3 +51,11 @@
     When "engine-0" fails
     Then it gets nothing for 0.5 s
     And it gets nothing for 1.0 s after a second failure
+
+  Scenario: A version is proven at one endpoint, which all hosts choose
+    # Spread over many endpoints a part of the traffic loads none of them. A version that
+    # fails under load would pass, and then get all callers.
+    Given 5 hosts that know the same 12 idle endpoints of a version
+    Then all of them prove it at the same endpoint
+    When that endpoint is full
+    Then they choose as usual
--- a/features/rollouts.feature
+++ b/features/rollouts.feature
@@ -83,3 +83,19 @@
     Given a roll-out of 20 s ordered at 100.0 and 50 sessions on the old version
     When it is recorded as "rolled_back" and then as "active" by a host that was paused
     Then it is rolled back and no request goes to the new version
+
+  Scenario: A version that is bad under load only is judged by its loaded answers
+    # On idle endpoints all its answers are good, and most endpoints are idle. Mixed with
+    # those, the failures of the one that is loaded would look like chance, until it has all
+    # traffic.
+    Given 300 good answers of the old version and 110 of the new one
+    When 40 answers of the new version come under load, of which 8 fail
+    Then the new version is judged bad
+    And without its answers under load it is judged good
+
+  Scenario: A crash that many hosts see counts once
+    # The one endpoint that proves a version crashes. Each of nine hosts sees its own answers
+    # break off; it is one endpoint all the same.
+    Given 300 good answers of the old version and 40 of the new one
+    When 9 hosts tell that "engine-1" broke off answers of the new version
+    Then the new version is judged good
--- /dev/null
+++ b/features/steps/proving.py
@@ -0,0 +1,81 @@
+import random
+
+from behave import given, then, when
+
+from features.steps.gateway_world import ENGINES, make_listing, make_work
+from poplarrun.placement import Placement
+from poplarrun.rollouts import LOADED, Evidence, Tally
+
+SERVICE = "engines"
+
+
+@given("{old:d} good answers of the old version and {new:d} of the new one")
+def step_answers(context, old, new):
+    context.evidence = Evidence()
+    context.evidence.own[(SERVICE, "v1", "draft/small")] = Tally(old)
+    context.evidence.own[(SERVICE, "v2", "draft/small")] = Tally(new)
+
+
+@when("{count:d} answers of the new version come under load, of which {failed:d} fail")
+def step_loaded(context, count, failed):
+    context.evidence.own[(SERVICE, "v2", LOADED)] = Tally(count, failed)
+
+
+@when('{hosts:d} hosts tell that "{endpoint}" broke off answers of the new version')
+def step_broken(context, hosts, endpoint):
+    for number in range(hosts):
+        tally = Tally(1, broken={endpoint})
+        context.evidence.take(f"10.0.0.{number}:1", {(SERVICE, "v2", "draft/small"): tally})
+
+
+@then("the new version is judged bad")
+def step_bad(context):
+    assert context.evidence.is_bad(SERVICE, "v2")
+
+
+@then("the new version is judged good")
+def step_good(context):
+    assert not context.evidence.is_bad(SERVICE, "v2"), context.evidence.merged(SERVICE)
+
+
+@then("without its answers under load it is judged good")
+def step_good_without(context):
+    del context.evidence.own[(SERVICE, "v2", LOADED)]
+    assert not context.evidence.is_bad(SERVICE, "v2")
+
+
+@given("{hosts:d} hosts that know the same {count:d} idle endpoints of a version")
+def step_hosts(context, hosts, count):
+    context.placements = []
+    for number in range(hosts):
+        placement = Placement("a", random.Random(number))
+        placement.update([make_listing(f"engine-{place}") for place in range(count)])
+        context.placements.append(placement)
+
+
+def choose_all(context, is_proving):
+    work = make_work()
+    chosen = [
+        placement.choose(work, ENGINES, 100.0, "small", is_proving=is_proving)
+        for placement in context.placements
+    ]
+    return {seat.member.listing.lifetime for seat in chosen}
+
+
+@then("all of them prove it at the same endpoint")
+def step_same(context):
+    names = choose_all(context, True)
+    assert len(names) == 1, names
+    (context.proving,) = names
+
+
+@when("that endpoint is full")
+def step_full(context):
+    for placement in context.placements:
+        placement.find(context.proving).in_flight = ENGINES.places
+
+
+@then("they choose as usual")
+def step_as_usual(context):
+    names = choose_all(context, True)
+    assert context.proving not in names, names
--- a/poplarrun/dispatch/_dispatch.py
+++ b/poplarrun/dispatch/_dispatch.py
@@ -18,7 +18,7 @@
 from poplarrun.errors import ErrorKind, Refusal
 from poplarrun.placement import Member, Placement, Seat
 from poplarrun.retries import WindowBudget
-from poplarrun.rollouts import Rollouts, Times
+from poplarrun.rollouts import LOADED, Rollouts, Times
 from poplarrun.routing import Repeat, Request, Service, Work
 from poplarrun.sizes import SizePolicy
 
@@ -39,6 +39,9 @@
 KEPT_FOR_FAILURES = 0.5
 # Events of an answer under way after which its pace is known well enough.
 EVENTS_JUDGED = 6
+# Load of an endpoint, in requests for each place, from which an answer proves its version
+# under load: what hosts know of each other's requests is some tenths of a second old.
+LOADED_FROM = 0.2
 # Urgency at an endpoint of the highest rank; each rank below adds one.
 FIRST_URGENCY = 2
 
@@ -154,7 +157,12 @@
             return self._give_up(work, ErrorKind.NO_ENDPOINT, "the service is not configured")
         size = work.size or self.sizes.first(work)
         versions, avoided = self._versions(work, now)
-        seat = self.placement.choose(work, service, now, size or "", versions, avoided)
+        is_proving = versions is not None and any(
+            self.rollouts.is_proving(work.service, version, now) for version in versions
+        )
+        seat = self.placement.choose(
+            work, service, now, size or "", versions, avoided, is_proving=is_proving
+        )
         if seat is None and versions is not None:
             # Without an endpoint of its version the request rather runs on another.
             seat = self.placement.choose(work, service, now, size or "", None, avoided)
@@ -176,6 +184,8 @@
         if send.size is not None:
             member.remember(send.size, work.request.parts, now)
         attempt = Attempt(send.seat, send.size, now)
+        is_past = self.rollouts.is_past_trial(work.service, member.listing.version, now)
+        attempt.is_loaded = is_past and send.seat.load >= LOADED_FROM
         self._open[attempt] = work
         return attempt
 
@@ -249,18 +259,15 @@
                 member.note_failure(now)
             case SaidNotRun():
                 member.note_full(now)
-            case AnswerFailed():
-                self._note_bad(work, attempt)
+            case AnswerFailed() if attempt is not None:
+                self._note_evidence(work, attempt, True, Times())
             case NoConnection():
                 work.connect_failures += 1
                 work.tried.add(member.listing.lifetime)
                 member.note_failure(now)
             case _:
-                # An endpoint that crashes breaks all its answers at once. Counted one by
-                # one, a crash of one endpoint would look like a version that fails often,
-                # and good versions were taken back for it.
-                if not member.is_paused(now):
-                    self._note_bad(work, attempt)
+                if attempt is not None:
+                    self._note_broken(work, attempt)
                 member.note_failure(now)
         if may_have_run(failure):
             work.runs += 1
@@ -302,10 +309,6 @@
             case _:
                 return FIRST_URGENCY
 
-    def _note_bad(self, work: Work, attempt: Attempt | None) -> None:
-        if attempt is not None:
-            self._note_evidence(work, attempt, True, Times())
-
     def judge_open(self, now: float) -> None:
         """Count answers under way whose pace is known, or that take much too long already.
 
@@ -322,17 +325,23 @@
                 self._note_evidence(work, attempt, False, times)
 
     def _note_evidence(self, work: Work, attempt: Attempt, is_bad: bool, times: Times) -> None:
-        version = attempt.seat.member.listing.version
-        key = (work.service, version, _kind_of(work, attempt))
         if attempt.is_judged:
-            if is_bad:
-                self.rollouts.evidence.note_late_failure(key)
             return
+        version = attempt.seat.member.listing.version
+        key = (work.service, version, _kind_of(work, attempt))
         attempt.is_judged = True
+        if attempt.is_loaded:
+            times = Times()
         rollout = self.rollouts.find(work.service)
         is_trial = rollout is not None and rollout.is_open and version == rollout.order.target
         self.rollouts.evidence.note(key, is_bad, times, is_trial)
 
+    def _note_broken(self, work: Work, attempt: Attempt) -> None:
+        listing = attempt.seat.member.listing
+        key = (work.service, listing.version, _kind_of(work, attempt))
+        self.rollouts.evidence.note_broken(key, listing.lifetime, attempt.is_judged)
+        attempt.is_judged = True
+
     def _leave(self, attempt: Attempt) -> None:
         self._open.pop(attempt, None)
         member = attempt.seat.member
@@ -359,6 +368,8 @@
 
 
 def _kind_of(work: Work, attempt: Attempt) -> str:
+    if attempt.is_loaded:
+        return LOADED
     return f"{work.route.name}/{attempt.size or ''}"
 
 
--- a/poplarrun/dispatch/_failures.py
+++ b/poplarrun/dispatch/_failures.py
@@ -103,6 +103,8 @@
         Longest pause between two of them.
     confidence : float, optional
         The model's own, 0 to 1.
+    is_loaded : bool
+        Whether it proves a version under load.
     is_judged : bool
         Whether it counts already as evidence of its version.
     """
@@ -115,6 +117,7 @@
     last_at: float | None = None
     pause_s: float = 0.0
     confidence: float | None = None
+    is_loaded: bool = False
     is_judged: bool = False
 
     def note_events(self, count: int, now: float) -> None:
@@ -127,11 +130,15 @@
     def times(self, now: float, is_ended: bool = True) -> Times:
         """Return how long the answer took, or has taken so far.
 
-        The first pause after the start of an answer under way says little of its pace.
+        Prompts that were known to wait before it say nothing of its version. The first
+        pause after the start of an answer under way says little of its pace.
         """
         if self.first_at is None:
-            return Times(None if is_ended else now - self.sent_at)
+            return Times(None if is_ended else self._without_queue(now))
         pace_s = None
         if self.events >= FEWEST_PACED:
             pace_s = (now - self.first_at) / (self.events - 1 if is_ended else self.events)
-        return Times(self.first_at - self.sent_at, pace_s)
+        return Times(self._without_queue(self.first_at), pace_s)
+
+    def _without_queue(self, at: float) -> float:
+        return max(0.0, at - self.sent_at - self.seat.queue_s)
--- a/poplarrun/gateway/_peering.py
+++ b/poplarrun/gateway/_peering.py
@@ -230,7 +230,13 @@
         active = {rollout.order.service for rollout in self._rollouts.active()}
         return [
             TallyNews(
-                *key, tally.ended, tally.bad, tally.slow, tally.paced, round(tally.log_pace, 2)
+                *key,
+                tally.ended,
+                tally.failures,
+                tally.slow,
+                tally.paced,
+                round(tally.log_pace, 2),
+                sorted(tally.broken),
             )
             for key, tally in self._rollouts.evidence.own.items()
             if key[0] in active
@@ -306,7 +312,12 @@
                 self._rollouts.take_status(status)
         tallies = {
             (news.service, news.version, news.kind): Tally(
-                news.ended, news.bad, news.slow, news.paced, news.log_pace
+                news.ended,
+                news.failures,
+                news.slow,
+                news.paced,
+                news.log_pace,
+                set(news.broken),
             )
             for news in digest.tallies
         }
--- a/poplarrun/peers/_messages.py
+++ b/poplarrun/peers/_messages.py
@@ -48,10 +48,11 @@
     version: str
     kind: str
     ended: int
-    bad: int
+    failures: int
     slow: int
     paced: int
     log_pace: float
+    broken: list[str] = []
 
 
 class Digest(msgspec.Struct, frozen=True, array_like=True, tag=1):
--- a/poplarrun/placement/_placement.py
+++ b/poplarrun/placement/_placement.py
@@ -11,7 +11,7 @@
 
 from poplarrun.placement._directory import Listing
 from poplarrun.placement._members import Member
-from poplarrun.rendezvous import home_of, salt_of
+from poplarrun.rendezvous import home_of, rank_hosts, salt_of
 from poplarrun.routing import Service, Work
 from poplarrun.speeds import PoolSpeed
 
@@ -34,6 +34,8 @@
 # today's installations. At 830 all would take 2.9 ms a choice, 2.6% of a core.
 MOST_NEAR = 32
 MOST_FAR = 16
+# Load, in requests for each place, up to which a version is proven at one endpoint.
+PROVING_LOAD = 0.9
 # Prompt tokens that an endpoint reads in a second until some were measured.
 FIRST_TOKENS_PER_S = 25_000.0
 
@@ -50,12 +52,18 @@
         Time to the first event, or to the answer of a plain service.
     unread_tokens : int
         Prompt tokens that it has to read.
+    queue_s : float
+        Time that the prompts take which are known to wait there.
+    load : float
+        Requests for each of its places.
     """
 
     member: Member
     read_s: float
     first_s: float
     unread_tokens: int
+    queue_s: float = 0.0
+    load: float = 0.0
 
 
 class Placement:
@@ -137,6 +145,7 @@
         versions: Container[str] | None = None,
         avoided_version: str | None = None,
         is_new: bool = False,
+        is_proving: bool = False,
     ) -> Seat | None:
         """Return the member that should answer first; None where none may be asked.
 
@@ -148,6 +157,9 @@
             No members of this version.
         is_new : bool
             Whether members that it was sent to before count like all others.
+        is_proving : bool
+            Whether one member, the same for all hosts, is filled first. A version that is
+            bad under load only looks good on many idle endpoints, until it has all traffic.
         """
         usable = [
             member
@@ -163,6 +175,8 @@
         candidates = fresh or free or usable
         if not candidates:
             return None
+        if is_proving:
+            candidates = self._proving(candidates)
         home = self._home(candidates, work, size)
         candidates = self._draw(candidates, home)
         if service.cache_tokens == 0:
@@ -171,6 +185,13 @@
             seats = self._seat_engines(candidates, home, work, size, now)
         return self._pick(seats, work)
 
+    @staticmethod
+    def _proving(candidates: list[Member]) -> list[Member]:
+        """Return the one member that all hosts fill first, or all once it is full."""
+        by_name = {member.listing.lifetime: member for member in candidates}
+        first = by_name[rank_hosts("proving", by_name)[0]]
+        return [first] if first.load < PROVING_LOAD else candidates
+
     @staticmethod
     def _home(candidates: list[Member], work: Work, size: str) -> str | None:
         """Return the member that prompts with the same beginning usually go to."""
@@ -218,7 +239,7 @@
             read_s = unread * speed.prefill_s_per_token
             waits_s = member.queue_s + member.load * FULL_BATCH_S + speed.least_first_token_s
             first_s = (waits_s + read_s) * member.slowness_now(now)
-            seats.append(Seat(member, read_s, first_s, int(unread)))
+            seats.append(Seat(member, read_s, first_s, int(unread), member.queue_s, member.load))
         return seats
 
     @staticmethod
--- a/poplarrun/rollouts/_evidence.py
+++ b/poplarrun/rollouts/_evidence.py
@@ -25,11 +25,13 @@
 FEWEST_PACES = 8
 SLOW_MEAN_TIMES = 1.9
 # The same once the new version has all traffic. Nothing runs beside it any more, so that
-# a burst or a lost endpoint looks like a slow version: good ones came to 1.6 on ordinary
-# days, and one in ten was taken out for it.
+# a burst or a lost endpoint looks like a slow version.
 SLOW_MEAN_TIMES_ALONE = 2.6
 # Shorter times than this count as this, in seconds.
 LEAST_TIME_S = 0.001
+# The kind of work of answers of a version under load after its trial. Only their failures
+# count: a full batch makes each answer slower, of good versions too.
+LOADED = "loaded"
 # Share of slow answers that a good version may have while it is on trial.
 MOST_SLOW_SHARE = 0.12
 
@@ -100,24 +102,38 @@
 
     Attributes
     ----------
-    ended, bad, slow : int
+    ended, failures, slow : int
         Answers, those that failed, and those that came much too late.
     paced : int
         Answers whose pace is compared with the usual one.
     log_pace : float
         Sum of the logarithms of their ratios.
+    broken : set of str
+        Endpoints that broke answers off.
     """
 
     ended: int = 0
-    bad: int = 0
+    failures: int = 0
     slow: int = 0
     paced: int = 0
     log_pace: float = 0.0
+    broken: set[str] = field(default_factory=set)
+
+    @property
+    def bad(self) -> int:
+        """Bad answers.
+
+        An endpoint that crashes breaks the answers of all hosts at once. Counted one by
+        one it would look like a version that fails often, and good versions were taken
+        back for it.
+        """
+        return self.failures + len(self.broken)
 
     def add(self, other: "Tally") -> None:
         """Add another host's tally."""
         self.ended += other.ended
-        self.bad += other.bad
+        self.failures += other.failures
+        self.broken |= other.broken
         self.slow += other.slow
         self.paced += other.paced
         self.log_pace += other.log_pace
@@ -172,7 +188,7 @@
         usual = self._usual.setdefault((service, kind), Usual())
         tally = self.own.setdefault(key, Tally())
         tally.ended += 1
-        tally.bad += is_bad
+        tally.failures += is_bad
         tally.slow += usual.is_slow(times)
         ratio = usual.log_pace_ratio(times)
         if ratio is not None:
@@ -181,9 +197,17 @@
         if not is_trial:
             usual.learn(times)
 
-    def note_late_failure(self, key: TallyKey) -> None:
-        """Take in that an answer failed that counted as good before its end."""
-        self.own.setdefault(key, Tally()).bad += 1
+    def note_broken(self, key: TallyKey, endpoint: str, is_counted: bool) -> None:
+        """Take in that an endpoint broke an answer off.
+
+        Parameters
+        ----------
+        is_counted : bool
+            Whether the answer counts already, by its pace.
+        """
+        tally = self.own.setdefault(key, Tally())
+        tally.ended += not is_counted
+        tally.broken.add(endpoint)
 
     def is_slow(self, service: str, kind: str, times: Times) -> bool:
         """Tell whether an answer that has taken so long is slow already."""
@@ -223,7 +247,9 @@
     ) -> bool:
         new, old = Tally(), Tally()
         for (version, of), tally in merged.items():
-            if kind is None or of == kind:
+            # Nothing of the old version counts as under load, so all of it is compared.
+            is_old_of_all = version != target and kind == LOADED
+            if kind is None or of == kind or is_old_of_all:
                 (new if version == target else old).add(tally)
         if _is_worse(new.bad, new.ended, old.bad, old.ended, LEAST_OLD_SHARE):
             return True
--- a/poplarrun/rollouts/_rollouts.py
+++ b/poplarrun/rollouts/_rollouts.py
@@ -211,6 +211,23 @@
             is_new = known.version == target
         return (frozenset((target,)), None) if is_new else (None, target)
 
+    def is_proving(self, service: str, version: str, now: float) -> bool:
+        """Tell whether a version that passed its trial has more traffic now, but not all.
+
+        That is enough to load one of its endpoints as much as any will ever be.
+        """
+        return self._stage(service, version, now) is Stage.SHIFT
+
+    def is_past_trial(self, service: str, version: str, now: float) -> bool:
+        """Tell whether a version passed its trial, and may still be taken back."""
+        return self._stage(service, version, now) in (Stage.SHIFT, Stage.ALONE)
+
+    def _stage(self, service: str, version: str, now: float) -> Stage | None:
+        rollout = self._rollouts.get(service)
+        if rollout is None or not rollout.is_open or rollout.order.target != version:
+            return None
+        return rollout.stage(now)
+
     def note_end(self, work: Work, version: str, now: float) -> None:
         """Remember the version of a session."""
         if work.service not in self._rollouts and work.request.session is None:
