Mend three checks that the move to msgspec and the count of crashes had eased

Found by reading the change, each with a scenario that failed first: - An endpoint's address with a line break behind it was taken: '$' of this library's patterns lets one follow, the former library's did not. One pattern serves settings and records now. - A record with very many lists inside each other raised RecursionError out of the follower, which ends the host: one bad record of another writer would have ended every host. None before. - An answer that counted as slow before its end and then failed no longer counted as failed. Counting broken answers by endpoint had dropped that for endpoints' own failures too. A failure without an attempt would also have paused its endpoint; it does nothing, as before.

--- a/features/gateway_parts.feature
+++ b/features/gateway_parts.feature
@@ -69,3 +69,16 @@
     Given a host of 150 MB and 3900 sockets
     Then it has about 770 requests open at the most, of 2340 callers
     And one of 150 MB and 800 sockets has 280, and one of 88 MB has 350
+
+  Scenario Outline: A record of another writer names no endpoint
+    # Somebody else writes into the list of endpoints. A host that took it for an endpoint
+    # would send callers there; one that fails at it would end, and so would all hosts.
+    Given a record of an endpoint <made>
+    Then it names no endpoint
+
+    Examples:
+      | made                                     |
+      | whose address ends with a line break     |
+      | with 100000 lists inside each other      |
+      | that is cut off                          |
+      | whose places are a text                  |
--- a/features/rollouts.feature
+++ b/features/rollouts.feature
@@ -99,3 +99,11 @@
     Given 300 good answers of the old version and 40 of the new one
     When 9 hosts tell that "engine-1" broke off answers of the new version
     Then the new version is judged good
+
+  Scenario: An answer that is late already and fails in the end counts as failed
+    # Nothing came for so long that the answers counted as slow before their end. Their
+    # callers then see them fail; good versions may have slow answers, but not these.
+    Given a dispatch whose endpoints usually begin after 0.1 s
+    When 6 of 40 answers of the version on trial have not begun after 3.0 s
+    And these 6 answers fail in the end
+    Then the version on trial has 6 bad and 6 slow answers of 40
--- a/features/steps/gateway_parts.py
+++ b/features/steps/gateway_parts.py
@@ -1,4 +1,5 @@
 import asyncio
+import json
 import logging
 import random
 import re
@@ -15,7 +16,7 @@
 from poplarrun.logs import EVENTS, BoundedHandler
 from poplarrun.metrics import Metrics
 from poplarrun.peers import DOCUMENTS, Digest, PeerBook
-from poplarrun.platform import Newest, NoAnswer, Records
+from poplarrun.platform import Newest, NoAnswer, Records, decode_listing
 from poplarrun.rollouts import Rollouts
 from poplarrun.transport import CallerServer, ConnectionPool
 from standins._ports import free_port
@@ -244,3 +245,30 @@
     assert "".join(context.writes) == "\n".join(context.lines) + "\n"
     assert all(text.endswith("\n") and len(text) <= most for text in context.writes)
     assert len(context.writes) < len(context.lines)
+
+
+RECORD = {
+    "service": "engines",
+    "address": "10.0.0.1:80",
+    "zone": "a",
+    "version": "v1",
+    "slots": 8,
+    "phase": "ready",
+}
+SPOILT_RECORDS = {
+    "whose address ends with a line break": json.dumps(RECORD | {"address": "10.0.0.1:80\n"}),
+    "with 100000 lists inside each other": '{"x":' + "[" * 100_000 + "]" * 100_000 + "}",
+    "that is cut off": json.dumps(RECORD)[:-5],
+    "whose places are a text": json.dumps(RECORD | {"slots": "8"}),
+}
+
+
+@given("a record of an endpoint {made}")
+def step_record(context, made):
+    assert decode_listing("engine-1", json.dumps(RECORD).encode()) is not None
+    context.record = SPOILT_RECORDS[made].encode()
+
+
+@then("it names no endpoint")
+def step_no_endpoint(context):
+    assert decode_listing("engine-1", context.record) is None
--- a/features/steps/rollouts.py
+++ b/features/steps/rollouts.py
@@ -9,7 +9,7 @@
     make_request,
     make_work,
 )
-from poplarrun.dispatch import ConnectionBroke, Knowledge, Send
+from poplarrun.dispatch import AnswerFailed, ConnectionBroke, Knowledge, Send
 from poplarrun.placement import Seat
 from poplarrun.rollouts import Evidence, Rollouts, Stage, Tally, Times, Verdict
 from poplarrun.routing import RolloutOrder, RolloutPhase, RolloutStatus
@@ -80,9 +80,12 @@
 @when("{slow:d} of {count:d} answers of the version on trial have not begun after {late:f} s")
 def step_not_begun(context, slow, count, late):
     context.dispatch.rollouts.take_order(RolloutOrder("engines", "v2", 20.0, 7), 101.0)
+    context.late = []
     for number in range(count):
         first_at = None if number < slow else 102.1
-        send_to(context, "new", 100 + number, 102.0, first_at)
+        sent = send_to(context, "new", 100 + number, 102.0, first_at)
+        if first_at is None:
+            context.late.append(sent)
     context.dispatch.judge_open(102.0 + late)
 
 
@@ -242,3 +245,17 @@
     assert rollout.order.target == target and rollout.part(at) < 0.1, rollout
     assert context.rollouts.judge(rollout, at) is Verdict.ACTIVE
     assert not rollout.is_shifted
+
+
+@when("these {count:d} answers fail in the end")
+def step_late_fail(context, count):
+    assert len(context.late) == count
+    for work, attempt in context.late:
+        member = attempt.seat.member
+        context.dispatch.note_failure(work, member, attempt, AnswerFailed(500), 106.0)
+
+
+@then("the version on trial has {bad:d} bad and {slow:d} slow answers of {ended:d}")
+def step_bad_and_slow(context, bad, slow, ended):
+    tally = context.dispatch.rollouts.evidence.of_version("engines", "v2")
+    assert (tally.bad, tally.slow, tally.ended) == (bad, slow, ended), tally
--- a/poplarrun/dispatch/_dispatch.py
+++ b/poplarrun/dispatch/_dispatch.py
@@ -259,8 +259,9 @@
                 member.note_failure(now)
             case SaidNotRun():
                 member.note_full(now)
-            case AnswerFailed() if attempt is not None:
-                self._note_evidence(work, attempt, True, Times())
+            case AnswerFailed():
+                if attempt is not None:
+                    self._note_evidence(work, attempt, True, Times())
             case NoConnection():
                 work.connect_failures += 1
                 work.tried.add(member.listing.lifetime)
@@ -325,10 +326,12 @@
                 self._note_evidence(work, attempt, False, times)
 
     def _note_evidence(self, work: Work, attempt: Attempt, is_bad: bool, times: Times) -> None:
-        if attempt.is_judged:
-            return
         version = attempt.seat.member.listing.version
         key = (work.service, version, _kind_of(work, attempt))
+        if attempt.is_judged:
+            if is_bad:
+                self.rollouts.evidence.note_late_failure(key)
+            return
         attempt.is_judged = True
         if attempt.is_loaded:
             times = Times()
--- a/poplarrun/platform/_records.py
+++ b/poplarrun/platform/_records.py
@@ -6,6 +6,7 @@
 from msgspec.json import Decoder
 
 from poplarrun.placement import Listing
+from poplarrun.platform._validation import Address
 
 READY = "ready"
 DRAINING = "draining"
@@ -16,7 +17,7 @@
 # nothing is converted.
 class _Record(Struct, frozen=True, rename="camel"):
     service: Annotated[str, Meta(min_length=1)]
-    address: Annotated[str, Meta(pattern=r"^\d{1,3}(\.\d{1,3}){3}:\d{1,5}$")]
+    address: Address
     zone: str
     version: str
     slots: Annotated[int, Meta(gt=0)]
@@ -33,7 +34,7 @@
     """Decode an endpoint's record; None where it isn't one."""
     try:
         record = _DECODER.decode(value)
-    except (ValidationError, DecodeError, UnicodeDecodeError):
+    except (ValidationError, DecodeError, UnicodeDecodeError, RecursionError):
         return None
     if record.phase not in (READY, DRAINING):
         return None
--- a/poplarrun/platform/_settings.py
+++ b/poplarrun/platform/_settings.py
@@ -3,12 +3,11 @@
 import os
 from dataclasses import dataclass
 from pathlib import Path
-from typing import Annotated
 
 import yaml
-from msgspec import Meta, Struct, field
+from msgspec import Struct, field
 
-from poplarrun.platform._validation import Invalid, validate
+from poplarrun.platform._validation import Address, Invalid, validate
 
 PATH_VARIABLE = "POPLARRUN_NODE_FILE"
 # The platform reads metrics at a port that the deploy file names, while the ports of the
@@ -17,7 +16,6 @@
 MILLISECONDS = 1000.0
 # Of its descriptors a process has so many for files only.
 FILE_DESCRIPTORS = 200
-Address = Annotated[str, Meta(pattern=r"^\d{1,3}(\.\d{1,3}){3}:\d{1,5}$")]
 
 
 class _Model(Struct, frozen=True, rename="camel", kw_only=True):
--- a/poplarrun/platform/_validation.py
+++ b/poplarrun/platform/_validation.py
@@ -1,11 +1,13 @@
 """Validation of what the platform writes, by models of its documents."""
 
 import re
-from typing import Any, TypeVar
+from typing import Annotated, Any, TypeVar
 
 import msgspec
 
 M = TypeVar("M", bound=msgspec.Struct)
+# ``\Z``, since ``$`` lets a line break follow.
+Address = Annotated[str, msgspec.Meta(pattern=r"^\d{1,3}(\.\d{1,3}){3}:\d{1,5}\Z")]
 _MESSAGE = re.compile(r"(?P<text>.*?)(?: - at `(?:key in )?\$\.?(?P<place>.*)`)?", re.DOTALL)
 
 
--- a/poplarrun/rollouts/_evidence.py
+++ b/poplarrun/rollouts/_evidence.py
@@ -197,6 +197,10 @@
         if not is_trial:
             usual.learn(times)
 
+    def note_late_failure(self, key: TallyKey) -> None:
+        """Take in that an answer failed that counted already, by its time."""
+        self.own.setdefault(key, Tally()).failures += 1
+
     def note_broken(self, key: TallyKey, endpoint: str, is_counted: bool) -> None:
         """Take in that an endpoint broke an answer off.
 
