--- a/poplarrun/cli/_losses.py
+++ b/poplarrun/cli/_losses.py
@@ -14,10 +14,9 @@
 import cappa
 
 from poplarrun.cli._arguments import EXIT_INVALID, AsJson
-from poplarrun.cli._story import Line, read_lines
+from poplarrun.cli._story import RESTART, Line, read_lines
+from poplarrun.sizes import EVEN_CONFIDENCE
 
-# An answer whose model gives it less confidence is more often poor than good.
-EVEN_CONFIDENCE = 0.5
 BAR_WIDTH = 40
 FAILURES = 400
 
@@ -62,7 +61,7 @@
     zones: dict[str, str] = {}
     by_request: dict[str, list[Line]] = defaultdict(list)
     for line in lines:
-        if line.event == "HostStarted":
+        if line.event == RESTART:
             zones[line.host] = str(line.fields.get("zone", ""))
         request_id = line.fields.get("request")
         if request_id:
--- a/poplarrun/gateway/_followers.py
+++ b/poplarrun/gateway/_followers.py
@@ -30,12 +30,7 @@
 from poplarrun.rollouts import Rollouts
 from poplarrun.transport import boot_time
 
-# How long the store holds a read of the zone's reader back, in seconds. A change is told
-# at once; that there is none is told to the zone at the end, well within the patience of
-# the other hosts.
-READ_WAIT_S = 0.8
-# Pause after a read of listed endpoints that found some, in seconds: many may change one
-# after the other.
+# Pause after a read of listed endpoints, in seconds: many may change one after the other.
 CHANGED_PAUSE_S = 0.1
 # Records that are taken away so soon after an outage may belong to endpoints that live.
 LAPSE_S = 0.8
@@ -112,7 +107,6 @@
         self._knowledge = knowledge
         self._rollouts = rollouts
         self._changed = changed
-        self._has_failed = False
         self._health = StoreHealth(boot_time())
 
     async def run(self) -> None:
@@ -141,11 +135,11 @@
                 self.offset = None
                 return True
             case Refused() | NoAnswer():
-                self._has_failed = True
+                self.reading.has_failed = True
                 if self._health.note_failure(now):
                     write_event(events.StoreLost("documents", repr(answer)))
                 return False
-        self._has_failed = False
+        self.reading.has_failed = False
         if self._health.note_answer(now):
             write_event(events.StoreBack("documents", self.offset or 0))
         if self._knowledge.catalogue is not None:
@@ -155,12 +149,7 @@
     async def _read(self) -> Newest | Records | Forgotten | Refused | NoAnswer:
         if self.offset is None:
             return await self._store.newest(OPERATOR_TOPIC)
-        # A read that is held back proves nothing before its end. After a failure the next
-        # one is answered at once: callers with keys are served again sooner, and a store
-        # that still says nothing is asked again sooner.
-        is_held = self.reading.is_first and not self._has_failed
-        wait_s = READ_WAIT_S if is_held else 0.0
-        return await self._store.read(OPERATOR_TOPIC, self.offset, wait_s)
+        return await self._store.read(OPERATOR_TOPIC, self.offset, self.reading.held_s)
 
     def note_proof(self, true_at: float) -> None:
         """Take in that a peer proved the configuration of this host the newest."""
@@ -220,7 +209,6 @@
         self._store = store
         self._directory = directory
         self._placement = placement
-        self._has_failed = False
         self._health = StoreHealth(boot_time())
 
     async def run(self) -> None:
@@ -250,11 +238,11 @@
                 self.is_known = False
                 return await self._step()
             case Refused() | NoAnswer():
-                self._has_failed = True
+                self.reading.has_failed = True
                 if self._health.note_failure(now):
                     write_event(events.StoreLost("endpoints", repr(answer)))
                 return False
-        self._has_failed = False
+        self.reading.has_failed = False
         self._note_answer(now)
         self.true_at = max(self.true_at, true_at)
         self._placement.update(self._directory.listings())
@@ -306,9 +294,8 @@
     async def _read(self) -> Newest | Records | Forgotten | Refused | NoAnswer:
         if not self.is_known:
             return await self._store.newest(ENDPOINT_TOPIC)
-        is_held = self.reading.is_first and not self._has_failed
-        wait_s = READ_WAIT_S if is_held else 0.0
-        return await self._store.read(ENDPOINT_TOPIC, self._directory.offset, wait_s)
+        offset, held_s = self._directory.offset, self.reading.held_s
+        return await self._store.read(ENDPOINT_TOPIC, offset, held_s)
 
     def _note_answer(self, now: float) -> None:
         if self._health.note_answer(now):
--- a/poplarrun/gateway/_reading.py
+++ b/poplarrun/gateway/_reading.py
@@ -7,6 +7,11 @@
 from poplarrun.peers import PeerBook, ReadDuty
 from poplarrun.transport import boot_time
 
+# How long the store holds a read of the zone's reader back, in seconds. A change is told
+# at once; that there is none is told to the zone at the end, well within the patience of
+# the other hosts.
+READ_WAIT_S = 0.8
+
 
 class SharedReading:
     """The turn of one host in the reading of one topic.
@@ -15,18 +20,29 @@
     ----------
     topic : str
         Names the line; another topic usually has another first host.
+
+    Attributes
+    ----------
+    has_failed : bool
+        Whether the last read did.
     """
 
     def __init__(self, topic: str, book: PeerBook) -> None:
+        self.has_failed = False
         self._topic = topic
         self._book = book
         self._duty = ReadDuty()
         self._wake = asyncio.Event()
 
     @property
-    def is_first(self) -> bool:
-        """Whether this host reads for its zone."""
-        return self._place() == 0
+    def held_s(self) -> float:
+        """How long the store may hold the next read back, in seconds.
+
+        A read that is held back proves nothing before its end. After a failure the next
+        one is answered at once: callers with keys are served again sooner, and a store
+        that still says nothing is asked again sooner.
+        """
+        return READ_WAIT_S if self._place() == 0 and not self.has_failed else 0.0
 
     def hurry(self) -> None:
         """Read at once: a peer has more than this host."""
