Prove a version at the endpoint as before, with the order kept between choices

The order is that of before again; Ranking keeps it while the candidates stay, which was the point of the change.

--- a/poplarrun/placement/_placement.py
+++ b/poplarrun/placement/_placement.py
@@ -11,7 +11,7 @@
 
 from poplarrun.placement._directory import Listing
 from poplarrun.placement._members import Member
-from poplarrun.rendezvous import home_of, salt_of
+from poplarrun.rendezvous import Ranking, home_of, salt_of
 from poplarrun.routing import Service, Work
 from poplarrun.speeds import PoolSpeed
 
@@ -85,6 +85,7 @@
         self._members: dict[str, Member] = {}
         self.silent_zones: frozenset[str] = frozenset()
         self._others: dict[str, dict[str, tuple[int, float]]] = {}
+        self._ranking = Ranking()
         self._speeds: dict[tuple[str, str], PoolSpeed] = {}
 
     def update(self, listings: list[Listing]) -> None:
@@ -184,12 +185,11 @@
             seats = self._seat_engines(candidates, home, work, size, now)
         return self._pick(seats, work)
 
-    @staticmethod
-    def _proving(candidates: list[Member]) -> list[Member]:
+    def _proving(self, candidates: list[Member]) -> list[Member]:
         """Return the one member that all hosts fill first, or all once it is full."""
-        owner = _owner("proving", candidates)
-        first = [member for member in candidates if member.listing.lifetime == owner]
-        return first if first[0].load < PROVING_LOAD else candidates
+        names = tuple(member.listing.lifetime for member in candidates)
+        first = self._members[self._ranking.rank("proving", names)[0]]
+        return [first] if first.load < PROVING_LOAD else candidates
 
     @staticmethod
     def _home(candidates: list[Member], work: Work, size: str) -> str | None:
@@ -198,7 +198,8 @@
         shared = parts[-2:-1] or parts[-1:]
         if not shared:
             return None
-        return _owner(size + shared[0].key, candidates)
+        salts = [(member.listing.lifetime, member.salt) for member in candidates]
+        return home_of(salt_of(size + shared[0].key), salts)
 
     def _draw(self, candidates: list[Member], home: str | None) -> list[Member]:
         """Return the members to weigh, in a drawn order: all, or some of very many.
@@ -251,8 +252,3 @@
         if zone == self._zone:
             return 0.0
         return far_s + (SILENT_ZONE_S if zone in self.silent_zones else 0.0)
-
-
-def _owner(key: str, members: list[Member]) -> str | None:
-    """Return the member that all hosts take for a key, by the salts that members keep."""
-    return home_of(salt_of(key), [(member.listing.lifetime, member.salt) for member in members])
