Tell in the log which session a send belongs to and why its version was picked

Whether a session that changed versions had changed hosts, was not remembered yet, met a host without the order, or had no endpoint left could not be told from the lines. RequestSent now has a hash of the session and the reason; a host that learns of an order, or of the shift, from a peer says so and how old the news is. No decision changes.

--- a/features/steps/rollouts.py
+++ b/features/steps/rollouts.py
@@ -23,7 +23,7 @@
 
 def count_tries(context, count):
     works = [make_work(session=f"new-{number}") for number in range(count)]
-    return sum(context.rollouts.pick_version(work, 101.0)[0] is not None for work in works)
+    return sum(context.rollouts.pick_version(work, 101.0).only is not None for work in works)
 
 
 def send_to(context, name, number, sent_at, first_at=None):
@@ -147,16 +147,17 @@
 def step_cascade(context):
     for number in range(100):
         context.work = make_work(number=number)
-        if context.rollouts.pick_version(context.work, 101.0)[0] == {"v2"}:
+        if context.rollouts.pick_version(context.work, 101.0).only == {"v2"}:
             break
     context.work.version, context.work.runs = "v2", 1
 
 
 @then("its next send goes to the new version, and after a failure to the old one")
 def step_stays(context):
-    assert context.rollouts.pick_version(context.work, 101.0)[0] == {"v2"}
+    assert context.rollouts.pick_version(context.work, 101.0).only == {"v2"}
     context.work.failures = 1
-    assert context.rollouts.pick_version(context.work, 101.0) == (None, "v2")
+    choice = context.rollouts.pick_version(context.work, 101.0)
+    assert (choice.only, choice.avoided) == (None, "v2")
 
 
 @then("the new version is judged {judgement:w}")
@@ -193,8 +194,8 @@
     while now < until:
         for session in context.sessions:
             work = make_work(session=session)
-            versions, avoided = context.rollouts.pick_version(work, now)
-            assert versions is None and avoided == "v2", (session, now)
+            choice = context.rollouts.pick_version(work, now)
+            assert choice.only is None and choice.avoided == "v2", (session, now)
             context.rollouts.note_end(work, "v1", now)
         now += 1.0
 
@@ -227,8 +228,8 @@
     assert rollout.recorded is RolloutPhase.ROLLED_BACK
     assert context.rollouts.judge(rollout, 130.0) is Verdict.NOTHING
     for number in range(200):
-        _, avoided = context.rollouts.pick_version(make_work(number=number), 105.0)
-        assert avoided == "v2"
+        choice = context.rollouts.pick_version(make_work(number=number), 105.0)
+        assert choice.avoided == "v2"
 
 
 @when(
--- a/poplarrun/dispatch/_dispatch.py
+++ b/poplarrun/dispatch/_dispatch.py
@@ -18,7 +18,7 @@
 from poplarrun.errors import ErrorKind, Refusal
 from poplarrun.placement import Member, Placement, Seat
 from poplarrun.retries import WindowBudget
-from poplarrun.rollouts import LOADED, Rollouts, Times
+from poplarrun.rollouts import LOADED, Rollouts, Times, VersionChoice, VersionReason
 from poplarrun.routing import Repeat, Request, Service, Work
 from poplarrun.sizes import SizePolicy
 
@@ -54,11 +54,14 @@
     ----------
     urgency : int
         Order at the endpoint, 0 to 9, 0 first.
+    reason : VersionReason
+        Why the endpoint's version was picked.
     """
 
     seat: Seat
     size: str | None
     urgency: int
+    reason: VersionReason = VersionReason.NO_ROLLOUT
 
 
 class Dispatch:
@@ -156,19 +159,21 @@
         if service is None:
             return self._give_up(work, ErrorKind.NO_ENDPOINT, "the service is not configured")
         size = work.size or self.sizes.first(work)
-        versions, avoided = self._versions(work, now)
-        is_proving = versions is not None and any(
-            self.rollouts.is_proving(work.service, version, now) for version in versions
+        versions = self._versions(work, now)
+        is_proving = versions.only is not None and any(
+            self.rollouts.is_proving(work.service, version, now) for version in versions.only
         )
         seat = self.placement.choose(
-            work, service, now, size or "", versions, avoided, is_proving=is_proving
+            work, service, now, size or "", versions.only, versions.avoided, is_proving=is_proving
         )
-        if seat is None and versions is not None:
+        reason = versions.reason
+        if seat is None and versions.only is not None:
             # Without an endpoint of its version the request rather runs on another.
-            seat = self.placement.choose(work, service, now, size or "", None, avoided)
+            seat = self.placement.choose(work, service, now, size or "", None, versions.avoided)
+            reason = VersionReason.NONE_LEFT
         if seat is None:
             return self._give_up(work, ErrorKind.NO_ENDPOINT, "no endpoint is listed")
-        return Send(seat, size, self._urgency(work))
+        return Send(seat, size, self._urgency(work), reason)
 
     def note_sent(self, work: Work, send: Send, now: float) -> Attempt:
         """Note that the request's bytes went to the socket."""
@@ -297,10 +302,10 @@
         catalogue = self.knowledge.catalogue
         return None if catalogue is None else catalogue.services.get(work.service)
 
-    def _versions(self, work: Work, now: float) -> tuple[frozenset[str] | None, str | None]:
+    def _versions(self, work: Work, now: float) -> VersionChoice:
         # A stream goes on in the version that it began in.
         if work.version is not None and work.last_event is not None:
-            return frozenset((work.version,)), None
+            return VersionChoice(frozenset((work.version,)), None, VersionReason.STREAM)
         return self.rollouts.pick_version(work, now)
 
     def _urgency(self, work: Work) -> int:
--- a/poplarrun/gateway/_followers.py
+++ b/poplarrun/gateway/_followers.py
@@ -170,7 +170,9 @@
                 order = decode_order(entry.value, entry.offset)
                 if self._rollouts.take_order(order, now):
                     write_event(
-                        events.RolloutOrdered(order.service, order.target, order.duration_s)
+                        events.RolloutOrdered(
+                            order.service, order.target, order.duration_s, "store", 0.0
+                        )
                     )
         except Malformed as error:
             write_event(events.DocumentIgnored(entry.key, str(error)))
--- a/poplarrun/gateway/_peering.py
+++ b/poplarrun/gateway/_peering.py
@@ -301,12 +301,22 @@
     def _take_rollouts(self, digest: Digest, now: float) -> None:
         for news in digest.rollouts:
             order = RolloutOrder(news.service, news.target, news.duration_s, news.offset)
-            self._rollouts.take_order(order, now, news.age_s)
+            if self._rollouts.take_order(order, now, news.age_s):
+                write_event(
+                    events.RolloutOrdered(
+                        order.service, order.target, order.duration_s, digest.address, news.age_s
+                    )
+                )
             rollout = self._rollouts.find(news.service)
             if rollout is None or rollout.order.offset != news.offset:
                 continue
-            if news.is_shifted:
+            if news.is_shifted and not rollout.is_shifted:
                 rollout.shift(now)
+                write_event(
+                    events.RolloutShifted(
+                        order.service, order.target, digest.address, now - rollout.begun_at
+                    )
+                )
             if news.phase is not None:
                 status = RolloutStatus(news.service, news.target, news.phase)
                 self._rollouts.take_status(status)
--- a/poplarrun/gateway/_records.py
+++ b/poplarrun/gateway/_records.py
@@ -64,6 +64,8 @@
                 member.queue_s,
                 work.left_s(now),
                 is_resumed,
+                send.reason.value,
+                work.request.session_hash,
             )
         )
 
--- a/poplarrun/gateway/_steward.py
+++ b/poplarrun/gateway/_steward.py
@@ -83,7 +83,12 @@
                 return
             if rollout not in self._rollouts.active():
                 return
+        was_shifted = rollout.is_shifted
         verdict = self._rollouts.judge(rollout, now)
+        if rollout.is_shifted and not was_shifted:
+            order = rollout.order
+            age_s = now - rollout.begun_at
+            write_event(events.RolloutShifted(order.service, order.target, "own", age_s))
         if verdict is Verdict.NOTHING:
             return
         wanted_since = self._wanted.setdefault((rollout.order.target, verdict), now)
--- a/poplarrun/logs/_events.py
+++ b/poplarrun/logs/_events.py
@@ -53,7 +53,15 @@
 
 @dataclass(frozen=True, slots=True)
 class RequestSent(Event):
-    """A request went to an endpoint; what was expected of it."""
+    """A request went to an endpoint; what was expected of it.
+
+    Attributes
+    ----------
+    version_by : str
+        Why a version was picked.
+    session : str
+        Hash of the session's id, the same on all hosts; empty without a session.
+    """
 
     part: ClassVar[str] = "request"
     text: ClassVar[str] = "Sent."
@@ -69,6 +77,8 @@
     queue_s: float
     left_s: float
     is_resumed: bool
+    version_by: str
+    session: str
 
 
 @dataclass(frozen=True, slots=True)
@@ -329,13 +339,35 @@
 
 @dataclass(frozen=True, slots=True)
 class RolloutOrdered(Event):
-    """Operators ordered a roll-out."""
+    """Operators ordered a roll-out; who told this host, and how old the order was.
+
+    Attributes
+    ----------
+    source : str
+        The store, or the address of a peer.
+    age_s : float
+        Time since any host saw the order first, as far as known.
+    """
 
     part: ClassVar[str] = "rollouts"
     text: ClassVar[str] = "A roll-out is ordered."
     service: str
     target: str
     duration_s: float
+    source: str
+    age_s: float
+
+
+@dataclass(frozen=True, slots=True)
+class RolloutShifted(Event):
+    """Sessions may change to the new version from now on; by this host or told by a peer."""
+
+    part: ClassVar[str] = "rollouts"
+    text: ClassVar[str] = "Sessions may change versions."
+    service: str
+    target: str
+    source: str
+    age_s: float
 
 
 @dataclass(frozen=True, slots=True)
--- a/poplarrun/rollouts/_rollouts.py
+++ b/poplarrun/rollouts/_rollouts.py
@@ -39,6 +39,35 @@
 KEPT_SESSIONS = 20_000
 
 
+class VersionReason(enum.Enum):
+    """Why a request may use some versions and not others."""
+
+    NO_ROLLOUT = "no_rollout"
+    RECORDED = "recorded"
+    FAILED_BEFORE = "failed_before"
+    SESSION = "session"
+    HASH = "hash"
+    STREAM = "stream"
+    NONE_LEFT = "none_left"
+
+
+@dataclass(frozen=True, slots=True)
+class VersionChoice:
+    """Which versions may answer a request.
+
+    Attributes
+    ----------
+    only : frozenset of str, optional
+        The only versions that may answer.
+    avoided : str, optional
+        The one that may not.
+    """
+
+    only: frozenset[str] | None
+    avoided: str | None
+    reason: VersionReason
+
+
 class Verdict(enum.Enum):
     """What should be recorded of a roll-out now."""
 
@@ -185,31 +214,33 @@
         rollout.recorded = status.phase
         return True
 
-    def pick_version(self, work: Work, now: float) -> tuple[frozenset[str] | None, str | None]:
-        """Return the only versions that may answer, and the one that may not.
+    def pick_version(self, work: Work, now: float) -> VersionChoice:
+        """Return the versions that may answer a request.
 
         A request goes on in the version that its session has, and once it has begun
         in the version that it began in.
         """
         rollout = self._rollouts.get(work.service)
         if rollout is None:
-            return None, None
+            return VersionChoice(None, None, VersionReason.NO_ROLLOUT)
         target = rollout.order.target
         match rollout.recorded:
             case RolloutPhase.COMPLETED:
-                return frozenset((target,)), None
+                return VersionChoice(frozenset((target,)), None, VersionReason.RECORDED)
             case RolloutPhase.ROLLED_BACK:
-                return None, target
+                return VersionChoice(None, target, VersionReason.RECORDED)
         if work.failures and not rollout.is_shifted and work.last_event is None:
             # What failed while a version is on trial is not tried there once more.
-            return None, target
+            return VersionChoice(None, target, VersionReason.FAILED_BEFORE)
         session = self._session(work)
         known = self._sessions.get(session)
         is_kept = known is not None and now - known.ended_at < self.session_s
-        is_new = _point(session[1]) < rollout.share(now)
+        is_new, reason = _point(session[1]) < rollout.share(now), VersionReason.HASH
         if known is not None and is_kept and not rollout.is_shifted:
-            is_new = known.version == target
-        return (frozenset((target,)), None) if is_new else (None, target)
+            is_new, reason = known.version == target, VersionReason.SESSION
+        if is_new:
+            return VersionChoice(frozenset((target,)), None, reason)
+        return VersionChoice(None, target, reason)
 
     def is_proving(self, service: str, version: str, now: float) -> bool:
         """Tell whether a version that passed its trial has more traffic now, but not all.
--- a/poplarrun/routing/_requests.py
+++ b/poplarrun/routing/_requests.py
@@ -1,5 +1,6 @@
 """A request as the decisions see it, whatever protocol it came by."""
 
+import zlib
 from dataclasses import dataclass, field
 
 from poplarrun.routing._catalogue import Account, Route
@@ -67,6 +68,13 @@
     resume_after: int | None = None
     hinted_tokens: int | None = None
 
+    @property
+    def session_hash(self) -> str:
+        """Hash of the session's id, which may itself be confidential; empty without one."""
+        if self.session is None:
+            return ""
+        return f"{zlib.crc32(self.session.encode()):08x}"
+
     @property
     def expected_tokens(self) -> int:
         """Length of the answer as far as anybody can tell, in tokens."""
