--- /dev/null
+++ b/features/rollout_sessions.feature
@@ -0,0 +1,8 @@
+Feature: Sessions of a roll-out whose requests reach many hosts
+
+  Scenario: A session that changes hosts keeps its version in the first half
+    # Guards against a host that never saw the session, and moves it by its hash alone.
+    Given 24 hosts in 3 zones, and 60 sessions a second that ask any of them
+    When a roll-out of 24.0 s is ordered after 8.0 s and its endpoints are listed 0.3 s later
+    Then no session changes its version in the first half of the roll-out
+    And the new version gets 0.04 to 0.12 of the requests in the last 4.0 s of that half
--- /dev/null
+++ b/features/steps/rollout_sessions.py
@@ -0,0 +1,56 @@
+import asyncio
+
+from behave import given, then, when
+
+from standins.rollout_fleet import RolloutFleet, virtual_clock
+from standins.virtual_time import VirtualTimeLoop
+
+SEED = 2541
+# Time after the order's middle until which the hosts are watched, in seconds.
+AFTER_S = 0.5
+
+
+async def play(fleet, sessions_per_s, order_at, duration_s, listed_after_s):
+    """Let callers ask until just behind the middle of the order's time."""
+    until = order_at + duration_s / 2 + AFTER_S
+    fleet.start()
+    calls = asyncio.ensure_future(fleet.call(sessions_per_s, until))
+    await asyncio.sleep(order_at)
+    fleet.order(duration_s)
+    await asyncio.sleep(listed_after_s)
+    fleet.list_new_version()
+    await calls
+    await asyncio.sleep(3.0)
+
+
+@given("{hosts:d} hosts in 3 zones, and {sessions:d} sessions a second that ask any of them")
+def step_fleet(context, hosts, sessions):
+    context.fleet = RolloutFleet(SEED, hosts)
+    context.sessions_per_s = sessions
+
+
+@when(
+    "a roll-out of {duration:f} s is ordered after {at:f} s"
+    " and its endpoints are listed {listed:f} s later"
+)
+def step_order(context, duration, at, listed):
+    context.order_at, context.middle = at, at + duration / 2
+    loop = VirtualTimeLoop()
+    with virtual_clock(loop):
+        loop.run_until_complete(play(context.fleet, context.sessions_per_s, at, duration, listed))
+        loop.end()
+
+
+@then("no session changes its version in the first half of the roll-out")
+def step_kept(context):
+    changes = context.fleet.changes(context.order_at, context.middle)
+    assert not changes, (len(changes), changes[:3])
+
+
+@then(
+    "the new version gets {least:f} to {most:f} of the requests in the last {seconds:f} s"
+    " of that half"
+)
+def step_trial(context, least, most, seconds):
+    share = context.fleet.share(context.middle - seconds, context.middle)
+    assert least <= share <= most, share
