Let hosts tell each other which sessions a roll-out's trial must leave alone

A session's version was remembered by the host that had served it, at the end of its answer, and picked by hash everywhere else. Balancers send a session's requests to any host: at 66 hosts 131 of 132 second requests reached another one.

The class of fault: a decision that must be the same everywhere was made from what one host remembers. The trial now takes sessions by their hash alone, which is the same on all hosts, but for those held on the old version. A host holds a session when it was under way, or had ended less than the operators' session time before, as the order came, and whenever it runs there during the trial; it notes that as it sends, no longer at the end. It tells the three hosts that keep the session, found by rendezvous hashing, and a host that meets a session which the trial would take asks these, and goes by the first two answers (0.1 s at most; counted in session_unanswered). The first second of an order takes nobody, so that all hosts know of it. Messages per request do not grow with the number of hosts.

The shift is told by its age in place of a flag, so that all hosts count from the first decision.

--- a/features/rollout_sessions.feature
+++ b/features/rollout_sessions.feature
@@ -6,3 +6,10 @@
     When a roll-out of 24.0 s is ordered after 8.0 s and its endpoints are listed 0.3 s later
     Then no session changes its version in the first half of the roll-out
     And the new version gets 0.04 to 0.12 of the requests in the last 4.0 s of that half
+
+  Scenario: A session that has moved to the new version stays there
+    # Guards against hosts that send a session back while all of them move.
+    Given 24 hosts in 3 zones, and 60 sessions a second that ask any of them
+    When a roll-out of 24.0 s is ordered after 8.0 s and its endpoints are listed 0.3 s later
+    Then no session goes back to the old version
+    And the new version gets all requests of the last 1.5 s
--- a/features/steps/rollout_sessions.py
+++ b/features/steps/rollout_sessions.py
@@ -2,17 +2,17 @@
 
 from behave import given, then, when
 
-from standins.rollout_fleet import RolloutFleet, virtual_clock
+from standins.rollout_fleet import OLD, RolloutFleet, virtual_clock
 from standins.virtual_time import VirtualTimeLoop
 
 SEED = 2541
-# Time after the order's middle until which the hosts are watched, in seconds.
-AFTER_S = 0.5
+# Part of the order's time until which callers ask: the old endpoints are stopped soon after.
+WATCHED_PART = 0.85
 
 
 async def play(fleet, sessions_per_s, order_at, duration_s, listed_after_s):
-    """Let callers ask until just behind the middle of the order's time."""
-    until = order_at + duration_s / 2 + AFTER_S
+    """Let callers ask until all of them are on the new version."""
+    until = order_at + WATCHED_PART * duration_s
     fleet.start()
     calls = asyncio.ensure_future(fleet.call(sessions_per_s, until))
     await asyncio.sleep(order_at)
@@ -34,7 +34,7 @@
     " and its endpoints are listed {listed:f} s later"
 )
 def step_order(context, duration, at, listed):
-    context.order_at, context.middle = at, at + duration / 2
+    context.order_at, context.middle, context.end = at, at + duration / 2, at + duration
     loop = VirtualTimeLoop()
     with virtual_clock(loop):
         loop.run_until_complete(play(context.fleet, context.sessions_per_s, at, duration, listed))
@@ -54,3 +54,16 @@
 def step_trial(context, least, most, seconds):
     share = context.fleet.share(context.middle - seconds, context.middle)
     assert least <= share <= most, share
+
+
+@then("no session goes back to the old version")
+def step_not_back(context):
+    changes = context.fleet.changes(context.order_at, context.end)
+    back = [pair for pair in changes if pair[1].version == OLD]
+    assert not back, (len(back), back[:3])
+
+
+@then("the new version gets all requests of the last {seconds:f} s")
+def step_all(context, seconds):
+    until = context.order_at + WATCHED_PART * (context.end - context.order_at)
+    assert context.fleet.share(until - seconds, until) == 1.0
--- a/features/steps/rollouts.py
+++ b/features/steps/rollouts.py
@@ -245,7 +245,7 @@
     rollout = context.rollouts.find("engines")
     assert rollout.order.target == target and rollout.part(at) < 0.1, rollout
     assert context.rollouts.judge(rollout, at) is Verdict.ACTIVE
-    assert not rollout.is_shifted
+    assert rollout.shifted_at is None
 
 
 @when("these {count:d} answers fail in the end")
--- a/poplarrun/dispatch/_dispatch.py
+++ b/poplarrun/dispatch/_dispatch.py
@@ -192,6 +192,7 @@
         is_past = self.rollouts.is_past_trial(work.service, member.listing.version, now)
         attempt.is_loaded = is_past and send.seat.load >= LOADED_FROM
         self._open[attempt] = work
+        self.rollouts.note_sent(work, member.listing.version, now)
         return attempt
 
     def ask_larger(self, work: Work, attempt: Attempt, confidence: float, now: float) -> bool:
--- a/poplarrun/gateway/_exchange.py
+++ b/poplarrun/gateway/_exchange.py
@@ -20,6 +20,7 @@
 from poplarrun.errors import ErrorKind, NotRun, Refusal, answer_for
 from poplarrun.gateway._events import Event, EventCutter, NoEvents
 from poplarrun.gateway._records import RequestRecorder
+from poplarrun.gateway._sessions import SessionKeeping
 from poplarrun.platform import EndpointAnswer, decode_answer, encode_send
 from poplarrun.routing import Repeat, Work
 from poplarrun.transport import (
@@ -88,12 +89,14 @@
         caller: CallerConnection,
         work: Work,
         recorder: RequestRecorder,
+        sessions: SessionKeeping,
     ) -> None:
         self._dispatch = dispatch
         self._pool = pool
         self._caller = caller
         self._work = work
         self._recorder = recorder
+        self._sessions = sessions
         self._is_started = False
         self._failed_answer: _Whole | None = None
         self._attempt: Attempt | None = None
@@ -118,6 +121,8 @@
 
     async def _try_endpoints(self) -> Refusal | None:
         """Send until an answer is whole; None when the caller has it."""
+        if not await self._sessions.learn(self._work):
+            self._recorder.unanswered()
         while True:
             now = boot_time()
             step = self._dispatch.choose(self._work, now)
--- a/poplarrun/gateway/_host.py
+++ b/poplarrun/gateway/_host.py
@@ -197,7 +197,8 @@
         self._recorder.admitted(work, now)
         self._open += 1
         try:
-            await Exchange(self._dispatch, self._pool, caller, work, self._recorder).run()
+            sessions = self._peering.sessions
+            await Exchange(self._dispatch, self._pool, caller, work, self._recorder, sessions).run()
         finally:
             self._open -= 1
 
--- a/poplarrun/gateway/_peering.py
+++ b/poplarrun/gateway/_peering.py
@@ -8,6 +8,7 @@
 
 from poplarrun.dispatch import Knowledge
 from poplarrun.gateway._followers import DocumentFollower, ListingFollower
+from poplarrun.gateway._sessions import SessionKeeping
 from poplarrun.links import Links
 from poplarrun.logs import events, write_event
 from poplarrun.peers import (
@@ -17,10 +18,13 @@
     Digest,
     Documents,
     EndpointLoad,
+    HeldSessions,
     Listed,
     Peer,
     PeerBook,
     RolloutNews,
+    SessionAnswer,
+    SessionAsk,
     TallyNews,
     decode_message,
     encode_message,
@@ -80,6 +84,7 @@
         self._directory = directory
         self._placement = placement
         self._rollouts = rollouts
+        self.sessions = SessionKeeping(book, links, rollouts)
         self._asked_at = float("-inf")
         self._outdated: int | None = None
         self._outdated_since = 0.0
@@ -166,6 +171,7 @@
         due = self.book.due(now, NEAR_PERIOD_S, far_s)
         if due:
             self._send_digests(due, now)
+        self.sessions.tell(now)
         self._note_alive(now)
 
     def _send_digests(self, peers: list[Peer], now: float) -> None:
@@ -221,7 +227,7 @@
                 rollout.order.offset,
                 now - rollout.begun_at,
                 rollout.recorded,
-                rollout.is_shifted,
+                None if rollout.shifted_at is None else now - rollout.shifted_at,
             )
             for rollout in self._rollouts.recent(now)
         ]
@@ -254,6 +260,12 @@
                 self._take_documents(documents, now)
             case Changes() as changes:
                 self._take_changes(changes)
+            case HeldSessions() as held:
+                self.sessions.take_held(held)
+            case SessionAsk() as session_ask:
+                self.sessions.answer(session_ask)
+            case SessionAnswer() as session_answer:
+                self.sessions.take_answer(session_answer)
             case None:
                 write_event(events.MessageUnreadable(len(data)))
 
@@ -310,8 +322,8 @@
             rollout = self._rollouts.find(news.service)
             if rollout is None or rollout.order.offset != news.offset:
                 continue
-            if news.is_shifted and not rollout.is_shifted:
-                rollout.shift(now)
+            shifted_age_s = news.shifted_age_s
+            if shifted_age_s is not None and rollout.shift(now - shifted_age_s):
                 write_event(
                     events.RolloutShifted(
                         order.service, order.target, digest.address, now - rollout.begun_at
--- a/poplarrun/gateway/_records.py
+++ b/poplarrun/gateway/_records.py
@@ -65,10 +65,14 @@
                 work.left_s(now),
                 is_resumed,
                 send.reason.value,
-                work.request.session_hash,
+                "" if work.request.session is None else f"{work.request.session_number:08x}",
             )
         )
 
+    def unanswered(self) -> None:
+        """Note that no host said in time whether a session stays on its version."""
+        self._metrics.count_event("session_unanswered")
+
     def failed(self, work: Work, send: Send, failure: Failure, is_last: bool) -> None:
         """Note a failed send; it counts as a retry unless the request ends with it."""
         reason = reason_of(failure)
--- /dev/null
+++ b/poplarrun/gateway/_sessions.py
@@ -0,0 +1,105 @@
+"""Asks and tells other hosts which sessions stay on their version in a roll-out."""
+
+import asyncio
+import contextlib
+import itertools
+from collections import defaultdict
+from dataclasses import dataclass
+
+from poplarrun.links import Links
+from poplarrun.peers import HeldSessions, PeerBook, SessionAnswer, SessionAsk, encode_message
+from poplarrun.rollouts import HeldSession, Rollouts, SessionKey
+from poplarrun.routing import Work
+from poplarrun.transport import boot_time
+
+# Answers of keepers that are waited for, and for how long in seconds: one keeper may be
+# dead, or newer than the session.
+ANSWERS_NEEDED = 2
+ANSWER_PATIENCE_S = 0.1
+
+
+@dataclass(slots=True)
+class _Question:
+    held: HeldSession
+    missing: int
+    answer: asyncio.Future[bool]
+
+
+class SessionKeeping:
+    """What a host tells, asks and answers of sessions.
+
+    A few hosts keep each session, found by its hash, so that the messages for a request do
+    not grow with the number of hosts.
+    """
+
+    def __init__(self, book: PeerBook, links: Links, rollouts: Rollouts) -> None:
+        self._book = book
+        self._links = links
+        self._rollouts = rollouts
+        self._numbers = itertools.count(1)
+        self._questions: dict[int, _Question] = {}
+
+    def tell(self, now: float) -> None:
+        """Tell the keepers of the sessions that this host found to be held."""
+        told: dict[tuple[str, str, int], list[int]] = defaultdict(list)
+        for held in self._rollouts.sessions.take_untold():
+            for keeper in self._keepers(held.key, now):
+                told[keeper, held.key.service, held.offset].append(held.key.number)
+        for (keeper, service, offset), numbers in told.items():
+            self._links.send(keeper, encode_message(HeldSessions(service, offset, numbers)))
+
+    def take_held(self, message: HeldSessions) -> None:
+        """Take in sessions that another host told of."""
+        for number in message.numbers:
+            key = SessionKey(message.service, number)
+            self._rollouts.sessions.take(HeldSession(key, message.offset))
+
+    def answer(self, ask: SessionAsk) -> None:
+        """Answer a host that asks."""
+        held = HeldSession(SessionKey(ask.service, ask.number), ask.offset)
+        is_held = self._rollouts.sessions.is_held(held)
+        self._links.send(ask.address, encode_message(SessionAnswer(ask.question, is_held)))
+
+    def take_answer(self, answer: SessionAnswer) -> None:
+        """Take in an answer; a session that one keeper knows is held."""
+        question = self._questions.get(answer.question)
+        if question is None or question.answer.done():
+            return
+        question.missing -= 1
+        if answer.is_held:
+            self._rollouts.sessions.take(question.held)
+        if answer.is_held or question.missing <= 0:
+            question.answer.set_result(answer.is_held)
+
+    async def learn(self, work: Work) -> bool:
+        """Find out whether a request's session is held; False when nobody said so in time.
+
+        Only sessions that the trial would take are asked for.
+        """
+        now = boot_time()
+        held = self._rollouts.find_unknown(work, now)
+        if held is None:
+            return True
+        keepers = self._keepers(held.key, now)
+        if not keepers:
+            return True
+        needed = min(ANSWERS_NEEDED, len(keepers))
+        number = next(self._numbers)
+        question = _Question(held, needed, asyncio.get_running_loop().create_future())
+        self._questions[number] = question
+        service, session = held.key.service, held.key.number
+        ask = encode_message(SessionAsk(self._book.address, number, service, held.offset, session))
+        try:
+            for keeper in keepers:
+                self._links.send(keeper, ask)
+            with contextlib.suppress(TimeoutError):
+                async with asyncio.timeout(ANSWER_PATIENCE_S):
+                    await question.answer
+        finally:
+            del self._questions[number]
+        return question.answer.done() and not question.answer.cancelled()
+
+    def _keepers(self, key: SessionKey, now: float) -> list[str]:
+        """Return the other hosts that keep a session."""
+        keepers = self._book.keepers(f"{key.service}/{key.number}", now)
+        return [keeper for keeper in keepers if keeper != self._book.address]
--- a/poplarrun/gateway/_steward.py
+++ b/poplarrun/gateway/_steward.py
@@ -83,9 +83,9 @@
                 return
             if rollout not in self._rollouts.active():
                 return
-        was_shifted = rollout.is_shifted
+        was_shifted = rollout.shifted_at is not None
         verdict = self._rollouts.judge(rollout, now)
-        if rollout.is_shifted and not was_shifted:
+        if rollout.shifted_at is not None and not was_shifted:
             order = rollout.order
             age_s = now - rollout.begun_at
             write_event(events.RolloutShifted(order.service, order.target, "own", age_s))
--- a/poplarrun/peers/_messages.py
+++ b/poplarrun/peers/_messages.py
@@ -30,6 +30,8 @@
         How long ago the order was first seen by any host that the sender heard of.
     phase : RolloutPhase, optional
         What is recorded.
+    shifted_age_s : float, optional
+        How long ago any host decided that sessions may change versions.
     """
 
     service: str
@@ -38,7 +40,7 @@
     offset: int
     age_s: float
     phase: RolloutPhase | None
-    is_shifted: bool
+    shifted_age_s: float | None
 
 
 class TallyNews(msgspec.Struct, frozen=True, array_like=True):
@@ -162,7 +164,46 @@
     records: list[ChangedRecord]
 
 
-Message = Digest | Ask | Documents | Changes
+class HeldSessions(msgspec.Struct, frozen=True, array_like=True, tag=5):
+    """Tells of sessions that stay on the old version in the roll-out of an order.
+
+    Attributes
+    ----------
+    offset : int
+        Place of the order in the store's log.
+    numbers : list of int
+        Hashes of the sessions' ids.
+    """
+
+    service: str
+    offset: int
+    numbers: list[int]
+
+
+class SessionAsk(msgspec.Struct, frozen=True, array_like=True, tag=6):
+    """Asks whether a session stays on the old version.
+
+    Attributes
+    ----------
+    question : int
+        Names the question among those of the sender.
+    """
+
+    address: str
+    question: int
+    service: str
+    offset: int
+    number: int
+
+
+class SessionAnswer(msgspec.Struct, frozen=True, array_like=True, tag=7):
+    """Answers a ``SessionAsk``."""
+
+    question: int
+    is_held: bool
+
+
+Message = Digest | Ask | Documents | Changes | HeldSessions | SessionAsk | SessionAnswer
 
 _ENCODER = msgspec.msgpack.Encoder()
 _DECODER = msgspec.msgpack.Decoder(Message)
--- a/poplarrun/rollouts/_rollouts.py
+++ b/poplarrun/rollouts/_rollouts.py
@@ -1,11 +1,10 @@
 """The course of roll-outs: who gets the new version, and when it is through or out."""
 
 import enum
-import zlib
-from collections import OrderedDict
 from dataclasses import dataclass, field
 
 from poplarrun.rollouts._evidence import Evidence, Stage
+from poplarrun.rollouts._sessions import HeldSession, SessionKey, Sessions
 from poplarrun.routing import RolloutOrder, RolloutPhase, RolloutStatus, Work
 
 # Part of the operators' bound on the share of requests that a bad version may get which
@@ -35,8 +34,11 @@
 HALF_MARGIN_S = 0.4
 # The end of a roll-out is told to other hosts for so long after its time, in seconds.
 TOLD_S = 20.0
-# Sessions whose version is remembered.
-KEPT_SESSIONS = 20_000
+# Time from the order to the first session on the new version, in seconds: all hosts know of
+# the order, and of the sessions that were on the old version, before.
+TRIAL_DELAY_S = 1.0
+# One more than the highest number of a session.
+SESSION_NUMBERS = 2**32
 
 
 class VersionReason(enum.Enum):
@@ -45,7 +47,8 @@
     NO_ROLLOUT = "no_rollout"
     RECORDED = "recorded"
     FAILED_BEFORE = "failed_before"
-    SESSION = "session"
+    HELD = "held"
+    SETTLING = "settling"
     HASH = "hash"
     STREAM = "stream"
     NONE_LEFT = "none_left"
@@ -89,32 +92,46 @@
         Share of the requests that a bad version may get.
     recorded : RolloutPhase, optional
         What the store holds.
+    shifted_at : float, optional
+        When any host decided first that sessions may change versions.
     """
 
     order: RolloutOrder
     begun_at: float
     exposure: float
     recorded: RolloutPhase | None = None
-    is_shifted: bool = False
     shifted_at: float | None = None
 
-    def shift(self, now: float) -> None:
-        """Begin to move sessions to the new version."""
-        self.is_shifted = True
-        if self.shifted_at is None:
-            self.shifted_at = now
+    def shift(self, at: float) -> bool:
+        """Let sessions change to the new version; True where that was not known."""
+        was_known = self.shifted_at is not None
+        self.shifted_at = at if self.shifted_at is None else min(self.shifted_at, at)
+        return not was_known
+
+    def is_shifted(self, now: float) -> bool:
+        """Tell whether sessions may change to the new version now."""
+        return self.shifted_at is not None and now >= self.shifted_at
+
+    def is_settling(self, now: float) -> bool:
+        """Tell whether hosts may not know yet which sessions are on the old version."""
+        return now - self.begun_at < TRIAL_DELAY_S
+
+    @property
+    def trial_share(self) -> float:
+        """Share of the sessions that the trial may take."""
+        return TRIAL_OF_BOUND * self.exposure
 
     def share(self, now: float) -> float:
         """Return the share of the sessions that the new version gets."""
-        if self.shifted_at is None:
-            return TRIAL_OF_BOUND * self.exposure
+        if not self.is_shifted(now):
+            return self.trial_share
         if self.has_all(now):
             return 1.0
         return min(MOST_SHIFT_SHARE, SHIFT_OF_BOUND * self.exposure)
 
     def has_all(self, now: float) -> bool:
         """Tell whether the new version gets all sessions."""
-        if self.shifted_at is None:
+        if self.shifted_at is None or not self.is_shifted(now):
             return False
         return now - self.shifted_at >= SHIFT_PART * self.order.duration_s
 
@@ -122,7 +139,7 @@
         """Return how much the new version can be compared with the old one."""
         if self.has_all(now):
             return Stage.ALONE
-        return Stage.TRIAL if self.shifted_at is None else Stage.SHIFT
+        return Stage.SHIFT if self.is_shifted(now) else Stage.TRIAL
 
     @property
     def is_open(self) -> bool:
@@ -138,12 +155,6 @@
         return now - self.begun_at > TRIAL_PART * self.order.duration_s + HALF_MARGIN_S
 
 
-@dataclass(slots=True)
-class _Session:
-    version: str
-    ended_at: float
-
-
 @dataclass
 class Rollouts:
     """The roll-outs of all services.
@@ -160,7 +171,7 @@
     exposure: float = USUAL_EXPOSURE
     evidence: Evidence = field(default_factory=Evidence)
     _rollouts: dict[str, Rollout] = field(default_factory=dict)
-    _sessions: OrderedDict[tuple[str, str], _Session] = field(default_factory=OrderedDict)
+    sessions: Sessions = field(default_factory=Sessions)
 
     def find(self, service: str) -> Rollout | None:
         """Return the last roll-out of a service."""
@@ -195,7 +206,15 @@
             return False
         if known is not None:
             self.evidence.forget(order.service)
-        self._rollouts[order.service] = Rollout(order, now - age_s, self.exposure)
+        rollout = Rollout(order, now - age_s, self.exposure)
+        self._rollouts[order.service] = rollout
+        self.sessions.forget(order.service, order.offset)
+        self.sessions.hold_recent(
+            order.service,
+            order.offset,
+            now - self.session_s,
+            lambda number: _point(number) < rollout.trial_share,
+        )
         return True
 
     def take_status(self, status: RolloutStatus) -> bool:
@@ -217,8 +236,8 @@
     def pick_version(self, work: Work, now: float) -> VersionChoice:
         """Return the versions that may answer a request.
 
-        A request goes on in the version that its session has, and once it has begun
-        in the version that it began in.
+        A session that was on the old version stays there until the shift. All others go by
+        their hash, which is the same on all hosts.
         """
         rollout = self._rollouts.get(work.service)
         if rollout is None:
@@ -229,18 +248,35 @@
                 return VersionChoice(frozenset((target,)), None, VersionReason.RECORDED)
             case RolloutPhase.ROLLED_BACK:
                 return VersionChoice(None, target, VersionReason.RECORDED)
-        if work.failures and not rollout.is_shifted and work.last_event is None:
+        is_shifted = rollout.is_shifted(now)
+        if work.failures and not is_shifted and work.last_event is None:
             # What failed while a version is on trial is not tried there once more.
             return VersionChoice(None, target, VersionReason.FAILED_BEFORE)
-        session = self._session(work)
-        known = self._sessions.get(session)
-        is_kept = known is not None and now - known.ended_at < self.session_s
-        is_new, reason = _point(session[1]) < rollout.share(now), VersionReason.HASH
-        if known is not None and is_kept and not rollout.is_shifted:
-            is_new, reason = known.version == target, VersionReason.SESSION
-        if is_new:
-            return VersionChoice(frozenset((target,)), None, reason)
-        return VersionChoice(None, target, reason)
+        key = _key_of(work)
+        if _point(key.number) >= rollout.share(now):
+            return VersionChoice(None, target, VersionReason.HASH)
+        if not is_shifted:
+            if rollout.is_settling(now):
+                return VersionChoice(None, target, VersionReason.SETTLING)
+            if self.sessions.is_held(HeldSession(key, rollout.order.offset)):
+                return VersionChoice(None, target, VersionReason.HELD)
+        return VersionChoice(frozenset((target,)), None, VersionReason.HASH)
+
+    def find_unknown(self, work: Work, now: float) -> HeldSession | None:
+        """Return what other hosts must be asked before a version is picked, if anything."""
+        rollout = self._rollouts.get(work.service)
+        if rollout is None or not rollout.is_open or work.request.session is None:
+            return None
+        if rollout.is_settling(now) or not self._is_tried(rollout, work, now):
+            return None
+        held = HeldSession(_key_of(work), rollout.order.offset)
+        return None if self.sessions.is_held(held) else held
+
+    def _is_tried(self, rollout: Rollout, work: Work, now: float) -> bool:
+        """Tell whether a request's session is one of those that the trial may take."""
+        if rollout.is_shifted(now):
+            return False
+        return _point(_key_of(work).number) < rollout.trial_share
 
     def is_proving(self, service: str, version: str, now: float) -> bool:
         """Tell whether a version that passed its trial has more traffic now, but not all.
@@ -259,15 +295,26 @@
             return None
         return rollout.stage(now)
 
+    def note_sent(self, work: Work, version: str, now: float) -> None:
+        """Note that a request of a session runs on a version."""
+        if work.request.session is None:
+            return
+        self.sessions.note_sent(_key_of(work), work.give_up_at)
+        self._hold_old(work, version, now)
+
     def note_end(self, work: Work, version: str, now: float) -> None:
-        """Remember the version of a session."""
-        if work.service not in self._rollouts and work.request.session is None:
+        """Note that a request of a session has ended."""
+        if work.request.session is None:
             return
-        session = self._session(work)
-        self._sessions[session] = _Session(version, now)
-        self._sessions.move_to_end(session)
-        if len(self._sessions) > KEPT_SESSIONS:
-            self._sessions.popitem(last=False)
+        self.sessions.note_end(_key_of(work), work.give_up_at, now)
+        self._hold_old(work, version, now)
+
+    def _hold_old(self, work: Work, version: str, now: float) -> None:
+        rollout = self._rollouts.get(work.service)
+        if rollout is None or not rollout.is_open or version == rollout.order.target:
+            return
+        if self._is_tried(rollout, work, now):
+            self.sessions.hold(HeldSession(_key_of(work), rollout.order.offset))
 
     def judge(self, rollout: Rollout, now: float) -> Verdict:
         """Decide what should be recorded of a roll-out now.
@@ -285,15 +332,16 @@
         enough = self.evidence.of_version(order.service, order.target).ended >= needed
         if rollout.may_shift(now) and enough:
             rollout.shift(now)
-        if rollout.is_shifted and rollout.part(now) >= LATEST_PART:
+        if rollout.shifted_at is not None and rollout.part(now) >= LATEST_PART:
             return Verdict.COMPLETED
         if rollout.part(now) >= 1.0:
             return Verdict.ROLLED_BACK
         return Verdict.NOTHING if rollout.recorded is not None else Verdict.ACTIVE
 
-    def _session(self, work: Work) -> tuple[str, str]:
-        return work.service, work.request.session or work.request.id
+
+def _key_of(work: Work) -> SessionKey:
+    return SessionKey(work.service, work.request.session_number)
 
 
-def _point(text: str) -> float:
-    return zlib.crc32(text.encode()) / 2.0**32
+def _point(number: int) -> float:
+    return number / SESSION_NUMBERS
--- a/poplarrun/routing/_requests.py
+++ b/poplarrun/routing/_requests.py
@@ -69,11 +69,9 @@
     hinted_tokens: int | None = None
 
     @property
-    def session_hash(self) -> str:
-        """Hash of the session's id, which may itself be confidential; empty without one."""
-        if self.session is None:
-            return ""
-        return f"{zlib.crc32(self.session.encode()):08x}"
+    def session_number(self) -> int:
+        """Hash of the session's id, the same on all hosts; of the request's without one."""
+        return zlib.crc32((self.session or self.id).encode())
 
     @property
     def expected_tokens(self) -> int:
--- a/standins/rollout_fleet.py
+++ b/standins/rollout_fleet.py
@@ -5,6 +5,7 @@
 """
 
 import asyncio
+import itertools
 import random
 from collections import defaultdict
 from collections.abc import Iterator
@@ -40,7 +41,11 @@
 SESSION_S = 6.5
 ENDPOINTS_OF_EACH = 4
 PLACES = 64
-CLOCK_USERS = ("_peering", "_reading", "_followers")
+CLOCK_USERS = ("_peering", "_reading", "_followers", "_sessions")
+# Time to the first event of an answer, in seconds.
+FIRST_S = 0.15
+# Pause between two looks of a host at a roll-out, in seconds.
+JUDGE_PERIOD_S = 0.25
 PACE = Pace(timeout_s=12.0, target_s=2.0, gap_s=1.2)
 ROUTE = Route(
     "draft",
@@ -114,17 +119,27 @@
         """List endpoints of the new version beside the old ones."""
         self.placement.update([*_list_endpoints(OLD), *_list_endpoints(NEW)])
 
+    async def judge(self, begin_after_s: float) -> None:
+        """Judge the roll-out for ever, as each host does; nothing is recorded."""
+        clock = asyncio.get_running_loop().time
+        await asyncio.sleep(begin_after_s)
+        while True:
+            for rollout in self.rollouts.active():
+                self.rollouts.judge(rollout, clock())
+            await asyncio.sleep(JUDGE_PERIOD_S)
+
     async def serve(self, session: str, number: int, took_s: float) -> Run:
         """Answer one request; return what ran."""
         clock = asyncio.get_running_loop().time
         work = self.dispatch.admit(_make_request(session, number), clock())
+        await self.peering.sessions.learn(cast(Any, work))
         step = self.dispatch.choose(cast(Any, work), clock())
         assert isinstance(step, Send), step
         sent_at = clock()
         attempt = self.dispatch.note_sent(cast(Any, work), step, sent_at)
-        await asyncio.sleep(took_s / 2)
+        await asyncio.sleep(FIRST_S)
         self.dispatch.note_first(cast(Any, work), attempt, clock())
-        await asyncio.sleep(took_s / 2)
+        await asyncio.sleep(took_s - FIRST_S)
         self.dispatch.note_end(cast(Any, work), attempt, clock())
         version = step.seat.member.listing.version
         return Run(session, self.address, version, sent_at, clock())
@@ -158,6 +173,7 @@
         seeds = tuple(host.address for host in self.hosts[:3])
         for host in self.hosts:
             self._start(host.peering.run(seeds))
+            self._start(host.judge(self.random.uniform(0.0, JUDGE_PERIOD_S)))
 
     def order(self, duration_s: float) -> None:
         """Hand an order to the host of each zone that reads the store."""
@@ -205,7 +221,7 @@
         for run in sorted(self.runs, key=lambda run: run.sent_at):
             sessions[run.session].append(run)
         for runs in sessions.values():
-            for before, run in zip(runs, runs[1:], strict=False):
+            for before, run in itertools.pairwise(runs):
                 if run.sent_at - before.ended_at < SESSION_S:
                     yield before, run
 
@@ -240,7 +256,7 @@
         (),
         b"",
         12.0,
-        prompt_tokens=1000,
+        prompt_tokens=10,
         most_tokens=100,
         model="*",
         session=session,
