Begin the shift of a roll-out at the same moment on all hosts

A host that hears of the shift later than others sends sessions back to the old version that another host has just moved (PINNED counts that too: on the old one though the new one is good). The decision is told by its age already; it now takes effect 0.6 s after it, twice the time that all hosts took to hear of it.

The new scenario fails without the delay.

--- a/features/rollouts.feature
+++ b/features/rollouts.feature
@@ -107,3 +107,9 @@
     When 6 of 40 answers of the version on trial have not begun after 3.0 s
     And these 6 answers fail in the end
     Then the version on trial has 6 bad and 6 slow answers of 40
+
+  Scenario: Hosts that hear of the shift one after the other begin it together
+    # Guards against a host that sends sessions back to the old version until it hears of the shift.
+    Given two hosts that know a roll-out of 20 s ordered at 100.0
+    When one decides at 110.5 that sessions may change, and the other hears of it 0.4 s later
+    Then no session that one of them moves is sent back by the other
--- a/features/steps/rollouts.py
+++ b/features/steps/rollouts.py
@@ -260,3 +260,31 @@
 def step_bad_and_slow(context, bad, slow, ended):
     tally = context.dispatch.rollouts.evidence.of_version("engines", "v2")
     assert (tally.bad, tally.slow, tally.ended) == (bad, slow, ended), tally
+
+
+@given("two hosts that know a roll-out of {seconds:d} s ordered at {at:f}")
+def step_two_hosts(context, seconds, at):
+    context.hosts = [Rollouts(), Rollouts()]
+    for rollouts in context.hosts:
+        rollouts.take_order(RolloutOrder("engines", "v2", seconds, 7), at)
+
+
+@when("one decides at {at:f} that sessions may change, and the other hears of it {later:f} s later")
+def step_shift(context, at, later):
+    one, other = (rollouts.find("engines") for rollouts in context.hosts)
+    context.moves = []
+    one.shift(at)
+    for tenth in range(20):
+        now = at + tenth / 10.0
+        if now >= at + later:
+            other.shift(at)
+        for number in range(200):
+            work = make_work(session=f"session-{number}")
+            picked = [rollouts.pick_version(work, now).only for rollouts in context.hosts]
+            context.moves.append((now, number, *picked))
+
+
+@then("no session that one of them moves is sent back by the other")
+def step_not_sent_back(context):
+    assert all(one == other for _, _, one, other in context.moves)
+    assert any(one is not None for _, _, one, _ in context.moves)
--- a/poplarrun/rollouts/_rollouts.py
+++ b/poplarrun/rollouts/_rollouts.py
@@ -37,6 +37,9 @@
 # Time from the order to the first session on the new version, in seconds: all hosts know of
 # the order, and of the sessions that were on the old version, before.
 TRIAL_DELAY_S = 1.0
+# Time from the decision that sessions may change versions until they do, in seconds: a host
+# that hears of it later than others would send sessions back to the old version.
+SHIFT_DELAY_S = 0.6
 # One more than the highest number of a session.
 SESSION_NUMBERS = 2**32
 
@@ -110,7 +113,7 @@
 
     def is_shifted(self, now: float) -> bool:
         """Tell whether sessions may change to the new version now."""
-        return self.shifted_at is not None and now >= self.shifted_at
+        return self.shifted_at is not None and now - self.shifted_at >= SHIFT_DELAY_S
 
     def is_settling(self, now: float) -> bool:
         """Tell whether hosts may not know yet which sessions are on the old version."""
