Find the keepers of a session among all hosts of the book

Hosts that were not heard for 10 s did not count as keepers. At 390 hosts each hears any other one every 13 s, so that two hosts would often have chosen different keepers, and a held session would have moved by its hash.

--- a/poplarrun/gateway/_peering.py
+++ b/poplarrun/gateway/_peering.py
@@ -171,7 +171,7 @@
         due = self.book.due(now, NEAR_PERIOD_S, far_s)
         if due:
             self._send_digests(due, now)
-        self.sessions.tell(now)
+        self.sessions.tell()
         self._note_alive(now)
 
     def _send_digests(self, peers: list[Peer], now: float) -> None:
--- a/poplarrun/gateway/_sessions.py
+++ b/poplarrun/gateway/_sessions.py
@@ -39,11 +39,11 @@
         self._numbers = itertools.count(1)
         self._questions: dict[int, _Question] = {}
 
-    def tell(self, now: float) -> None:
+    def tell(self) -> None:
         """Tell the keepers of the sessions that this host found to be held."""
         told: dict[tuple[str, str, int], list[int]] = defaultdict(list)
         for held in self._rollouts.sessions.take_untold():
-            for keeper in self._keepers(held.key, now):
+            for keeper in self._keepers(held.key):
                 told[keeper, held.key.service, held.offset].append(held.key.number)
         for (keeper, service, offset), numbers in told.items():
             self._links.send(keeper, encode_message(HeldSessions(service, offset, numbers)))
@@ -76,11 +76,10 @@
 
         Only sessions that the trial would take are asked for.
         """
-        now = boot_time()
-        held = self._rollouts.find_unknown(work, now)
+        held = self._rollouts.find_unknown(work, boot_time())
         if held is None:
             return True
-        keepers = self._keepers(held.key, now)
+        keepers = self._keepers(held.key)
         if not keepers:
             return True
         needed = min(ANSWERS_NEEDED, len(keepers))
@@ -99,7 +98,7 @@
             del self._questions[number]
         return question.answer.done() and not question.answer.cancelled()
 
-    def _keepers(self, key: SessionKey, now: float) -> list[str]:
+    def _keepers(self, key: SessionKey) -> list[str]:
         """Return the other hosts that keep a session."""
-        keepers = self._book.keepers(f"{key.service}/{key.number}", now)
+        keepers = self._book.keepers(f"{key.service}/{key.number}")
         return [keeper for keeper in keepers if keeper != self._book.address]
--- a/poplarrun/peers/_book.py
+++ b/poplarrun/peers/_book.py
@@ -20,10 +20,8 @@
 # Digests a round. All hosts of a small installation hear each other; in a large one
 # each hears some others in turn, and the messages of a host stay the same.
 MOST_A_ROUND = 12
-# Hosts that keep the same session, and for how long after the last digest a host may be one
-# of them, in seconds: hosts that hear different ones lately must still choose the same.
+# Hosts that keep the same session.
 KEEPERS = 3
-KEEPER_SILENT_S = 10.0
 # What one host reads of the store for its zone.
 DOCUMENTS = "documents"
 ENDPOINTS = "endpoints"
@@ -176,12 +174,13 @@
         hosts = [self.address, *(peer.address for peer in self.near(now))]
         return rank_hosts(topic, hosts).index(self.address)
 
-    def keepers(self, session: str, now: float) -> list[str]:
-        """Return the addresses of the hosts that keep a session, this one's possibly included."""
-        known = [
-            peer.address for peer in self._peers.values() if now - peer.heard_at < KEEPER_SILENT_S
-        ]
-        return rank_hosts(session, [self.address, *known])[:KEEPERS]
+    def keepers(self, session: str) -> list[str]:
+        """Return the addresses of the hosts that keep a session, this one's possibly included.
+
+        Hosts that were silent for some time count as well: two hosts that hear different ones
+        lately must still find the same keepers.
+        """
+        return rank_hosts(session, [self.address, *self._peers])[:KEEPERS]
 
     def turn(self, job: str, now: float) -> int:
         """Return how many live hosts come before this one for a job."""
