--- a/features/rollouts.feature
+++ b/features/rollouts.feature
@@ -113,3 +113,9 @@
     Given two hosts that know a roll-out of 20 s ordered at 100.0
     When one decides at 110.5 that sessions may change, and the other hears of it 0.4 s later
     Then no session that one of them moves is sent back by the other
+
+  Scenario: An endpoint that leaves many callers without an answer is no crash
+    # Guards against a version that is slow under load, whose given-up answers count as one crash.
+    Given a dispatch whose endpoints usually begin after 0.1 s
+    When 40 answers of the loaded version come in time, and 12 between them don't come in 2.5 s
+    Then the new version is judged bad while it is proven
--- a/features/steps/rollouts.py
+++ b/features/steps/rollouts.py
@@ -9,7 +9,7 @@
     make_request,
     make_work,
 )
-from poplarrun.dispatch import AnswerFailed, ConnectionBroke, Knowledge, Send
+from poplarrun.dispatch import AnswerFailed, ConnectionBroke, Knowledge, Send, TookTooLong
 from poplarrun.placement import Seat
 from poplarrun.rollouts import Evidence, Rollouts, Stage, Tally, Times, Verdict
 from poplarrun.routing import RolloutOrder, RolloutPhase, RolloutStatus
@@ -288,3 +288,26 @@
 def step_not_sent_back(context):
     assert all(one == other for _, _, one, other in context.moves)
     assert any(one is not None for _, _, one, _ in context.moves)
+
+
+@when(
+    "{good:d} answers of the loaded version come in time,"
+    " and {silent:d} between them don't come in {patience:f} s"
+)
+def step_silent(context, good, silent, patience):
+    dispatch = context.dispatch
+    dispatch.rollouts.take_order(RolloutOrder("engines", "v2", 20.0, 7), 101.0)
+    dispatch.rollouts.find("engines").shift(111.5)
+    for number in range(good):
+        sent_at = 113.0 + number / 20.0
+        send_to(context, "new", 100 + number, sent_at, sent_at + 0.1)
+        if number * silent // good != (number + 1) * silent // good:
+            work, attempt = send_to(context, "new", 200 + number, sent_at)
+            failure = TookTooLong(patience)
+            dispatch.note_failure(work, attempt.seat.member, attempt, failure, sent_at + patience)
+
+
+@then("the new version is judged bad while it is proven")
+def step_judged_proven(context):
+    evidence = context.dispatch.rollouts.evidence
+    assert evidence.is_bad("engines", "v2", Stage.SHIFT), evidence.own
