Wait for the first digest of a peer before callers come to a host that starts

Only peers know how old the order is and whether sessions change already, so a host with peers shows itself ready once it has heard one, or after 1 s.

The new scenario fails without the wait (trial, where the eleven others are in the shift).

--- a/features/rollout_sessions.feature
+++ b/features/rollout_sessions.feature
@@ -13,3 +13,9 @@
     When a roll-out of 24.0 s is ordered after 8.0 s and its endpoints are listed 0.3 s later
     Then no session goes back to the old version
     And the new version gets all requests of the last 1.5 s
+
+  Scenario: A host that starts during a roll-out goes on where the others are
+    # Guards against a host that starts anew, and begins the trial again for its callers.
+    Given 12 hosts in 3 zones, and 20 sessions a second that ask any of them
+    When a roll-out of 24.0 s is ordered after 4.0 s, and a host starts anew 15.0 s later
+    Then the first session that it serves is in the stage of the roll-out that the others are in
--- a/features/steps/rollout_sessions.py
+++ b/features/steps/rollout_sessions.py
@@ -2,7 +2,8 @@
 
 from behave import given, then, when
 
-from standins.rollout_fleet import OLD, RolloutFleet, virtual_clock
+from poplarrun.rollouts import Stage
+from standins.rollout_fleet import OLD, SERVICE, RolloutFleet, virtual_clock
 from standins.virtual_time import VirtualTimeLoop
 
 SEED = 2541
@@ -67,3 +68,35 @@
 def step_all(context, seconds):
     until = context.order_at + WATCHED_PART * (context.end - context.order_at)
     assert context.fleet.share(until - seconds, until) == 1.0
+
+
+async def start_late(fleet, sessions_per_s, order_at, duration_s, later_s):
+    """Start a host in a roll-out that is under way; return its stage and the others'."""
+    loop = asyncio.get_running_loop()
+    fleet.start()
+    calls = asyncio.ensure_future(fleet.call(sessions_per_s, order_at + later_s + 1.0))
+    await asyncio.sleep(order_at)
+    order = fleet.order(duration_s)
+    fleet.list_new_version()
+    await asyncio.sleep(later_s)
+    host = await fleet.start_anew(order)
+    stages = [each.rollouts.find(SERVICE).stage(loop.time()) for each in (host, *fleet.hosts)]
+    await calls
+    return stages
+
+
+@when(
+    "a roll-out of {duration:f} s is ordered after {at:f} s,"
+    " and a host starts anew {later:f} s later"
+)
+def step_starts_anew(context, duration, at, later):
+    loop = VirtualTimeLoop()
+    with virtual_clock(loop):
+        late = start_late(context.fleet, context.sessions_per_s, at, duration, later)
+        context.stages = loop.run_until_complete(late)
+        loop.end()
+
+
+@then("the first session that it serves is in the stage of the roll-out that the others are in")
+def step_same_stage(context):
+    assert set(context.stages) == {Stage.SHIFT}, context.stages
--- a/poplarrun/gateway/_host.py
+++ b/poplarrun/gateway/_host.py
@@ -136,7 +136,8 @@
     def is_ready(self) -> bool:
         """Whether callers may come."""
         is_known = self._knowledge.catalogue is not None and self._listings.is_served
-        return is_known and not self._leaving.is_set()
+        is_informed = self._peering.is_informed(boot_time())
+        return is_known and is_informed and not self._leaving.is_set()
 
     async def run(self) -> None:
         """Serve until the platform asks to stop."""
@@ -264,6 +265,8 @@
             missing.append("configuration")
         if not self._listings.is_served:
             missing.append("endpoints")
+        if not self._peering.is_informed(boot_time()):
+            missing.append("peers")
         if self._leaving.is_set():
             missing.append("stopping")
         write_event(events.HostReady(self.is_ready, ", ".join(missing)))
--- a/poplarrun/gateway/_peering.py
+++ b/poplarrun/gateway/_peering.py
@@ -45,6 +45,9 @@
 # Where this host can't read the listed endpoints itself for so long, it asks a peer
 # that has read them, in seconds.
 OLD_LISTING_S = 1.8
+# A host that starts waits so long at the most for the first digest, in seconds: other hosts
+# may all be dead or cut off.
+FIRST_DIGEST_S = 1.0
 # A configuration that a peer has, and this host could not read of the store for so long,
 # is asked of the peer, in seconds.
 OLD_CONFIG_S = 0.3
@@ -85,6 +88,7 @@
         self._placement = placement
         self._rollouts = rollouts
         self.sessions = SessionKeeping(book, links, rollouts)
+        self._started_at = float("inf")
         self._asked_at = float("-inf")
         self._outdated: int | None = None
         self._outdated_since = 0.0
@@ -115,8 +119,19 @@
         """Return how many live hosts come before this one for a service's roll-outs."""
         return self.book.turn(service, boot_time())
 
+    def is_informed(self, now: float) -> bool:
+        """Tell whether a host that started knows how far roll-outs are.
+
+        The store tells of an order, but neither how old it is nor whether sessions change
+        versions already. By that alone a host that starts anew would begin the trial again.
+        """
+        if self.book.has_heard or self.book.is_alone:
+            return True
+        return now - self._started_at >= FIRST_DIGEST_S
+
     async def run(self, seeds: tuple[str, ...]) -> None:
         """Tell and hear for ever."""
+        self._started_at = boot_time()
         for seed in seeds:
             self.book.name(seed, boot_time())
         self._links.start(self._receive)
--- a/poplarrun/peers/_book.py
+++ b/poplarrun/peers/_book.py
@@ -115,6 +115,16 @@
             return None
         return digest.echo + digest.held_s - age_s
 
+    @property
+    def has_heard(self) -> bool:
+        """Whether any other host was heard of yet."""
+        return any(peer.last_stamp > 0.0 for peer in self._peers.values())
+
+    @property
+    def is_alone(self) -> bool:
+        """Whether no other host is known of."""
+        return not self._peers
+
     def alive(self, now: float) -> list[Peer]:
         """Return the hosts that were heard of lately."""
         return [peer for peer in self._peers.values() if now - peer.heard_at < ALIVE_S]
--- a/standins/rollout_fleet.py
+++ b/standins/rollout_fleet.py
@@ -158,9 +158,9 @@
 
     def __init__(self, seed: int, hosts: int, zones: str = "abc") -> None:
         self.random = random.Random(seed)
-        network = MemoryNetwork(self.random)
+        self._network = MemoryNetwork(self.random)
         self.hosts = [
-            RolloutHost(network, f"{zone}{place}", zone, self.random.getrandbits(32))
+            RolloutHost(self._network, f"{zone}{place}", zone, self.random.getrandbits(32))
             for place in range(hosts // len(zones))
             for zone in zones
         ]
@@ -170,16 +170,32 @@
 
     def start(self) -> None:
         """Start the conversation of all hosts."""
-        seeds = tuple(host.address for host in self.hosts[:3])
         for host in self.hosts:
-            self._start(host.peering.run(seeds))
+            self._start(host.peering.run(self._seeds))
             self._start(host.judge(self.random.uniform(0.0, JUDGE_PERIOD_S)))
 
-    def order(self, duration_s: float) -> None:
+    @property
+    def _seeds(self) -> tuple[str, ...]:
+        return tuple(host.address for host in self.hosts[:3])
+
+    def order(self, duration_s: float) -> RolloutOrder:
         """Hand an order to the host of each zone that reads the store."""
         now = asyncio.get_running_loop().time()
+        order = RolloutOrder(SERVICE, NEW, duration_s, 7)
         for host in self.hosts[:3]:
-            host.rollouts.take_order(RolloutOrder(SERVICE, NEW, duration_s, 7), now)
+            host.rollouts.take_order(order, now)
+        return order
+
+    async def start_anew(self, order: RolloutOrder) -> RolloutHost:
+        """Start a host that reads an order from the store; return it once callers may come."""
+        clock = asyncio.get_running_loop().time
+        host = RolloutHost(self._network, "a99", "a", self.random.getrandbits(32))
+        host.rollouts.take_order(order, clock())
+        self._start(host.peering.run(self._seeds))
+        await asyncio.sleep(0)
+        while not host.peering.is_informed(clock()):
+            await asyncio.sleep(0.01)
+        return host
 
     def list_new_version(self) -> None:
         """Let all hosts know of endpoints of the new version."""
