--- a/scripts/capacity_roles.py
+++ b/scripts/capacity_roles.py
@@ -30,6 +30,13 @@
 LOAD_POLL_S = 0.25
 LOG_STREAMS_FOLLOWED = 2
 HOST_LIST_POLL_S = 0.5
+# A roll-out's trial: its share of the sessions, the operators' time between the requests of a
+# session, and the encoded size of a question with its answer.
+TRIAL_SHARE = 0.08
+SESSION_S = 6.5
+KEEPERS = 3
+QUESTION_BYTES = 43 + 8
+TRIED_REQUESTS_PER_S = HOST_REQUESTS_PER_S * TRIAL_SHARE
 
 
 @dataclass(frozen=True)
@@ -174,6 +181,16 @@
         appends=f"1 a start; {LISTING_READS_PER_S + DOCUMENT_READS_PER_S:.0f} reads a second of "
         "2,000 while each host reads for itself",
     ),
+    Role(
+        "Gateway (sessions during a roll-out)",
+        "three keepers for each session, by rendezvous hashing over the hosts of the book",
+        "connections: each question may go to any host, and 128 are kept open",
+        state=f"{TRIED_REQUESTS_PER_S * SESSION_S * KEEPERS:.0f} held sessions and as many "
+        "requests under way as there are",
+        messages=f"{TRIED_REQUESTS_PER_S * KEEPERS * 2:.1f} questions and answers during a trial",
+        bytes_per_s=f"{TRIED_REQUESTS_PER_S * KEEPERS * QUESTION_BYTES:.0f} bytes/s",
+        appends="0: nothing of a session is stored",
+    ),
     Role(
         "Entry (callers' data path)",
         "CherryPy's threads carry bytes, one asyncio loop decides, urllib3 to endpoints",
