--- a/features/rollouts.feature
+++ b/features/rollouts.feature
@@ -119,3 +119,8 @@
     Given a dispatch whose endpoints usually begin after 0.1 s
     When 40 answers of the loaded version come in time, and 12 between them don't come in 2.5 s
     Then the new version is judged bad while it is proven
+
+  Scenario: A version most of whose answers are late is bad while traffic moves to it
+    # Guards against a slow version that is completed because cold endpoints excuse late answers.
+    Given 200 good answers of the old version, and 86 of the new one of which 67 are slow
+    Then the new version is judged bad in the stage "shift"
--- a/features/steps/rollouts.py
+++ b/features/steps/rollouts.py
@@ -311,3 +311,13 @@
 def step_judged_proven(context):
     evidence = context.dispatch.rollouts.evidence
     assert evidence.is_bad("engines", "v2", Stage.SHIFT), evidence.own
+
+
+@given(
+    "{old:d} good answers of the old version,"
+    " and {ended:d} of the new one of which {slow:d} are slow"
+)
+def step_late_answers(context, old, ended, slow):
+    context.evidence = Evidence()
+    context.evidence.own[("engines", "v1", "a")] = Tally(old)
+    context.evidence.own[("engines", "v2", "a")] = Tally(ended, 0, slow)
