--- a/scripts/capacity_roles.py
+++ b/scripts/capacity_roles.py
@@ -185,8 +185,7 @@
         "Gateway (sessions during a roll-out)",
         "three keepers for each session, by rendezvous hashing over the hosts of the book",
         "connections: each question may go to any host, and 128 are kept open",
-        state=f"{TRIED_REQUESTS_PER_S * SESSION_S * KEEPERS:.0f} held sessions and as many "
-        "requests under way as there are",
+        state=f"{TRIED_REQUESTS_PER_S * SESSION_S * KEEPERS:.0f} held sessions",
         messages=f"{TRIED_REQUESTS_PER_S * KEEPERS * 2:.1f} questions and answers during a trial",
         bytes_per_s=f"{TRIED_REQUESTS_PER_S * KEEPERS * QUESTION_BYTES:.0f} bytes/s",
         appends="0: nothing of a session is stored",
