Play the fleet of a roll-out by the virtual loop's own runner

The steps of rollout_sessions made, ran and ended a VirtualTimeLoop twice; run_virtual does that already. The clock of the gateway's parts is that of the running loop. An assertion on the type of an admitted request takes the place of five casts. Stand-in and steps only; the checks are as before.

--- a/features/steps/rollout_sessions.py
+++ b/features/steps/rollout_sessions.py
@@ -3,8 +3,7 @@
 from behave import given, then, when
 
 from poplarrun.rollouts import Stage
-from standins.rollout_fleet import OLD, SERVICE, RolloutFleet, virtual_clock
-from standins.virtual_time import VirtualTimeLoop
+from standins.rollout_fleet import OLD, SERVICE, RolloutFleet, run_by_virtual_clock
 
 SEED = 2541
 # Part of the order's time until which callers ask: the old endpoints are stopped soon after.
@@ -36,10 +35,7 @@
 )
 def step_order(context, duration, at, listed):
     context.order_at, context.middle, context.end = at, at + duration / 2, at + duration
-    loop = VirtualTimeLoop()
-    with virtual_clock(loop):
-        loop.run_until_complete(play(context.fleet, context.sessions_per_s, at, duration, listed))
-        loop.end()
+    run_by_virtual_clock(play(context.fleet, context.sessions_per_s, at, duration, listed))
 
 
 @then("no session changes its version in the first half of the roll-out")
@@ -90,11 +86,8 @@
     " and a host starts anew {later:f} s later"
 )
 def step_starts_anew(context, duration, at, later):
-    loop = VirtualTimeLoop()
-    with virtual_clock(loop):
-        late = start_late(context.fleet, context.sessions_per_s, at, duration, later)
-        context.stages = loop.run_until_complete(late)
-        loop.end()
+    late = start_late(context.fleet, context.sessions_per_s, at, duration, later)
+    context.stages = run_by_virtual_clock(late)
 
 
 @then("the first session that it serves is in the stage of the roll-out that the others are in")
--- a/standins/rollout_fleet.py
+++ b/standins/rollout_fleet.py
@@ -8,10 +8,10 @@
 import itertools
 import random
 from collections import defaultdict
-from collections.abc import Iterator
-from contextlib import ExitStack, contextmanager
+from collections.abc import Coroutine, Iterator
+from contextlib import ExitStack
 from dataclasses import dataclass
-from typing import Any, cast
+from typing import Any, TypeVar, cast
 from unittest.mock import patch
 
 from poplarrun.dispatch import Dispatch, Knowledge, Send
@@ -33,8 +33,12 @@
     Service,
     Share,
     Size,
+    Work,
 )
 from poplarrun.sizes import SizePolicy
+from standins.virtual_time import run_virtual
+
+T = TypeVar("T")
 
 SERVICE = "engines"
 OLD, NEW = "v1", "v2"
@@ -132,15 +136,16 @@
         """Answer one request; return what ran."""
         clock = asyncio.get_running_loop().time
         work = self.dispatch.admit(_make_request(session, number), clock())
-        await self.peering.sessions.learn(cast(Any, work))
-        step = self.dispatch.choose(cast(Any, work), clock())
+        assert isinstance(work, Work), work
+        await self.peering.sessions.learn(work)
+        step = self.dispatch.choose(work, clock())
         assert isinstance(step, Send), step
         sent_at = clock()
-        attempt = self.dispatch.note_sent(cast(Any, work), step, sent_at)
+        attempt = self.dispatch.note_sent(work, step, sent_at)
         await asyncio.sleep(FIRST_S)
-        self.dispatch.note_first(cast(Any, work), attempt, clock())
+        self.dispatch.note_first(work, attempt, clock())
         await asyncio.sleep(took_s - FIRST_S)
-        self.dispatch.note_end(cast(Any, work), attempt, clock())
+        self.dispatch.note_end(work, attempt, clock())
         version = step.seat.member.listing.version
         return Run(session, self.address, version, sent_at, clock())
 
@@ -247,13 +252,16 @@
         return sum(run.version == NEW for run in runs) / len(runs)
 
 
-@contextmanager
-def virtual_clock(loop: asyncio.AbstractEventLoop) -> Iterator[None]:
-    """Let the gateway's parts go by a loop's clock."""
+def run_by_virtual_clock(coroutine: Coroutine[Any, Any, T]) -> T:
+    """Run a coroutine in virtual time, by which the gateway's parts go as well."""
     with ExitStack() as stack:
         for module in CLOCK_USERS:
-            stack.enter_context(patch(f"poplarrun.gateway.{module}.boot_time", loop.time))
-        yield
+            stack.enter_context(patch(f"poplarrun.gateway.{module}.boot_time", _loop_time))
+        return run_virtual(coroutine)
+
+
+def _loop_time() -> float:
+    return asyncio.get_running_loop().time()
 
 
 def _list_endpoints(version: str) -> Iterator[Listing]:
