--- a/poplarrun/rollouts/_evidence.py
+++ b/poplarrun/rollouts/_evidence.py
@@ -32,8 +32,10 @@
 # The kind of work of answers of a version under load after its trial. Only their failures
 # count: a full batch makes each answer slower, of good versions too.
 LOADED = "loaded"
-# Share of slow answers that a good version may have while it is on trial.
+# Share of slow answers that a good version may have while it is on trial, and once traffic
+# moves to its endpoints: cold ones begin a sixth of their answers late.
 MOST_SLOW_SHARE = 0.12
+MOST_COLD_SLOW_SHARE = 0.4
 
 
 @dataclass(frozen=True, slots=True)
@@ -259,10 +261,8 @@
             return True
         if _is_slower(new, old, stage):
             return True
-        # Cold endpoints begin a sixth of their answers late: only failures and the pace
-        # of answers that have begun tell a bad version once traffic moves there.
-        is_warm = stage is Stage.TRIAL
-        return is_warm and _is_worse(new.slow, new.ended, old.slow, old.ended, MOST_SLOW_SHARE)
+        most_slow = MOST_SLOW_SHARE if stage is Stage.TRIAL else MOST_COLD_SLOW_SHARE
+        return _is_worse(new.slow, new.ended, old.slow, old.ended, most_slow)
 
     def all_ended(self, service: str) -> int:
         """Return how many answers of all versions all hosts saw."""
