--- a/features/rollouts.feature
+++ b/features/rollouts.feature
@@ -124,3 +124,9 @@
     # Guards against a slow version that is completed because cold endpoints excuse late answers.
     Given 200 good answers of the old version, and 86 of the new one of which 67 are slow
     Then the new version is judged bad in the stage "shift"
+
+  Scenario: An endpoint that goes dark is no bad version
+    # Guards against a good version that is taken back because one of its endpoints crashed.
+    Given a dispatch whose endpoints usually begin after 0.1 s
+    When 40 answers of the loaded version come in time, and then 9 don't come in 2.5 s
+    Then the new version is judged good while it is proven
--- a/features/steps/rollouts.py
+++ b/features/steps/rollouts.py
@@ -38,6 +38,13 @@
     return work, attempt
 
 
+def give_up_silent(dispatch, given_up, until):
+    """Give up the silent answers whose time has come, the oldest first."""
+    while given_up and given_up[0][0] <= until:
+        at, work, attempt, failure = given_up.pop(0)
+        dispatch.note_failure(work, attempt.seat.member, attempt, failure, at)
+
+
 @given('{good:d} good answers of the new version on "{one}" and {bad:d} bad of {all:d} on "{two}"')
 def step_new_answers(context, good, one, bad, all, two):
     tally(context, "v2", one, good, 0)
@@ -298,19 +305,42 @@
     dispatch = context.dispatch
     dispatch.rollouts.take_order(RolloutOrder("engines", "v2", 20.0, 7), 101.0)
     dispatch.rollouts.find("engines").shift(111.5)
+    given_up = []
     for number in range(good):
         sent_at = 113.0 + number / 20.0
+        give_up_silent(dispatch, given_up, sent_at)
         send_to(context, "new", 100 + number, sent_at, sent_at + 0.1)
         if number * silent // good != (number + 1) * silent // good:
             work, attempt = send_to(context, "new", 200 + number, sent_at)
-            failure = TookTooLong(patience)
-            dispatch.note_failure(work, attempt.seat.member, attempt, failure, sent_at + patience)
+            given_up.append((sent_at + patience, work, attempt, TookTooLong(patience)))
+    give_up_silent(dispatch, given_up, math.inf)
+
+
+@when(
+    "{good:d} answers of the loaded version come in time,"
+    " and then {silent:d} don't come in {patience:f} s"
+)
+def step_dark(context, good, silent, patience):
+    dispatch = context.dispatch
+    dispatch.rollouts.take_order(RolloutOrder("engines", "v2", 20.0, 7), 101.0)
+    dispatch.rollouts.find("engines").shift(111.5)
+    for number in range(good):
+        sent_at = 113.0 + number / 20.0
+        send_to(context, "new", 100 + number, sent_at, sent_at + 0.1)
+    dark_at = 113.0 + good / 20.0
+    given_up = []
+    for number in range(silent):
+        sent_at = dark_at - 0.1 + number / 20.0
+        work, attempt = send_to(context, "new", 200 + number, sent_at)
+        given_up.append((sent_at + patience, work, attempt, TookTooLong(patience)))
+    give_up_silent(dispatch, given_up, math.inf)
 
 
-@then("the new version is judged bad while it is proven")
-def step_judged_proven(context):
+@then("the new version is judged {judgement:w} while it is proven")
+def step_judged_proven(context, judgement):
     evidence = context.dispatch.rollouts.evidence
-    assert evidence.is_bad("engines", "v2", Stage.SHIFT), evidence.own
+    is_bad = evidence.is_bad("engines", "v2", Stage.SHIFT)
+    assert is_bad == (judgement == "bad"), evidence.own
 
 
 @given(
--- a/poplarrun/dispatch/_dispatch.py
+++ b/poplarrun/dispatch/_dispatch.py
@@ -12,6 +12,7 @@
     Failure,
     NoConnection,
     SaidNotRun,
+    TookTooLong,
     may_have_run,
 )
 from poplarrun.dispatch._knowledge import Knowledge
@@ -42,6 +43,9 @@
 # Load of an endpoint, in requests for each place, from which an answer proves its version
 # under load: what hosts know of each other's requests is some tenths of a second old.
 LOADED_FROM = 0.2
+# Last part of the wait for a silent answer: an endpoint that answered others in it was up
+# when this answer was due.
+AWAKE_PART = 2.0 / 3.0
 # Urgency at an endpoint of the highest rank; each rank below adds one.
 FIRST_URGENCY = 2
 
@@ -230,6 +234,7 @@
         """Note that the first event came, or the answer of a plain service."""
         attempt.first_at = now
         seat = attempt.seat
+        seat.member.heard_at = now
         seat.member.pending_s = max(0.0, seat.member.pending_s - seat.read_s)
         taken_s = now - attempt.sent_at
         seat.member.note_first(seat.first_s, taken_s, now)
@@ -272,6 +277,9 @@
                 work.connect_failures += 1
                 work.tried.add(member.listing.lifetime)
                 member.note_failure(now)
+            case TookTooLong(waited_s) if attempt is not None and _is_awake(member, waited_s, now):
+                self._note_evidence(work, attempt, True, Times())
+                member.note_failure(now)
             case _:
                 if attempt is not None:
                     self._note_broken(work, attempt)
@@ -382,5 +390,10 @@
     return f"{work.route.name}/{attempt.size or ''}"
 
 
+def _is_awake(member: Member, waited_s: float, now: float) -> bool:
+    """Tell whether an endpoint answered others while one of its answers did not come."""
+    return now - member.heard_at < AWAKE_PART * waited_s
+
+
 def _point(text: str) -> float:
     return zlib.crc32(text.encode()) / 2.0**32
--- a/poplarrun/dispatch/_failures.py
+++ b/poplarrun/dispatch/_failures.py
@@ -125,6 +125,7 @@
         if self.last_at is not None:
             self.pause_s = max(self.pause_s, now - self.last_at)
         self.last_at = now
+        self.seat.member.heard_at = now
         self.events += count
 
     def times(self, now: float, is_ended: bool = True) -> Times:
--- a/poplarrun/placement/_members.py
+++ b/poplarrun/placement/_members.py
@@ -41,6 +41,8 @@
         The same of the other hosts.
     slowness : float
         How many times longer than expected its first events take.
+    heard_at : float
+        When something of an answer last came.
     """
 
     listing: Listing
@@ -52,6 +54,7 @@
     slowness_at: float = -math.inf
     failures: int = 0
     paused_until: float = -math.inf
+    heard_at: float = -math.inf
     _parts: OrderedDict[tuple[str, str], float] = field(default_factory=OrderedDict)
 
     def __post_init__(self) -> None:
