--- a/poplarrun/gateway/_host.py
+++ b/poplarrun/gateway/_host.py
@@ -20,7 +20,7 @@
 from poplarrun.links import NngLinks
 from poplarrun.logs import BoundedHandler, events, write_event
 from poplarrun.metrics import Metrics
-from poplarrun.peers import DOCUMENTS, ENDPOINTS, PeerBook
+from poplarrun.peers import DOCUMENTS, ENDPOINTS, PeerBook, ReadTimes
 from poplarrun.placement import Directory, Placement
 from poplarrun.platform import (
     BadRequest,
@@ -99,15 +99,16 @@
         self._capacity = find_capacity(settings.memory_mb, settings.most_sockets)
         self._callers.most_connections = self._capacity.callers
         book = PeerBook(settings.peers, settings.zone)
+        times = ReadTimes.within(settings.change_bound_s)
         self._documents = DocumentFollower(
             self._store,
             self._knowledge,
             self._rollouts,
             self._apply_limits,
-            SharedReading(DOCUMENTS, book),
+            SharedReading(DOCUMENTS, book, times),
         )
         self._listings = ListingFollower(
-            self._store, self._directory, self._placement, SharedReading(ENDPOINTS, book)
+            self._store, self._directory, self._placement, SharedReading(ENDPOINTS, book, times)
         )
         self._peering = Peering(
             book,
--- a/poplarrun/gateway/_reading.py
+++ b/poplarrun/gateway/_reading.py
@@ -4,14 +4,9 @@
 import contextlib
 from collections.abc import Callable
 
-from poplarrun.peers import PeerBook, ReadDuty
+from poplarrun.peers import USUAL_TIMES, PeerBook, ReadDuty, ReadTimes
 from poplarrun.transport import boot_time
 
-# How long the store holds a read of the zone's reader back, in seconds. A change is told
-# at once; that there is none is told to the zone at the end, well within the patience of
-# the other hosts.
-READ_WAIT_S = 0.8
-
 
 class SharedReading:
     """The turn of one host in the reading of one topic.
@@ -20,6 +15,8 @@
     ----------
     topic : str
         Names the line; another topic usually has another first host.
+    times : ReadTimes
+        How long reads are held back, and the zone's reader is waited for.
 
     Attributes
     ----------
@@ -27,11 +24,12 @@
         Whether the last read did.
     """
 
-    def __init__(self, topic: str, book: PeerBook) -> None:
+    def __init__(self, topic: str, book: PeerBook, times: ReadTimes = USUAL_TIMES) -> None:
         self.has_failed = False
+        self.times = times
         self._topic = topic
         self._book = book
-        self._duty = ReadDuty()
+        self._duty = ReadDuty(times)
         self._wake = asyncio.Event()
 
     @property
@@ -42,7 +40,7 @@
         one is answered at once: callers with keys are served again sooner, and a store
         that still says nothing is asked again sooner.
         """
-        return READ_WAIT_S if self._place() == 0 and not self.has_failed else 0.0
+        return self.times.held_s if self._place() == 0 and not self.has_failed else 0.0
 
     def hurry(self) -> None:
         """Read at once: a peer has more than this host."""
--- a/poplarrun/gateway/_steward.py
+++ b/poplarrun/gateway/_steward.py
@@ -24,6 +24,8 @@
 # in its digests, so that these read only now and then.
 READ_PERIOD_S = 1.5
 LATER_READ_PERIOD_S = 6.0
+# Hosts that are further behind in line don't read: the ones before tell them.
+MOST_READERS = 3
 # A host that isn't first in line writes only after so long for each before it, in
 # seconds: the first may be cut off or dead.
 TURN_S = 1.2
@@ -76,8 +78,9 @@
 
     async def _look_after(self, rollout: Rollout) -> None:
         now = boot_time()
-        is_first = self._turn(rollout.order.service) == 0
-        if now - self._read_at > (READ_PERIOD_S if is_first else LATER_READ_PERIOD_S):
+        turn = self._turn(rollout.order.service)
+        period_s = READ_PERIOD_S if turn == 0 else LATER_READ_PERIOD_S
+        if turn < MOST_READERS and now - self._read_at > period_s:
             self._read_at = now
             if not await self._follower.read():
                 return
@@ -92,7 +95,7 @@
         if verdict is Verdict.NOTHING:
             return
         wanted_since = self._wanted.setdefault((rollout.order.target, verdict), now)
-        if now - wanted_since < TURN_S * self._turn(rollout.order.service):
+        if now - wanted_since < TURN_S * turn:
             return
         await self._record(rollout, verdict)
 
--- a/poplarrun/peers/__init__.py
+++ b/poplarrun/peers/__init__.py
@@ -1,7 +1,7 @@
 """Peers: what the hosts tell each other, and what follows from it."""
 
 from poplarrun.peers._book import DOCUMENTS, ENDPOINTS, Peer, PeerBook
-from poplarrun.peers._duty import ReadDuty
+from poplarrun.peers._duty import USUAL_TIMES, ReadDuty, ReadTimes
 from poplarrun.peers._messages import (
     Ask,
     ChangedRecord,
@@ -23,6 +23,7 @@
 __all__ = [
     "DOCUMENTS",
     "ENDPOINTS",
+    "USUAL_TIMES",
     "Ask",
     "ChangedRecord",
     "Changes",
@@ -35,6 +36,7 @@
     "Peer",
     "PeerBook",
     "ReadDuty",
+    "ReadTimes",
     "RolloutNews",
     "SessionAnswer",
     "SessionAsk",
--- a/poplarrun/peers/_duty.py
+++ b/poplarrun/peers/_duty.py
@@ -2,15 +2,59 @@
 
 from dataclasses import dataclass
 
-# Knowledge that nobody has proven for so long is read anew, in seconds. With the time of a
-# read it stays below the 2 s in which a leaving endpoint and a new configuration must be
-# known: the zone's reader may be dead, suspended, slow, or cut off from the store.
-PATIENCE_S = 1.4
+# Part of the operators' bound on changes for which the store holds a read back, and the
+# longest such time in seconds. That nothing changed is told to the zone at its end.
+HELD_PART = 0.4
+MOST_HELD_S = 2.0
+# How much longer a host waits for its zone's reader, in seconds: for the age of its stamp
+# there, and for a reader that is slow.
+READER_MARGIN_S = 0.6
+# How much longer than that the store is away before records of endpoints that live may lapse,
+# in seconds.
+OUTAGE_MARGIN_S = 0.6
+# The bound where the operators name none, in seconds.
+USUAL_BOUND_S = 2.0
 # Further wait of each host that is later in line, and of all from the last such place on.
 STEP_S = 0.1
 MOST_STEPS = 3
 
 
+@dataclass(frozen=True, slots=True)
+class ReadTimes:
+    """How long reads of the store take, and hosts wait for each other's.
+
+    Attributes
+    ----------
+    held_s : float
+        How long the store holds a read of the zone's reader back.
+    patience_s : float
+        Knowledge that nobody has proven for so long is read anew: the zone's reader may be
+        dead, suspended, slow, or cut off from the store.
+    outage_s : float
+        After so long without an answer or a proof the store is taken to be away.
+    """
+
+    held_s: float
+    patience_s: float
+    outage_s: float
+
+    @classmethod
+    def within(cls, bound_s: float) -> "ReadTimes":
+        """Return the times that keep a bound.
+
+        Parameters
+        ----------
+        bound_s : float
+            Time in which all hosts must know of a leaving endpoint and of a configuration.
+        """
+        held_s = min(MOST_HELD_S, HELD_PART * bound_s)
+        patience_s = held_s + READER_MARGIN_S
+        return cls(held_s, patience_s, patience_s + OUTAGE_MARGIN_S)
+
+
+USUAL_TIMES = ReadTimes.within(USUAL_BOUND_S)
+
+
 @dataclass
 class ReadDuty:
     """Whether this host reads a topic now, or goes on by what its zone's reader proves.
@@ -26,6 +70,7 @@
         Whether a peer has more than this host.
     """
 
+    times: ReadTimes = USUAL_TIMES
     is_behind: bool = False
 
     def wait_s(self, place: int, true_at: float, now: float) -> float:
@@ -40,5 +85,5 @@
         """
         if place == 0 or self.is_behind:
             return 0.0
-        patience_s = PATIENCE_S + STEP_S * min(place - 1, MOST_STEPS)
+        patience_s = self.times.patience_s + STEP_S * min(place - 1, MOST_STEPS)
         return max(0.0, true_at + patience_s - now)
--- a/poplarrun/platform/_settings.py
+++ b/poplarrun/platform/_settings.py
@@ -77,6 +77,8 @@
         ``ip:port`` for counters and histograms.
     key_bound_s : float, optional
         Time in which a key that was taken away must be refused; None for none.
+    change_bound_s : float
+        Time in which a leaving endpoint and a new configuration must be known.
     stop_s : float
         Time from the request to stop until the host is killed.
     retry_earned, retry_allowance : float
@@ -98,6 +100,7 @@
     seeds: tuple[str, ...]
     store: str
     key_bound_s: float | None
+    change_bound_s: float
     stop_s: float
     retry_earned: float
     retry_allowance: float
@@ -133,6 +136,7 @@
         seeds=node.seeds,
         store=node.platform.address,
         key_bound_s=bounds.revoke_ms / MILLISECONDS if bounds.revoke_strict else None,
+        change_bound_s=min(bounds.drain_ms, bounds.config_apply_ms) / MILLISECONDS,
         stop_s=bounds.grace_s,
         retry_earned=bounds.retry_ratio,
         retry_allowance=bounds.retry_allowance,
--- a/poplarrun/platform/_store.py
+++ b/poplarrun/platform/_store.py
@@ -23,6 +23,9 @@
 # seconds. A slow store takes about 0.3 s; a connection that has gone silent must be
 # given up well within the bound on the age of keys.
 ANSWER_TIMEOUT_S = 1.2
+# The same for a read that the store holds back: the next one has to end within the bound as
+# well, on a new connection.
+HELD_TIMEOUT_S = 0.7
 LENGTH = struct.Struct(">I")
 ENDS = struct.Struct(">QQ")
 MILLISECONDS = 1000.0
@@ -149,7 +152,8 @@
         if wait_s > 0.0:
             query["waitMs"] = int(wait_s * MILLISECONDS)
         sent_at = boot_time()
-        answer = await self._call("GET", "/log-read", query, b"", wait_s + ANSWER_TIMEOUT_S)
+        beyond_s = HELD_TIMEOUT_S if wait_s > 0.0 else ANSWER_TIMEOUT_S
+        answer = await self._call("GET", "/log-read", query, b"", wait_s + beyond_s)
         match answer:
             case (200, body):
                 entries, end, first = _decode_records(body, offset)
