--- a/features/shared_reading.feature
+++ b/features/shared_reading.feature
@@ -79,3 +79,13 @@
       | 0      |
       | 1      |
       | 2      |
+
+  Scenario: What leaves after a host was cut off is no lapse
+    # Guards against requests to an endpoint that left, from a host that took its own cut for an outage.
+    Given a follower of endpoints that has read the records 0 to 1
+    When it reaches the store after 8.0 s, and reads that record 2 takes endpoint 0 away
+    Then it knows the endpoints of the records 0 to 1, each once
+    When a peer tells that the store answered it for the last 3.0 s
+    Then it knows the endpoints of the records 0 to 1, each once
+    When a peer tells that the store answered it for the last 60.0 s
+    Then it knows the endpoints of the records 1 to 1, each once
--- a/features/steps/shared_reading.py
+++ b/features/steps/shared_reading.py
@@ -141,6 +141,24 @@
     assert sorted(known) == [f"engine-{n}" for n in range(first, last + 1)], known
 
 
+@when(
+    "it reaches the store after {cut:f} s,"
+    " and reads that record {number:d} takes endpoint {gone:d} away"
+)
+def step_cut(context, cut, number, gone):
+    now = boot_time()
+    health = context.follower._health
+    health.answered_at = now - cut
+    context.follower._note_answer(now)
+    context.follower._take_records((Entry(f"engine-{gone}", None, number),), now)
+
+
+@when("a peer tells that the store answered it for the last {steady:f} s")
+def step_steady(context, steady):
+    now = boot_time()
+    context.follower.note_steady(now - steady, now)
+
+
 @when("a peer that has read up to record {last:d} proves its list true at {at:f}")
 def step_proves(context, last, at):
     context.follower.note_proof(last + 1, at)
--- a/poplarrun/gateway/_followers.py
+++ b/poplarrun/gateway/_followers.py
@@ -1,13 +1,15 @@
 """Followers of the store: the operators' documents, and the listed endpoints."""
 
 import asyncio
+import math
 from collections.abc import Callable
 from dataclasses import dataclass
 
 from poplarrun.dispatch import Knowledge
 from poplarrun.gateway._reading import SharedReading
 from poplarrun.logs import events, write_event
-from poplarrun.placement import Directory, DirectoryEvent, Placement
+from poplarrun.peers import USUAL_TIMES
+from poplarrun.placement import LAPSE_GRACE_S, Directory, DirectoryEvent, Placement
 from poplarrun.platform import (
     CONFIG_KEY,
     ENDPOINT_TOPIC,
@@ -36,10 +38,6 @@
 LAPSE_S = 0.8
 # Pause after a failed call, in seconds: long enough not to press a busy store.
 FAILED_PAUSE_S = 0.25
-# Without an answer, or a peer's proof, for longer than this an outage is under way, in which
-# endpoints' records may lapse although they live, in seconds: longer than hosts wait for
-# their zone's reader, shorter than records hold without their endpoint.
-OUTAGE_S = 2.0
 
 
 @dataclass
@@ -48,25 +46,36 @@
 
     Attributes
     ----------
+    outage_s : float
+        Without an answer, or a peer's proof, for longer than this an outage is under way, in
+        which endpoints' records may lapse although they live.
     answered_at : float
         When it last did.
-    back_at : float
-        When it last did again after an outage.
+    lost_at, back_at : float
+        When it answered last before an outage, and first after it.
+    steady_since : float
+        Since when it has answered without one.
     is_out : bool
         Whether an outage is under way.
     """
 
     answered_at: float = 0.0
-    back_at: float = float("-inf")
+    outage_s: float = USUAL_TIMES.outage_s
+    lost_at: float = math.inf
+    back_at: float = -math.inf
+    steady_since: float = math.inf
     is_out: bool = False
 
     def note_answer(self, now: float) -> bool:
         """Take in an answer; True at the end of an outage."""
-        was_out = self.is_out or now - self.answered_at > OUTAGE_S + CHANGED_PAUSE_S
-        self.answered_at = now
-        self.is_out = False
+        was_out = self.is_out or now - self.answered_at > self.outage_s + CHANGED_PAUSE_S
         if was_out:
+            self.lost_at = self.answered_at
             self.back_at = now
+        if was_out or self.steady_since == math.inf:
+            self.steady_since = now
+        self.answered_at = now
+        self.is_out = False
         return was_out
 
     def note_proof(self, true_at: float) -> None:
@@ -75,10 +84,27 @@
 
     def note_failure(self, now: float) -> bool:
         """Take in a failure; True at the beginning of an outage."""
-        begins = not self.is_out and now - self.answered_at > OUTAGE_S
+        begins = not self.is_out and now - self.answered_at > self.outage_s
         self.is_out = self.is_out or begins
         return begins
 
+    def steady_s(self, now: float) -> float:
+        """Return for how long the store has answered without an outage."""
+        if self.is_out or now - self.answered_at > self.outage_s:
+            return 0.0
+        return max(0.0, now - self.steady_since)
+
+    def note_steady(self, since: float, until: float) -> bool:
+        """Take in that the store answered a peer all that time.
+
+        True where that shows that only this host was cut off, and there was no outage.
+        """
+        if self.is_out or since > self.lost_at or until < self.back_at:
+            return False
+        was_taken_for_out = self.back_at > -math.inf
+        self.back_at = -math.inf
+        return was_taken_for_out
+
 
 def _tell_nobody() -> None:
     """Tell the zone nothing: there are no peers yet."""
@@ -107,7 +133,7 @@
         self._knowledge = knowledge
         self._rollouts = rollouts
         self._changed = changed
-        self._health = StoreHealth(boot_time())
+        self._health = StoreHealth(boot_time(), reading.times.outage_s)
 
     async def run(self) -> None:
         """Follow for ever."""
@@ -211,7 +237,7 @@
         self._store = store
         self._directory = directory
         self._placement = placement
-        self._health = StoreHealth(boot_time())
+        self._health = StoreHealth(boot_time(), reading.times.outage_s)
 
     async def run(self) -> None:
         """Follow for ever."""
@@ -269,6 +295,18 @@
             self.true_at = max(self.true_at, true_at)
             self._health.note_proof(true_at)
 
+    def steady_s(self, now: float) -> float:
+        """Return for how long the store has answered without an outage."""
+        return self._health.steady_s(now)
+
+    def note_steady(self, since: float, until: float) -> None:
+        """Take in that the store answered a peer all that time.
+
+        What was taken for lapsed in an outage that there was not has really left.
+        """
+        if self._health.note_steady(since, until):
+            self._drop_lapsed(boot_time(), 0.0)
+
     def take_changes(self, entries: tuple[Entry, ...], is_lapse: bool) -> None:
         """Take in records that a peer has read; after a gap this host reads for itself."""
         if not self.is_known or not entries:
@@ -342,9 +380,11 @@
             write_event(events.EndpointsGone([lifetime], "removed"))
 
     def _expire(self, now: float) -> None:
-        if self._health.is_out:
-            return
-        gone = self._directory.expire(now)
+        if not self._health.is_out:
+            self._drop_lapsed(now, LAPSE_GRACE_S)
+
+    def _drop_lapsed(self, now: float, grace_s: float) -> None:
+        gone = self._directory.expire(now, grace_s)
         if gone:
             write_event(events.EndpointsGone(gone, "lapsed"))
             self._placement.update(self._directory.listings())
--- a/poplarrun/placement/_directory.py
+++ b/poplarrun/placement/_directory.py
@@ -134,12 +134,12 @@
         self._tombstones[lifetime] = (known.listing.age, now)
         return DirectoryEvent.REMOVED
 
-    def expire(self, now: float) -> list[str]:
-        """Remove what lapsed and did not come back; return the ids."""
+    def expire(self, now: float, grace_s: float = LAPSE_GRACE_S) -> list[str]:
+        """Remove what lapsed and did not come back in time; return the ids."""
         gone = [
             lifetime
             for lifetime, known in self._known.items()
-            if known.lapsed_at is not None and now - known.lapsed_at > LAPSE_GRACE_S
+            if known.lapsed_at is not None and now - known.lapsed_at >= grace_s
         ]
         for lifetime in gone:
             self.remove(lifetime, now)
