--- /dev/null
+++ b/features/steps/large_fleets.py
@@ -0,0 +1,280 @@
+import asyncio
+from unittest.mock import patch
+
+import msgspec
+from behave import given, then, when
+
+from poplarrun.gateway import _peering, _sharing
+from poplarrun.logs import events
+from poplarrun.peers import (
+    Digest,
+    EndpointLoad,
+    Roster,
+    Scope,
+    Share,
+    Shares,
+    Told,
+    encode_message,
+    encode_share,
+)
+from standins.peer_fleet import PeerFleet
+from standins.rollout_fleet import virtual_clock
+from standins.virtual_time import VirtualTimeLoop
+
+SEED = 4107
+WATCH_S = 2.0
+LOOK_S = 0.25
+ENDPOINT = "engine-1"
+OWN_STAMPS = (1.0, 2.0)
+
+
+def run(context, coroutine):
+    """Run a coroutine in the scenario's virtual time, which goes on from step to step."""
+    return context.loop.run_until_complete(coroutine)
+
+
+@given('{count:d} hosts in the zones "{zones}" that each run {requests:d} requests at 2 endpoints')
+def step_fleet(context, count, zones, requests):
+    clock = virtual_clock()
+    clock.__enter__()
+    context.add_cleanup(clock.__exit__, None, None, None)
+    context.loop = VirtualTimeLoop()
+    context.add_cleanup(context.loop.end)
+    context.missing = []
+
+    async def talk():
+        context.fleet = PeerFleet(SEED, count, zones)
+        context.fleet.run_requests(requests, 2)
+        context.fleet.talk()
+
+    run(context, talk())
+
+
+@given("links that lose {share:f} of the messages")
+def step_lossy(context, share):
+    context.fleet.lose(share)
+
+
+@when("they have talked for {seconds:f} s")
+def step_talk(context, seconds):
+    run(context, asyncio.sleep(seconds))
+
+
+@then("every host takes all others to be alive, and knows what they run")
+def step_known(context):
+    async def look():
+        hosts = context.fleet.hosts
+        return context.fleet.find_wrong(hosts, hosts), context.fleet.find_wrong_sums()
+
+    wrong, sums = run(context, look())
+    assert not wrong, (len(wrong), wrong[:5])
+    assert not sums, (len(sums), sums[:5])
+
+
+@then("one host of each zone reads each topic, and one host has each duty")
+def step_readers(context):
+    async def count():
+        return context.fleet.count_readers(), context.fleet.count_on_duty()
+
+    readers, on_duty = run(context, count())
+    assert set(readers.values()) == {1}, readers
+    assert on_duty == 1
+
+
+@then(
+    "a host sends at most {most:d} messages a second, and at most {far:d} of all pass between zones"
+)
+def step_messages(context, most, far):
+    fleet = context.fleet
+    before = fleet.messages, fleet.far_messages
+    run(context, asyncio.sleep(WATCH_S))
+    a_host = (fleet.messages - before[0]) / WATCH_S / len(fleet.hosts)
+    assert a_host <= most, a_host
+    assert (fleet.far_messages - before[1]) / WATCH_S <= far, fleet.far_messages
+
+
+@when('the relays of zone "{zone}" are killed')
+def step_kill_relays(context, zone):
+    async def kill():
+        relays = context.fleet.relays(zone)
+        assert len(relays) == 2
+        context.fleet.kill(relays)
+
+    run(context, kill())
+
+
+@when("every second host is killed")
+def step_kill_half(context):
+    async def kill():
+        context.fleet.kill(context.fleet.hosts[::2])
+
+    run(context, kill())
+
+
+@when('a relay of zone "{zone}" is suspended for {seconds:f} s')
+def step_suspend(context, zone, seconds):
+    async def suspend():
+        await context.fleet.suspend(context.fleet.relays(zone)[0], seconds)
+
+    run(context, suspend())
+
+
+@when('the hosts of zone "{zone}" are cut off')
+def step_cut(context, zone):
+    context.fleet.cut_zone(zone)
+
+
+@when('the hosts of zone "{zone}" are joined again')
+def step_heal(context, zone):
+    context.fleet.heal()
+
+
+def is_settled(context, hosts):
+    fleet = context.fleet
+    context.missing += fleet.find_missing(hosts, hosts)
+    return not fleet.find_wrong(hosts, hosts)
+
+
+@then("within {seconds:f} s all that are left take each other, and nobody else, to be alive")
+def step_left(context, seconds):
+    fleet = context.fleet
+    found = fleet.wait_until(lambda: is_settled(context, fleet.hosts), seconds)
+    assert run(context, found), context.missing[:5]
+
+
+@then("every living host was taken to be alive all the time")
+def step_never_missing(context):
+    assert not context.missing, (len(context.missing), context.missing[:5])
+
+
+@then("every living host is taken to be alive for the next {seconds:f} s")
+def step_stays(context, seconds):
+    async def watch():
+        fleet = context.fleet
+        missing = []
+        for _ in range(int(seconds / LOOK_S)):
+            await asyncio.sleep(LOOK_S)
+            missing += fleet.find_missing(fleet.hosts, fleet.hosts)
+        return missing
+
+    missing = run(context, watch())
+    assert not missing, (len(missing), missing[:5])
+
+
+@then("within {seconds:f} s every host takes all others to be alive, and knows what they run")
+def step_soon_known(context, seconds):
+    fleet = context.fleet
+
+    def is_known():
+        return not fleet.find_wrong(fleet.hosts, fleet.hosts) and not fleet.find_wrong_sums()
+
+    assert run(context, fleet.wait_until(is_known, seconds)), fleet.find_wrong_sums()[:5]
+
+
+@then('within {seconds:f} s all hosts of the zones "{zones}" take zone "{silent}" to be silent')
+def step_silent(context, seconds, zones, silent):
+    fleet = context.fleet
+    hosts = [host for host in fleet.hosts if host.zone in zones]
+
+    def is_silent():
+        return all(host.placement.silent_zones == {silent} for host in hosts)
+
+    assert run(context, fleet.wait_until(is_silent, seconds))
+
+
+@then(
+    'within {seconds:f} s the hosts of the zones "{zones}" take each other,'
+    " and nobody else, to be alive"
+)
+def step_zones_left(context, seconds, zones):
+    fleet = context.fleet
+    hosts = [host for host in fleet.hosts if host.zone in zones]
+    assert run(context, fleet.wait_until(lambda: is_settled(context, hosts), seconds))
+
+
+@given("a host that told 2 requests at an endpoint, and later 5")
+def step_told(context):
+    context.shares = Shares()
+    for stamp, requests in zip(OWN_STAMPS, (2, 5), strict=True):
+        context.shares.note_own(make_share(1, requests), stamp)
+
+
+def make_share(hosts, requests):
+    return Share(hosts, [EndpointLoad(ENDPOINT, requests, 0)])
+
+
+@when("a relay tells a sum of {requests:d} in which the {place:w} of these counts")
+def step_relay_sum(context, requests, place):
+    stamp = OWN_STAMPS[("first", "second").index(place)]
+    told = Told(make_share(20, requests), 100.0 + stamp)
+    context.shares.take_fleet("relay", told, stamp)
+
+
+@when(
+    "a relay tells a sum of {many:d} over {hosts:d} hosts,"
+    " and a newer one a sum of {few:d} over {fewer:d}"
+)
+def step_two_sums(context, many, hosts, few, fewer):
+    context.shares.take_fleet("relay", Told(make_share(hosts, many), 101.0), 0.0)
+    context.shares.take_fleet("newer", Told(make_share(fewer, few), 101.5), 0.0)
+
+
+@then("the others run {requests:d} requests there")
+def step_others(context, requests):
+    loads = context.shares.others(102.0).loads
+    assert loads == [EndpointLoad(ENDPOINT, requests, 0)], loads
+
+
+@given("a host that talks with a peer")
+def step_pair(context):
+    context.execute_steps("""
+        Given 2 hosts in the zones "ab" that each run 3 requests at 2 endpoints
+        When they have talked for 3.0 s
+        """)
+
+
+def make_bad(kind, peer, now):
+    share = encode_share(make_share(1, 50))
+    digest = Digest(peer, "b", now + 1.0, 0.0, 0.0, 9, 0.0, 0.0, scope=Scope.ZONE, share=share)
+    match kind:
+        case "cut in the middle":
+            return encode_message(digest)[:-9]
+        case "of an unknown tag":
+            return msgspec.msgpack.encode([99, peer, "b"])
+        case "with a damaged share":
+            return encode_message(msgspec.structs.replace(digest, share=share[:-3]))
+        case "older than the last one":
+            return encode_message(msgspec.structs.replace(digest, stamp=0.1))
+        case "a roster nobody asked of":
+            return encode_message(Roster(peer, "b", ["b7", "b8"], 0.0))
+    raise AssertionError(kind)
+
+
+@when("it gets a message that is {kind}")
+def step_bad(context, kind):
+    host, peer = context.fleet.hosts
+    context.written = []
+
+    async def get():
+        written = context.written.append
+        message = make_bad(kind, peer.address, context.fleet.now)
+        with (
+            patch.object(_peering, "write_event", written),
+            patch.object(_sharing, "write_event", written),
+        ):
+            host.peering._receive(message)
+
+    run(context, get())
+
+
+@then("it knows and runs on as before, and the message is {outcome}")
+def step_unchanged(context, outcome):
+    async def look():
+        host, peer = context.fleet.hosts
+        alive = [each.address for each in host.peering.book.alive(context.fleet.now)]
+        return alive == [peer.address], context.fleet.find_wrong_sums()
+
+    is_same, sums = run(context, look())
+    assert is_same and not sums, sums
+    is_unreadable = any(isinstance(event, events.MessageUnreadable) for event in context.written)
+    assert is_unreadable == (outcome == "unreadable"), context.written
--- a/poplarrun/gateway/_peering.py
+++ b/poplarrun/gateway/_peering.py
@@ -9,6 +9,7 @@
 from poplarrun.dispatch import Knowledge
 from poplarrun.gateway._followers import DocumentFollower, ListingFollower
 from poplarrun.gateway._sessions import SessionKeeping
+from poplarrun.gateway._sharing import RolloutState, Sharing
 from poplarrun.links import Links
 from poplarrun.logs import events, write_event
 from poplarrun.peers import (
@@ -17,29 +18,34 @@
     Changes,
     Digest,
     Documents,
-    EndpointLoad,
     HeldSessions,
     Listed,
     Peer,
     PeerBook,
-    RolloutNews,
+    Roster,
+    RosterAsk,
+    RosterMark,
+    Rosters,
+    Scope,
     SessionAnswer,
     SessionAsk,
-    TallyNews,
+    Telling,
     decode_message,
     encode_message,
+    encode_share,
 )
 from poplarrun.placement import Directory, Listing, Placement
 from poplarrun.platform import HOST_TOPIC, Appended, Entry, Malformed, Newest, StoreClient
-from poplarrun.rollouts import Rollouts, Tally
-from poplarrun.routing import RolloutOrder, RolloutStatus
+from poplarrun.rollouts import Rollouts
 from poplarrun.transport import boot_time
 
-# Pause between two digests, in seconds: to hosts of the own zone, and to others.
-NEAR_PERIOD_S = 0.4
-FAR_PERIOD_S = 1.0
-# The same while a roll-out is under way: a bad version must be known as bad to all
-# hosts well within the operators' bound.
+# Pauses between two digests, in seconds: reports to the relays of the own zone, sums of a
+# zone to other zones, and sums of all to a host of the own zone, which has two relays.
+REPORT_PERIOD_S = 0.4
+ZONE_PERIOD_S = 1.0
+FLEET_PERIOD_S = 0.8
+# The same between zones while a roll-out is under way: a bad version must be known as bad
+# to all hosts well within the operators' bound.
 ROLLOUT_PERIOD_S = 0.4
 ROUND_S = 0.2
 # Where this host can't read the listed endpoints itself for so long, it asks a peer
@@ -52,10 +58,13 @@
 # is asked of the peer, in seconds.
 OLD_CONFIG_S = 0.3
 ASK_PERIOD_S = 0.5
+# Pause between two questions for the list of the same zone's hosts, in seconds.
+ROSTER_PERIOD_S = 0.3
 # Pauses between two writings of the own address until one succeeds, and between two
-# readings of all addresses, in seconds.
+# readings of all addresses, by a relay and by another host, in seconds.
 ANNOUNCE_PAUSE_S = 1.0
-READ_HOSTS_S = 12.0
+READ_HOSTS_S = 20.0
+LATER_READ_HOSTS_S = 60.0
 # An address of which nothing was heard for so long since it was first read belongs to a
 # host that is gone, in seconds: longer than a zone is usually cut off.
 GONE_S = 120.0
@@ -87,12 +96,17 @@
         self._directory = directory
         self._placement = placement
         self._rollouts = rollouts
+        self._rosters = Rosters(book)
+        self._sharing = Sharing(book.zone, placement, rollouts)
         self.sessions = SessionKeeping(book, links, rollouts)
         self._started_at = float("inf")
         self._asked_at = float("-inf")
         self._outdated: int | None = None
         self._outdated_since = 0.0
         self._alive: set[str] = set()
+        self._news: list[RolloutState] = []
+        self._news_at = float("-inf")
+        self._rosters_asked_at: dict[tuple[str, str], float] = {}
         self._is_leaving = False
         documents.tell_zone = self.tell_zone
         listings.tell_zone = self.tell_zone
@@ -101,7 +115,9 @@
     def tell_zone(self) -> None:
         """Prove to the hosts of the own zone what this one has just read."""
         now = boot_time()
-        self._send_digests(self.book.near(now), now)
+        digest = self._header(now)
+        for peer in self.book.served(now):
+            self._send(digest, peer, now)
 
     def tell_changes(self, entries: tuple[Entry, ...], is_lapse: bool) -> None:
         """Pass records of endpoints on to the hosts of the own zone."""
@@ -149,10 +165,10 @@
                 continue
             newest = await self._store.newest(HOST_TOPIC)
             if isinstance(newest, Newest):
-                addresses = [entry.key for entry in newest.entries]
-                is_listed = self.book.address in addresses
-                await self._read_addresses(addresses, boot_time())
-            await asyncio.sleep(_spread(READ_HOSTS_S))
+                is_listed = self.book.address in [entry.key for entry in newest.entries]
+                await self._read_addresses(newest.entries, boot_time())
+            is_relay = self.book.is_relay(boot_time())
+            await asyncio.sleep(_spread(READ_HOSTS_S if is_relay else LATER_READ_HOSTS_S))
 
     async def withdraw(self) -> None:
         """Take the own address out of the store, and write it no more."""
@@ -164,37 +180,73 @@
         answer = await self._store.append(HOST_TOPIC, [(self.book.address, value)])
         return isinstance(answer, Appended)
 
-    async def _read_addresses(self, addresses: list[str], now: float) -> None:
+    async def _read_addresses(self, entries: tuple[Entry, ...], now: float) -> None:
         """Name the listed hosts; one host takes out those that are gone.
 
         Hosts that are killed leave their addresses behind. Some hundred a day would
         make each start read, and write to, thousands that nobody answers. A host that
         was only cut off finds its address missing and writes it again.
         """
-        for address in addresses:
-            self.book.name(address, now)
+        for entry in entries:
+            self.book.name(entry.key, now, _read_zone(entry))
         if self.book.turn(SWEEP_JOB, now) > 0:
             return
-        gone = [address for address in addresses if self.book.is_gone(address, now, GONE_S)]
+        gone = [entry.key for entry in entries if self.book.is_gone(entry.key, now, GONE_S)]
         if gone:
             await self._store.append(HOST_TOPIC, [(address, None) for address in gone])
             write_event(events.PeersChanged(gone, []))
 
     def _tell(self, now: float) -> None:
         active = self._rollouts.active()
-        far_s = ROLLOUT_PERIOD_S if active else FAR_PERIOD_S
-        due = self.book.due(now, NEAR_PERIOD_S, far_s)
+        far_s = ROLLOUT_PERIOD_S if active else ZONE_PERIOD_S
+        self._note_news(now)
+        self._rosters.forget(now)
+        due = self.book.due(now, REPORT_PERIOD_S, far_s, FLEET_PERIOD_S, self._news_at)
         if due:
             self._send_digests(due, now)
+        self._sharing.apply(now)
         self.sessions.tell()
         self._note_alive(now)
 
-    def _send_digests(self, peers: list[Peer], now: float) -> None:
-        digest = self._digest(now)
-        for peer in peers:
-            held_s = now - peer.heard_at if peer.last_stamp else 0.0
-            message = msgspec.structs.replace(digest, echo=peer.last_stamp, held_s=held_s)
-            self._links.send(peer.address, encode_message(message))
+    def _note_news(self, now: float) -> bool:
+        """Tell whether roll-outs have gone on since this was asked last."""
+        news = self._sharing.rollout_states()
+        if news == self._news:
+            return False
+        self._news = news
+        self._news_at = now
+        return True
+
+    def _send_digests(self, tellings: list[Telling], now: float) -> None:
+        own = self._sharing.own()
+        header = self._header(now)
+        digests: dict[tuple[Scope, bool], Digest] = {}
+        for telling in tellings:
+            is_far = telling.peer.zone != self.book.zone
+            key = (telling.scope, is_far)
+            if key not in digests:
+                share = b""
+                if telling.scope is not Scope.NONE:
+                    share = encode_share(self._sharing.sum_up(telling.scope, own, now))
+                is_report = telling.scope is Scope.HOST
+                marks = [] if is_report else self._rosters.marks(is_far, now)
+                digests[key] = msgspec.structs.replace(
+                    header, scope=telling.scope, share=share, marks=marks
+                )
+            if telling.scope is Scope.HOST:
+                self._sharing.note_told(own, now)
+            self._send(digests[key], telling.peer, now)
+
+    def _send(self, digest: Digest, peer: Peer, now: float) -> None:
+        """Send a digest with the receiver's own stamps in it."""
+        counted = self._sharing.stamp_of(peer.address) if digest.scope is Scope.FLEET else 0.0
+        message = msgspec.structs.replace(
+            digest,
+            echo=peer.last_stamp,
+            held_s=now - peer.heard_at if peer.last_stamp else 0.0,
+            counted=counted,
+        )
+        self._links.send(peer.address, encode_message(message))
 
     def _note_alive(self, now: float) -> None:
         self._placement.silent_zones = self.book.silent_zones(now)
@@ -204,10 +256,9 @@
             found = sorted(alive - self._alive)
             write_event(events.PeersChanged(lost, found))
             self._alive = alive
-            self._placement.keep_others(alive)
 
-    def _digest(self, now: float) -> Digest:
-        """Return what all peers are told alike in one round."""
+    def _header(self, now: float) -> Digest:
+        """Return what all peers are told alike at a time."""
         catalogue = self._knowledge.catalogue
         return Digest(
             address=self.book.address,
@@ -218,57 +269,21 @@
             version=-1 if catalogue is None else catalogue.version,
             age_s=min(1e6, self._knowledge.age_s(now)),
             listing_age_s=min(1e6, now - self._listings.true_at),
-            loads=self._loads(),
-            rollouts=self._rollout_news(now),
-            tallies=self._tally_news(),
-            named=self.book.named(),
             documents_end=-1 if self._documents.offset is None else self._documents.offset,
             listing_end=self._directory.offset if self._listings.is_known else -1,
+            steady_s=self._listings.steady_s(now),
+            rollouts=self._sharing.rollout_news(now),
         )
 
-    def _loads(self) -> list[EndpointLoad]:
-        return [
-            EndpointLoad(member.listing.lifetime, member.in_flight, int(member.pending_s * 1000))
-            for member in self._placement.members()
-            if member.in_flight
-        ]
-
-    def _rollout_news(self, now: float) -> list[RolloutNews]:
-        return [
-            RolloutNews(
-                rollout.order.service,
-                rollout.order.target,
-                rollout.order.duration_s,
-                rollout.order.offset,
-                now - rollout.begun_at,
-                rollout.recorded,
-                None if rollout.shifted_at is None else now - rollout.shifted_at,
-            )
-            for rollout in self._rollouts.recent(now)
-        ]
-
-    def _tally_news(self) -> list[TallyNews]:
-        active = {rollout.order.service for rollout in self._rollouts.active()}
-        return [
-            TallyNews(
-                *key,
-                tally.ended,
-                tally.failures,
-                tally.slow,
-                tally.paced,
-                round(tally.log_pace, 2),
-                sorted(tally.broken),
-            )
-            for key, tally in self._rollouts.evidence.own.items()
-            if key[0] in active
-        ]
-
     def _receive(self, data: bytes) -> None:
         now = boot_time()
         match decode_message(data):
             case Digest() as digest:
-                if self.book.take(digest, now):
-                    self._take(digest, now)
+                self._take_digest(digest, now)
+            case RosterAsk() as roster_ask:
+                self._answer_roster(roster_ask, now)
+            case Roster() as roster:
+                self._take_roster(roster, now)
             case Ask() as ask:
                 self._links.send(ask.address, encode_message(self._answer(ask)))
             case Documents() as documents:
@@ -284,6 +299,51 @@
             case None:
                 write_event(events.MessageUnreadable(len(data)))
 
+    def _take_digest(self, digest: Digest, now: float) -> None:
+        known = self.book.find(digest.address)
+        is_new = known is None or not known.is_alive(now)
+        if not self.book.take(digest, now):
+            return
+        peer = self.book.find(digest.address)
+        # A host that starts, or comes back, hears at once who is there. Its first words may
+        # have come while this one's were lost, so that it is known but has heard nothing.
+        is_new = is_new or digest.echo <= 0.0
+        if is_new and peer is not None and now - peer.told_at >= REPORT_PERIOD_S:
+            peer.told_at = now
+            is_near = digest.zone == self.book.zone
+            self._send_digests([Telling(peer, Scope.FLEET if is_near else Scope.NONE)], now)
+        for mark in digest.marks:
+            self._take_mark(digest, mark, now)
+        self._sharing.take(digest, now)
+        self._take(digest, now)
+        if self._note_news(now):
+            # On its way to hosts of other zones news passes three hosts: none may wait a round.
+            self._tell(now)
+
+    def _take_mark(self, digest: Digest, mark: RosterMark, now: float) -> None:
+        if digest.zone not in (self.book.zone, mark.zone):
+            return
+        if self._rosters.take_mark(digest.address, digest.zone, mark, now):
+            return
+        key = (digest.address, mark.zone)
+        if now - self._rosters_asked_at.get(key, float("-inf")) < ROSTER_PERIOD_S:
+            return
+        self._rosters_asked_at[key] = now
+        self._links.send(digest.address, encode_message(RosterAsk(self.book.address, mark.zone)))
+
+    def _take_roster(self, roster: Roster, now: float) -> None:
+        # Only what was asked of its sender counts.
+        sender = self.book.find(roster.address)
+        asked_at = self._rosters_asked_at.pop((roster.address, roster.zone), None)
+        if sender is not None and asked_at is not None:
+            self._rosters.take_roster(roster, sender.zone, now)
+
+    def _answer_roster(self, ask: RosterAsk, now: float) -> None:
+        hosts = self._rosters.roster(ask.zone, now)
+        age_s = self._rosters.roster_age_s(ask.zone, now)
+        roster = Roster(self.book.address, ask.zone, hosts, age_s)
+        self._links.send(ask.address, encode_message(roster))
+
     def _take(self, digest: Digest, now: float) -> None:
         catalogue = self._knowledge.catalogue
         version = -1 if catalogue is None else catalogue.version
@@ -293,12 +353,12 @@
                 self._documents.note_proof(proven_at)
         if digest.documents_end > (self._documents.offset or 0):
             self._documents.reading.hurry()
+        sent_at = self.book.proven_at(digest, 0.0)
+        if sent_at is not None:
+            self._listings.note_steady(now - digest.steady_s, sent_at)
         listed_at = self.book.proven_at(digest, digest.listing_age_s)
         if listed_at is not None:
             self._listings.note_proof(digest.listing_end, listed_at)
-        loads = {load.lifetime: (load.in_flight, load.pending_ms / 1000.0) for load in digest.loads}
-        self._placement.take_others(digest.address, loads)
-        self._take_rollouts(digest, now)
         wants_config = self._is_config_late(digest.version, version, now)
         is_old = now - self._listings.true_at > OLD_LISTING_S
         wants_listing = is_old and digest.listing_age_s < OLD_LISTING_S
@@ -325,41 +385,6 @@
         )
         self._listings.take_changes(entries, changes.is_lapse)
 
-    def _take_rollouts(self, digest: Digest, now: float) -> None:
-        for news in digest.rollouts:
-            order = RolloutOrder(news.service, news.target, news.duration_s, news.offset)
-            if self._rollouts.take_order(order, now, news.age_s):
-                write_event(
-                    events.RolloutOrdered(
-                        order.service, order.target, order.duration_s, digest.address, news.age_s
-                    )
-                )
-            rollout = self._rollouts.find(news.service)
-            if rollout is None or rollout.order.offset != news.offset:
-                continue
-            shifted_age_s = news.shifted_age_s
-            if shifted_age_s is not None and rollout.shift(now - shifted_age_s):
-                write_event(
-                    events.RolloutShifted(
-                        order.service, order.target, digest.address, now - rollout.begun_at
-                    )
-                )
-            if news.phase is not None:
-                status = RolloutStatus(news.service, news.target, news.phase)
-                self._rollouts.take_status(status)
-        tallies = {
-            (news.service, news.version, news.kind): Tally(
-                news.ended,
-                news.failures,
-                news.slow,
-                news.paced,
-                news.log_pace,
-                set(news.broken),
-            )
-            for news in digest.tallies
-        }
-        self._rollouts.evidence.take(digest.address, tallies)
-
     def _answer(self, ask: Ask) -> Documents:
         listed = []
         if ask.wants_listing:
@@ -407,6 +432,14 @@
         self._listings.take_from_peer()
 
 
+def _read_zone(entry: Entry) -> str:
+    """Return the zone that a host wrote beside its address; empty where it can't be read."""
+    try:
+        return str(json.loads(entry.value or b"")["zone"])
+    except (ValueError, KeyError, TypeError):
+        return ""
+
+
 def _spread(seconds: float) -> float:
     """Return about so many seconds, so that hosts that start together don't call together."""
     return seconds * random.uniform(0.7, 1.3)
--- a/poplarrun/peers/__init__.py
+++ b/poplarrun/peers/__init__.py
@@ -1,6 +1,6 @@
 """Peers: what the hosts tell each other, and what follows from it."""
 
-from poplarrun.peers._book import DOCUMENTS, ENDPOINTS, Peer, PeerBook
+from poplarrun.peers._book import DOCUMENTS, ENDPOINTS, READ_TOPICS, PeerBook, Telling
 from poplarrun.peers._duty import USUAL_TIMES, ReadDuty, ReadTimes
 from poplarrun.peers._messages import (
     Ask,
@@ -13,16 +13,27 @@
     Listed,
     Message,
     RolloutNews,
+    Roster,
+    RosterAsk,
+    RosterMark,
+    Scope,
     SessionAnswer,
     SessionAsk,
+    Share,
     TallyNews,
     decode_message,
+    decode_share,
     encode_message,
+    encode_share,
 )
+from poplarrun.peers._peer import Peer
+from poplarrun.peers._rosters import Rosters
+from poplarrun.peers._shares import Shares, Told
 
 __all__ = [
     "DOCUMENTS",
     "ENDPOINTS",
+    "READ_TOPICS",
     "USUAL_TIMES",
     "Ask",
     "ChangedRecord",
@@ -38,9 +49,20 @@
     "ReadDuty",
     "ReadTimes",
     "RolloutNews",
+    "Roster",
+    "RosterAsk",
+    "RosterMark",
+    "Rosters",
+    "Scope",
     "SessionAnswer",
     "SessionAsk",
+    "Share",
+    "Shares",
     "TallyNews",
+    "Telling",
+    "Told",
     "decode_message",
+    "decode_share",
     "encode_message",
+    "encode_share",
 ]
--- a/poplarrun/peers/_book.py
+++ b/poplarrun/peers/_book.py
@@ -1,25 +1,34 @@
 """The other hosts as this one knows them."""
 
 import math
-import random
+from collections.abc import Iterable
 from dataclasses import dataclass, field
 
-from poplarrun.peers._messages import MOST_NAMED, Digest
-from poplarrun.rendezvous import rank_hosts
+from poplarrun.peers._messages import Digest, Scope
+from poplarrun.peers._peer import ALIVE_S, RELAY_SILENT_S, Peer
+from poplarrun.rendezvous import Ranking, rank_hosts
 
-# A host that has not been heard of for so long doesn't count as alive, in seconds:
-# three of the longest periods between two digests.
-ALIVE_S = 3.2
 # A zone of which no host has been heard of for so long is taken for cut off, in seconds:
 # one digest of a zone's only host may be lost, and a false alarm only puts the zone's
-# endpoints last.
+# endpoints last. A host that hears of other zones by its relays hears later.
 SILENT_S = 1.7
+RELAYED_S = 0.8
 # One that has not been heard of for so long isn't written to any more, in seconds;
 # it writes first when it is back.
 KEPT_S = 30.0
-# Digests a round. All hosts of a small installation hear each other; in a large one
-# each hears some others in turn, and the messages of a host stay the same.
-MOST_A_ROUND = 12
+# Hosts of a zone that add up what its hosts tell: with two the zone is never without one
+# while a third is found.
+RELAYS = 2
+# A host that has not reported for so long gets no sums any more, in seconds.
+REPORTED_S = 1.5
+# Hosts that are not known to live are written to so many a round, each after such a pause in
+# seconds, while none that is needed is heard.
+PROBES = 12
+PROBE_S = 1.0
+# Who is alive is looked up anew after so long, or when a host is found, in seconds.
+CENSUS_S = 0.2
+# Pause between two looks for hosts to forget, in seconds.
+FORGET_PAUSE_S = 1.0
 # Hosts that keep the same session.
 KEEPERS = 3
 # What one host reads of the store for its zone.
@@ -28,33 +37,51 @@
 READ_TOPICS = (DOCUMENTS, ENDPOINTS)
 
 
+@dataclass(frozen=True, slots=True)
+class Telling:
+    """A digest that is due.
+
+    Attributes
+    ----------
+    scope : Scope
+        What it adds up.
+    """
+
+    peer: Peer
+    scope: Scope
+
+
 @dataclass(slots=True)
-class Peer:
-    """Another host.
+class _Census:
+    """Who is alive at a time.
 
     Attributes
     ----------
-    first_named_at, named_at : float
-        When its address was first and last read.
-    heard_at : float
-        When a digest last came.
-    last_stamp : float
-        The stamp that it bore.
+    by_zone : dict of str to list of Peer
+        The living.
+    lost : list of Peer
+        All others.
+    relays : dict of str to list of str
+        Found as they are asked for.
     """
 
-    address: str
-    zone: str = ""
-    first_named_at: float = math.inf
-    named_at: float = -math.inf
-    heard_at: float = -math.inf
-    last_stamp: float = 0.0
-    told_at: float = -math.inf
+    at: float
+    by_zone: dict[str, list[Peer]]
+    lost: list[Peer]
+    zones: set[str]
+    relays: dict[str, list[str]] = field(default_factory=dict)
 
 
 @dataclass
 class PeerBook:
     """Peers by address.
 
+    In each zone the first hosts by rendezvous hashing are its relays. All hosts of the zone
+    report to them; they exchange sums with the relays of the other zones, and tell their zone
+    the sum of all. So what a host sends and hears doesn't grow with the number of hosts, and
+    nobody is asked or agreed with: hosts that see different ones alive for a moment report to
+    more relays than needed.
+
     Attributes
     ----------
     address, zone : str
@@ -63,14 +90,21 @@
 
     address: str
     zone: str
-    source: random.Random = field(default_factory=random.Random)
     _peers: dict[str, Peer] = field(default_factory=dict)
+    _zone_heard_at: dict[str, float] = field(default_factory=dict)
+    _rankings: dict[str, Ranking] = field(default_factory=dict)
+    _reporting: set[str] = field(default_factory=set)
+    _last_census: _Census | None = None
+    _forgot_at: float = -math.inf
 
-    def name(self, address: str, now: float) -> None:
+    def name(self, address: str, now: float, zone: str = "") -> None:
         """Take in that a host may be at an address."""
         if address == self.address:
             return
+        if address not in self._peers:
+            self._last_census = None
         peer = self._peers.setdefault(address, Peer(address))
+        peer.zone = peer.zone or zone
         peer.first_named_at = min(peer.first_named_at, now)
         peer.named_at = now
 
@@ -79,7 +113,7 @@
         peer = self._peers.get(address)
         if peer is None:
             return False
-        return now - max(peer.first_named_at, peer.heard_at) > bound_s
+        return now - max(peer.first_named_at, peer.last_known_at) > bound_s
 
     def take(self, digest: Digest, now: float) -> bool:
         """Take in a digest; False where it is older than the last one of its sender."""
@@ -90,14 +124,20 @@
         # in time; one that was replaced may have an earlier one.
         if digest.stamp <= peer.last_stamp and now - peer.heard_at < ALIVE_S:
             return False
+        if peer.zone != digest.zone or not peer.is_alive(now):
+            self._last_census = None
         peer.zone = digest.zone
         peer.heard_at = now
         peer.last_stamp = digest.stamp
-        for address in digest.named:
-            if address not in self._peers:
-                self.name(address, now)
+        if digest.scope is Scope.HOST:
+            peer.reported_at = now
+        self._note_zone(digest.zone, now)
         return True
 
+    def find(self, address: str) -> Peer | None:
+        """Return a host by its address."""
+        return self._peers.get(address)
+
     def proven_at(self, digest: Digest, age_s: float) -> float | None:
         """Return since when, by this host's clock, a digest's fact is surely true.
 
@@ -126,63 +166,214 @@
         return not self._peers
 
     def alive(self, now: float) -> list[Peer]:
-        """Return the hosts that were heard of lately."""
-        return [peer for peer in self._peers.values() if now - peer.heard_at < ALIVE_S]
+        """Return the hosts that were heard of lately, by this host or a relay."""
+        return [peer for peers in self._census(now).by_zone.values() for peer in peers]
 
     def near(self, now: float) -> list[Peer]:
         """Return the hosts of the own zone that were heard of lately."""
-        return [peer for peer in self.alive(now) if peer.zone == self.zone]
+        return self.alive_in(self.zone, now)
+
+    def alive_in(self, zone: str, now: float) -> list[Peer]:
+        """Return the hosts of a zone that were heard of lately."""
+        return self._census(now).by_zone.get(zone, [])
+
+    def _census(self, now: float) -> _Census:
+        last = self._last_census
+        if last is not None and 0.0 <= now - last.at < CENSUS_S:
+            return last
+        census = _Census(now, {}, [], set())
+        for peer in self._peers.values():
+            if peer.is_alive(now):
+                census.by_zone.setdefault(peer.zone, []).append(peer)
+            else:
+                census.lost.append(peer)
+            census.zones.add(peer.zone)
+        self._last_census = census
+        return census
 
     def silent_zones(self, now: float) -> frozenset[str]:
         """Return the other zones that had hosts, of which none is heard any more."""
-        known = {peer.zone for peer in self._peers.values() if peer.zone}
-        heard = {peer.zone for peer in self._peers.values() if now - peer.heard_at < SILENT_S}
-        return frozenset(known - heard - {self.zone})
+        bound_s = SILENT_S if self.is_relay(now) else SILENT_S + RELAYED_S
+        heard = {zone for zone, at in self._zone_heard_at.items() if now - at < bound_s}
+        had_hosts = self._census(now).zones & self._zone_heard_at.keys()
+        return frozenset(had_hosts - heard - {self.zone})
+
+    def _note_zone(self, zone: str, at: float) -> None:
+        self._zone_heard_at[zone] = max(at, self._zone_heard_at.get(zone, -math.inf))
+
+    # Relays
+
+    def relays(self, zone: str, now: float) -> list[str]:
+        """Return the addresses of a zone's relays, this host's possibly included.
+
+        The hosts that read the store for the zone are among them: what they prove to a host
+        is only as young as the last stamp of its that they have.
+        """
+        census = self._census(now)
+        found = census.relays.get(zone)
+        if found is None:
+            found = census.relays[zone] = self._find_relays(zone, now)
+        return found
+
+    def _find_relays(self, zone: str, now: float) -> list[str]:
+        hosts = [peer.address for peer in self.alive_in(zone, now)]
+        if zone == self.zone:
+            hosts.append(self.address)
+        if not hosts:
+            return []
+        orders = [self._rank(topic, zone, hosts) for topic in READ_TOPICS]
+        found = {address for order in orders for address in self._first(order, 1, now)}
+        if len(found) < RELAYS:
+            found.update(self._first(orders[0], RELAYS, now))
+        return sorted(found)
+
+    def _first(self, order: list[str], answering: int, now: float) -> list[str]:
+        """Return the first hosts up to so many that answer.
+
+        A silent one stays in until it is known to be dead: one that lives and hears nothing
+        would not learn who takes its place.
+        """
+        found = []
+        for address in order:
+            found.append(address)
+            peer = self._peers.get(address)
+            answering -= peer is None or not peer.is_silent(now)
+            if answering == 0:
+                break
+        return found
+
+    def is_relay(self, now: float) -> bool:
+        """Tell whether this host adds up for its zone."""
+        return self.address in self.relays(self.zone, now)
 
-    def due(self, now: float, near_s: float, far_s: float) -> list[Peer]:
-        """Return the hosts that a digest should go to now.
+    def zone_age_s(self, zone: str, now: float) -> float:
+        """Return how long ago a zone was last heard of."""
+        return max(0.0, now - self._zone_heard_at.get(zone, -math.inf))
+
+    def heard_zones(self, now: float) -> set[str]:
+        """Return the own zone and those of which this host heard one itself lately."""
+        return {self.zone} | {
+            zone for zone, peers in self._census(now).by_zone.items() if _any_heard(peers, now)
+        }
+
+    def vouch(self, zone: str, hosts: Iterable[str], at: float, is_first_hand: bool) -> None:
+        """Take in that hosts of a zone were known to be alive at a time.
 
         Parameters
         ----------
-        near_s, far_s : float
-            Pause between two digests to a host of the own zone, and to another one:
-            bytes between zones are dear.
+        is_first_hand : bool
+            Whether a host of that zone says so itself.
         """
-        due = []
-        for address, peer in list(self._peers.items()):
-            if now - max(peer.heard_at, peer.named_at) > KEPT_S:
-                del self._peers[address]
+        self._note_zone(zone, at)
+        for address in hosts:
+            if address == self.address:
                 continue
-            period_s = near_s if peer.zone == self.zone else far_s
-            if now - peer.told_at >= period_s:
-                due.append(peer)
-        if len(due) > MOST_A_ROUND:
-            due = self.source.sample(due, MOST_A_ROUND)
-            due += [peer for peer in self.readers(now) if peer not in due]
-        for peer in due:
-            peer.told_at = now
-        return due
+            peer = self._peers.get(address)
+            if peer is None:
+                peer = self._peers[address] = Peer(address)
+                self._last_census = None
+            peer.zone = zone
+            if is_first_hand:
+                peer.attested_at = max(peer.attested_at, at)
+            else:
+                peer.vouched_at = max(peer.vouched_at, at)
+
+    def drop_vouched(self, hosts: Iterable[str]) -> None:
+        """Take in that nobody vouches for hosts any longer."""
+        for address in hosts:
+            peer = self._peers.get(address)
+            if peer is not None:
+                peer.attested_at = peer.vouched_at = -math.inf
+        self._last_census = None
 
-    def named(self) -> list[str]:
-        """Return some addresses to pass on."""
-        addresses = [peer.address for peer in self._peers.values() if peer.heard_at > 0.0]
-        return addresses if len(addresses) <= MOST_NAMED else self.source.sample(addresses, 8)
+    # Who is told what
 
-    def readers(self, now: float) -> list[Peer]:
-        """Return the hosts that read for the own zone.
+    def due(
+        self,
+        now: float,
+        near_s: float,
+        far_s: float,
+        fleet_s: float,
+        news_at: float = -math.inf,
+    ) -> list[Telling]:
+        """Return the digests that should go out now.
 
-        They must hear this host often: what they prove to it is only as young as the
-        last stamp of its that they have.
+        Parameters
+        ----------
+        near_s, far_s, fleet_s : float
+            Pauses between two reports to a relay, between two sums to another zone, whose
+            bytes are dear, and between two sums to a host of the own zone.
+        news_at : float
+            Since when there is something that can't wait for the end of a pause.
         """
-        near = {peer.address: peer for peer in self.near(now)}
-        hosts = [self.address, *near]
-        first = {rank_hosts(topic, hosts)[0] for topic in READ_TOPICS}
-        return [near[address] for address in first if address != self.address]
+        self._forget(now)
+        relays = self.relays(self.zone, now)
+        tellings = [
+            Telling(self._peers[each], Scope.HOST) for each in relays if each in self._peers
+        ]
+        self._note_reports({telling.peer.address for telling in tellings}, now)
+        due = [each for each in tellings if each.peer.is_due(now, near_s, news_at)]
+        due += [
+            Telling(peer, Scope.FLEET)
+            for peer in self.served(now)
+            if peer.address not in relays and peer.is_due(now, fleet_s, news_at)
+        ]
+        if self.address in relays:
+            due += self._due_far(now, far_s, news_at)
+        due += self._probes(now)
+        for telling in due:
+            telling.peer.told_at = now
+        return due
+
+    def served(self, now: float) -> list[Peer]:
+        """Return the hosts of the own zone that report to this one."""
+        return [peer for peer in self.near(now) if now - peer.reported_at < REPORTED_S]
+
+    def _note_reports(self, relays: set[str], now: float) -> None:
+        for address in self._reporting - relays:
+            peer = self._peers.get(address)
+            if peer is not None:
+                peer.report_since = math.inf
+        for address in relays - self._reporting:
+            self._peers[address].report_since = now
+        self._reporting = relays
+
+    def _due_far(self, now: float, far_s: float, news_at: float) -> list[Telling]:
+        zones = sorted(self._census(now).zones - {"", self.zone})
+        peers = [self._peers[address] for zone in zones for address in self.relays(zone, now)]
+        return [Telling(peer, Scope.ZONE) for peer in peers if peer.is_due(now, far_s, news_at)]
+
+    def _probes(self, now: float) -> list[Telling]:
+        """Return some hosts that are not known to live, where one of their zone is needed."""
+        census = self._census(now)
+        if not census.lost:
+            return []
+        needed = {""}
+        if not any(now - peer.heard_at < RELAY_SILENT_S for peer in self.near(now)):
+            needed.add(self.zone)
+        if self.is_relay(now):
+            needed |= census.zones - census.by_zone.keys() - {self.zone}
+        unknown = [
+            peer for peer in census.lost if peer.zone in needed and now - peer.told_at >= PROBE_S
+        ]
+        unknown.sort(key=lambda peer: peer.told_at)
+        return [Telling(peer, Scope.NONE) for peer in unknown[:PROBES]]
+
+    def _forget(self, now: float) -> None:
+        if now - self._forgot_at < FORGET_PAUSE_S:
+            return
+        self._forgot_at = now
+        self._last_census = None
+        for address, peer in list(self._peers.items()):
+            if now - max(peer.named_at, peer.last_known_at) > KEPT_S:
+                del self._peers[address]
+
+    # Who does what
 
     def near_place(self, topic: str, now: float) -> int:
         """Return how many live hosts of the own zone come before this one in reading."""
         hosts = [self.address, *(peer.address for peer in self.near(now))]
-        return rank_hosts(topic, hosts).index(self.address)
+        return self._rank(topic, self.zone, hosts).index(self.address)
 
     def keepers(self, session: str) -> list[str]:
         """Return the addresses of the hosts that keep a session, this one's possibly included.
@@ -195,4 +386,12 @@
     def turn(self, job: str, now: float) -> int:
         """Return how many live hosts come before this one for a job."""
         hosts = [self.address, *(peer.address for peer in self.alive(now))]
-        return rank_hosts(job, hosts).index(self.address)
+        return self._rank(job, "", hosts).index(self.address)
+
+    def _rank(self, key: str, group: str, hosts: list[str]) -> list[str]:
+        ranking = self._rankings.setdefault(group, Ranking())
+        return ranking.rank(key, tuple(sorted(hosts)))
+
+
+def _any_heard(peers: list[Peer], now: float) -> bool:
+    return any(now - peer.heard_at < ALIVE_S for peer in peers)
--- a/poplarrun/peers/_messages.py
+++ b/poplarrun/peers/_messages.py
@@ -1,19 +1,19 @@
 """Messages between hosts, as bytes."""
 
+import enum
+
 import msgspec
 
 from poplarrun.routing import RolloutPhase
 
-MOST_NAMED = 8
-
 
 class EndpointLoad(msgspec.Struct, frozen=True, array_like=True):
-    """What the sender runs at an endpoint.
+    """What some hosts run at an endpoint.
 
     Attributes
     ----------
     pending_ms : int
-        Time that its prompts which are still being read take.
+        Time that their prompts which are still being read take.
     """
 
     lifetime: str
@@ -44,7 +44,7 @@
 
 
 class TallyNews(msgspec.Struct, frozen=True, array_like=True):
-    """What the sender itself saw of a version in a kind of work."""
+    """What some hosts saw of a version in a kind of work."""
 
     service: str
     version: str
@@ -57,7 +57,51 @@
     broken: list[str] = []
 
 
-class Digest(msgspec.Struct, frozen=True, array_like=True, tag=1):
+class Scope(enum.IntEnum):
+    """Whose loads and tallies a digest adds up.
+
+    ``NONE``: nobody's. ``HOST``: the sender's own. ``ZONE``: those of all hosts of the sender's
+    availability zone. ``FLEET``: those of all hosts that the sender knows of, the receiver
+    possibly among them.
+    """
+
+    NONE = 0
+    HOST = 1
+    ZONE = 2
+    FLEET = 3
+
+
+class Share(msgspec.Struct, frozen=True, array_like=True):
+    """What some hosts run at endpoints and saw of versions, added up.
+
+    Attributes
+    ----------
+    hosts : int
+        How many hosts it covers.
+    """
+
+    hosts: int
+    loads: list[EndpointLoad] = []
+    tallies: list[TallyNews] = []
+
+
+class RosterMark(msgspec.Struct, frozen=True, array_like=True):
+    """Stands for the list of a zone's hosts that the sender takes to be alive.
+
+    Attributes
+    ----------
+    mark : int
+        Equal for equal lists.
+    age_s : float
+        How long ago the zone was last heard of.
+    """
+
+    zone: str
+    mark: int
+    age_s: float
+
+
+class Digest(msgspec.Struct, frozen=True, array_like=True, tag=8):
     """What a host tells its peers regularly.
 
     Attributes
@@ -76,11 +120,16 @@
         How long ago that was the newest for sure.
     listing_age_s : float
         How long ago its listed endpoints were the newest for sure.
-    named : list of str
-        Some addresses of other hosts.
     documents_end, listing_end : int
         Next record of the operators' documents and of the listed endpoints that it hasn't
         read; -1 for unknown.
+    steady_s : float
+        For how long the store has answered the sender without an outage.
+    counted : float
+        Stamp of the digest of the receiver whose loads and tallies are in ``share``; 0 for
+        none.
+    share : bytes
+        A ``Share`` as bytes; empty for the scope ``NONE``. It is the same for all receivers.
     """
 
     address: str
@@ -91,12 +140,36 @@
     version: int
     age_s: float
     listing_age_s: float
-    loads: list[EndpointLoad] = []
-    rollouts: list[RolloutNews] = []
-    tallies: list[TallyNews] = []
-    named: list[str] = []
     documents_end: int = -1
     listing_end: int = -1
+    steady_s: float = 0.0
+    scope: Scope = Scope.NONE
+    counted: float = 0.0
+    share: bytes = b""
+    rollouts: list[RolloutNews] = []
+    marks: list[RosterMark] = []
+
+
+class RosterAsk(msgspec.Struct, frozen=True, array_like=True, tag=9):
+    """Asks for the list behind a ``RosterMark``."""
+
+    address: str
+    zone: str
+
+
+class Roster(msgspec.Struct, frozen=True, array_like=True, tag=10):
+    """Answers a ``RosterAsk``.
+
+    Attributes
+    ----------
+    hosts : list of str
+        Addresses of the zone's hosts that the sender takes to be alive.
+    """
+
+    address: str
+    zone: str
+    hosts: list[str]
+    age_s: float
 
 
 class Ask(msgspec.Struct, frozen=True, array_like=True, tag=2):
@@ -203,10 +276,21 @@
     is_held: bool
 
 
-Message = Digest | Ask | Documents | Changes | HeldSessions | SessionAsk | SessionAnswer
+Message = (
+    Digest
+    | Ask
+    | Documents
+    | Changes
+    | HeldSessions
+    | SessionAsk
+    | SessionAnswer
+    | RosterAsk
+    | Roster
+)
 
 _ENCODER = msgspec.msgpack.Encoder()
 _DECODER = msgspec.msgpack.Decoder(Message)
+_SHARE_DECODER = msgspec.msgpack.Decoder(Share)
 
 
 def encode_message(message: Message) -> bytes:
@@ -220,3 +304,16 @@
         return _DECODER.decode(data)
     except (msgspec.ValidationError, msgspec.DecodeError):
         return None
+
+
+def encode_share(share: Share) -> bytes:
+    """Return a share as bytes."""
+    return _ENCODER.encode(share)
+
+
+def decode_share(data: bytes) -> Share | None:
+    """Return a share; None where the bytes hold none."""
+    try:
+        return _SHARE_DECODER.decode(data)
+    except (msgspec.ValidationError, msgspec.DecodeError):
+        return None
--- a/poplarrun/placement/_placement.py
+++ b/poplarrun/placement/_placement.py
@@ -105,11 +105,6 @@
         self._others[host] = loads
         self._sum_others()
 
-    def keep_others(self, hosts: set[str]) -> None:
-        """Forget what hosts run that are not alive."""
-        self._others = {host: loads for host, loads in self._others.items() if host in hosts}
-        self._sum_others()
-
     def _sum_others(self) -> None:
         for lifetime, member in self._members.items():
             loads = [known[lifetime] for known in self._others.values() if lifetime in known]
--- a/standins/rollout_fleet.py
+++ b/standins/rollout_fleet.py
@@ -9,7 +9,7 @@
 import random
 from collections import defaultdict
 from collections.abc import Coroutine, Iterator
-from contextlib import ExitStack
+from contextlib import ExitStack, contextmanager
 from dataclasses import dataclass
 from typing import Any, TypeVar, cast
 from unittest.mock import patch
@@ -99,7 +99,7 @@
         )
         self.knowledge.take(CATALOGUE)
         self.placement.update(list(_list_endpoints(OLD)))
-        book = PeerBook(address, zone, random.Random(seed))
+        book = PeerBook(address, zone)
         # Nobody reads the store here: orders are handed to the hosts that would read them.
         store = cast(StoreClient, None)
         directory = Directory()
@@ -252,11 +252,18 @@
         return sum(run.version == NEW for run in runs) / len(runs)
 
 
-def run_by_virtual_clock(coroutine: Coroutine[Any, Any, T]) -> T:
-    """Run a coroutine in virtual time, by which the gateway's parts go as well."""
+@contextmanager
+def virtual_clock() -> Iterator[None]:
+    """Have the gateway's parts go by the running loop's clock."""
     with ExitStack() as stack:
         for module in CLOCK_USERS:
             stack.enter_context(patch(f"poplarrun.gateway.{module}.boot_time", _loop_time))
+        yield
+
+
+def run_by_virtual_clock(coroutine: Coroutine[Any, Any, T]) -> T:
+    """Run a coroutine in virtual time, by which the gateway's parts go as well."""
+    with virtual_clock():
         return run_virtual(coroutine)
 
 
