--- a/bench/__main__.py
+++ b/bench/__main__.py
@@ -29,6 +29,7 @@
     "orders",
     "gateway",
     "gateway_load",
+    "peers",
 )
 BASE_VARIABLE = "BASE"
 BENCH_TIMEOUT_S = 240
--- a/bench/gateway.py
+++ b/bench/gateway.py
@@ -9,11 +9,13 @@
 import tracemalloc
 from collections.abc import Callable
 
+import msgspec
 from pythonjsonlogger.json import JsonFormatter
 
 from bench.figures import Figure, Slope, report
+from poplarrun import peers
 from poplarrun.logs import BoundedHandler, events, write_event
-from poplarrun.peers import Digest, EndpointLoad, encode_message
+from poplarrun.peers import Digest, EndpointLoad, Scope, encode_message, encode_share
 from poplarrun.placement import Listing, Placement
 from poplarrun.platform import decode_catalogue
 from poplarrun.routing import Pace, PromptPart, Repeat, Request, Route, Service, Share, Work
@@ -71,8 +73,15 @@
 def measure_digest(count: int) -> tuple[float, float]:
     """Return size and encoding time of a digest that names so many endpoints."""
     loads = [EndpointLoad(listing.lifetime, 9, 420) for listing in make_listings(count)]
-    digest = Digest("10.1.0.40:7340", "a", 1e5, 1e5, 0.2, 43, 0.4, 0.3, loads)
-    return len(encode_message(digest)), time_us(lambda _: encode_message(digest))
+    share = encode_share(peers.Share(1, loads))
+    digest = Digest("10.1.0.40:7340", "a", 1e5, 1e5, 0.2, 43, 0.4, 0.3, scope=Scope.HOST)
+
+    def encode(_: int) -> bytes:
+        told = msgspec.structs.replace(digest, share=encode_share(peers.Share(1, loads)))
+        return encode_message(told)
+
+    size = len(encode_message(msgspec.structs.replace(digest, share=share)))
+    return size, time_us(encode)
 
 
 def measure_config(count: int) -> tuple[float, float]:
@@ -108,7 +117,19 @@
 def make_event(number: int) -> events.RequestSent:
     """Return the longest line of a good request."""
     return events.RequestSent(
-        f"{number:016x}", 1, "i-7f3a91c2", "zone-a", "v1", "m0", 0.21, 0.1, 0.05, 9.9, False
+        f"{number:016x}",
+        1,
+        "i-7f3a91c2",
+        "zone-a",
+        "v1",
+        "m0",
+        0.21,
+        0.1,
+        0.05,
+        9.9,
+        False,
+        "hash",
+        "85207faa",
     )
 
 
--- a/scripts/capacity_roles.py
+++ b/scripts/capacity_roles.py
@@ -149,11 +149,10 @@
 LOAD_POLLS_PER_S = POLLED_ENDPOINTS / LOAD_POLL_S
 LOG_READS_PER_S = LOG_STREAMS_FOLLOWED / min(LONGEST_PERIOD_S, TURN_S * HOSTS)
 
-# A digest names the endpoints at which its sender has requests: by Little's law at most
-# its open streams. Twelve go out a round; periods of poplarrun/gateway/_peering.py.
-DIGESTS_PER_S = 12 / 0.4
-LISTING_READS_PER_S = HOSTS / 0.8
-DOCUMENT_READS_PER_S = HOSTS / 1.6
+# One host of each zone reads each of two topics of the store, by reads that it holds back;
+# part of poplarrun/peers/_duty.py and the operators' bound of 2 s.
+HELD_READ_S = 0.8
+READS_PER_S = 2 * ZONES / HELD_READ_S
 
 ROLES = (
     Role(
@@ -169,17 +168,14 @@
     ),
     Role(
         "Gateway (digests between hosts)",
-        "pynng, msgspec; 12 hosts a round, each digest with its sender's own loads and evidence",
-        "at 390 hosts a host hears each other one every 13 s: loads and evidence have to go "
-        "through one host a zone, as the summaries of the own interface do",
-        state="the last digest of each host",
-        messages=f"{DIGESTS_PER_S:.0f} digests",
-        bytes_per_s=f"{DIGESTS_PER_S * 285:,.0f} bytes/s with 12 endpoints named",
-        processor=Measured(
-            "gateway", "digest_us_by_endpoints", factor=DIGESTS_PER_S * 1e-6, unit="cores"
-        ),
-        appends=f"1 a start; {LISTING_READS_PER_S + DOCUMENT_READS_PER_S:.0f} reads a second of "
-        "2,000 while each host reads for itself",
+        "pynng, msgspec; two relays a zone add up loads and evidence, found by rendezvous hashing",
+        "the sum over all endpoints, 18 bytes each, that a relay sends to each host of its zone: "
+        "18 KB/s a host at 830 endpoints, which the bench's two endpoints don't show",
+        state="the sum of each zone, the list of all hosts",
+        messages=Measured("peers", "messages_by_hosts", unit="messages/s"),
+        bytes_per_s=Measured("peers", "bytes_by_hosts", unit="bytes/s with two endpoints named"),
+        processor=Measured("peers", "core_by_hosts", unit="cores"),
+        appends=f"1 a start; {READS_PER_S:.1f} reads a second of 2,000 by two readers a zone",
     ),
     Role(
         "Gateway (sessions during a roll-out)",
--- a/standins/peer_fleet.py
+++ b/standins/peer_fleet.py
@@ -85,6 +85,10 @@
         """The virtual time, in seconds."""
         return asyncio.get_running_loop().time()
 
+    def bytes_sent(self) -> list[int]:
+        """Return what each host has sent so far."""
+        return [self._network.ends[host.address].bytes_sent for host in self.hosts]
+
     def find_wrong(self, hosts: list[RolloutHost], living: list[RolloutHost]) -> list[str]:
         """Return what hosts take for alive, and should not, or the other way round."""
         wrong = []
