--- a/features/limits.feature
+++ b/features/limits.feature
@@ -151,6 +151,15 @@
     Then host 1 has begun and holds 0.475 of the limit
     And the parts of all hosts together are at most 1.0
 
+  Scenario: A host whose zone does not answer in time waits for its part
+    # Guards against a host that is ready with next to nothing of a limit, and refuses callers.
+    Given account limits of 2 hosts in one zone for 50 requests a second
+    And both have begun
+    When host 2 hands its parts over and starts anew, and host 1 does not answer it for 5 rounds
+    Then host 2 has not begun
+    When host 1 answers again
+    Then host 2 has begun and holds at least 0.2 of the limit
+
   Scenario: A host that was killed starts again without a part on top
     # Its zone has no other host that could give it a portion, and meanwhile a host
     # of another zone has taken nearly all. It begins with what that one leaves.
--- a/features/steps/limit_starts.py
+++ b/features/steps/limit_starts.py
@@ -28,6 +28,45 @@
     assert clock.hosts[again].has_begun
 
 
+@given("account limits of 2 hosts in one zone for {rate:d} requests a second")
+def step_one_zone(context, rate):
+    context.clock = Clock(Limits(requests_per_second=float(rate)))
+
+
+@given("both have begun")
+def step_both_begun(context):
+    context.clock.begin(SETTLED_ROUNDS + 1)
+    assert all(host.has_begun for host in context.clock.hosts.values())
+
+
+@when(
+    "host {number:d} hands its parts over and starts anew,"
+    " and host {other:d} does not answer it for {rounds:d} rounds"
+)
+def step_unanswered(context, number, other, rounds):
+    asyncio.run(context.clock.hosts[number].hand_over())
+    context.clock.network.paused.add(f"a{other}")
+    context.clock.start(number)
+    context.clock.begin(rounds)
+
+
+@then("host {number:d} has not begun")
+def step_not_begun(context, number):
+    assert not context.clock.hosts[number].has_begun, context.clock.parts()
+
+
+@then("host {number:d} has begun and holds at least {part:f} of the limit")
+def step_at_least(context, number, part):
+    assert context.clock.hosts[number].has_begun
+    assert context.clock.parts()[number - 1] >= part, context.clock.parts()
+
+
+@when("host {number:d} answers again")
+def step_answers(context, number):
+    context.clock.network.paused.discard(f"a{number}")
+    context.clock.begin(1)
+
+
 @given("the hosts have run for {rounds:d} rounds when the account is published")
 def step_published(context, rounds):
     context.clock.unheard = {1, 2}
--- a/poplarrun/limits/_starts.py
+++ b/poplarrun/limits/_starts.py
@@ -67,6 +67,7 @@
     _knows_others: bool = False
     _rounds: int = 0
     _settled: int = 0
+    _is_unanswered: bool = False
     _seen: frozenset[str] = field(default_factory=frozenset)
 
     async def ask(self) -> list[Loan]:
@@ -79,7 +80,9 @@
             return []
         payload = encode_start(StartRequest(len(near) + 1))
         asked = (self.peers.ask(host, START_MESSAGE, payload, ASK_TIMEOUT_S) for host in near)
-        answers = [_decode_answer(answer) for answer in await asyncio.gather(*asked)]
+        payloads = await asyncio.gather(*asked)
+        self._is_unanswered = any(isinstance(payload, PeerSilent) for payload in payloads)
+        answers = [_decode_answer(payload) for payload in payloads]
         if any(answer.has_begun for answer in answers):
             self.has_begun = self._knows_others = True
         return [loan for answer in answers for loan in answer.given]
@@ -91,7 +94,8 @@
         is_settled = seen == self._seen and hears_all(self.peers, other_zones)
         self._settled = self._settled + 1 if is_settled else 0
         self._seen = seen
-        if len(seen) > 1 and self._settled >= SETTLED_ROUNDS:
+        # A host of the zone that does not answer in time may hold all that this one needs.
+        if len(seen) > 1 and self._settled >= SETTLED_ROUNDS and not self._is_unanswered:
             self._knows_others = True
         self.has_begun = self.has_begun or self._knows_others or self._rounds >= MOST_ROUNDS
 
