--- a/features/large_fleets.feature
+++ b/features/large_fleets.feature
@@ -46,6 +46,13 @@
     When the hosts of zone "c" are joined again
     Then within 4.0 s every host takes all others to be alive, and knows what they run
 
+  Scenario: A zone is cut in two
+    # Guards against two parts of a zone, each with relays of its own, that never find each other again.
+    Given 66 hosts in the zones "abc" that each run 3 requests at 2 endpoints
+    When they have talked for 5.0 s
+    And the hosts of zone "a" are cut in two halves for 12.0 s
+    Then within 8.0 s every host takes all others to be alive, and knows what they run
+
   Scenario: Links lose one message in twenty
     Given 66 hosts in the zones "abc" that each run 3 requests at 2 endpoints
     And links that lose 0.05 of the messages
--- a/features/steps/large_fleets.py
+++ b/features/steps/large_fleets.py
@@ -129,6 +129,17 @@
     context.fleet.heal()
 
 
+@when('the hosts of zone "{zone}" are cut in two halves for {seconds:f} s')
+def step_halves(context, zone, seconds):
+    fleet = context.fleet
+    near = [host.address for host in fleet.hosts if host.zone == zone]
+    fleet.cut_apart(near[::2], near[1::2])
+    run(context, asyncio.sleep(seconds))
+    parts = {len(host.peering.book.near(context.loop.time())) for host in fleet.hosts[::3]}
+    assert max(parts) < len(near) - 1, parts
+    fleet.heal()
+
+
 def is_settled(context, hosts):
     fleet = context.fleet
     context.missing += fleet.find_missing(hosts, hosts)
--- a/poplarrun/peers/_book.py
+++ b/poplarrun/peers/_book.py
@@ -25,6 +25,9 @@
 # seconds, while none that is needed is heard.
 PROBES = 12
 PROBE_S = 1.0
+# The same for lost hosts of a relay's own zone, of which it hears others: after a cut through
+# a zone its parts must find each other again.
+LOST_PROBE_S = 4.0
 # Who is alive is looked up anew after so long, or when a host is found, in seconds.
 CENSUS_S = 0.2
 # Pause between two looks for hosts to forget, in seconds.
@@ -351,10 +354,14 @@
         needed = {""}
         if not any(now - peer.heard_at < RELAY_SILENT_S for peer in self.near(now)):
             needed.add(self.zone)
-        if self.is_relay(now):
+        is_relay = self.is_relay(now)
+        if is_relay:
             needed |= census.zones - census.by_zone.keys() - {self.zone}
         unknown = [
-            peer for peer in census.lost if peer.zone in needed and now - peer.told_at >= PROBE_S
+            peer
+            for peer in census.lost
+            if (peer.zone in needed and now - peer.told_at >= PROBE_S)
+            or (is_relay and peer.zone == self.zone and now - peer.told_at >= LOST_PROBE_S)
         ]
         unknown.sort(key=lambda peer: peer.told_at)
         return [Telling(peer, Scope.NONE) for peer in unknown[:PROBES]]
--- a/standins/peer_fleet.py
+++ b/standins/peer_fleet.py
@@ -76,6 +76,10 @@
         """Cut a zone off from all others."""
         self._network.cut([zone], {host.zone for host in self.hosts} - {zone})
 
+    def cut_apart(self, some: list[str], others: list[str]) -> None:
+        """Cut hosts off from others, by their addresses."""
+        self._network.cut(some, others)
+
     def heal(self) -> None:
         """Let everything pass again."""
         self._network.heal()
