--- a/scripts/run_features.py
+++ b/scripts/run_features.py
@@ -66,7 +66,7 @@
     results = [step.get("result", {}) for step in element["steps"]]
     seconds = sum(result.get("duration", 0.0) for result in results)
     passed = bool(results) and all(result.get("status") == "passed" for result in results)
-    return Outcome(f"{feature}: {element['name']}", passed, seconds)
+    return Outcome(f"{feature}: {element['name'].strip()}", passed, seconds)
 
 
 def read_known_red() -> set[str]:
