--- a/features/steps/rollouts.py
+++ b/features/steps/rollouts.py
@@ -38,6 +38,14 @@
     return work, attempt
 
 
+def shift_sessions(context):
+    """Order a roll-out, and let sessions change; return the dispatch."""
+    dispatch = context.dispatch
+    dispatch.rollouts.take_order(RolloutOrder("engines", "v2", 20.0, 7), 101.0)
+    dispatch.rollouts.find("engines").shift(111.5)
+    return dispatch
+
+
 def give_up_silent(dispatch, given_up, until):
     """Give up the silent answers whose time has come, the oldest first."""
     while given_up and given_up[0][0] <= until:
@@ -302,9 +310,7 @@
     " and {silent:d} between them don't come in {patience:f} s"
 )
 def step_silent(context, good, silent, patience):
-    dispatch = context.dispatch
-    dispatch.rollouts.take_order(RolloutOrder("engines", "v2", 20.0, 7), 101.0)
-    dispatch.rollouts.find("engines").shift(111.5)
+    dispatch = shift_sessions(context)
     given_up = []
     for number in range(good):
         sent_at = 113.0 + number / 20.0
@@ -321,9 +327,7 @@
     " and then {silent:d} don't come in {patience:f} s"
 )
 def step_dark(context, good, silent, patience):
-    dispatch = context.dispatch
-    dispatch.rollouts.take_order(RolloutOrder("engines", "v2", 20.0, 7), 101.0)
-    dispatch.rollouts.find("engines").shift(111.5)
+    dispatch = shift_sessions(context)
     for number in range(good):
         sent_at = 113.0 + number / 20.0
         send_to(context, "new", 100 + number, sent_at, sent_at + 0.1)
--- a/standins/peer_fleet.py
+++ b/standins/peer_fleet.py
@@ -95,23 +95,22 @@
 
     def find_wrong(self, hosts: list[RolloutHost], living: list[RolloutHost]) -> list[str]:
         """Return what hosts take for alive, and should not, or the other way round."""
-        wrong = []
-        addresses = {host.address for host in living}
-        for host in hosts:
-            alive = {peer.address for peer in host.peering.book.alive(self.now)}
-            off = alive ^ (addresses - {host.address})
-            wrong += [f"{host.address}: {address}" for address in sorted(off)]
-        return wrong
+        return [
+            f"{host.address}: {address}"
+            for host in hosts
+            for address in sorted(self._alive(host) ^ _others(host, living))
+        ]
 
     def find_missing(self, hosts: list[RolloutHost], living: list[RolloutHost]) -> list[str]:
         """Return living hosts that some take for dead."""
-        missing = []
-        addresses = {host.address for host in living}
-        for host in hosts:
-            alive = {peer.address for peer in host.peering.book.alive(self.now)}
-            off = addresses - {host.address} - alive
-            missing += [f"{host.address}: {address}" for address in sorted(off)]
-        return missing
+        return [
+            f"{host.address}: {address}"
+            for host in hosts
+            for address in sorted(_others(host, living) - self._alive(host))
+        ]
+
+    def _alive(self, host: RolloutHost) -> set[str]:
+        return {peer.address for peer in host.peering.book.alive(self.now)}
 
     def find_wrong_sums(self) -> list[str]:
         """Return the hosts that don't know what the others run."""
@@ -151,3 +150,7 @@
         self.messages += 1
         self.far_messages += sender.zone != address[0]
         self._carry(sender, address, data)
+
+
+def _others(host: RolloutHost, living: list[RolloutHost]) -> set[str]:
+    return {each.address for each in living} - {host.address}
