--- /dev/null
+++ b/features/reachability.feature
@@ -0,0 +1,35 @@
+Feature: Endpoints that nobody reaches
+
+  Scenario Outline: What some hosts failed to reach is known to all hosts of their zone
+    # Load: a zone of endpoints goes dark at once, and each host would try each of them itself.
+    Given <hosts> hosts in the zones "abc" that know each other
+    When two hosts of the zone "a" fail to reach "v1-1"
+    Then within <seconds> s all hosts of the zone "a" avoid "v1-1"
+    When those hosts reach "v1-1" again
+    Then after 5.0 s no host avoids an endpoint
+
+    Examples:
+      | hosts | seconds |
+      | 6     | 0.7     |
+      | 79    | 0.7     |
+      | 390   | 0.7     |
+
+  Scenario: A host that is cut off itself convinces nobody
+    Given 79 hosts in the zones "abc" that know each other
+    When one host of the zone "a" fails to reach all endpoints
+    Then after 2.0 s no host avoids an endpoint
+
+  Scenario: An endpoint that fails a few of its requests is not avoided
+    Given 79 hosts in the zones "abc" that know each other
+    When two hosts of the zone "a" fail to reach "v1-1" and five reach it
+    Then after 2.0 s no host avoids an endpoint
+
+  Scenario: The second try leaves a zone whose endpoints went dark together
+    Given a placement of 4 engines in each of the zones "a, b, c"
+    When the endpoints of "a" stop answering and a request finds one of them dead
+    Then its second try goes to another zone
+
+  Scenario: The second try stays in a zone where only one endpoint went dark
+    Given a placement of 4 engines in each of the zones "a, b, c"
+    When the others of "a" keep answering and a request finds one of them dead
+    Then its second try goes to the zone "a"
--- a/features/steps/gateway_parts.py
+++ b/features/steps/gateway_parts.py
@@ -8,6 +8,7 @@
 
 from behave import given, then, when
 
+from features.steps.gateway_world import make_placement
 from poplarrun.dispatch import ConfigView
 from poplarrun.gateway._capacity import compute_capacity
 from poplarrun.gateway._event_stream import EventParser
@@ -120,7 +121,7 @@
     context.store = SilentOnceStore(silent=2)
     reader = SharedReader(DOCUMENTS, PeerTable("10.0.0.1:1", "a"))
     context.follower = DocumentFollower(
-        context.store, ConfigView(), Rollouts(), lambda: None, reader
+        context.store, ConfigView(), Rollouts(), lambda: None, reader, make_placement(1)
     )
 
 
--- /dev/null
+++ b/features/steps/reachability.py
@@ -0,0 +1,127 @@
+import asyncio
+import random
+
+from behave import given, then, when
+
+from features.steps.evacuation import check_within
+from features.steps.gateway_world import (
+    ENGINES,
+    make_catalogue,
+    make_endpoint_record,
+    make_request,
+    make_work,
+)
+from poplarrun.dispatch import ConfigView, Dispatcher, NoConnection
+from poplarrun.placement import Placement
+from poplarrun.rollouts import Rollouts
+from poplarrun.sizes import SizePolicy
+
+
+def record_outcomes(context, zone, hosts, instance_ids, was_reached, skipped=0):
+    async def record():
+        found = [host for host in context.fleet.hosts if host.zone == zone]
+        for host in found[skipped : skipped + hosts]:
+            endpoints = host.placement.endpoints()
+            ids = instance_ids or [endpoint.record.instance_id for endpoint in endpoints]
+            for instance_id in ids:
+                reachability = host.dispatch.reachability
+                reachability.record_outcome(instance_id, was_reached, context.fleet.now)
+
+    context.loop.run_until_complete(record())
+
+
+@when('two hosts of the zone "{zone}" fail to reach "{instance_id}"')
+def step_two_fail(context, zone, instance_id):
+    record_outcomes(context, zone, 2, [instance_id], False)
+
+
+@when('two hosts of the zone "{zone}" fail to reach "{instance_id}" and five reach it')
+def step_two_of_seven_fail(context, zone, instance_id):
+    record_outcomes(context, zone, 2, [instance_id], False)
+    record_outcomes(context, zone, 5, [instance_id], True, skipped=2)
+
+
+@when('those hosts reach "{instance_id}" again')
+def step_reach_again(context, instance_id):
+    record_outcomes(context, "a", 2, [instance_id], True)
+
+
+@when('one host of the zone "{zone}" fails to reach all endpoints')
+def step_one_fails(context, zone):
+    record_outcomes(context, zone, 1, [], False)
+
+
+def avoided(host):
+    return {
+        endpoint.record.instance_id
+        for endpoint in host.placement.endpoints()
+        if endpoint.is_unreached_by_others
+    }
+
+
+@then('within {seconds:f} s all hosts of the zone "{zone}" avoid "{instance_id}"')
+def step_all_avoid(context, seconds, zone, instance_id):
+    check_within(
+        context,
+        seconds,
+        lambda hosts: all(avoided(host) == {instance_id} for host in hosts if host.zone == zone),
+    )
+
+
+@then("after {seconds:f} s no host avoids an endpoint")
+def step_none_avoided(context, seconds):
+    context.loop.run_until_complete(asyncio.sleep(seconds))
+    assert not any(avoided(host) for host in context.fleet.hosts)
+
+
+@given('a placement of {count:d} engines in each of the zones "{zones}"')
+def step_engines_in_zones(context, count, zones):
+    context.placement = Placement("a", random.Random(3))
+    context.placement.update_endpoints(
+        [
+            make_endpoint_record(f"{zone}{number}", zone=zone)
+            for zone in zones.split(", ")
+            for number in range(count)
+        ]
+    )
+    view = ConfigView()
+    view.apply_catalogue(make_catalogue())
+    view.confirm(100.0)
+    context.dispatcher = Dispatcher(
+        view, context.placement, Rollouts(), SizePolicy(), 0.8, 10.0, 10.0
+    )
+
+
+def fail_first_try(context):
+    context.work = context.dispatcher.admit(make_request(), 100.0)
+    decision = context.dispatcher.choose_endpoint(context.work, 100.0)
+    endpoint = decision.estimate.endpoint
+    assert endpoint.record.zone == "a", "the own zone comes first"
+    failure = NoConnection("timeout")
+    assert context.dispatcher.handle_failure(context.work, endpoint, None, failure, 100.4) is None
+
+
+@when('the endpoints of "a" stop answering and a request finds one of them dead')
+def step_zone_dark(context):
+    fail_first_try(context)
+
+
+@when('the others of "a" keep answering and a request finds one of them dead')
+def step_one_dark(context):
+    for endpoint in context.placement.endpoints():
+        endpoint.last_response_at = 100.2
+    fail_first_try(context)
+
+
+@then("its second try goes to another zone")
+def step_other_zone(context):
+    decision = context.dispatcher.choose_endpoint(context.work, 100.4)
+    assert decision.estimate.endpoint.record.zone != "a", decision
+
+
+@then('its second try goes to the zone "{zone}"')
+def step_same_zone(context, zone):
+    decision = context.dispatcher.choose_endpoint(context.work, 100.4)
+    assert decision.estimate.endpoint.record.zone == zone, decision
+    estimate = context.placement.choose(make_work(), ENGINES, 100.4, "small")
+    assert estimate is not None
--- /dev/null
+++ b/features/steps/warm_up.py
@@ -0,0 +1,175 @@
+import json
+import random
+
+from behave import given, then, when
+
+from features.steps.gateway_world import make_catalogue, make_endpoint_record, make_request
+from poplarrun.dispatch import ConfigView, Dispatcher, NoConnection, SaidNotRun
+from poplarrun.errors import NotRun, Refusal, response_for
+from poplarrun.placement import Placement, ZoneHosts
+from poplarrun.platform import MalformedDocument, decode_catalogue
+from poplarrun.rollouts import Rollouts
+from poplarrun.routing import Service, WarmUpLimit
+from poplarrun.sizes import SizePolicy
+from standins.warm_up_fleet import WarmUpFleet
+
+LIMIT = WarmUpLimit(2.0, 3.0)
+
+
+@given("{hosts:d} hosts in 3 zones, and an endpoint that tolerates {rate:f} requests a second")
+def step_warm_up_hosts(context, hosts, rate):
+    context.fleet = WarmUpFleet(hosts, WarmUpLimit(rate, 3.0))
+
+
+@when("the hosts {state}")
+def step_hosts_state(context, state):
+    fleet = context.fleet
+    match state:
+        case "all hear each other":
+            fleet.connect()
+        case "are cut into zones":
+            fleet.cut_into([[host for host in fleet.hosts if host[0] == zone] for zone in "abc"])
+        case "are cut into two halves":
+            fleet.cut_into([fleet.hosts[::2], fleet.hosts[1::2]])
+        case "are cut off one by one, a third of them":
+            alone = fleet.hosts[::3]
+            rest = [host for host in fleet.hosts if host not in alone]
+            fleet.cut_into([rest, *([host] for host in alone)])
+        case "lose a fifth of them":
+            fleet.kill(fleet.hosts[::5])
+        case "are all suspended for a second, then resumed":
+            fleet.connect()
+            fleet.suspend(1.0, 2.0)
+        case "start, and don't know the others yet":
+            pass
+        case _:
+            raise AssertionError(state)
+    context.sends = fleet.send_whenever_allowed(4.0)
+
+
+@then("they send at most {most:d} requests in any second")
+def step_at_most(context, most):
+    sends = context.sends
+    for start in sends:
+        count = sum(start <= at < start + 1.0 for at in sends)
+        assert count <= most, (start, count)
+
+
+@then("those of the endpoint's zone send at least {least:f} in each second")
+def step_at_least(context, least):
+    for second in range(4):
+        count = sum(second <= at < second + 1.0 for at in context.sends)
+        assert count >= least, (second, count)
+
+
+@given("a dispatcher whose host may send {quota:d} requests a second to an endpoint that warms up")
+def step_warm_up_dispatcher(context, quota):
+    service = Service("engines", 100, 8, 400_000, warm_up=LIMIT)
+    catalogue = make_catalogue()
+    catalogue.services["engines"] = service
+    view = ConfigView()
+    view.apply_catalogue(catalogue)
+    view.confirm(100.0)
+    placement = Placement("a", random.Random(3))
+    placement.warm_up_shares.update_hosts("h1", {"a": ZoneHosts(("h1",), frozenset(("h1",)))})
+    assert placement.warm_up_shares.quota("e1", "a", LIMIT) == quota
+    placement.update_endpoints([make_endpoint_record("e1")], 90.0)
+    context.placement = placement
+    context.dispatcher = Dispatcher(view, placement, Rollouts(), SizePolicy(), 0.8, 100.0, 10.0)
+
+
+def send(context, number, at):
+    """Send one request and have it answered; return the refusal if it is refused."""
+    work = context.dispatcher.admit(make_request(number=number), at)
+    decision = context.dispatcher.choose_endpoint(work, at)
+    if isinstance(decision, Refusal):
+        return decision
+    assert context.dispatcher.may_send(work, decision.estimate.endpoint, at)
+    attempt = context.dispatcher.record_sent(work, decision, at)
+    context.dispatcher.record_first_event(work, attempt, at)
+    context.dispatcher.record_completed(work, attempt, at)
+    return None
+
+
+@when("the only endpoint {event}")
+def step_endpoint_event(context, event):
+    placement, endpoint = context.placement, context.placement.find("e1")
+    match event:
+        case "says that it warms up for 3.0 s":
+            placement.update_endpoints([make_record(sequence=2, warm_up_s=3.0)], 100.0)
+        case "is restarted, which its record says":
+            placement.update_endpoints([make_record(started_ms=2, warm_up_s=3.0)], 100.0)
+        case "is back after an attempt got no connection":
+            work = context.dispatcher.admit(make_request(number=99), 97.0)
+            failure = NoConnection("refused")
+            context.dispatcher.handle_failure(work, endpoint, None, failure, 97.0)
+            endpoint.paused_until = 98.0
+            assert send(context, 98, 98.5) is None
+        case "is back after the other hosts did not reach it":
+            placement.update_unreached({"e1"}, 98.0)
+            placement.update_unreached(set(), 100.0)
+        case "is in a zone that is taken back from an evacuation":
+            placement.update_evacuated(frozenset("a"), 98.0)
+            placement.update_evacuated(frozenset(), 100.0)
+        case "rejects a request as full":
+            work = context.dispatcher.admit(make_request(number=99), 99.0)
+            decision = context.dispatcher.choose_endpoint(work, 99.0)
+            attempt = context.dispatcher.record_sent(work, decision, 99.0)
+            failure = SaidNotRun(503)
+            context.dispatcher.handle_failure(work, endpoint, attempt, failure, 99.0)
+        case _:
+            raise AssertionError(event)
+
+
+def make_record(sequence=1, started_ms=1, warm_up_s=0.0):
+    record = make_endpoint_record("e1", sequence=sequence, started_ms=started_ms)
+    return type(record)(
+        *(getattr(record, name) for name in record.__slots__[:7]), warm_up_s, started_ms, sequence
+    )
+
+
+@then(
+    "{sent:d} of {count:d} requests within a second are sent there, "
+    "and {refused:d} refused as not run"
+)
+def step_sent_and_refused(context, sent, count, refused):
+    outcomes = [send(context, number, 100.0 + number * 0.09) for number in range(count)]
+    refusals = [outcome for outcome in outcomes if outcome is not None]
+    assert (count - len(refusals), len(refusals)) == (sent, refused), outcomes
+    assert all(response_for(refusal.kind).not_run is NotRun.YES for refusal in refusals)
+
+
+@then("{later:f} s later {sent:d} of {count:d} requests are sent there")
+def step_sent_later(context, later, sent, count):
+    outcomes = [send(context, 50 + number, 100.0 + later) for number in range(count)]
+    assert outcomes.count(None) == sent, outcomes
+
+
+def decode_service(fields):
+    service = {"name": "engines", "engine": {"slots": 4, "kvCapacity": 10}, **fields}
+    document = {"version": 1, "routes": [], "services": [service]}
+    return decode_catalogue(json.dumps(document).encode()).services["engines"]
+
+
+@then(
+    "a service with coldStartS {duration:f} and coldPerS {rate:f} tolerates "
+    "{same_rate:f} a second for {same_duration:f} s"
+)
+def step_decoded_limit(context, duration, rate, same_rate, same_duration):
+    warm_up = decode_service({"coldStartS": duration, "coldPerS": rate}).warm_up
+    assert (warm_up.rate_per_s, warm_up.duration_s) == (same_rate, same_duration), warm_up
+
+
+@then("a service without them tolerates any number")
+def step_no_limit(context):
+    assert decode_service({}).warm_up.rate_per_s == 0.0
+
+
+@then('a service with coldPerS {rate:d} is ignored because of "{field}"')
+def step_bad_rate(context, rate, field):
+    try:
+        decode_service({"coldPerS": rate})
+    except MalformedDocument as error:
+        assert field in str(error), error
+    else:
+        raise AssertionError("decoded")
--- a/poplarrun/dispatch/__init__.py
+++ b/poplarrun/dispatch/__init__.py
@@ -11,6 +11,7 @@
     NoConnection,
     SaidNotRun,
     TookTooLong,
+    Withheld,
     failure_label,
     may_have_run,
 )
@@ -28,6 +29,7 @@
     "SaidNotRun",
     "SendDecision",
     "TookTooLong",
+    "Withheld",
     "event_gap_timeout_s",
     "failure_label",
     "first_event_timeout_s",
--- a/poplarrun/dispatch/_dispatcher.py
+++ b/poplarrun/dispatch/_dispatcher.py
@@ -10,14 +10,16 @@
 from poplarrun.dispatch._failures import (
     AnswerFailed,
     Attempt,
+    ConnectionBroke,
     Failure,
     NoConnection,
     SaidNotRun,
     TookTooLong,
+    Withheld,
     may_have_run,
 )
 from poplarrun.errors import ErrorKind, Refusal
-from poplarrun.placement import EndpointEstimate, EndpointState, Placement
+from poplarrun.placement import EndpointEstimate, EndpointState, Placement, Reachability
 from poplarrun.retries import WindowedRetryBudget
 from poplarrun.rollouts import UNDER_LOAD, AnswerTimes, Rollouts, VersionChoice, VersionReason
 from poplarrun.routing import InFlightRequest, RepeatPolicy, Request, Service
@@ -46,6 +48,8 @@
 # Last fraction of the wait for a silent answer. An endpoint that answered other requests
 # within it was up when this answer was due.
 RESPONSIVE_WINDOW_FRACTION = 2.0 / 3.0
+# An endpoint of a zone that answered this shortly before another one there failed is still up.
+ZONE_ANSWER_WINDOW_S = 0.5
 # Urgency that an endpoint is given for the highest rank; each lower rank adds one.
 HIGHEST_RANK_URGENCY = 2
 
@@ -98,6 +102,7 @@
         self.retry_ratio = retry_ratio
         self.retry_allowance = retry_allowance
         self.retry_window_s = retry_window_s
+        self.reachability = Reachability()
         self._budgets: dict[str, WindowedRetryBudget] = {}
         self._open_attempts: dict[Attempt, InFlightRequest] = {}
 
@@ -193,9 +198,18 @@
             )
             reason = VersionReason.NONE_LEFT
         if estimate is None:
-            return self._refuse_in_flight(work, ErrorKind.NO_ENDPOINT, "no endpoint is listed")
+            text = self._explain_none(service)
+            return self._refuse_in_flight(work, ErrorKind.NO_ENDPOINT, text)
         return SendDecision(estimate, size, self._compute_urgency(work), reason)
 
+    def may_send(self, work: InFlightRequest, endpoint: EndpointState, now: float) -> bool:
+        """Return whether a chosen endpoint may still get the request.
+
+        Called immediately before the send, like ``recheck``.
+        """
+        service = self._find_service(work)
+        return service is not None and self.placement.may_send(endpoint, service, now)
+
     def record_sent(self, work: InFlightRequest, send: SendDecision, now: float) -> Attempt:
         """Record that the request's bytes were handed to the socket."""
         endpoint = send.estimate.endpoint
@@ -206,6 +220,7 @@
         work.tried_endpoints.add(endpoint.record.instance_id)
         work.session_version = endpoint.record.version
         endpoint.in_flight += 1
+        endpoint.record_send(now)
         endpoint.pending_prefill_s += send.estimate.prefill_s
         if send.size is not None:
             endpoint.record_prompt(send.size, work.request.prompt_parts, now)
@@ -253,7 +268,7 @@
         """Record the arrival of the first event, or of a plain service's answer."""
         attempt.first_event_at = now
         estimate = attempt.estimate
-        estimate.endpoint.last_response_at = now
+        self._record_reached(estimate.endpoint, now)
         estimate.endpoint.pending_prefill_s = max(
             0.0, estimate.endpoint.pending_prefill_s - estimate.prefill_s
         )
@@ -295,13 +310,17 @@
             case SaidNotRun(is_other_lifetime=True):
                 endpoint.record_failure(now)
             case SaidNotRun():
+                self._record_reached(endpoint, now)
                 endpoint.record_overloaded(now)
+            case Withheld():
+                work.connect_failures += 1
             case AnswerFailed():
                 if attempt is not None:
                     self._record_evidence(work, attempt, True, AnswerTimes())
             case NoConnection():
                 work.connect_failures += 1
                 work.tried_endpoints.add(endpoint.record.instance_id)
+                self._record_unreached(work, endpoint, now)
                 endpoint.record_failure(now)
             case TookTooLong(waited_s) if attempt is not None and _was_responsive(
                 endpoint, waited_s, now
@@ -311,6 +330,8 @@
             case _:
                 if attempt is not None:
                     self._record_broken(work, attempt)
+                if _is_unreached(work, attempt, failure):
+                    self._record_unreached(work, endpoint, now)
                 endpoint.record_failure(now)
         if may_have_run(failure):
             work.possible_runs += 1
@@ -318,6 +339,15 @@
             work.may_have_run = True
         return self._check_retry(work, failure, now)
 
+    def _record_reached(self, endpoint: EndpointState, now: float) -> None:
+        endpoint.record_reached(now)
+        self.reachability.record_outcome(endpoint.record.instance_id, True, now)
+
+    def _record_unreached(self, work: InFlightRequest, endpoint: EndpointState, now: float) -> None:
+        endpoint.record_unreached(now)
+        self.reachability.record_outcome(endpoint.record.instance_id, False, now)
+        work.failed_zones[endpoint.record.zone] = now - ZONE_ANSWER_WINDOW_S
+
     def _check_retry(self, work: InFlightRequest, failure: Failure, now: float) -> Refusal | None:
         kind = ErrorKind.ENDPOINT_FAILED if work.may_have_run else ErrorKind.NO_ENDPOINT
         if may_have_run(failure) and not work.route.can_repeat:
@@ -335,6 +365,16 @@
             return self._refuse_in_flight(work, ErrorKind.NO_ENDPOINT, "too many second sends")
         return None
 
+    def _explain_none(self, service: Service) -> str:
+        """Return why no endpoint of a service may get a request."""
+        zones = {endpoint.record.zone for endpoint in self.placement.endpoints(service.name)}
+        if not zones:
+            return "no endpoint is listed"
+        evacuated = sorted(zones & self.placement.evacuated_zones)
+        if len(evacuated) == len(zones):
+            return f"evacuated zones: {', '.join(evacuated)}"
+        return "all endpoints are leaving, evacuated or warming up"
+
     def _find_service(self, work: InFlightRequest) -> Service | None:
         catalogue = self.config_view.catalogue
         return None if catalogue is None else catalogue.services.get(work.service)
@@ -427,6 +467,23 @@
     return f"{work.route.name}/{attempt.size or ''}"
 
 
+def _is_unreached(work: InFlightRequest, attempt: Attempt | None, failure: Failure) -> bool:
+    """Return whether a failed attempt is evidence that its endpoint is down.
+
+    A plain service that is overloaded takes too long as well, and so does one that answered some
+    of the request.
+    """
+    if attempt is None or attempt.first_event_at is not None:
+        return False
+    match failure:
+        case ConnectionBroke():
+            return True
+        case TookTooLong():
+            return work.route.repeat_policy is RepeatPolicy.STREAM
+        case _:
+            return False
+
+
 def _was_responsive(endpoint: EndpointState, waited_s: float, now: float) -> bool:
     """Return whether an endpoint answered other requests late in the wait for this one."""
     return now - endpoint.last_response_at < RESPONSIVE_WINDOW_FRACTION * waited_s
--- a/poplarrun/dispatch/_failures.py
+++ b/poplarrun/dispatch/_failures.py
@@ -61,17 +61,30 @@
     waited_s: float
 
 
-Failure = NoConnection | SaidNotRun | AnswerFailed | ConnectionBroke | Garbled | TookTooLong
+@dataclass(frozen=True, slots=True)
+class Withheld:
+    """The endpoint may not get the request any more; no byte left this host.
+
+    While the request waited for a connection, the endpoint's zone was evacuated, or another request
+    used the last of this host's share of its rate.
+    """
+
+
+Failure = (
+    Withheld | NoConnection | SaidNotRun | AnswerFailed | ConnectionBroke | Garbled | TookTooLong
+)
 
 
 def may_have_run(failure: Failure) -> bool:
     """Return whether the endpoint may have started to execute the request."""
-    return not isinstance(failure, NoConnection | SaidNotRun)
+    return not isinstance(failure, Withheld | NoConnection | SaidNotRun)
 
 
 def failure_label(failure: Failure) -> str:
     """Return the metric label of a failure."""
     match failure:
+        case Withheld():
+            return "withheld"
         case NoConnection():
             return "no_connection"
         case SaidNotRun(is_other_lifetime=True):
--- a/poplarrun/gateway/_followers.py
+++ b/poplarrun/gateway/_followers.py
@@ -6,6 +6,7 @@
 from dataclasses import dataclass
 
 from poplarrun.dispatch import ConfigView
+from poplarrun.evacuations import Evacuations, ZoneOrder
 from poplarrun.gateway._reading import SharedReader
 from poplarrun.logging import events, write_event
 from poplarrun.peers import DEFAULT_READ_TIMEOUTS
@@ -13,6 +14,7 @@
 from poplarrun.platform import (
     CONFIG_KEY,
     ENDPOINT_TOPIC,
+    EVACUATION_PREFIX,
     OPERATOR_TOPIC,
     ROLLOUT_PREFIX,
     STATUS_TOPIC,
@@ -26,10 +28,12 @@
     StoreClient,
     decode_catalogue,
     decode_endpoint_record,
+    decode_evacuation,
     decode_order,
     decode_status,
 )
 from poplarrun.rollouts import Rollouts
+from poplarrun.routing import NO_WARM_UP_LIMIT, WarmUpLimit
 from poplarrun.transport import seconds_since_boot
 
 # Pause after a read of the list of endpoints, since many may change one after the other.
@@ -125,8 +129,13 @@
         rollouts: Rollouts,
         on_change: Callable[[], None],
         reader: SharedReader,
+        placement: Placement,
+        warm_up_bounds: WarmUpLimit = NO_WARM_UP_LIMIT,
     ) -> None:
         self.offset: int | None = None
+        self.evacuations = Evacuations()
+        self.warm_up_bounds = warm_up_bounds
+        self._placement = placement
         self.raw_config = b""
         self.reader = reader
         self.publish_proof: Callable[[], None] = _publish_nothing
@@ -151,6 +160,7 @@
         match answer:
             case LatestRecords(entries=entries, end_offset=end, confirmed_at=confirmed_at):
                 self._apply_entries(entries, now)
+                self._lift_unlisted_evacuations(entries, end, now)
                 self.offset = end
             case Records(entries=entries, end_offset=end, confirmed_at=confirmed_at):
                 self._apply_entries(entries, now)
@@ -188,22 +198,51 @@
             self._apply_entry(entry, now)
 
     def _apply_entry(self, entry: Entry, now: float) -> None:
-        if entry.value is None:
-            return
         try:
-            if entry.key == CONFIG_KEY:
+            if entry.key.startswith(EVACUATION_PREFIX):
+                order = decode_evacuation(entry.key, entry.value, entry.offset)
+                self.apply_evacuation(order, "store", now)
+            elif entry.value is None:
+                return
+            elif entry.key == CONFIG_KEY:
                 self.apply_config(entry.value)
             elif entry.key.startswith(ROLLOUT_PREFIX):
-                order = decode_order(entry.value, entry.offset)
-                if self._rollouts.apply_order(order, now):
+                rollout = decode_order(entry.value, entry.offset)
+                if self._rollouts.apply_order(rollout, now):
                     write_event(
                         events.RolloutOrdered(
-                            order.service, order.target, order.duration_s, "store", 0.0
+                            rollout.service, rollout.target, rollout.duration_s, "store", 0.0
                         )
                     )
         except MalformedDocument as error:
             write_event(events.DocumentIgnored(entry.key, str(error)))
 
+    def _lift_unlisted_evacuations(
+        self, entries: tuple[Entry, ...], end_offset: int, now: float
+    ) -> None:
+        listed = {
+            entry.key.removeprefix(EVACUATION_PREFIX)
+            for entry in entries
+            if entry.key.startswith(EVACUATION_PREFIX)
+        }
+        for order in self.evacuations.apply_listing(listed, end_offset, now):
+            self._use_evacuation(order, "store", now)
+
+    def apply_evacuation(self, order: ZoneOrder, source: str, now: float) -> None:
+        """Apply an order to evacuate a zone, or that lifts it.
+
+        Parameters
+        ----------
+        source : str
+            Where it was read: the store, or the address of a peer.
+        """
+        if self.evacuations.apply(order, now):
+            self._use_evacuation(order, source, now)
+
+    def _use_evacuation(self, order: ZoneOrder, source: str, now: float) -> None:
+        self._placement.update_evacuated(self.evacuations.zones, now)
+        write_event(events.ZoneEvacuated(order.zone, order.is_evacuated, order.offset, source))
+
     def apply_config(self, value: bytes, source: str = "store") -> None:
         """Apply a configuration document.
 
@@ -212,7 +251,7 @@
         MalformedDocument
             If it can't be decoded.
         """
-        catalogue = decode_catalogue(value)
+        catalogue = decode_catalogue(value, self.warm_up_bounds)
         if self._config_view.apply_catalogue(catalogue):
             self.raw_config = value
             write_event(events.ConfigInForce(catalogue.version, source))
@@ -274,7 +313,7 @@
         self.reader.has_failed = False
         self._record_answer(now)
         self.confirmed_at = max(self.confirmed_at, confirmed_at)
-        self._placement.update_endpoints(self._directory.records())
+        self._placement.update_endpoints(self._directory.records(), now)
         return True
 
     def _apply_records(self, entries: tuple[Entry, ...], now: float) -> None:
@@ -323,7 +362,7 @@
         for entry in new_entries:
             self._apply_entry(entry, now, is_lapse)
         self._directory.next_offset = new_entries[-1].offset + 1
-        self._placement.update_endpoints(self._directory.records())
+        self._placement.update_endpoints(self._directory.records(), now)
 
     def apply_peer_listing(self) -> None:
         """Use the endpoints that a peer sent.
@@ -331,7 +370,7 @@
         The read offset stays, so that this host reads the peer's records again.
         """
         self.is_usable = True
-        self._placement.update_endpoints(self._directory.records())
+        self._placement.update_endpoints(self._directory.records(), seconds_since_boot())
 
     async def _read(self) -> LatestRecords | Records | OffsetExpired | Refused | NoAnswer:
         if not self.has_read_store:
@@ -389,7 +428,7 @@
         gone = self._directory.expire(now, grace_s)
         if gone:
             write_event(events.EndpointsGone(gone, "lapsed"))
-            self._placement.update_endpoints(self._directory.records())
+            self._placement.update_endpoints(self._directory.records(), now)
 
 
 class StatusFollower:
--- a/poplarrun/gateway/_forwarder.py
+++ b/poplarrun/gateway/_forwarder.py
@@ -14,6 +14,7 @@
     SaidNotRun,
     SendDecision,
     TookTooLong,
+    Withheld,
     event_gap_timeout_s,
     first_event_timeout_s,
 )
@@ -184,6 +185,8 @@
         refusal = self._dispatcher.recheck(work, now)
         if refusal is not None:
             raise RefusedError(refusal)
+        if not self._dispatcher.may_send(work, decision.estimate.endpoint, now):
+            raise AttemptError(Withheld())
         instance_id = decision.estimate.endpoint.record.instance_id
         is_resumed, work.model_size = work.last_event_id is not None, decision.size
         headers = encode_request_headers(work, instance_id, work.remaining_s(now), decision.urgency)
--- a/poplarrun/gateway/_host.py
+++ b/poplarrun/gateway/_host.py
@@ -31,7 +31,7 @@
     load_node_settings,
 )
 from poplarrun.rollouts import Rollouts
-from poplarrun.routing import InFlightRequest, Request
+from poplarrun.routing import InFlightRequest, Request, WarmUpLimit
 from poplarrun.sizes import SizePolicy
 from poplarrun.transport import (
     CallerConnection,
@@ -63,6 +63,12 @@
     return max(1.0, RETRY_FRACTION * total / max(MIN_HOSTS, peers + 1))
 
 
+def _warm_up_bounds(settings: NodeSettings) -> WarmUpLimit:
+    return WarmUpLimit(
+        rate_factor=settings.warm_up_rate_factor, allowance=settings.warm_up_allowance
+    )
+
+
 class GatewayHost:
     """A host that forwards callers' requests and follows the store.
 
@@ -106,6 +112,8 @@
             self._rollouts,
             self._apply_limits,
             SharedReader(DOCUMENTS, peer_table, timeouts),
+            self._placement,
+            _warm_up_bounds(settings),
         )
         self._listings = ListingFollower(
             self._store,
@@ -123,6 +131,7 @@
             self._directory,
             self._placement,
             self._rollouts,
+            self._dispatcher.reachability,
         )
         self._rollout_controller = RolloutController(
             self._store,
@@ -298,6 +307,7 @@
         self._config_view.revocation_limit_s = loaded.revocation_limit_s
         self._rollouts.session_timeout_s = loaded.session_timeout_s
         self._rollouts.exposure_limit = loaded.max_exposure_fraction
+        self._documents.warm_up_bounds = _warm_up_bounds(loaded)
         self._capacity = compute_capacity(loaded.memory_mb, loaded.max_sockets)
         self._callers.max_connections = self._capacity.max_caller_connections
         self._store.address = loaded.store_address
--- a/poplarrun/gateway/_peering.py
+++ b/poplarrun/gateway/_peering.py
@@ -7,8 +7,10 @@
 import msgspec
 
 from poplarrun.dispatch import ConfigView
+from poplarrun.evacuations import ZoneOrder
 from poplarrun.gateway._activity import ActivityExchange, RolloutState
 from poplarrun.gateway._followers import DocumentFollower, ListingFollower
+from poplarrun.gateway._reachability import ReachabilityExchange
 from poplarrun.gateway._sessions import SessionLookup
 from poplarrun.links import Links
 from poplarrun.logging import events, write_event
@@ -30,11 +32,12 @@
     SessionQuery,
     StateRequest,
     StateResponse,
+    ZoneEvacuation,
     decode_message,
     encode_message,
     encode_totals,
 )
-from poplarrun.placement import EndpointDirectory, EndpointRecord, Placement
+from poplarrun.placement import EndpointDirectory, EndpointRecord, Placement, Reachability
 from poplarrun.platform import (
     HOST_TOPIC,
     Appended,
@@ -60,6 +63,9 @@
 # A starting host waits at most this long for the first digest, since all other hosts may be dead
 # or cut off.
 FIRST_DIGEST_TIMEOUT_S = 1.0
+# A starting host knows the other hosts after this time, and shares the rates of endpoints that warm
+# up with them from then on.
+HOSTS_KNOWN_AFTER_S = 4.0
 # If a peer has had a newer configuration for this long, and this host could not read it from the
 # store, it requests it from the peer.
 CONFIG_READ_GRACE_S = 0.3
@@ -74,6 +80,7 @@
 # A registered host counts as gone if nothing was heard from it for this long since its address was
 # first read; longer than a zone is usually cut off.
 GONE_TIMEOUT_S = 120.0
+MILLISECONDS_PER_S = 1000.0
 # Job of the host that removes the addresses of such hosts from the store.
 ADDRESS_CLEANUP_JOB = "addresses"
 
@@ -92,6 +99,7 @@
         directory: EndpointDirectory,
         placement: Placement,
         rollouts: Rollouts,
+        reachability: Reachability,
     ) -> None:
         self.peer_table = peer_table
         self._links = links
@@ -103,6 +111,8 @@
         self._placement = placement
         self._rollouts = rollouts
         self._rosters = Rosters(peer_table)
+        self._reachability = ReachabilityExchange(peer_table, placement, reachability)
+        self._reachability_changed_at = float("-inf")
         self._activity = ActivityExchange(peer_table.zone, placement, rollouts)
         self.sessions = SessionLookup(peer_table, links, rollouts)
         self._started_at = float("inf")
@@ -219,8 +229,15 @@
         zone_interval_s = ROLLOUT_ZONE_INTERVAL_S if active else ZONE_INTERVAL_S
         self._update_rollout_states(now)
         self._rosters.expire(now)
+        if self._reachability.update_placement(now):
+            self._reachability_changed_at = now
         due = self.peer_table.due_digests(
-            now, REPORT_INTERVAL_S, zone_interval_s, FLEET_INTERVAL_S, self._rollouts_changed_at
+            now,
+            REPORT_INTERVAL_S,
+            zone_interval_s,
+            FLEET_INTERVAL_S,
+            self._rollouts_changed_at,
+            self._reachability_changed_at,
         )
         if due:
             self._send_digests(due, now)
@@ -251,7 +268,12 @@
                 is_report = due.scope is Scope.HOST
                 fingerprints = [] if is_report else self._rosters.fingerprints(is_other_zone, now)
                 digests[key] = msgspec.structs.replace(
-                    template, scope=due.scope, totals=totals, roster_fingerprints=fingerprints
+                    template,
+                    scope=due.scope,
+                    totals=totals,
+                    roster_fingerprints=fingerprints,
+                    reach=self._reachability.reach(now) if is_report else [],
+                    unreached=self._reachability.unreached(due.scope, now),
                 )
             if due.scope is Scope.HOST:
                 self._activity.record_sent(own, now)
@@ -272,6 +294,8 @@
 
     def _update_alive(self, now: float) -> None:
         self._placement.silent_zones = self.peer_table.silent_zones(now)
+        if now - self._started_at >= HOSTS_KNOWN_AFTER_S:
+            self._reachability.update_hosts(now)
         alive = {peer.address for peer in self.peer_table.alive_peers(now)}
         if alive != self._alive_addresses:
             lost = sorted(self._alive_addresses - alive)
@@ -295,6 +319,10 @@
             listing_end_offset=self._directory.next_offset if self._listings.has_read_store else -1,
             store_available_s=self._listings.available_s(now),
             rollouts=self._activity.rollout_progress(now),
+            evacuations=[
+                ZoneEvacuation(order.zone, order.offset, order.is_evacuated)
+                for order in self._documents.evacuations.orders
+            ],
         )
 
     def _receive(self, data: bytes) -> None:
@@ -339,11 +367,18 @@
         for fingerprint in digest.roster_fingerprints:
             self._apply_fingerprint(digest, fingerprint, now)
         self._activity.apply_digest(digest, now)
+        self._reachability.apply_digest(digest, now)
+        self._apply_evacuations(digest, now)
         self._apply_store_progress(digest, now)
         if self._update_rollout_states(now):
             # A change passes three hosts on its way to another zone; none may wait for a round.
             self._run_round(now)
 
+    def _apply_evacuations(self, digest: Digest, now: float) -> None:
+        for each in digest.evacuations:
+            order = ZoneOrder(each.zone, each.offset, each.is_evacuated)
+            self._documents.apply_evacuation(order, digest.address, now)
+
     def _apply_fingerprint(
         self, digest: Digest, fingerprint: RosterFingerprint, now: float
     ) -> None:
@@ -418,6 +453,7 @@
 
     def _make_state_response(self, request: StateRequest) -> StateResponse:
         listed = []
+        now = seconds_since_boot()
         if request.wants_listing:
             listed = [
                 ListedEndpoint(
@@ -430,6 +466,7 @@
                     record.is_leaving,
                     record.started_ms,
                     record.sequence,
+                    int(self._placement.warm_up_s(record.instance_id, now) * MILLISECONDS_PER_S),
                 )
                 for record in self._directory.records()
             ]
@@ -453,7 +490,7 @@
                 listed.version,
                 listed.slots,
                 listed.is_leaving,
-                0.0,
+                listed.warm_up_ms / MILLISECONDS_PER_S,
                 listed.started_ms,
                 listed.sequence,
             )
--- a/poplarrun/logging/_events.py
+++ b/poplarrun/logging/_events.py
@@ -343,6 +343,26 @@
     endpoint: str
 
 
+@dataclass(frozen=True, slots=True)
+class ZoneEvacuated(Event):
+    """A zone's endpoints get no requests from now on, or get them again.
+
+    Attributes
+    ----------
+    offset : int
+        Offset in the store's log as of which the order holds.
+    source : str
+        Where the order was read: the store, or the address of a peer.
+    """
+
+    component: ClassVar[str] = "endpoints"
+    message: ClassVar[str] = "A zone was evacuated or taken back."
+    zone: str
+    is_evacuated: bool
+    offset: int
+    source: str
+
+
 @dataclass(frozen=True, slots=True)
 class RolloutOrdered(Event):
     """The host learnt of a roll-out that operators ordered.
--- a/poplarrun/peers/_messages.py
+++ b/poplarrun/peers/_messages.py
@@ -120,6 +120,29 @@
     age_s: float
 
 
+class EndpointReach(msgspec.Struct, frozen=True, array_like=True):
+    """How many recent attempts of the sender reached an endpoint, and how many did not."""
+
+    instance_id: str
+    unreached: int
+    reached: int
+
+
+class UnreachedEndpoints(msgspec.Struct, frozen=True, array_like=True):
+    """Endpoints that the hosts of a zone don't reach."""
+
+    zone: str
+    instance_ids: list[str]
+
+
+class ZoneEvacuation(msgspec.Struct, frozen=True, array_like=True):
+    """The newest order to evacuate a zone that the sender knows, or that lifted it."""
+
+    zone: str
+    offset: int
+    is_evacuated: bool
+
+
 class Digest(msgspec.Struct, frozen=True, array_like=True, tag=8):
     """State that a host sends to other hosts periodically.
 
@@ -149,6 +172,11 @@
         none.
     totals : bytes
         ``ActivityTotals`` as bytes; empty for the scope ``NONE``. The same for all receivers.
+    reach : list of EndpointReach
+        Recent outcomes of the sender's attempts, for the scope ``HOST``.
+    unreached : list of UnreachedEndpoints
+        Endpoints that hosts don't reach: for the scope ``ZONE`` those of the sender's zone, for
+        ``FLEET`` those of all zones.
     """
 
     address: str
@@ -167,6 +195,9 @@
     totals: bytes = b""
     rollouts: list[RolloutProgress] = []
     roster_fingerprints: list[RosterFingerprint] = []
+    reach: list[EndpointReach] = []
+    unreached: list[UnreachedEndpoints] = []
+    evacuations: list[ZoneEvacuation] = []
 
 
 class RosterRequest(msgspec.Struct, frozen=True, array_like=True, tag=9):
@@ -211,6 +242,7 @@
     is_leaving: bool
     started_ms: int
     sequence: int
+    warm_up_ms: int = 0
 
 
 class StateResponse(msgspec.Struct, frozen=True, array_like=True, tag=3):
--- a/poplarrun/peers/_peer_table.py
+++ b/poplarrun/peers/_peer_table.py
@@ -179,6 +179,14 @@
         """Return the alive hosts of a zone."""
         return self._liveness(now).alive_by_zone.get(zone, [])
 
+    def known_hosts(self) -> dict[str, list[str]]:
+        """Return the addresses of all hosts by zone, this one and lost ones included."""
+        hosts: dict[str, list[str]] = {self.zone: [self.address]}
+        for peer in self._peers.values():
+            if peer.zone:
+                hosts.setdefault(peer.zone, []).append(peer.address)
+        return hosts
+
     def _liveness(self, now: float) -> _Liveness:
         last = self._last_liveness
         if last is not None and 0.0 <= now - last.at < LIVENESS_TTL_S:
@@ -305,6 +313,7 @@
         zone_interval_s: float,
         fleet_interval_s: float,
         changed_at: float = -math.inf,
+        zone_changed_at: float = -math.inf,
     ) -> list[DueDigest]:
         """Return the digests to send now, and record them as sent.
 
@@ -316,18 +325,24 @@
             this host's zone.
         changed_at : float
             When state last changed that must be sent without waiting for the interval.
+        zone_changed_at : float
+            The same for state that only hosts of this host's zone need at once.
         """
+        in_zone_changed_at = max(changed_at, zone_changed_at)
         self._expire_peers(now)
         aggregators = self.aggregators(self.zone, now)
         reports = [
             DueDigest(self._peers[each], Scope.HOST) for each in aggregators if each in self._peers
         ]
         self._update_report_targets({digest.peer.address for digest in reports}, now)
-        due = [each for each in reports if each.peer.is_due(now, report_interval_s, changed_at)]
+        due = [
+            each for each in reports if each.peer.is_due(now, report_interval_s, in_zone_changed_at)
+        ]
         due += [
             DueDigest(peer, Scope.FLEET)
             for peer in self.reporting_peers(now)
-            if peer.address not in aggregators and peer.is_due(now, fleet_interval_s, changed_at)
+            if peer.address not in aggregators
+            and peer.is_due(now, fleet_interval_s, in_zone_changed_at)
         ]
         if self.address in aggregators:
             due += self._due_zone_digests(now, zone_interval_s, changed_at)
--- a/poplarrun/placement/__init__.py
+++ b/poplarrun/placement/__init__.py
@@ -8,13 +8,20 @@
 )
 from poplarrun.placement._endpoint_state import EndpointState
 from poplarrun.placement._placement import EndpointEstimate, Placement
+from poplarrun.placement._reachability import EndpointOutcomes, Reachability
+from poplarrun.placement._warm_up import WarmUpShares, ZoneHosts, compute_fleet_rate
 
 __all__ = [
     "LAPSE_GRACE_S",
     "DirectoryEvent",
     "EndpointDirectory",
     "EndpointEstimate",
+    "EndpointOutcomes",
     "EndpointRecord",
     "EndpointState",
     "Placement",
+    "Reachability",
+    "WarmUpShares",
+    "ZoneHosts",
+    "compute_fleet_rate",
 ]
--- a/poplarrun/placement/_endpoint_state.py
+++ b/poplarrun/placement/_endpoint_state.py
@@ -1,12 +1,12 @@
 """One endpoint as this host sees it: its load, health and cached prompt prefixes."""
 
 import math
-from collections import OrderedDict
+from collections import OrderedDict, deque
 from dataclasses import dataclass, field
 
 from poplarrun.placement._endpoint_directory import EndpointRecord
 from poplarrun.rendezvous import hash_name
-from poplarrun.routing import PromptPart
+from poplarrun.routing import PromptPart, WarmUpLimit
 
 # Time for which a failed endpoint gets no requests, in seconds; it doubles with each
 # further failure. Most crashed endpoints are removed from the list within a few seconds.
@@ -21,6 +21,11 @@
 SLOWDOWN_WEIGHT = 0.2
 MAX_SLOWDOWN = 30.0
 MIN_SLOWDOWN = 0.6
+# An endpoint that was not reached is listed for about this long if it is down. After that, other
+# hosts have reached it.
+UNREACHED_TTL_S = 6.0
+# Number of sends whose times are remembered for each endpoint.
+MAX_SEND_TIMES = 64
 # Time in seconds without a measurement in which the excess of the slowdown over 1 halves: an
 # endpoint without recent measurements is assumed to be as fast as the others again.
 SLOWDOWN_HALF_LIFE_S = 8.0
@@ -44,6 +49,15 @@
         Ratio of the measured to the expected time to the first event.
     last_response_at : float
         When a part of an answer last arrived.
+    unreached_at : float
+        When this host's last attempt got neither a connection nor an answer; -inf if it got one.
+    is_unreached_by_others : bool
+        Whether the hosts of a zone that should reach it report that they don't.
+    warm_at : float
+        When it is warm according to its record.
+    returned_at : float
+        When it was last reached again, or its zone was taken back from an evacuation. It may have
+        restarted meanwhile, and its record says so seconds later.
     """
 
     record: EndpointRecord
@@ -56,6 +70,11 @@
     failures: int = 0
     paused_until: float = -math.inf
     last_response_at: float = -math.inf
+    unreached_at: float = -math.inf
+    is_unreached_by_others: bool = False
+    warm_at: float = -math.inf
+    returned_at: float = -math.inf
+    _send_times: deque[float] = field(default_factory=lambda: deque(maxlen=MAX_SEND_TIMES))
     _prompt_parts: OrderedDict[tuple[str, str], float] = field(default_factory=OrderedDict)
 
     def __post_init__(self) -> None:
@@ -71,6 +90,44 @@
         """Prefill time of the prompts that wait there, in seconds."""
         return self.pending_prefill_s + self.peer_pending_prefill_s
 
+    def update_warm_up(self, now: float) -> None:
+        """Apply the warm-up time of a record that has just arrived."""
+        if self.record.warm_up_s > 0.0:
+            self.warm_at = max(self.warm_at, now + self.record.warm_up_s)
+
+    def may_be_cold(self, limit: WarmUpLimit, now: float) -> bool:
+        """Return whether it may be warming up, so that its rate is limited."""
+        if limit.rate_per_s <= 0.0:
+            return False
+        if self.is_unreached_by_others or now - self.unreached_at < UNREACHED_TTL_S:
+            return True
+        return now < max(self.warm_at, self.returned_at + limit.duration_s)
+
+    def record_send(self, now: float) -> None:
+        """Record a request that is sent there."""
+        self._send_times.append(now)
+
+    def count_sends(self, since: float) -> int:
+        """Return the number of requests that this host sent there since a time."""
+        return sum(at >= since for at in self._send_times)
+
+    def record_unreached(self, now: float) -> None:
+        """Record that an attempt got neither a connection nor an answer."""
+        self.unreached_at = now
+
+    def record_reached(self, now: float) -> None:
+        """Record that a part of an answer arrived."""
+        self.last_response_at = now
+        if self.unreached_at > -math.inf:
+            self.unreached_at = -math.inf
+            self.returned_at = now
+
+    def update_unreached_by_others(self, is_unreached: bool, now: float) -> None:
+        """Apply what the other hosts report."""
+        if self.is_unreached_by_others and not is_unreached:
+            self.returned_at = now
+        self.is_unreached_by_others = is_unreached
+
     def current_slowdown(self, now: float) -> float:
         """Return the slowdown, which decays towards 1 with the age of the last measurement."""
         decay: float = 0.5 ** (max(0.0, now - self.slowdown_at) / SLOWDOWN_HALF_LIFE_S)
@@ -92,6 +149,10 @@
         """Return whether the endpoint should get no requests at a time."""
         return now < self.paused_until
 
+    def is_available(self, now: float) -> bool:
+        """Return whether it should get requests while others can take them."""
+        return not self.is_paused(now) and not self.is_unreached_by_others
+
     def record_failure(self, now: float) -> None:
         """Start an exponential backoff; failures during a backoff don't extend it."""
         if self.is_paused(now):
--- a/poplarrun/placement/_placement.py
+++ b/poplarrun/placement/_placement.py
@@ -11,6 +11,7 @@
 
 from poplarrun.placement._endpoint_directory import EndpointRecord
 from poplarrun.placement._endpoint_state import EndpointState
+from poplarrun.placement._warm_up import WINDOW_S, WarmUpShares
 from poplarrun.rendezvous import RankingCache, choose_owner, hash_name
 from poplarrun.routing import InFlightRequest, Service
 from poplarrun.speeds import PoolSpeed
@@ -27,6 +28,9 @@
 # Penalty in seconds of an endpoint in a zone from which no host is heard any more. The
 # zone is most likely cut off, and a send there costs the timeout of a silent answer.
 SILENT_ZONE_DELAY_S = 2.5
+# Penalty in seconds of an endpoint that has not answered lately, in a zone where the request failed
+# to reach another one: zones often fail as a whole.
+FAILED_ZONE_DELAY_S = 2.0
 # Fraction of a shared prefix that its owner is assumed to have cached without evidence.
 OWNER_CACHE_FRACTION = 0.5
 # Endpoints of the own zone and of other zones that are compared in one choice: all of a
@@ -77,6 +81,10 @@
     ----------
     silent_zones : frozenset of str
         Zones that had hosts, none of which is heard any more.
+    evacuated_zones : frozenset of str
+        Zones whose endpoints get no requests.
+    warm_up_shares : WarmUpShares
+        This host's shares of the rates of endpoints that are warming up.
     """
 
     def __init__(self, zone: str, source: random.Random) -> None:
@@ -84,22 +92,59 @@
         self._random = source
         self._endpoints: dict[str, EndpointState] = {}
         self.silent_zones: frozenset[str] = frozenset()
+        self.evacuated_zones: frozenset[str] = frozenset()
+        self.warm_up_shares = WarmUpShares()
         self._peer_loads: dict[str, dict[str, tuple[int, float]]] = {}
         self._ranking = RankingCache()
         self._speeds: dict[tuple[str, str], PoolSpeed] = {}
 
-    def update_endpoints(self, records: list[EndpointRecord]) -> None:
+    def update_endpoints(self, records: list[EndpointRecord], now: float = 0.0) -> None:
         """Replace the endpoints by those listed; the state of a restarted one is reset."""
         endpoints: dict[str, EndpointState] = {}
         for record in records:
             endpoint = self._endpoints.get(record.instance_id)
             if endpoint is None or endpoint.record.started_ms != record.started_ms:
                 endpoint = EndpointState(record)
-            endpoint.record = record
+                endpoint.update_warm_up(now)
+            elif record is not endpoint.record:
+                endpoint.record = record
+                endpoint.update_warm_up(now)
             endpoints[record.instance_id] = endpoint
         self._endpoints = endpoints
         self._sum_peer_loads()
 
+    def update_evacuated(self, zones: frozenset[str], now: float) -> None:
+        """Replace the evacuated zones; the endpoints of one that is taken back may be cold."""
+        taken_back = self.evacuated_zones - zones
+        self.evacuated_zones = zones
+        for endpoint in self._endpoints.values():
+            if endpoint.record.zone in taken_back:
+                endpoint.returned_at = now
+
+    def update_unreached(self, instance_ids: Container[str], now: float) -> None:
+        """Replace the endpoints that other hosts report not to reach."""
+        for endpoint in self._endpoints.values():
+            endpoint.update_unreached_by_others(endpoint.record.instance_id in instance_ids, now)
+
+    def warm_up_s(self, instance_id: str, now: float) -> float:
+        """Return for how long an endpoint still warms up according to its record."""
+        endpoint = self._endpoints.get(instance_id)
+        return 0.0 if endpoint is None else max(0.0, endpoint.warm_at - now)
+
+    def may_send(self, endpoint: EndpointState, service: Service, now: float) -> bool:
+        """Return whether this host may send to an endpoint now.
+
+        Not to one of an evacuated zone, nor beyond this host's share of the rate of one that is
+        warming up.
+        """
+        record = endpoint.record
+        if record.is_leaving or record.zone in self.evacuated_zones:
+            return False
+        if not endpoint.may_be_cold(service.warm_up, now):
+            return True
+        quota = self.warm_up_shares.quota(record.instance_id, record.zone, service.warm_up)
+        return endpoint.count_sends(now - WINDOW_S) < quota
+
     def apply_peer_load(self, host: str, loads: dict[str, tuple[int, float]]) -> None:
         """Apply another host's load: requests and pending prefill seconds by instance id."""
         self._peer_loads[host] = loads
@@ -164,11 +209,11 @@
             endpoint
             for endpoint in self._endpoints.values()
             if endpoint.record.service == work.service
-            and not endpoint.record.is_leaving
+            and self.may_send(endpoint, service, now)
             and (versions is None or endpoint.record.version in versions)
             and endpoint.record.version != avoided_version
         ]
-        available = [endpoint for endpoint in usable if not endpoint.is_paused(now)]
+        available = [endpoint for endpoint in usable if endpoint.is_available(now)]
         tried = set() if include_tried else work.tried_endpoints
         untried = [endpoint for endpoint in available if endpoint.record.instance_id not in tried]
         candidates = untried or available or usable
@@ -227,7 +272,8 @@
         return min(
             estimates,
             key=lambda estimate: estimate.first_event_s
-            + self._cross_zone_delay_s(estimate.endpoint, remote_delay_s),
+            + self._cross_zone_delay_s(estimate.endpoint, remote_delay_s)
+            + _failed_zone_delay_s(estimate.endpoint, work),
         )
 
     def _estimate_engines(
@@ -278,3 +324,11 @@
         if zone == self._zone:
             return 0.0
         return remote_delay_s + (SILENT_ZONE_DELAY_S if zone in self.silent_zones else 0.0)
+
+
+def _failed_zone_delay_s(endpoint: EndpointState, work: InFlightRequest) -> float:
+    """Return the penalty of an endpoint for its zone, where the request may have just failed."""
+    failed_at = work.failed_zones.get(endpoint.record.zone)
+    if failed_at is None or endpoint.last_response_at > failed_at:
+        return 0.0
+    return FAILED_ZONE_DELAY_S
--- a/poplarrun/platform/__init__.py
+++ b/poplarrun/platform/__init__.py
@@ -3,6 +3,7 @@
 from poplarrun.platform._documents import (
     MalformedDocument,
     decode_catalogue,
+    decode_evacuation,
     decode_order,
     decode_status,
     encode_status,
@@ -10,6 +11,7 @@
 from poplarrun.platform._names import (
     CONFIG_KEY,
     ENDPOINT_TOPIC,
+    EVACUATION_PREFIX,
     HOST_TOPIC,
     OPERATOR_TOPIC,
     ROLLOUT_PREFIX,
@@ -44,6 +46,7 @@
 __all__ = [
     "CONFIG_KEY",
     "ENDPOINT_TOPIC",
+    "EVACUATION_PREFIX",
     "HOST_TOPIC",
     "OPERATOR_TOPIC",
     "PATH_VARIABLE",
@@ -66,6 +69,7 @@
     "decode_answer",
     "decode_catalogue",
     "decode_endpoint_record",
+    "decode_evacuation",
     "decode_order",
     "decode_request",
     "decode_status",
--- a/poplarrun/platform/_documents.py
+++ b/poplarrun/platform/_documents.py
@@ -1,12 +1,16 @@
 """Decoding of the operators' documents in the store."""
 
 import json
+from dataclasses import replace
 from typing import Annotated, TypeVar
 
 from msgspec import Meta, Struct
 
+from poplarrun.evacuations import ZoneOrder
+from poplarrun.platform._names import EVACUATION_PREFIX
 from poplarrun.platform._validation import InvalidDocument, validate
 from poplarrun.routing import (
+    NO_WARM_UP_LIMIT,
     Account,
     CallerLimits,
     Catalogue,
@@ -19,6 +23,7 @@
     Route,
     Service,
     ServiceWeight,
+    WarmUpLimit,
 )
 
 MILLISECONDS_PER_S = 1000.0
@@ -31,6 +36,7 @@
 
 M = TypeVar("M", bound=Struct)
 PositiveFloat = Annotated[float, Meta(gt=0)]
+NonNegativeFloat = Annotated[float, Meta(ge=0)]
 PositiveInt = Annotated[int, Meta(gt=0)]
 
 
@@ -74,6 +80,8 @@
 class _Service(_Model, frozen=True):
     name: str
     max_conns: PositiveInt = 64
+    cold_start_s: NonNegativeFloat = 0.0
+    cold_per_s: NonNegativeFloat = 0.0
     engine: _Engine | None = None
 
 
@@ -104,6 +112,10 @@
     duration_s: PositiveFloat
 
 
+class _Evacuation(_Model, frozen=True):
+    """An order to evacuate a zone; the key names the zone, and no field is defined."""
+
+
 class _Status(_Model, frozen=True):
     target: str
     phase: RolloutPhase
@@ -114,9 +126,14 @@
     """A document that is ignored; the message names the field."""
 
 
-def decode_catalogue(value: bytes) -> Catalogue:
+def decode_catalogue(value: bytes, warm_up_bounds: WarmUpLimit = NO_WARM_UP_LIMIT) -> Catalogue:
     """Decode a configuration.
 
+    Parameters
+    ----------
+    warm_up_bounds : WarmUpLimit
+        Gives the factor and the allowance of the settings for the rates of the configuration.
+
     Raises
     ------
     MalformedDocument
@@ -143,7 +160,7 @@
         config.limits.header_timeout_ms / MILLISECONDS_PER_S,
         config.limits.idle_timeout_ms / MILLISECONDS_PER_S,
     )
-    services = {service.name: _service(service) for service in config.services}
+    services = {service.name: _service(service, warm_up_bounds) for service in config.services}
     return Catalogue(config.version, routes, services, accounts, limits)
 
 
@@ -159,6 +176,27 @@
     return RolloutOrder(order.service, order.target, order.duration_s, offset)
 
 
+def decode_evacuation(key: str, value: bytes | None, offset: int) -> ZoneOrder:
+    """Decode the record of a zone's evacuation.
+
+    Parameters
+    ----------
+    value : bytes, optional
+        None if the record lifts the order.
+
+    Raises
+    ------
+    MalformedDocument
+        If the key names no zone, or the value is no object.
+    """
+    zone = key.removeprefix(EVACUATION_PREFIX)
+    if not zone:
+        raise MalformedDocument("zone: the key names none")
+    if value is not None:
+        _validate(_Evacuation, value)
+    return ZoneOrder(zone, offset, value is not None)
+
+
 def decode_status(service: str, value: bytes) -> RolloutStatus:
     """Decode the recorded status of a roll-out.
 
@@ -204,12 +242,17 @@
     )
 
 
-def _service(service: _Service) -> Service:
+def _service(service: _Service, warm_up_bounds: WarmUpLimit) -> Service:
     engine = service.engine
+    warm_up = replace(
+        warm_up_bounds, rate_per_s=service.cold_per_s, duration_s=service.cold_start_s
+    )
     if engine is None:
-        return Service(service.name, service.max_conns)
+        return Service(service.name, service.max_conns, warm_up=warm_up)
     sizes = tuple(ModelSize(model.name, model.cost) for model in engine.models)
-    return Service(service.name, service.max_conns, engine.slots, engine.kv_capacity, sizes)
+    return Service(
+        service.name, service.max_conns, engine.slots, engine.kv_capacity, sizes, warm_up
+    )
 
 
 def _validate(model: type[M], value: bytes) -> M:
--- a/poplarrun/platform/_settings.py
+++ b/poplarrun/platform/_settings.py
@@ -39,6 +39,8 @@
     retry_allowance: float = 20
     exposure_share: float = 0.15
     exposure_allowance: float = 30
+    cold_overage: float = 1.5
+    cold_allowance: float = 5
     session_s: float = 5
 
 
@@ -91,6 +93,9 @@
         Requests of a session that follow each other within this time keep a version.
     max_exposure_fraction : float
         Largest fraction of a service's requests that a bad version may get.
+    warm_up_rate_factor, warm_up_allowance : float
+        What all hosts together may send in any second to an endpoint that is warming up: its rate
+        times the factor, and the allowance on top.
     memory_mb, max_sockets : int
         Memory and open sockets above which the platform stops or hinders the process.
     """
@@ -111,6 +116,8 @@
     retry_window_s: float
     session_timeout_s: float
     max_exposure_fraction: float
+    warm_up_rate_factor: float
+    warm_up_allowance: float
     memory_mb: int
     max_sockets: int
 
@@ -147,6 +154,8 @@
         retry_window_s=bounds.retry_window_s,
         session_timeout_s=bounds.session_s,
         max_exposure_fraction=bounds.exposure_share,
+        warm_up_rate_factor=bounds.cold_overage,
+        warm_up_allowance=bounds.cold_allowance,
         memory_mb=node.limits.memory_mb,
         max_sockets=node.limits.max_fds - RESERVED_DESCRIPTORS,
     )
--- a/poplarrun/routing/__init__.py
+++ b/poplarrun/routing/__init__.py
@@ -1,6 +1,7 @@
 """Routing: the configuration of routes, services and client accounts, and the requests."""
 
 from poplarrun.routing._catalogue import (
+    NO_WARM_UP_LIMIT,
     Account,
     CallerLimits,
     Catalogue,
@@ -10,11 +11,13 @@
     Route,
     Service,
     ServiceWeight,
+    WarmUpLimit,
 )
 from poplarrun.routing._requests import InFlightRequest, PromptPart, Request
 from poplarrun.routing._rollouts import RolloutOrder, RolloutPhase, RolloutStatus
 
 __all__ = [
+    "NO_WARM_UP_LIMIT",
     "Account",
     "CallerLimits",
     "Catalogue",
@@ -30,4 +33,5 @@
     "Route",
     "Service",
     "ServiceWeight",
+    "WarmUpLimit",
 ]
--- a/poplarrun/routing/_catalogue.py
+++ b/poplarrun/routing/_catalogue.py
@@ -30,6 +30,30 @@
     cost: float = 0.0
 
 
+@dataclass(frozen=True, slots=True)
+class WarmUpLimit:
+    """The requests that an endpoint tolerates while it is warming up.
+
+    Attributes
+    ----------
+    rate_per_s : float
+        Requests a second that it handles, from all hosts together; 0 for any number.
+    duration_s : float
+        How long it warms up after a start.
+    rate_factor, allowance : float
+        What all hosts together may send in any second: the rate times the factor, and the
+        allowance on top.
+    """
+
+    rate_per_s: float = 0.0
+    duration_s: float = 0.0
+    rate_factor: float = 1.5
+    allowance: float = 5.0
+
+
+NO_WARM_UP_LIMIT = WarmUpLimit()
+
+
 @dataclass(frozen=True, slots=True)
 class Service:
     """A group of interchangeable endpoints.
@@ -45,6 +69,8 @@
         Capacity of the prompt cache of one endpoint, in tokens; 0 for plain services.
     sizes : tuple of ModelSize
         Model sizes of its endpoints.
+    warm_up : WarmUpLimit
+        What its endpoints tolerate while they are warming up.
     """
 
     name: str
@@ -52,6 +78,7 @@
     slots: int = 0
     cache_tokens: int = 0
     sizes: tuple[ModelSize, ...] = ()
+    warm_up: WarmUpLimit = NO_WARM_UP_LIMIT
 
 
 @dataclass(frozen=True, slots=True)
--- a/poplarrun/routing/_requests.py
+++ b/poplarrun/routing/_requests.py
@@ -98,6 +98,9 @@
         Whether an endpoint may have started to run it.
     tried_endpoints : set of str
         Endpoints that it was sent to.
+    failed_zones : dict of str to float
+        Availability zones where an endpoint was not reached, and the time from which an answer
+        of another endpoint there shows that only this one is down.
     last_event_id : int, optional
         Id of the last event that the caller received.
     session_version : str, optional
@@ -118,6 +121,7 @@
     connect_failures: int = 0
     may_have_run: bool = False
     tried_endpoints: set[str] = field(default_factory=set)
+    failed_zones: dict[str, float] = field(default_factory=dict)
     last_event_id: int | None = None
     session_version: str | None = None
     model_size: str | None = None
--- a/standins/peer_fleet.py
+++ b/standins/peer_fleet.py
@@ -57,6 +57,14 @@
             self._network.links_by_address.pop(host.address, None)
             self.hosts.remove(host)
 
+    def restart(self, host: RolloutHost) -> None:
+        """Kill a host and start it again at its address, with nothing of what it knew."""
+        self.kill([host])
+        started = RolloutHost(self._network, host.address, host.zone, 1)
+        self.hosts.append(started)
+        task = asyncio.ensure_future(started.peering.run(self._seeds))
+        self._peering_tasks[started.address] = task
+
     async def suspend(self, host: RolloutHost, seconds: float) -> None:
         """Suspend a host; messages to it are lost meanwhile."""
         self._peering_tasks.pop(host.address).cancel()
--- a/standins/rollout_fleet.py
+++ b/standins/rollout_fleet.py
@@ -107,6 +107,7 @@
             self.rollouts,
             lambda: None,
             SharedReader(DOCUMENTS, peer_table),
+            self.placement,
         )
         listings = ListingFollower(
             store, directory, self.placement, SharedReader(ENDPOINTS, peer_table)
@@ -121,6 +122,7 @@
             directory,
             self.placement,
             self.rollouts,
+            self.dispatch.reachability,
         )
 
     def list_new_version(self) -> None:
