Send documents that a host of a zone has read to the others of the zone

Cause: the others only heard that there is something newer, and each read it for itself.

Change: the host that has read sends the records on, compressed, as it does with the list of endpoints; a host that is behind reads after 0.4 s unless they arrive. After a compaction the newest records go out as a whole.

Evidence: features/shared_reading.feature, five scenarios on documents.

--- a/features/shared_reading.feature
+++ b/features/shared_reading.feature
@@ -33,7 +33,7 @@
     Then its list is proven current as of 50.0
     When a peer that has read up to record 3 proves its list current at 60.0
     Then its list is proven current as of 50.0
-    And it reads the store at once from record 2
+    And it reads the store within a second from record 2
 
   Scenario: Records that expired in an outage are marked as such
     # The store had an outage, and records of live endpoints expired. The zone's reader has noticed
@@ -90,3 +90,40 @@
     Then it lists the endpoints of records 0 to 1, each once
     When a peer reports that the store has answered it for the last 60.0 s
     Then it lists the endpoints of records 1 to 1, each once
+
+  Scenario: Documents that one host of a zone has read need no calls of the others
+    # Load: each change of the configuration, times all hosts of a zone.
+    Given a document follower that has read records 0 to 1
+    When a peer that is 3 records ahead sends them
+    Then it has applied the documents up to record 4 and does not read
+    When the peer's records arrive a second time
+    Then it has applied the documents up to record 4 and does not read
+
+  Scenario: A host that missed documents of its peer reads them itself
+    Given a document follower that has read records 0 to 1
+    When a peer sends the documents of records 4 to 5 only
+    Then it reads the documents at once from record 2
+
+  Scenario: A host that is behind and gets no documents reads them itself
+    Given a document follower that has read records 0 to 1
+    When a peer is 3 records ahead and sends nothing
+    Then it reads the documents within a second from record 2
+
+  Scenario: Documents after a compaction reach the others as a whole
+    Given a document follower that has read records 0 to 1
+    And it knows that the zone "a" is evacuated
+    When a peer sends all newest documents up to record 9, without an evacuation
+    Then it has applied the documents up to record 9 and does not read
+    And it knows no evacuated zone
+
+  Scenario Outline: Damaged documents of a peer change nothing
+    Given two connected hosts
+    When one sends the other documents that are <damage>
+    Then nothing is applied, and an unreadable message is logged
+
+    Examples:
+      | damage         |
+      | cut short      |
+      | not compressed |
+      | no records     |
+      | far too large  |
--- a/features/steps/shared_reading.py
+++ b/features/steps/shared_reading.py
@@ -1,14 +1,24 @@
 import asyncio
 import json
+import zlib
+from unittest.mock import patch
 
 from behave import given, then, when
 
-from poplarrun.gateway._followers import ListingFollower
+from features.steps.gateway_world import make_placement
+from poplarrun.dispatch import ConfigView
+from poplarrun.evacuations import ZoneOrder
+from poplarrun.gateway import _peering
+from poplarrun.gateway._followers import DocumentFollower, DocumentUpdate, ListingFollower
 from poplarrun.gateway._reading import SharedReader
-from poplarrun.peers import ENDPOINTS, Digest, PeerTable, ReadSchedule
+from poplarrun.logging import events
+from poplarrun.peers import DOCUMENTS, ENDPOINTS, Digest, DocumentChanges, PeerTable, ReadSchedule
+from poplarrun.peers import _messages as messages
 from poplarrun.placement import EndpointDirectory, Placement
 from poplarrun.platform import Entry, LatestRecords, Records
+from poplarrun.rollouts import Rollouts
 from poplarrun.transport import seconds_since_boot
+from standins.peer_fleet import PeerFleet
 
 NOW = 100.0
 
@@ -172,6 +182,7 @@
 
 
 @then("it reads the store at once from record {number:d}")
+@then("it reads the store within a second from record {number:d}")
 def step_reads(context, number):
     async def read():
         async with asyncio.timeout(1.0):
@@ -232,3 +243,144 @@
             lambda number=number: installation.call("/added/x", int(number)).status == 200,
             f"the route is served at host {number}",
         )
+
+
+class DocumentStore:
+    """Store double with two roll-out orders, which records the offsets of later reads."""
+
+    def __init__(self):
+        self.reads = []
+
+    async def read_latest(self, topic):
+        return LatestRecords(make_orders(0, 1), 2, 0.0)
+
+    async def read(self, topic, offset, wait_s=0.0):
+        self.reads.append(offset)
+        return Records((), offset, 0, seconds_since_boot())
+
+
+def make_orders(first, last):
+    return tuple(
+        Entry(
+            f"rollout/service-{number}",
+            json.dumps({"service": f"service-{number}", "target": "v2", "durationS": 9}).encode(),
+            number,
+        )
+        for number in range(first, last + 1)
+    )
+
+
+@given("a document follower that has read records 0 to 1")
+def step_document_follower(context):
+    now = seconds_since_boot()
+    peer_table = next(
+        peer_table
+        for peer_table in (make_peer_table(number, 20, now) for number in range(20))
+        if peer_table.reader_rank(DOCUMENTS, now) > 0
+    )
+    context.store = DocumentStore()
+    context.config_view, context.rollouts = ConfigView(), Rollouts()
+    context.follower = DocumentFollower(
+        context.store,
+        context.config_view,
+        context.rollouts,
+        lambda: None,
+        SharedReader(DOCUMENTS, peer_table),
+        make_placement(1),
+    )
+    assert asyncio.run(context.follower._read_once()) and context.follower.offset == 2
+
+
+def send_update(context, first, last):
+    update = DocumentUpdate(make_orders(first, last), first, last + 1, False)
+    context.follower.apply_peer_update(update)
+
+
+@when("a peer that is {count:d} records ahead sends them")
+def step_ahead_sends(context, count):
+    context.follower.reader.read_unless_sent()
+    send_update(context, 2, 1 + count)
+
+
+@when("the peer's records arrive a second time")
+def step_sent_again(context):
+    send_update(context, 2, 4)
+
+
+@when("a peer sends the documents of records {first:d} to {last:d} only")
+def step_sends_gap(context, first, last):
+    send_update(context, first, last)
+
+
+@when("a peer is {count:d} records ahead and sends nothing")
+def step_sends_nothing(context, count):
+    context.follower.reader.read_unless_sent()
+
+
+@then("it has applied the documents up to record {last:d} and does not read")
+def step_applied(context, last):
+    assert context.follower.offset == last + 1, context.follower.offset
+    assert context.rollouts.find(f"service-{last}") is not None or last == 9
+    now = seconds_since_boot()
+    schedule = context.follower.reader._schedule
+    assert schedule.wait_s(1, now, now) > 1.0, schedule
+
+
+@then("it reads the documents at once from record {number:d}")
+@then("it reads the documents within a second from record {number:d}")
+def step_reads_documents(context, number):
+    async def read():
+        async with asyncio.timeout(1.0):
+            await context.follower.reader.wait_until_due(seconds_since_boot)
+        await context.follower._read_once()
+
+    asyncio.run(read())
+    assert context.store.reads == [number], context.store.reads
+
+
+@given('it knows that the zone "{zone}" is evacuated')
+def step_knows_evacuated(context, zone):
+    context.follower.apply_evacuation(ZoneOrder(zone, 1, True), "store", NOW)
+
+
+@when("a peer sends all newest documents up to record {last:d}, without an evacuation")
+def step_sends_all(context, last):
+    update = DocumentUpdate(make_orders(8, 8), 0, last + 1, True)
+    context.follower.apply_peer_update(update)
+
+
+@then("it knows no evacuated zone")
+def step_none_evacuated(context):
+    assert not context.follower.evacuations.zones
+
+
+@given("two connected hosts")
+def step_two_hosts(context):
+    context.fleet = None
+
+
+@when("one sends the other documents that are {damage}")
+def step_damaged(context, damage):
+    good = messages.encode_records([messages.OffsetRecord("rollout/x", b"{}", 0)])
+    data = {
+        "cut short": good[:-3],
+        "not compressed": b"records",
+        "no records": zlib.compress(b"\xc1"),
+        "far too large": zlib.compress(bytes(messages.MAX_RECORDS_BYTES + 1)),
+    }[damage]
+    fleet = PeerFleet(3, 2, "a")
+    receiver = fleet.hosts[0].peering
+    context.followed = receiver._documents
+    context.followed.offset = 0
+    written = []
+    with patch.object(_peering, "write_event", written.append):
+        message = DocumentChanges(fleet.hosts[1].address, 0, 1, False, data)
+        receiver._receive(messages.encode_message(message))
+    context.written = written
+
+
+@then("nothing is applied, and an unreadable message is logged")
+def step_unreadable(context):
+    assert context.followed.offset == 0
+    (event,) = context.written
+    assert isinstance(event, events.MessageUnreadable), event
--- a/poplarrun/gateway/_followers.py
+++ b/poplarrun/gateway/_followers.py
@@ -119,6 +119,29 @@
     """Do nothing; used until the follower is connected to peers."""
 
 
+@dataclass(frozen=True, slots=True)
+class DocumentUpdate:
+    """Operators' documents that a host has read.
+
+    Attributes
+    ----------
+    start_offset, end_offset : int
+        Offset of the first record, and the one after the last record.
+    is_complete : bool
+        Whether the entries are the newest ones of all keys, and not what was appended from the
+        start offset on.
+    """
+
+    entries: tuple[Entry, ...]
+    start_offset: int
+    end_offset: int
+    is_complete: bool
+
+
+def _publish_no_update(update: DocumentUpdate) -> None:
+    """Do nothing; used until the follower is connected to peers."""
+
+
 class DocumentFollower:
     """Follows the operators' configuration and orders of roll-outs."""
 
@@ -139,6 +162,8 @@
         self.raw_config = b""
         self.reader = reader
         self.publish_proof: Callable[[], None] = _publish_nothing
+        self.publish_update: Callable[[DocumentUpdate], None] = _publish_no_update
+        self._has_expired = False
         self._store = store
         self._config_view = config_view
         self._rollouts = rollouts
@@ -159,17 +184,23 @@
         now = seconds_since_boot()
         match answer:
             case LatestRecords(entries=entries, end_offset=end, confirmed_at=confirmed_at):
-                self._apply_entries(entries, now)
-                self._lift_unlisted_evacuations(entries, end, now)
-                self.offset = end
+                update = DocumentUpdate(entries, 0, end, True)
+                self._apply_update(update, now)
+                if self._has_expired:
+                    self._has_expired = False
+                    self.publish_update(update)
             case Records(entries=entries, end_offset=end, confirmed_at=confirmed_at):
-                self._apply_entries(entries, now)
-                self.offset = entries[-1].offset + 1 if entries else self.offset
+                if entries:
+                    read_to = entries[-1].offset + 1
+                    update = DocumentUpdate(entries, entries[0].offset, read_to, False)
+                    self._apply_update(update, now)
+                    self.publish_update(update)
                 if self.offset is not None and self.offset < end:
                     return True
             case OffsetExpired():
                 write_event(events.HistoryDropped("documents"))
                 self.offset = None
+                self._has_expired = True
                 return True
             case Refused() | NoAnswer():
                 self.reader.has_failed = True
@@ -188,6 +219,23 @@
             return await self._store.read_latest(OPERATOR_TOPIC)
         return await self._store.read(OPERATOR_TOPIC, self.offset, self.reader.long_poll_s)
 
+    def _apply_update(self, update: DocumentUpdate, now: float) -> None:
+        self._apply_entries(update.entries, now)
+        if update.is_complete:
+            self._lift_unlisted_evacuations(update.entries, update.end_offset, now)
+        # A peer may have sent later records while the read was in progress.
+        self.offset = max(self.offset or 0, update.end_offset)
+
+    def apply_peer_update(self, update: DocumentUpdate) -> None:
+        """Apply documents that a peer has read; if some are missing, read them from the store."""
+        if self.offset is None or update.end_offset <= self.offset:
+            return
+        if not update.is_complete and update.start_offset > self.offset:
+            self.reader.read_now()
+            return
+        self._apply_update(update, seconds_since_boot())
+        self.reader.record_caught_up()
+
     def record_proof(self, confirmed_at: float) -> None:
         """Record that a peer proved this host's configuration to be current."""
         self._config_view.confirm(confirmed_at)
@@ -330,7 +378,7 @@
         if not self.has_read_store:
             return
         if end > self._directory.next_offset:
-            self.reader.read_now()
+            self.reader.read_unless_sent()
         elif end == self._directory.next_offset:
             self.confirmed_at = max(self.confirmed_at, confirmed_at)
             self._health.record_proof(confirmed_at)
@@ -362,6 +410,7 @@
         for entry in new_entries:
             self._apply_entry(entry, now, is_lapse)
         self._directory.next_offset = new_entries[-1].offset + 1
+        self.reader.record_caught_up()
         self._placement.update_endpoints(self._directory.records(), now)
 
     def apply_peer_listing(self) -> None:
--- a/poplarrun/gateway/_peering.py
+++ b/poplarrun/gateway/_peering.py
@@ -9,7 +9,7 @@
 from poplarrun.dispatch import ConfigView
 from poplarrun.evacuations import ZoneOrder
 from poplarrun.gateway._activity import ActivityExchange, RolloutState
-from poplarrun.gateway._followers import DocumentFollower, ListingFollower
+from poplarrun.gateway._followers import DocumentFollower, DocumentUpdate, ListingFollower
 from poplarrun.gateway._reachability import ReachabilityExchange
 from poplarrun.gateway._sessions import SessionLookup
 from poplarrun.links import Links
@@ -17,9 +17,11 @@
 from poplarrun.peers import (
     ChangedRecord,
     Digest,
+    DocumentChanges,
     DueDigest,
     EndpointChanges,
     ListedEndpoint,
+    OffsetRecord,
     PeerState,
     PeerTable,
     PinnedSessions,
@@ -34,7 +36,9 @@
     StateResponse,
     ZoneEvacuation,
     decode_message,
+    decode_records,
     encode_message,
+    encode_records,
     encode_totals,
 )
 from poplarrun.placement import EndpointDirectory, EndpointRecord, Placement, Reachability
@@ -127,6 +131,7 @@
         documents.publish_proof = self.publish_proof
         listings.publish_proof = self.publish_proof
         listings.publish_changes = self.publish_changes
+        documents.publish_update = self.publish_update
 
     def publish_proof(self) -> None:
         """Send a digest that proves this host's latest read to the hosts of its zone."""
@@ -145,6 +150,21 @@
         for peer in self.peer_table.zone_peers(seconds_since_boot()):
             self._links.send(peer.address, message)
 
+    def publish_update(self, update: DocumentUpdate) -> None:
+        """Send operators' documents that this host has read to the hosts of this zone."""
+        records = [OffsetRecord(each.key, each.value, each.offset) for each in update.entries]
+        message = encode_message(
+            DocumentChanges(
+                self.peer_table.address,
+                update.start_offset,
+                update.end_offset,
+                update.is_complete,
+                encode_records(records),
+            )
+        )
+        for peer in self.peer_table.zone_peers(seconds_since_boot()):
+            self._links.send(peer.address, message)
+
     def count_alive_peers(self) -> int:
         """Return the number of other alive hosts."""
         return len(self.peer_table.alive_peers(seconds_since_boot()))
@@ -342,6 +362,8 @@
                 self._handle_state_response(response, now)
             case EndpointChanges() as changes:
                 self._handle_changes(changes)
+            case DocumentChanges() as documents:
+                self._handle_documents(documents)
             case PinnedSessions() as pinned:
                 self.sessions.apply_pinned(pinned)
             case SessionQuery() as session_query:
@@ -415,7 +437,7 @@
             if proven_at is not None:
                 self._documents.record_proof(proven_at)
         if digest.documents_end_offset > (self._documents.offset or 0):
-            self._documents.reader.read_now()
+            self._documents.reader.read_unless_sent()
         sent_at = self.peer_table.proven_at(digest, 0.0)
         if sent_at is not None:
             self._listings.record_available(now - digest.store_available_s, sent_at)
@@ -451,6 +473,17 @@
         )
         self._listings.apply_changes(entries, changes.is_lapse)
 
+    def _handle_documents(self, changes: DocumentChanges) -> None:
+        records = decode_records(changes.records)
+        if records is None:
+            write_event(events.MessageUnreadable(len(changes.records)))
+            return
+        entries = tuple(Entry(each.key, each.value, each.offset) for each in records)
+        update = DocumentUpdate(
+            entries, changes.start_offset, changes.end_offset, changes.is_complete
+        )
+        self._documents.apply_peer_update(update)
+
     def _make_state_response(self, request: StateRequest) -> StateResponse:
         listed = []
         now = seconds_since_boot()
--- a/poplarrun/gateway/_reading.py
+++ b/poplarrun/gateway/_reading.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import contextlib
+import math
 from collections.abc import Callable
 
 from poplarrun.peers import DEFAULT_READ_TIMEOUTS, PeerTable, ReadSchedule, ReadTimeouts
@@ -45,10 +46,21 @@
         return self.timeouts.long_poll_s if self._rank() == 0 and not self.has_failed else 0.0
 
     def read_now(self) -> None:
-        """Read at once, because a peer has newer state than this host."""
+        """Read at once, because a part of the state that peers sent is missing."""
         self._schedule.is_behind = True
         self._wake_event.set()
 
+    def read_unless_sent(self) -> None:
+        """Read after a moment, because a peer has newer state, unless it is sent meanwhile."""
+        if self._schedule.behind_since == math.inf:
+            self._schedule.behind_since = seconds_since_boot()
+            self._wake_event.set()
+
+    def record_caught_up(self) -> None:
+        """Record that a peer sent its newer state."""
+        self._schedule.is_behind = False
+        self._schedule.behind_since = math.inf
+
     async def wait_until_due(self, confirmed_at: Callable[[], float]) -> None:
         """Wait until this host has to read.
 
@@ -63,7 +75,7 @@
             with contextlib.suppress(TimeoutError):
                 async with asyncio.timeout(wait_s):
                     await self._wake_event.wait()
-        self._schedule.is_behind = False
+        self.record_caught_up()
 
     def _rank(self) -> int:
         return self._peer_table.reader_rank(self._topic, seconds_since_boot())
--- a/poplarrun/peers/_messages.py
+++ b/poplarrun/peers/_messages.py
@@ -1,6 +1,7 @@
 """Messages between hosts and their MessagePack encoding."""
 
 import enum
+import zlib
 
 import msgspec
 
@@ -288,6 +289,35 @@
     records: list[ChangedRecord]
 
 
+class DocumentChanges(msgspec.Struct, frozen=True, array_like=True, tag=11):
+    """Records of the operators' documents that the sender has just read.
+
+    Attributes
+    ----------
+    start_offset, end_offset : int
+        Offset of the first record, and the one after the last record.
+    is_complete : bool
+        Whether these are the newest records of all keys, and not what was appended from the start
+        offset on.
+    records : bytes
+        Compressed list of ``OffsetRecord``; a configuration is large and the same for all hosts.
+    """
+
+    address: str
+    start_offset: int
+    end_offset: int
+    is_complete: bool
+    records: bytes
+
+
+class OffsetRecord(msgspec.Struct, frozen=True, array_like=True):
+    """A record of a topic; the value is None if it removes its key."""
+
+    key: str
+    value: bytes | None
+    offset: int
+
+
 class PinnedSessions(msgspec.Struct, frozen=True, array_like=True, tag=5):
     """Sessions that stay on the old version in the roll-out of an order.
 
@@ -334,6 +364,7 @@
     | StateRequest
     | StateResponse
     | EndpointChanges
+    | DocumentChanges
     | PinnedSessions
     | SessionQuery
     | SessionAnswer
@@ -341,8 +372,12 @@
     | Roster
 )
 
+COMPRESSION_LEVEL = 1
+MAX_RECORDS_BYTES = 16 * 1024 * 1024
+
 _ENCODER = msgspec.msgpack.Encoder()
 _DECODER = msgspec.msgpack.Decoder(Message)
+_RECORDS_DECODER = msgspec.msgpack.Decoder(list[OffsetRecord])
 _TOTALS_DECODER = msgspec.msgpack.Decoder(ActivityTotals)
 
 
@@ -370,3 +405,18 @@
         return _TOTALS_DECODER.decode(data)
     except (msgspec.ValidationError, msgspec.DecodeError):
         return None
+
+
+def encode_records(records: list[OffsetRecord]) -> bytes:
+    """Return records as compressed bytes."""
+    return zlib.compress(_ENCODER.encode(records), COMPRESSION_LEVEL)
+
+
+def decode_records(data: bytes) -> list[OffsetRecord] | None:
+    """Return the decoded records; None if the bytes are none, or too many."""
+    decompressor = zlib.decompressobj()
+    try:
+        raw = decompressor.decompress(data, MAX_RECORDS_BYTES)
+        return _RECORDS_DECODER.decode(raw) if decompressor.eof else None
+    except (zlib.error, msgspec.ValidationError, msgspec.DecodeError):
+        return None
--- a/poplarrun/peers/_read_schedule.py
+++ b/poplarrun/peers/_read_schedule.py
@@ -1,5 +1,6 @@
 """When a host reads the store itself, and when it relies on the reader of its zone."""
 
+import math
 from dataclasses import dataclass
 
 # Fraction of the operators' bound on the propagation of changes for which the store may hold a
@@ -15,6 +16,8 @@
 OUTAGE_MARGIN_S = 0.6
 # The operators' bound if they set none.
 DEFAULT_PROPAGATION_BOUND_S = 2.0
+# A host that hears of newer state reads it after this time, unless a peer sends it by then.
+CATCH_UP_GRACE_S = 0.4
 # Additional wait for each further rank of a host, and the number of ranks that add to it.
 RANK_DELAY_S = 0.1
 MAX_RANK_STEPS = 3
@@ -69,11 +72,14 @@
     Attributes
     ----------
     is_behind : bool
-        Whether a peer is known to have newer state than this host.
+        Whether a peer is known to have newer state that it won't send.
+    behind_since : float
+        Since when a peer is known to have newer state that it may still send; infinite for none.
     """
 
     timeouts: ReadTimeouts = DEFAULT_READ_TIMEOUTS
     is_behind: bool = False
+    behind_since: float = math.inf
 
     def wait_s(self, rank: int, confirmed_at: float, now: float) -> float:
         """Return the seconds until this host reads for itself, 0 for now.
@@ -90,4 +96,5 @@
         proof_timeout_s = self.timeouts.proof_timeout_s + RANK_DELAY_S * min(
             rank - 1, MAX_RANK_STEPS
         )
-        return max(0.0, confirmed_at + proof_timeout_s - now)
+        due_at = min(confirmed_at + proof_timeout_s, self.behind_since + CATCH_UP_GRACE_S)
+        return max(0.0, due_at - now)
