Judge versions with thousands of answers

Cause: the probability of as many bad answers multiplied math.comb(answers, count), an integer, by a float. From about 1,000 answers on it exceeds a float: OverflowError in the task of the rollout controller, which ends the host. Roll-outs of fleets of this size reach that number before they complete, so a good version could also be left without its end. Class: a formula that was only ever played on the sizes of small installations.

Change: the terms are computed by logarithms, one from the other.

--- a/features/rollouts.feature
+++ b/features/rollouts.feature
@@ -131,3 +131,16 @@
     Given a dispatcher whose endpoints usually begin after 0.1 s
     When 40 answers of the loaded version come in time, and then 9 time out after 2.5 s
     Then the new version is judged good during the shift
+
+  Scenario Outline: The answers of a large fleet are judged like those of a small one
+    # Guards against a host that ends because the number of combinations exceeds a float.
+    Given <bad> bad of <ended> new answers and <old_bad> bad of <old> old ones
+    Then the new version is judged <judgement>
+
+    Examples:
+      | bad  | ended | old_bad | old   | judgement |
+      | 20   | 100   | 20      | 100   | good      |
+      | 600  | 5000  | 590     | 5000  | good      |
+      | 2500 | 5000  | 250     | 5000  | bad       |
+      | 9000 | 40000 | 8900    | 40000 | good      |
+      | 9000 | 40000 | 4000    | 40000 | bad       |
--- a/poplarrun/rollouts/_evidence.py
+++ b/poplarrun/rollouts/_evidence.py
@@ -311,8 +311,13 @@
 
 def _binomial_tail(bad: int, answers: int, probability: float) -> float:
     """Return the probability of at least ``bad`` bad answers among independent ones."""
-    fewer = sum(
-        math.comb(answers, count) * probability**count * (1.0 - probability) ** (answers - count)
-        for count in range(bad)
-    )
+    if bad > answers:
+        return 0.0
+    # By logarithms, since the numbers of combinations exceed a float from about 1,000 answers on.
+    log_odds = math.log(probability) - math.log1p(-probability)
+    log_term = answers * math.log1p(-probability)
+    fewer = 0.0
+    for count in range(bad):
+        fewer += math.exp(log_term)
+        log_term += log_odds + math.log((answers - count) / (count + 1.0))
     return max(0.0, 1.0 - fewer)
