Tell the zone at once of prompts that occupy an engine

Cause: hosts know each other's load from sums that are 0.4 to 2 s old, longer than most prompts take to read.

Change: a host that sends a prompt of 0.05 s or more tells the hosts of its zone until when the engine will read; they take the larger of that and of the sums. A budget holds what a host receives at 120 notices a second on average, whatever the size of the zone, and keeps half of it for prompts of 0.3 s or more.

--- /dev/null
+++ b/features/steps/load_notices.py
@@ -0,0 +1,108 @@
+from behave import given, then, when
+
+from bench.gateway_fleet import LOADS, WAYS, measure
+from features.steps.evacuation import check_within
+from poplarrun.peers import NoticeBudget
+from poplarrun.placement import EndpointEstimate
+
+
+def queue_of(host, instance_id, now):
+    return host.placement.find(instance_id).queue_s(now)
+
+
+@when('a host of the zone "{zone}" sends a prompt that takes {seconds:f} s to read to "{name}"')
+def step_host_sends(context, zone, seconds, name):
+    context.sender = next(host for host in context.fleet.hosts if host.zone == zone)
+
+    async def send():
+        endpoint = context.sender.placement.find(name)
+        estimate = EndpointEstimate(endpoint, seconds, seconds, 1000)
+        context.sender.peering.publish_load(estimate)
+
+    context.loop.run_until_complete(send())
+
+
+@then(
+    'within {seconds:f} s the hosts of the zone "{zone}" expect {wait:f} s of waiting at "{name}", '
+    "the others none"
+)
+def step_zone_expects(context, seconds, zone, wait, name):
+    def are_told(hosts):
+        now = context.fleet.now
+        others = [host for host in hosts if host is not context.sender]
+        return all(
+            (wait - 0.3 < queue_of(host, name, now) <= wait) == (host.zone == zone)
+            for host in others
+        )
+
+    check_within(context, seconds, are_told)
+
+
+@then('{seconds:f} s later no host expects a wait at "{name}"')
+def step_no_wait(context, seconds, name):
+    async def wait():
+        await context.fleet.wait_until(lambda: False, seconds)
+        now = context.fleet.now
+        assert not any(queue_of(host, name, now) for host in context.fleet.hosts)
+
+    context.loop.run_until_complete(wait())
+
+
+@given(
+    "{hosts:d} hosts of a zone that each send {rate:d} prompts a second, one in five of {long:f} s"
+)
+def step_sending_hosts(context, hosts, rate, long):
+    context.hosts = hosts
+    context.told = []
+    context.long_told = context.long_sent = 0
+    for host in range(hosts):
+        budget = NoticeBudget()
+        for number in range(rate * 10):
+            now = number / rate + host / hosts / rate
+            prefill_s = long if number % 5 == 0 else 0.1
+            is_told = budget.try_spend(prefill_s, hosts, now)
+            context.long_sent += prefill_s == long
+            if is_told:
+                context.told.append((now, host))
+                context.long_told += prefill_s == long
+
+
+@then(
+    "each host receives at most {most:d} notices a second over {seconds:d} s, "
+    "and what {saved:d} s save up"
+)
+def step_received(context, most, seconds, saved):
+    count = sum(3.0 <= at < 3.0 + seconds and host != 0 for at, host in context.told)
+    assert count <= most * (seconds + saved), count
+
+
+@then("at least {share:f} of the long prompts are told")
+def step_long_told(context, share):
+    assert context.long_told >= share * context.long_sent, (context.long_told, context.long_sent)
+
+
+@when('a notice says that "{name}" is busy for {seconds:f} s, and one names "{other}"')
+def step_notices(context, name, seconds, other):
+    context.placement.apply_load_notice(name, seconds, 100.0)
+    context.placement.apply_load_notice(other, 1.0, 100.0)
+
+
+@then("after {seconds:f} s no engine has a wait")
+def step_engines_idle(context, seconds):
+    assert context.placement.find("engine-0").queue_s(100.0) > 0.0
+    assert not any(each.queue_s(100.0 + seconds) for each in context.placement.endpoints())
+
+
+@when('the load "{name}" is played with notices and without')
+def step_play_load(context, name):
+    load = next(load for load in LOADS if load.name == name)
+    by_name = {way.policy.name: way for way in WAYS}
+    context.late = {}
+    for way in ("notices", "sums_only"):
+        totals = measure(load, by_name[way], seeds=(1,))
+        context.late[way] = 1.0 - totals.in_time_count / totals.request_count
+
+
+@then("with notices at most {share:f} as many callers are late or get a poor answer")
+def step_fewer_late(context, share):
+    assert context.late["notices"] <= share * context.late["sums_only"], context.late
--- a/poplarrun/dispatch/_dispatcher.py
+++ b/poplarrun/dispatch/_dispatcher.py
@@ -4,6 +4,7 @@
 """
 
 import zlib
+from collections.abc import Callable
 from dataclasses import dataclass
 
 from poplarrun.dispatch._config_view import ConfigView
@@ -72,6 +73,10 @@
     reason: VersionReason = VersionReason.NO_ROLLOUT
 
 
+def ignore_sent(_: EndpointEstimate) -> None:
+    """Do nothing; for hosts without peers."""
+
+
 class Dispatcher:
     """Decides about requests; used on the event loop only, never blocks.
 
@@ -83,6 +88,8 @@
         Retries that this host may make beyond that.
     retry_window_s : float
         Length of the window over which operators limit retries, in seconds.
+    on_prompt_sent : callable
+        Called after each send of a prompt to an engine.
     """
 
     def __init__(
@@ -94,11 +101,13 @@
         retry_ratio: float,
         retry_allowance: float,
         retry_window_s: float,
+        on_prompt_sent: Callable[[EndpointEstimate], None] = ignore_sent,
     ) -> None:
         self.config_view = config_view
         self.placement = placement
         self.rollouts = rollouts
         self.sizes = sizes
+        self.on_prompt_sent = on_prompt_sent
         self.retry_ratio = retry_ratio
         self.retry_allowance = retry_allowance
         self.retry_window_s = retry_window_s
@@ -224,6 +233,7 @@
         endpoint.pending_prefill_s += send.estimate.prefill_s
         if send.size is not None:
             endpoint.record_prompt(send.size, work.request.prompt_parts, now)
+            self.on_prompt_sent(send.estimate)
         attempt = Attempt(send.estimate, send.size, now)
         is_past = self.rollouts.is_past_trial(work.service, endpoint.record.version, now)
         attempt.is_under_load = is_past and send.estimate.load >= MIN_EVIDENCE_LOAD
--- a/poplarrun/gateway/_host.py
+++ b/poplarrun/gateway/_host.py
@@ -133,6 +133,7 @@
             self._rollouts,
             self._dispatcher.reachability,
         )
+        self._dispatcher.on_prompt_sent = self._peering.publish_load
         self._rollout_controller = RolloutController(
             self._store,
             self._rollouts,
--- a/poplarrun/gateway/_peering.py
+++ b/poplarrun/gateway/_peering.py
@@ -21,6 +21,8 @@
     DueDigest,
     EndpointChanges,
     ListedEndpoint,
+    LoadNotice,
+    NoticeBudget,
     OffsetRecord,
     PeerState,
     PeerTable,
@@ -41,7 +43,13 @@
     encode_records,
     encode_totals,
 )
-from poplarrun.placement import EndpointDirectory, EndpointRecord, Placement, Reachability
+from poplarrun.placement import (
+    EndpointDirectory,
+    EndpointEstimate,
+    EndpointRecord,
+    Placement,
+    Reachability,
+)
 from poplarrun.platform import (
     HOST_TOPIC,
     Appended,
@@ -117,6 +125,7 @@
         self._rosters = Rosters(peer_table)
         self._reachability = ReachabilityExchange(peer_table, placement, reachability)
         self._reachability_changed_at = float("-inf")
+        self._notice_budget = NoticeBudget()
         self._activity = ActivityExchange(peer_table.zone, placement, rollouts)
         self.sessions = SessionLookup(peer_table, links, rollouts)
         self._started_at = float("inf")
@@ -165,6 +174,21 @@
         for peer in self.peer_table.zone_peers(seconds_since_boot()):
             self._links.send(peer.address, message)
 
+    def publish_load(self, estimate: EndpointEstimate) -> None:
+        """Tell the hosts of this zone of a prompt that was just sent, if it occupies an endpoint.
+
+        The totals in digests are older than most prompts take. Until they arrive, all hosts
+        would send to the endpoints that were idle a moment ago.
+        """
+        now = seconds_since_boot()
+        peers = self.peer_table.zone_peers(now)
+        if not self._notice_budget.try_spend(estimate.prefill_s, len(peers) + 1, now):
+            return
+        drain_ms = int(estimate.drain_s * MILLISECONDS_PER_S)
+        message = encode_message(LoadNotice(estimate.endpoint.record.instance_id, drain_ms))
+        for peer in peers:
+            self._links.send(peer.address, message)
+
     def count_alive_peers(self) -> int:
         """Return the number of other alive hosts."""
         return len(self.peer_table.alive_peers(seconds_since_boot()))
@@ -362,6 +386,9 @@
                 self._handle_state_response(response, now)
             case EndpointChanges() as changes:
                 self._handle_changes(changes)
+            case LoadNotice(instance_id, drain_ms):
+                drain_s = drain_ms / MILLISECONDS_PER_S
+                self._placement.apply_load_notice(instance_id, drain_s, now)
             case DocumentChanges() as documents:
                 self._handle_documents(documents)
             case PinnedSessions() as pinned:
--- a/poplarrun/gateway/_records.py
+++ b/poplarrun/gateway/_records.py
@@ -63,7 +63,7 @@
                 send.size or "",
                 send.estimate.first_event_s,
                 endpoint.load,
-                endpoint.queue_s,
+                send.estimate.queue_s,
                 work.remaining_s(now),
                 is_resumed,
                 send.reason.value,
--- a/poplarrun/peers/__init__.py
+++ b/poplarrun/peers/__init__.py
@@ -9,6 +9,7 @@
     EndpointLoad,
     EndpointReach,
     ListedEndpoint,
+    LoadNotice,
     Message,
     OffsetRecord,
     PinnedSessions,
@@ -31,6 +32,7 @@
     encode_records,
     encode_totals,
 )
+from poplarrun.peers._notice_budget import NoticeBudget
 from poplarrun.peers._peer import PeerState
 from poplarrun.peers._peer_table import DOCUMENTS, ENDPOINTS, READ_TOPICS, DueDigest, PeerTable
 from poplarrun.peers._read_schedule import DEFAULT_READ_TIMEOUTS, ReadSchedule, ReadTimeouts
@@ -51,7 +53,9 @@
     "EndpointLoad",
     "EndpointReach",
     "ListedEndpoint",
+    "LoadNotice",
     "Message",
+    "NoticeBudget",
     "OffsetRecord",
     "PeerState",
     "PeerTable",
--- a/poplarrun/peers/_messages.py
+++ b/poplarrun/peers/_messages.py
@@ -310,6 +310,19 @@
     records: bytes
 
 
+class LoadNotice(msgspec.Struct, frozen=True, array_like=True, tag=12):
+    """Tells the sender's zone of a prompt that it has just sent to an endpoint.
+
+    Attributes
+    ----------
+    drain_ms : int
+        Time until the endpoint will have read this prompt and those before it.
+    """
+
+    instance_id: str
+    drain_ms: int
+
+
 class OffsetRecord(msgspec.Struct, frozen=True, array_like=True):
     """A record of a topic; the value is None if it removes its key."""
 
@@ -365,6 +378,7 @@
     | StateResponse
     | EndpointChanges
     | DocumentChanges
+    | LoadNotice
     | PinnedSessions
     | SessionQuery
     | SessionAnswer
--- a/poplarrun/placement/_endpoint_state.py
+++ b/poplarrun/placement/_endpoint_state.py
@@ -24,6 +24,8 @@
 # An endpoint that was not reached is listed for about this long if it is down. After that, other
 # hosts have reached it.
 UNREACHED_TTL_S = 6.0
+# Longest time that one notice of a host can make an endpoint look busy, in seconds.
+MAX_DRAIN_S = 5.0
 # Number of sends whose times are remembered for each endpoint.
 MAX_SEND_TIMES = 64
 # Time in seconds without a measurement in which the excess of the slowdown over 1 halves: an
@@ -45,6 +47,8 @@
         Prefill time of this host's prompts without a first event yet, in seconds.
     peer_pending_prefill_s : float
         The same for the other hosts, as last reported.
+    drained_at : float
+        When the prompts that wait there will have been read, as the hosts of the zone expect.
     slowdown : float
         Ratio of the measured to the expected time to the first event.
     last_response_at : float
@@ -65,6 +69,7 @@
     peer_in_flight: float = 0.0
     pending_prefill_s: float = 0.0
     peer_pending_prefill_s: float = 0.0
+    drained_at: float = -math.inf
     slowdown: float = 1.0
     slowdown_at: float = -math.inf
     failures: int = 0
@@ -85,10 +90,18 @@
         """Requests per slot."""
         return (self.in_flight + self.peer_in_flight) / self.record.slots
 
-    @property
-    def queue_s(self) -> float:
-        """Prefill time of the prompts that wait there, in seconds."""
-        return self.pending_prefill_s + self.peer_pending_prefill_s
+    def queue_s(self, now: float) -> float:
+        """Return the prefill time of the prompts that wait there, in seconds.
+
+        Reports of what waits are some tenths of a second old; what hosts say when they send is
+        newer, and lacks what hosts of other zones send.
+        """
+        reported_s = self.pending_prefill_s + self.peer_pending_prefill_s
+        return max(reported_s, self.drained_at - now)
+
+    def record_drain(self, drain_s: float, now: float) -> None:
+        """Record that the prompts that wait there take that long to be read."""
+        self.drained_at = max(self.drained_at, now + min(MAX_DRAIN_S, drain_s))
 
     def update_warm_up(self, now: float) -> None:
         """Apply the warm-up time of a record that has just arrived."""
--- a/poplarrun/placement/_placement.py
+++ b/poplarrun/placement/_placement.py
@@ -68,6 +68,11 @@
     queue_s: float = 0.0
     load: float = 0.0
 
+    @property
+    def drain_s(self) -> float:
+        """Time until the endpoint will have read this prompt and those before it."""
+        return self.queue_s + self.prefill_s
+
 
 class Placement:
     """Chooses among the listed endpoints; used on the event loop only.
@@ -121,6 +126,12 @@
             if endpoint.record.zone in taken_back:
                 endpoint.returned_at = now
 
+    def apply_load_notice(self, instance_id: str, drain_s: float, now: float) -> None:
+        """Apply what another host expects of an endpoint to which it has just sent a prompt."""
+        endpoint = self._endpoints.get(instance_id)
+        if endpoint is not None:
+            endpoint.record_drain(drain_s, now)
+
     def update_unreached(self, instance_ids: Container[str], now: float) -> None:
         """Replace the endpoints that other hosts report not to reach."""
         for endpoint in self._endpoints.values():
@@ -295,9 +306,8 @@
                 cached_tokens = max(cached_tokens, OWNER_CACHE_FRACTION * shared_tokens)
             uncached_tokens = max(0.0, prompt_tokens - cached_tokens)
             prefill_s = uncached_tokens * speed.prefill_s_per_token
-            queue_delay_s = (
-                endpoint.queue_s + endpoint.load * FULL_BATCH_DELAY_S + speed.base_first_token_s
-            )
+            queue_s = endpoint.queue_s(now)
+            queue_delay_s = queue_s + endpoint.load * FULL_BATCH_DELAY_S + speed.base_first_token_s
             first_event_s = (queue_delay_s + prefill_s) * endpoint.current_slowdown(now)
             estimates.append(
                 EndpointEstimate(
@@ -305,7 +315,7 @@
                     prefill_s,
                     first_event_s,
                     int(uncached_tokens),
-                    endpoint.queue_s,
+                    queue_s,
                     endpoint.load,
                 )
             )
--- a/poplarrun/sizes/_sizes.py
+++ b/poplarrun/sizes/_sizes.py
@@ -135,7 +135,7 @@
         is_late = now + estimate.first_event_s / EXPECTED_TIME_FRACTION > target_at
         escalated_worth = LARGEST_MODEL_QUALITY * (LATE_WORTH_FRACTION if is_late else 1.0)
         gain = escalated_worth - current_worth - self._relative_cost(work, service)
-        queue_fraction = min(1.0, estimate.endpoint.queue_s / work.route.latency.target_s)
+        queue_fraction = min(1.0, estimate.queue_s / work.route.latency.target_s)
         return gain > MIN_GAIN + QUEUE_GAIN_FACTOR * queue_fraction
 
     def _relative_cost(self, work: InFlightRequest, service: Service) -> float:
