--- a/features/steps/gateway_parts.py
+++ b/features/steps/gateway_parts.py
@@ -11,8 +11,8 @@
 from features.steps.gateway_world import make_placement
 from poplarrun.dispatch import ConfigView
 from poplarrun.gateway._capacity import compute_capacity
+from poplarrun.gateway._document_follower import DocumentFollower
 from poplarrun.gateway._event_stream import EventParser
-from poplarrun.gateway._followers import DocumentFollower
 from poplarrun.gateway._reading import SharedReader
 from poplarrun.logging import EVENTS, NonBlockingHandler
 from poplarrun.metrics import Metrics
--- a/features/steps/shared_reading.py
+++ b/features/steps/shared_reading.py
@@ -8,8 +8,9 @@
 from features.steps.gateway_world import make_placement
 from poplarrun.dispatch import ConfigView
 from poplarrun.evacuations import ZoneOrder
-from poplarrun.gateway import _peering
-from poplarrun.gateway._followers import DocumentFollower, DocumentUpdate, ListingFollower
+from poplarrun.gateway import _state_exchange
+from poplarrun.gateway._document_follower import DocumentFollower, DocumentUpdate
+from poplarrun.gateway._listing_follower import ListingFollower
 from poplarrun.gateway._reading import SharedReader
 from poplarrun.logging import events
 from poplarrun.peers import DOCUMENTS, ENDPOINTS, Digest, DocumentChanges, PeerTable, ReadSchedule
@@ -373,7 +374,7 @@
     context.followed = receiver._documents
     context.followed.offset = 0
     written = []
-    with patch.object(_peering, "write_event", written.append):
+    with patch.object(_state_exchange, "write_event", written.append):
         message = DocumentChanges(fleet.hosts[1].address, 0, 1, False, data)
         receiver._receive(messages.encode_message(message))
     context.written = written
--- a/poplarrun/gateway/_host.py
+++ b/poplarrun/gateway/_host.py
@@ -11,8 +11,9 @@
 from poplarrun.dispatch import ConfigView, Dispatcher
 from poplarrun.errors import ErrorKind, Refusal
 from poplarrun.gateway._capacity import compute_capacity
-from poplarrun.gateway._followers import DocumentFollower, ListingFollower
+from poplarrun.gateway._document_follower import DocumentFollower
 from poplarrun.gateway._forwarder import RequestForwarder, respond_refusal
+from poplarrun.gateway._listing_follower import ListingFollower
 from poplarrun.gateway._peering import Peering
 from poplarrun.gateway._reading import SharedReader
 from poplarrun.gateway._records import RequestRecorder
--- /dev/null
+++ b/poplarrun/gateway/_listing_follower.py
@@ -0,0 +1,202 @@
+"""Follower of the list of endpoints."""
+
+import asyncio
+from collections.abc import Callable
+
+from poplarrun.gateway._reading import SharedReader, publish_nothing
+from poplarrun.gateway._store_health import READ_PAUSE_S, RETRY_DELAY_S, StoreHealth
+from poplarrun.logging import events, write_event
+from poplarrun.placement import LAPSE_GRACE_S, DirectoryEvent, EndpointDirectory, Placement
+from poplarrun.platform import (
+    ENDPOINT_TOPIC,
+    Entry,
+    LatestRecords,
+    NoAnswer,
+    OffsetExpired,
+    Records,
+    Refused,
+    StoreClient,
+    decode_endpoint_record,
+)
+from poplarrun.transport import seconds_since_boot
+
+# Records removed within this time after an outage may be those of live endpoints.
+LAPSE_WINDOW_S = 0.8
+
+
+def _publish_no_changes(entries: tuple[Entry, ...], is_lapse: bool) -> None:
+    """Do nothing; used until the follower is connected to peers."""
+
+
+class ListingFollower:
+    """Follows the list of endpoints."""
+
+    def __init__(
+        self,
+        store: StoreClient,
+        directory: EndpointDirectory,
+        placement: Placement,
+        reader: SharedReader,
+    ) -> None:
+        self.has_read_store = False
+        self.is_usable = False
+        self.confirmed_at = float("-inf")
+        self.reader = reader
+        self.publish_proof: Callable[[], None] = publish_nothing
+        self.publish_changes: Callable[[tuple[Entry, ...], bool], None] = _publish_no_changes
+        self._store = store
+        self._directory = directory
+        self._placement = placement
+        self._health = StoreHealth(seconds_since_boot(), reader.timeouts.outage_timeout_s)
+
+    async def run(self) -> None:
+        """Follow the topic forever."""
+        while True:
+            await self.reader.wait_until_due(lambda: self.confirmed_at)
+            has_succeeded = await self._read_once()
+            self._expire(seconds_since_boot())
+            if has_succeeded:
+                self.publish_proof()
+            await asyncio.sleep(READ_PAUSE_S if has_succeeded else RETRY_DELAY_S)
+
+    async def _read_once(self) -> bool:
+        answer = await self._read()
+        now = seconds_since_boot()
+        match answer:
+            case LatestRecords(entries=entries, end_offset=end, confirmed_at=confirmed_at):
+                self._apply_latest(entries, now)
+                self._directory.next_offset = end
+                self.has_read_store = True
+                self.is_usable = True
+            case Records(entries=entries, confirmed_at=confirmed_at):
+                self._record_answer(now)
+                self._apply_records(entries, now)
+            case OffsetExpired():
+                write_event(events.HistoryDropped("endpoints"))
+                self.has_read_store = False
+                return await self._read_once()
+            case Refused() | NoAnswer():
+                self.reader.has_failed = True
+                if self._health.record_failure(now):
+                    write_event(events.StoreLost("endpoints", repr(answer)))
+                return False
+        self.reader.has_failed = False
+        self._record_answer(now)
+        self.confirmed_at = max(self.confirmed_at, confirmed_at)
+        self._placement.update_endpoints(self._directory.records(), now)
+        return True
+
+    def _apply_records(self, entries: tuple[Entry, ...], now: float) -> None:
+        is_lapse = self._may_have_expired(now)
+        for entry in entries:
+            self._apply_entry(entry, now, is_lapse)
+        if entries:
+            # Some of them may have arrived from a peer while the read was in progress.
+            self._directory.next_offset = max(self._directory.next_offset, entries[-1].offset + 1)
+            self.publish_changes(entries, is_lapse)
+
+    def record_proof(self, end: int, confirmed_at: float) -> None:
+        """Record that a peer had read all records of the store at a time."""
+        if not self.has_read_store:
+            return
+        if end > self._directory.next_offset:
+            self.reader.read_unless_sent()
+        elif end == self._directory.next_offset:
+            self.confirmed_at = max(self.confirmed_at, confirmed_at)
+            self._health.record_proof(confirmed_at)
+
+    def available_s(self, now: float) -> float:
+        """Return for how long the store has answered without an outage."""
+        return self._health.available_s(now)
+
+    def record_available(self, since: float, until: float) -> None:
+        """Record that the store answered a peer during a period.
+
+        If this host's outage turns out to have been none, the endpoints that it kept because
+        their records might have expired have really left.
+        """
+        if self._health.record_available(since, until):
+            self._remove_lapsed(seconds_since_boot(), 0.0)
+
+    def apply_changes(self, entries: tuple[Entry, ...], is_lapse: bool) -> None:
+        """Apply records that a peer has read; if some are missing, read them from the store."""
+        if not self.has_read_store or not entries:
+            return
+        if entries[0].offset > self._directory.next_offset:
+            self.reader.read_now()
+            return
+        new_entries = [entry for entry in entries if entry.offset >= self._directory.next_offset]
+        if not new_entries:
+            return
+        now = seconds_since_boot()
+        for entry in new_entries:
+            self._apply_entry(entry, now, is_lapse)
+        self._directory.next_offset = new_entries[-1].offset + 1
+        self.reader.record_caught_up()
+        self._placement.update_endpoints(self._directory.records(), now)
+
+    def apply_peer_listing(self) -> None:
+        """Use the endpoints that a peer sent.
+
+        The read offset stays, so that this host reads the peer's records again.
+        """
+        self.is_usable = True
+        self._placement.update_endpoints(self._directory.records(), seconds_since_boot())
+
+    async def _read(self) -> LatestRecords | Records | OffsetExpired | Refused | NoAnswer:
+        if not self.has_read_store:
+            return await self._store.read_latest(ENDPOINT_TOPIC)
+        offset, long_poll_s = self._directory.next_offset, self.reader.long_poll_s
+        return await self._store.read(ENDPOINT_TOPIC, offset, long_poll_s)
+
+    def _record_answer(self, now: float) -> None:
+        if self._health.record_answer(now):
+            write_event(events.StoreBack("endpoints", self._directory.next_offset))
+
+    def _apply_latest(self, entries: tuple[Entry, ...], now: float) -> None:
+        listed_ids = {entry.key for entry in entries}
+        is_lapse = self._may_have_expired(now)
+        for entry in entries:
+            self._apply_entry(entry, now, is_lapse)
+        for record in self._directory.records():
+            if record.instance_id not in listed_ids:
+                self._remove(record.instance_id, now, is_lapse)
+
+    def _may_have_expired(self, now: float) -> bool:
+        """Return whether records removed now may have expired in an outage of the store."""
+        return self._health.is_outage or now - self._health.outage_ended_at < LAPSE_WINDOW_S
+
+    def _apply_entry(self, entry: Entry, now: float, is_lapse: bool) -> None:
+        if entry.value is None:
+            self._remove(entry.key, now, is_lapse)
+            return
+        record = decode_endpoint_record(entry.key, entry.value)
+        if record is None:
+            write_event(events.RecordIgnored(entry.key))
+            return
+        event = self._directory.apply(record, now)
+        if event not in (DirectoryEvent.NOTHING, DirectoryEvent.CHANGED):
+            write_event(
+                events.EndpointChanged(
+                    record.instance_id,
+                    event.value,
+                    record.service,
+                    record.address,
+                    record.version,
+                )
+            )
+
+    def _remove(self, instance_id: str, now: float, is_lapse: bool) -> None:
+        event = self._directory.remove(instance_id, now, is_lapse)
+        if event is DirectoryEvent.REMOVED:
+            write_event(events.EndpointsGone([instance_id], "removed"))
+
+    def _expire(self, now: float) -> None:
+        if not self._health.is_outage:
+            self._remove_lapsed(now, LAPSE_GRACE_S)
+
+    def _remove_lapsed(self, now: float, grace_s: float) -> None:
+        gone = self._directory.expire(now, grace_s)
+        if gone:
+            write_event(events.EndpointsGone(gone, "lapsed"))
+            self._placement.update_endpoints(self._directory.records(), now)
--- a/poplarrun/gateway/_peering.py
+++ b/poplarrun/gateway/_peering.py
@@ -7,23 +7,21 @@
 import msgspec
 
 from poplarrun.dispatch import ConfigView
-from poplarrun.evacuations import ZoneOrder
 from poplarrun.gateway._activity import ActivityExchange, RolloutState
-from poplarrun.gateway._followers import DocumentFollower, DocumentUpdate, ListingFollower
+from poplarrun.gateway._document_follower import DocumentFollower
+from poplarrun.gateway._listing_follower import ListingFollower
 from poplarrun.gateway._reachability import ReachabilityExchange
 from poplarrun.gateway._sessions import SessionLookup
+from poplarrun.gateway._state_exchange import StateExchange
 from poplarrun.links import Links
 from poplarrun.logging import events, write_event
 from poplarrun.peers import (
-    ChangedRecord,
     Digest,
     DocumentChanges,
     DueDigest,
     EndpointChanges,
-    ListedEndpoint,
     LoadNotice,
     NoticeBudget,
-    OffsetRecord,
     PeerState,
     PeerTable,
     PinnedSessions,
@@ -36,17 +34,13 @@
     SessionQuery,
     StateRequest,
     StateResponse,
-    ZoneEvacuation,
     decode_message,
-    decode_records,
     encode_message,
-    encode_records,
     encode_totals,
 )
 from poplarrun.placement import (
     EndpointDirectory,
     EndpointEstimate,
-    EndpointRecord,
     Placement,
     Reachability,
 )
@@ -55,7 +49,6 @@
     Appended,
     Entry,
     LatestRecords,
-    MalformedDocument,
     StoreClient,
 )
 from poplarrun.rollouts import Rollouts
@@ -70,18 +63,12 @@
 # well within the operators' bound.
 ROLLOUT_ZONE_INTERVAL_S = 0.4
 ROUND_INTERVAL_S = 0.2
-# If this host's list of endpoints is older than this, it requests that of a peer with a newer one.
-MAX_LISTING_AGE_S = 1.8
 # A starting host waits at most this long for the first digest, since all other hosts may be dead
 # or cut off.
 FIRST_DIGEST_TIMEOUT_S = 1.0
 # A starting host knows the other hosts after this time, and shares the rates of endpoints that warm
 # up with them from then on.
 HOSTS_KNOWN_AFTER_S = 4.0
-# If a peer has had a newer configuration for this long, and this host could not read it from the
-# store, it requests it from the peer.
-CONFIG_READ_GRACE_S = 0.3
-STATE_REQUEST_INTERVAL_S = 0.5
 # Shortest interval between two requests for the same roster.
 ROSTER_REQUEST_INTERVAL_S = 0.3
 # Interval between attempts to register the own address until one succeeds, and between reads of
@@ -128,10 +115,10 @@
         self._notice_budget = NoticeBudget()
         self._activity = ActivityExchange(peer_table.zone, placement, rollouts)
         self.sessions = SessionLookup(peer_table, links, rollouts)
+        self._state = StateExchange(
+            peer_table, links, config_view, documents, listings, directory, placement
+        )
         self._started_at = float("inf")
-        self._state_requested_at = float("-inf")
-        self._outdated_version: int | None = None
-        self._outdated_since = 0.0
         self._alive_addresses: set[str] = set()
         self._rollout_states: list[RolloutState] = []
         self._rollouts_changed_at = float("-inf")
@@ -139,8 +126,6 @@
         self._is_leaving = False
         documents.publish_proof = self.publish_proof
         listings.publish_proof = self.publish_proof
-        listings.publish_changes = self.publish_changes
-        documents.publish_update = self.publish_update
 
     def publish_proof(self) -> None:
         """Send a digest that proves this host's latest read to the hosts of its zone."""
@@ -149,31 +134,6 @@
         for peer in self.peer_table.reporting_peers(now):
             self._send(digest, peer, now)
 
-    def publish_changes(self, entries: tuple[Entry, ...], is_lapse: bool) -> None:
-        """Send records of endpoints to the hosts of this zone."""
-        records = [ChangedRecord(entry.key, entry.value) for entry in entries]
-        start, end = entries[0].offset, entries[-1].offset + 1
-        message = encode_message(
-            EndpointChanges(self.peer_table.address, start, end, is_lapse, records)
-        )
-        for peer in self.peer_table.zone_peers(seconds_since_boot()):
-            self._links.send(peer.address, message)
-
-    def publish_update(self, update: DocumentUpdate) -> None:
-        """Send operators' documents that this host has read to the hosts of this zone."""
-        records = [OffsetRecord(each.key, each.value, each.offset) for each in update.entries]
-        message = encode_message(
-            DocumentChanges(
-                self.peer_table.address,
-                update.start_offset,
-                update.end_offset,
-                update.is_complete,
-                encode_records(records),
-            )
-        )
-        for peer in self.peer_table.zone_peers(seconds_since_boot()):
-            self._links.send(peer.address, message)
-
     def publish_load(self, estimate: EndpointEstimate) -> None:
         """Tell the hosts of this zone of a prompt that was just sent, if it occupies an endpoint.
 
@@ -363,10 +323,7 @@
             listing_end_offset=self._directory.next_offset if self._listings.has_read_store else -1,
             store_available_s=self._listings.available_s(now),
             rollouts=self._activity.rollout_progress(now),
-            evacuations=[
-                ZoneEvacuation(order.zone, order.offset, order.is_evacuated)
-                for order in self._documents.evacuations.orders
-            ],
+            evacuations=self._state.evacuations(),
         )
 
     def _receive(self, data: bytes) -> None:
@@ -380,17 +337,17 @@
                 self._handle_roster(roster, now)
             case StateRequest() as request:
                 self._links.send(
-                    request.address, encode_message(self._make_state_response(request))
+                    request.address, encode_message(self._state.make_response(request))
                 )
             case StateResponse() as response:
-                self._handle_state_response(response, now)
+                self._state.apply_response(response, now)
             case EndpointChanges() as changes:
-                self._handle_changes(changes)
+                self._state.apply_changes(changes)
             case LoadNotice(instance_id, drain_ms):
                 drain_s = drain_ms / MILLISECONDS_PER_S
                 self._placement.apply_load_notice(instance_id, drain_s, now)
             case DocumentChanges() as documents:
-                self._handle_documents(documents)
+                self._state.apply_documents(documents)
             case PinnedSessions() as pinned:
                 self.sessions.apply_pinned(pinned)
             case SessionQuery() as session_query:
@@ -417,17 +374,11 @@
             self._apply_fingerprint(digest, fingerprint, now)
         self._activity.apply_digest(digest, now)
         self._reachability.apply_digest(digest, now)
-        self._apply_evacuations(digest, now)
-        self._apply_store_progress(digest, now)
+        self._state.apply_digest(digest, now)
         if self._update_rollout_states(now):
             # A change passes three hosts on its way to another zone; none may wait for a round.
             self._run_round(now)
 
-    def _apply_evacuations(self, digest: Digest, now: float) -> None:
-        for each in digest.evacuations:
-            order = ZoneOrder(each.zone, each.offset, each.is_evacuated)
-            self._documents.apply_evacuation(order, digest.address, now)
-
     def _apply_fingerprint(
         self, digest: Digest, fingerprint: RosterFingerprint, now: float
     ) -> None:
@@ -456,109 +407,6 @@
         roster = Roster(self.peer_table.address, request.zone, hosts, age_s)
         self._links.send(request.address, encode_message(roster))
 
-    def _apply_store_progress(self, digest: Digest, now: float) -> None:
-        catalogue = self._config_view.catalogue
-        version = -1 if catalogue is None else catalogue.version
-        if digest.config_version == version and catalogue is not None:
-            proven_at = self.peer_table.proven_at(digest, digest.config_age_s)
-            if proven_at is not None:
-                self._documents.record_proof(proven_at)
-        if digest.documents_end_offset > (self._documents.offset or 0):
-            self._documents.reader.read_unless_sent()
-        sent_at = self.peer_table.proven_at(digest, 0.0)
-        if sent_at is not None:
-            self._listings.record_available(now - digest.store_available_s, sent_at)
-        listed_at = self.peer_table.proven_at(digest, digest.listing_age_s)
-        if listed_at is not None:
-            self._listings.record_proof(digest.listing_end_offset, listed_at)
-        wants_config = self._is_config_overdue(digest.config_version, version, now)
-        is_listing_old = now - self._listings.confirmed_at > MAX_LISTING_AGE_S
-        wants_listing = is_listing_old and digest.listing_age_s < MAX_LISTING_AGE_S
-        if (
-            wants_config or wants_listing
-        ) and now - self._state_requested_at > STATE_REQUEST_INTERVAL_S:
-            self._state_requested_at = now
-            request = StateRequest(self.peer_table.address, wants_config, wants_listing)
-            self._links.send(digest.address, encode_message(request))
-
-    def _is_config_overdue(self, peer_version: int, version: int, now: float) -> bool:
-        """Return whether a peer has had a newer configuration for longer than a read takes.
-
-        Until then the store should send it: it can send a large document to many hosts sooner than
-        one peer could.
-        """
-        if peer_version <= version:
-            return False
-        if version != self._outdated_version:
-            self._outdated_version, self._outdated_since = version, now
-        return now - self._outdated_since > CONFIG_READ_GRACE_S
-
-    def _handle_changes(self, changes: EndpointChanges) -> None:
-        entries = tuple(
-            Entry(record.key, record.value, changes.start_offset + index)
-            for index, record in enumerate(changes.records)
-        )
-        self._listings.apply_changes(entries, changes.is_lapse)
-
-    def _handle_documents(self, changes: DocumentChanges) -> None:
-        records = decode_records(changes.records)
-        if records is None:
-            write_event(events.MessageUnreadable(len(changes.records)))
-            return
-        entries = tuple(Entry(each.key, each.value, each.offset) for each in records)
-        update = DocumentUpdate(
-            entries, changes.start_offset, changes.end_offset, changes.is_complete
-        )
-        self._documents.apply_peer_update(update)
-
-    def _make_state_response(self, request: StateRequest) -> StateResponse:
-        listed = []
-        now = seconds_since_boot()
-        if request.wants_listing:
-            listed = [
-                ListedEndpoint(
-                    record.instance_id,
-                    record.service,
-                    record.address,
-                    record.zone,
-                    record.version,
-                    record.slots,
-                    record.is_leaving,
-                    record.started_ms,
-                    record.sequence,
-                    int(self._placement.warm_up_s(record.instance_id, now) * MILLISECONDS_PER_S),
-                )
-                for record in self._directory.records()
-            ]
-        config = self._documents.raw_config if request.wants_config else b""
-        return StateResponse(self.peer_table.address, config, listed, self._directory.removed_ids())
-
-    def _handle_state_response(self, response: StateResponse, now: float) -> None:
-        if response.config:
-            try:
-                self._documents.apply_config(response.config, response.address)
-            except MalformedDocument as error:
-                write_event(events.DocumentIgnored("config of a peer", str(error)))
-        if not response.endpoints and not response.removed:
-            return
-        for listed in response.endpoints:
-            record = EndpointRecord(
-                listed.instance_id,
-                listed.service,
-                listed.address,
-                listed.zone,
-                listed.version,
-                listed.slots,
-                listed.is_leaving,
-                listed.warm_up_ms / MILLISECONDS_PER_S,
-                listed.started_ms,
-                listed.sequence,
-            )
-            self._directory.apply(record, now)
-        for instance_id in response.removed:
-            self._directory.remove(instance_id, now)
-        self._listings.apply_peer_listing()
-
 
 def _decode_zone(entry: Entry) -> str:
     """Return the zone in the record of a host's address; empty if it can't be decoded."""
--- a/poplarrun/gateway/_reading.py
+++ b/poplarrun/gateway/_reading.py
@@ -9,6 +9,10 @@
 from poplarrun.transport import seconds_since_boot
 
 
+def publish_nothing() -> None:
+    """Do nothing; what a follower publishes until it is connected to peers."""
+
+
 class SharedReader:
     """Decides when this host reads one topic, and how long the store may hold a read open.
 
--- a/poplarrun/gateway/_rollout_controller.py
+++ b/poplarrun/gateway/_rollout_controller.py
@@ -3,7 +3,7 @@
 import asyncio
 from collections.abc import Callable
 
-from poplarrun.gateway._followers import StatusFollower
+from poplarrun.gateway._status_follower import StatusFollower
 from poplarrun.logging import events, write_event
 from poplarrun.platform import (
     ROLLOUT_PREFIX,
--- a/standins/rollout_fleet.py
+++ b/standins/rollout_fleet.py
@@ -15,7 +15,8 @@
 from unittest.mock import patch
 
 from poplarrun.dispatch import ConfigView, Dispatcher, SendDecision
-from poplarrun.gateway._followers import DocumentFollower, ListingFollower
+from poplarrun.gateway._document_follower import DocumentFollower
+from poplarrun.gateway._listing_follower import ListingFollower
 from poplarrun.gateway._peering import Peering
 from poplarrun.gateway._reading import SharedReader
 from poplarrun.links import MemoryLinkNetwork, MemoryLinks
@@ -45,7 +46,14 @@
 SESSION_TIMEOUT_S = 6.5
 ENDPOINTS_PER_VERSION = 4
 ENDPOINT_SLOTS = 64
-CLOCK_MODULES = ("_peering", "_reading", "_followers", "_sessions")
+CLOCK_MODULES = (
+    "_peering",
+    "_state_exchange",
+    "_reading",
+    "_document_follower",
+    "_listing_follower",
+    "_sessions",
+)
 FIRST_EVENT_DELAY_S = 0.15
 VERDICT_INTERVAL_S = 0.25
 LATENCY_TARGETS = LatencyTargets(timeout_s=12.0, target_s=2.0, event_gap_s=1.2)
