Keep what a failed planned stop shows: a host's log since its start, and its limits

Two entries of KNOWN-RED.txt could not be traced because the first lines of a replaced host's log, and what the hosts knew of the account's limits, were not kept. The messages hold them now.

--- a/features/steps/planned_stop.py
+++ b/features/steps/planned_stop.py
@@ -137,9 +137,17 @@
     assert line["request_ids"] == [context.request_id]
 
 
+def describe_limits(context):
+    """Return the last lines of each host that tell of its parts of the account limits."""
+    return {
+        name: [line for line in host.read_log_since_start().splitlines() if "limit" in line][-8:]
+        for name, host in context.fleet.hosts.items()
+    }
+
+
 @then("no request failed")
 def step_none_failed(context):
-    assert not context.callers.failures, context.callers.failures[:5]
+    assert not context.callers.failures, (context.callers.failures[:5], describe_limits(context))
     assert next(context.callers.answers) > 100
 
 
--- a/standins/fleet.py
+++ b/standins/fleet.py
@@ -117,10 +117,12 @@
     settings: Path
     log_file: Path
     process: subprocess.Popen[bytes] | None = None
+    log_start: int = 0
 
     def spawn(self) -> None:
         """Start the process without waiting for it."""
         command = [sys.executable, "-m", "poplarrun", "serve", "--settings", str(self.settings)]
+        self.log_start = self.log_file.stat().st_size if self.log_file.exists() else 0
         with self.log_file.open("ab") as output:
             self.process = subprocess.Popen(command, stdout=output, stderr=output)
 
@@ -145,7 +147,7 @@
         """Return the exit code, the readiness response or the end of the log."""
         code = self.process.poll() if self.process is not None else None
         if code is not None:
-            return f"process exit code {code}: {self.log_file.read_text()[-LOG_TAIL_CHARS:]}"
+            return f"process exit code {code}: {self.read_log_since_start()}"
         with contextlib.suppress(urllib3.exceptions.HTTPError):
             answer = urllib3.request(
                 "GET", f"http://{self.address}/readyz", timeout=1, retries=False
@@ -153,6 +155,13 @@
             return answer.data.decode(errors="replace")
         return f"the host does not respond: {self.log_file.read_text()[-LOG_TAIL_CHARS:]}"
 
+    def read_log_since_start(self) -> str:
+        """Return the log of the current process, its middle left out if it is long."""
+        log = self.log_file.read_bytes()[self.log_start :].decode(errors="replace")
+        if len(log) <= 2 * LOG_TAIL_CHARS:
+            return log
+        return f"{log[:LOG_TAIL_CHARS]}\n...\n{log[-LOG_TAIL_CHARS:]}"
+
     def status(self) -> Any:
         """Return the host's status; None if it does not respond."""
         return get_json(self.address, "/status")
