--- a/poplarrun/placement/_placement.py
+++ b/poplarrun/placement/_placement.py
@@ -104,7 +104,13 @@
         self._speeds: dict[tuple[str, str], PoolSpeed] = {}
 
     def update_endpoints(self, records: list[EndpointRecord], now: float = 0.0) -> None:
-        """Replace the endpoints by those listed; the state of a restarted one is reset."""
+        """Replace the endpoints by those listed; the state of a restarted one is reset.
+
+        Parameters
+        ----------
+        now : float
+            When new records arrived, from which their warm-up times count.
+        """
         endpoints: dict[str, EndpointState] = {}
         for record in records:
             endpoint = self._endpoints.get(record.instance_id)
