--- a/features/steps/warm_up.py
+++ b/features/steps/warm_up.py
@@ -64,7 +64,13 @@
 
 @given("a dispatcher whose host may send {quota:d} requests a second to an endpoint that warms up")
 def step_warm_up_dispatcher(context, quota):
-    service = Service("engines", 100, 8, 400_000, warm_up=LIMIT)
+    make_dispatcher(context, LIMIT)
+    assert context.placement.warm_up_shares.quota("e1", "a", LIMIT) == quota
+
+
+def make_dispatcher(context, limit):
+    """Create a dispatcher of a host that is alone in its zone with one endpoint."""
+    service = Service("engines", 100, 8, 400_000, warm_up=limit)
     catalogue = make_catalogue()
     catalogue.services["engines"] = service
     view = ConfigView()
@@ -72,12 +78,17 @@
     view.confirm(100.0)
     placement = Placement("a", random.Random(3))
     placement.warm_up_shares.update_hosts("h1", {"a": ZoneHosts(("h1",), frozenset(("h1",)))})
-    assert placement.warm_up_shares.quota("e1", "a", LIMIT) == quota
     placement.update_endpoints([make_endpoint_record("e1")], 90.0)
     context.placement = placement
     context.dispatcher = Dispatcher(view, placement, Rollouts(), SizePolicy(), 0.8, 100.0, 10.0)
 
 
+@given("an only host before an endpoint that tolerates {rate:d} requests a second")
+def step_only_host(context, rate):
+    make_dispatcher(context, WarmUpLimit(float(rate), 3.0))
+    context.placement.update_endpoints([make_record(sequence=2, warm_up_s=3.0)], 100.0)
+
+
 def send(context, number, at):
     """Send one request and have it answered; return the refusal if it is refused."""
     work = context.dispatcher.admit(make_request(number=number), at)
@@ -133,7 +144,7 @@
     "and {refused:d} refused as not run"
 )
 def step_sent_and_refused(context, sent, count, refused):
-    outcomes = [send(context, number, 100.0 + number * 0.09) for number in range(count)]
+    outcomes = [send(context, number, 100.0 + number * 0.9 / count) for number in range(count)]
     refusals = [outcome for outcome in outcomes if outcome is not None]
     assert (count - len(refusals), len(refusals)) == (sent, refused), outcomes
     assert all(response_for(refusal.kind).not_run is NotRun.YES for refusal in refusals)
--- a/features/warm_up.feature
+++ b/features/warm_up.feature
@@ -60,3 +60,9 @@
     Then a service with coldStartS 3.0 and coldPerS 8.4 tolerates 8.4 a second for 3.0 s
     And a service without them tolerates any number
     And a service with coldPerS -1 is ignored because of "services.0.coldPerS"
+
+  Scenario: A single host keeps to a high rate too
+    # Guards against a memory of sends that is shorter than what the host may send in a second.
+    # Half of the 155 that all hosts together may send is this host's, as no other one is known.
+    Given an only host before an endpoint that tolerates 100 requests a second
+    Then 77 of 150 requests within a second are sent there, and 73 refused as not run
--- a/poplarrun/placement/_endpoint_state.py
+++ b/poplarrun/placement/_endpoint_state.py
@@ -26,8 +26,8 @@
 UNREACHED_TTL_S = 6.0
 # Longest time that one notice of a host can make an endpoint look busy, in seconds.
 MAX_DRAIN_S = 5.0
-# Number of sends whose times are remembered for each endpoint.
-MAX_SEND_TIMES = 64
+# Time over which the sends to an endpoint are counted.
+SEND_WINDOW_S = 1.0
 # Time in seconds without a measurement in which the excess of the slowdown over 1 halves: an
 # endpoint without recent measurements is assumed to be as fast as the others again.
 SLOWDOWN_HALF_LIFE_S = 8.0
@@ -79,7 +79,7 @@
     is_unreached_by_others: bool = False
     warm_at: float = -math.inf
     returned_at: float = -math.inf
-    _send_times: deque[float] = field(default_factory=lambda: deque(maxlen=MAX_SEND_TIMES))
+    _send_times: deque[float] = field(default_factory=deque)
     _prompt_parts: OrderedDict[tuple[str, str], float] = field(default_factory=OrderedDict)
 
     def __post_init__(self) -> None:
@@ -117,10 +117,16 @@
     def record_send(self, now: float) -> None:
         """Record a request that is sent there."""
         self._send_times.append(now)
+        self._drop_old_sends(now)
 
-    def count_sends(self, since: float) -> int:
-        """Return the number of requests that this host sent there since a time."""
-        return sum(at >= since for at in self._send_times)
+    def count_sends(self, now: float) -> int:
+        """Return the number of requests that this host sent there in the last second."""
+        self._drop_old_sends(now)
+        return len(self._send_times)
+
+    def _drop_old_sends(self, now: float) -> None:
+        while self._send_times and now - self._send_times[0] > SEND_WINDOW_S:
+            self._send_times.popleft()
 
     def record_unreached(self, now: float) -> None:
         """Record that an attempt got neither a connection nor an answer."""
--- a/poplarrun/placement/_placement.py
+++ b/poplarrun/placement/_placement.py
@@ -11,7 +11,7 @@
 
 from poplarrun.placement._endpoint_directory import EndpointRecord
 from poplarrun.placement._endpoint_state import EndpointState
-from poplarrun.placement._warm_up import WINDOW_S, WarmUpShares
+from poplarrun.placement._warm_up import WarmUpShares
 from poplarrun.rendezvous import RankingCache, choose_owner, hash_name
 from poplarrun.routing import InFlightRequest, Service
 from poplarrun.speeds import PoolSpeed
@@ -160,7 +160,7 @@
         if service.warm_up.rate_per_s <= 0.0 or not endpoint.may_be_cold(service.warm_up, now):
             return True
         quota = self.warm_up_shares.quota(record.instance_id, record.zone, service.warm_up)
-        return endpoint.count_sends(now - WINDOW_S) < quota
+        return endpoint.count_sends(now) < quota
 
     def apply_peer_load(self, host: str, loads: dict[str, tuple[int, float]]) -> None:
         """Apply another host's load: requests and pending prefill seconds by instance id."""
--- a/poplarrun/placement/_warm_up.py
+++ b/poplarrun/placement/_warm_up.py
@@ -15,7 +15,6 @@
 # Two groups of hosts that don't hear each other may draw different hosts, which then send twice
 # the rate together.
 MAX_DISJOINT_DRAWS = 2
-WINDOW_S = 1.0
 
 
 @dataclass(frozen=True, slots=True)
