Tell in the log which peer sent a document, and send on only what is news

Two faults of the documents that hosts of a zone send each other. The log named the store as the source of what a peer had sent: an operator who looks for the host that applied an evacuation would have been misled. And each host that read the same records sent them to its zone, so messages grew with the square of a zone whose reader the store turns away; a host whose records a peer sent while it read them keeps quiet now.

--- a/features/shared_reading.feature
+++ b/features/shared_reading.feature
@@ -127,3 +127,15 @@
       | not compressed |
       | no records     |
       | far too large  |
+
+  Scenario: The log tells which peer sent a document
+    # Guards against a log that says the store was read by a host that the store turns away.
+    Given a document follower that has read records 0 to 1
+    When the peer "10.0.0.7:1" sends an order to evacuate "a" and a roll-out of "service-3"
+    Then both are logged with the source "10.0.0.7:1"
+
+  Scenario: Only the first host that reads documents sends them to the zone
+    # Guards against messages that grow with the square of a zone whose reader the store turns away.
+    Given a document follower that has read records 0 to 1
+    When a peer's documents arrive while this host reads the same ones
+    Then this host sends them to nobody
--- a/features/steps/shared_reading.py
+++ b/features/steps/shared_reading.py
@@ -8,7 +8,7 @@
 from features.steps.gateway_world import make_placement
 from poplarrun.dispatch import ConfigView
 from poplarrun.evacuations import ZoneOrder
-from poplarrun.gateway import _state_exchange
+from poplarrun.gateway import _document_follower, _state_exchange
 from poplarrun.gateway._document_follower import DocumentFollower, DocumentUpdate
 from poplarrun.gateway._listing_follower import ListingFollower
 from poplarrun.gateway._reading import SharedReader
@@ -22,6 +22,7 @@
 from standins.peer_fleet import PeerFleet
 
 NOW = 100.0
+PEER = "10.0.0.9:1"
 
 
 def make_peer_table(number, count, now):
@@ -293,7 +294,8 @@
 
 def send_update(context, first, last):
     update = DocumentUpdate(make_orders(first, last), first, last + 1, False)
-    context.follower.apply_peer_update(update)
+    context.last_order = last
+    context.follower.apply_peer_update(update, PEER)
 
 
 @when("a peer that is {count:d} records ahead sends them")
@@ -320,7 +322,7 @@
 @then("it has applied the documents up to record {last:d} and does not read")
 def step_applied(context, last):
     assert context.follower.offset == last + 1, context.follower.offset
-    assert context.rollouts.find(f"service-{last}") is not None or last == 9
+    assert context.rollouts.find(f"service-{context.last_order}") is not None
     now = seconds_since_boot()
     schedule = context.follower.reader._schedule
     assert schedule.wait_s(1, now, now) > 1.0, schedule
@@ -345,8 +347,9 @@
 
 @when("a peer sends all newest documents up to record {last:d}, without an evacuation")
 def step_sends_all(context, last):
-    update = DocumentUpdate(make_orders(8, 8), 0, last + 1, True)
-    context.follower.apply_peer_update(update)
+    context.last_order = last - 1
+    update = DocumentUpdate(make_orders(last - 1, last - 1), 0, last + 1, True)
+    context.follower.apply_peer_update(update, PEER)
 
 
 @then("it knows no evacuated zone")
@@ -356,7 +359,7 @@
 
 @given("two connected hosts")
 def step_two_hosts(context):
-    context.fleet = None
+    context.fleet = PeerFleet(3, 2, "a")
 
 
 @when("one sends the other documents that are {damage}")
@@ -368,13 +371,12 @@
         "no records": zlib.compress(b"\xc1"),
         "far too large": zlib.compress(bytes(messages.MAX_RECORDS_BYTES + 1)),
     }[damage]
-    fleet = PeerFleet(3, 2, "a")
-    receiver = fleet.hosts[0].peering
+    sender, receiver = context.fleet.hosts[1], context.fleet.hosts[0].peering
     context.followed = receiver._documents
     context.followed.offset = 0
     written = []
     with patch.object(_state_exchange, "write_event", written.append):
-        message = DocumentChanges(fleet.hosts[1].address, 0, 1, False, data)
+        message = DocumentChanges(sender.address, 0, 1, False, data)
         receiver._receive(messages.encode_message(message))
     context.written = written
 
@@ -384,3 +386,38 @@
     assert context.followed.offset == 0
     (event,) = context.written
     assert isinstance(event, events.MessageUnreadable), event
+
+
+@when('the peer "{address}" sends an order to evacuate "{zone}" and a roll-out of "{service}"')
+def step_peer_sends_orders(context, address, zone, service):
+    evacuation = Entry(f"evacuate/{zone}", b"{}", 2)
+    update = DocumentUpdate((evacuation, *make_orders(3, 3)), 2, 4, False)
+    assert context.rollouts.find(service) is None
+    context.written = []
+    with patch.object(_document_follower, "write_event", context.written.append):
+        context.follower.apply_peer_update(update, address)
+
+
+@then('both are logged with the source "{source}"')
+def step_logged_source(context, source):
+    kinds = [type(event) for event in context.written]
+    assert kinds == [events.ZoneEvacuated, events.RolloutOrdered], kinds
+    assert [event.source for event in context.written] == [source, source]
+
+
+@when("a peer's documents arrive while this host reads the same ones")
+def step_read_and_sent(context):
+    follower, context.sent = context.follower, []
+    follower.publish_update = context.sent.append
+
+    async def read(topic, offset, wait_s=0.0):
+        send_update(context, 2, 4)
+        return Records(make_orders(2, 4), 5, 0, seconds_since_boot())
+
+    context.store.read = read
+    assert asyncio.run(follower._read_once()) and follower.offset == 5
+
+
+@then("this host sends them to nobody")
+def step_sent_nothing(context):
+    assert context.sent == [], context.sent
--- a/poplarrun/gateway/_document_follower.py
+++ b/poplarrun/gateway/_document_follower.py
@@ -56,7 +56,7 @@
 
 
 class DocumentFollower:
-    """Follows the operators' configuration and orders of roll-outs."""
+    """Follows the operators' configuration, orders of roll-outs and evacuations."""
 
     def __init__(
         self,
@@ -98,16 +98,16 @@
         match answer:
             case LatestRecords(entries=entries, end_offset=end, confirmed_at=confirmed_at):
                 update = DocumentUpdate(entries, 0, end, True)
-                self._apply_update(update, now)
-                if self._has_expired:
-                    self._has_expired = False
+                is_news = self._apply_update(update, "store", now)
+                if self._has_expired and is_news:
                     self.publish_update(update)
+                self._has_expired = False
             case Records(entries=entries, end_offset=end, confirmed_at=confirmed_at):
                 if entries:
                     read_to = entries[-1].offset + 1
                     update = DocumentUpdate(entries, entries[0].offset, read_to, False)
-                    self._apply_update(update, now)
-                    self.publish_update(update)
+                    if self._apply_update(update, "store", now):
+                        self.publish_update(update)
                 if self.offset is not None and self.offset < end:
                     return True
             case OffsetExpired():
@@ -132,62 +132,66 @@
             return await self._store.read_latest(OPERATOR_TOPIC)
         return await self._store.read(OPERATOR_TOPIC, self.offset, self.reader.long_poll_s)
 
-    def _apply_update(self, update: DocumentUpdate, now: float) -> None:
-        self._apply_entries(update.entries, now)
+    def _apply_update(self, update: DocumentUpdate, source: str, now: float) -> bool:
+        """Apply documents; return False if a peer sent them all while they were read."""
+        if self.offset is not None and update.end_offset <= self.offset:
+            return False
+        for entry in update.entries:
+            self._apply_entry(entry, source, now)
         if update.is_complete:
-            self._lift_unlisted_evacuations(update.entries, update.end_offset, now)
-        # A peer may have sent later records while the read was in progress.
-        self.offset = max(self.offset or 0, update.end_offset)
+            self._lift_unlisted_evacuations(update, source, now)
+        self.offset = update.end_offset
+        return True
+
+    def apply_peer_update(self, update: DocumentUpdate, source: str) -> None:
+        """Apply documents that a peer has read; if some are missing, read them from the store.
 
-    def apply_peer_update(self, update: DocumentUpdate) -> None:
-        """Apply documents that a peer has read; if some are missing, read them from the store."""
-        if self.offset is None or update.end_offset <= self.offset:
+        Parameters
+        ----------
+        source : str
+            Address of the peer.
+        """
+        if self.offset is None:
             return
         if not update.is_complete and update.start_offset > self.offset:
             self.reader.read_now()
             return
-        self._apply_update(update, seconds_since_boot())
-        self.reader.record_caught_up()
+        if self._apply_update(update, source, seconds_since_boot()):
+            self.reader.record_caught_up()
 
     def record_proof(self, confirmed_at: float) -> None:
         """Record that a peer proved this host's configuration to be current."""
         self._config_view.confirm(confirmed_at)
         self._health.record_proof(confirmed_at)
 
-    def _apply_entries(self, entries: tuple[Entry, ...], now: float) -> None:
-        for entry in entries:
-            self._apply_entry(entry, now)
-
-    def _apply_entry(self, entry: Entry, now: float) -> None:
+    def _apply_entry(self, entry: Entry, source: str, now: float) -> None:
         try:
             if entry.key.startswith(EVACUATION_PREFIX):
                 order = decode_evacuation(entry.key, entry.value, entry.offset)
-                self.apply_evacuation(order, "store", now)
+                self.apply_evacuation(order, source, now)
             elif entry.value is None:
                 return
             elif entry.key == CONFIG_KEY:
-                self.apply_config(entry.value)
+                self.apply_config(entry.value, source)
             elif entry.key.startswith(ROLLOUT_PREFIX):
                 rollout = decode_order(entry.value, entry.offset)
                 if self._rollouts.apply_order(rollout, now):
                     write_event(
                         events.RolloutOrdered(
-                            rollout.service, rollout.target, rollout.duration_s, "store", 0.0
+                            rollout.service, rollout.target, rollout.duration_s, source, 0.0
                         )
                     )
         except MalformedDocument as error:
             write_event(events.DocumentIgnored(entry.key, str(error)))
 
-    def _lift_unlisted_evacuations(
-        self, entries: tuple[Entry, ...], end_offset: int, now: float
-    ) -> None:
+    def _lift_unlisted_evacuations(self, update: DocumentUpdate, source: str, now: float) -> None:
         listed = {
             entry.key.removeprefix(EVACUATION_PREFIX)
-            for entry in entries
+            for entry in update.entries
             if entry.key.startswith(EVACUATION_PREFIX)
         }
-        for order in self.evacuations.apply_listing(listed, end_offset, now):
-            self._use_evacuation(order, "store", now)
+        for order in self.evacuations.apply_listing(listed, update.end_offset, now):
+            self._use_evacuation(order, source, now)
 
     def apply_evacuation(self, order: ZoneOrder, source: str, now: float) -> None:
         """Apply an order to evacuate a zone, or that lifts it.
--- a/poplarrun/gateway/_state_exchange.py
+++ b/poplarrun/gateway/_state_exchange.py
@@ -161,7 +161,7 @@
         update = DocumentUpdate(
             entries, changes.start_offset, changes.end_offset, changes.is_complete
         )
-        self._documents.apply_peer_update(update)
+        self._documents.apply_peer_update(update, changes.address)
 
     def make_response(self, request: StateRequest) -> StateResponse:
         """Return the state that a peer requests."""
