Forget the reports and verdicts of hosts that are gone

A host kept the last report and verdict of each host that ever sent one; only an aggregator dropped old reports, and nobody old verdicts.

--- a/features/reachability.feature
+++ b/features/reachability.feature
@@ -33,3 +33,8 @@
     Given a placement of 4 engines in each of the zones "a, b, c"
     When the others of "a" keep answering and a request finds one of them dead
     Then its second try goes to the zone "a"
+
+  Scenario: Reports and verdicts of hosts that are gone are forgotten
+    Given a host that hears of unreached endpoints
+    When 500 other hosts report one after the other, each for the last time
+    Then it remembers those of the last seconds only
--- a/features/steps/reachability.py
+++ b/features/steps/reachability.py
@@ -12,7 +12,7 @@
     make_work,
 )
 from poplarrun.dispatch import ConfigView, Dispatcher, NoConnection
-from poplarrun.placement import Placement
+from poplarrun.placement import EndpointOutcomes, Placement, Reachability
 from poplarrun.rollouts import Rollouts
 from poplarrun.sizes import SizePolicy
 
@@ -125,3 +125,23 @@
     assert decision.estimate.endpoint.record.zone == zone, decision
     estimate = context.placement.choose(make_work(), ENGINES, 100.4, "small")
     assert estimate is not None
+
+
+@given("a host that hears of unreached endpoints")
+def step_hearing_host(context):
+    context.reachability = Reachability()
+
+
+@when("{count:d} other hosts report one after the other, each for the last time")
+def step_last_reports(context, count):
+    for number in range(count):
+        now = float(number)
+        outcomes = [EndpointOutcomes("engine-1", 1, 0)]
+        context.reachability.apply_report(f"host-{number}", outcomes, now)
+        context.reachability.apply_verdict("b", f"host-{number}", ["engine-1"], now)
+
+
+@then("it remembers those of the last seconds only")
+def step_remembers_last(context):
+    assert len(context.reachability._reports) <= 3, len(context.reachability._reports)
+    assert len(context.reachability._verdicts) <= 3, len(context.reachability._verdicts)
--- a/poplarrun/placement/_reachability.py
+++ b/poplarrun/placement/_reachability.py
@@ -59,12 +59,15 @@
     def apply_report(self, host: str, outcomes: Iterable[EndpointOutcomes], now: float) -> None:
         """Apply the recent outcomes of a host of the own zone."""
         self._reports[host] = _Report(tuple(outcomes), now)
+        self._drop_old_reports(now)
 
     def apply_verdict(
         self, zone: str, aggregator: str, instance_ids: Iterable[str], now: float
     ) -> None:
         """Apply the endpoints that a zone's hosts don't reach, as one of its aggregators says."""
         self._verdicts[(zone, aggregator)] = (frozenset(instance_ids), now)
+        for key in [key for key, (_, at) in self._verdicts.items() if now - at > VERDICT_TTL_S]:
+            del self._verdicts[key]
 
     def zone_verdict(self, now: float) -> frozenset[str]:
         """Return the endpoints that the own zone's hosts don't reach, from their reports."""
@@ -90,6 +93,9 @@
         return found
 
     def _recent_outcomes(self, now: float) -> list[tuple[EndpointOutcomes, ...]]:
+        self._drop_old_reports(now)
+        return [self.own_outcomes(now), *(report.outcomes for report in self._reports.values())]
+
+    def _drop_old_reports(self, now: float) -> None:
         for host in [host for host, each in self._reports.items() if now - each.at > WINDOW_S]:
             del self._reports[host]
-        return [self.own_outcomes(now), *(report.outcomes for report in self._reports.values())]
