Say in comments, refusals and doc comments what happens

A refusal after connections that came too late said that they had failed; the reason of an immediate read was that of another one; a doc comment contradicted itself; two comments read like history.

--- a/poplarrun/dispatch/_dispatcher.py
+++ b/poplarrun/dispatch/_dispatcher.py
@@ -367,7 +367,7 @@
         if work.sends >= work.route.max_attempts + MAX_REJECTED_SENDS:
             return self._refuse_in_flight(work, ErrorKind.NO_ENDPOINT, f"{work.sends} sends failed")
         if work.connect_failures >= MAX_CONNECT_FAILURES:
-            text = f"{work.connect_failures} connections failed"
+            text = f"{work.connect_failures} connections failed or came too late"
             return self._refuse_in_flight(work, ErrorKind.NO_ENDPOINT, text)
         if work.remaining_s(now) < MIN_TIME_LEFT_S:
             return self._refuse_in_flight(work, ErrorKind.NO_ENDPOINT, "no time is left")
@@ -480,8 +480,7 @@
 def _is_unreached(work: InFlightRequest, attempt: Attempt | None, failure: Failure) -> bool:
     """Return whether a failed attempt is evidence that its endpoint is down.
 
-    A plain service that is overloaded takes too long as well, and so does one that answered some
-    of the request.
+    One that has begun to answer is up, and an overloaded plain service takes too long as well.
     """
     if attempt is None or attempt.first_event_at is not None:
         return False
--- a/poplarrun/endpoints/_endpoint.py
+++ b/poplarrun/endpoints/_endpoint.py
@@ -11,7 +11,7 @@
 # Send and finish times that are kept between two load reports. The oldest are dropped, so that an
 # engine that never reports can't grow this host's memory without bound.
 MAX_RECORDED_TIMES = 512
-# An older report is not used to estimate the current load.
+# A report of more than this age is ignored: it tells little of the present load.
 REPORT_TTL_S = 30.0
 
 
--- a/poplarrun/gateway/_reading.py
+++ b/poplarrun/gateway/_reading.py
@@ -50,7 +50,7 @@
         return self.timeouts.long_poll_s if self._rank() == 0 and not self.has_failed else 0.0
 
     def read_now(self) -> None:
-        """Read at once, because a part of the state that peers sent is missing."""
+        """Read at once, because a peer has newer state than this host."""
         self._schedule.is_behind = True
         self._wake_event.set()
 
--- a/poplarrun/routing/_requests.py
+++ b/poplarrun/routing/_requests.py
@@ -93,7 +93,8 @@
         advances while the machine is suspended.
     sends, possible_runs, failures, connect_failures : int
         Number of attempts whose bytes were written to a socket, that an endpoint may have run
-        without an answer for the caller, that failed at an endpoint, and that got no connection.
+        without an answer for the caller, that failed at an endpoint, and that got no connection,
+        or got it when the endpoint could not get the request any more.
     may_have_run : bool
         Whether an endpoint may have started to run it.
     tried_endpoints : set of str
--- a/poplarrun/versions/_cells.py
+++ b/poplarrun/versions/_cells.py
@@ -37,7 +37,7 @@
 MAX_JUDGE_LEARNING_RATINGS = 100.0
 # A version with a lower fraction of good answers saves little as the first step of a cascade.
 MIN_GOOD_FRACTION = 0.25
-# A version whose cutoffs accept a lower fraction of its answers is no longer used as a first step.
+# A version whose cutoffs accept a lower fraction of its answers isn't used as a first step.
 MIN_ACCEPTED_FRACTION = 0.1
 # A version with enough good answers may still begin with this many ratings of poor ones.
 GRACE_RATINGS = 20.0
