Keep the operators' bound of warm-ups where it is used, and drop what nothing reads

The factor and the allowance of the settings went through the follower of documents and the decoder into each service, half of a type that was otherwise empty, and changed settings took effect with the next configuration only. They stand at the shares that use them, and change with the settings. Evacuations remembered when each order was applied, which nothing read. No change of behaviour else.

--- a/features/steps/evacuation.py
+++ b/features/steps/evacuation.py
@@ -121,7 +121,7 @@
         orders = [*context.orders, *source.sample(context.orders, 3)]
         source.shuffle(orders)
         for order in orders:
-            evacuations.apply(order, 100.0)
+            evacuations.apply(order)
         context.hosts.append(evacuations)
 
 
@@ -135,8 +135,8 @@
 def step_apply_listing(context, zones, end):
     context.host = Evacuations()
     for order in context.orders:
-        context.host.apply(order, 100.0)
-    context.host.apply_listing(zones.split(", "), end, 100.0)
+        context.host.apply(order)
+    context.host.apply_listing(zones.split(", "), end)
 
 
 @then('it evacuates "{zones}"')
@@ -147,7 +147,7 @@
 @when('the order "{order}" arrives late')
 def step_late_order(context, order):
     for each in parse_orders(order):
-        context.host.apply(each, 101.0)
+        context.host.apply(each)
 
 
 @then('the order "{key}" with the value {value} is ignored because of "{field}"')
--- a/poplarrun/evacuations/_evacuations.py
+++ b/poplarrun/evacuations/_evacuations.py
@@ -27,10 +27,9 @@
 
 @dataclass
 class Evacuations:
-    """The newest order of each availability zone, and since when this host has applied it."""
+    """The newest order of each availability zone."""
 
     _orders: dict[str, ZoneOrder] = field(default_factory=dict)
-    _applied_at: dict[str, float] = field(default_factory=dict)
 
     @property
     def zones(self) -> frozenset[str]:
@@ -42,25 +41,16 @@
         """The newest order of each zone that ever had one, sorted by zone."""
         return sorted(self._orders.values(), key=lambda order: order.zone)
 
-    def applied_at(self, zone: str) -> float | None:
-        """Return when this host applied the newest order of a zone; None without an order."""
-        return self._applied_at.get(zone)
-
-    def apply(self, order: ZoneOrder, now: float) -> bool:
+    def apply(self, order: ZoneOrder) -> bool:
         """Apply an order; return True if the zone is thereby evacuated or taken back."""
         previous = self._orders.get(order.zone)
         if previous is not None and order.offset <= previous.offset:
             return False
         self._orders[order.zone] = order
         was_evacuated = previous is not None and previous.is_evacuated
-        if order.is_evacuated == was_evacuated:
-            return False
-        self._applied_at[order.zone] = now
-        return True
+        return order.is_evacuated != was_evacuated
 
-    def apply_listing(
-        self, listed: Collection[str], end_offset: int, now: float
-    ) -> list[ZoneOrder]:
+    def apply_listing(self, listed: Collection[str], end_offset: int) -> list[ZoneOrder]:
         """Lift the orders that are missing from a list of all current ones.
 
         The log doesn't retain the record that lifts an order.
@@ -80,4 +70,4 @@
         lifted = [
             ZoneOrder(zone, end_offset - 1, False) for zone in self.zones if zone not in listed
         ]
-        return [order for order in lifted if self.apply(order, now)]
+        return [order for order in lifted if self.apply(order)]
--- a/poplarrun/gateway/_document_follower.py
+++ b/poplarrun/gateway/_document_follower.py
@@ -28,7 +28,6 @@
     decode_order,
 )
 from poplarrun.rollouts import Rollouts
-from poplarrun.routing import NO_WARM_UP_LIMIT, WarmUpLimit
 from poplarrun.transport import seconds_since_boot
 
 
@@ -66,11 +65,9 @@
         on_change: Callable[[], None],
         reader: SharedReader,
         placement: Placement,
-        warm_up_bounds: WarmUpLimit = NO_WARM_UP_LIMIT,
     ) -> None:
         self.offset: int | None = None
         self.evacuations = Evacuations()
-        self.warm_up_bounds = warm_up_bounds
         self._placement = placement
         self.raw_config = b""
         self.reader = reader
@@ -190,7 +187,7 @@
             for entry in update.entries
             if entry.key.startswith(EVACUATION_PREFIX)
         }
-        for order in self.evacuations.apply_listing(listed, update.end_offset, now):
+        for order in self.evacuations.apply_listing(listed, update.end_offset):
             self._use_evacuation(order, source, now)
 
     def apply_evacuation(self, order: ZoneOrder, source: str, now: float) -> None:
@@ -201,7 +198,7 @@
         source : str
             Where it was read: the store, or the address of a peer.
         """
-        if self.evacuations.apply(order, now):
+        if self.evacuations.apply(order):
             self._use_evacuation(order, source, now)
 
     def _use_evacuation(self, order: ZoneOrder, source: str, now: float) -> None:
@@ -216,7 +213,7 @@
         MalformedDocument
             If it can't be decoded.
         """
-        catalogue = decode_catalogue(value, self.warm_up_bounds)
+        catalogue = decode_catalogue(value)
         if self._config_view.apply_catalogue(catalogue):
             self.raw_config = value
             write_event(events.ConfigInForce(catalogue.version, source))
--- a/poplarrun/gateway/_host.py
+++ b/poplarrun/gateway/_host.py
@@ -22,7 +22,7 @@
 from poplarrun.logging import NonBlockingHandler, events, write_event
 from poplarrun.metrics import Metrics
 from poplarrun.peers import DOCUMENTS, ENDPOINTS, PeerTable, ReadTimeouts
-from poplarrun.placement import EndpointDirectory, Placement
+from poplarrun.placement import EndpointDirectory, Placement, WarmUpBounds
 from poplarrun.platform import (
     BadRequest,
     InvalidSettings,
@@ -32,7 +32,7 @@
     load_node_settings,
 )
 from poplarrun.rollouts import Rollouts
-from poplarrun.routing import InFlightRequest, Request, WarmUpLimit
+from poplarrun.routing import InFlightRequest, Request
 from poplarrun.sizes import SizePolicy
 from poplarrun.transport import (
     CallerConnection,
@@ -64,10 +64,8 @@
     return max(1.0, RETRY_FRACTION * total / max(MIN_HOSTS, peers + 1))
 
 
-def _warm_up_bounds(settings: NodeSettings) -> WarmUpLimit:
-    return WarmUpLimit(
-        rate_factor=settings.warm_up_rate_factor, allowance=settings.warm_up_allowance
-    )
+def _warm_up_bounds(settings: NodeSettings) -> WarmUpBounds:
+    return WarmUpBounds(settings.warm_up_rate_factor, settings.warm_up_allowance)
 
 
 class GatewayHost:
@@ -89,6 +87,7 @@
         self._config_view = ConfigView(settings.revocation_limit_s)
         self._directory = EndpointDirectory()
         self._placement = Placement(settings.zone, random.Random())
+        self._placement.warm_up_shares.bounds = _warm_up_bounds(settings)
         self._rollouts = Rollouts(settings.session_timeout_s, settings.max_exposure_fraction)
         self._dispatcher = Dispatcher(
             self._config_view,
@@ -114,7 +113,6 @@
             self._apply_limits,
             SharedReader(DOCUMENTS, peer_table, timeouts),
             self._placement,
-            _warm_up_bounds(settings),
         )
         self._listings = ListingFollower(
             self._store,
@@ -309,7 +307,7 @@
         self._config_view.revocation_limit_s = loaded.revocation_limit_s
         self._rollouts.session_timeout_s = loaded.session_timeout_s
         self._rollouts.exposure_limit = loaded.max_exposure_fraction
-        self._documents.warm_up_bounds = _warm_up_bounds(loaded)
+        self._placement.warm_up_shares.bounds = _warm_up_bounds(loaded)
         self._capacity = compute_capacity(loaded.memory_mb, loaded.max_sockets)
         self._callers.max_connections = self._capacity.max_caller_connections
         self._store.address = loaded.store_address
--- a/poplarrun/placement/__init__.py
+++ b/poplarrun/placement/__init__.py
@@ -9,7 +9,7 @@
 from poplarrun.placement._endpoint_state import EndpointState
 from poplarrun.placement._placement import EndpointEstimate, Placement
 from poplarrun.placement._reachability import EndpointOutcomes, Reachability
-from poplarrun.placement._warm_up import WarmUpShares, ZoneHosts, compute_fleet_rate
+from poplarrun.placement._warm_up import WarmUpBounds, WarmUpShares, ZoneHosts
 
 __all__ = [
     "LAPSE_GRACE_S",
@@ -21,7 +21,7 @@
     "EndpointState",
     "Placement",
     "Reachability",
+    "WarmUpBounds",
     "WarmUpShares",
     "ZoneHosts",
-    "compute_fleet_rate",
 ]
--- a/poplarrun/placement/_warm_up.py
+++ b/poplarrun/placement/_warm_up.py
@@ -44,9 +44,23 @@
         return tuple(host for host in self.known if host in self.alive)
 
 
-def compute_fleet_rate(limit: WarmUpLimit) -> int:
+@dataclass(frozen=True, slots=True)
+class WarmUpBounds:
+    """The operators' bound on what all hosts together send in any second.
+
+    Attributes
+    ----------
+    rate_factor, allowance : float
+        The bound is an endpoint's rate times the factor, and the allowance on top.
+    """
+
+    rate_factor: float = 1.5
+    allowance: float = 5.0
+
+
+def compute_fleet_rate(limit: WarmUpLimit, bounds: WarmUpBounds) -> int:
     """Return the requests that all hosts together may send in one second, at least 1."""
-    tolerated = limit.rate_per_s * limit.rate_factor + limit.allowance
+    tolerated = limit.rate_per_s * bounds.rate_factor + bounds.allowance
     return max(1, min(math.ceil(limit.rate_per_s), math.floor(tolerated / MAX_DISJOINT_DRAWS)))
 
 
@@ -57,9 +71,15 @@
     ----------
     address : str
         The own address, as in ``ZoneHosts``.
+
+    Attributes
+    ----------
+    bounds : WarmUpBounds
+        The operators' bound, from the settings.
     """
 
     def __init__(self, address: str = "") -> None:
+        self.bounds = WarmUpBounds()
         self._address = address
         self._hosts: dict[str, ZoneHosts] = {}
         self._rankings: dict[str, RankingCache] = {}
@@ -81,7 +101,7 @@
             return 0
         cache = self._rankings.setdefault(zone, RankingCache())
         rank = cache.rank(instance_id, candidates).index(self._address)
-        rate = compute_fleet_rate(limit)
+        rate = compute_fleet_rate(limit, self.bounds)
         drawn = min(rate, len(candidates))
         if rank >= drawn:
             return 0
--- a/poplarrun/platform/_documents.py
+++ b/poplarrun/platform/_documents.py
@@ -1,7 +1,6 @@
 """Decoding of the operators' documents in the store."""
 
 import json
-from dataclasses import replace
 from typing import Annotated, TypeVar
 
 from msgspec import Meta, Struct
@@ -10,7 +9,6 @@
 from poplarrun.platform._names import EVACUATION_PREFIX
 from poplarrun.platform._validation import InvalidDocument, validate
 from poplarrun.routing import (
-    NO_WARM_UP_LIMIT,
     Account,
     CallerLimits,
     Catalogue,
@@ -126,14 +124,9 @@
     """A document that is ignored; the message names the field."""
 
 
-def decode_catalogue(value: bytes, warm_up_bounds: WarmUpLimit = NO_WARM_UP_LIMIT) -> Catalogue:
+def decode_catalogue(value: bytes) -> Catalogue:
     """Decode a configuration.
 
-    Parameters
-    ----------
-    warm_up_bounds : WarmUpLimit
-        Gives the factor and the allowance of the settings for the rates of the configuration.
-
     Raises
     ------
     MalformedDocument
@@ -160,7 +153,7 @@
         config.limits.header_timeout_ms / MILLISECONDS_PER_S,
         config.limits.idle_timeout_ms / MILLISECONDS_PER_S,
     )
-    services = {service.name: _service(service, warm_up_bounds) for service in config.services}
+    services = {service.name: _service(service) for service in config.services}
     return Catalogue(config.version, routes, services, accounts, limits)
 
 
@@ -242,11 +235,9 @@
     )
 
 
-def _service(service: _Service, warm_up_bounds: WarmUpLimit) -> Service:
+def _service(service: _Service) -> Service:
     engine = service.engine
-    warm_up = replace(
-        warm_up_bounds, rate_per_s=service.cold_per_s, duration_s=service.cold_start_s
-    )
+    warm_up = WarmUpLimit(service.cold_per_s, service.cold_start_s)
     if engine is None:
         return Service(service.name, service.max_conns, warm_up=warm_up)
     sizes = tuple(ModelSize(model.name, model.cost) for model in engine.models)
--- a/poplarrun/routing/_catalogue.py
+++ b/poplarrun/routing/_catalogue.py
@@ -40,15 +40,10 @@
         Requests a second that it handles, from all hosts together; 0 for any number.
     duration_s : float
         How long it warms up after a start.
-    rate_factor, allowance : float
-        What all hosts together may send in any second: the rate times the factor, and the
-        allowance on top.
     """
 
     rate_per_s: float = 0.0
     duration_s: float = 0.0
-    rate_factor: float = 1.5
-    allowance: float = 5.0
 
 
 NO_WARM_UP_LIMIT = WarmUpLimit()
