Tell what is newly unreached by small notices, not by whole digests

Found by reading: each change of what a host fails to reach made it and its aggregators send their digests at once, with the loads of all endpoints. The scenario 'Failures that go on cost few bytes, at aggregators as well' failed before.

Change: a notice of its own with the outcomes of a host, or with the endpoints that an aggregator adds to the unreached ones, at most every 0.4 s; digests go on at their intervals and say which ones are reached again. The table of peers loses a parameter that only this used.

--- a/features/reachability.feature
+++ b/features/reachability.feature
@@ -38,3 +38,10 @@
     Given a host that hears of unreached endpoints
     When 500 other hosts report one after the other, each for the last time
     Then it remembers those of the last seconds only
+
+  Scenario: Failures that go on cost few bytes, at aggregators as well
+    # Guards against sending all loads again with each endpoint that a host fails to reach.
+    Given 79 hosts in the zones "abc" before 70 endpoints with requests at each
+    When the endpoints of the zone "a" are dark, and each host tries one four times a second for 5.0 s
+    Then the middle host sends at most 9.0 KB a second
+    And the busiest host sends at most 1.5 times as much as without failures
--- a/features/steps/reachability.py
+++ b/features/steps/reachability.py
@@ -1,9 +1,11 @@
 import asyncio
 import random
+import statistics
+from unittest.mock import patch
 
 from behave import given, then, when
 
-from features.steps.evacuation import check_within
+from features.steps.evacuation import check_within, step_hosts_known
 from features.steps.gateway_world import (
     ENGINES,
     make_catalogue,
@@ -15,6 +17,7 @@
 from poplarrun.placement import EndpointOutcomes, Placement, Reachability
 from poplarrun.rollouts import Rollouts
 from poplarrun.sizes import SizePolicy
+from standins import rollout_fleet
 
 
 def record_outcomes(context, zone, hosts, instance_ids, was_reached, skipped=0):
@@ -145,3 +148,55 @@
 def step_remembers_last(context):
     assert len(context.reachability._reports) <= 3, len(context.reachability._reports)
     assert len(context.reachability._verdicts) <= 3, len(context.reachability._verdicts)
+
+
+@given(
+    '{hosts:d} hosts in the zones "{zones}" before {endpoints:d} endpoints with requests at each'
+)
+def step_hosts_before_endpoints(context, hosts, zones, endpoints):
+    patched = patch.object(rollout_fleet, "ENDPOINTS_PER_VERSION", endpoints)
+    patched.start()
+    context.add_cleanup(patched.stop)
+    step_hosts_known(context, hosts, zones)
+    context.fleet.set_in_flight(1, endpoints)
+    context.loop.run_until_complete(asyncio.sleep(5.0))
+
+
+@when(
+    'the endpoints of the zone "{zone}" are dark, and each host tries one four times a second '
+    "for {seconds:f} s"
+)
+def step_keep_failing(context, zone, seconds):
+    fleet = context.fleet
+
+    async def measure(fails):
+        sent_before = fleet.bytes_sent()
+        for step in range(int(seconds * 4)):
+            if fails:
+                fail_in_zone(fleet, zone, step)
+            await asyncio.sleep(0.25)
+        sent = fleet.bytes_sent()
+        return [(end - start) / seconds for start, end in zip(sent_before, sent, strict=True)]
+
+    context.calm_bytes_per_s = context.loop.run_until_complete(measure(False))
+    context.bytes_per_s = context.loop.run_until_complete(measure(True))
+
+
+def fail_in_zone(fleet, zone, step):
+    for number, host in enumerate(fleet.hosts):
+        endpoints = [each for each in host.placement.endpoints() if each.record.zone == zone]
+        endpoint = endpoints[(3 * step + number) % len(endpoints)]
+        reachability = host.dispatch.reachability
+        reachability.record_outcome(endpoint.record.instance_id, False, fleet.now)
+
+
+@then("the middle host sends at most {most:f} KB a second")
+def step_middle_bytes(context, most):
+    middle = statistics.median(context.bytes_per_s)
+    assert middle <= most * 1000.0, middle
+
+
+@then("the busiest host sends at most {factor:f} times as much as without failures")
+def step_busiest_bytes(context, factor):
+    calm, failing = max(context.calm_bytes_per_s), max(context.bytes_per_s)
+    assert failing <= factor * calm, (calm, failing)
--- a/poplarrun/gateway/_peering.py
+++ b/poplarrun/gateway/_peering.py
@@ -25,6 +25,7 @@
     PeerState,
     PeerTable,
     PinnedSessions,
+    ReachabilityNotice,
     Roster,
     RosterFingerprint,
     RosterRequest,
@@ -111,7 +112,6 @@
         self._rollouts = rollouts
         self._rosters = Rosters(peer_table)
         self._reachability = ReachabilityExchange(peer_table, placement, reachability)
-        self._reachability_changed_at = float("-inf")
         self._notice_budget = NoticeBudget()
         self._activity = ActivityExchange(peer_table.zone, placement, rollouts)
         self.sessions = SessionLookup(peer_table, links, rollouts)
@@ -233,15 +233,15 @@
         zone_interval_s = ROLLOUT_ZONE_INTERVAL_S if active else ZONE_INTERVAL_S
         self._update_rollout_states(now)
         self._rosters.expire(now)
-        if self._reachability.update_placement(now):
-            self._reachability_changed_at = now
+        self._reachability.update_placement(now)
+        for peer, notice in self._reachability.due_notices(now):
+            self._links.send(peer.address, encode_message(notice))
         due = self.peer_table.due_digests(
             now,
             REPORT_INTERVAL_S,
             zone_interval_s,
             FLEET_INTERVAL_S,
             self._rollouts_changed_at,
-            self._reachability_changed_at,
         )
         if due:
             self._send_digests(due, now)
@@ -331,6 +331,8 @@
         match decode_message(data):
             case Digest() as digest:
                 self._handle_digest(digest, now)
+            case ReachabilityNotice() as reachability_notice:
+                self._reachability.apply_notice(reachability_notice, now)
             case RosterRequest() as roster_request:
                 self._handle_roster_request(roster_request, now)
             case Roster() as roster:
--- a/poplarrun/peers/_messages.py
+++ b/poplarrun/peers/_messages.py
@@ -201,6 +201,26 @@
     evacuations: list[ZoneEvacuation] = []
 
 
+class ReachabilityNotice(msgspec.Struct, frozen=True, array_like=True, tag=13):
+    """Tells of endpoints that are not reached, at once and without the rest of a digest.
+
+    Attributes
+    ----------
+    scope : Scope
+        ``HOST`` from a host to its aggregators, ``FLEET`` from an aggregator to its zone.
+    reach : list of EndpointReach
+        Recent outcomes of the sender's attempts, for the scope ``HOST``.
+    unreached : list of UnreachedEndpoints
+        Endpoints that have turned out not to be reached, for ``FLEET``.
+    """
+
+    address: str
+    zone: str
+    scope: Scope
+    reach: list[EndpointReach] = []
+    unreached: list[UnreachedEndpoints] = []
+
+
 class RosterRequest(msgspec.Struct, frozen=True, array_like=True, tag=9):
     """Requests the roster that a ``RosterFingerprint`` identifies."""
 
@@ -374,6 +394,7 @@
 
 Message = (
     Digest
+    | ReachabilityNotice
     | StateRequest
     | StateResponse
     | EndpointChanges
--- a/poplarrun/peers/_peer_table.py
+++ b/poplarrun/peers/_peer_table.py
@@ -313,7 +313,6 @@
         zone_interval_s: float,
         fleet_interval_s: float,
         changed_at: float = -math.inf,
-        zone_changed_at: float = -math.inf,
     ) -> list[DueDigest]:
         """Return the digests to send now, and record them as sent.
 
@@ -325,24 +324,16 @@
             this host's zone.
         changed_at : float
             When state last changed that must be sent without waiting for the interval.
-        zone_changed_at : float
-            The same for state that only hosts of this host's zone need at once.
         """
-        in_zone_changed_at = max(changed_at, zone_changed_at)
         self._expire_peers(now)
         aggregators = self.aggregators(self.zone, now)
-        reports = [
-            DueDigest(self._peers[each], Scope.HOST) for each in aggregators if each in self._peers
-        ]
+        reports = [DueDigest(peer, Scope.HOST) for peer in self.other_aggregators(now)]
         self._update_report_targets({digest.peer.address for digest in reports}, now)
-        due = [
-            each for each in reports if each.peer.is_due(now, report_interval_s, in_zone_changed_at)
-        ]
+        due = [each for each in reports if each.peer.is_due(now, report_interval_s, changed_at)]
         due += [
             DueDigest(peer, Scope.FLEET)
-            for peer in self.reporting_peers(now)
-            if peer.address not in aggregators
-            and peer.is_due(now, fleet_interval_s, in_zone_changed_at)
+            for peer in self.served_peers(now)
+            if peer.is_due(now, fleet_interval_s, changed_at)
         ]
         if self.address in aggregators:
             due += self._due_zone_digests(now, zone_interval_s, changed_at)
@@ -351,6 +342,16 @@
             digest.peer.last_sent_at = now
         return due
 
+    def other_aggregators(self, now: float) -> list[PeerState]:
+        """Return the aggregators of this host's zone, without this host."""
+        found = self.aggregators(self.zone, now)
+        return [self._peers[address] for address in found if address in self._peers]
+
+    def served_peers(self, now: float) -> list[PeerState]:
+        """Return the hosts that report to this one and get the fleet totals of it."""
+        aggregators = self.aggregators(self.zone, now)
+        return [peer for peer in self.reporting_peers(now) if peer.address not in aggregators]
+
     def reporting_peers(self, now: float) -> list[PeerState]:
         """Return the alive hosts of this host's zone that report to it."""
         return [
--- a/poplarrun/placement/_reachability.py
+++ b/poplarrun/placement/_reachability.py
@@ -69,6 +69,13 @@
         for key in [key for key, (_, at) in self._verdicts.items() if now - at > VERDICT_TTL_S]:
             del self._verdicts[key]
 
+    def extend_verdict(
+        self, zone: str, aggregator: str, instance_ids: Iterable[str], now: float
+    ) -> None:
+        """Add endpoints that a zone's hosts don't reach, as one of its aggregators says."""
+        known, _ = self._verdicts.get((zone, aggregator), (frozenset(), now))
+        self.apply_verdict(zone, aggregator, known.union(instance_ids), now)
+
     def zone_verdict(self, now: float) -> frozenset[str]:
         """Return the endpoints that the own zone's hosts don't reach, from their reports."""
         failing_hosts: dict[str, int] = {}
