Part what answers tell of versions from the dispatcher; a withheld send spends one retry

What attempts tell of versions on trial is a module of its own; the code is moved, not changed.

One fault found while reading it: a second send that was withheld, since its zone was evacuated while it waited for a connection, spent another retry each time though no byte left the host (4 for 1 in the scenario, which failed before).

--- a/features/evacuation.feature
+++ b/features/evacuation.feature
@@ -73,3 +73,9 @@
     When the operators take both zones back
     Then soon lookups are answered again
     And the log contains "A zone was evacuated or taken back."
+
+  Scenario: A second send that is withheld spends no further retry
+    # Guards against a retry budget that a zone's evacuation uses up without a single send.
+    Given a dispatcher with endpoints in the zones "a, b"
+    When a request fails once, and its second send is withheld 3 times
+    Then one retry is spent
--- a/features/steps/evacuation.py
+++ b/features/steps/evacuation.py
@@ -10,7 +10,7 @@
     make_request,
     make_work,
 )
-from poplarrun.dispatch import ConfigView, Dispatcher, Withheld
+from poplarrun.dispatch import ConfigView, ConnectionBroke, Dispatcher, Withheld
 from poplarrun.errors import NotRun, Refusal, response_for
 from poplarrun.evacuations import Evacuations, ZoneOrder
 from poplarrun.placement import Placement
@@ -283,3 +283,25 @@
     context.installation.wait_for(
         lambda: look_up(context, 0).status == 200, "a lookup is answered again"
     )
+
+
+@when("a request fails once, and its second send is withheld {times:d} times")
+def step_withheld_again(context, times):
+    dispatcher = context.dispatcher
+    work = dispatcher.admit(make_request(), 100.0)
+    decision = dispatcher.choose_endpoint(work, 100.0)
+    attempt = dispatcher.record_sent(work, decision, 100.0)
+    budget = dispatcher._retry_budget(work.service)
+    context.budget, context.remaining = budget, budget.remaining(100.0)
+    endpoint = decision.estimate.endpoint
+    assert (
+        dispatcher.handle_failure(work, endpoint, attempt, ConnectionBroke("reset"), 100.1) is None
+    )
+    for _ in range(times):
+        assert dispatcher.handle_failure(work, endpoint, None, Withheld(), 100.2) is None
+
+
+@then("one retry is spent")
+def step_one_retry(context):
+    spent = context.remaining - context.budget.remaining(100.2)
+    assert abs(spent - 1.0) < 1e-6, spent
--- a/features/steps/rollouts.py
+++ b/features/steps/rollouts.py
@@ -112,7 +112,7 @@
         sent = send_to(context, "new", 100 + number, 102.0, first_at)
         if first_at is None:
             context.late.append(sent)
-    context.dispatcher.record_open_evidence(102.0 + late)
+    context.dispatcher.evidence.record_open(102.0 + late)
 
 
 @then("the new version is judged bad although none of its answers failed")
--- a/poplarrun/dispatch/_dispatcher.py
+++ b/poplarrun/dispatch/_dispatcher.py
@@ -8,6 +8,7 @@
 from dataclasses import dataclass
 
 from poplarrun.dispatch._config_view import ConfigView
+from poplarrun.dispatch._evidence import EvidenceRecorder
 from poplarrun.dispatch._failures import (
     AnswerFailed,
     Attempt,
@@ -22,7 +23,7 @@
 from poplarrun.errors import ErrorKind, Refusal
 from poplarrun.placement import EndpointEstimate, EndpointState, Placement, Reachability
 from poplarrun.retries import WindowedRetryBudget
-from poplarrun.rollouts import UNDER_LOAD, AnswerTimes, Rollouts, VersionChoice, VersionReason
+from poplarrun.rollouts import AnswerTimes, Rollouts, VersionChoice, VersionReason
 from poplarrun.routing import InFlightRequest, RepeatPolicy, Request, Service
 from poplarrun.sizes import SizePolicy
 
@@ -41,8 +42,6 @@
 STALE_CONFIG_RETRY_DELAY_S = 0.5
 # Fraction of the retry allowance that escalations to a larger model leave for failures.
 FAILURE_RESERVE_FRACTION = 0.5
-# Number of events after which the pace of an unfinished answer is known well enough.
-MIN_EVIDENCE_EVENTS = 6
 # Load of an endpoint, in requests per slot, from which an answer counts as evidence of its
 # version under load: what hosts know of each other's requests is some tenths of a second old.
 MIN_EVIDENCE_LOAD = 0.2
@@ -113,7 +112,7 @@
         self.retry_window_s = retry_window_s
         self.reachability = Reachability()
         self._budgets: dict[str, WindowedRetryBudget] = {}
-        self._open_attempts: dict[Attempt, InFlightRequest] = {}
+        self.evidence = EvidenceRecorder(rollouts)
 
     def set_retry_allowance(self, allowance: float) -> None:
         """Set this host's share of the retry allowance, which depends on the number of hosts."""
@@ -237,7 +236,7 @@
         attempt = Attempt(send.estimate, send.size, now)
         is_past = self.rollouts.is_past_trial(work.service, endpoint.record.version, now)
         attempt.is_under_load = is_past and send.estimate.load >= MIN_EVIDENCE_LOAD
-        self._open_attempts[attempt] = work
+        self.evidence.record_sent(work, attempt)
         self.rollouts.record_send(work, endpoint.record.version, now)
         return attempt
 
@@ -267,7 +266,7 @@
         budget.try_spend(now)
         self._close_attempt(attempt)
         attempt.first_event_at = now
-        self._record_evidence(work, attempt, False, attempt.compute_times(now))
+        self.evidence.record_answer(work, attempt, False, attempt.compute_times(now))
         work.possible_runs += 1
         work.may_have_run = True
         work.model_size = largest
@@ -292,7 +291,7 @@
         """Record that an answer is complete."""
         self._close_attempt(attempt)
         attempt.estimate.endpoint.record_success()
-        self._record_evidence(work, attempt, False, attempt.compute_times(now))
+        self.evidence.record_answer(work, attempt, False, attempt.compute_times(now))
         self.rollouts.record_end(work, attempt.estimate.endpoint.record.version, now)
 
     def record_cancelled(self, attempt: Attempt) -> None:
@@ -326,7 +325,7 @@
                 work.connect_failures += 1
             case AnswerFailed():
                 if attempt is not None:
-                    self._record_evidence(work, attempt, True, AnswerTimes())
+                    self.evidence.record_answer(work, attempt, True, AnswerTimes())
             case NoConnection():
                 work.connect_failures += 1
                 work.tried_endpoints.add(endpoint.record.instance_id)
@@ -335,11 +334,11 @@
             case TookTooLong(waited_s) if attempt is not None and _was_responsive(
                 endpoint, waited_s, now
             ):
-                self._record_evidence(work, attempt, True, AnswerTimes())
+                self.evidence.record_answer(work, attempt, True, AnswerTimes())
                 endpoint.record_failure(now)
             case _:
                 if attempt is not None:
-                    self._record_broken(work, attempt)
+                    self.evidence.record_broken(work, attempt)
                 if _is_unreached(work, attempt, failure):
                     self._record_unreached(work, endpoint, now)
                 endpoint.record_failure(now)
@@ -371,7 +370,9 @@
             return self._refuse_in_flight(work, ErrorKind.NO_ENDPOINT, text)
         if work.remaining_s(now) < MIN_TIME_LEFT_S:
             return self._refuse_in_flight(work, ErrorKind.NO_ENDPOINT, "no time is left")
-        if work.sends and not self._retry_budget(work.service).try_spend(now):
+        # A withheld send has spent its retry already, and the next one takes its place.
+        is_retry = work.sends > 0 and not isinstance(failure, Withheld)
+        if is_retry and not self._retry_budget(work.service).try_spend(now):
             return self._refuse_in_flight(work, ErrorKind.NO_ENDPOINT, "too many second sends")
         return None
 
@@ -402,48 +403,8 @@
             case _:
                 return HIGHEST_RANK_URGENCY
 
-    def record_open_evidence(self, now: float) -> None:
-        """Count unfinished answers as evidence once their pace is known or they are far too slow.
-
-        The answers that finish first are the fast ones. If only finished answers counted, a
-        version that takes eight times as long would look good until it had served many more
-        requests than a trial allows.
-        """
-        for attempt, work in list(self._open_attempts.items()):
-            if attempt.is_counted:
-                continue
-            kind = _evidence_kind(work, attempt)
-            latencies = attempt.compute_times(now, is_ended=False)
-            is_slow = self.rollouts.statistics.is_slow(work.service, kind, latencies)
-            if is_slow or attempt.event_count >= MIN_EVIDENCE_EVENTS:
-                self._record_evidence(work, attempt, False, latencies)
-
-    def _record_evidence(
-        self, work: InFlightRequest, attempt: Attempt, is_failure: bool, latencies: AnswerTimes
-    ) -> None:
-        version = attempt.estimate.endpoint.record.version
-        key = (work.service, version, _evidence_kind(work, attempt))
-        if attempt.is_counted:
-            if is_failure:
-                self.rollouts.statistics.record_failure_of_slow_answer(key)
-            return
-        attempt.is_counted = True
-        if attempt.is_under_load:
-            latencies = AnswerTimes()
-        rollout = self.rollouts.find(work.service)
-        is_trial = (
-            rollout is not None and rollout.is_in_progress and version == rollout.order.target
-        )
-        self.rollouts.statistics.record_answer(key, is_failure, latencies, is_trial)
-
-    def _record_broken(self, work: InFlightRequest, attempt: Attempt) -> None:
-        record = attempt.estimate.endpoint.record
-        key = (work.service, record.version, _evidence_kind(work, attempt))
-        self.rollouts.statistics.record_interruption(key, record.instance_id, attempt.is_counted)
-        attempt.is_counted = True
-
     def _close_attempt(self, attempt: Attempt) -> None:
-        self._open_attempts.pop(attempt, None)
+        self.evidence.record_closed(attempt)
         endpoint = attempt.estimate.endpoint
         endpoint.in_flight = max(0, endpoint.in_flight - 1)
         if attempt.first_event_at is None:
@@ -471,12 +432,6 @@
         return Refusal(kind, text, retry_after_s=retry_after_s)
 
 
-def _evidence_kind(work: InFlightRequest, attempt: Attempt) -> str:
-    if attempt.is_under_load:
-        return UNDER_LOAD
-    return f"{work.route.name}/{attempt.size or ''}"
-
-
 def _is_unreached(work: InFlightRequest, attempt: Attempt | None, failure: Failure) -> bool:
     """Return whether a failed attempt is evidence that its endpoint is down.
 
--- /dev/null
+++ b/poplarrun/dispatch/_evidence.py
@@ -0,0 +1,78 @@
+"""What the answers to requests tell of versions on trial."""
+
+from poplarrun.dispatch._failures import Attempt
+from poplarrun.rollouts import UNDER_LOAD, AnswerTimes, Rollouts
+from poplarrun.routing import InFlightRequest
+
+# Number of events after which the pace of an unfinished answer is known well enough.
+MIN_EVIDENCE_EVENTS = 6
+
+
+class EvidenceRecorder:
+    """Counts each attempt once as evidence of its endpoint's version, also before it ends."""
+
+    def __init__(self, rollouts: Rollouts) -> None:
+        self._rollouts = rollouts
+        self._open_attempts: dict[Attempt, InFlightRequest] = {}
+
+    def record_sent(self, work: InFlightRequest, attempt: Attempt) -> None:
+        """Record that an attempt has begun."""
+        self._open_attempts[attempt] = work
+
+    def record_closed(self, attempt: Attempt) -> None:
+        """Record that an attempt has ended, in whatever way."""
+        self._open_attempts.pop(attempt, None)
+
+    def record_open(self, now: float) -> None:
+        """Count unfinished answers as evidence once their pace is known or they are far too slow.
+
+        The answers that finish first are the fast ones. If only finished answers counted, a
+        version that takes eight times as long would look good until it had served many more
+        requests than a trial allows.
+        """
+        for attempt, work in list(self._open_attempts.items()):
+            if attempt.is_counted:
+                continue
+            kind = _evidence_kind(work, attempt)
+            latencies = attempt.compute_times(now, is_ended=False)
+            is_slow = self._rollouts.statistics.is_slow(work.service, kind, latencies)
+            if is_slow or attempt.event_count >= MIN_EVIDENCE_EVENTS:
+                self.record_answer(work, attempt, False, latencies)
+
+    def record_answer(
+        self, work: InFlightRequest, attempt: Attempt, is_failure: bool, latencies: AnswerTimes
+    ) -> None:
+        """Count an answer, or the failure of one that was counted as slow.
+
+        Parameters
+        ----------
+        latencies : AnswerTimes
+            Times of the answer, without those that are not known.
+        """
+        version = attempt.estimate.endpoint.record.version
+        key = (work.service, version, _evidence_kind(work, attempt))
+        if attempt.is_counted:
+            if is_failure:
+                self._rollouts.statistics.record_failure_of_slow_answer(key)
+            return
+        attempt.is_counted = True
+        if attempt.is_under_load:
+            latencies = AnswerTimes()
+        rollout = self._rollouts.find(work.service)
+        is_trial = (
+            rollout is not None and rollout.is_in_progress and version == rollout.order.target
+        )
+        self._rollouts.statistics.record_answer(key, is_failure, latencies, is_trial)
+
+    def record_broken(self, work: InFlightRequest, attempt: Attempt) -> None:
+        """Count an answer that broke off, by its endpoint."""
+        record = attempt.estimate.endpoint.record
+        key = (work.service, record.version, _evidence_kind(work, attempt))
+        self._rollouts.statistics.record_interruption(key, record.instance_id, attempt.is_counted)
+        attempt.is_counted = True
+
+
+def _evidence_kind(work: InFlightRequest, attempt: Attempt) -> str:
+    if attempt.is_under_load:
+        return UNDER_LOAD
+    return f"{work.route.name}/{attempt.size or ''}"
--- a/poplarrun/gateway/_host.py
+++ b/poplarrun/gateway/_host.py
@@ -137,7 +137,7 @@
             self._store,
             self._rollouts,
             self._peering.job_rank,
-            self._dispatcher.record_open_evidence,
+            self._dispatcher.evidence.record_open,
         )
         self._open_count = 0
         self._refuses_new = False
