--- a/poplarrun/placement/_endpoint_state.py
+++ b/poplarrun/placement/_endpoint_state.py
@@ -108,7 +108,7 @@
         if self.record.warm_up_s > 0.0:
             self.warm_at = max(self.warm_at, now + self.record.warm_up_s)
 
-    def may_be_cold(self, limit: WarmUpLimit, now: float) -> bool:
+    def may_be_warming_up(self, limit: WarmUpLimit, now: float) -> bool:
         """Return whether it may be warming up, so that its rate is limited."""
         if self.is_unreached_by_others or now - self.unreached_at < UNREACHED_TTL_S:
             return True
--- a/poplarrun/placement/_placement.py
+++ b/poplarrun/placement/_placement.py
@@ -125,7 +125,7 @@
         self._sum_peer_loads()
 
     def update_evacuated(self, zones: frozenset[str], now: float) -> None:
-        """Replace the evacuated zones; the endpoints of one that is taken back may be cold."""
+        """Replace the evacuated zones; those of one that is taken back may be warming up."""
         taken_back = self.evacuated_zones - zones
         self.evacuated_zones = zones
         for endpoint in self._endpoints.values():
@@ -157,7 +157,9 @@
         record = endpoint.record
         if record.is_leaving or record.zone in self.evacuated_zones:
             return False
-        if service.warm_up.rate_per_s <= 0.0 or not endpoint.may_be_cold(service.warm_up, now):
+        if service.warm_up.rate_per_s <= 0.0 or not endpoint.may_be_warming_up(
+            service.warm_up, now
+        ):
             return True
         quota = self.warm_up_shares.quota(record.instance_id, record.zone, service.warm_up)
         return endpoint.count_sends(now) < quota
