Log the rate limits that endpoints name

It is decoded in the adapter and each change is logged and counted. No decision uses it yet. An answer without a limit lifts it only if its request was sent after the limit was named; a rejection without one says nothing; an answer of another instance at the address is not taken.

--- a/poplarrun/dispatch/_dispatcher.py
+++ b/poplarrun/dispatch/_dispatcher.py
@@ -273,6 +273,21 @@
         work.tried_endpoints.clear()
         return True
 
+    def record_rate_limit(
+        self, attempt: Attempt, rate_per_s: float | None, is_run: bool, now: float
+    ) -> bool:
+        """Record the rate limit that an answer names; True if it is new.
+
+        Parameters
+        ----------
+        is_run : bool
+            Whether the endpoint ran the request. A rejection that names no limit says nothing.
+        """
+        if rate_per_s is None and not is_run:
+            return False
+        endpoint = attempt.estimate.endpoint
+        return endpoint.record_rate_limit(rate_per_s, attempt.sent_at, now)
+
     def record_first_event(self, work: InFlightRequest, attempt: Attempt, now: float) -> None:
         """Record the arrival of the first event, or of a plain service's answer."""
         attempt.first_event_at = now
--- a/poplarrun/gateway/_forwarder.py
+++ b/poplarrun/gateway/_forwarder.py
@@ -39,6 +39,8 @@
 # Largest answer of a plain service, which is buffered until it is complete.
 MAX_ANSWER_BYTES = 8 * 1024 * 1024
 SUCCESS_STATUSES = range(200, 300)
+# An answer of another process at the endpoint's address.
+OTHER_INSTANCE_STATUS = 421
 
 
 class AttemptError(Exception):
@@ -236,12 +238,24 @@
         answers_request = answer.request_id == self._work.request.id
         if answer.request_id is not None and not answers_request:
             raise AttemptError(Garbled("answers another request"))
+        if answers_request:
+            self._record_rate_limit(answer)
         # Without a request id, only the first answer on a connection surely belongs to this one.
         if answer.is_not_run and (answers_request or connection.uses == 1):
-            raise AttemptError(SaidNotRun(answer.status, answer.status == 421))
+            raise AttemptError(SaidNotRun(answer.status, answer.status == OTHER_INSTANCE_STATUS))
         if not answer.is_signed or not answers_request:
             raise AttemptError(Garbled("has no signature or no request id"))
 
+    def _record_rate_limit(self, answer: EndpointAnswer) -> None:
+        """Record what the endpoint says of the rate that it takes from all hosts together."""
+        attempt = self._attempt
+        if attempt is None or answer.status == OTHER_INSTANCE_STATUS:
+            return
+        is_run = answer.is_signed and not answer.is_not_run
+        now = seconds_since_boot()
+        if self._dispatcher.record_rate_limit(attempt, answer.rate_limit_per_s, is_run, now):
+            self._recorder.record_rate_limit(attempt)
+
     async def _forward_complete(self, open_answer: _OpenAnswer) -> None:
         body = await self._read_body(open_answer)
         now = seconds_since_boot()
--- a/poplarrun/gateway/_records.py
+++ b/poplarrun/gateway/_records.py
@@ -104,6 +104,16 @@
             taken_s = attempt.first_event_at - work.arrived_at
             self._metrics.record_latency("first", work.route.name, taken_s)
 
+    def record_rate_limit(self, attempt: Attempt) -> None:
+        """Record that an endpoint has changed its rate limit."""
+        endpoint = attempt.estimate.endpoint
+        self._metrics.count_event("rate_limit_changed")
+        write_event(
+            events.EndpointRateLimited(
+                endpoint.record.instance_id, endpoint.rate_limit_per_s, "answer"
+            )
+        )
+
     def record_answer(
         self, work: InFlightRequest, status: int, attempt: Attempt | None = None
     ) -> None:
--- a/poplarrun/logging/_events.py
+++ b/poplarrun/logging/_events.py
@@ -323,6 +323,25 @@
     version: str
 
 
+@dataclass(frozen=True, slots=True)
+class EndpointRateLimited(Event):
+    """An endpoint names the rate that it takes from all hosts together, or names none any more.
+
+    Attributes
+    ----------
+    rate_per_s : float, optional
+        None if it names none any more.
+    source : str
+        Where this host learned it: the endpoint's answer, or the address of a peer.
+    """
+
+    component: ClassVar[str] = "endpoints"
+    message: ClassVar[str] = "An endpoint changed its rate limit."
+    endpoint: str
+    rate_per_s: float | None
+    source: str
+
+
 @dataclass(frozen=True, slots=True)
 class EndpointsGone(Event):
     """Endpoints were removed and get no new requests."""
--- a/poplarrun/placement/_endpoint_state.py
+++ b/poplarrun/placement/_endpoint_state.py
@@ -62,6 +62,10 @@
     returned_at : float
         When it was last reached again, or its zone was taken back from an evacuation. It may have
         restarted meanwhile, and its record says so seconds later.
+    rate_limit_per_s : float, optional
+        Requests a second that it takes from all hosts together, by its latest answers.
+    rate_limit_at : float
+        As of when that is known.
     """
 
     record: EndpointRecord
@@ -79,6 +83,8 @@
     is_unreached_by_others: bool = False
     warm_at: float = -math.inf
     returned_at: float = -math.inf
+    rate_limit_per_s: float | None = None
+    rate_limit_at: float = -math.inf
     _send_times: deque[float] = field(default_factory=deque)
     _prompt_parts: OrderedDict[tuple[str, str], float] = field(default_factory=OrderedDict)
 
@@ -114,6 +120,28 @@
             return True
         return now < max(self.warm_at, self.returned_at + limit.duration_s)
 
+    def record_rate_limit(self, rate_per_s: float | None, sent_at: float, now: float) -> bool:
+        """Record the rate limit that an answer names, or that it names none; True if it changes.
+
+        Parameters
+        ----------
+        sent_at : float
+            When the request was sent. An answer without a limit to a request that was sent before
+            the limit was named may be older than the limit.
+        """
+        if rate_per_s is None:
+            return self.apply_rate_limit(None, sent_at)
+        return self.apply_rate_limit(rate_per_s, now)
+
+    def apply_rate_limit(self, rate_per_s: float | None, as_of: float) -> bool:
+        """Apply the rate limit as of a time, unless a later one is known; True if it changes."""
+        if as_of <= self.rate_limit_at:
+            return False
+        is_change = rate_per_s != self.rate_limit_per_s
+        self.rate_limit_per_s = rate_per_s
+        self.rate_limit_at = as_of
+        return is_change
+
     def record_send(self, now: float) -> None:
         """Record a request that is sent there."""
         self._send_times.append(now)
--- a/poplarrun/platform/_names.py
+++ b/poplarrun/platform/_names.py
@@ -18,6 +18,7 @@
 SIGNATURE = "X-Instance-Signature"
 NOT_RUN = "X-Not-Executed"
 CONFIDENCE = "X-Confidence"
+RATE_LIMIT = "Server-Limit"
 
 # Callers' values of these are not forwarded: the system sets them itself, or omits them.
 SYSTEM_HEADERS = frozenset(
--- a/poplarrun/platform/_requests.py
+++ b/poplarrun/platform/_requests.py
@@ -13,6 +13,7 @@
 DEFAULT_TIME_LEFT_S = 30.0
 MAX_TIME_LEFT_S = 3600.0
 NUMBER_PATTERN = re.compile(r"^\d{1,15}$")
+DECIMAL_PATTERN = re.compile(r"^\d{1,9}(\.\d{1,9})?$")
 # Priorities at an endpoint range from 0, the highest, to 9.
 LOWEST_PRIORITY = 9
 
@@ -40,6 +41,8 @@
         Whether the endpoint states that it did not run the request.
     confidence : float, optional
         The model's confidence in its answer, 0 to 1.
+    rate_limit_per_s : float, optional
+        Requests a second that the endpoint takes from all hosts together, if it names that.
     """
 
     status: int
@@ -48,6 +51,7 @@
     request_id: str | None
     is_not_run: bool
     confidence: float | None
+    rate_limit_per_s: float | None = None
 
 
 def decode_request(
@@ -156,6 +160,7 @@
         request_id=by_name.get(names.REQUEST_ID.lower()),
         is_not_run=status == 421 or names.NOT_RUN.lower() in by_name,
         confidence=None if confidence is None else confidence / 100.0,
+        rate_limit_per_s=_decode_decimal(by_name.get(names.RATE_LIMIT.lower())),
     )
 
 
@@ -175,6 +180,12 @@
     return int(value)
 
 
+def _decode_decimal(value: str | None) -> float | None:
+    if value is None or not DECIMAL_PATTERN.match(value.strip()):
+        return None
+    return float(value)
+
+
 def _decode_tokens(value: str) -> tuple[int, int]:
     prompt, _, maximum = value.partition(",")
     return _decode_number(prompt) or 0, _decode_number(maximum) or 0
