--- a/standins/installation/_endpoint.py
+++ b/standins/installation/_endpoint.py
@@ -4,6 +4,7 @@
 import contextlib
 import enum
 import json
+import time
 from collections import deque
 from dataclasses import dataclass, field
 
@@ -30,12 +31,19 @@
 
 @dataclass
 class ReceivedRequest:
-    """A request that the endpoint received, and whether it was executed or its caller left."""
+    """A request that the endpoint received, and whether it was executed or its caller left.
+
+    Attributes
+    ----------
+    received_at : float
+        Monotonic time, in seconds.
+    """
 
     method: bytes
     target: bytes
     headers: dict[str, str]
     body: bytes
+    received_at: float
     is_executed: bool = False
     is_disconnected: bool = False
 
@@ -54,6 +62,8 @@
         Faults of the next requests, one per request.
     received_requests : list of ReceivedRequest
         All requests received so far.
+    rate_limit : str
+        The rate limit that its answers name; empty for none.
     """
 
     instance_id: str
@@ -69,6 +79,7 @@
     confidence: dict[str, int] = field(default_factory=dict)
     faults: deque[Fault] = field(default_factory=deque)
     received_requests: list[ReceivedRequest] = field(default_factory=list)
+    rate_limit: str = ""
     sequence: int = 0
     handler_errors: list[BaseException | None] = field(default_factory=list)
 
@@ -96,7 +107,7 @@
 
     async def _serve(self, caller: CallerConnection, head: RequestHead, body: bytes) -> None:
         headers = {name.decode().lower(): value.decode() for name, value in head.headers}
-        request = ReceivedRequest(head.method, head.target, headers, body)
+        request = ReceivedRequest(head.method, head.target, headers, body, time.monotonic())
         self.received_requests.append(request)
         if headers.get("x-expect-instance") != self.instance_id:
             caller.respond(421, [(b"X-Instance-Id", self.instance_id.encode())], b"")
@@ -141,6 +152,8 @@
         created = [(b"X-Attempt-Id", request_id.encode())]
         if fault is not Fault.UNSIGNED:
             created.append((b"X-Instance-Signature", f"signed-{self.instance_id}".encode()))
+        if self.rate_limit:
+            created.append((b"Server-Limit", self.rate_limit.encode()))
         confidence = self.confidence.get(headers.get("x-model", ""))
         if confidence is not None:
             created.append((b"X-Confidence", str(confidence).encode()))
