Keep to the rate that an endpoint names, over all hosts together

What the operators saw: an endpoint in need, which named a limit of 1 request a second in its answers, got 14 requests in 4 s from hosts that had passed on such answers; 11 are allowed (LIMIT).

Cause: no decision read the limit, and the one mechanism that divides an endpoint's rate among hosts belonged to endpoints that warm up.

Change: poplarrun/shares divides a budget among all known hosts. Each has a reserved share, also when it is cut off; the majority, of which there is one at most, uses what the bound leaves beyond the reserved shares of those that it doesn't hear; a starting host waits until the others know of it and their sends have left the window; a view of the fleet older than a second counts as none. The rate belongs to the hosts of the endpoint's zone; where they are not heard, the majority of all hosts uses what the bound leaves beyond it. Limits travel in digests, since a host without a share gets no answer that would tell it of the limit or of its end. A limit is lifted only by an answer to a request sent after it was named. Warm-up rates use the same shares.

Tests changed: the scenario of an only host before a rate of 100 a second allowed half of the bound of 155 for fear of a second group; it allows the rate itself now, 100 of 150, as exactly as before. Warm-up scenarios keep their bounds.

--- a/features/rate_limits.feature
+++ b/features/rate_limits.feature
@@ -7,3 +7,72 @@
     When callers at both hosts send 60 lookups within 4 s
     Then "stock-1" received at most 11 of them
     And the others are refused as not run, with a time to come back
+
+  Scenario Outline: Hosts that exchange digests keep to a limit while <what>
+    # Guards against shares that overlap while hosts learn of a limit, a cut or a host that returns.
+    Given <hosts> hosts that exchange digests, before one endpoint
+    When the endpoint names a limit of <rate> requests a second
+    And <what>
+    Then from 3 s after that on, hosts that were told sent at most <most> requests in any 4 s
+    And all hosts together sent no more, once all of them had heard of the limit
+
+    Examples:
+      | hosts | rate | most | what                                                           |
+      | 6     | 1.0  | 11   | nothing else happens                                           |
+      | 78    | 2.0  | 17   | nothing else happens                                           |
+      | 195   | 2.0  | 17   | nothing else happens                                           |
+      | 6     | 1.0  | 11   | zone "a" is cut off for 12 s, then heard again                 |
+      | 78    | 2.0  | 17   | zone "a" is cut off for 12 s, then heard again                 |
+      | 78    | 2.0  | 17   | half of zone "a" is cut off from the other for 12 s            |
+      | 6     | 1.0  | 11   | one host after the other is restarted, each 3 s                |
+      | 78    | 2.0  | 17   | a host of zone "a" after the other is suspended for 5 s         |
+
+  Scenario: A limit that an endpoint lifts is lifted at all hosts
+    # Guards against hosts without a share, which get no answer that would lift the limit.
+    Given 6 hosts that exchange digests, before one endpoint
+    When the endpoint names a limit of 1.0 requests a second
+    And the endpoint names no limit any more for 12 s
+    Then all hosts send to it without a limit
+
+  Scenario Outline: What an answer says of the limit counts in the order in which it was said
+    Given an endpoint that named a limit of 2.0 requests a second at 100.0
+    When it answers <answer>
+    Then its limit is <limit>
+
+    Examples:
+      | answer                                                       | limit |
+      | 3.0 to a request of 101.0                                    | 3.0   |
+      | without a limit to a request of 101.0                        | none  |
+      | without a limit to a request of 99.0                         | 2.0   |
+      | without a limit that it did not run a request of 101.0       | 2.0   |
+      | 0.0 to a request of 101.0                                    | 0.0   |
+
+  Scenario Outline: A limit that can't be read is none
+    Then an answer with "<value>" names the limit <limit>
+
+    Examples:
+      | value    | limit |
+      | 1.25     | 1.25  |
+      | 14       | 14.0  |
+      | 0        | 0.0   |
+      | -1       | none  |
+      | 1e3      | none  |
+      | nan      | none  |
+      | inf      | none  |
+      | a lot    | none  |
+      | 1.2.3    | none  |
+
+  Scenario Outline: No way of sending passes by a limit
+    Given a dispatcher of a host whose share of a limit is used up
+    Then a request <way> is not sent to the limited endpoint
+
+    Examples:
+      | way                                                  |
+      | sent first                                           |
+      | sent again after a failure elsewhere                 |
+      | whose stream is resumed                              |
+      | whose session was there before                       |
+      | whose prompt was read there                          |
+      | for a larger model                                   |
+      | of a version on trial                                |
+      | that waited for a connection while the rest was used |
--- a/features/steps/warm_up.py
+++ b/features/steps/warm_up.py
@@ -6,66 +6,89 @@
 from features.steps.gateway_world import make_catalogue, make_endpoint_record, make_request
 from poplarrun.dispatch import ConfigView, Dispatcher, NoConnection, SaidNotRun
 from poplarrun.errors import NotRun, Refusal, response_for
-from poplarrun.placement import Placement, ZoneHosts
+from poplarrun.placement import Placement
 from poplarrun.platform import MalformedDocument, decode_catalogue
 from poplarrun.rollouts import Rollouts
 from poplarrun.routing import Service, WarmUpLimit
+from poplarrun.shares import RateBounds, plan_rate
 from poplarrun.sizes import SizePolicy
-from standins.warm_up_fleet import WarmUpFleet
+from standins.share_fleet import ENDPOINT_ZONE, ShareFleet
 
 LIMIT = WarmUpLimit(2.0, 3.0)
 
 
+BOUNDS = RateBounds()
+
+
 @given("{hosts:d} hosts in 3 zones, and an endpoint that tolerates {rate:f} requests a second")
 def step_warm_up_hosts(context, hosts, rate):
-    context.fleet = WarmUpFleet(hosts, WarmUpLimit(rate, 3.0))
+    context.fleet = ShareFleet(hosts, plan_rate(rate, BOUNDS))
 
 
 @when("the hosts {state}")
 def step_hosts_state(context, state):
-    fleet = context.fleet
+    apply_state(context.fleet, state)
+    context.sends = context.fleet.use_whenever_allowed(4.0)
+
+
+def apply_state(fleet, state):
+    """Bring hosts that hear each other into another state."""
+    hosts = fleet.hosts
     match state:
         case "all hear each other":
-            fleet.connect()
+            pass
         case "are cut into zones":
-            fleet.cut_into([[host for host in fleet.hosts if host[0] == zone] for zone in "abc"])
+            fleet.cut_into([[host for host in hosts if host[0] == zone] for zone in "abc"])
         case "are cut into two halves":
-            fleet.cut_into([fleet.hosts[::2], fleet.hosts[1::2]])
+            fleet.cut_into([hosts[::2], hosts[1::2]])
         case "are cut off one by one, a third of them":
-            alone = fleet.hosts[::3]
-            rest = [host for host in fleet.hosts if host not in alone]
+            alone = hosts[::3]
+            rest = [host for host in hosts if host not in alone]
             fleet.cut_into([rest, *([host] for host in alone)])
         case "lose a fifth of them":
-            fleet.kill(fleet.hosts[::5])
+            fleet.kill(hosts[::5])
+        case "lose three fifths of them":
+            fleet.kill([host for number, host in enumerate(hosts) if number % 5 < 3])
+        case "lose those of the endpoint's zone":
+            fleet.kill([host for host in hosts if host[0] == ENDPOINT_ZONE])
         case "are all suspended for a second, then resumed":
-            fleet.connect()
-            fleet.suspend(1.0, 2.0)
+            fleet.suspend(hosts, 1.0)
+        case "are all suspended for 6 s, then resumed":
+            fleet.suspend(hosts, 6.0)
+        case "are suspended for 6 s, a third of them":
+            fleet.suspend(hosts[1::3][::2] + hosts[::6], 6.0)
         case "start, and don't know the others yet":
-            pass
+            fleet.start_unknown()
         case _:
             raise AssertionError(state)
-    context.sends = fleet.send_whenever_allowed(4.0)
 
 
 @then("they send at most {most:d} requests in any second")
 def step_at_most(context, most):
-    sends = context.sends
-    for start in sends:
-        count = sum(start <= at < start + 1.0 for at in sends)
-        assert count <= most, (start, count)
+    assert_at_most(context.sends, most, 1.0)
+
+
+def assert_at_most(sends, most, window_s):
+    first = 0
+    for last, at in enumerate(sends):
+        while sends[first] < at - window_s:
+            first += 1
+        assert last - first + 1 <= most, (at, last - first + 1)
 
 
 @then("those of the endpoint's zone send at least {least:f} in each second")
 def step_at_least(context, least):
+    start = context.fleet.now - 4.0
     for second in range(4):
-        count = sum(second <= at < second + 1.0 for at in context.sends)
+        count = sum(start + second <= at < start + second + 1.0 for at in context.sends)
         assert count >= least, (second, count)
 
 
 @given("a dispatcher whose host may send {quota:d} requests a second to an endpoint that warms up")
 def step_warm_up_dispatcher(context, quota):
     make_dispatcher(context, LIMIT)
-    assert context.placement.warm_up_shares.quota("e1", "a", LIMIT) == quota
+    budget = plan_rate(LIMIT.rate_per_s, context.placement.warm_up_bounds)
+    assert context.placement.shares.zone_share("e1", "a", budget, 100.0) == quota
 
 
 def make_dispatcher(context, limit):
@@ -77,7 +100,6 @@
     view.apply_catalogue(catalogue)
     view.confirm(100.0)
     placement = Placement("a", random.Random(3))
-    placement.warm_up_shares.update_hosts("h1", {"a": ZoneHosts(("h1",), frozenset(("h1",)))})
     placement.update_endpoints([make_endpoint_record("e1")], 90.0)
     context.placement = placement
     context.dispatcher = Dispatcher(view, placement, Rollouts(), SizePolicy(), 0.8, 100.0, 10.0)
--- a/features/warm_up.feature
+++ b/features/warm_up.feature
@@ -63,6 +63,5 @@
 
   Scenario: A single host keeps to a high rate too
     # Guards against a memory of sends that is shorter than what the host may send in a second.
-    # Half of the 155 that all hosts together may send is this host's, as no other one is known.
     Given an only host before an endpoint that tolerates 100 requests a second
-    Then 77 of 150 requests within a second are sent there, and 73 refused as not run
+    Then 100 of 150 requests within a second are sent there, and 50 refused as not run
--- a/poplarrun/dispatch/_dispatcher.py
+++ b/poplarrun/dispatch/_dispatcher.py
@@ -399,7 +399,7 @@
         evacuated = sorted(zones & self.placement.evacuated_zones)
         if len(evacuated) == len(zones):
             return f"evacuated zones: {', '.join(evacuated)}"
-        return "all endpoints are leaving, evacuated or warming up"
+        return "all endpoints are leaving, evacuated, or at their rate limits"
 
     def _find_service(self, work: InFlightRequest) -> Service | None:
         catalogue = self.config_view.catalogue
--- a/poplarrun/gateway/_host.py
+++ b/poplarrun/gateway/_host.py
@@ -22,7 +22,7 @@
 from poplarrun.logging import NonBlockingHandler, events, write_event
 from poplarrun.metrics import Metrics
 from poplarrun.peers import DOCUMENTS, ENDPOINTS, PeerTable, ReadTimeouts
-from poplarrun.placement import EndpointDirectory, Placement, WarmUpBounds
+from poplarrun.placement import EndpointDirectory, Placement
 from poplarrun.platform import (
     BadRequest,
     InvalidSettings,
@@ -33,6 +33,7 @@
 )
 from poplarrun.rollouts import Rollouts
 from poplarrun.routing import InFlightRequest, Request
+from poplarrun.shares import RateBounds
 from poplarrun.sizes import SizePolicy
 from poplarrun.transport import (
     CallerConnection,
@@ -64,8 +65,10 @@
     return max(1.0, RETRY_FRACTION * total / max(MIN_HOSTS, peers + 1))
 
 
-def _warm_up_bounds(settings: NodeSettings) -> WarmUpBounds:
-    return WarmUpBounds(settings.warm_up_rate_factor, settings.warm_up_allowance)
+def _warm_up_bounds(settings: NodeSettings) -> RateBounds:
+    return RateBounds(
+        rate_factor=settings.warm_up_rate_factor, allowance=settings.warm_up_allowance
+    )
 
 
 class GatewayHost:
@@ -87,7 +90,7 @@
         self._config_view = ConfigView(settings.revocation_limit_s)
         self._directory = EndpointDirectory()
         self._placement = Placement(settings.zone, random.Random())
-        self._placement.warm_up_shares.bounds = _warm_up_bounds(settings)
+        self._placement.warm_up_bounds = _warm_up_bounds(settings)
         self._rollouts = Rollouts(settings.session_timeout_s, settings.max_exposure_fraction)
         self._dispatcher = Dispatcher(
             self._config_view,
@@ -307,7 +310,7 @@
         self._config_view.revocation_limit_s = loaded.revocation_limit_s
         self._rollouts.session_timeout_s = loaded.session_timeout_s
         self._rollouts.exposure_limit = loaded.max_exposure_fraction
-        self._placement.warm_up_shares.bounds = _warm_up_bounds(loaded)
+        self._placement.warm_up_bounds = _warm_up_bounds(loaded)
         self._capacity = compute_capacity(loaded.memory_mb, loaded.max_sockets)
         self._callers.max_connections = self._capacity.max_caller_connections
         self._store.address = loaded.store_address
--- a/poplarrun/gateway/_peering.py
+++ b/poplarrun/gateway/_peering.py
@@ -12,6 +12,7 @@
 from poplarrun.gateway._listing_follower import ListingFollower
 from poplarrun.gateway._reachability import ReachabilityExchange
 from poplarrun.gateway._sessions import SessionLookup
+from poplarrun.gateway._shared_limits import SharedLimitsExchange
 from poplarrun.gateway._state_exchange import StateExchange
 from poplarrun.links import Links
 from poplarrun.logging import events, write_event
@@ -67,9 +68,6 @@
 # A starting host waits at most this long for the first digest, since all other hosts may be dead
 # or cut off.
 FIRST_DIGEST_TIMEOUT_S = 1.0
-# A starting host knows the other hosts after this time, and shares the rates of endpoints that warm
-# up with them from then on.
-HOSTS_KNOWN_AFTER_S = 4.0
 # Shortest interval between two requests for the same roster.
 ROSTER_REQUEST_INTERVAL_S = 0.3
 # Interval between attempts to register the own address until one succeeds, and between reads of
@@ -112,6 +110,7 @@
         self._rollouts = rollouts
         self._rosters = Rosters(peer_table)
         self._reachability = ReachabilityExchange(peer_table, placement, reachability)
+        self._shared_limits = SharedLimitsExchange(peer_table, placement)
         self._notice_budget = NoticeBudget()
         self._activity = ActivityExchange(peer_table.zone, placement, rollouts)
         self.sessions = SessionLookup(peer_table, links, rollouts)
@@ -121,7 +120,7 @@
         self._started_at = float("inf")
         self._alive_addresses: set[str] = set()
         self._rollout_states: list[RolloutState] = []
-        self._rollouts_changed_at = float("-inf")
+        self._changed_at = float("-inf")
         self._roster_requested_at: dict[tuple[str, str], float] = {}
         self._is_leaving = False
         documents.publish_proof = self.publish_proof
@@ -170,9 +169,16 @@
     async def run(self, seeds: tuple[str, ...]) -> None:
         """Exchange digests with the other hosts forever."""
         self._started_at = seconds_since_boot()
+        self._placement.shares.start(
+            self.peer_table.address, self.peer_table.zone, self._started_at
+        )
         for seed in seeds:
-            self.peer_table.add_address(seed, seconds_since_boot())
+            self.peer_table.add_address(seed, self._started_at)
         self._links.start(self._receive)
+        await self.run_rounds()
+
+    async def run_rounds(self) -> None:
+        """Send what is due, and apply what has become known, in rounds forever."""
         while True:
             self._run_round(seconds_since_boot())
             await asyncio.sleep(ROUND_INTERVAL_S)
@@ -232,6 +238,8 @@
         active = self._rollouts.active()
         zone_interval_s = ROLLOUT_ZONE_INTERVAL_S if active else ZONE_INTERVAL_S
         self._update_rollout_states(now)
+        if self._shared_limits.has_news():
+            self._changed_at = now
         self._rosters.expire(now)
         self._reachability.update_placement(now)
         for peer, notice in self._reachability.due_notices(now):
@@ -241,7 +249,7 @@
             REPORT_INTERVAL_S,
             zone_interval_s,
             FLEET_INTERVAL_S,
-            self._rollouts_changed_at,
+            self._changed_at,
         )
         if due:
             self._send_digests(due, now)
@@ -255,7 +263,7 @@
         if states == self._rollout_states:
             return False
         self._rollout_states = states
-        self._rollouts_changed_at = now
+        self._changed_at = now
         return True
 
     def _send_digests(self, due_digests: list[DueDigest], now: float) -> None:
@@ -298,8 +306,7 @@
 
     def _update_alive(self, now: float) -> None:
         self._placement.silent_zones = self.peer_table.silent_zones(now)
-        if now - self._started_at >= HOSTS_KNOWN_AFTER_S:
-            self._reachability.update_hosts(now)
+        self._shared_limits.update_hosts(now)
         alive = {peer.address for peer in self.peer_table.alive_peers(now)}
         if alive != self._alive_addresses:
             lost = sorted(self._alive_addresses - alive)
@@ -324,6 +331,7 @@
             store_available_s=self._listings.available_s(now),
             rollouts=self._activity.rollout_progress(now),
             evacuations=self._state.evacuations(),
+            rate_limits=self._shared_limits.rate_limits(now),
         )
 
     def _receive(self, data: bytes) -> None:
@@ -377,6 +385,7 @@
         self._activity.apply_digest(digest, now)
         self._reachability.apply_digest(digest, now)
         self._state.apply_digest(digest, now)
+        self._shared_limits.apply_digest(digest, now)
         if self._update_rollout_states(now):
             # A change passes three hosts on its way to another zone; none may wait for a round.
             self._run_round(now)
--- a/poplarrun/gateway/_reachability.py
+++ b/poplarrun/gateway/_reachability.py
@@ -1,4 +1,4 @@
-"""Exchange of the endpoints that hosts don't reach, and of the hosts that share warm-up rates."""
+"""Exchange of the endpoints that hosts don't reach."""
 
 from dataclasses import dataclass
 
@@ -11,7 +11,7 @@
     Scope,
     UnreachedEndpoints,
 )
-from poplarrun.placement import EndpointOutcomes, Placement, Reachability, ZoneHosts
+from poplarrun.placement import EndpointOutcomes, Placement, Reachability
 
 # Shortest interval between two notices of the same kind. The first one of an outage goes at once.
 MIN_NOTICE_INTERVAL_S = 0.4
@@ -168,13 +168,3 @@
             if endpoint.record.instance_id in others.get(endpoint.record.zone, ())
         }
         self._placement.update_unreached(unreached, now)
-
-    def update_hosts(self, now: float) -> None:
-        """Tell the choice of endpoints which hosts share the rates of endpoints that warm up."""
-        alive = {peer.address for peer in self._peer_table.alive_peers(now)}
-        alive.add(self._peer_table.address)
-        hosts = {
-            zone: ZoneHosts(tuple(sorted(known)), frozenset(alive.intersection(known)))
-            for zone, known in self._peer_table.known_hosts().items()
-        }
-        self._placement.warm_up_shares.update_hosts(self._peer_table.address, hosts)
--- a/poplarrun/peers/_messages.py
+++ b/poplarrun/peers/_messages.py
@@ -144,6 +144,25 @@
     is_evacuated: bool
 
 
+class EndpointRateLimit(msgspec.Struct, frozen=True, array_like=True):
+    """The requests a second that an endpoint takes from all hosts together.
+
+    Attributes
+    ----------
+    started_ms : int
+        When the endpoint started, by its own clock. A restarted one names its limit anew.
+    rate_per_s : float, optional
+        None if it names no limit any more.
+    age_s : float
+        How long ago that was known.
+    """
+
+    instance_id: str
+    started_ms: int
+    rate_per_s: float | None
+    age_s: float
+
+
 class Digest(msgspec.Struct, frozen=True, array_like=True, tag=8):
     """State that a host sends to other hosts periodically.
 
@@ -178,6 +197,8 @@
     unreached : list of UnreachedEndpoints
         Endpoints that hosts don't reach: for the scope ``ZONE`` those of the sender's zone, for
         ``FLEET`` those of all zones.
+    rate_limits : list of EndpointRateLimit
+        Rate limits that endpoints name or have lifted.
     """
 
     address: str
@@ -199,6 +220,7 @@
     reach: list[EndpointReach] = []
     unreached: list[UnreachedEndpoints] = []
     evacuations: list[ZoneEvacuation] = []
+    rate_limits: list[EndpointRateLimit] = []
 
 
 class ReachabilityNotice(msgspec.Struct, frozen=True, array_like=True, tag=13):
--- a/poplarrun/peers/_peer_table.py
+++ b/poplarrun/peers/_peer_table.py
@@ -179,13 +179,9 @@
         """Return the alive hosts of a zone."""
         return self._liveness(now).alive_by_zone.get(zone, [])
 
-    def known_hosts(self) -> dict[str, list[str]]:
-        """Return the addresses of all hosts by zone, this one and lost ones included."""
-        hosts: dict[str, list[str]] = {self.zone: [self.address]}
-        for peer in self._peers.values():
-            if peer.zone:
-                hosts.setdefault(peer.zone, []).append(peer.address)
-        return hosts
+    def known_peers(self) -> list[PeerState]:
+        """Return all other hosts, lost ones included."""
+        return list(self._peers.values())
 
     def _liveness(self, now: float) -> _Liveness:
         last = self._last_liveness
--- a/poplarrun/placement/__init__.py
+++ b/poplarrun/placement/__init__.py
@@ -9,7 +9,6 @@
 from poplarrun.placement._endpoint_state import EndpointState
 from poplarrun.placement._placement import EndpointEstimate, Placement
 from poplarrun.placement._reachability import EndpointOutcomes, Reachability
-from poplarrun.placement._warm_up import WarmUpBounds, WarmUpShares, ZoneHosts
 
 __all__ = [
     "LAPSE_GRACE_S",
@@ -21,7 +20,4 @@
     "EndpointState",
     "Placement",
     "Reachability",
-    "WarmUpBounds",
-    "WarmUpShares",
-    "ZoneHosts",
 ]
--- a/poplarrun/placement/_endpoint_state.py
+++ b/poplarrun/placement/_endpoint_state.py
@@ -26,8 +26,8 @@
 UNREACHED_TTL_S = 6.0
 # Longest time that one notice of a host can make an endpoint look busy, in seconds.
 MAX_DRAIN_S = 5.0
-# Time over which the sends to an endpoint are counted.
-SEND_WINDOW_S = 1.0
+# Longest time over which the sends to an endpoint are counted, in seconds.
+MAX_SEND_WINDOW_S = 10.0
 # Time in seconds without a measurement in which the excess of the slowdown over 1 halves: an
 # endpoint without recent measurements is assumed to be as fast as the others again.
 SLOWDOWN_HALF_LIFE_S = 8.0
@@ -147,13 +147,17 @@
         self._send_times.append(now)
         self._drop_old_sends(now)
 
-    def count_sends(self, now: float) -> int:
-        """Return the number of requests that this host sent there in the last second."""
-        self._drop_old_sends(now)
-        return len(self._send_times)
+    def count_sends(self, now: float, window_s: float) -> int:
+        """Return the number of requests that this host sent there in the last ``window_s``."""
+        count = 0
+        for sent_at in reversed(self._send_times):
+            if now - sent_at > window_s:
+                break
+            count += 1
+        return count
 
     def _drop_old_sends(self, now: float) -> None:
-        while self._send_times and now - self._send_times[0] > SEND_WINDOW_S:
+        while self._send_times and now - self._send_times[0] > MAX_SEND_WINDOW_S:
             self._send_times.popleft()
 
     def record_unreached(self, now: float) -> None:
--- a/poplarrun/placement/_placement.py
+++ b/poplarrun/placement/_placement.py
@@ -11,9 +11,9 @@
 
 from poplarrun.placement._endpoint_directory import EndpointRecord
 from poplarrun.placement._endpoint_state import EndpointState
-from poplarrun.placement._warm_up import WarmUpShares
 from poplarrun.rendezvous import RankingCache, choose_owner, hash_name
 from poplarrun.routing import InFlightRequest, Service
+from poplarrun.shares import BudgetShares, RateBounds, plan_rate
 from poplarrun.speeds import PoolSpeed
 
 # Time that a full batch adds before the first event, in seconds.
@@ -39,6 +39,8 @@
 MAX_REMOTE_CANDIDATES = 16
 # Load, in requests per slot, up to which a version's load is concentrated on one endpoint.
 MAX_CONCENTRATED_LOAD = 0.9
+# What an endpoint tolerates beyond the rate limit that it names in its answers.
+NAMED_LIMIT_BOUNDS = RateBounds(window_s=4.0, rate_factor=1.5, allowance=5.0)
 # Prefill speed that is assumed until one is measured, in prompt tokens per second.
 INITIAL_TOKENS_PER_S = 25_000.0
 
@@ -88,8 +90,10 @@
         Zones that had hosts, none of which is heard any more.
     evacuated_zones : frozenset of str
         Zones whose endpoints get no requests.
-    warm_up_shares : WarmUpShares
-        This host's shares of the rates of endpoints that are warming up.
+    shares : BudgetShares
+        This host's shares of the budgets of all hosts.
+    warm_up_bounds : RateBounds
+        What an endpoint that is warming up tolerates, from the settings.
     """
 
     def __init__(self, zone: str, source: random.Random) -> None:
@@ -98,7 +102,8 @@
         self._endpoints: dict[str, EndpointState] = {}
         self.silent_zones: frozenset[str] = frozenset()
         self.evacuated_zones: frozenset[str] = frozenset()
-        self.warm_up_shares = WarmUpShares()
+        self.shares = BudgetShares(zone=zone)
+        self.warm_up_bounds = RateBounds()
         self._peer_loads: dict[str, dict[str, tuple[int, float]]] = {}
         self._ranking = RankingCache()
         self._speeds: dict[tuple[str, str], PoolSpeed] = {}
@@ -152,17 +157,29 @@
         """Return whether this host may send to an endpoint now.
 
         Not to one of an evacuated zone, nor beyond this host's share of the rate of one that is
-        warming up.
+        warming up or names a rate limit.
         """
         record = endpoint.record
         if record.is_leaving or record.zone in self.evacuated_zones:
             return False
-        if service.warm_up.rate_per_s <= 0.0 or not endpoint.may_be_warming_up(
-            service.warm_up, now
+        limit_per_s = endpoint.rate_limit_per_s
+        if limit_per_s is not None and not self._has_share(
+            endpoint, limit_per_s, NAMED_LIMIT_BOUNDS, now
         ):
+            return False
+        warm_up = service.warm_up
+        if warm_up.rate_per_s <= 0.0 or not endpoint.may_be_warming_up(warm_up, now):
             return True
-        quota = self.warm_up_shares.quota(record.instance_id, record.zone, service.warm_up)
-        return endpoint.count_sends(now) < quota
+        return self._has_share(endpoint, warm_up.rate_per_s, self.warm_up_bounds, now)
+
+    def _has_share(
+        self, endpoint: EndpointState, rate_per_s: float, bounds: RateBounds, now: float
+    ) -> bool:
+        """Return whether this host's share of an endpoint's rate has room for one more request."""
+        record = endpoint.record
+        budget = plan_rate(rate_per_s, bounds)
+        share = self.shares.zone_share(record.instance_id, record.zone, budget, now)
+        return endpoint.count_sends(now, budget.window_s) < share
 
     def apply_peer_load(self, host: str, loads: dict[str, tuple[int, float]]) -> None:
         """Apply another host's load: requests and pending prefill seconds by instance id."""
--- a/standins/peer_fleet.py
+++ b/standins/peer_fleet.py
@@ -71,7 +71,7 @@
         end = self._network.links_by_address.pop(host.address)
         await asyncio.sleep(seconds)
         self._network.links_by_address[host.address] = end
-        self._peering_tasks[host.address] = asyncio.ensure_future(host.peering.run(()))
+        self._peering_tasks[host.address] = asyncio.ensure_future(host.peering.run_rounds())
 
     def aggregators(self, zone: str) -> list[RolloutHost]:
         """Return the aggregators of a zone in the view of its first host."""
--- a/standins/rollout_fleet.py
+++ b/standins/rollout_fleet.py
@@ -149,7 +149,7 @@
     async def serve(self, session: str, number: int, duration_s: float) -> CompletedRequest:
         """Dispatch and complete one request."""
         clock = asyncio.get_running_loop().time
-        work = self.dispatch.admit(_make_request(session, number), clock())
+        work = self.dispatch.admit(make_request(session, number), clock())
         assert isinstance(work, InFlightRequest), work
         await self.peering.sessions.resolve(work)
         step = self.dispatch.choose_endpoint(work, clock())
@@ -296,7 +296,8 @@
         yield EndpointRecord(name, SERVICE, f"{name}:1", zone, version, ENDPOINT_SLOTS, False)
 
 
-def _make_request(session: str, number: int) -> Request:
+def make_request(session: str, number: int) -> Request:
+    """Return a request of a session."""
     return Request(
         f"request-{number}",
         b"POST",
