Divide the allowance of retries by the hosts that are known, not by those that are heard

The allowance is now a budget of poplarrun/shares, in whole retries; with fewer retries than hosts, some hosts have one and the others none, by service.

Of the operators' bound 0.9 is used now, 0.85 before: the margin for hosts that could not be counted is not needed. The scenario of 40 hosts checks that they use the total, besides that they stay within the bound.

--- a/features/steps/dispatch.py
+++ b/features/steps/dispatch.py
@@ -18,9 +18,10 @@
     first_event_timeout_s,
 )
 from poplarrun.errors import NotRun, Refusal, response_for
-from poplarrun.gateway._host import RETRY_FRACTION, host_retry_allowance
+from poplarrun.gateway._host import RETRY_FRACTION
 from poplarrun.placement import EndpointEstimate
 from poplarrun.routing import Account, InFlightRequest, RepeatPolicy
+from poplarrun.shares import Budget, BudgetShares, HostSighting
 
 
 def send_until_refused(dispatch, number):
@@ -142,13 +143,21 @@
 )
 def step_dispatchers(context, count, ratio, allowance):
 
+    hosts = [f"a{number}" for number in range(count)]
     context.dispatches = []
-    for _ in range(count):
+    for host in hosts:
         config_view = ConfigView(None)
         config_view.apply_catalogue(make_catalogue())
         config_view.confirm(100.0)
-        share = host_retry_allowance(allowance, count - 1)
-        context.dispatches.append(make_dispatch(config_view, 4, RETRY_FRACTION * ratio, share))
+        dispatch = make_dispatch(config_view, 4, RETRY_FRACTION * ratio, RETRY_FRACTION * allowance)
+        hear_each_other(dispatch.placement.shares, host, hosts)
+        context.dispatches.append(dispatch)
+
+
+def hear_each_other(shares, host, hosts):
+    shares.start(host, "a", 0.0)
+    others = [each for each in hosts if each != host]
+    shares.update_hosts([HostSighting(each, "a", True, 100.0) for each in others], 100.0)
 
 
 @when("each of them gets {count:d} requests that fail at each endpoint")
@@ -162,7 +171,14 @@
 
 @then("{hosts:d} hosts together have an allowance of at most {allowance:d}")
 def step_allowance_of_hosts(context, hosts, allowance):
-    assert hosts * host_retry_allowance(allowance, hosts - 1) <= allowance
+    budget = Budget(int(RETRY_FRACTION * allowance), allowance, 10.0)
+    addresses = [f"a{number}" for number in range(hosts)]
+    total = 0
+    for address in addresses:
+        shares = BudgetShares()
+        hear_each_other(shares, address, addresses)
+        total += shares.fleet_share("retries", budget, 100.0)
+    assert budget.total <= total <= allowance, total
 
 
 @then("all retries together are at most {ratio:f} times {count:d} and {allowance:d}")
--- a/poplarrun/dispatch/_dispatcher.py
+++ b/poplarrun/dispatch/_dispatcher.py
@@ -25,6 +25,7 @@
 from poplarrun.retries import WindowedRetryBudget
 from poplarrun.rollouts import AnswerTimes, Rollouts, VersionChoice, VersionReason
 from poplarrun.routing import InFlightRequest, RepeatPolicy, Request, Service
+from poplarrun.shares import Budget
 from poplarrun.sizes import SizePolicy
 
 # Sends that endpoints rejected without executing don't count as attempts, but each costs
@@ -82,11 +83,13 @@
     Parameters
     ----------
     retry_ratio : float
-        Retries that each first send allows.
+        Retries that each first send of this host allows.
     retry_allowance : float
-        Retries that this host may make beyond that.
+        Retries that all hosts together may make beyond that for a service.
     retry_window_s : float
         Length of the window over which operators limit retries, in seconds.
+    retry_bound : float, optional
+        What the retries beyond the ratio must never exceed; by default the allowance.
     on_prompt_sent : callable
         Called after each send of a prompt to an engine.
     """
@@ -101,6 +104,7 @@
         retry_allowance: float,
         retry_window_s: float,
         on_prompt_sent: Callable[[EndpointEstimate], None] = ignore_sent,
+        retry_bound: float | None = None,
     ) -> None:
         self.config_view = config_view
         self.placement = placement
@@ -108,18 +112,14 @@
         self.sizes = sizes
         self.on_prompt_sent = on_prompt_sent
         self.retry_ratio = retry_ratio
-        self.retry_allowance = retry_allowance
         self.retry_window_s = retry_window_s
+        total = int(retry_allowance)
+        bound = total if retry_bound is None else int(retry_bound)
+        self._retry_allowance = Budget(total, bound, retry_window_s)
         self.reachability = Reachability()
         self._budgets: dict[str, WindowedRetryBudget] = {}
         self.evidence = EvidenceRecorder(rollouts)
 
-    def set_retry_allowance(self, allowance: float) -> None:
-        """Set this host's share of the retry allowance, which depends on the number of hosts."""
-        self.retry_allowance = allowance
-        for budget in self._budgets.values():
-            budget.allowance = allowance
-
     def admit(self, request: Request, now: float) -> InFlightRequest | Refusal:
         """Look up a new request's route, account and service, or refuse it."""
         catalogue = self.config_view.catalogue
@@ -222,7 +222,7 @@
         """Record that the request's bytes were handed to the socket."""
         endpoint = send.estimate.endpoint
         if work.sends == 0:
-            self._retry_budget(work.service).record_attempt(now)
+            self._retry_budget(work.service, now).record_attempt(now)
         work.sends += 1
         work.model_size = send.size
         work.tried_endpoints.add(endpoint.record.instance_id)
@@ -254,7 +254,7 @@
             return False
         if work.possible_runs + 1 >= work.route.max_attempts or work.last_event_id is not None:
             return False
-        budget = self._retry_budget(work.service)
+        budget = self._retry_budget(work.service, now)
         if budget.remaining(now) < 1.0 + FAILURE_RESERVE_FRACTION * budget.allowance:
             return False
         versions = frozenset((attempt.estimate.endpoint.record.version,))
@@ -387,7 +387,7 @@
             return self._refuse_in_flight(work, ErrorKind.NO_ENDPOINT, "no time is left")
         # A withheld send has spent its retry already, and the next one takes its place.
         is_retry = work.sends > 0 and not isinstance(failure, Withheld)
-        if is_retry and not self._retry_budget(work.service).try_spend(now):
+        if is_retry and not self._retry_budget(work.service, now).try_spend(now):
             return self._refuse_in_flight(work, ErrorKind.NO_ENDPOINT, "too many second sends")
         return None
 
@@ -427,13 +427,15 @@
                 0.0, endpoint.pending_prefill_s - attempt.estimate.prefill_s
             )
 
-    def _retry_budget(self, service: str) -> WindowedRetryBudget:
+    def _retry_budget(self, service: str, now: float) -> WindowedRetryBudget:
+        """Return the budget of a service, with this host's share of the allowance of all hosts."""
         budget = self._budgets.get(service)
         if budget is None:
-            budget = WindowedRetryBudget(
-                self.retry_ratio, self.retry_allowance, self.retry_window_s
-            )
+            budget = WindowedRetryBudget(self.retry_ratio, 0.0, self.retry_window_s)
             self._budgets[service] = budget
+        budget.allowance = self.placement.shares.fleet_share(
+            f"retries of {service}", self._retry_allowance, now
+        )
         return budget
 
     def _refuse_in_flight(self, work: InFlightRequest, kind: ErrorKind, text: str) -> Refusal:
--- a/poplarrun/gateway/_host.py
+++ b/poplarrun/gateway/_host.py
@@ -43,10 +43,8 @@
     seconds_since_boot,
 )
 
-# Fraction of the operators' bound on retries that is used, and the least number of hosts among
-# which the allowance is divided, also while it is not known how many there are.
-RETRY_FRACTION = 0.85
-MIN_HOSTS = 8
+# Fraction of the operators' bound on retries that is used.
+RETRY_FRACTION = 0.9
 # For this long a stopping host accepts new connections: the load balancer checks readiness once a
 # second, and removes a host after two failed checks.
 BALANCER_GRACE_S = 2.6
@@ -56,15 +54,6 @@
 STOP_POLL_INTERVAL_S = 0.05
 
 
-def host_retry_allowance(total: float, peers: int) -> float:
-    """Return one host's part of the retries that all hosts may make beyond the earned ones.
-
-    A host that hears fewer peers than there are would use too many, so it divides by
-    ``MIN_HOSTS`` at least. With less than one retry, it could never make any.
-    """
-    return max(1.0, RETRY_FRACTION * total / max(MIN_HOSTS, peers + 1))
-
-
 def _warm_up_bounds(settings: NodeSettings) -> RateBounds:
     return RateBounds(
         rate_factor=settings.warm_up_rate_factor, allowance=settings.warm_up_allowance
@@ -98,8 +87,9 @@
             self._rollouts,
             SizePolicy(),
             RETRY_FRACTION * settings.retry_ratio,
-            host_retry_allowance(settings.retry_allowance, 0),
+            RETRY_FRACTION * settings.retry_allowance,
             settings.retry_window_s,
+            retry_bound=settings.retry_allowance,
         )
         self._pool = ConnectionPool()
         self._recorder = RequestRecorder(self.metrics)
@@ -266,10 +256,6 @@
             await asyncio.sleep(HOUSEKEEPING_INTERVAL_S)
             self._pool.close_stale()
             self._log_readiness_change()
-            peers = self._peering.count_alive_peers()
-            self._dispatcher.set_retry_allowance(
-                host_retry_allowance(self.settings.retry_allowance, peers)
-            )
             dropped_counts = self._handler.collect_dropped_counts()
             if dropped_counts:
                 write_event(events.LinesLeftOut(dropped_counts))
--- a/poplarrun/gateway/_peering.py
+++ b/poplarrun/gateway/_peering.py
@@ -148,10 +148,6 @@
         for peer in peers:
             self._links.send(peer.address, message)
 
-    def count_alive_peers(self) -> int:
-        """Return the number of other alive hosts."""
-        return len(self.peer_table.alive_peers(seconds_since_boot()))
-
     def job_rank(self, service: str) -> int:
         """Return how many alive hosts precede this one for a service's roll-outs."""
         return self.peer_table.job_rank(service, seconds_since_boot())
