--- a/features/steps/evacuation.py
+++ b/features/steps/evacuation.py
@@ -291,7 +291,7 @@
     work = dispatcher.admit(make_request(), 100.0)
     decision = dispatcher.choose_endpoint(work, 100.0)
     attempt = dispatcher.record_sent(work, decision, 100.0)
-    budget = dispatcher._retry_budget(work.service)
+    budget = dispatcher._retry_budget(work.service, 100.0)
     context.budget, context.remaining = budget, budget.remaining(100.0)
     endpoint = decision.estimate.endpoint
     assert (
