Divide the idle connections that an endpoint accepts among the hosts

Each host kept up to 8 idle ones to each endpoint, whatever their number: 390 hosts might keep 3,120 open at an endpoint that accepts 530, and new requests would be reset.

Half of what an endpoint accepts may be idle, divided by poplarrun/shares; the other half is left for requests that need new connections. At 6 hosts and 96 connections a host still keeps 8, at 79 and 530 three or four.

--- a/features/shared_budgets.feature
+++ b/features/shared_budgets.feature
@@ -57,3 +57,27 @@
       | 6     | are restarted one after the other       | 7     |
       | 79    | are restarted one after the other       | 41    |
       | 390   | start, and don't know the others yet    | 0     |
+
+  Scenario Outline: Idle connections leave half of what an endpoint accepts for new ones
+    # Guards against connections that many hosts keep open, so that the endpoint resets new ones.
+    Given <hosts> dispatchers of hosts that hear each other, and an endpoint that accepts <accepted> connections
+    Then all hosts together keep at most <most> idle connections to it
+    And those whose share is not zero keep at least <least> each
+
+    Examples:
+      | hosts | accepted | most | least |
+      | 6     | 96       | 48   | 8     |
+      | 79    | 530      | 265  | 3     |
+      | 390   | 530      | 265  | 1     |
+      | 390   | 790      | 395  | 1     |
+
+  Scenario Outline: A host closes the connections that it may not keep
+    Given a pool with 3 idle connections to an endpoint
+    When one more is returned to it, and the host may keep <most>
+    Then the pool keeps <kept> of them
+
+    Examples:
+      | most | kept |
+      | 2    | 2    |
+      | 8    | 4    |
+      | 100  | 4    |
--- a/poplarrun/dispatch/_dispatcher.py
+++ b/poplarrun/dispatch/_dispatcher.py
@@ -51,6 +51,9 @@
 RESPONSIVE_WINDOW_FRACTION = 2.0 / 3.0
 # An endpoint of a zone that answered this shortly before another one there failed is still up.
 ZONE_ANSWER_WINDOW_S = 0.5
+# Fraction of the connections that an endpoint accepts from all hosts together that may be idle. The
+# rest is left for requests that need new ones.
+IDLE_CONNECTIONS_FRACTION = 0.5
 # Urgency that an endpoint is given for the highest rank; each lower rank adds one.
 HIGHEST_RANK_URGENCY = 2
 
@@ -218,6 +221,20 @@
         service = self._find_service(work)
         return service is not None and self.placement.may_send(endpoint, service, now)
 
+    def max_idle_connections(
+        self, work: InFlightRequest, endpoint: EndpointState, now: float
+    ) -> int:
+        """Return how many idle connections this host may keep to an endpoint.
+
+        An endpoint resets connections beyond those that it accepts from all hosts together.
+        """
+        service = self._find_service(work)
+        if service is None:
+            return 0
+        total = int(IDLE_CONNECTIONS_FRACTION * service.max_connections)
+        budget = Budget(total, total, 0.0)
+        return self.placement.shares.fleet_share(endpoint.record.instance_id, budget, now)
+
     def record_sent(self, work: InFlightRequest, send: SendDecision, now: float) -> Attempt:
         """Record that the request's bytes were handed to the socket."""
         endpoint = send.estimate.endpoint
--- a/poplarrun/gateway/_forwarder.py
+++ b/poplarrun/gateway/_forwarder.py
@@ -351,8 +351,9 @@
 
     def _release_connection(self, open_answer: _OpenAnswer) -> None:
         self._connection = None
-        instance_id = open_answer.attempt.estimate.endpoint.record.instance_id
-        self._pool.release(open_answer.connection, instance_id)
+        endpoint = open_answer.attempt.estimate.endpoint
+        max_idle = self._dispatcher.max_idle_connections(self._work, endpoint, seconds_since_boot())
+        self._pool.release(open_answer.connection, endpoint.record.instance_id, max_idle)
 
     def _handle_failure(self, decision: SendDecision, failure: Failure) -> Refusal | None:
         """Record a failed send; return a refusal unless it is to be retried."""
--- a/poplarrun/placement/__init__.py
+++ b/poplarrun/placement/__init__.py
@@ -7,11 +7,12 @@
     EndpointRecord,
 )
 from poplarrun.placement._endpoint_state import EndpointState
-from poplarrun.placement._placement import EndpointEstimate, Placement
+from poplarrun.placement._placement import NAMED_LIMIT_BOUNDS, EndpointEstimate, Placement
 from poplarrun.placement._reachability import EndpointOutcomes, Reachability
 
 __all__ = [
     "LAPSE_GRACE_S",
+    "NAMED_LIMIT_BOUNDS",
     "DirectoryEvent",
     "EndpointDirectory",
     "EndpointEstimate",
--- a/poplarrun/transport/_pool.py
+++ b/poplarrun/transport/_pool.py
@@ -4,8 +4,7 @@
 
 from poplarrun.transport._client import ClientConnection, open_connection
 
-# Idle connections per peer. An endpoint limits the total number of connections from all
-# hosts, so a host with many idle ones would keep other hosts from connecting.
+# Idle connections per peer.
 MAX_IDLE_PER_PEER = 8
 
 
@@ -35,14 +34,25 @@
         """
         return await open_connection(address, timeout_s)
 
-    def release(self, connection: ClientConnection, instance_id: str = "") -> None:
-        """Return a connection to the pool, or close it if it can't be reused."""
-        if not connection.is_reusable:
+    def release(
+        self,
+        connection: ClientConnection,
+        instance_id: str = "",
+        max_idle: int = MAX_IDLE_PER_PEER,
+    ) -> None:
+        """Return a connection to the pool, or close it if it can't be reused.
+
+        Parameters
+        ----------
+        max_idle : int
+            Idle connections to the peer that may be kept.
+        """
+        if not connection.is_reusable or max_idle <= 0:
             connection.abort()
             return
         idle = self._idle.setdefault((connection.address, instance_id), deque())
         idle.append(connection)
-        if len(idle) > MAX_IDLE_PER_PEER:
+        while len(idle) > min(max_idle, MAX_IDLE_PER_PEER):
             idle.popleft().abort()
 
     def close_stale(self) -> None:
