Log what a host may use of an account's limit when it refuses a request

The lines kept on a failure don't tell whether the host had no share, an empty bucket, or a share that it could not use yet. One line a second at most now tells shares, level and rate.

--- a/poplarrun/limits/_accounts.py
+++ b/poplarrun/limits/_accounts.py
@@ -37,6 +37,7 @@
     encode_start,
     list_zone_peers,
 )
+from poplarrun.logging import component_logger
 
 # Bound on the traffic that a host receives as share summaries of its zone's hosts.
 MAX_SUMMARY_BYTES_PER_S = 1000.0
@@ -46,6 +47,9 @@
 # has sent nothing for so long that the membership reports it as silent. A part of the limit is then
 # reserved for the silent zone, and shares may grow within the rest.
 ZONE_LATE_TIMEOUT_S = 2.5
+REFUSAL_LOG_INTERVAL_S = 1.0
+
+_log = component_logger("limits")
 
 
 @dataclass(frozen=True, slots=True)
@@ -77,6 +81,7 @@
         peers.serve(START_MESSAGE, self._serve_start)
         self._summary_bytes = 0
         self._round_ends_at = 0.0
+        self._refusal_logged_at = float("-inf")
 
     @property
     def has_initial_shares(self) -> bool:
@@ -127,12 +132,33 @@
         state.tokens.requested += tokens
         exceeded = self._check_limits(state, tokens, now, is_stream)
         if exceeded is not None:
+            self._log_refusal(account.name, state, exceeded, now)
             return exceeded
         state.requests.consume(1.0)
         state.tokens.consume(tokens)
         state.streams.open += is_stream
         return None
 
+    def _log_refusal(
+        self, account: str, state: AccountState, exceeded: LimitExceeded, now: float
+    ) -> None:
+        """Log what this host may use of an exceeded limit, at most once in an interval."""
+        if now - self._refusal_logged_at < REFUSAL_LOG_INTERVAL_S:
+            return
+        self._refusal_logged_at = now
+        _log.info(
+            "A request exceeds this host's share of an account's limits.",
+            extra={
+                "account": account,
+                "kind": exceeded.kind.value,
+                "usable": {kind.name: share.usable for kind, share in state.shares.items()},
+                "held": {kind.name: share.held for kind, share in state.shares.items()},
+                "requests_left": state.requests.level,
+                "requests_per_s": state.requests.rate_per_s,
+                "tokens_left": state.tokens.level,
+            },
+        )
+
     def finish(
         self, account: ClientAccount, expected_tokens: int, used_tokens: int, amount: float
     ) -> None:
