Keep the rate limit of an endpoint whose record lapses for a while

After an outage of the store, when records of living endpoints lapse and come back, each host would have sent without a limit until the next answer named it again. Found by reading. The state is kept for endpoints that come back without a new start; prompts that they had cached are forgotten as before. The new scenario fails without the change (limit none, no sends known).

--- a/features/rate_limits.feature
+++ b/features/rate_limits.feature
@@ -76,3 +76,16 @@
       | for a larger model                                   |
       | of a version on trial                                |
       | that waited for a connection while the rest was used |
+
+  Scenario Outline: A limit belongs to one start of an endpoint
+    # Guards against a limit that is forgotten when the record of a living endpoint lapses.
+    Given a dispatcher of a host whose share of a limit is used up
+    When the record of the limited endpoint <event>
+    Then its limit is <limit>
+    And <sends> sends to it in the last 4 s are known
+
+    Examples:
+      | event                                    | limit | sends |
+      | is gone and comes back                   | 1.0   | 4     |
+      | is gone and comes back after a new start | none  | 0     |
+      | is renewed                               | 1.0   | 4     |
--- a/features/steps/rate_limits.py
+++ b/features/steps/rate_limits.py
@@ -300,3 +300,27 @@
     alone = dispatcher.choose_endpoint(dispatcher.admit(make_request(number=9), now), now)
     assert isinstance(alone, Refusal), alone
     assert response_for(alone.kind).not_run is NotRun.YES and alone.retry_after_s > 0.0, alone
+
+
+@when("the record of the limited endpoint {event}")
+def step_record_event(context, event):
+    placement = context.placement
+    started_ms = 1
+    match event:
+        case "is gone and comes back":
+            placement.update_endpoints([make_endpoint_record("other")], 99.5)
+        case "is gone and comes back after a new start":
+            placement.update_endpoints([make_endpoint_record("other")], 99.5)
+            started_ms = 2
+        case "is renewed":
+            pass
+        case _:
+            raise AssertionError(event)
+    record = make_endpoint_record("limited", sequence=2, started_ms=started_ms)
+    placement.update_endpoints([record, make_endpoint_record("other")], 99.8)
+    context.endpoint = placement.find("limited")
+
+
+@then("{count:d} sends to it in the last {seconds:d} s are known")
+def step_known_sends(context, count, seconds):
+    assert context.endpoint.count_sends(100.0, float(seconds)) == count
--- a/poplarrun/placement/_endpoint_state.py
+++ b/poplarrun/placement/_endpoint_state.py
@@ -223,6 +223,10 @@
         while len(self._prompt_parts) > MAX_PROMPT_PARTS:
             self._prompt_parts.popitem(last=False)
 
+    def forget_prompts(self) -> None:
+        """Forget which prompts it has cached."""
+        self._prompt_parts.clear()
+
     def count_cached_tokens(self, size: str, parts: tuple[PromptPart, ...], now: float) -> int:
         """Return the length in tokens of the prompt's prefix that the endpoint has cached."""
         cached_tokens = 0
--- a/poplarrun/placement/_placement.py
+++ b/poplarrun/placement/_placement.py
@@ -6,6 +6,7 @@
 """
 
 import random
+from collections import OrderedDict
 from collections.abc import Container
 from dataclasses import dataclass
 
@@ -39,6 +40,8 @@
 MAX_REMOTE_CANDIDATES = 16
 # Load, in requests per slot, up to which a version's load is concentrated on one endpoint.
 MAX_CONCENTRATED_LOAD = 0.9
+# Endpoints whose records are gone and whose states are kept, in case that they return.
+MAX_UNLISTED_ENDPOINTS = 1000
 # What an endpoint tolerates beyond the rate limit that it names in its answers.
 NAMED_LIMIT_BOUNDS = RateBounds(window_s=4.0, rate_factor=1.5, allowance=5.0)
 # Prefill speed that is assumed until one is measured, in prompt tokens per second.
@@ -100,6 +103,7 @@
         self._zone = zone
         self._random = source
         self._endpoints: dict[str, EndpointState] = {}
+        self._unlisted: OrderedDict[str, EndpointState] = OrderedDict()
         self.silent_zones: frozenset[str] = frozenset()
         self.evacuated_zones: frozenset[str] = frozenset()
         self.shares = BudgetShares(zone=zone)
@@ -118,17 +122,35 @@
         """
         endpoints: dict[str, EndpointState] = {}
         for record in records:
-            endpoint = self._endpoints.get(record.instance_id)
-            if endpoint is None or endpoint.record.started_ms != record.started_ms:
+            endpoint = self._find_state(record)
+            if endpoint is None:
                 endpoint = EndpointState(record)
                 endpoint.update_warm_up(now)
             elif record is not endpoint.record:
                 endpoint.record = record
                 endpoint.update_warm_up(now)
             endpoints[record.instance_id] = endpoint
+        for instance_id, endpoint in self._endpoints.items():
+            if instance_id not in endpoints:
+                endpoint.forget_prompts()
+                self._unlisted[instance_id] = endpoint
+        while len(self._unlisted) > MAX_UNLISTED_ENDPOINTS:
+            self._unlisted.popitem(last=False)
         self._endpoints = endpoints
         self._sum_peer_loads()
 
+    def _find_state(self, record: EndpointRecord) -> EndpointState | None:
+        """Return the state of an endpoint that has not restarted since.
+
+        The record of a living endpoint may lapse for a while. When it is back, the endpoint still
+        takes no more than the rate that it named.
+        """
+        endpoint = self._unlisted.pop(record.instance_id, None)
+        endpoint = self._endpoints.get(record.instance_id, endpoint)
+        if endpoint is None or endpoint.record.started_ms != record.started_ms:
+            return None
+        return endpoint
+
     def update_evacuated(self, zones: frozenset[str], now: float) -> None:
         """Replace the evacuated zones; those of one that is taken back may be warming up."""
         taken_back = self.evacuated_zones - zones
