List the loads of the most loaded endpoints only in digests

Cause: the totals that aggregators send list every endpoint that has a request, some 20 KB a digest, to each host of the zone 2.5 times a second.

Totals list the 120 most loaded endpoints and the sum of all others, which hosts take to be loaded alike. Sites with fewer loaded endpoints see no difference.

--- a/features/large_fleets.feature
+++ b/features/large_fleets.feature
@@ -67,6 +67,14 @@
     When an aggregator sends totals of 12 that include the second of these reports
     Then the other hosts run 7 requests there
 
+  Scenario: The loads of a thousand endpoints fit what hosts may send
+    # Guards against digests that grow with the number of endpoints.
+    Given 102 hosts in the zones "abc" before 1001 endpoints, 60 of which 3 hosts each run 4 requests at
+    And every host runs 1 request at each of 8 others
+    When they have exchanged digests for 6.0 s
+    Then every host knows the exact load of the 60 endpoints, and the total load within 0.1
+    And a host sends at most 9 KB per second on average
+
   Scenario: The totals over the most hosts are used
     # Guards against an aggregator that has just started and hides the load of the fleet.
     Given a host that reported 2 requests at an endpoint, and later 5
--- a/features/steps/large_fleets.py
+++ b/features/steps/large_fleets.py
@@ -17,8 +17,9 @@
     encode_message,
     encode_totals,
 )
+from poplarrun.placement import EndpointRecord
 from standins.peer_fleet import PeerFleet
-from standins.rollout_fleet import virtual_clock
+from standins.rollout_fleet import SERVICE, virtual_clock
 from standins.virtual_time import VirtualTimeLoop
 
 SEED = 4107
@@ -50,6 +51,66 @@
     run(context, start_exchange())
 
 
+@given(
+    '{count:d} hosts in the zones "{zones}" before {endpoints:d} endpoints, '
+    "{hot:d} of which {busy:d} hosts each run {requests:d} requests at"
+)
+def step_many_endpoints(context, count, zones, endpoints, hot, busy, requests):
+    step_fleet(context, count, zones, 0)
+    hosts = context.fleet.hosts
+    records = [
+        EndpointRecord(
+            f"i-{number:010x}", SERVICE, f"e{number}:1", "abc"[number % 3], "v1", 64, False
+        )
+        for number in range(endpoints)
+    ]
+    for host in hosts:
+        host.placement.update_endpoints(records)
+    context.hot = {record.instance_id: busy * requests for record in records[:hot]}
+    for number, instance_id in enumerate(context.hot):
+        for host in [hosts[(number * busy + each) % count] for each in range(busy)]:
+            host.placement.find(instance_id).in_flight = requests
+    context.total = hot * busy * requests
+
+
+@given("every host runs 1 request at each of {others:d} others")
+def step_other_loads(context, others):
+    for number, host in enumerate(context.fleet.hosts):
+        cold = host.placement.endpoints()[len(context.hot) :]
+        for each in range(others):
+            cold[(number * others + each) % len(cold)].in_flight += 1
+            context.total += 1
+
+
+@then(
+    "every host knows the exact load of the {count:d} endpoints, "
+    "and the total load within {tolerance:f}"
+)
+def step_hot_known(context, count, tolerance):
+    assert len(context.hot) == count
+    for host in context.fleet.hosts:
+        endpoints = host.placement.endpoints()
+        loads = {
+            each.record.instance_id: each.in_flight + each.peer_in_flight for each in endpoints
+        }
+        wrong = {hot: loads[hot] for hot, load in context.hot.items() if loads[hot] != load}
+        assert not wrong, (host.address, wrong)
+        total = sum(loads.values())
+        assert abs(total - context.total) <= tolerance * context.total, (total, context.total)
+
+
+@then("a host sends at most {most:d} KB per second on average")
+def step_average_bytes(context, most):
+    async def measure():
+        before = sum(context.fleet.bytes_sent())
+        await asyncio.sleep(MEASURE_WINDOW_S)
+        return sum(context.fleet.bytes_sent()) - before
+
+    sent = run(context, measure())
+    per_host_kb = sent / MEASURE_WINDOW_S / len(context.fleet.hosts) / 1000.0
+    assert per_host_kb <= most, per_host_kb
+
+
 @given("links that lose {share:f} of the messages")
 def step_lossy(context, share):
     context.fleet.set_loss(share)
--- a/poplarrun/gateway/_activity.py
+++ b/poplarrun/gateway/_activity.py
@@ -114,7 +114,10 @@
             load.instance_id: (load.in_flight, load.pending_prefill_ms / MILLISECONDS_PER_S)
             for load in others.loads
         }
-        self._placement.apply_peer_load(OTHERS, loads)
+        unlisted = others.unlisted
+        self._placement.apply_peer_load(
+            OTHERS, loads, (unlisted.in_flight, unlisted.pending_prefill_ms / MILLISECONDS_PER_S)
+        )
         tallies = {
             (tally.service, tally.version, tally.kind): Tally(
                 tally.answers,
--- a/poplarrun/peers/_messages.py
+++ b/poplarrun/peers/_messages.py
@@ -91,6 +91,19 @@
     FLEET = 3
 
 
+class UnlistedLoad(msgspec.Struct, frozen=True, array_like=True):
+    """Requests that a group of hosts runs at endpoints whose loads are not listed one by one.
+
+    Attributes
+    ----------
+    pending_prefill_ms : int
+        Total prefill time of their prompts that the endpoints have not read completely yet.
+    """
+
+    in_flight: int = 0
+    pending_prefill_ms: int = 0
+
+
 class ActivityTotals(msgspec.Struct, frozen=True, array_like=True):
     """Totals of endpoint loads and version outcomes over a group of hosts.
 
@@ -98,11 +111,16 @@
     ----------
     hosts : int
         Number of hosts in the group.
+    loads : list of EndpointLoad
+        The highest loads.
+    unlisted : UnlistedLoad
+        The sum of the others.
     """
 
     hosts: int
     loads: list[EndpointLoad] = []
     tallies: list[VersionTally] = []
+    unlisted: UnlistedLoad = UnlistedLoad()
 
 
 class RosterFingerprint(msgspec.Struct, frozen=True, array_like=True):
--- a/poplarrun/peers/_totals.py
+++ b/poplarrun/peers/_totals.py
@@ -4,11 +4,14 @@
 from collections.abc import Iterable
 from dataclasses import dataclass, field
 
-from poplarrun.peers._messages import ActivityTotals, EndpointLoad, VersionTally
+from poplarrun.peers._messages import ActivityTotals, EndpointLoad, UnlistedLoad, VersionTally
 
 # Received totals older than this are ignored: their sender may be dead, or may have lost contact
 # with its zone.
 TOTALS_TTL_S = 3.2
+# Endpoints whose loads are listed one by one, the most loaded ones. Hosts must not send to these;
+# the others are alike, and their sum is enough.
+MAX_LISTED_LOADS = 120
 # This host's own totals that are remembered until its aggregators have received later ones.
 MAX_OWN_TOTALS = 32
 
@@ -37,6 +40,7 @@
         self.hosts = 0
         self._loads: dict[str, tuple[int, int]] = {}
         self._tallies: dict[tuple[str, str, str], VersionTally] = {}
+        self._unlisted = UnlistedLoad()
 
     def add(self, totals: ActivityTotals, sign: int = 1) -> None:
         """Add totals.
@@ -53,6 +57,10 @@
                 max(0, in_flight + sign * load.in_flight),
                 max(0, pending_prefill_ms + sign * load.pending_prefill_ms),
             )
+        self._unlisted = UnlistedLoad(
+            max(0, self._unlisted.in_flight + sign * totals.unlisted.in_flight),
+            max(0, self._unlisted.pending_prefill_ms + sign * totals.unlisted.pending_prefill_ms),
+        )
         for tally in totals.tallies:
             key = (tally.service, tally.version, tally.kind)
             known = self._tallies.get(key)
@@ -66,7 +74,14 @@
             for instance_id, (in_flight, pending_prefill_ms) in self._loads.items()
             if in_flight or pending_prefill_ms
         ]
-        return ActivityTotals(self.hosts, loads, list(self._tallies.values()))
+        loads.sort(key=lambda load: (load.pending_prefill_ms, load.in_flight), reverse=True)
+        others = loads[MAX_LISTED_LOADS:]
+        unlisted = UnlistedLoad(
+            self._unlisted.in_flight + sum(load.in_flight for load in others),
+            self._unlisted.pending_prefill_ms + sum(load.pending_prefill_ms for load in others),
+        )
+        tallies = list(self._tallies.values())
+        return ActivityTotals(self.hosts, loads[:MAX_LISTED_LOADS], tallies, unlisted)
 
 
 def _add_tallies(one: VersionTally, other: VersionTally, sign: int) -> VersionTally:
--- a/poplarrun/placement/_placement.py
+++ b/poplarrun/placement/_placement.py
@@ -79,6 +79,19 @@
         return self.queue_s + self.prefill_s
 
 
+@dataclass(frozen=True, slots=True)
+class _PeerLoads:
+    """Loads of endpoints by another host: requests and pending prefill seconds."""
+
+    by_endpoint: dict[str, tuple[int, float]]
+    unlisted: tuple[int, float]
+
+    def mean_unlisted(self, endpoints: int) -> tuple[float, float]:
+        """Return the load of each of so many endpoints that are not listed."""
+        in_flight, pending_s = self.unlisted
+        return in_flight / max(1, endpoints), pending_s / max(1, endpoints)
+
+
 class Placement:
     """Chooses among the listed endpoints; used on the event loop only.
 
@@ -108,7 +121,7 @@
         self.evacuated_zones: frozenset[str] = frozenset()
         self.shares = BudgetShares(zone=zone)
         self.warm_up_bounds = RateBounds()
-        self._peer_loads: dict[str, dict[str, tuple[int, float]]] = {}
+        self._peer_loads: dict[str, _PeerLoads] = {}
         self._ranking = RankingCache()
         self._speeds: dict[tuple[str, str], PoolSpeed] = {}
 
@@ -203,18 +216,30 @@
         share = self.shares.zone_share(record.instance_id, record.zone, budget, now)
         return endpoint.count_sends(now, budget.window_s) < share
 
-    def apply_peer_load(self, host: str, loads: dict[str, tuple[int, float]]) -> None:
-        """Apply another host's load: requests and pending prefill seconds by instance id."""
-        self._peer_loads[host] = loads
+    def apply_peer_load(
+        self,
+        host: str,
+        loads: dict[str, tuple[int, float]],
+        unlisted: tuple[int, float] = (0, 0.0),
+    ) -> None:
+        """Apply another host's load: requests and pending prefill seconds by instance id.
+
+        Parameters
+        ----------
+        unlisted : tuple of int and float
+            The sum of its load at all other endpoints, which are taken to be loaded alike.
+        """
+        self._peer_loads[host] = _PeerLoads(loads, unlisted)
         self._sum_peer_loads()
 
     def _sum_peer_loads(self) -> None:
+        known = self._endpoints.keys()
+        shares = [
+            (each.by_endpoint, each.mean_unlisted(len(known - each.by_endpoint.keys())))
+            for each in self._peer_loads.values()
+        ]
         for instance_id, endpoint in self._endpoints.items():
-            loads = [
-                host_loads[instance_id]
-                for host_loads in self._peer_loads.values()
-                if instance_id in host_loads
-            ]
+            loads = [by_endpoint.get(instance_id, mean) for by_endpoint, mean in shares]
             endpoint.peer_in_flight = float(sum(request_count for request_count, _ in loads))
             endpoint.peer_pending_prefill_s = sum(pending_s for _, pending_s in loads)
 
