Part the budgets of retries and the totals' messages from larger modules; reload limits of retries

The budgets of retries by service, what a failure tells of an endpoint, and the totals in digests each stand in a module of their own. The dispatcher takes the allowance of all hosts as one budget in place of three numbers.

Since the allowance became a budget of all hosts, settings that were read again no longer changed it, as they did each second before. They do again; the new scenario fails without it.

--- a/bench/gateway_world.py
+++ b/bench/gateway_world.py
@@ -29,6 +29,7 @@
     Service,
     ServiceWeight,
 )
+from poplarrun.shares import Budget
 from poplarrun.sizes import SizePolicy
 
 ZONES = ("a", "b", "c")
@@ -218,7 +219,9 @@
         config.apply_catalogue(
             Catalogue(1, {"h": routes}, {"engines": ENGINES}, {"key": Account("acme")})
         )
-        return Dispatcher(config, placement, Rollouts(), policy.make_sizes(), 0.765, 5.5, 10.0)
+        return Dispatcher(
+            config, placement, Rollouts(), policy.make_sizes(), 0.765, Budget(5, 5, 10.0)
+        )
 
     def _schedule(self, when: float, step: Callable[[], None]) -> None:
         heapq.heappush(self._queue, (when, next(self._numbers), step))
--- a/features/dispatch.feature
+++ b/features/dispatch.feature
@@ -47,6 +47,13 @@
     Then all retries together are at most 0.9 times 800 and 52
     And 40 hosts together have an allowance of at most 52
 
+  Scenario: New limits of retries apply to the budgets in use
+    # Guards against settings that are read again and change nothing.
+    Given 1 dispatchers that may make 0.9 retries for each request and 52 in addition
+    When each of them gets 1 requests that fail at each endpoint
+    And the operators allow 0.0 retries for each request and 2 in addition
+    Then one more request that fails at each endpoint is sent once
+
   Scenario: The longest prefix wins, and an account's rank takes precedence over a route's
     Given a catalogue with the prefixes "/a/", "/a/b/" and "/" of one host
     Then "/a/b/c" is routed to "/a/b/", "/a/c" to "/a/" and "/x" to "/"
--- a/features/steps/dispatch.py
+++ b/features/steps/dispatch.py
@@ -169,6 +169,18 @@
             context.sends += send_until_refused(dispatch, number)
 
 
+@when("the operators allow {ratio:f} retries for each request and {allowance:d} in addition")
+def step_new_limits(context, ratio, allowance):
+    (dispatch,) = context.dispatches
+    dispatch.retry_budgets.set_limits(ratio, Budget(allowance, allowance, 10.0))
+
+
+@then("one more request that fails at each endpoint is sent once")
+def step_sent_once(context):
+    (dispatch,) = context.dispatches
+    assert send_until_refused(dispatch, 5) == 1
+
+
 @then("{hosts:d} hosts together have an allowance of at most {allowance:d}")
 def step_allowance_of_hosts(context, hosts, allowance):
     budget = Budget(int(RETRY_FRACTION * allowance), allowance, 10.0)
--- a/features/steps/evacuation.py
+++ b/features/steps/evacuation.py
@@ -17,6 +17,7 @@
 from poplarrun.platform import OPERATOR_TOPIC, MalformedDocument, decode_evacuation
 from poplarrun.rollouts import Rollouts
 from poplarrun.routing import PromptPart
+from poplarrun.shares import Budget
 from poplarrun.sizes import SizePolicy
 from standins.peer_fleet import PeerFleet
 from standins.rollout_fleet import virtual_clock
@@ -71,7 +72,7 @@
         [make_endpoint_record(f"in-{zone}", zone=zone) for zone in zones.split(", ")]
     )
     context.dispatcher = Dispatcher(
-        view, context.placement, Rollouts(), SizePolicy(), 0.8, 10.0, 10.0
+        view, context.placement, Rollouts(), SizePolicy(), 0.8, Budget(10, 10, 10.0)
     )
 
 
@@ -291,7 +292,7 @@
     work = dispatcher.admit(make_request(), 100.0)
     decision = dispatcher.choose_endpoint(work, 100.0)
     attempt = dispatcher.record_sent(work, decision, 100.0)
-    budget = dispatcher._retry_budget(work.service, 100.0)
+    budget = dispatcher.retry_budgets.budget(work.service, 100.0)
     context.budget, context.remaining = budget, budget.remaining(100.0)
     endpoint = decision.estimate.endpoint
     assert (
--- a/features/steps/gateway_world.py
+++ b/features/steps/gateway_world.py
@@ -15,6 +15,7 @@
     Service,
     ServiceWeight,
 )
+from poplarrun.shares import Budget
 from poplarrun.sizes import SizePolicy
 
 PACE = LatencyTargets(10.0, 2.0, 1.0)
@@ -61,9 +62,8 @@
 
 def make_dispatch(config_view, engines=2, retry_ratio=0.8, allowance=10.0, window_s=10.0):
     placement = make_placement(engines)
-    return Dispatcher(
-        config_view, placement, Rollouts(), SizePolicy(), retry_ratio, allowance, window_s
-    )
+    budget = Budget(int(allowance), int(allowance), window_s)
+    return Dispatcher(config_view, placement, Rollouts(), SizePolicy(), retry_ratio, budget)
 
 
 def make_work(parts=(), number=0, session=None):
--- a/features/steps/reachability.py
+++ b/features/steps/reachability.py
@@ -16,6 +16,7 @@
 from poplarrun.dispatch import ConfigView, Dispatcher, NoConnection
 from poplarrun.placement import EndpointOutcomes, Placement, Reachability
 from poplarrun.rollouts import Rollouts
+from poplarrun.shares import Budget
 from poplarrun.sizes import SizePolicy
 from standins import rollout_fleet
 
@@ -91,7 +92,7 @@
     view.apply_catalogue(make_catalogue())
     view.confirm(100.0)
     context.dispatcher = Dispatcher(
-        view, context.placement, Rollouts(), SizePolicy(), 0.8, 10.0, 10.0
+        view, context.placement, Rollouts(), SizePolicy(), 0.8, Budget(10, 10, 10.0)
     )
 
 
--- a/features/steps/warm_up.py
+++ b/features/steps/warm_up.py
@@ -10,7 +10,7 @@
 from poplarrun.platform import MalformedDocument, decode_catalogue
 from poplarrun.rollouts import Rollouts
 from poplarrun.routing import Service, WarmUpLimit
-from poplarrun.shares import RateBounds, plan_rate
+from poplarrun.shares import Budget, RateBounds, plan_rate
 from poplarrun.sizes import SizePolicy
 from standins.share_fleet import ENDPOINT_ZONE, ShareFleet
 
@@ -102,7 +102,9 @@
     placement = Placement("a", random.Random(3))
     placement.update_endpoints([make_endpoint_record("e1")], 90.0)
     context.placement = placement
-    context.dispatcher = Dispatcher(view, placement, Rollouts(), SizePolicy(), 0.8, 100.0, 10.0)
+    context.dispatcher = Dispatcher(
+        view, placement, Rollouts(), SizePolicy(), 0.8, Budget(100, 100, 10.0)
+    )
 
 
 @given("an only host before an endpoint that tolerates {rate:d} requests a second")
--- a/poplarrun/dispatch/_dispatcher.py
+++ b/poplarrun/dispatch/_dispatcher.py
@@ -12,17 +12,18 @@
 from poplarrun.dispatch._failures import (
     AnswerFailed,
     Attempt,
-    ConnectionBroke,
     Failure,
     NoConnection,
     SaidNotRun,
     TookTooLong,
     Withheld,
+    is_unreached,
     may_have_run,
+    was_responsive,
 )
+from poplarrun.dispatch._retry_budgets import SharedRetryBudgets
 from poplarrun.errors import ErrorKind, Refusal
 from poplarrun.placement import EndpointEstimate, EndpointState, Placement, Reachability
-from poplarrun.retries import WindowedRetryBudget
 from poplarrun.rollouts import AnswerTimes, Rollouts, VersionChoice, VersionReason
 from poplarrun.routing import InFlightRequest, RepeatPolicy, Request, Service
 from poplarrun.shares import Budget
@@ -46,9 +47,6 @@
 # Load of an endpoint, in requests per slot, from which an answer counts as evidence of its
 # version under load: what hosts know of each other's requests is some tenths of a second old.
 MIN_EVIDENCE_LOAD = 0.2
-# Last fraction of the wait for a silent answer. An endpoint that answered other requests
-# within it was up when this answer was due.
-RESPONSIVE_WINDOW_FRACTION = 2.0 / 3.0
 # An endpoint of a zone that answered this shortly before another one there failed is still up.
 ZONE_ANSWER_WINDOW_S = 0.5
 # Fraction of the connections that an endpoint accepts from all hosts together that may be idle. The
@@ -87,12 +85,8 @@
     ----------
     retry_ratio : float
         Retries that each first send of this host allows.
-    retry_allowance : float
+    retry_allowance : Budget
         Retries that all hosts together may make beyond that for a service.
-    retry_window_s : float
-        Length of the window over which operators limit retries, in seconds.
-    retry_bound : float, optional
-        What the retries beyond the ratio must never exceed; by default the allowance.
     on_prompt_sent : callable
         Called after each send of a prompt to an engine.
     """
@@ -104,23 +98,16 @@
         rollouts: Rollouts,
         sizes: SizePolicy,
         retry_ratio: float,
-        retry_allowance: float,
-        retry_window_s: float,
+        retry_allowance: Budget,
         on_prompt_sent: Callable[[EndpointEstimate], None] = ignore_sent,
-        retry_bound: float | None = None,
     ) -> None:
         self.config_view = config_view
         self.placement = placement
         self.rollouts = rollouts
         self.sizes = sizes
         self.on_prompt_sent = on_prompt_sent
-        self.retry_ratio = retry_ratio
-        self.retry_window_s = retry_window_s
-        total = int(retry_allowance)
-        bound = total if retry_bound is None else int(retry_bound)
-        self._retry_allowance = Budget(total, bound, retry_window_s)
+        self.retry_budgets = SharedRetryBudgets(placement.shares, retry_ratio, retry_allowance)
         self.reachability = Reachability()
-        self._budgets: dict[str, WindowedRetryBudget] = {}
         self.evidence = EvidenceRecorder(rollouts)
 
     def admit(self, request: Request, now: float) -> InFlightRequest | Refusal:
@@ -239,7 +226,7 @@
         """Record that the request's bytes were handed to the socket."""
         endpoint = send.estimate.endpoint
         if work.sends == 0:
-            self._retry_budget(work.service, now).record_attempt(now)
+            self.retry_budgets.budget(work.service, now).record_attempt(now)
         work.sends += 1
         work.model_size = send.size
         work.tried_endpoints.add(endpoint.record.instance_id)
@@ -271,7 +258,7 @@
             return False
         if work.possible_runs + 1 >= work.route.max_attempts or work.last_event_id is not None:
             return False
-        budget = self._retry_budget(work.service, now)
+        budget = self.retry_budgets.budget(work.service, now)
         if budget.remaining(now) < 1.0 + FAILURE_RESERVE_FRACTION * budget.allowance:
             return False
         versions = frozenset((attempt.estimate.endpoint.record.version,))
@@ -363,7 +350,7 @@
                 work.tried_endpoints.add(endpoint.record.instance_id)
                 self._record_unreached(work, endpoint, now)
                 endpoint.record_failure(now)
-            case TookTooLong(waited_s) if attempt is not None and _was_responsive(
+            case TookTooLong(waited_s) if attempt is not None and was_responsive(
                 endpoint, waited_s, now
             ):
                 self.evidence.record_answer(work, attempt, True, AnswerTimes())
@@ -371,7 +358,7 @@
             case _:
                 if attempt is not None:
                     self.evidence.record_broken(work, attempt)
-                if _is_unreached(work, attempt, failure):
+                if is_unreached(work, attempt, failure):
                     self._record_unreached(work, endpoint, now)
                 endpoint.record_failure(now)
         if may_have_run(failure):
@@ -404,7 +391,7 @@
             return self._refuse_in_flight(work, ErrorKind.NO_ENDPOINT, "no time is left")
         # A withheld send has spent its retry already, and the next one takes its place.
         is_retry = work.sends > 0 and not isinstance(failure, Withheld)
-        if is_retry and not self._retry_budget(work.service, now).try_spend(now):
+        if is_retry and not self.retry_budgets.budget(work.service, now).try_spend(now):
             return self._refuse_in_flight(work, ErrorKind.NO_ENDPOINT, "too many second sends")
         return None
 
@@ -444,17 +431,6 @@
                 0.0, endpoint.pending_prefill_s - attempt.estimate.prefill_s
             )
 
-    def _retry_budget(self, service: str, now: float) -> WindowedRetryBudget:
-        """Return the budget of a service, with this host's share of the allowance of all hosts."""
-        budget = self._budgets.get(service)
-        if budget is None:
-            budget = WindowedRetryBudget(self.retry_ratio, 0.0, self.retry_window_s)
-            self._budgets[service] = budget
-        budget.allowance = self.placement.shares.fleet_share(
-            f"retries of {service}", self._retry_allowance, now
-        )
-        return budget
-
     def _refuse_in_flight(self, work: InFlightRequest, kind: ErrorKind, text: str) -> Refusal:
         """Refuse a request; one that may have run is never reported as not run."""
         if work.may_have_run:
@@ -466,26 +442,5 @@
         return Refusal(kind, text, retry_after_s=retry_after_s)
 
 
-def _is_unreached(work: InFlightRequest, attempt: Attempt | None, failure: Failure) -> bool:
-    """Return whether a failed attempt is evidence that its endpoint is down.
-
-    One that has begun to answer is up, and an overloaded plain service takes too long as well.
-    """
-    if attempt is None or attempt.first_event_at is not None:
-        return False
-    match failure:
-        case ConnectionBroke():
-            return True
-        case TookTooLong():
-            return work.route.repeat_policy is RepeatPolicy.STREAM
-        case _:
-            return False
-
-
-def _was_responsive(endpoint: EndpointState, waited_s: float, now: float) -> bool:
-    """Return whether an endpoint answered other requests late in the wait for this one."""
-    return now - endpoint.last_response_at < RESPONSIVE_WINDOW_FRACTION * waited_s
-
-
 def _hash_to_unit_interval(text: str) -> float:
     return zlib.crc32(text.encode()) / 2.0**32
--- a/poplarrun/dispatch/_failures.py
+++ b/poplarrun/dispatch/_failures.py
@@ -5,11 +5,15 @@
 
 from dataclasses import dataclass
 
-from poplarrun.placement import EndpointEstimate
+from poplarrun.placement import EndpointEstimate, EndpointState
 from poplarrun.rollouts import AnswerTimes
+from poplarrun.routing import InFlightRequest, RepeatPolicy
 
 # Number of events from which the mean interval between them is meaningful.
 MIN_PACE_EVENTS = 3
+# Last fraction of the wait for a silent answer. An endpoint that answered other requests
+# within it was up when this answer was due.
+RESPONSIVE_WINDOW_FRACTION = 2.0 / 3.0
 
 
 @dataclass(frozen=True, slots=True)
@@ -163,3 +167,24 @@
 
     def _without_queue(self, at: float) -> float:
         return max(0.0, at - self.sent_at - self.estimate.queue_s)
+
+
+def is_unreached(work: InFlightRequest, attempt: Attempt | None, failure: Failure) -> bool:
+    """Return whether a failed attempt is evidence that its endpoint is down.
+
+    One that has begun to answer is up, and an overloaded plain service takes too long as well.
+    """
+    if attempt is None or attempt.first_event_at is not None:
+        return False
+    match failure:
+        case ConnectionBroke():
+            return True
+        case TookTooLong():
+            return work.route.repeat_policy is RepeatPolicy.STREAM
+        case _:
+            return False
+
+
+def was_responsive(endpoint: EndpointState, waited_s: float, now: float) -> bool:
+    """Return whether an endpoint answered other requests late in the wait for this one."""
+    return now - endpoint.last_response_at < RESPONSIVE_WINDOW_FRACTION * waited_s
--- a/poplarrun/gateway/_host.py
+++ b/poplarrun/gateway/_host.py
@@ -33,7 +33,7 @@
 )
 from poplarrun.rollouts import Rollouts
 from poplarrun.routing import InFlightRequest, Request
-from poplarrun.shares import RateBounds
+from poplarrun.shares import Budget, RateBounds
 from poplarrun.sizes import SizePolicy
 from poplarrun.transport import (
     CallerConnection,
@@ -60,6 +60,11 @@
     )
 
 
+def _retry_allowance(settings: NodeSettings) -> Budget:
+    total = int(RETRY_FRACTION * settings.retry_allowance)
+    return Budget(total, int(settings.retry_allowance), settings.retry_window_s)
+
+
 class GatewayHost:
     """A host that forwards callers' requests and follows the store.
 
@@ -87,9 +92,7 @@
             self._rollouts,
             SizePolicy(),
             RETRY_FRACTION * settings.retry_ratio,
-            RETRY_FRACTION * settings.retry_allowance,
-            settings.retry_window_s,
-            retry_bound=settings.retry_allowance,
+            _retry_allowance(settings),
         )
         self._pool = ConnectionPool()
         self._recorder = RequestRecorder(self.metrics)
@@ -297,6 +300,9 @@
         self._rollouts.session_timeout_s = loaded.session_timeout_s
         self._rollouts.exposure_limit = loaded.max_exposure_fraction
         self._placement.warm_up_bounds = _warm_up_bounds(loaded)
+        self._dispatcher.retry_budgets.set_limits(
+            RETRY_FRACTION * loaded.retry_ratio, _retry_allowance(loaded)
+        )
         self._capacity = compute_capacity(loaded.memory_mb, loaded.max_sockets)
         self._callers.max_connections = self._capacity.max_caller_connections
         self._store.address = loaded.store_address
--- a/poplarrun/peers/__init__.py
+++ b/poplarrun/peers/__init__.py
@@ -1,12 +1,18 @@
 """State that gateway hosts exchange: liveness, totals, roll-outs, and who reads the store."""
 
-from poplarrun.peers._messages import (
+from poplarrun.peers._activity_messages import (
     ActivityTotals,
+    EndpointLoad,
+    UnlistedLoad,
+    VersionTally,
+    decode_totals,
+    encode_totals,
+)
+from poplarrun.peers._messages import (
     ChangedRecord,
     Digest,
     DocumentChanges,
     EndpointChanges,
-    EndpointLoad,
     EndpointRateLimit,
     EndpointReach,
     ListedEndpoint,
@@ -24,16 +30,12 @@
     SessionQuery,
     StateRequest,
     StateResponse,
-    UnlistedLoad,
     UnreachedEndpoints,
-    VersionTally,
     ZoneEvacuation,
     decode_message,
     decode_records,
-    decode_totals,
     encode_message,
     encode_records,
-    encode_totals,
 )
 from poplarrun.peers._notice_budget import NoticeBudget
 from poplarrun.peers._peer import PeerState
--- a/poplarrun/peers/_messages.py
+++ b/poplarrun/peers/_messages.py
@@ -8,22 +8,6 @@
 from poplarrun.routing import RolloutPhase
 
 
-class EndpointLoad(msgspec.Struct, frozen=True, array_like=True):
-    """Requests that a group of hosts runs at an endpoint.
-
-    Attributes
-    ----------
-    instance_id : str
-        Id of the endpoint; usually new after each of its starts.
-    pending_prefill_ms : int
-        Total prefill time of their prompts that the endpoint has not read completely yet.
-    """
-
-    instance_id: str
-    in_flight: int
-    pending_prefill_ms: int
-
-
 class RolloutProgress(msgspec.Struct, frozen=True, array_like=True):
     """What the sender knows of the progress of a roll-out.
 
@@ -49,34 +33,6 @@
     shift_decided_age_s: float | None
 
 
-class VersionTally(msgspec.Struct, frozen=True, array_like=True):
-    """Outcomes of one version in one kind of work, summed over a group of hosts.
-
-    Attributes
-    ----------
-    kind : str
-        Identifies a route and a model size, the answers of which are comparable.
-    answers, failures, slow : int
-        Answers, those that failed, and those that came much too late.
-    paced_answers : int
-        Answers whose pace was compared with the usual pace.
-    log_pace_sum : float
-        Sum of the logarithms of the ratios of these paces.
-    interrupting_endpoints : list of str
-        Endpoints that broke off answers.
-    """
-
-    service: str
-    version: str
-    kind: str
-    answers: int
-    failures: int
-    slow: int
-    paced_answers: int
-    log_pace_sum: float
-    interrupting_endpoints: list[str] = []
-
-
 class Scope(enum.IntEnum):
     """Which hosts' loads and tallies a digest carries.
 
@@ -91,38 +47,6 @@
     FLEET = 3
 
 
-class UnlistedLoad(msgspec.Struct, frozen=True, array_like=True):
-    """Requests that a group of hosts runs at endpoints whose loads are not listed one by one.
-
-    Attributes
-    ----------
-    pending_prefill_ms : int
-        Total prefill time of their prompts that the endpoints have not read completely yet.
-    """
-
-    in_flight: int = 0
-    pending_prefill_ms: int = 0
-
-
-class ActivityTotals(msgspec.Struct, frozen=True, array_like=True):
-    """Totals of endpoint loads and version outcomes over a group of hosts.
-
-    Attributes
-    ----------
-    hosts : int
-        Number of hosts in the group.
-    loads : list of EndpointLoad
-        The highest loads.
-    unlisted : UnlistedLoad
-        The sum of the others.
-    """
-
-    hosts: int
-    loads: list[EndpointLoad] = []
-    tallies: list[VersionTally] = []
-    unlisted: UnlistedLoad = UnlistedLoad()
-
-
 class RosterFingerprint(msgspec.Struct, frozen=True, array_like=True):
     """Identifies the roster of a zone's hosts that the sender knows to be alive.
 
@@ -453,7 +377,6 @@
 _ENCODER = msgspec.msgpack.Encoder()
 _DECODER = msgspec.msgpack.Decoder(Message)
 _RECORDS_DECODER = msgspec.msgpack.Decoder(list[OffsetRecord])
-_TOTALS_DECODER = msgspec.msgpack.Decoder(ActivityTotals)
 
 
 def encode_message(message: Message) -> bytes:
@@ -469,19 +392,6 @@
         return None
 
 
-def encode_totals(totals: ActivityTotals) -> bytes:
-    """Return totals as bytes."""
-    return _ENCODER.encode(totals)
-
-
-def decode_totals(data: bytes) -> ActivityTotals | None:
-    """Return the decoded totals; None if the bytes are none."""
-    try:
-        return _TOTALS_DECODER.decode(data)
-    except (msgspec.ValidationError, msgspec.DecodeError):
-        return None
-
-
 def encode_records(records: list[OffsetRecord]) -> bytes:
     """Return records as compressed bytes."""
     return zlib.compress(_ENCODER.encode(records), COMPRESSION_LEVEL)
--- a/poplarrun/peers/_totals.py
+++ b/poplarrun/peers/_totals.py
@@ -4,7 +4,12 @@
 from collections.abc import Iterable
 from dataclasses import dataclass, field
 
-from poplarrun.peers._messages import ActivityTotals, EndpointLoad, UnlistedLoad, VersionTally
+from poplarrun.peers._activity_messages import (
+    ActivityTotals,
+    EndpointLoad,
+    UnlistedLoad,
+    VersionTally,
+)
 
 # Received totals older than this are ignored: their sender may be dead, or may have lost contact
 # with its zone.
--- a/standins/rollout_fleet.py
+++ b/standins/rollout_fleet.py
@@ -36,6 +36,7 @@
     Service,
     ServiceWeight,
 )
+from poplarrun.shares import Budget
 from poplarrun.sizes import SizePolicy
 from standins.virtual_time import run_virtual
 
@@ -101,7 +102,12 @@
         self.placement = Placement(zone, random.Random(seed))
         self.rollouts = Rollouts(SESSION_TIMEOUT_S)
         self.dispatch = Dispatcher(
-            self.config_view, self.placement, self.rollouts, SizePolicy(), 0.8, 100.0, 10.0
+            self.config_view,
+            self.placement,
+            self.rollouts,
+            SizePolicy(),
+            0.8,
+            Budget(100, 100, 10.0),
         )
         self.config_view.apply_catalogue(CATALOGUE)
         self.placement.update_endpoints(list(_list_endpoints(OLD)))
