--- a/poplarrun/shares/_shares.py
+++ b/poplarrun/shares/_shares.py
@@ -104,17 +104,12 @@
             for sighting in sightings
             if sighting.address != self._address
         }
-        for address, sighting in seen.items():
-            self._hosts.setdefault(address, _KnownHost(now)).apply(sighting)
-        for address, host in list(self._hosts.items()):
-            if address not in seen and host.is_forgotten(now):
-                del self._hosts[address]
+        self._remember_hosts(seen, now)
         zones = {
             address: host.zone
             for address, host in self._hosts.items()
             if not host.is_forgotten(now)
         }
-        self._has_heard = any(host.alive_at > -math.inf for host in self._hosts.values())
         zones[self._address] = self._zone
         alive = frozenset(address for address, each in seen.items() if each.is_alive)
         alive |= {self._address}
@@ -122,6 +117,15 @@
             self._zones_by_host, self._alive = zones, alive
             self._group_hosts()
 
+    def _remember_hosts(self, seen: dict[str, HostSighting], now: float) -> None:
+        """Remember the hosts that are seen, and forget those that were silent for long."""
+        for address, sighting in seen.items():
+            self._hosts.setdefault(address, _KnownHost(now)).apply(sighting)
+        for address, host in list(self._hosts.items()):
+            if address not in seen and host.is_forgotten(now):
+                del self._hosts[address]
+        self._has_heard = any(host.alive_at > -math.inf for host in self._hosts.values())
+
     def _group_hosts(self) -> None:
         self._groups_outside.clear()
         self._fleet = HostGroup(self._zones_by_host, self._alive)
