Count the sends before a cut or a suspension in the warm-up scenarios again

The rewritten step let hosts spend only after the change of state, so sends before a suspension no longer counted towards the bound. All 26 scenarios of the feature pass with the sends of the second before.

--- a/features/steps/warm_up.py
+++ b/features/steps/warm_up.py
@@ -27,8 +27,9 @@
 
 @when("the hosts {state}")
 def step_hosts_state(context, state):
+    context.sends = context.fleet.use_whenever_allowed(1.0)
     apply_state(context.fleet, state)
-    context.sends = context.fleet.use_whenever_allowed(4.0)
+    context.sends += context.fleet.use_whenever_allowed(4.0)
 
 
 def apply_state(fleet, state):
