--- /dev/null
+++ b/poplarrun/logging/_endpoint_events.py
@@ -0,0 +1,182 @@
+"""Events about endpoints, and about the paths to them."""
+
+import logging
+from dataclasses import dataclass
+from typing import ClassVar
+
+from poplarrun.logging._event import Event
+
+
+@dataclass(frozen=True, slots=True)
+class EndpointChanged(Event):
+    """An endpoint was added, restarted or is about to leave."""
+
+    component: ClassVar[str] = "endpoints"
+    message: ClassVar[str] = "An endpoint changed."
+    endpoint: str
+    change: str
+    service: str
+    address: str
+    version: str
+
+
+@dataclass(frozen=True, slots=True)
+class ServiceBrittle(Event):
+    """The endpoints of a service fall over when they reject more than so many requests a second.
+
+    Attributes
+    ----------
+    source : str
+        Where this host learned it: an endpoint's answer, or the address of a peer.
+    """
+
+    component: ClassVar[str] = "endpoints"
+    message: ClassVar[str] = "The endpoints of a service are brittle."
+    level: ClassVar[int] = logging.WARNING
+    service: str
+    tolerated: int | None
+    source: str
+
+
+@dataclass(frozen=True, slots=True)
+class PathLost(Event):
+    """A peer reaches an endpoint that this host doesn't, and relays connections to it."""
+
+    component: ClassVar[str] = "paths"
+    message: ClassVar[str] = "A peer reaches an endpoint that this host doesn't reach."
+    level: ClassVar[int] = logging.WARNING
+    endpoint: str
+    service: str
+    zone: str
+    helper: str
+
+
+@dataclass(frozen=True, slots=True)
+class PathRegained(Event):
+    """Endpoints of a service in a zone are reached over the own links again."""
+
+    component: ClassVar[str] = "paths"
+    message: ClassVar[str] = "Lost paths to endpoints are used again."
+    endpoint: str
+    service: str
+    zone: str
+
+
+@dataclass(frozen=True, slots=True)
+class RelayDeclined(Event):
+    """A peer did not open a connection to an endpoint for a request."""
+
+    component: ClassVar[str] = "paths"
+    message: ClassVar[str] = "A peer did not open a connection."
+    is_usual: ClassVar[bool] = True
+    request: str
+    endpoint: str
+    helper: str
+    reason: str
+
+
+@dataclass(frozen=True, slots=True)
+class RelayEnded(Event):
+    """A connection that this host relayed for a peer has ended.
+
+    Attributes
+    ----------
+    origin : str
+        The peer that serves the request's caller.
+    """
+
+    component: ClassVar[str] = "paths"
+    message: ClassVar[str] = "A connection relayed for a peer ended."
+    is_usual: ClassVar[bool] = True
+    request: str
+    endpoint: str
+    origin: str
+    took_s: float
+    sent_bytes: int
+    received_bytes: int
+
+
+@dataclass(frozen=True, slots=True)
+class ServicesUnreached(Event):
+    """The services of which this host's recent attempts reached no endpoint have changed.
+
+    Attributes
+    ----------
+    services : list of str
+        Services of which several endpoints were tried and none was reached; empty if there are none
+        any more.
+    """
+
+    component: ClassVar[str] = "endpoints"
+    message: ClassVar[str] = "The services of which this host reaches no endpoint changed."
+    level: ClassVar[int] = logging.WARNING
+    services: list[str]
+
+
+@dataclass(frozen=True, slots=True)
+class EndpointsAvoided(Event):
+    """The endpoints that this host avoids because the hosts of a zone don't reach them changed."""
+
+    component: ClassVar[str] = "endpoints"
+    message: ClassVar[str] = "The endpoints that other hosts report not to reach changed."
+    added: list[str]
+    removed: list[str]
+
+
+@dataclass(frozen=True, slots=True)
+class EndpointRateLimited(Event):
+    """An endpoint names the rate that it takes from all hosts together, or names none any more.
+
+    Attributes
+    ----------
+    rate_per_s : float, optional
+        None if it names none any more.
+    source : str
+        Where this host learned it: the endpoint's answer, or the address of a peer.
+    """
+
+    component: ClassVar[str] = "endpoints"
+    message: ClassVar[str] = "An endpoint changed its rate limit."
+    endpoint: str
+    rate_per_s: float | None
+    source: str
+
+
+@dataclass(frozen=True, slots=True)
+class EndpointsGone(Event):
+    """Endpoints were removed and get no new requests."""
+
+    component: ClassVar[str] = "endpoints"
+    message: ClassVar[str] = "Endpoints were removed."
+    endpoints: list[str]
+    reason: str
+
+
+@dataclass(frozen=True, slots=True)
+class RecordIgnored(Event):
+    """A record of the endpoint list is invalid and ignored."""
+
+    component: ClassVar[str] = "endpoints"
+    message: ClassVar[str] = "Ignoring an invalid record in the endpoint list."
+    level: ClassVar[int] = logging.WARNING
+    endpoint: str
+
+
+@dataclass(frozen=True, slots=True)
+class ZoneEvacuated(Event):
+    """A zone's endpoints get no requests from now on, or get them again.
+
+    Attributes
+    ----------
+    offset : int
+        Offset in the store's log as of which the order holds.
+    source : str
+        Where the order was read: the store, or the address of a peer.
+    """
+
+    component: ClassVar[str] = "endpoints"
+    message: ClassVar[str] = "A zone was evacuated or taken back."
+    zone: str
+    is_evacuated: bool
+    offset: int
+    source: str
