Log and count what endpoints ask in Retry-After and Server-Leaving

The adapter decodes both headers; no decision uses them yet. What answers say of their endpoint is read in a module of its own, out of the forwarder.

--- a/poplarrun/gateway/_forwarder.py
+++ b/poplarrun/gateway/_forwarder.py
@@ -23,6 +23,7 @@
 from poplarrun.gateway._event_stream import Event, EventParser, MalformedStream
 from poplarrun.gateway._records import RequestRecorder
 from poplarrun.gateway._sessions import SessionLookup
+from poplarrun.gateway._statements import StatementReader
 from poplarrun.platform import EndpointAnswer, decode_answer, encode_request_headers
 from poplarrun.relays import EndpointConnection
 from poplarrun.routing import InFlightRequest, RepeatPolicy
@@ -100,6 +101,7 @@
         self._caller = caller
         self._work = work
         self._recorder = recorder
+        self._statements = StatementReader(dispatcher, recorder)
         self._sessions = sessions
         self._is_started = False
         self._error_answer: _CompleteAnswer | None = None
@@ -242,34 +244,17 @@
         answers_request = answer.request_id == self._work.request.id
         if answer.request_id is not None and not answers_request:
             raise AttemptError(Garbled("answers another request"))
-        if answers_request:
-            self._record_rate_limit(answer)
-            self._record_brittle(answer)
+        is_other_instance = answer.status == OTHER_INSTANCE_STATUS
         # Without a request id, only the first answer on a connection surely belongs to this one.
-        if answer.is_not_run and (answers_request or connection.uses == 1):
-            raise AttemptError(SaidNotRun(answer.status, answer.status == OTHER_INSTANCE_STATUS))
+        is_rejection = answer.is_not_run and (answers_request or connection.uses == 1)
+        if self._attempt is not None and not is_other_instance:
+            if answers_request or is_rejection:
+                self._statements.read(self._work, self._attempt, answer)
+        if is_rejection:
+            raise AttemptError(SaidNotRun(answer.status, is_other_instance))
         if not answer.is_signed or not answers_request:
             raise AttemptError(Garbled("has no signature or no request id"))
 
-    def _record_rate_limit(self, answer: EndpointAnswer) -> None:
-        """Record what the endpoint says of the rate that it takes from all hosts together."""
-        attempt = self._attempt
-        if attempt is None or answer.status == OTHER_INSTANCE_STATUS:
-            return
-        is_run = answer.is_signed and not answer.is_not_run
-        now = seconds_since_boot()
-        if self._dispatcher.record_rate_limit(attempt, answer.rate_limit_per_s, is_run, now):
-            self._recorder.record_rate_limit(attempt)
-
-    def _record_brittle(self, answer: EndpointAnswer) -> None:
-        """Record what the endpoint says of the rejections that its service bears."""
-        attempt = self._attempt
-        if attempt is None or answer.status == OTHER_INSTANCE_STATUS:
-            return
-        tolerated = answer.tolerated_rejections
-        if self._dispatcher.record_brittle(attempt, tolerated, seconds_since_boot()):
-            self._recorder.record_brittle(self._work.service, tolerated)
-
     async def _forward_complete(self, open_answer: _OpenAnswer) -> None:
         body = await self._read_body(open_answer)
         now = seconds_since_boot()
--- a/poplarrun/gateway/_records.py
+++ b/poplarrun/gateway/_records.py
@@ -6,6 +6,7 @@
 from poplarrun.errors import Refusal, response_for
 from poplarrun.logging import events, write_event
 from poplarrun.metrics import Metrics
+from poplarrun.placement import EndpointState
 from poplarrun.routing import InFlightRequest, Request
 from poplarrun.transport import seconds_since_boot
 
@@ -126,6 +127,22 @@
             )
         )
 
+    def record_hold_off(
+        self, work: InFlightRequest, endpoint: EndpointState, seconds: float
+    ) -> None:
+        """Record that an endpoint wants no request from this host for a while."""
+        self._metrics.count_event("hold_off_asked")
+        write_event(events.HoldOffAsked(endpoint.record.instance_id, seconds, work.request.id))
+
+    def record_leaving(self, endpoint: EndpointState) -> None:
+        """Record that an endpoint's answer says that it is leaving."""
+        self._metrics.count_event("leaving_announced")
+        write_event(events.LeavingAnnounced(endpoint.record.instance_id, "answer"))
+
+    def record_misread_headers(self, count: int) -> None:
+        """Record headers of an endpoint whose values were ignored or bounded."""
+        self._metrics.count_event("answer_header_misread", count)
+
     def record_brittle(self, service: str, tolerated: int | None) -> None:
         """Record that the endpoints of a service fall over when they reject too many requests."""
         self._metrics.count_event("service_brittle")
--- a/poplarrun/logging/_endpoint_events.py
+++ b/poplarrun/logging/_endpoint_events.py
@@ -38,6 +38,41 @@
     source: str
 
 
+@dataclass(frozen=True, slots=True)
+class HoldOffAsked(Event):
+    """An endpoint wants no request from this host for a while.
+
+    Attributes
+    ----------
+    seconds : float
+        For how long.
+    source : str
+        The request that it rejected, or the address of the peer whose relayed request it was.
+    """
+
+    component: ClassVar[str] = "endpoints"
+    message: ClassVar[str] = "An endpoint asked this host to stay away."
+    endpoint: str
+    seconds: float
+    source: str
+
+
+@dataclass(frozen=True, slots=True)
+class LeavingAnnounced(Event):
+    """An endpoint says in its answers that it is about to stop, and gets no further requests.
+
+    Attributes
+    ----------
+    source : str
+        Where this host learned it: an endpoint's answer, or the address of a peer.
+    """
+
+    component: ClassVar[str] = "endpoints"
+    message: ClassVar[str] = "An endpoint says that it is leaving."
+    endpoint: str
+    source: str
+
+
 @dataclass(frozen=True, slots=True)
 class PathLost(Event):
     """A peer reaches an endpoint that this host doesn't, and relays connections to it."""
--- a/poplarrun/platform/_names.py
+++ b/poplarrun/platform/_names.py
@@ -20,6 +20,7 @@
 CONFIDENCE = "X-Confidence"
 RATE_LIMIT = "Server-Limit"
 TOLERATED_REJECTIONS = "Server-Brittle"
+LEAVING = "Server-Leaving"
 
 # Callers' values of these are not forwarded: the system sets them itself, or omits them.
 SYSTEM_HEADERS = frozenset(
--- a/poplarrun/platform/_requests.py
+++ b/poplarrun/platform/_requests.py
@@ -14,6 +14,13 @@
 MAX_TIME_LEFT_S = 3600.0
 NUMBER_PATTERN = re.compile(r"^\d{1,15}$")
 DECIMAL_PATTERN = re.compile(r"^\d{1,9}(\.\d{1,9})?$")
+# Longest time for which an endpoint can keep this host away. One that means longer asks again.
+MAX_HOLD_OFF_S = 300.0
+# Statuses with which an endpoint turns a request away, and may ask for a time without requests.
+HOLD_OFF_STATUSES = frozenset((429, 503))
+LEAVING_VALUE = "1"
+# A header of HTTP; this platform gives it in seconds only.
+HOLD_OFF_HEADER = "retry-after"
 # Priorities at an endpoint range from 0, the highest, to 9.
 LOWEST_PRIORITY = 9
 
@@ -45,6 +52,12 @@
         Requests a second that the endpoint takes from all hosts together, if it names that.
     tolerated_rejections : int, optional
         Requests a second that it can reject for want of room before it falls over, if it says that.
+    hold_off_s : float
+        Seconds for which the endpoint wants no request from the host whose connection it answered.
+    is_leaving : bool
+        Whether the endpoint says that it is about to stop.
+    misread_headers : tuple of str
+        Headers whose values were ignored or bounded.
     """
 
     status: int
@@ -55,6 +68,9 @@
     confidence: float | None
     rate_limit_per_s: float | None = None
     tolerated_rejections: int | None = None
+    hold_off_s: float = 0.0
+    is_leaving: bool = False
+    misread_headers: tuple[str, ...] = ()
 
 
 def decode_request(
@@ -156,6 +172,15 @@
     # A body in an encoding that was not requested was not written by the endpoint.
     is_plain = "content-encoding" not in by_name
     confidence = _decode_number(by_name.get(names.CONFIDENCE.lower()))
+    hold_off_text = by_name.get(HOLD_OFF_HEADER) if status in HOLD_OFF_STATUSES else None
+    hold_off_s = _decode_decimal(hold_off_text)
+    leaving_text = by_name.get(names.LEAVING.lower())
+    is_leaving = leaving_text is not None and leaving_text.strip() == LEAVING_VALUE
+    misread = []
+    if hold_off_text is not None and (hold_off_s is None or hold_off_s > MAX_HOLD_OFF_S):
+        misread.append(HOLD_OFF_HEADER)
+    if leaving_text is not None and not is_leaving:
+        misread.append(names.LEAVING)
     return EndpointAnswer(
         status=status,
         headers=tuple(forwarded),
@@ -165,6 +190,9 @@
         confidence=None if confidence is None else confidence / 100.0,
         rate_limit_per_s=_decode_decimal(by_name.get(names.RATE_LIMIT.lower())),
         tolerated_rejections=_decode_number(by_name.get(names.TOLERATED_REJECTIONS.lower())),
+        hold_off_s=min(MAX_HOLD_OFF_S, hold_off_s or 0.0),
+        is_leaving=is_leaving,
+        misread_headers=tuple(misread),
     )
 
 
