A failing test: endpoints get nothing from hosts that they asked to stay away

Real hosts, before a stand-in that rejects all requests with Retry-After: 3 and tells hosts apart by their address.

--- a/poplarrun/gateway/_forwarder.py
+++ b/poplarrun/gateway/_forwarder.py
@@ -247,9 +247,9 @@
         is_other_instance = answer.status == OTHER_INSTANCE_STATUS
         # Without a request id, only the first answer on a connection surely belongs to this one.
         is_rejection = answer.is_not_run and (answers_request or connection.uses == 1)
-        if self._attempt is not None and not is_other_instance:
-            if answers_request or is_rejection:
-                self._statements.read(self._work, self._attempt, answer)
+        is_trusted = (answers_request or is_rejection) and not is_other_instance
+        if self._attempt is not None and is_trusted:
+            self._statements.read(self._work, self._attempt, answer)
         if is_rejection:
             raise AttemptError(SaidNotRun(answer.status, is_other_instance))
         if not answer.is_signed or not answers_request:
--- a/standins/installation/__main__.py
+++ b/standins/installation/__main__.py
@@ -16,6 +16,7 @@
     assert isinstance(loop, PartitionedLoop)
     loop.watch(Path(os.environ[CUT_FILE_VARIABLE]))
     settings = load_node_settings(path)
+    loop.use_address(settings.peer_address.rpartition(":")[0])
     handler = configure_logging(settings.name)
     try:
         await GatewayHost(path, settings, handler).run()
--- a/standins/installation/_endpoint.py
+++ b/standins/installation/_endpoint.py
@@ -37,6 +37,8 @@
     ----------
     received_at : float
         Monotonic time, in seconds.
+    peer_ip : str
+        Address from which it came, which differs by host where links can be cut.
     """
 
     method: bytes
@@ -44,10 +46,26 @@
     headers: dict[str, str]
     body: bytes
     received_at: float
+    peer_ip: str = ""
     is_executed: bool = False
     is_disconnected: bool = False
 
 
+@dataclass(frozen=True)
+class HoldOffDemand:
+    """A rejection with which the endpoint asked a host to stay away.
+
+    Attributes
+    ----------
+    asked_at : float
+        Monotonic time, in seconds.
+    """
+
+    peer_ip: str
+    asked_at: float
+    seconds: float
+
+
 @dataclass
 class Endpoint:
     """A simulated endpoint with an HTTP server.
@@ -64,6 +82,12 @@
         All requests received so far.
     rate_limit : str
         The rate limit that its answers name; empty for none.
+    hold_off : str
+        It rejects all requests and asks for so many seconds without any; empty for none.
+    hold_off_demands : list of HoldOffDemand
+        The rejections with which it asked for that.
+    announces_leaving : bool
+        Whether its answers say that it is leaving.
     """
 
     instance_id: str
@@ -80,6 +104,9 @@
     faults: deque[Fault] = field(default_factory=deque)
     received_requests: list[ReceivedRequest] = field(default_factory=list)
     rate_limit: str = ""
+    hold_off: str = ""
+    hold_off_demands: list[HoldOffDemand] = field(default_factory=list)
+    announces_leaving: bool = False
     sequence: int = 0
     handler_errors: list[BaseException | None] = field(default_factory=list)
 
@@ -107,11 +134,17 @@
 
     async def _serve(self, caller: CallerConnection, head: RequestHead, body: bytes) -> None:
         headers = {name.decode().lower(): value.decode() for name, value in head.headers}
-        request = ReceivedRequest(head.method, head.target, headers, body, time.monotonic())
+        peer_ip = _find_peer_ip(caller)
+        request = ReceivedRequest(
+            head.method, head.target, headers, body, time.monotonic(), peer_ip
+        )
         self.received_requests.append(request)
         if headers.get("x-expect-instance") != self.instance_id:
             caller.respond(421, [(b"X-Instance-Id", self.instance_id.encode())], b"")
             return
+        if self.hold_off:
+            self._ask_for_hold_off(caller, headers, peer_ip)
+            return
         fault = self.faults.popleft() if self.faults else None
         if fault is Fault.NOT_RUN:
             caller.respond(503, [(b"X-Not-Executed", b"1")], b"")
@@ -123,6 +156,19 @@
             request.is_disconnected = True
             raise
 
+    def _ask_for_hold_off(
+        self, caller: CallerConnection, headers: dict[str, str], peer_ip: str
+    ) -> None:
+        with contextlib.suppress(ValueError):
+            demand = HoldOffDemand(peer_ip, time.monotonic(), float(self.hold_off))
+            self.hold_off_demands.append(demand)
+        rejection = [
+            (b"X-Not-Executed", b"1"),
+            (b"X-Attempt-Id", headers["x-attempt-id"].encode()),
+            (b"Retry-After", self.hold_off.encode()),
+        ]
+        caller.respond(503, rejection, b"")
+
     async def _run(
         self, caller: CallerConnection, headers: dict[str, str], fault: Fault | None
     ) -> None:
@@ -152,6 +198,8 @@
         created = [(b"X-Attempt-Id", request_id.encode())]
         if fault is not Fault.UNSIGNED:
             created.append((b"X-Instance-Signature", f"signed-{self.instance_id}".encode()))
+        if self.announces_leaving:
+            created.append((b"Server-Leaving", b"1"))
         if self.rate_limit:
             created.append((b"Server-Limit", self.rate_limit.encode()))
         confidence = self.confidence.get(headers.get("x-model", ""))
@@ -184,3 +232,9 @@
             await asyncio.sleep(EVENT_INTERVAL_S * (40 if fault is Fault.SLOW else 1))
         with contextlib.suppress(ConnectionError):
             caller.end_response()
+
+
+def _find_peer_ip(caller: CallerConnection) -> str:
+    transport = caller._transport
+    peer_name = None if transport is None else transport.get_extra_info("peername")
+    return "" if peer_name is None else str(peer_name[0])
--- a/standins/installation/_partition.py
+++ b/standins/installation/_partition.py
@@ -25,10 +25,15 @@
 
     def __init__(self) -> None:
         super().__init__()
+        self._own_ip = ""
         self._cuts: dict[str, Cut] = {}
         self._content = ""
         self._transports: dict[str, weakref.WeakSet[Any]] = {}
 
+    def use_address(self, ip: str) -> None:
+        """Connect from this IP address, so that endpoints can tell hosts apart."""
+        self._own_ip = ip
+
     def watch(self, path: Path) -> None:
         """Apply the cuts that a file names now, and whenever it changes."""
         content = path.read_text() if path.exists() else ""
@@ -47,6 +52,8 @@
                 await asyncio.Event().wait()
             case Cut.RESET | Cut.LIVE_ON:
                 raise ConnectionRefusedError(errno.ECONNREFUSED, "cut off")
+        if self._own_ip:
+            options.setdefault("local_addr", (self._own_ip, 0))
         transport, protocol = await super().create_connection(
             protocol_factory, host, port, **options
         )
