--- a/features/paths.feature
+++ b/features/paths.feature
@@ -94,6 +94,8 @@
       | does not reach the endpoint       | no_path          |
       | is full of its own requests       | busy             |
       | relays as much as it may          | busy             |
+      | was asked by the endpoint to stay away | held_off    |
+      | knows that the endpoint is leaving     | leaving     |
 
   Scenario Outline: A peer that declines is left alone for a while
     Given a choice of helpers among "a1" of the own zone and "b1" of another one
--- a/features/steps/paths.py
+++ b/features/steps/paths.py
@@ -21,6 +21,8 @@
 START_S = 100.0
 ROOM = HelperState(False, 10, 10, 100, True, True, True)
 STATES = {
+    "was asked by the endpoint to stay away": {"hold_off_s": 1.5},
+    "knows that the endpoint is leaving": {"is_leaving": True},
     "has room": {},
     "does not know the peer": {"knows_peer": False},
     "stops": {"is_stopping": True},
@@ -175,8 +177,8 @@
 @then('a host that {what} answers a peer with "{answer}"')
 def step_admit(context, what, answer):
     fields = {name: getattr(ROOM, name) for name in HelperState.__slots__}
-    reason = admit_relay(HelperState(**{**fields, **STATES[what]}))
-    assert (reason.value if reason else "yes") == answer, reason
+    decline = admit_relay(HelperState(**{**fields, **STATES[what]}))
+    assert (decline.reason.value if decline else "yes") == answer, decline
 
 
 @given('a choice of helpers among "{own}" of the own zone and "{other}" of another one')
--- a/features/steps/relays.py
+++ b/features/steps/relays.py
@@ -324,6 +324,28 @@
     context.loop.run_until_complete(start_relay(context))
 
 
+class OpenDesk:
+    """Relays everything to one address."""
+
+    def __init__(self, address):
+        self.address = address
+
+    def admit(self, request, peer_ip):
+        return RelayTarget(self.address, 0.0)
+
+    def check(self, request):
+        return None
+
+    def record_failed(self, request):
+        pass
+
+    def record_answer(self, request, head):
+        pass
+
+    def record_end(self, end):
+        pass
+
+
 class CapturingRelay(RelayServer):
     """Keeps the connection of the asking host, which dies with the helper."""
 
@@ -341,12 +363,7 @@
     )
     address = f"127.0.0.1:{server.sockets[0].getsockname()[1]}"
     relay_address = f"127.0.0.1:{free_port()}"
-    context.relay = CapturingRelay(
-        lambda request, ip: RelayTarget(address, 0.0),
-        lambda request: None,
-        lambda end: None,
-        lambda error: None,
-    )
+    context.relay = CapturingRelay(OpenDesk(address), lambda error: None)
     await context.relay.listen(relay_address)
     request = OpenRelay("127.0.0.1:1", "r", "e", 1, 1000)
     tunnel = await open_tunnel(relay_address, request, address, 2.0)
--- a/poplarrun/cli/_timeline.py
+++ b/poplarrun/cli/_timeline.py
@@ -32,7 +32,9 @@
         "LinesLeftOut",
     )
 )
-ENDPOINT_EVENTS = frozenset(("EndpointChanged", "EndpointsGone"))
+ENDPOINT_EVENTS = frozenset(
+    ("EndpointChanged", "EndpointsGone", "HoldOffAsked", "LeavingAnnounced")
+)
 # Fields of every line, as opposed to those of its event.
 COMMON_FIELDS = frozenset(("asctime", "levelname", "message", "host", "event", "request"))
 
--- a/poplarrun/dispatch/__init__.py
+++ b/poplarrun/dispatch/__init__.py
@@ -1,7 +1,7 @@
 """Dispatch: admits requests, chooses their endpoints and decides on retries."""
 
 from poplarrun.dispatch._config_view import ConfigView
-from poplarrun.dispatch._dispatcher import Dispatcher, SendDecision
+from poplarrun.dispatch._dispatcher import ALL_HELD_OFF, Dispatcher, SendDecision
 from poplarrun.dispatch._failures import (
     AnswerFailed,
     Attempt,
@@ -18,6 +18,7 @@
 from poplarrun.dispatch._timeouts import event_gap_timeout_s, first_event_timeout_s
 
 __all__ = [
+    "ALL_HELD_OFF",
     "AnswerFailed",
     "Attempt",
     "ConfigView",
--- a/poplarrun/dispatch/_dispatcher.py
+++ b/poplarrun/dispatch/_dispatcher.py
@@ -21,6 +21,12 @@
     may_have_run,
     was_responsive,
 )
+from poplarrun.dispatch._hold_offs import (
+    HeldOffEndpoint,
+    find_first_return,
+    find_kept_from,
+    plan_return_s,
+)
 from poplarrun.dispatch._retry_budgets import SharedRetryBudgets
 from poplarrun.errors import ErrorKind, Refusal
 from poplarrun.placement import EndpointEstimate, EndpointState, Placement, Reachability
@@ -52,6 +58,8 @@
 # Fraction of the connections that an endpoint accepts from all hosts together that may be idle. The
 # rest is left for requests that need new ones.
 IDLE_CONNECTIONS_FRACTION = 0.5
+# Why a request is refused while all endpoints of its service want to be left alone.
+ALL_HELD_OFF = "all endpoints asked this host to stay away"
 # Urgency that an endpoint is given for the highest rank; each lower rank adds one.
 HIGHEST_RANK_URGENCY = 2
 
@@ -66,12 +74,15 @@
         Priority at the endpoint, from 0, which is served first, to 9.
     reason : VersionReason
         Why the endpoint's version was chosen.
+    kept_from : HeldOffEndpoint, optional
+        Where the request would have gone if that endpoint had not asked this host to stay away.
     """
 
     estimate: EndpointEstimate
     size: str | None
     urgency: int
     reason: VersionReason = VersionReason.NO_ROLLOUT
+    kept_from: HeldOffEndpoint | None = None
 
 
 def ignore_sent(_: EndpointEstimate) -> None:
@@ -196,9 +207,9 @@
             )
             reason = VersionReason.NONE_LEFT
         if estimate is None:
-            text = self._explain_none(service)
-            return self._refuse_in_flight(work, ErrorKind.NO_ENDPOINT, text)
-        return SendDecision(estimate, size, self._compute_urgency(work), reason)
+            return self._refuse_without_endpoint(work, service, now)
+        kept_from = find_kept_from(self.placement, work, size or "", now)
+        return SendDecision(estimate, size, self._compute_urgency(work), reason, kept_from)
 
     def may_send(self, work: InFlightRequest, endpoint: EndpointState, now: float) -> bool:
         """Return whether a chosen endpoint may still get the request.
@@ -305,11 +316,21 @@
         service = attempt.estimate.endpoint.record.service
         return self.placement.brittle.record(service, tolerated, now, now)
 
+    def record_hold_off(self, attempt: Attempt, seconds: float, now: float) -> None:
+        """Record for how long the endpoint that rejected a request wants none from this host."""
+        attempt.estimate.endpoint.record_hold_off(seconds, now)
+
+    def record_leaving(self, attempt: Attempt, now: float) -> bool:
+        """Record that an endpoint says that it is leaving; True if that is new."""
+        record = attempt.estimate.endpoint.record
+        return self.placement.leaving.record(record.instance_id, record.started_ms, now)
+
     def record_first_event(self, work: InFlightRequest, attempt: Attempt, now: float) -> None:
         """Record the arrival of the first event, or of a plain service's answer."""
         attempt.first_event_at = now
         estimate = attempt.estimate
         self._record_reached(estimate.endpoint, now)
+        estimate.endpoint.record_taken(attempt.sent_at)
         estimate.endpoint.pending_prefill_s = max(
             0.0, estimate.endpoint.pending_prefill_s - estimate.prefill_s
         )
@@ -409,6 +430,19 @@
             return self._refuse_in_flight(work, ErrorKind.NO_ENDPOINT, "too many second sends")
         return None
 
+    def _refuse_without_endpoint(
+        self, work: InFlightRequest, service: Service, now: float
+    ) -> Refusal:
+        """Refuse a request that no endpoint of its service may get now."""
+        first = find_first_return(self.placement, service.name, now)
+        if first is None or work.may_have_run:
+            return self._refuse_in_flight(work, ErrorKind.NO_ENDPOINT, self._explain_none(service))
+        position = _hash_to_unit_interval(work.request.id)
+        retry_s = plan_return_s(first.hold_off, work.remaining_s(now), position, now)
+        age_s = now - first.hold_off.asked_at
+        detail = f"{first.instance_id} asked {age_s:.1f} s ago for {first.hold_off.seconds:.1f} s"
+        return Refusal(ErrorKind.NO_ENDPOINT, ALL_HELD_OFF, retry_after_s=retry_s, detail=detail)
+
     def _explain_none(self, service: Service) -> str:
         """Return why no endpoint of a service may get a request."""
         zones = {endpoint.record.zone for endpoint in self.placement.endpoints(service.name)}
@@ -417,7 +451,9 @@
         evacuated = sorted(zones & self.placement.evacuated_zones)
         if len(evacuated) == len(zones):
             return f"evacuated zones: {', '.join(evacuated)}"
-        return "all endpoints are leaving, evacuated, at their rate limits, or brittle and full"
+        return (
+            "all endpoints are leaving, evacuated, held off, at their limits, or brittle and full"
+        )
 
     def _find_service(self, work: InFlightRequest) -> Service | None:
         catalogue = self.config_view.catalogue
--- a/poplarrun/errors/_kinds.py
+++ b/poplarrun/errors/_kinds.py
@@ -65,9 +65,12 @@
         The invalid field of the request.
     retry_after_s : float, optional
         Seconds after which a retry makes sense; None uses the default of the kind.
+    detail : str
+        What the log tells beyond the message.
     """
 
     kind: ErrorKind
     message: str
     param: str | None = None
     retry_after_s: float | None = None
+    detail: str = ""
--- a/poplarrun/gateway/_connector.py
+++ b/poplarrun/gateway/_connector.py
@@ -5,10 +5,13 @@
 import itertools
 import random
 from collections.abc import Awaitable, Callable, Iterator
+from dataclasses import dataclass, field
 
 from poplarrun.logging import events, write_event
 from poplarrun.metrics import Metrics
 from poplarrun.paths import (
+    ENDPOINT_REASONS,
+    Decline,
     DeclineReason,
     Helper,
     HelperChoice,
@@ -44,6 +47,28 @@
 MILLISECONDS_PER_S = 1000.0
 
 
+class EndpointWithheld(ConnectFailed):
+    """Peers reach the endpoint and may send it nothing, and this host doesn't reach it."""
+
+
+@dataclass(slots=True)
+class _Opening:
+    """One search for a connection.
+
+    Attributes
+    ----------
+    tried : list of Helper
+        Peers that were asked.
+    withheld_by : str
+        Peer that may send the endpoint nothing; empty for none. Others are not asked then.
+    """
+
+    record: EndpointRecord
+    request_id: str
+    tried: list[Helper] = field(default_factory=list)
+    withheld_by: str = ""
+
+
 class EndpointConnector:
     """Opens connections to endpoints and learns which paths are lost.
 
@@ -90,18 +115,24 @@
 
         Raises
         ------
+        EndpointWithheld
+            When this host doesn't connect, and a peer that does may send the endpoint nothing.
         ConnectFailed
             When neither this host nor a peer connects in time.
         """
+        opening = _Opening(record, request_id)
         is_lost = self._paths.is_lost(record.instance_id, group_of(record), seconds_since_boot())
         if is_lost:
             self._probe(record)
         own: list[Way] = [functools.partial(self._connect, record)]
-        relays = self._relay_ways(record, request_id)
+        relays = self._relay_ways(opening)
         ways = itertools.chain(relays, own) if is_lost else itertools.chain(own, relays)
         try:
             found = await connect_first(ways, STAGGER_S)
-        except ConnectFailed:
+        except ConnectFailed as error:
+            if opening.withheld_by:
+                self._record_lost(record, opening.withheld_by)
+                raise EndpointWithheld(str(error)) from error
             self._paths.record_failed(record.instance_id, seconds_since_boot())
             raise
         if found.helper:
@@ -118,22 +149,21 @@
             self._record_regained(record)
         return EndpointConnection(connection)
 
-    def _relay_ways(self, record: EndpointRecord, request_id: str) -> Iterator[Way]:
+    def _relay_ways(self, opening: _Opening) -> Iterator[Way]:
         """Yield one way after the other through a peer; each peer is chosen when it is needed."""
-        tried: list[Helper] = []
-        while self._relay_port and len(tried) < MAX_HELPERS:
+        service = opening.record.service
+        while self._relay_port and len(opening.tried) < MAX_HELPERS and not opening.withheld_by:
             now = seconds_since_boot()
             peers = self._peer_table.alive_addresses(now)
-            helper = self._helpers.choose(peers, record.service, tried, now)
+            helper = self._helpers.choose(peers, service, opening.tried, now)
             if helper is None:
                 return
-            tried.append(helper)
-            yield functools.partial(self._open_through, helper, record, request_id)
+            opening.tried.append(helper)
+            yield functools.partial(self._open_through, helper, opening)
 
-    async def _open_through(
-        self, helper: Helper, record: EndpointRecord, request_id: str
-    ) -> EndpointConnection:
+    async def _open_through(self, helper: Helper, opening: _Opening) -> EndpointConnection:
         started_at = seconds_since_boot()
+        record, request_id = opening.record, opening.request_id
         request = OpenRelay(
             self._peer_table.address,
             request_id,
@@ -146,7 +176,10 @@
         try:
             tunnel = await self._open_tunnel(address, request, record.address, RELAY_TIMEOUT_S)
         except RelayFailed as error:
-            self._record_declined(helper, record, request_id, error.reason)
+            if error.decline.reason in ENDPOINT_REASONS:
+                opening.withheld_by = helper.address
+                self._record_withheld(helper, record, error.decline)
+            self._record_declined(helper, record, request_id, error.decline.reason)
             raise
         now = seconds_since_boot()
         self._helpers.record_opened(helper, record.service, tunnel.load, now - started_at, now)
@@ -185,6 +218,16 @@
     def _record_regained(self, record: EndpointRecord) -> None:
         write_event(events.PathRegained(record.instance_id, record.service, record.zone))
 
+    def _record_withheld(self, helper: Helper, record: EndpointRecord, decline: Decline) -> None:
+        """Apply an endpoint's demand for which a peer relays nothing to it."""
+        now = seconds_since_boot()
+        endpoint = self._placement.find(record.instance_id)
+        if decline.reason is DeclineReason.LEAVING:
+            if self._placement.leaving.record(record.instance_id, record.started_ms, now):
+                write_event(events.LeavingAnnounced(record.instance_id, helper.address))
+        elif endpoint is not None:
+            endpoint.record_relay_hold_off(decline.retry_after_s, now)
+
     def _record_declined(
         self, helper: Helper, record: EndpointRecord, request_id: str, reason: DeclineReason
     ) -> None:
--- a/poplarrun/gateway/_forwarder.py
+++ b/poplarrun/gateway/_forwarder.py
@@ -19,12 +19,17 @@
     first_event_timeout_s,
 )
 from poplarrun.errors import ErrorKind, NotRun, Refusal, response_for
-from poplarrun.gateway._connector import EndpointConnector
+from poplarrun.gateway._connector import EndpointConnector, EndpointWithheld
 from poplarrun.gateway._event_stream import Event, EventParser, MalformedStream
 from poplarrun.gateway._records import RequestRecorder
 from poplarrun.gateway._sessions import SessionLookup
 from poplarrun.gateway._statements import StatementReader
-from poplarrun.platform import EndpointAnswer, decode_answer, encode_request_headers
+from poplarrun.platform import (
+    OTHER_INSTANCE_STATUS,
+    EndpointAnswer,
+    decode_answer,
+    encode_request_headers,
+)
 from poplarrun.relays import EndpointConnection
 from poplarrun.routing import InFlightRequest, RepeatPolicy
 from poplarrun.transport import (
@@ -33,14 +38,13 @@
     ConnectFailed,
     ConnectionBroken,
     ConnectionPool,
+    RequestWithheld,
     seconds_since_boot,
 )
 
 # Largest answer of a plain service, which is buffered until it is complete.
 MAX_ANSWER_BYTES = 8 * 1024 * 1024
 SUCCESS_STATUSES = range(200, 300)
-# An answer of another process at the endpoint's address.
-OTHER_INSTANCE_STATUS = 421
 
 
 class AttemptError(Exception):
@@ -212,6 +216,8 @@
                 head = await connection.read_head()
         except TimeoutError as error:
             raise AttemptError(TookTooLong(seconds_since_boot() - attempt.sent_at)) from error
+        except RequestWithheld as error:
+            raise AttemptError(Withheld()) from error
         except ConnectionBroken as error:
             raise AttemptError(ConnectionBroke(str(error))) from error
         answer = decode_answer(head.status, head.headers)
@@ -232,6 +238,8 @@
         # answer to this one.
         try:
             return await self._connector.open(record, self._work.request.id)
+        except EndpointWithheld as error:
+            raise AttemptError(Withheld()) from error
         except ConnectFailed as error:
             raise AttemptError(NoConnection(str(error))) from error
 
--- a/poplarrun/gateway/_host.py
+++ b/poplarrun/gateway/_host.py
@@ -117,9 +117,7 @@
         )
         self._relay_desk.max_requests = self._capacity.max_open_requests
         self._relays = RelayServer(
-            self._relay_desk.admit,
-            self._relay_desk.record_failed,
-            self._relay_desk.record_end,
+            self._relay_desk,
             self._report_crash,
         )
         timeouts = ReadTimeouts.for_bound(settings.change_propagation_s)
--- a/poplarrun/gateway/_records.py
+++ b/poplarrun/gateway/_records.py
@@ -2,7 +2,14 @@
 
 import dataclasses
 
-from poplarrun.dispatch import Attempt, Failure, SendDecision, failure_label, may_have_run
+from poplarrun.dispatch import (
+    ALL_HELD_OFF,
+    Attempt,
+    Failure,
+    SendDecision,
+    failure_label,
+    may_have_run,
+)
 from poplarrun.errors import Refusal, response_for
 from poplarrun.logging import events, write_event
 from poplarrun.metrics import Metrics
@@ -65,6 +72,11 @@
         if work.sends > 1:
             self._metrics.count_event("resumed" if is_resumed else "sent_again")
         endpoint = send.estimate.endpoint
+        kept_from, asked_s_ago = "", None
+        if send.kept_from is not None:
+            self._metrics.count_event("moved_by_hold_off")
+            kept_from = send.kept_from.instance_id
+            asked_s_ago = now - send.kept_from.hold_off.asked_at
         write_event(
             events.RequestSent(
                 work.request.id,
@@ -81,6 +93,8 @@
                 send.reason.value,
                 "" if work.request.session_id is None else f"{work.request.session_hash:08x}",
                 helper,
+                kept_from,
+                asked_s_ago,
             )
         )
 
@@ -206,6 +220,8 @@
         self, request_id: str, route: str, refusal: Refusal, sends: int, took_s: float
     ) -> None:
         self._metrics.count_refusal(refusal.kind)
+        if refusal.message == ALL_HELD_OFF:
+            self._metrics.count_event("refused_by_hold_off")
         answer = response_for(refusal.kind)
         write_event(
             events.RequestRefused(
@@ -219,5 +235,6 @@
                 took_s,
                 self.config_version,
                 self.config_age_s,
+                refusal.detail,
             )
         )
--- a/poplarrun/gateway/_relay_desk.py
+++ b/poplarrun/gateway/_relay_desk.py
@@ -1,13 +1,21 @@
 """What this host relays for its peers."""
 
 from collections.abc import Callable
+from dataclasses import replace
 
 from poplarrun.logging import events, write_event
 from poplarrun.metrics import Metrics
-from poplarrun.paths import DeclineReason, HelperState, admit_relay
+from poplarrun.paths import (
+    Decline,
+    DeclineReason,
+    HelperState,
+    admit_relay,
+    check_endpoint,
+)
 from poplarrun.peers import PeerTable
-from poplarrun.placement import Placement, group_of
-from poplarrun.relays import OpenRelay, RelayEnd, RelayTarget
+from poplarrun.placement import EndpointState, Placement, group_of
+from poplarrun.platform import OTHER_INSTANCE_STATUS, EndpointAnswer, decode_answer
+from poplarrun.relays import AnswerHead, OpenRelay, RelayEnd, RelayTarget
 from poplarrun.transport import seconds_since_boot
 
 
@@ -45,27 +53,71 @@
         self.max_requests = 0
         self.is_stopping = False
 
-    def admit(self, request: OpenRelay, peer_ip: str) -> RelayTarget | DeclineReason:
+    def admit(self, request: OpenRelay, peer_ip: str) -> RelayTarget | Decline:
         """Return where to connect for a peer, or why not."""
+        endpoint = self._find_endpoint(request)
+        state = self._describe(endpoint, self._peer_table.knows_ip(peer_ip))
+        decline = admit_relay(state)
+        if decline is not None or endpoint is None:
+            return decline or Decline(DeclineReason.UNKNOWN_ENDPOINT)
+        self._metrics.count_event("relays_opened")
+        return RelayTarget(endpoint.record.address, state.load)
+
+    def check(self, request: OpenRelay) -> Decline | None:
+        """Return why an endpoint may get nothing any more for a peer; None if it may."""
+        endpoint = self._find_endpoint(request)
+        if endpoint is None:
+            return Decline(DeclineReason.UNKNOWN_ENDPOINT)
+        decline = check_endpoint(self._describe(endpoint, True))
+        if decline is not None:
+            self._metrics.count_event("relay_withheld")
+        return decline
+
+    def _find_endpoint(self, request: OpenRelay) -> EndpointState | None:
+        """Return the endpoint that is meant, if this host knows its start."""
         endpoint = self._placement.find(request.instance_id)
-        record = None if endpoint is None else endpoint.record
-        knows_endpoint = record is not None and record.started_ms == request.started_ms
+        if endpoint is None or endpoint.record.started_ms != request.started_ms:
+            return None
+        return endpoint
+
+    def _describe(self, endpoint: EndpointState | None, knows_peer: bool) -> HelperState:
         now = seconds_since_boot()
         state = HelperState(
             is_stopping=self.is_stopping,
             open_requests=self._open_requests(),
             open_relays=self._open_relays() - 1,
             max_requests=self.max_requests,
-            knows_peer=self._peer_table.knows_ip(peer_ip),
-            knows_endpoint=knows_endpoint,
-            has_path=record is not None
-            and self._placement.paths.can_relay_to(record.instance_id, group_of(record), now),
+            knows_peer=knows_peer,
+            knows_endpoint=endpoint is not None,
+            has_path=False,
+        )
+        if endpoint is None:
+            return state
+        record = endpoint.record
+        return replace(
+            state,
+            has_path=self._placement.paths.can_relay_to(record.instance_id, group_of(record), now),
+            is_leaving=self._placement.leaving.includes(record.instance_id, record.started_ms),
+            hold_off_s=max(0.0, endpoint.hold_off.until - now),
         )
-        reason = admit_relay(state)
-        if reason is not None or record is None:
-            return reason or DeclineReason.UNKNOWN_ENDPOINT
-        self._metrics.count_event("relays_opened")
-        return RelayTarget(record.address, state.load)
+
+    def record_answer(self, request: OpenRelay, head: AnswerHead) -> None:
+        """Record what an endpoint says to this host, whose connection it answers."""
+        endpoint = self._find_endpoint(request)
+        answer = decode_answer(head.status, head.headers)
+        if endpoint is None or not _is_trusted(answer, request.request_id):
+            return
+        now = seconds_since_boot()
+        record = endpoint.record
+        if answer.hold_off_s > 0.0:
+            endpoint.record_hold_off(answer.hold_off_s, now)
+            self._metrics.count_event("hold_off_asked")
+            write_event(events.HoldOffAsked(record.instance_id, answer.hold_off_s, request.origin))
+        if answer.is_leaving and self._placement.leaving.record(
+            record.instance_id, record.started_ms, now
+        ):
+            self._metrics.count_event("leaving_announced")
+            write_event(events.LeavingAnnounced(record.instance_id, "answer"))
 
     def record_failed(self, request: OpenRelay) -> None:
         """Record that no connection was established for a peer."""
@@ -84,3 +136,13 @@
                 end.received_bytes,
             )
         )
+
+
+def _is_trusted(answer: EndpointAnswer, request_id: str) -> bool:
+    """Return whether an answer is that of the endpoint that was meant, to the relayed request.
+
+    It is the first one on its connection, so a rejection needs no request id.
+    """
+    if answer.status == OTHER_INSTANCE_STATUS:
+        return False
+    return answer.request_id == request_id or (answer.request_id is None and answer.is_not_run)
--- a/poplarrun/gateway/_statements.py
+++ b/poplarrun/gateway/_statements.py
@@ -22,8 +22,8 @@
         now = seconds_since_boot()
         self._read_rate_limit(attempt, answer, now)
         self._read_brittle(work, attempt, answer, now)
-        self._read_hold_off(work, attempt, answer)
-        self._read_leaving(attempt, answer)
+        self._read_hold_off(work, attempt, answer, now)
+        self._read_leaving(attempt, answer, now)
         if answer.misread_headers:
             self._recorder.record_misread_headers(len(answer.misread_headers))
 
@@ -42,13 +42,14 @@
             self._recorder.record_brittle(work.service, tolerated)
 
     def _read_hold_off(
-        self, work: InFlightRequest, attempt: Attempt, answer: EndpointAnswer
+        self, work: InFlightRequest, attempt: Attempt, answer: EndpointAnswer, now: float
     ) -> None:
         """Record for how long it wants no request from this host."""
         if answer.hold_off_s > 0.0:
+            self._dispatcher.record_hold_off(attempt, answer.hold_off_s, now)
             self._recorder.record_hold_off(work, attempt.estimate.endpoint, answer.hold_off_s)
 
-    def _read_leaving(self, attempt: Attempt, answer: EndpointAnswer) -> None:
+    def _read_leaving(self, attempt: Attempt, answer: EndpointAnswer, now: float) -> None:
         """Record that it is about to stop."""
-        if answer.is_leaving:
+        if answer.is_leaving and self._dispatcher.record_leaving(attempt, now):
             self._recorder.record_leaving(attempt.estimate.endpoint)
--- a/poplarrun/logging/_events.py
+++ b/poplarrun/logging/_events.py
@@ -82,6 +82,10 @@
         Hash of the session's id, the same on all hosts; empty without a session.
     helper : str
         Peer address of the host that relays the connection; empty for none.
+    kept_from : str
+        Endpoint to which it would have gone, had it not asked this host to stay away.
+    asked_s_ago : float, optional
+        How long ago it asked for that.
     """
 
     component: ClassVar[str] = "request"
@@ -101,6 +105,8 @@
     version_by: str
     session: str
     helper: str
+    kept_from: str = ""
+    asked_s_ago: float | None = None
 
 
 @dataclass(frozen=True, slots=True)
@@ -174,6 +180,7 @@
     took_s: float
     config_version: int
     config_age_s: float
+    detail: str = ""
 
 
 @dataclass(frozen=True, slots=True)
--- a/poplarrun/paths/__init__.py
+++ b/poplarrun/paths/__init__.py
@@ -3,11 +3,20 @@
 All state is in memory, the time is passed in, and no network is used.
 """
 
-from poplarrun.paths._admission import DeclineReason, HelperState, admit_relay
+from poplarrun.paths._admission import (
+    ENDPOINT_REASONS,
+    Decline,
+    DeclineReason,
+    HelperState,
+    admit_relay,
+    check_endpoint,
+)
 from poplarrun.paths._helpers import Helper, HelperChoice
 from poplarrun.paths._paths import EndpointGroup, PathTable
 
 __all__ = [
+    "ENDPOINT_REASONS",
+    "Decline",
     "DeclineReason",
     "EndpointGroup",
     "Helper",
@@ -15,4 +24,5 @@
     "HelperState",
     "PathTable",
     "admit_relay",
+    "check_endpoint",
 ]
--- a/poplarrun/paths/_admission.py
+++ b/poplarrun/paths/_admission.py
@@ -17,6 +17,26 @@
     UNKNOWN_ENDPOINT = "unknown_endpoint"
     NO_PATH = "no_path"
     UNREACHABLE = "unreachable"
+    HELD_OFF = "held_off"
+    LEAVING = "leaving"
+
+
+# Reasons that are the endpoint's own wish: another peer is no way around it.
+ENDPOINT_REASONS = frozenset((DeclineReason.HELD_OFF, DeclineReason.LEAVING))
+
+
+@dataclass(frozen=True, slots=True)
+class Decline:
+    """The answer of a host that doesn't relay a connection.
+
+    Attributes
+    ----------
+    retry_after_s : float
+        For how long the endpoint wants nothing from that host.
+    """
+
+    reason: DeclineReason
+    retry_after_s: float = 0.0
 
 
 @dataclass(frozen=True, slots=True)
@@ -35,6 +55,10 @@
         Whether it knows this start of the endpoint.
     has_path : bool
         Whether it reaches the endpoint over its own links, as far as it knows.
+    is_leaving : bool
+        Whether the endpoint gets no further requests.
+    hold_off_s : float
+        For how long the endpoint wants nothing from it.
     """
 
     is_stopping: bool
@@ -44,6 +68,8 @@
     knows_peer: bool
     knows_endpoint: bool
     has_path: bool
+    is_leaving: bool = False
+    hold_off_s: float = 0.0
 
     @property
     def load(self) -> float:
@@ -51,16 +77,25 @@
         return (self.open_requests + self.open_relays) / max(1, self.max_requests)
 
 
-def admit_relay(state: HelperState) -> DeclineReason | None:
+def admit_relay(state: HelperState) -> Decline | None:
     """Return why a host declines to relay a connection; None if it relays it."""
     if not state.knows_peer:
-        return DeclineReason.UNKNOWN_PEER
+        return Decline(DeclineReason.UNKNOWN_PEER)
     if state.is_stopping:
-        return DeclineReason.STOPPING
+        return Decline(DeclineReason.STOPPING)
     if not state.knows_endpoint:
-        return DeclineReason.UNKNOWN_ENDPOINT
+        return Decline(DeclineReason.UNKNOWN_ENDPOINT)
     if not state.has_path:
-        return DeclineReason.NO_PATH
+        return Decline(DeclineReason.NO_PATH)
     if state.load >= 1.0 or state.open_relays >= RELAY_FRACTION * state.max_requests:
-        return DeclineReason.BUSY
+        return Decline(DeclineReason.BUSY)
+    return check_endpoint(state)
+
+
+def check_endpoint(state: HelperState) -> Decline | None:
+    """Return why an endpoint may get nothing from this host; None if it may."""
+    if state.is_leaving:
+        return Decline(DeclineReason.LEAVING)
+    if state.hold_off_s > 0.0:
+        return Decline(DeclineReason.HELD_OFF, state.hold_off_s)
     return None
--- a/poplarrun/paths/_helpers.py
+++ b/poplarrun/paths/_helpers.py
@@ -16,6 +16,8 @@
     DeclineReason.UNKNOWN_ENDPOINT: 0.3,
     DeclineReason.NO_PATH: 2.0,
     DeclineReason.UNREACHABLE: 2.0,
+    DeclineReason.HELD_OFF: 0.0,
+    DeclineReason.LEAVING: 0.0,
 }
 # Reasons that say that a peer doesn't reach an endpoint.
 PATH_REASONS = frozenset((DeclineReason.NO_PATH, DeclineReason.UNREACHABLE))
--- a/poplarrun/placement/__init__.py
+++ b/poplarrun/placement/__init__.py
@@ -8,17 +8,18 @@
     EndpointRecord,
 )
 from poplarrun.placement._endpoint_state import EndpointState
-from poplarrun.placement._placement import (
-    NAMED_LIMIT_BOUNDS,
-    EndpointEstimate,
-    Placement,
-    group_of,
-)
+from poplarrun.placement._estimates import EndpointEstimate
+from poplarrun.placement._hold_offs import MAX_HOLD_OFF_S, NO_HOLD_OFF, HoldOff
+from poplarrun.placement._homes import choose_prompt_home
+from poplarrun.placement._leaving import LeavingEndpoint
+from poplarrun.placement._placement import NAMED_LIMIT_BOUNDS, Placement, group_of
 from poplarrun.placement._reachability import EndpointOutcomes, Reachability
 
 __all__ = [
     "LAPSE_GRACE_S",
+    "MAX_HOLD_OFF_S",
     "NAMED_LIMIT_BOUNDS",
+    "NO_HOLD_OFF",
     "BrittleServices",
     "Brittleness",
     "DirectoryEvent",
@@ -27,7 +28,10 @@
     "EndpointOutcomes",
     "EndpointRecord",
     "EndpointState",
+    "HoldOff",
+    "LeavingEndpoint",
     "Placement",
     "Reachability",
+    "choose_prompt_home",
     "group_of",
 ]
--- a/poplarrun/placement/_endpoint_state.py
+++ b/poplarrun/placement/_endpoint_state.py
@@ -5,6 +5,7 @@
 from dataclasses import dataclass, field
 
 from poplarrun.placement._endpoint_directory import EndpointRecord
+from poplarrun.placement._hold_offs import NO_HOLD_OFF, HoldOff, extend_hold_off
 from poplarrun.rendezvous import hash_name
 from poplarrun.routing import PromptPart, WarmUpLimit
 
@@ -70,6 +71,13 @@
         As of when that is known.
     room_at_rejection : int
         Requests that this host had there when it last rejected one as not run.
+    hold_off : HoldOff
+        Its latest demand that this host stay away.
+    relay_hold_off : HoldOff
+        The latest demand that a peer had got and for which it relayed no connection. It holds for
+        connections through any peer.
+    taken_since_hold_off : int
+        Requests sent after the latest demand had ended that it did not reject.
     """
 
     record: EndpointRecord
@@ -90,6 +98,9 @@
     rate_limit_per_s: float | None = None
     rate_limit_at: float = -math.inf
     room_at_rejection: int = 0
+    hold_off: HoldOff = NO_HOLD_OFF
+    relay_hold_off: HoldOff = NO_HOLD_OFF
+    taken_since_hold_off: int = 0
     _send_times: deque[float] = field(default_factory=deque)
     _rejection_times: deque[float] = field(default_factory=lambda: deque(maxlen=MAX_REJECTIONS))
     _prompt_parts: OrderedDict[tuple[str, str], float] = field(default_factory=OrderedDict)
@@ -240,6 +251,20 @@
         """Send no requests for a moment, because the endpoint reported to be overloaded."""
         self.paused_until = max(self.paused_until, now + OVERLOADED_DELAY_S)
 
+    def record_hold_off(self, seconds: float, now: float) -> None:
+        """Record that it wants no request from this host for some time."""
+        self.hold_off = extend_hold_off(self.hold_off, seconds, now)
+        self.taken_since_hold_off = 0
+
+    def record_relay_hold_off(self, seconds: float, now: float) -> None:
+        """Record that a peer must send it nothing for some time."""
+        self.relay_hold_off = extend_hold_off(self.relay_hold_off, seconds, now)
+
+    def record_taken(self, sent_at: float) -> None:
+        """Record that it has begun to answer a request."""
+        if sent_at >= self.hold_off.until:
+            self.taken_since_hold_off += 1
+
     def record_prompt(self, size: str, parts: tuple[PromptPart, ...], now: float) -> None:
         """Record that the endpoint has a prompt in its cache."""
         for part in parts:
--- a/poplarrun/placement/_placement.py
+++ b/poplarrun/placement/_placement.py
@@ -14,7 +14,12 @@
 from poplarrun.placement._brittle import BrittleServices, has_brittle_room
 from poplarrun.placement._endpoint_directory import EndpointRecord
 from poplarrun.placement._endpoint_state import EndpointState
-from poplarrun.rendezvous import RankingCache, choose_owner, hash_name
+from poplarrun.placement._estimates import EndpointEstimate
+from poplarrun.placement._hold_offs import NO_HOLD_OFF, HoldOff
+from poplarrun.placement._homes import choose_prompt_home
+from poplarrun.placement._leaving import LeavingEndpoints
+from poplarrun.placement._returns import may_return
+from poplarrun.rendezvous import RankingCache
 from poplarrun.routing import InFlightRequest, Service
 from poplarrun.shares import BudgetShares, RateBounds, plan_rate
 from poplarrun.speeds import PoolSpeed
@@ -52,37 +57,6 @@
 INITIAL_TOKENS_PER_S = 25_000.0
 
 
-@dataclass(frozen=True, slots=True)
-class EndpointEstimate:
-    """The expected latency of a request at an endpoint.
-
-    Attributes
-    ----------
-    prefill_s : float
-        Time to prefill the part of the prompt that the endpoint hasn't cached.
-    first_event_s : float
-        Time to the first event, or to the answer of a plain service.
-    uncached_tokens : int
-        Prompt tokens that the endpoint hasn't cached.
-    queue_s : float
-        Prefill time of the prompts that are known to wait there.
-    load : float
-        Requests per slot of the endpoint.
-    """
-
-    endpoint: EndpointState
-    prefill_s: float
-    first_event_s: float
-    uncached_tokens: int
-    queue_s: float = 0.0
-    load: float = 0.0
-
-    @property
-    def drain_s(self) -> float:
-        """Time until the endpoint will have read this prompt and those before it."""
-        return self.queue_s + self.prefill_s
-
-
 @dataclass(frozen=True, slots=True)
 class _PeerLoads:
     """Loads of endpoints by another host: requests and pending prefill seconds."""
@@ -121,6 +95,8 @@
         This host's paths to endpoints.
     brittle : BrittleServices
         The services whose endpoints fall over when they reject too many requests.
+    leaving : LeavingEndpoints
+        The endpoints that say in their answers that they are leaving.
     warm_up_bounds : RateBounds
         What an endpoint that is warming up tolerates, from the settings.
     """
@@ -135,6 +111,7 @@
         self.shares = BudgetShares(zone=zone)
         self.paths = PathTable()
         self.brittle = BrittleServices()
+        self.leaving = LeavingEndpoints()
         self.warm_up_bounds = RateBounds()
         self._peer_loads: dict[str, _PeerLoads] = {}
         self._ranking = RankingCache()
@@ -165,6 +142,7 @@
         while len(self._unlisted) > MAX_UNLISTED_ENDPOINTS:
             self._unlisted.popitem(last=False)
         self._endpoints = endpoints
+        self.leaving.forget_unlisted(endpoints, now)
         self._sum_peer_loads()
 
     def _find_state(self, record: EndpointRecord) -> EndpointState | None:
@@ -206,11 +184,14 @@
     def may_send(self, endpoint: EndpointState, service: Service, now: float) -> bool:
         """Return whether this host may send to an endpoint now.
 
-        Not to one of an evacuated zone, nor beyond this host's share of the rate of one that is
-        warming up or names a rate limit, or of the slots of one that is brittle.
+        Not to one that is leaving, asked this host to stay away, or is in an evacuated zone, nor
+        beyond this host's share of the rate of one that is warming up or names a rate limit, or of
+        the slots of one that is brittle.
         """
         record = endpoint.record
-        if record.is_leaving or record.zone in self.evacuated_zones:
+        if self.is_closed(endpoint) or self.find_hold_off(endpoint, now) is not NO_HOLD_OFF:
+            return False
+        if not may_return(endpoint, self.shares, now):
             return False
         brittleness = self.brittle.find(record.service, now)
         if brittleness is not None and not has_brittle_room(
@@ -227,6 +208,25 @@
             return True
         return self._has_share(endpoint, warm_up.rate_per_s, self.warm_up_bounds, now)
 
+    def is_closed(self, endpoint: EndpointState) -> bool:
+        """Return whether an endpoint is leaving or in an evacuated zone."""
+        record = endpoint.record
+        if record.is_leaving or record.zone in self.evacuated_zones:
+            return True
+        return self.leaving.includes(record.instance_id, record.started_ms)
+
+    def find_hold_off(self, endpoint: EndpointState, now: float) -> HoldOff:
+        """Return the demand that keeps this host from an endpoint now; ``NO_HOLD_OFF`` for none."""
+        hold_off = endpoint.hold_off
+        if now < endpoint.relay_hold_off.until and self.is_path_lost(endpoint, now):
+            hold_off = max(hold_off, endpoint.relay_hold_off, key=lambda each: each.until)
+        return hold_off if now < hold_off.until else NO_HOLD_OFF
+
+    def is_path_lost(self, endpoint: EndpointState, now: float) -> bool:
+        """Return whether this host reaches an endpoint through peers only."""
+        record = endpoint.record
+        return self.paths.is_lost(record.instance_id, group_of(record), now)
+
     def _has_share(
         self, endpoint: EndpointState, rate_per_s: float, bounds: RateBounds, now: float
     ) -> bool:
@@ -324,7 +324,7 @@
             return None
         if concentrate_load:
             candidates = self._concentrate(candidates)
-        owner = self._choose_owner(candidates, work, size)
+        owner = choose_prompt_home(candidates, work, size)
         candidates = self._sample(candidates, owner)
         if service.cache_tokens == 0:
             estimates = [self._estimate_plain(endpoint) for endpoint in candidates]
@@ -338,18 +338,6 @@
         first = self._endpoints[self._ranking.rank("proving", instance_ids)[0]]
         return [first] if first.load < MAX_CONCENTRATED_LOAD else candidates
 
-    @staticmethod
-    def _choose_owner(
-        candidates: list[EndpointState], work: InFlightRequest, size: str
-    ) -> str | None:
-        """Return the endpoint to which prompts with the same prefix usually go."""
-        parts = work.request.prompt_parts
-        shared = parts[-2:-1] or parts[-1:]
-        if not shared:
-            return None
-        salts = [(endpoint.record.instance_id, endpoint.salt) for endpoint in candidates]
-        return choose_owner(hash_name(size + shared[0].key), salts)
-
     def _sample(self, candidates: list[EndpointState], owner: str | None) -> list[EndpointState]:
         """Return the endpoints to compare, in random order: all, or a sample of very many.
 
@@ -383,9 +371,7 @@
         )
 
     def _relay_delay_s(self, endpoint: EndpointState, now: float) -> float:
-        record = endpoint.record
-        is_lost = self.paths.is_lost(record.instance_id, group_of(record), now)
-        return RELAY_DELAY_S if is_lost else 0.0
+        return RELAY_DELAY_S if self.is_path_lost(endpoint, now) else 0.0
 
     def _estimate_engines(
         self,
--- a/poplarrun/platform/__init__.py
+++ b/poplarrun/platform/__init__.py
@@ -19,6 +19,7 @@
 )
 from poplarrun.platform._records import decode_endpoint_record
 from poplarrun.platform._requests import (
+    OTHER_INSTANCE_STATUS,
     BadRequest,
     EndpointAnswer,
     decode_answer,
@@ -49,6 +50,7 @@
     "EVACUATION_PREFIX",
     "HOST_TOPIC",
     "OPERATOR_TOPIC",
+    "OTHER_INSTANCE_STATUS",
     "PATH_VARIABLE",
     "ROLLOUT_PREFIX",
     "STATUS_TOPIC",
--- a/poplarrun/platform/_requests.py
+++ b/poplarrun/platform/_requests.py
@@ -4,6 +4,7 @@
 from collections.abc import Iterable
 from dataclasses import dataclass
 
+from poplarrun.placement import MAX_HOLD_OFF_S
 from poplarrun.platform import _names as names
 from poplarrun.routing import InFlightRequest, PromptPart, Request
 
@@ -14,11 +15,11 @@
 MAX_TIME_LEFT_S = 3600.0
 NUMBER_PATTERN = re.compile(r"^\d{1,15}$")
 DECIMAL_PATTERN = re.compile(r"^\d{1,9}(\.\d{1,9})?$")
-# Longest time for which an endpoint can keep this host away. One that means longer asks again.
-MAX_HOLD_OFF_S = 300.0
 # Statuses with which an endpoint turns a request away, and may ask for a time without requests.
 HOLD_OFF_STATUSES = frozenset((429, 503))
 LEAVING_VALUE = "1"
+# An answer of another process at the endpoint's address.
+OTHER_INSTANCE_STATUS = 421
 # A header of HTTP; this platform gives it in seconds only.
 HOLD_OFF_HEADER = "retry-after"
 # Priorities at an endpoint range from 0, the highest, to 9.
@@ -186,7 +187,7 @@
         headers=tuple(forwarded),
         is_signed=is_plain and bool(by_name.get(names.SIGNATURE.lower())),
         request_id=by_name.get(names.REQUEST_ID.lower()),
-        is_not_run=status == 421 or names.NOT_RUN.lower() in by_name,
+        is_not_run=status == OTHER_INSTANCE_STATUS or names.NOT_RUN.lower() in by_name,
         confidence=None if confidence is None else confidence / 100.0,
         rate_limit_per_s=_decode_decimal(by_name.get(names.RATE_LIMIT.lower())),
         tolerated_rejections=_decode_number(by_name.get(names.TOLERATED_REJECTIONS.lower())),
--- a/poplarrun/relays/__init__.py
+++ b/poplarrun/relays/__init__.py
@@ -6,14 +6,17 @@
 everything about the request; the helper passes bytes.
 """
 
+from poplarrun.relays._answer_head import AnswerHead
 from poplarrun.relays._messages import OpenRelay
 from poplarrun.relays._race import EndpointConnection, Way, connect_first
-from poplarrun.relays._server import RelayEnd, RelayServer, RelayTarget
+from poplarrun.relays._server import RelayDecisions, RelayEnd, RelayServer, RelayTarget
 from poplarrun.relays._tunnel import RelayFailed, Tunnel, open_tunnel
 
 __all__ = [
+    "AnswerHead",
     "EndpointConnection",
     "OpenRelay",
+    "RelayDecisions",
     "RelayEnd",
     "RelayFailed",
     "RelayServer",
--- a/poplarrun/relays/_messages.py
+++ b/poplarrun/relays/_messages.py
@@ -3,14 +3,18 @@
 The asking host sends one ``OpenRelay`` and, once it has ``RelayOpened``, the bytes for the endpoint
 as they are. The helper sends frames: its reply first, then the endpoint's bytes. An empty frame
 says that the endpoint has closed its side. A connection that ends without one was broken: an answer
-without a length must not look complete then.
+without a length must not look complete then. A ``RelayDeclined`` after ``RelayOpened`` says that no
+byte reached the endpoint.
 """
 
 import struct
+from dataclasses import dataclass
 
 import msgspec
 
 _LENGTH = struct.Struct(">I")
+# Set in the length of a frame that holds a message.
+_MESSAGE_BIT = 1 << 31
 MAX_FRAME_BYTES = 1024 * 1024
 MAX_MESSAGE_BYTES = 1024
 
@@ -44,8 +48,17 @@
 
 
 class RelayDeclined(msgspec.Struct, frozen=True, array_like=True, tag=3):
-    """There is no connection; ``reason`` is the value of a ``DeclineReason``."""
+    """There is no connection.
 
+    Attributes
+    ----------
+    retry_after_ms : int
+        For how long the endpoint wants nothing from the helper.
+    reason : str
+        The value of a ``DeclineReason``.
+    """
+
+    retry_after_ms: int
     reason: str
 
 
@@ -64,7 +77,8 @@
 
 def encode_message(message: Message) -> bytes:
     """Return a frame that holds a message."""
-    return encode_frame(msgspec.msgpack.encode(message))
+    content = msgspec.msgpack.encode(message)
+    return _LENGTH.pack(len(content) | _MESSAGE_BIT) + content
 
 
 def decode_message(data: bytes) -> Message:
@@ -81,6 +95,14 @@
         raise MalformedFrame(str(error)) from error
 
 
+@dataclass(frozen=True, slots=True)
+class Frame:
+    """The content of a frame: a message, or bytes of an endpoint."""
+
+    content: bytes
+    is_message: bool
+
+
 class FrameReader:
     """Splits received bytes into frames."""
 
@@ -97,8 +119,8 @@
         """Add received bytes."""
         self._buffer += data
 
-    def next_frame(self) -> bytes | None:
-        """Return the content of the next complete frame, or None.
+    def next_frame(self) -> Frame | None:
+        """Return the next complete frame, or None.
 
         Raises
         ------
@@ -107,7 +129,8 @@
         """
         if len(self._buffer) < _LENGTH.size:
             return None
-        (size,) = _LENGTH.unpack_from(self._buffer)
+        (length,) = _LENGTH.unpack_from(self._buffer)
+        size = length & ~_MESSAGE_BIT
         if size > self._max_bytes:
             raise MalformedFrame(f"a frame of {size} bytes")
         end = _LENGTH.size + size
@@ -115,4 +138,4 @@
             return None
         content = bytes(self._buffer[_LENGTH.size : end])
         del self._buffer[:end]
-        return content
+        return Frame(content, bool(length & _MESSAGE_BIT))
--- a/poplarrun/relays/_server.py
+++ b/poplarrun/relays/_server.py
@@ -4,8 +4,10 @@
 import time
 from collections.abc import Callable
 from dataclasses import dataclass
+from typing import Protocol
 
-from poplarrun.paths import DeclineReason
+from poplarrun.paths import Decline, DeclineReason
+from poplarrun.relays._answer_head import AnswerHead, AnswerHeadReader
 from poplarrun.relays._messages import (
     MAX_MESSAGE_BYTES,
     FrameReader,
@@ -25,6 +27,7 @@
 MAX_OPENING = 200
 # Unsent bytes of one direction above which reading from the other side is paused.
 MAX_UNSENT_BYTES = 64 * 1024
+MILLISECONDS_PER_S = 1000.0
 
 
 @dataclass(frozen=True, slots=True)
@@ -57,17 +60,30 @@
     received_bytes: int
 
 
+class RelayDecisions(Protocol):
+    """What a helper decides about relayed connections, and learns from them."""
+
+    def admit(self, request: OpenRelay, peer_ip: str) -> RelayTarget | Decline:
+        """Return where to connect for a peer, or why not."""
+
+    def check(self, request: OpenRelay) -> Decline | None:
+        """Return why the endpoint may get nothing any more; None if it may."""
+
+    def record_failed(self, request: OpenRelay) -> None:
+        """Record that no connection was established."""
+
+    def record_answer(self, request: OpenRelay, head: AnswerHead) -> None:
+        """Record the head of the endpoint's answer."""
+
+    def record_end(self, end: RelayEnd) -> None:
+        """Record that a relayed connection has ended."""
+
+
 class RelayServer:
     """Relays connections of peers to endpoints.
 
     Parameters
     ----------
-    admit : callable
-        Returns where to connect, or why not, for a request from an IP address.
-    record_failed : callable
-        Called with a request for which no connection was established.
-    record_end : callable
-        Called with each relayed connection that has ended.
     report_crash : callable
         Called with an unexpected error, which ends the one connection.
 
@@ -79,14 +95,10 @@
 
     def __init__(
         self,
-        admit: Callable[[OpenRelay, str], RelayTarget | DeclineReason],
-        record_failed: Callable[[OpenRelay], None],
-        record_end: Callable[[RelayEnd], None],
+        decisions: RelayDecisions,
         report_crash: Callable[[BaseException | None], None],
     ) -> None:
-        self.admit = admit
-        self.record_failed = record_failed
-        self.record_end = record_end
+        self.decisions = decisions
         self._report_crash = report_crash
         self.open_relays = 0
         self.opening: set[_PeerSide] = set()
@@ -116,8 +128,8 @@
     async def _connect(self, side: "_PeerSide", request: OpenRelay) -> None:
         is_open = False
         try:
-            target = self.admit(request, side.peer_ip)
-            if isinstance(target, DeclineReason):
+            target = self.decisions.admit(request, side.peer_ip)
+            if isinstance(target, Decline):
                 side.decline(target)
                 return
             is_open = await self._open_endpoint(side, request, target)
@@ -138,10 +150,10 @@
             endpoint.abort()
         if side.is_closed or endpoint.is_closed:
             endpoint.abort()
-            self.record_failed(request)
-            side.decline(DeclineReason.NO_PATH)
+            self.decisions.record_failed(request)
+            side.decline(Decline(DeclineReason.NO_PATH))
             return False
-        side.open(endpoint, RelayOpened(target.load))
+        side.open(endpoint, request, RelayOpened(target.load))
         return True
 
 
@@ -192,6 +204,7 @@
         self._server = server
         self._frames = FrameReader(MAX_MESSAGE_BYTES)
         self._is_opening = False
+        self._request: OpenRelay | None = None
         self._timeout: asyncio.TimerHandle | None = None
         self.task: asyncio.Task[None] | None = None
         self.peer_ip = ""
@@ -208,22 +221,35 @@
 
     def data_received(self, data: bytes) -> None:
         if self.other is not None:
-            self.other.write(data)
+            self._pass_on(self.other, data)
             return
         try:
             self._read_request(data)
         except MalformedFrame:
             self.abort()
 
+    def _pass_on(self, endpoint: _Side, data: bytes) -> None:
+        """Pass on bytes of the request, if the endpoint may still get it when they begin."""
+        request, self._request = self._request, None
+        decline = None if request is None else self._server.decisions.check(request)
+        if decline is None:
+            endpoint.write(data)
+            return
+        self.other = None
+        endpoint.abort()
+        self.decline(decline)
+
     def _read_request(self, data: bytes) -> None:
         """Read the peer's request, which must come alone: its bytes wait for the reply."""
         self._frames.feed(data)
-        content = None if self._is_opening else self._frames.next_frame()
-        if self._is_opening or (content is not None and self._frames.has_rest):
+        frame = None if self._is_opening else self._frames.next_frame()
+        if self._is_opening or (frame is not None and self._frames.has_rest):
             raise MalformedFrame("bytes before the reply")
-        if content is None:
+        if frame is None:
             return
-        request = decode_message(content)
+        if not frame.is_message:
+            raise MalformedFrame("no message")
+        request = decode_message(frame.content)
         if not isinstance(request, OpenRelay):
             raise MalformedFrame("no request")
         self._is_opening = True
@@ -235,15 +261,17 @@
         if self._timeout is not None:
             self._timeout.cancel()
 
-    def open(self, endpoint: "_EndpointSide", reply: RelayOpened) -> None:
+    def open(self, endpoint: "_EndpointSide", request: OpenRelay, reply: RelayOpened) -> None:
         """Pass bytes in both directions from now on."""
         self.write(encode_message(reply))
+        self._request = request
         endpoint.is_relaying = True
         self.other = endpoint
 
-    def decline(self, reason: DeclineReason) -> None:
+    def decline(self, decline: Decline) -> None:
         """Say why there is no connection."""
-        self.write(encode_message(RelayDeclined(reason.value)))
+        retry_after_ms = int(decline.retry_after_s * MILLISECONDS_PER_S)
+        self.write(encode_message(RelayDeclined(retry_after_ms, decline.reason.value)))
         self.close()
 
     def eof_received(self) -> bool:
@@ -274,6 +302,7 @@
         self._started_at = time.monotonic()
         self._sent_bytes = 0
         self._received_bytes = 0
+        self._head = AnswerHeadReader()
         self.is_relaying = False
 
     def write(self, data: bytes) -> None:
@@ -282,6 +311,9 @@
 
     def data_received(self, data: bytes) -> None:
         self._received_bytes += len(data)
+        head = self._head.feed(data)
+        if head is not None:
+            self._server.decisions.record_answer(self._request, head)
         if self.other is not None:
             self.other.write(encode_frame(data))
 
@@ -300,6 +332,6 @@
         self._server.open_relays -= 1
         seconds = time.monotonic() - self._started_at
         end = RelayEnd(self._request, seconds, self._sent_bytes, self._received_bytes)
-        self._server.record_end(end)
+        self._server.decisions.record_end(end)
         if exc is not None and self.other is not None:
             self.other.abort()
--- a/poplarrun/relays/_tunnel.py
+++ b/poplarrun/relays/_tunnel.py
@@ -3,8 +3,9 @@
 import asyncio
 from dataclasses import dataclass
 
-from poplarrun.paths import DeclineReason
+from poplarrun.paths import Decline, DeclineReason
 from poplarrun.relays._messages import (
+    Frame,
     FrameReader,
     MalformedFrame,
     OpenRelay,
@@ -15,13 +16,15 @@
 )
 from poplarrun.transport import ClientConnection, ConnectFailed
 
+MILLISECONDS_PER_S = 1000.0
+
 
 class RelayFailed(ConnectFailed):
     """A peer did not open a connection, so no byte of a request was sent."""
 
-    def __init__(self, reason: DeclineReason) -> None:
-        super().__init__(f"relay: {reason.value}")
-        self.reason = reason
+    def __init__(self, decline: Decline) -> None:
+        super().__init__(f"relay: {decline.reason.value}")
+        self.decline = decline
 
 
 @dataclass(frozen=True, slots=True)
@@ -47,6 +50,7 @@
         self._transport: asyncio.Transport | None = None
         self._is_open = False
         self._is_ended = False
+        self._has_data = False
         self.connection = ClientConnection(address, is_single_use=True)
         self.reply: asyncio.Future[RelayOpened] = asyncio.get_running_loop().create_future()
 
@@ -59,28 +63,33 @@
     def data_received(self, data: bytes) -> None:
         self._frames.feed(data)
         try:
-            while (content := self._frames.next_frame()) is not None:
-                self._handle_frame(content)
+            while (frame := self._frames.next_frame()) is not None:
+                self._handle_frame(frame)
         except MalformedFrame as error:
             self._end(ConnectionResetError(str(error)))
             self.abort()
 
-    def _handle_frame(self, content: bytes) -> None:
-        if not self._is_open:
-            self._handle_reply(content)
-        elif content:
-            self.connection.data_received(content)
+    def _handle_frame(self, frame: Frame) -> None:
+        if frame.is_message:
+            self._handle_message(frame.content)
+        elif not self._is_open:
+            raise MalformedFrame("bytes before the reply")
+        elif frame.content:
+            self._has_data = True
+            self.connection.data_received(frame.content)
         else:
             self._is_ended = True
             self.connection.eof_received()
 
-    def _handle_reply(self, content: bytes) -> None:
+    def _handle_message(self, content: bytes) -> None:
         match decode_message(content):
             case RelayOpened() as opened if not self.reply.done():
                 self._is_open = True
                 self.reply.set_result(opened)
-            case RelayDeclined(reason) if not self.reply.done():
-                self.reply.set_exception(RelayFailed(_decode_reason(reason)))
+            case RelayDeclined() as declined if not self.reply.done():
+                self.reply.set_exception(RelayFailed(_decode_decline(declined)))
+            case RelayDeclined(reason=reason) if self._is_open and not self._has_data:
+                self.connection.withhold(f"relay: {reason}")
             case _:
                 raise MalformedFrame("no reply")
 
@@ -89,7 +98,7 @@
 
     def _end(self, error: Exception) -> None:
         if not self.reply.done():
-            self.reply.set_exception(RelayFailed(DeclineReason.UNREACHABLE))
+            self.reply.set_exception(RelayFailed(Decline(DeclineReason.UNREACHABLE)))
             # Nobody may wait for the reply any more.
             self.reply.exception()
         self.connection.connection_lost(None if self._is_ended else error)
@@ -99,11 +108,12 @@
             self._transport.abort()
 
 
-def _decode_reason(text: str) -> DeclineReason:
+def _decode_decline(message: RelayDeclined) -> Decline:
     try:
-        return DeclineReason(text)
+        reason = DeclineReason(message.reason)
     except ValueError as error:
-        raise MalformedFrame(f"reason {text[:40]!r}") from error
+        raise MalformedFrame(f"reason {message.reason[:40]!r}") from error
+    return Decline(reason, max(0, message.retry_after_ms) / MILLISECONDS_PER_S)
 
 
 async def open_tunnel(
@@ -128,7 +138,7 @@
         raise
     except (TimeoutError, OSError, ValueError) as error:
         protocol.abort()
-        raise RelayFailed(DeclineReason.UNREACHABLE) from error
+        raise RelayFailed(Decline(DeclineReason.UNREACHABLE)) from error
     except asyncio.CancelledError:
         protocol.abort()
         raise
--- a/poplarrun/transport/__init__.py
+++ b/poplarrun/transport/__init__.py
@@ -4,6 +4,7 @@
     ClientConnection,
     ConnectFailed,
     ConnectionBroken,
+    RequestWithheld,
     ResponseHead,
     open_connection,
 )
@@ -25,6 +26,7 @@
     "ConnectionBroken",
     "ConnectionPool",
     "RequestHead",
+    "RequestWithheld",
     "ResponseHead",
     "ServerBounds",
     "detect_dead_endpoint",
--- a/poplarrun/transport/_client.py
+++ b/poplarrun/transport/_client.py
@@ -29,6 +29,10 @@
     """The connection ended, or violated HTTP, before the response was complete."""
 
 
+class RequestWithheld(ConnectionBroken):
+    """The connection ended before any byte of the request reached the endpoint."""
+
+
 @dataclass(frozen=True, slots=True)
 class ResponseHead:
     """Status and headers of a response."""
@@ -67,6 +71,7 @@
         self._is_response_complete = True
         self._must_close = is_single_use
         self._end_reason: str | None = None
+        self._is_withheld = False
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         """Store the transport of the established connection."""
@@ -154,6 +159,11 @@
             return None
         raise ConnectionBroken(f"unexpected {type(event).__name__}")
 
+    def withhold(self, reason: str) -> None:
+        """End the connection; no byte of the request that was sent has reached the endpoint."""
+        self._is_withheld = True
+        self._record_end(reason)
+
     def abort(self) -> None:
         """Close the connection at once, by which the peer stops processing the request."""
         self._must_close = True
@@ -175,6 +185,8 @@
                 raise ConnectionBroken(f"no HTTP: {error}") from error
             if event is not h11.NEED_DATA:
                 return event  # type: ignore[return-value]
+            if self._is_withheld:
+                raise RequestWithheld(str(self._end_reason))
             if self._end_reason is not None:
                 raise ConnectionBroken(self._end_reason)
             await self._wait_for_data()
--- a/standins/path_fleet.py
+++ b/standins/path_fleet.py
@@ -7,7 +7,7 @@
 
 from poplarrun.gateway import EndpointConnector, RelayDesk
 from poplarrun.metrics import Metrics
-from poplarrun.paths import DeclineReason
+from poplarrun.paths import Decline, DeclineReason
 from poplarrun.peers import PeerTable
 from poplarrun.placement import EndpointRecord, Placement
 from poplarrun.relays import EndpointConnection, OpenRelay, RelayFailed, Tunnel
@@ -102,14 +102,14 @@
         helper = self.fleet.by_ip[relay_address.rpartition(":")[0]]
         await asyncio.sleep(2 * LINK_DELAY_S)
         target = helper.desk.admit(request, self.ip)
-        if isinstance(target, DeclineReason):
+        if isinstance(target, Decline):
             raise RelayFailed(target)
         helper.open_relays += 1
         try:
             connection = await helper.open(target.address, request.timeout_ms / 1000.0)
         except ConnectFailed as error:
             helper.desk.record_failed(request)
-            raise RelayFailed(DeclineReason.NO_PATH) from error
+            raise RelayFailed(Decline(DeclineReason.NO_PATH)) from error
         finally:
             helper.open_relays -= 1
         await asyncio.sleep(2 * LINK_DELAY_S)
