--- a/poplarrun/dispatch/_dispatcher.py
+++ b/poplarrun/dispatch/_dispatcher.py
@@ -438,7 +438,9 @@
         if first is None or work.may_have_run:
             return self._refuse_in_flight(work, ErrorKind.NO_ENDPOINT, self._explain_none(service))
         position = _hash_to_unit_interval(work.request.id)
-        retry_s = plan_return_s(first.hold_off, work.remaining_s(now), position, now)
+        # The route's timeout ends one attempt; the caller has its own time for all of them.
+        time_left_s = work.request.time_left_s - (now - work.arrived_at)
+        retry_s = plan_return_s(first.hold_off, time_left_s, position, now)
         age_s = now - first.hold_off.asked_at
         detail = f"{first.instance_id} asked {age_s:.1f} s ago for {first.hold_off.seconds:.1f} s"
         return Refusal(ErrorKind.NO_ENDPOINT, ALL_HELD_OFF, retry_after_s=retry_s, detail=detail)
--- a/poplarrun/gateway/_peering.py
+++ b/poplarrun/gateway/_peering.py
@@ -9,6 +9,7 @@
 from poplarrun.dispatch import ConfigView
 from poplarrun.gateway._activity import ActivityExchange, RolloutState
 from poplarrun.gateway._document_follower import DocumentFollower
+from poplarrun.gateway._leaving_exchange import LeavingExchange
 from poplarrun.gateway._listing_follower import ListingFollower
 from poplarrun.gateway._reachability import ReachabilityExchange
 from poplarrun.gateway._sessions import SessionLookup
@@ -111,6 +112,7 @@
         self._rosters = Rosters(peer_table)
         self._reachability = ReachabilityExchange(peer_table, placement, reachability)
         self._shared_limits = SharedLimitsExchange(peer_table, placement)
+        self._leaving = LeavingExchange(placement)
         self._notice_budget = NoticeBudget()
         self._activity = ActivityExchange(peer_table.zone, placement, rollouts)
         self.sessions = SessionLookup(peer_table, links, rollouts)
@@ -234,7 +236,8 @@
         active = self._rollouts.active()
         zone_interval_s = ROLLOUT_ZONE_INTERVAL_S if active else ZONE_INTERVAL_S
         self._update_rollout_states(now)
-        if self._shared_limits.has_news(now):
+        has_new_limits = self._shared_limits.has_news(now)
+        if self._leaving.has_news() or has_new_limits:
             self._changed_at = now
         self._rosters.expire(now)
         self._reachability.update_placement(now)
@@ -329,6 +332,7 @@
             evacuations=self._state.evacuations(),
             rate_limits=self._shared_limits.rate_limits(now),
             brittle=self._shared_limits.brittle_services(now),
+            leaving=self._leaving.announced(now),
         )
 
     def _receive(self, data: bytes) -> None:
@@ -383,6 +387,7 @@
         self._reachability.apply_digest(digest, now)
         self._state.apply_digest(digest, now)
         self._shared_limits.apply_digest(digest, now)
+        self._leaving.apply_digest(digest, now)
         if self._update_rollout_states(now):
             # A change passes three hosts on its way to another zone; none may wait for a round.
             self._run_round(now)
--- a/poplarrun/peers/_messages.py
+++ b/poplarrun/peers/_messages.py
@@ -121,6 +121,13 @@
     age_s: float
 
 
+class LeavingStart(msgspec.Struct, frozen=True, array_like=True):
+    """A start of an endpoint that says in its answers that it is leaving."""
+
+    instance_id: str
+    started_ms: int
+
+
 class Digest(msgspec.Struct, frozen=True, array_like=True, tag=8):
     """State that a host sends to other hosts periodically.
 
@@ -159,6 +166,8 @@
         Rate limits that endpoints name or have lifted.
     brittle : list of BrittleService
         Services whose endpoints fall over when they reject too many requests.
+    leaving : list of LeavingStart
+        Endpoints that say that they are leaving, and whose records don't say so yet.
     """
 
     address: str
@@ -182,6 +191,7 @@
     evacuations: list[ZoneEvacuation] = []
     rate_limits: list[EndpointRateLimit] = []
     brittle: list[BrittleService] = []
+    leaving: list[LeavingStart] = []
 
 
 class ReachabilityNotice(msgspec.Struct, frozen=True, array_like=True, tag=13):
