Tell all hosts at once that an endpoint leaves, when its answers say so

Server-Leaving was read by no module: a host went by the list of endpoints alone, which says so later or never, and would have sent requests later than the operators' limit after it had passed on such an answer. That an endpoint leaves is a fact of the endpoint, not of a pair: each host that learns it, from an answer or from one that it relays, tells the others in its next digest, which goes at once.

--- /dev/null
+++ b/features/steps/leaving.py
@@ -0,0 +1,179 @@
+import asyncio
+import dataclasses
+import time
+
+from behave import given, then, use_step_matcher, when
+
+from features.steps.relays import send
+from poplarrun.platform import decode_answer
+from standins.rollout_fleet import ENGINES
+
+use_step_matcher("parse")
+
+TOLD_DELAY_S = 1.0
+START_MS = 0
+LATER_START_MS = 5
+
+
+@given('another endpoint "{instance_id}" of "{service}" serves as well')
+def step_another(context, instance_id, service):
+    installation = context.installation
+    installation.add_endpoint(instance_id, service)
+    for host in (0, 1):
+        installation.wait_for(
+            lambda host=host: instance_id in installation.read_log(host),
+            f"host {host} knows {instance_id}",
+        )
+
+
+@when(
+    '"{instance_id}" says in its answers that it leaves, '
+    "and callers at both hosts send {count:d} lookups"
+)
+def step_leaves(context, instance_id, count):
+    send_lookups(context, instance_id, count, (0, 1))
+
+
+@when(
+    '"{instance_id}" says in its answers that it leaves, '
+    "and callers at host 0 send {count:d} lookups"
+)
+def step_leaves_relayed(context, instance_id, count):
+    send_lookups(context, instance_id, count, (0,))
+    for number in range(count):
+        for host in range(3):
+            send(context, "lookup", host, number)
+            time.sleep(0.05)
+
+
+def send_lookups(context, instance_id, count, hosts):
+    endpoint = context.leaving = context.installation.endpoints[instance_id]
+    endpoint.announces_leaving = True
+    context.started_at = time.monotonic()
+    context.answers = []
+    for number in range(count):
+        host = hosts[number % len(hosts)]
+        send(context, "lookup", host, number)
+        time.sleep(0.1)
+
+
+@then('from 1 s after its first such answer "{instance_id}" gets no request')
+def step_no_request(context, instance_id):
+    arrivals = [
+        request.received_at
+        for request in context.leaving.received_requests
+        if request.received_at >= context.started_at
+    ]
+    assert arrivals, f"{instance_id} got no request"
+    late = [at - arrivals[0] for at in arrivals if at > arrivals[0] + TOLD_DELAY_S]
+    assert not late, late
+
+
+@then("all lookups were answered")
+def step_answered(context):
+    assert all(answer.status == 200 for _, answer in context.answers), context.answers
+
+
+@when('one host gets an answer in which "{instance_id}" says that it leaves')
+def step_one_told(context, instance_id):
+    fleet = context.fleet
+
+    async def tell():
+        fleet.hosts[0].placement.leaving.record(instance_id, START_MS, fleet.now)
+
+    context.loop.run_until_complete(tell())
+
+
+def find_senders(context, instance_id):
+    """Return the hosts that may send to an endpoint."""
+    now = context.loop.time()
+    found = []
+    for host in context.fleet.hosts:
+        endpoint = host.placement.find(instance_id)
+        if endpoint is not None and host.placement.may_send(endpoint, ENGINES, now):
+            found.append(host.address)
+    return found
+
+
+@then('within {seconds:f} s none of them may send to "{instance_id}"')
+def step_none_within(context, seconds, instance_id):
+    found = context.loop.run_until_complete(
+        context.fleet.wait_until(lambda: not find_senders(context, instance_id), seconds)
+    )
+    assert found, find_senders(context, instance_id)[:5]
+
+
+@then('none of them may send to "{instance_id}"')
+def step_none(context, instance_id):
+    assert not find_senders(context, instance_id), find_senders(context, instance_id)[:5]
+
+
+@then('all of them may send to "{instance_id}"')
+def step_all(context, instance_id):
+    assert len(find_senders(context, instance_id)) == len(context.fleet.hosts)
+
+
+@when('a host is killed and started again, with a list on which "{instance_id}" is ready')
+def step_restart(context, instance_id):
+    async def restart():
+        context.fleet.restart(context.fleet.hosts[0])
+        assert context.fleet.hosts[-1].placement.find(instance_id) is not None
+
+    context.loop.run_until_complete(restart())
+
+
+def update_records(context, change):
+    async def update():
+        for host in context.fleet.hosts:
+            records = [endpoint.record for endpoint in host.placement.endpoints()]
+            host.placement.update_endpoints(change(records), context.fleet.now)
+
+    context.loop.run_until_complete(update())
+
+
+@when('the record of "{instance_id}" lapses and returns')
+def step_lapse(context, instance_id):
+    endpoint = context.fleet.hosts[0].placement.find(instance_id)
+    update_records(context, lambda records: [r for r in records if r.instance_id != instance_id])
+    context.loop.run_until_complete(asyncio.sleep(1.0))
+    returned = dataclasses.replace(endpoint.record, sequence=2)
+    update_records(context, lambda records: [*records, returned])
+
+
+@when('"{instance_id}" starts again')
+def step_start_again(context, instance_id):
+    def restart(records):
+        return [
+            dataclasses.replace(r, started_ms=LATER_START_MS) if r.instance_id == instance_id else r
+            for r in records
+        ]
+
+    update_records(context, restart)
+
+
+@then('an answer of status {status:d} with "{value}" {says} that it leaves')
+def step_decode(context, status, value, says):
+    check_answer(status, value, says == "says")
+
+
+@then('an answer of status {status:d} with "" does not say that it leaves')
+def step_decode_empty(context, status):
+    check_answer(status, "", False)
+
+
+def check_answer(status, value, is_leaving):
+    answer = decode_answer(status, [(b"Server-Leaving", value.encode())])
+    assert answer.is_leaving == is_leaving, answer
+    assert bool(answer.misread_headers) != is_leaving, answer
+
+
+@when("{seconds:d} s pass in the fleet")
+def step_pass(context, seconds):
+    context.loop.run_until_complete(asyncio.sleep(float(seconds)))
+    update_records(context, lambda records: records)
+
+
+@then("no host remembers a leaving endpoint")
+def step_none_remembered(context):
+    known = {host.address: host.placement.leaving.known() for host in context.fleet.hosts}
+    assert not any(known.values()), known
