Leave the last engine that can be reached in use when it has just failed

Seen once beside load: 503 no_endpoint "no endpoint holds larch:1", 4 ms after one of two engines was killed (features/overload.feature, "An engine dies in the middle of a stream").

Cause: at most half of a pool is ejected for failures other than lost connections, but the half was counted over all members. With one engine unreachable and the other paused by any refusal or failure of its own (a poll that timed out, an earlier 503), both were ejected and the pool was empty. Evidence: three scenarios of features/endpoints.feature, which failed (status_503, broken, ReadTimeoutError), pass; that the red had this cause is likely, its own log was not kept.

--- a/features/endpoints.feature
+++ b/features/endpoints.feature
@@ -72,6 +72,19 @@
     When a call to each engine fails at 1.0 with "broken"
     Then the choices of 200 at 1.1 fall on exactly 2 engines
 
+  Scenario Outline: The last engine that can be reached gets requests although it has just failed: <reason>
+    # Guards against a pool that is left empty because a dead engine counts among those that remain.
+    Given an endpoint table with engines "e1, e2" of 8 slots in zone "a"
+    When a call to "e2" fails at 0.9 with "<reason>"
+    And a call to "e1" fails at 1.0 with "connect"
+    Then the chosen engine at 1.01 is "e2"
+
+    Examples:
+      | reason           |
+      | status_503       |
+      | broken           |
+      | ReadTimeoutError |
+
   Scenario: Simultaneous failures count as one
     # Forty streams break together when an engine restarts. They must cause the pause of
     # one failure, not of forty.
--- a/poplarrun/endpoints/_pool.py
+++ b/poplarrun/endpoints/_pool.py
@@ -8,8 +8,8 @@
 from poplarrun.rendezvous import choose_owner, hash_name
 from poplarrun.speeds import PoolSpeed
 
-# At most this fraction of a pool is ejected for broken answers. If the requests themselves cause
-# the failures, every endpoint would be ejected otherwise.
+# At most this fraction of the reachable endpoints of a pool is ejected for broken answers. If the
+# requests themselves cause the failures, every endpoint would be ejected otherwise.
 MAX_EJECTED_FRACTION = 0.5
 # A pool with fewer free slots for each endpoint counts as full. The sum over the pool is cached for
 # the time below.
@@ -79,7 +79,8 @@
             if not e.is_unreachable and not (e.consecutive_refusals and is_any_left)
         ]
         ejectable.sort(key=lambda e: e.paused_until)
-        max_ejected = int(len(self.members) * MAX_EJECTED_FRACTION)
+        reachable_count = sum(not e.is_unreachable for e in self.members)
+        max_ejected = int(reachable_count * MAX_EJECTED_FRACTION)
         not_ejected = {e.name for e in ejectable[: max(0, len(ejectable) - max_ejected)]}
         ejected = {e.name for e in paused} - not_ejected
         # The result may be empty. Then no endpoint can be reached and every call would fail, so
