Demo: wait until both hosts of the platform part have their shares of second sends

A host that has not heard the others yet makes no second sends and asks no larger model, as designed; the draft was the first request after the start. Shown without load: before the second host was heard the draft is answered whole by the small model (200, 5 events, 0 of the larger one, 2.01 s, the same as in the red), and by the larger one after it (5 of 5, 1.26 s). The demo waits for what the check needs, the check is as it was.

--- a/examples/installation.py
+++ b/examples/installation.py
@@ -23,6 +23,8 @@
             installation.add_endpoint(f"stock-{number}", "stock")
         for number in (0, 1):
             installation.start_host(number)
+        for number in (0, 1):
+            installation.wait_until_settled(number)
         check(True, "platform: 2 hosts ready, 2 model engines and 2 stock endpoints")
         _check_draft(installation, check)
         _check_order(installation, check)
--- a/standins/installation/_installation.py
+++ b/standins/installation/_installation.py
@@ -27,6 +27,8 @@
 CALL_TIMEOUT_S = 15.0
 # A host applies a changed file of cuts within this time.
 CUT_DELAY_S = 0.1
+# A host takes its shares once it has learned of no further host for somewhat less than this.
+SETTLE_S = 2.0
 API_KEY = "counter-key"
 HOST_NAME = "shop.example"
 MODEL_NAMES = ("small", "large")
@@ -180,6 +182,14 @@
 
         self.wait_for(has_found_all, f"host {number} knows {sorted(others)}")
 
+    def wait_until_settled(self, number: int) -> None:
+        """Wait until a host has its share of what all hosts may send again.
+
+        Before that it makes no second sends and asks no larger model.
+        """
+        self.wait_until_known(number)
+        time.sleep(SETTLE_S)
+
     def cut_host(self, number: int, cut: Cut | None, instance_ids: Iterable[str] = ()) -> None:
         """Cut a host's links to endpoints, to all of them by default, or mend them all."""
         cut_off = instance_ids or self.endpoints
