Choose as fast as before while no endpoint leaves or wants to be left alone

The demands were checked for each endpoint of each choice. The checks run only while a demand or a leaving endpoint is known. Refusals without an endpoint and the loads of peers stand in modules of their own.

--- a/features/steps/hold_off_decisions.py
+++ b/features/steps/hold_off_decisions.py
@@ -214,7 +214,7 @@
 
 @when("one engine asks for 3 s without requests")
 def step_one_rests(context):
-    context.placement.find("engine-1").record_hold_off(REST_S, NOW_S)
+    context.placement.record_hold_off(context.placement.find("engine-1"), REST_S, NOW_S)
     context.moved = send_prompts(context, NOW_S + 1.0)
 
 
--- a/features/steps/leaving.py
+++ b/features/steps/leaving.py
@@ -18,7 +18,8 @@
 @given('another endpoint "{instance_id}" of "{service}" serves as well')
 def step_another(context, instance_id, service):
     installation = context.installation
-    installation.add_endpoint(instance_id, service)
+    # Each host prefers the endpoint of its own zone.
+    installation.add_endpoint(instance_id, service, zone="b")
     for host in (0, 1):
         installation.wait_for(
             lambda host=host: instance_id in installation.read_log(host),
--- a/poplarrun/dispatch/__init__.py
+++ b/poplarrun/dispatch/__init__.py
@@ -1,7 +1,7 @@
 """Dispatch: admits requests, chooses their endpoints and decides on retries."""
 
 from poplarrun.dispatch._config_view import ConfigView
-from poplarrun.dispatch._dispatcher import ALL_HELD_OFF, Dispatcher, SendDecision
+from poplarrun.dispatch._dispatcher import Dispatcher, SendDecision
 from poplarrun.dispatch._failures import (
     AnswerFailed,
     Attempt,
@@ -15,6 +15,7 @@
     failure_label,
     may_have_run,
 )
+from poplarrun.dispatch._refusals import ALL_HELD_OFF
 from poplarrun.dispatch._timeouts import event_gap_timeout_s, first_event_timeout_s
 
 __all__ = [
--- a/poplarrun/dispatch/_dispatcher.py
+++ b/poplarrun/dispatch/_dispatcher.py
@@ -3,7 +3,6 @@
 All state is in memory, the time is passed in, and no network is used.
 """
 
-import zlib
 from collections.abc import Callable
 from dataclasses import dataclass
 
@@ -21,11 +20,11 @@
     may_have_run,
     was_responsive,
 )
-from poplarrun.dispatch._hold_offs import (
-    HeldOffEndpoint,
-    find_first_return,
-    find_kept_from,
-    plan_return_s,
+from poplarrun.dispatch._hold_offs import HeldOffEndpoint, find_kept_from
+from poplarrun.dispatch._refusals import (
+    explain_no_endpoint,
+    hash_to_unit_interval,
+    refuse_held_off,
 )
 from poplarrun.dispatch._retry_budgets import SharedRetryBudgets
 from poplarrun.errors import ErrorKind, Refusal
@@ -58,8 +57,6 @@
 # Fraction of the connections that an endpoint accepts from all hosts together that may be idle. The
 # rest is left for requests that need new ones.
 IDLE_CONNECTIONS_FRACTION = 0.5
-# Why a request is refused while all endpoints of its service want to be left alone.
-ALL_HELD_OFF = "all endpoints asked this host to stay away"
 # Urgency that an endpoint is given for the highest rank; each lower rank adds one.
 HIGHEST_RANK_URGENCY = 2
 
@@ -148,7 +145,7 @@
                 return Refusal(ErrorKind.UNAUTHENTICATED, "the key is not known")
             if not self.config_view.can_trust_keys(now):
                 return self._refuse(ErrorKind.NOT_READY, "keys are old", STALE_CONFIG_RETRY_DELAY_S)
-        service = route.choose_service(_hash_to_unit_interval(request.session_id or request.id))
+        service = route.choose_service(hash_to_unit_interval(request.session_id or request.id))
         timeout_s = min(request.time_left_s, route.latency.timeout_s)
         work = InFlightRequest(request, route, account, service, now, now + timeout_s)
         self.sizes.record_request(work)
@@ -318,7 +315,7 @@
 
     def record_hold_off(self, attempt: Attempt, seconds: float, now: float) -> None:
         """Record for how long the endpoint that rejected a request wants none from this host."""
-        attempt.estimate.endpoint.record_hold_off(seconds, now)
+        self.placement.record_hold_off(attempt.estimate.endpoint, seconds, now)
 
     def record_leaving(self, attempt: Attempt, now: float) -> bool:
         """Record that an endpoint says that it is leaving; True if that is new."""
@@ -434,28 +431,11 @@
         self, work: InFlightRequest, service: Service, now: float
     ) -> Refusal:
         """Refuse a request that no endpoint of its service may get now."""
-        first = find_first_return(self.placement, service.name, now)
-        if first is None or work.may_have_run:
-            return self._refuse_in_flight(work, ErrorKind.NO_ENDPOINT, self._explain_none(service))
-        position = _hash_to_unit_interval(work.request.id)
-        # The route's timeout ends one attempt; the caller has its own time for all of them.
-        time_left_s = work.request.time_left_s - (now - work.arrived_at)
-        retry_s = plan_return_s(first.hold_off, time_left_s, position, now)
-        age_s = now - first.hold_off.asked_at
-        detail = f"{first.instance_id} asked {age_s:.1f} s ago for {first.hold_off.seconds:.1f} s"
-        return Refusal(ErrorKind.NO_ENDPOINT, ALL_HELD_OFF, retry_after_s=retry_s, detail=detail)
-
-    def _explain_none(self, service: Service) -> str:
-        """Return why no endpoint of a service may get a request."""
-        zones = {endpoint.record.zone for endpoint in self.placement.endpoints(service.name)}
-        if not zones:
-            return "no endpoint is listed"
-        evacuated = sorted(zones & self.placement.evacuated_zones)
-        if len(evacuated) == len(zones):
-            return f"evacuated zones: {', '.join(evacuated)}"
-        return (
-            "all endpoints are leaving, evacuated, held off, at their limits, or brittle and full"
-        )
+        held_off = None if work.may_have_run else refuse_held_off(self.placement, work, now)
+        if held_off is not None:
+            return held_off
+        text = explain_no_endpoint(self.placement, service.name)
+        return self._refuse_in_flight(work, ErrorKind.NO_ENDPOINT, text)
 
     def _find_service(self, work: InFlightRequest) -> Service | None:
         catalogue = self.config_view.catalogue
@@ -492,7 +472,3 @@
     @staticmethod
     def _refuse(kind: ErrorKind, text: str, retry_after_s: float) -> Refusal:
         return Refusal(kind, text, retry_after_s=retry_after_s)
-
-
-def _hash_to_unit_interval(text: str) -> float:
-    return zlib.crc32(text.encode()) / 2.0**32
--- a/poplarrun/dispatch/_hold_offs.py
+++ b/poplarrun/dispatch/_hold_offs.py
@@ -3,7 +3,6 @@
 from dataclasses import dataclass
 
 from poplarrun.placement import (
-    NO_HOLD_OFF,
     EndpointState,
     HoldOff,
     Placement,
@@ -33,12 +32,11 @@
 
 def find_held_off(placement: Placement, service: str, now: float) -> list[HeldOffEndpoint]:
     """Return the endpoints of a service that want no request from this host now."""
-    found = []
-    for endpoint in placement.endpoints(service):
-        hold_off = placement.find_hold_off(endpoint, now)
-        if hold_off is not NO_HOLD_OFF and not placement.is_closed(endpoint):
-            found.append(HeldOffEndpoint(endpoint, hold_off))
-    return found
+    return [
+        HeldOffEndpoint(endpoint, hold_off)
+        for endpoint, hold_off in placement.held_off(now)
+        if endpoint.record.service == service and not placement.is_closed(endpoint)
+    ]
 
 
 def find_first_return(placement: Placement, service: str, now: float) -> HeldOffEndpoint | None:
--- a/poplarrun/gateway/_connector.py
+++ b/poplarrun/gateway/_connector.py
@@ -226,7 +226,7 @@
             if self._placement.leaving.record(record.instance_id, record.started_ms, now):
                 write_event(events.LeavingAnnounced(record.instance_id, helper.address))
         elif endpoint is not None:
-            endpoint.record_relay_hold_off(decline.retry_after_s, now)
+            self._placement.record_hold_off(endpoint, decline.retry_after_s, now, is_of_peer=True)
 
     def _record_declined(
         self, helper: Helper, record: EndpointRecord, request_id: str, reason: DeclineReason
--- a/poplarrun/gateway/_relay_desk.py
+++ b/poplarrun/gateway/_relay_desk.py
@@ -110,7 +110,7 @@
         now = seconds_since_boot()
         record = endpoint.record
         if answer.hold_off_s > 0.0:
-            endpoint.record_hold_off(answer.hold_off_s, now)
+            self._placement.record_hold_off(endpoint, answer.hold_off_s, now)
             self._metrics.count_event("hold_off_asked")
             write_event(events.HoldOffAsked(record.instance_id, answer.hold_off_s, request.origin))
         if answer.is_leaving and self._placement.leaving.record(
--- a/poplarrun/placement/_leaving.py
+++ b/poplarrun/placement/_leaving.py
@@ -30,8 +30,15 @@
 
 @dataclass
 class LeavingEndpoints:
-    """The endpoints that are known to leave, by instance id."""
+    """The endpoints that are known to leave, by instance id.
 
+    Attributes
+    ----------
+    is_any : bool
+        Whether any endpoint is known to leave.
+    """
+
+    is_any: bool = False
     _endpoints: dict[str, LeavingEndpoint] = field(default_factory=dict)
 
     def record(self, instance_id: str, started_ms: int, now: float) -> bool:
@@ -42,6 +49,7 @@
         if len(self._endpoints) >= MAX_REMEMBERED:
             del self._endpoints[next(iter(self._endpoints))]
         self._endpoints[instance_id] = LeavingEndpoint(instance_id, started_ms, now)
+        self.is_any = True
         return True
 
     def includes(self, instance_id: str, started_ms: int) -> bool:
@@ -60,3 +68,4 @@
             for instance_id, each in self._endpoints.items()
             if instance_id in listed or now - each.learned_at <= UNLISTED_TTL_S
         }
+        self.is_any = bool(self._endpoints)
--- a/poplarrun/placement/_placement.py
+++ b/poplarrun/placement/_placement.py
@@ -8,7 +8,6 @@
 import random
 from collections import OrderedDict
 from collections.abc import Container
-from dataclasses import dataclass
 
 from poplarrun.paths import EndpointGroup, PathTable
 from poplarrun.placement._brittle import BrittleServices, has_brittle_room
@@ -18,7 +17,8 @@
 from poplarrun.placement._hold_offs import NO_HOLD_OFF, HoldOff
 from poplarrun.placement._homes import choose_prompt_home
 from poplarrun.placement._leaving import LeavingEndpoints
-from poplarrun.placement._returns import may_return
+from poplarrun.placement._peer_loads import PeerLoads
+from poplarrun.placement._returns import RETURN_S, may_return
 from poplarrun.rendezvous import RankingCache
 from poplarrun.routing import InFlightRequest, Service
 from poplarrun.shares import BudgetShares, RateBounds, plan_rate
@@ -57,19 +57,6 @@
 INITIAL_TOKENS_PER_S = 25_000.0
 
 
-@dataclass(frozen=True, slots=True)
-class _PeerLoads:
-    """Loads of endpoints by another host: requests and pending prefill seconds."""
-
-    by_endpoint: dict[str, tuple[int, float]]
-    unlisted: tuple[int, float]
-
-    def mean_unlisted(self, endpoints: int) -> tuple[float, float]:
-        """Return the load of each of so many endpoints that are not listed."""
-        in_flight, pending_s = self.unlisted
-        return in_flight / max(1, endpoints), pending_s / max(1, endpoints)
-
-
 def group_of(record: EndpointRecord) -> EndpointGroup:
     """Return the group of endpoints with which this one is mostly reached or lost."""
     return EndpointGroup(record.service, record.zone)
@@ -112,8 +99,9 @@
         self.paths = PathTable()
         self.brittle = BrittleServices()
         self.leaving = LeavingEndpoints()
+        self._held_off: dict[str, EndpointState] = {}
         self.warm_up_bounds = RateBounds()
-        self._peer_loads: dict[str, _PeerLoads] = {}
+        self._peer_loads: dict[str, PeerLoads] = {}
         self._ranking = RankingCache()
         self._speeds: dict[tuple[str, str], PoolSpeed] = {}
 
@@ -189,9 +177,9 @@
         the slots of one that is brittle.
         """
         record = endpoint.record
-        if self.is_closed(endpoint) or self.find_hold_off(endpoint, now) is not NO_HOLD_OFF:
+        if record.is_leaving or record.zone in self.evacuated_zones:
             return False
-        if not may_return(endpoint, self.shares, now):
+        if (self._held_off or self.leaving.is_any) and not self._is_welcome(endpoint, now):
             return False
         brittleness = self.brittle.find(record.service, now)
         if brittleness is not None and not has_brittle_room(
@@ -208,6 +196,12 @@
             return True
         return self._has_share(endpoint, warm_up.rate_per_s, self.warm_up_bounds, now)
 
+    def _is_welcome(self, endpoint: EndpointState, now: float) -> bool:
+        """Return whether an endpoint neither leaves nor wants this host to stay away."""
+        if self.is_closed(endpoint) or self.find_hold_off(endpoint, now) is not NO_HOLD_OFF:
+            return False
+        return may_return(endpoint, self.shares, now)
+
     def is_closed(self, endpoint: EndpointState) -> bool:
         """Return whether an endpoint is leaving or in an evacuated zone."""
         record = endpoint.record
@@ -215,9 +209,42 @@
             return True
         return self.leaving.includes(record.instance_id, record.started_ms)
 
+    def record_hold_off(
+        self, endpoint: EndpointState, seconds: float, now: float, is_of_peer: bool = False
+    ) -> None:
+        """Record that an endpoint wants no request for some time.
+
+        Parameters
+        ----------
+        is_of_peer : bool
+            Whether it asked a peer, which therefore relays nothing to it.
+        """
+        if is_of_peer:
+            endpoint.record_relay_hold_off(seconds, now)
+        else:
+            endpoint.record_hold_off(seconds, now)
+        self._held_off[endpoint.record.instance_id] = endpoint
+
+    def held_off(self, now: float) -> list[tuple[EndpointState, HoldOff]]:
+        """Return the listed endpoints that want no request from this host now."""
+        if not self._held_off:
+            return []
+        found = []
+        for instance_id, endpoint in list(self._held_off.items()):
+            ends_at = max(endpoint.hold_off.until, endpoint.relay_hold_off.until)
+            if now >= ends_at + RETURN_S:
+                del self._held_off[instance_id]
+                continue
+            hold_off = self.find_hold_off(endpoint, now)
+            if hold_off is not NO_HOLD_OFF and self._endpoints.get(instance_id) is endpoint:
+                found.append((endpoint, hold_off))
+        return found
+
     def find_hold_off(self, endpoint: EndpointState, now: float) -> HoldOff:
         """Return the demand that keeps this host from an endpoint now; ``NO_HOLD_OFF`` for none."""
         hold_off = endpoint.hold_off
+        if hold_off is NO_HOLD_OFF and endpoint.relay_hold_off is NO_HOLD_OFF:
+            return NO_HOLD_OFF
         if now < endpoint.relay_hold_off.until and self.is_path_lost(endpoint, now):
             hold_off = max(hold_off, endpoint.relay_hold_off, key=lambda each: each.until)
         return hold_off if now < hold_off.until else NO_HOLD_OFF
@@ -249,7 +276,7 @@
         unlisted : tuple of int and float
             The sum of its load at all other endpoints, which are taken to be loaded alike.
         """
-        self._peer_loads[host] = _PeerLoads(loads, unlisted)
+        self._peer_loads[host] = PeerLoads(loads, unlisted)
         self._sum_peer_loads()
 
     def _sum_peer_loads(self) -> None:
--- a/poplarrun/placement/_returns.py
+++ b/poplarrun/placement/_returns.py
@@ -3,12 +3,14 @@
 import math
 
 from poplarrun.placement._endpoint_state import EndpointState
+from poplarrun.placement._hold_offs import NO_HOLD_OFF
 from poplarrun.shares import Budget, BudgetShares
 
 # Interval in seconds at which a host may send more after a demand has ended, and how many of them
 # until it may send as it likes.
 RETURN_STEP_S = 0.5
 RETURN_STEPS = 4
+RETURN_S = RETURN_STEPS * RETURN_STEP_S
 # Requests that a host may send beyond its share for each one that the endpoint has taken.
 REQUESTS_PER_TAKEN = 2
 
@@ -21,7 +23,7 @@
     endpoint takes.
     """
     returned_s = now - endpoint.hold_off.until
-    if returned_s >= RETURN_STEPS * RETURN_STEP_S:
+    if returned_s >= RETURN_S:
         return math.inf
     step = int(returned_s / RETURN_STEP_S)
     slots = endpoint.record.slots
@@ -33,8 +35,8 @@
 
 def may_return(endpoint: EndpointState, shares: BudgetShares, now: float) -> bool:
     """Return whether this host may send an endpoint one more request after a demand of it ended."""
-    returned_s = now - endpoint.hold_off.until
-    if math.isinf(returned_s):
+    if endpoint.hold_off is NO_HOLD_OFF:
         return True
+    returned_s = now - endpoint.hold_off.until
     room = count_return_room(endpoint, shares, now)
     return endpoint.count_sends(now, returned_s) < room
--- a/standins/hold_off_paths.py
+++ b/standins/hold_off_paths.py
@@ -87,7 +87,7 @@
             return True
         endpoint = host.placement.find(record.instance_id)
         if endpoint is not None:
-            endpoint.record_hold_off(hold_off_s, self.now)
+            host.placement.record_hold_off(endpoint, hold_off_s, self.now)
         if helper is not None:
             headers = ((b"X-Not-Executed", b"1"), (b"Retry-After", str(hold_off_s).encode()))
             helper.desk.record_answer(request, AnswerHead(503, headers))
