Restore the half that a row of the brittle endpoints owes, and list it as red

The row of 78 hosts before 78 slots was lowered from a half to a quarter because 0.44 was measured; bounds come from the target. With three entries that could not be traced, the list holds four, so the script's own cap of three would have kept a real fault from being listed. The cap is four now, and the script refuses entries that lack a field, which it did not check before.

--- a/features/brittle_endpoints.feature
+++ b/features/brittle_endpoints.feature
@@ -9,12 +9,12 @@
     Then they fall over at most 2 times and for a tenth of their number
     And they serve at least <least> of what they could
 
-    Examples: half, but where a host has one slot on average
+    Examples:
       | hosts | endpoints | slots | tolerated | load | least |
       | 6     | 3         | 6     | 3         | 2.0  | 0.5   |
       | 6     | 3         | 6     | 8         | 3.0  | 0.5   |
       | 6     | 3         | 64    | 5         | 1.5  | 0.5   |
-      | 78    | 13        | 6     | 3         | 2.0  | 0.25  |
+      | 78    | 13        | 6     | 3         | 2.0  | 0.5   |
       | 78    | 26        | 12    | 5         | 1.5  | 0.5   |
 
   Scenario: A zone without endpoints is served by those of other zones
--- a/scripts/run_features.py
+++ b/scripts/run_features.py
@@ -14,7 +14,9 @@
 
 ROOT = Path(__file__).resolve().parent.parent
 KNOWN_RED = ROOT / "KNOWN-RED.txt"
-MAX_KNOWN_RED = 3
+MAX_KNOWN_RED = 4
+# Scenario, command and seed, what was seen, cause, issue.
+KNOWN_RED_FIELDS = 5
 MAX_PARALLEL_FEATURES = 4
 FEATURE_TIMEOUT_S = 280
 
@@ -70,18 +72,31 @@
 
 
 def read_known_red() -> set[str]:
-    """Return the scenarios that are known to fail, as ``feature file: scenario name``."""
-    lines = KNOWN_RED.read_text().splitlines()
-    return {line.split("|")[0].strip() for line in lines if line.strip()}
+    """Return the scenarios that are known to fail, as ``feature file: scenario name``.
+
+    Raises
+    ------
+    ValueError
+        If there are too many, or one doesn't tell all that it must.
+    """
+    lines = [line for line in KNOWN_RED.read_text().splitlines() if line.strip()]
+    if len(lines) > MAX_KNOWN_RED:
+        raise ValueError(f"{len(lines)} scenarios, at most {MAX_KNOWN_RED} may be listed")
+    entries = [[field.strip() for field in line.split(" | ")] for line in lines]
+    for entry in entries:
+        if len(entry) != KNOWN_RED_FIELDS or not all(entry):
+            raise ValueError(f"not {KNOWN_RED_FIELDS} fields: {entry[0]}")
+    return {entry[0] for entry in entries}
 
 
 def main() -> int:
     """Run the given feature files, or all of them; return the exit code."""
     arguments = [Path(argument).resolve() for argument in sys.argv[1:]]
     paths = arguments or sorted(ROOT.glob("features/**/*.feature"))
-    known_red = read_known_red()
-    if len(known_red) > MAX_KNOWN_RED:
-        print(f"{KNOWN_RED.name} lists {len(known_red)} scenarios, at most {MAX_KNOWN_RED} may")
+    try:
+        known_red = read_known_red()
+    except ValueError as error:
+        print(f"{KNOWN_RED.name}: {error}")
         return 1
     passed = failed = 0
     with ThreadPoolExecutor(MAX_PARALLEL_FEATURES) as pool:
