--- a/features/steps/hold_off_fleets.py
+++ b/features/steps/hold_off_fleets.py
@@ -116,9 +116,10 @@
     "in the first tenth of a second after"
 )
 def step_few_first(context):
-    last_demand = {}
-    for arrival in context.fleet.arrivals:
-        if arrival.hold_off_s:
+    fleet, last_demand = context.fleet, {}
+    for arrival in fleet.arrivals:
+        # Endpoints whose waiting room is full ask for the same later on.
+        if arrival.hold_off_s and arrival.at < fleet.resting.get(arrival.instance_id, 0.0):
             pair = arrival.host, arrival.instance_id
             last_demand[pair] = arrival.at + arrival.hold_off_s
     first_end = {}
