--- a/features/hold_off.feature
+++ b/features/hold_off.feature
@@ -110,6 +110,13 @@
       | 421 not run, without an id, and asks for 3 s                   | does not keep |
       | 200, to "request-1", and asks for 3 s                          | does not keep |
 
+  Scenario: A helper remembers a demand of an endpoint whose record had lapsed
+    Given a helper that relays "request-1" to an endpoint
+    When the record of the endpoint lapses
+    And the endpoint answers 503 not run, to "request-1", and asks for 3 s
+    And the record of the endpoint returns
+    Then the helper keeps away from it
+
   Scenario Outline: When a refused caller should come back
     Then a caller with <left> s left, at <position> of those that are refused while the first demand of 3 s ends in <wait> s, comes back after <seconds> s
 
--- a/features/relay_faults.feature
+++ b/features/relay_faults.feature
@@ -49,6 +49,13 @@
       | sends a frame of 2 MB                 | closed                |
       | says nothing                          | closed                |
 
+  Scenario: A relayed connection that was kept open carries nothing once the endpoint wants no more
+    # Guards against a request that is told to have run, or runs, although its helper may not send it.
+    Given a helper that has opened a connection for a peer
+    When the endpoint asks the helper to stay away, and the peer sends its request
+    Then the peer learns that no byte of it was passed on
+    And the endpoint got no byte
+
   Scenario Outline: A relayed answer is complete only if the endpoint ended it
     # Guards against an answer without a length that looks complete because its helper died.
     Given a helper that relays a stream of bytes without a length
--- a/features/steps/hold_off_decisions.py
+++ b/features/steps/hold_off_decisions.py
@@ -172,6 +172,16 @@
     context.desk.record_answer(request, AnswerHead(status, tuple(headers)))
 
 
+@when("the record of the endpoint lapses")
+def step_helper_lapse(context):
+    context.placement.update_endpoints([], NOW_S)
+
+
+@when("the record of the endpoint returns")
+def step_helper_return(context):
+    context.placement.update_endpoints([make_endpoint_record("engine-0", sequence=2)], NOW_S)
+
+
 @then("the helper {keeps} away from it")
 def step_helper_keeps(context, keeps):
     endpoint = context.placement.find("engine-0")
--- a/features/steps/relays.py
+++ b/features/steps/relays.py
@@ -8,9 +8,10 @@
 from behave import given, then, use_step_matcher, when
 
 from poplarrun.cli._timeline import build_timeline, read_log_lines
+from poplarrun.paths import Decline, DeclineReason
 from poplarrun.relays import OpenRelay, RelayServer, RelayTarget, open_tunnel
 from poplarrun.relays._messages import encode_message
-from poplarrun.transport import ConnectionBroken
+from poplarrun.transport import ConnectionBroken, RequestWithheld
 from standins._ports import free_port
 from standins.installation import Cut, Fault
 from standins.installation._installation import API_KEY, HOST_NAME
@@ -329,12 +330,13 @@
 
     def __init__(self, address):
         self.address = address
+        self.decline = None
 
     def admit(self, request, peer_ip):
         return RelayTarget(self.address, 0.0)
 
     def check(self, request):
-        return None
+        return self.decline
 
     def record_failed(self, request):
         pass
@@ -354,12 +356,11 @@
         super().start(side, request)
 
 
-async def start_relay(context):
+async def open_relay(context):
     loop = asyncio.get_running_loop()
-    context.writers = []
     accepted = loop.create_future()
     server = await asyncio.start_server(
-        lambda _, writer: accepted.set_result(writer), "127.0.0.1", 0
+        lambda reader, writer: accepted.set_result((reader, writer)), "127.0.0.1", 0
     )
     address = f"127.0.0.1:{server.sockets[0].getsockname()[1]}"
     relay_address = f"127.0.0.1:{free_port()}"
@@ -368,7 +369,11 @@
     request = OpenRelay("127.0.0.1:1", "r", "e", 1, 1000)
     tunnel = await open_tunnel(relay_address, request, address, 2.0)
     context.tunnel = tunnel.connection
-    context.endpoint = await accepted
+    context.endpoint_reader, context.endpoint = await accepted
+
+
+async def start_relay(context):
+    await open_relay(context)
     assert context.tunnel.send(b"GET", b"/", [(b"Host", b"x")], b"")
     context.endpoint.write(b"HTTP/1.1 200 OK\r\n\r\npart one")
     head = await context.tunnel.read_head()
@@ -376,6 +381,41 @@
     assert await context.tunnel.read_data() == b"part one"
 
 
+@given("a helper that has opened a connection for a peer")
+def step_open_relay(context):
+    context.loop = asyncio.new_event_loop()
+    context.add_cleanup(context.loop.close)
+    context.loop.run_until_complete(open_relay(context))
+
+
+@when("the endpoint asks the helper to stay away, and the peer sends its request")
+def step_withheld(context):
+    context.relay.decisions.decline = Decline(DeclineReason.HELD_OFF, 2.0)
+
+    async def run():
+        assert context.tunnel.send(b"POST", b"/", [(b"Host", b"x")], b"one ring")
+        try:
+            await context.tunnel.read_head()
+        except RequestWithheld as error:
+            return error
+        return None
+
+    context.error = context.loop.run_until_complete(run())
+
+
+@then("the peer learns that no byte of it was passed on")
+def step_learns(context):
+    assert isinstance(context.error, RequestWithheld), context.error
+
+
+@then("the endpoint got no byte")
+def step_no_byte(context):
+    async def read():
+        return await asyncio.wait_for(context.endpoint_reader.read(100), 2.0)
+
+    assert context.loop.run_until_complete(read()) == b""
+
+
 @when("the endpoint closes its side")
 def step_endpoint_closes(context):
     context.endpoint.close()
--- a/poplarrun/gateway/_relay_desk.py
+++ b/poplarrun/gateway/_relay_desk.py
@@ -74,11 +74,8 @@
         return decline
 
     def _find_endpoint(self, request: OpenRelay) -> EndpointState | None:
-        """Return the endpoint that is meant, if this host knows its start."""
-        endpoint = self._placement.find(request.instance_id)
-        if endpoint is None or endpoint.record.started_ms != request.started_ms:
-            return None
-        return endpoint
+        """Return the endpoint that is meant, if this host lists its start."""
+        return _check_start(self._placement.find(request.instance_id), request)
 
     def _describe(self, endpoint: EndpointState | None, knows_peer: bool) -> HelperState:
         now = seconds_since_boot()
@@ -103,7 +100,8 @@
 
     def record_answer(self, request: OpenRelay, head: AnswerHead) -> None:
         """Record what an endpoint says to this host, whose connection it answers."""
-        endpoint = self._find_endpoint(request)
+        # A record may lapse while its endpoint answers.
+        endpoint = _check_start(self._placement.recall(request.instance_id), request)
         answer = decode_answer(head.status, head.headers)
         if endpoint is None or not _is_trusted(answer, request.request_id):
             return
@@ -138,6 +136,13 @@
         )
 
 
+def _check_start(endpoint: EndpointState | None, request: OpenRelay) -> EndpointState | None:
+    """Return an endpoint if it is the start that a peer means."""
+    if endpoint is None or endpoint.record.started_ms != request.started_ms:
+        return None
+    return endpoint
+
+
 def _is_trusted(answer: EndpointAnswer, request_id: str) -> bool:
     """Return whether an answer is that of the endpoint that was meant, to the relayed request.
 
--- a/poplarrun/placement/_placement.py
+++ b/poplarrun/placement/_placement.py
@@ -302,6 +302,10 @@
         """Return an endpoint by its instance id."""
         return self._endpoints.get(instance_id)
 
+    def recall(self, instance_id: str) -> EndpointState | None:
+        """Return an endpoint by its instance id, also one whose record has lapsed."""
+        return self._endpoints.get(instance_id) or self._unlisted.get(instance_id)
+
     def speed(self, service: str, size: str) -> PoolSpeed:
         """Return the measured prefill speed of a model."""
         speed = self._speeds.get((service, size))
