Log how current the list of endpoints was at each send, and what proved it

RequestSent now has the age of the list, what proved it (an own read, or a peer), and whether the endpoint is listed only because its record lapsed. ZoneReaderSilent tells that a host reads for itself. Endpoints that a peer's whole list adds or removes are logged; before, such an endpoint was never logged as gone.

--- a/features/shared_reading.feature
+++ b/features/shared_reading.feature
@@ -139,3 +139,17 @@
     Given a document follower that has read records 0 to 1
     When a peer's documents arrive while this host reads the same ones
     Then this host sends them to nobody
+
+  Scenario: The log tells how current the list was by which an endpoint was chosen
+    # Guards against a request to an endpoint that has left of which nobody can tell what its host knew.
+    Given a listing follower that has read records 0 to 1
+    When a peer that has read up to record 1 proves its list current 0.5 s ago
+    Then the list is about 0.5 s old, proven by that peer, and endpoint 0 has not lapsed
+    When it receives from a peer that record 2 removes endpoint 0 after an outage
+    Then endpoint 0 has lapsed
+
+  Scenario: Endpoints that a peer's list no longer has are logged
+    # Guards against endpoints of which the log never says that they are gone.
+    Given a listing follower that has read records 0 to 1
+    When a peer's whole list removes endpoint 0
+    Then the removal of endpoint 0 is logged once
--- a/features/steps/shared_reading.py
+++ b/features/steps/shared_reading.py
@@ -8,7 +8,7 @@
 from features.steps.gateway_world import make_placement
 from poplarrun.dispatch import ConfigView
 from poplarrun.evacuations import ZoneOrder
-from poplarrun.gateway import _document_follower, _state_exchange
+from poplarrun.gateway import _document_follower, _listing_follower, _state_exchange
 from poplarrun.gateway._document_follower import DocumentFollower, DocumentUpdate
 from poplarrun.gateway._listing_follower import ListingFollower
 from poplarrun.gateway._reading import SharedReader
@@ -175,7 +175,7 @@
 
 @when("a peer that has read up to record {last:d} proves its list current at {at:f}")
 def step_proves(context, last, at):
-    context.follower.record_proof(last + 1, at)
+    context.follower.record_proof(last + 1, at, PEER)
 
 
 @then("its list is proven current as of {at:f}")
@@ -421,3 +421,33 @@
 @then("this host sends them to nobody")
 def step_sent_nothing(context):
     assert context.sent == [], context.sent
+
+
+@when("a peer that has read up to record {last:d} proves its list current {age:f} s ago")
+def step_proves_age(context, last, age):
+    context.follower.record_proof(last + 1, seconds_since_boot() - age, PEER)
+
+
+@then("the list is about {age:f} s old, proven by that peer, and endpoint 0 has not lapsed")
+def step_list_state(context, age):
+    state = context.follower.describe("engine-0", context.follower.confirmed_at + age)
+    assert abs(state.age_s - age) < 1e-6 and state.proven_by == PEER, state
+    assert not state.is_lapsed
+
+
+@then("endpoint {number:d} has lapsed")
+def step_lapsed(context, number):
+    assert context.follower.describe(f"engine-{number}", seconds_since_boot()).is_lapsed
+
+
+@when("a peer's whole list removes endpoint {number:d}")
+def step_peer_list(context, number):
+    context.written = []
+    with patch.object(_listing_follower, "write_event", context.written.append):
+        for _ in range(2):
+            context.follower.apply_peer_listing([], [f"engine-{number}"], seconds_since_boot())
+
+
+@then("the removal of endpoint {number:d} is logged once")
+def step_removal_logged(context, number):
+    assert context.written == [events.EndpointsGone([f"engine-{number}"], "removed")]
--- a/poplarrun/gateway/_host.py
+++ b/poplarrun/gateway/_host.py
@@ -148,6 +148,7 @@
             self._placement,
             SharedReader(ENDPOINTS, peer_table, timeouts),
         )
+        self._recorder.describe_listing = self._listings.describe
         self._peering = Peering(
             peer_table,
             NngLinks(settings.peer_address),
--- a/poplarrun/gateway/_listing_follower.py
+++ b/poplarrun/gateway/_listing_follower.py
@@ -1,12 +1,19 @@
 """Follower of the list of endpoints."""
 
 import asyncio
-from collections.abc import Callable
+from collections.abc import Callable, Iterable
+from dataclasses import dataclass
 
 from poplarrun.gateway._reading import SharedReader, publish_nothing
 from poplarrun.gateway._store_health import READ_PAUSE_S, RETRY_DELAY_S, StoreHealth
 from poplarrun.logging import events, write_event
-from poplarrun.placement import LAPSE_GRACE_S, DirectoryEvent, EndpointDirectory, Placement
+from poplarrun.placement import (
+    LAPSE_GRACE_S,
+    DirectoryEvent,
+    EndpointDirectory,
+    EndpointRecord,
+    Placement,
+)
 from poplarrun.platform import (
     ENDPOINT_TOPIC,
     Entry,
@@ -22,6 +29,30 @@
 
 # Records removed within this time after an outage may be those of live endpoints.
 LAPSE_WINDOW_S = 0.8
+# What proved the list current, if this host read the store itself.
+OWN_READ = "store"
+
+
+@dataclass(frozen=True, slots=True)
+class ListingState:
+    """What is known of the list of endpoints when one of them is chosen.
+
+    Attributes
+    ----------
+    age_s : float
+        How long ago the list was surely current.
+    proven_by : str
+        ``store`` for a read of this host, else the address of the peer that proved it.
+    is_lapsed : bool
+        Whether the endpoint is listed only because its record may have expired in an outage.
+    """
+
+    age_s: float
+    proven_by: str
+    is_lapsed: bool
+
+
+UNKNOWN_LISTING = ListingState(float("inf"), "", False)
 
 
 def _publish_no_changes(entries: tuple[Entry, ...], is_lapse: bool) -> None:
@@ -41,6 +72,7 @@
         self.has_read_store = False
         self.is_usable = False
         self.confirmed_at = float("-inf")
+        self._proven_by = ""
         self.reader = reader
         self.publish_proof: Callable[[], None] = publish_nothing
         self.publish_changes: Callable[[tuple[Entry, ...], bool], None] = _publish_no_changes
@@ -82,10 +114,20 @@
                 return False
         self.reader.has_failed = False
         self._record_answer(now)
-        self.confirmed_at = max(self.confirmed_at, confirmed_at)
+        self._confirm(confirmed_at, OWN_READ)
         self._placement.update_endpoints(self._directory.records(), now)
         return True
 
+    def _confirm(self, confirmed_at: float, proven_by: str) -> None:
+        if confirmed_at > self.confirmed_at:
+            self.confirmed_at, self._proven_by = confirmed_at, proven_by
+
+    def describe(self, instance_id: str, now: float) -> ListingState:
+        """Return what is known of the list, and of an endpoint's place in it."""
+        return ListingState(
+            now - self.confirmed_at, self._proven_by, self._directory.is_lapsed(instance_id)
+        )
+
     def _apply_records(self, entries: tuple[Entry, ...], now: float) -> None:
         is_lapse = self._may_have_expired(now)
         for entry in entries:
@@ -95,14 +137,14 @@
             self._directory.next_offset = max(self._directory.next_offset, entries[-1].offset + 1)
             self.publish_changes(entries, is_lapse)
 
-    def record_proof(self, end: int, confirmed_at: float) -> None:
-        """Record that a peer had read all records of the store at a time."""
+    def record_proof(self, end: int, confirmed_at: float, peer: str) -> None:
+        """Record that a peer, given by its address, had read all records at a time."""
         if not self.has_read_store:
             return
         if end > self._directory.next_offset:
             self.reader.read_now()
         elif end == self._directory.next_offset:
-            self.confirmed_at = max(self.confirmed_at, confirmed_at)
+            self._confirm(confirmed_at, peer)
             self._health.record_proof(confirmed_at)
 
     def available_s(self, now: float) -> float:
@@ -135,13 +177,19 @@
         self.reader.record_caught_up()
         self._placement.update_endpoints(self._directory.records(), now)
 
-    def apply_peer_listing(self) -> None:
-        """Use the endpoints that a peer sent.
+    def apply_peer_listing(
+        self, records: Iterable[EndpointRecord], removed: Iterable[str], now: float
+    ) -> None:
+        """Apply all endpoints that a peer lists, and those that it removed.
 
         The read offset stays, so that this host reads the peer's records again.
         """
+        for record in records:
+            self._apply_record(record, now)
+        for instance_id in removed:
+            self._remove(instance_id, now, False)
         self.is_usable = True
-        self._placement.update_endpoints(self._directory.records(), seconds_since_boot())
+        self._placement.update_endpoints(self._directory.records(), now)
 
     async def _read(self) -> LatestRecords | Records | OffsetExpired | Refused | NoAnswer:
         if not self.has_read_store:
@@ -174,6 +222,9 @@
         if record is None:
             write_event(events.RecordIgnored(entry.key))
             return
+        self._apply_record(record, now)
+
+    def _apply_record(self, record: EndpointRecord, now: float) -> None:
         event = self._directory.apply(record, now)
         if event not in (DirectoryEvent.NOTHING, DirectoryEvent.CHANGED):
             write_event(
--- a/poplarrun/gateway/_reading.py
+++ b/poplarrun/gateway/_reading.py
@@ -5,9 +5,13 @@
 import math
 from collections.abc import Callable
 
+from poplarrun.logging import events, write_event
 from poplarrun.peers import DEFAULT_READ_TIMEOUTS, PeerTable, ReadSchedule, ReadTimeouts
 from poplarrun.transport import seconds_since_boot
 
+# Least time in seconds between two log lines about a silent reader.
+SILENCE_LOG_INTERVAL_S = 5.0
+
 
 def publish_nothing() -> None:
     """Do nothing; what a follower publishes until it is connected to peers."""
@@ -38,6 +42,7 @@
         self._peer_table = peer_table
         self._schedule = ReadSchedule(timeouts)
         self._wake_event = asyncio.Event()
+        self._silence_logged_at = -math.inf
 
     @property
     def long_poll_s(self) -> float:
@@ -79,7 +84,16 @@
             with contextlib.suppress(TimeoutError):
                 async with asyncio.timeout(wait_s):
                     await self._wake_event.wait()
+        self._log_silence(confirmed_at(), seconds_since_boot())
         self.record_caught_up()
 
+    def _log_silence(self, confirmed_at: float, now: float) -> None:
+        rank, age_s = self._rank(), now - confirmed_at
+        if rank == 0 or age_s < self.timeouts.proof_timeout_s:
+            return
+        if now - self._silence_logged_at >= SILENCE_LOG_INTERVAL_S:
+            self._silence_logged_at = now
+            write_event(events.ZoneReaderSilent(self._topic, rank, min(age_s, 1e6)))
+
     def _rank(self) -> int:
         return self._peer_table.reader_rank(self._topic, seconds_since_boot())
--- a/poplarrun/gateway/_records.py
+++ b/poplarrun/gateway/_records.py
@@ -1,6 +1,7 @@
 """Log events and metrics about requests."""
 
 import dataclasses
+from collections.abc import Callable
 
 from poplarrun.dispatch import (
     ALL_HELD_OFF,
@@ -11,6 +12,7 @@
     may_have_run,
 )
 from poplarrun.errors import Refusal, response_for
+from poplarrun.gateway._listing_follower import UNKNOWN_LISTING, ListingState
 from poplarrun.logging import events, write_event
 from poplarrun.metrics import Metrics
 from poplarrun.placement import EndpointState
@@ -18,6 +20,10 @@
 from poplarrun.transport import seconds_since_boot
 
 
+def _know_nothing(instance_id: str, now: float) -> ListingState:
+    return UNKNOWN_LISTING
+
+
 class RequestRecorder:
     """Logs and counts the decisions about requests.
 
@@ -27,12 +33,16 @@
         Version of the configuration in force; -1 for none.
     config_age_s : float
         How long ago the configuration was surely current.
+    describe_listing : callable
+        Returns what is known of the list of endpoints and of one in it, given its instance id and
+        the time.
     """
 
     def __init__(self, metrics: Metrics) -> None:
         self._metrics = metrics
         self.config_version = -1
         self.config_age_s = 0.0
+        self.describe_listing: Callable[[str, float], ListingState] = _know_nothing
 
     def record_admitted(self, work: InFlightRequest, now: float) -> None:
         """Record that a request was admitted."""
@@ -77,6 +87,7 @@
             self._metrics.count_event("moved_by_hold_off")
             kept_from = send.kept_from.instance_id
             asked_s_ago = now - send.kept_from.hold_off.asked_at
+        listing = self.describe_listing(endpoint.record.instance_id, now)
         write_event(
             events.RequestSent(
                 work.request.id,
@@ -95,6 +106,9 @@
                 helper,
                 kept_from,
                 asked_s_ago,
+                listing.age_s,
+                listing.proven_by,
+                listing.is_lapsed,
             )
         )
 
--- a/poplarrun/gateway/_state_exchange.py
+++ b/poplarrun/gateway/_state_exchange.py
@@ -120,7 +120,7 @@
             self._listings.record_available(now - digest.store_available_s, sent_at)
         listed_at = self._peer_table.proven_at(digest, digest.listing_age_s)
         if listed_at is not None:
-            self._listings.record_proof(digest.listing_end_offset, listed_at)
+            self._listings.record_proof(digest.listing_end_offset, listed_at, digest.address)
         wants_config = self._is_config_overdue(digest.config_version, version, now)
         is_listing_old = now - self._listings.confirmed_at > MAX_LISTING_AGE_S
         wants_listing = is_listing_old and digest.listing_age_s < MAX_LISTING_AGE_S
@@ -197,8 +197,8 @@
                 write_event(events.DocumentIgnored("config of a peer", str(error)))
         if not response.endpoints and not response.removed:
             return
-        for listed in response.endpoints:
-            record = EndpointRecord(
+        records = [
+            EndpointRecord(
                 listed.instance_id,
                 listed.service,
                 listed.address,
@@ -210,7 +210,6 @@
                 listed.started_ms,
                 listed.sequence,
             )
-            self._directory.apply(record, now)
-        for instance_id in response.removed:
-            self._directory.remove(instance_id, now)
-        self._listings.apply_peer_listing()
+            for listed in response.endpoints
+        ]
+        self._listings.apply_peer_listing(records, response.removed, now)
--- a/poplarrun/logging/_endpoint_events.py
+++ b/poplarrun/logging/_endpoint_events.py
@@ -270,6 +270,27 @@
     reason: str
 
 
+@dataclass(frozen=True, slots=True)
+class ZoneReaderSilent(Event):
+    """No host of the zone has proven this host's state current, so it reads the store itself.
+
+    Attributes
+    ----------
+    topic : str
+        What is read.
+    rank : int
+        Number of hosts of the zone that precede this one as reader.
+    age_s : float
+        How long ago the state was surely current.
+    """
+
+    component: ClassVar[str] = "hosts"
+    message: ClassVar[str] = "The zone's reader is silent; reading the store itself."
+    topic: str
+    rank: int
+    age_s: float
+
+
 @dataclass(frozen=True, slots=True)
 class RecordIgnored(Event):
     """A record of the endpoint list is invalid and ignored."""
--- a/poplarrun/logging/_events.py
+++ b/poplarrun/logging/_events.py
@@ -29,6 +29,7 @@
     ServicesUnreached,
     ShareLoansChanged,
     ZoneEvacuated,
+    ZoneReaderSilent,
 )
 from poplarrun.logging._event import Event
 from poplarrun.logging._rollout_events import (
@@ -70,6 +71,7 @@
     "ShareLoansChanged",
     "VersionProven",
     "ZoneEvacuated",
+    "ZoneReaderSilent",
 ]
 
 
@@ -110,6 +112,12 @@
         Endpoint to which it would have gone, had it not asked this host to stay away.
     asked_s_ago : float, optional
         How long ago it asked for that.
+    list_age_s : float
+        How long ago the list of endpoints was surely current.
+    list_proven_by : str
+        What proved that: ``store``, or the address of a peer.
+    is_lapsed : bool
+        Whether the endpoint is listed only because its record may have expired in an outage.
     """
 
     component: ClassVar[str] = "request"
@@ -131,6 +139,9 @@
     helper: str
     kept_from: str = ""
     asked_s_ago: float | None = None
+    list_age_s: float = 0.0
+    list_proven_by: str = ""
+    is_lapsed: bool = False
 
 
 @dataclass(frozen=True, slots=True)
--- a/poplarrun/placement/_endpoint_directory.py
+++ b/poplarrun/placement/_endpoint_directory.py
@@ -92,6 +92,11 @@
         entry = self._entries.get(instance_id)
         return None if entry is None else entry.record
 
+    def is_lapsed(self, instance_id: str) -> bool:
+        """Return whether an endpoint is listed although its record was removed."""
+        entry = self._entries.get(instance_id)
+        return entry is not None and entry.lapsed_at is not None
+
     def apply(self, record: EndpointRecord, now: float) -> DirectoryEvent:
         """Apply an endpoint's record, unless it is older than the latest one."""
         entry = self._entries.get(record.instance_id)
