--- a/poplarrun/gateway/_host.py
+++ b/poplarrun/gateway/_host.py
@@ -162,6 +162,7 @@
             self._dispatcher.reachability,
             self._dispatcher.crash_guard.watch,
         )
+        self.metrics.attach_peer_bytes(self._peering.sender.bytes_by_kind)
         self._dispatcher.on_prompt_sent = self._peering.publish_load
         self._rollout_controller = RolloutController(
             self._store,
--- a/poplarrun/gateway/_peering.py
+++ b/poplarrun/gateway/_peering.py
@@ -14,6 +14,7 @@
 from poplarrun.gateway._document_follower import DocumentFollower
 from poplarrun.gateway._leaving_exchange import LeavingExchange
 from poplarrun.gateway._listing_follower import ListingFollower
+from poplarrun.gateway._message_sender import MessageSender
 from poplarrun.gateway._reachability import ReachabilityExchange
 from poplarrun.gateway._sessions import SessionLookup
 from poplarrun.gateway._share_loans import ShareLoanExchange
@@ -50,7 +51,6 @@
     StateRequest,
     StateResponse,
     decode_message,
-    encode_message,
     encode_totals,
 )
 from poplarrun.placement import (
@@ -108,6 +108,8 @@
 
     Attributes
     ----------
+    sender : MessageSender
+        Sends all messages of this host to others.
     handle_load_test : callable
         Called with another host's message about a load test, and the time.
     """
@@ -128,6 +130,7 @@
     ) -> None:
         self.peer_table = peer_table
         self._links = links
+        self.sender = MessageSender(links)
         self._store = store
         self._config_view = config_view
         self._documents = documents
@@ -143,9 +146,9 @@
         self._crashes = CrashExchange(crash_watch, placement)
         self._notice_budget = NoticeBudget()
         self._activity = ActivityExchange(peer_table.zone, placement, rollouts)
-        self.sessions = SessionLookup(peer_table, links, rollouts)
+        self.sessions = SessionLookup(peer_table, self.sender, rollouts)
         self._state = StateExchange(
-            peer_table, links, config_view, documents, listings, directory, placement
+            peer_table, self.sender, config_view, documents, listings, directory, placement
         )
         self._started_at = float("inf")
         self._alive_addresses: set[str] = set()
@@ -175,16 +178,15 @@
         if not self._notice_budget.try_spend(estimate.prefill_s, len(peers) + 1, now):
             return
         drain_ms = int(estimate.drain_s * MILLISECONDS_PER_S)
-        message = encode_message(LoadNotice(estimate.endpoint.record.instance_id, drain_ms))
-        for peer in peers:
-            self._links.send(peer.address, message)
+        notice = LoadNotice(estimate.endpoint.record.instance_id, drain_ms)
+        self.sender.send_to_all([peer.address for peer in peers], notice)
 
     def send_load_test(self, address: str, message: LoadTestMessage) -> None:
         """Send a message about a load test to a host, which may be this one."""
         if address == self.peer_table.address:
             self.handle_load_test(message, seconds_since_boot())
             return
-        self._links.send(address, encode_message(message))
+        self.sender.send(address, message)
 
     def job_owner(self, service: str) -> str:
         """Return the address of the alive host that comes first for a service's roll-outs."""
@@ -284,7 +286,7 @@
         self._rosters.expire(now)
         self._reachability.update_placement(now)
         for peer, notice in self._reachability.due_notices(now):
-            self._links.send(peer.address, encode_message(notice))
+            self.sender.send(peer.address, notice)
         due = self.peer_table.due_digests(
             now,
             REPORT_INTERVAL_S,
@@ -298,7 +300,7 @@
         self.sessions.publish()
         self._update_alive(now)
         for lender, ask in self._share_loans.plan_asks(now).items():
-            self._links.send(lender, encode_message(ask))
+            self.sender.send(lender, ask)
 
     def _update_rollout_states(self, now: float) -> bool:
         """Return whether the state of a roll-out has changed since the last call."""
@@ -345,7 +347,7 @@
             echo_delay_s=now - peer.heard_at if peer.last_stamp else 0.0,
             included_stamp=included_stamp,
         )
-        self._links.send(peer.address, encode_message(message))
+        self.sender.send(peer.address, message)
 
     def _update_alive(self, now: float) -> None:
         self._placement.silent_zones = self.peer_table.silent_zones(now)
@@ -394,9 +396,7 @@
             case Roster() as roster:
                 self._handle_roster(roster, now)
             case StateRequest() as request:
-                self._links.send(
-                    request.address, encode_message(self._state.make_response(request))
-                )
+                self.sender.send(request.address, self._state.make_response(request))
             case StateResponse() as response:
                 self._state.apply_response(response, now)
             case EndpointChanges() as changes:
@@ -419,7 +419,7 @@
                 self.sessions.apply_pinned(pinned)
             case LoanAsk() as ask:
                 answer = self._share_loans.answer(ask, now)
-                self._links.send(ask.address, encode_message(answer))
+                self.sender.send(ask.address, answer)
             case LoanAnswer() as loan_answer:
                 self._share_loans.apply_answer(loan_answer, now)
             case SessionQuery() as session_query:
@@ -465,9 +465,7 @@
         if now - self._roster_requested_at.get(key, float("-inf")) < ROSTER_REQUEST_INTERVAL_S:
             return
         self._roster_requested_at[key] = now
-        self._links.send(
-            digest.address, encode_message(RosterRequest(self.peer_table.address, fingerprint.zone))
-        )
+        self.sender.send(digest.address, RosterRequest(self.peer_table.address, fingerprint.zone))
 
     def _handle_roster(self, roster: Roster, now: float) -> None:
         # Rosters that were not requested from their sender are ignored.
@@ -480,7 +478,7 @@
         hosts = self._rosters.roster(request.zone, now)
         age_s = self._rosters.roster_age_s(request.zone, now)
         roster = Roster(self.peer_table.address, request.zone, hosts, age_s)
-        self._links.send(request.address, encode_message(roster))
+        self.sender.send(request.address, roster)
 
 
 def _decode_zone(entry: Entry) -> str:
--- a/poplarrun/gateway/_sessions.py
+++ b/poplarrun/gateway/_sessions.py
@@ -6,8 +6,8 @@
 from collections import defaultdict
 from dataclasses import dataclass
 
-from poplarrun.links import Links
-from poplarrun.peers import PeerTable, PinnedSessions, SessionAnswer, SessionQuery, encode_message
+from poplarrun.gateway._message_sender import MessageSender
+from poplarrun.peers import PeerTable, PinnedSessions, SessionAnswer, SessionQuery
 from poplarrun.rollouts import PinnedSession, Rollouts, SessionKey
 from poplarrun.routing import InFlightRequest
 from poplarrun.transport import seconds_since_boot
@@ -32,9 +32,9 @@
     grow with the number of hosts.
     """
 
-    def __init__(self, peer_table: PeerTable, links: Links, rollouts: Rollouts) -> None:
+    def __init__(self, peer_table: PeerTable, sender: MessageSender, rollouts: Rollouts) -> None:
         self._peer_table = peer_table
-        self._links = links
+        self._sender = sender
         self._rollouts = rollouts
         self._query_ids = itertools.count(1)
         self._pending_queries: dict[int, _PendingQuery] = {}
@@ -48,7 +48,7 @@
                     pin.key.session_hash
                 )
         for (owner, service, offset), session_hashes in hashes_by_receiver.items():
-            self._links.send(owner, encode_message(PinnedSessions(service, offset, session_hashes)))
+            self._sender.send(owner, PinnedSessions(service, offset, session_hashes))
 
     def apply_pinned(self, message: PinnedSessions) -> None:
         """Store pinned sessions that another host sent."""
@@ -60,7 +60,7 @@
         """Answer another host's query."""
         pin = PinnedSession(SessionKey(query.service, query.session_hash), query.offset)
         is_pinned = self._rollouts.sessions.is_pinned(pin)
-        self._links.send(query.address, encode_message(SessionAnswer(query.query_id, is_pinned)))
+        self._sender.send(query.address, SessionAnswer(query.query_id, is_pinned))
 
     def handle_answer(self, answer: SessionAnswer) -> None:
         """Apply an answer; one owner that knows the session as pinned suffices."""
@@ -89,14 +89,11 @@
         pending = _PendingQuery(pin, awaited_answers, asyncio.get_running_loop().create_future())
         self._pending_queries[query_id] = pending
         service, session_hash = pin.key.service, pin.key.session_hash
-        message = encode_message(
-            SessionQuery(
-                self._peer_table.address, query_id, service, pin.order_offset, session_hash
-            )
+        query = SessionQuery(
+            self._peer_table.address, query_id, service, pin.order_offset, session_hash
         )
         try:
-            for owner in owners:
-                self._links.send(owner, message)
+            self._sender.send_to_all(owners, query)
             with contextlib.suppress(TimeoutError):
                 async with asyncio.timeout(ANSWER_TIMEOUT_S):
                     await pending.answer
--- a/poplarrun/gateway/_state_exchange.py
+++ b/poplarrun/gateway/_state_exchange.py
@@ -4,7 +4,7 @@
 from poplarrun.evacuations import ZoneOrder
 from poplarrun.gateway._document_follower import DocumentFollower, DocumentUpdate
 from poplarrun.gateway._listing_follower import ListingFollower
-from poplarrun.links import Links
+from poplarrun.gateway._message_sender import MessageSender
 from poplarrun.logging import events, write_event
 from poplarrun.peers import (
     ChangedRecord,
@@ -18,7 +18,6 @@
     StateResponse,
     ZoneEvacuation,
     decode_records,
-    encode_message,
     encode_records,
 )
 from poplarrun.placement import EndpointDirectory, EndpointRecord, Placement
@@ -44,7 +43,7 @@
     def __init__(
         self,
         peer_table: PeerTable,
-        links: Links,
+        sender: MessageSender,
         config_view: ConfigView,
         documents: DocumentFollower,
         listings: ListingFollower,
@@ -52,7 +51,7 @@
         placement: Placement,
     ) -> None:
         self._peer_table = peer_table
-        self._links = links
+        self._sender = sender
         self._config_view = config_view
         self._documents = documents
         self._listings = listings
@@ -68,26 +67,24 @@
         """Send records of endpoints to the hosts of this zone."""
         records = [ChangedRecord(entry.key, entry.value) for entry in entries]
         start, end = entries[0].offset, entries[-1].offset + 1
-        message = encode_message(
-            EndpointChanges(self._peer_table.address, start, end, is_lapse, records)
-        )
-        for peer in self._peer_table.zone_peers(seconds_since_boot()):
-            self._links.send(peer.address, message)
+        changes = EndpointChanges(self._peer_table.address, start, end, is_lapse, records)
+        self._sender.send_to_all(self._zone_addresses(), changes)
 
     def publish_update(self, update: DocumentUpdate) -> None:
         """Send operators' documents that this host has read to the hosts of this zone."""
         records = [OffsetRecord(each.key, each.value, each.offset) for each in update.entries]
-        message = encode_message(
-            DocumentChanges(
-                self._peer_table.address,
-                update.start_offset,
-                update.end_offset,
-                update.is_complete,
-                encode_records(records),
-            )
+        changes = DocumentChanges(
+            self._peer_table.address,
+            update.start_offset,
+            update.end_offset,
+            update.is_complete,
+            encode_records(records),
         )
-        for peer in self._peer_table.zone_peers(seconds_since_boot()):
-            self._links.send(peer.address, message)
+        self._sender.send_to_all(self._zone_addresses(), changes)
+
+    def _zone_addresses(self) -> list[str]:
+        peers = self._peer_table.zone_peers(seconds_since_boot())
+        return [peer.address for peer in peers]
 
     def evacuations(self) -> list[ZoneEvacuation]:
         """Return the newest orders to evacuate zones, for digests."""
@@ -129,7 +126,7 @@
         ) and now - self._state_requested_at > STATE_REQUEST_INTERVAL_S:
             self._state_requested_at = now
             request = StateRequest(self._peer_table.address, wants_config, wants_listing)
-            self._links.send(digest.address, encode_message(request))
+            self._sender.send(digest.address, request)
 
     def _is_config_overdue(self, peer_version: int, version: int, now: float) -> bool:
         """Return whether a peer has had a newer configuration for longer than a read takes.
--- a/poplarrun/metrics/_exposition.py
+++ b/poplarrun/metrics/_exposition.py
@@ -42,6 +42,9 @@
             "event",
             metrics.line_counts,
         )
+        yield _make_family(
+            "poplarrun_peer_bytes", "Bytes sent to other hosts", "message", metrics.peer_bytes
+        )
         yield self._latency_family()
 
     def _latency_family(self) -> Metric:
--- a/poplarrun/metrics/_registry.py
+++ b/poplarrun/metrics/_registry.py
@@ -34,6 +34,8 @@
         Requests by work class.
     line_counts : mapping of str to int
         Log lines by event, whether written or dropped.
+    peer_bytes : mapping of str to int
+        Bytes sent to other hosts by the type of message.
     histograms : dict of (str, str) to HdrHistogram
         Latencies in microseconds, by name and label.
     """
@@ -43,6 +45,7 @@
     event_counts: Counter[str] = field(default_factory=Counter)
     request_counts: Counter[str] = field(default_factory=Counter)
     line_counts: Mapping[str, int] = field(default_factory=dict)
+    peer_bytes: Mapping[str, int] = field(default_factory=dict)
     histograms: dict[tuple[str, str], HdrHistogram] = field(default_factory=dict)
 
     def count_refusal(self, kind: ErrorKind) -> None:
@@ -73,6 +76,10 @@
         """Expose the log handler's counts of lines by event, which it goes on updating."""
         self.line_counts = counts
 
+    def attach_peer_bytes(self, counts: Mapping[str, int]) -> None:
+        """Expose the counts of bytes sent to other hosts, which go on being updated."""
+        self.peer_bytes = counts
+
     def render(self) -> bytes:
         """Return all metrics in the Prometheus text format."""
         # Imported on the first scrape: loading the library at the start would delay the
