--- a/standins/listing_zone.py
+++ b/standins/listing_zone.py
@@ -1,4 +1,4 @@
-"""Simulation in virtual time of a zone whose hosts follow the list of endpoints over narrow links."""
+"""Simulation in virtual time of a zone whose hosts follow the list over narrow links."""
 
 import asyncio
 import json
@@ -6,6 +6,7 @@
 from collections.abc import Iterable
 from typing import cast
 
+from poplarrun.crashes import EndpointStart
 from poplarrun.links import MemoryLinkNetwork, MemoryLinks
 from poplarrun.peers import ENDPOINTS, ReadTimeouts
 from poplarrun.platform import Entry, LatestRecords, NoAnswer, Records, StoreClient
@@ -25,6 +26,11 @@
 ANSWER_TIMEOUT_S = 1.2
 LONG_POLL_MARGIN_S = 0.7
 POLL_INTERVAL_S = 0.05
+# Endpoints that answer one host in about a second, shared parts of all prompts, and hosts that lose
+# requests at one endpoint that crashes.
+ANSWERS_PER_S = 8
+PROMPT_PARTS = 400
+HOSTS_PER_CRASH = 3
 TRUNCATED_ANSWER = NoAnswer("timeout")
 
 
@@ -218,10 +224,24 @@
             self.stores[host.address].is_cut = is_cut
 
     def occupy(self, requests: int) -> None:
-        """Let each host run requests at endpoints drawn at random."""
+        """Let each host run requests at endpoints drawn at random, and be answered by many."""
         for host in self.hosts:
             for _ in range(requests):
                 self.random.choice(host.placement.endpoints()).in_flight += 1
+            self._start(self._answer(host))
+
+    async def _answer(self, host: RolloutHost) -> None:
+        """Let endpoints answer a host without naming a rate limit, and begin on known parts."""
+        clock = asyncio.get_running_loop().time
+        while True:
+            now = clock()
+            for endpoint in self.random.choices(host.placement.endpoints(), k=ANSWERS_PER_S):
+                endpoint.record_rate_limit(None, now, now)
+            host.dispatch.crash_guard.watch.apply_begun([self._draw_part()], now, now)
+            await asyncio.sleep(self.random.uniform(0.5, 1.5))
+
+    def _draw_part(self) -> str:
+        return f"{self.random.randrange(PROMPT_PARTS):016x}"
 
     async def replace(self, count: int, steps: int, interval_s: float) -> None:
         """Replace endpoints, so many at a time; those that leave say so."""
@@ -237,11 +257,26 @@
     async def crash(self, count: int) -> None:
         """Crash endpoints, which start again at once under new ids."""
         crashed, self.endpoints = self.endpoints[-count:], self.endpoints[:-count]
+        for name in crashed:
+            for host in self.random.sample(self.hosts, min(len(self.hosts), HOSTS_PER_CRASH)):
+                self._record_crash(host, name)
         self._start_endpoints(count)
         await asyncio.sleep(SILENCE_S)
         for name in crashed:
             self.log.append(name, None)
 
+    def _record_crash(self, host: RolloutHost, name: str) -> None:
+        """Let a host lose a request at an endpoint that has ended."""
+        now = asyncio.get_running_loop().time()
+        endpoint = host.placement.find(name)
+        if endpoint is None:
+            return
+        start = EndpointStart(name, endpoint.record.started_ms)
+        watch = host.dispatch.crash_guard.watch
+        watch.record_sent(name, start, [self._draw_part() for _ in range(3)])
+        watch.record_closed(name, True, now)
+        watch.record_ended(start, now)
+
     def _start_endpoints(self, count: int) -> None:
         for _ in range(count):
             name = self._name_endpoint()
--- a/standins/rollout_fleet.py
+++ b/standins/rollout_fleet.py
@@ -21,7 +21,13 @@
 from poplarrun.gateway._peering import Peering
 from poplarrun.gateway._reading import SharedReader
 from poplarrun.links import MemoryLinkNetwork, MemoryLinks
-from poplarrun.peers import DOCUMENTS, ENDPOINTS, PeerTable
+from poplarrun.peers import (
+    DEFAULT_READ_TIMEOUTS,
+    DOCUMENTS,
+    ENDPOINTS,
+    PeerTable,
+    ReadTimeouts,
+)
 from poplarrun.placement import EndpointDirectory, EndpointRecord, Placement
 from poplarrun.platform import StoreClient
 from poplarrun.rollouts import Rollouts
@@ -105,7 +111,15 @@
 class RolloutHost:
     """One gateway host: its dispatch decisions and its peering."""
 
-    def __init__(self, network: MemoryLinkNetwork, address: str, zone: str, seed: int) -> None:
+    def __init__(
+        self,
+        network: MemoryLinkNetwork,
+        address: str,
+        zone: str,
+        seed: int,
+        store: StoreClient | None = None,
+        timeouts: ReadTimeouts = DEFAULT_READ_TIMEOUTS,
+    ) -> None:
         self.address = address
         self.zone = zone
         self.config_view = ConfigView(None)
@@ -122,8 +136,8 @@
         self.config_view.apply_catalogue(CATALOGUE)
         self.placement.update_endpoints(list(_list_endpoints(OLD)))
         peer_table = PeerTable(address, zone)
-        # No host reads the store: the fleet applies orders at the hosts that would read them.
-        store = cast(StoreClient, None)
+        # Without a store, the fleet applies orders at the hosts that would read them.
+        store = cast(StoreClient, store)
         directory = EndpointDirectory()
         documents = DocumentFollower(
             store,
@@ -133,8 +147,8 @@
             SharedReader(DOCUMENTS, peer_table),
             self.placement,
         )
-        listings = ListingFollower(
-            store, directory, self.placement, SharedReader(ENDPOINTS, peer_table)
+        self.listings = ListingFollower(
+            store, directory, self.placement, SharedReader(ENDPOINTS, peer_table, timeouts)
         )
         self.peering = Peering(
             peer_table,
@@ -142,7 +156,7 @@
             store,
             self.config_view,
             documents,
-            listings,
+            self.listings,
             directory,
             self.placement,
             self.rollouts,
