Let only two hosts of a zone send the others what they read

When a zone's reader proves nothing in time, every other host reads by itself at about the same time, and each sent what it read to all others: messages that grow with the square of the zone, over links of 625 KB a second, just when the list changes.

Only the zone's reader and the next host in rank send now; the others read anyway. The same for documents, where only hosts whose peer was first kept quiet.

The test failed before at 27 and 56 hosts (all of them sent).

--- a/features/shared_reading.feature
+++ b/features/shared_reading.feature
@@ -153,3 +153,15 @@
     Given a listing follower that has read records 0 to 1
     When a peer's whole list removes endpoint 0
     Then the removal of endpoint 0 is logged once
+
+  Scenario Outline: Few hosts of a zone send the others what they read
+    # Guards against messages that grow with the square of a zone whose reader is silent.
+    Given <hosts> hosts of a zone that receive each other's digests
+    When all of them read a new record of an endpoint, and a new document
+    Then <senders> of them send the record, and <senders> the document
+
+    Examples:
+      | hosts | senders |
+      | 2     | 2       |
+      | 27    | 2       |
+      | 56    | 2       |
--- a/features/steps/shared_reading.py
+++ b/features/steps/shared_reading.py
@@ -1,4 +1,5 @@
 import asyncio
+import functools
 import json
 import zlib
 from unittest.mock import patch
@@ -451,3 +452,42 @@
 @then("the removal of endpoint {number:d} is logged once")
 def step_removal_logged(context, number):
     assert context.written == [events.EndpointsGone([f"engine-{number}"], "removed")]
+
+
+@when("all of them read a new record of an endpoint, and a new document")
+def step_all_read(context):
+    now = seconds_since_boot()
+    context.sent_records, context.sent_documents = [], []
+    count = len(context.peer_tables)
+
+    async def read(store, make, topic, offset, wait_s=0.0):
+        return Records(make(2, 2), 3, 0, seconds_since_boot())
+
+    for number in range(count):
+        peer_table = make_peer_table(number, count, now)
+        listings = ListingFollower(
+            TwoEndpointStore(),
+            EndpointDirectory(),
+            Placement("a", None),
+            SharedReader(ENDPOINTS, peer_table),
+        )
+        listings.publish_changes = lambda entries, is_lapse: context.sent_records.append(entries)
+        documents = DocumentFollower(
+            DocumentStore(),
+            ConfigView(),
+            Rollouts(),
+            lambda: None,
+            SharedReader(DOCUMENTS, peer_table),
+            make_placement(1),
+        )
+        documents.publish_update = context.sent_documents.append
+        for follower, make in ((listings, make_entries), (documents, make_orders)):
+            assert asyncio.run(follower._read_once())
+            follower._store.read = functools.partial(read, follower._store, make)
+            assert asyncio.run(follower._read_once())
+
+
+@then("{senders:d} of them send the record, and {again:d} the document")
+def step_senders(context, senders, again):
+    assert len(context.sent_records) == senders, len(context.sent_records)
+    assert len(context.sent_documents) == again, len(context.sent_documents)
--- a/poplarrun/gateway/_document_follower.py
+++ b/poplarrun/gateway/_document_follower.py
@@ -97,14 +97,14 @@
                 update = DocumentUpdate(entries, 0, end, True)
                 is_news = self._apply_update(update, "store", now)
                 if self._has_expired and is_news:
-                    self.publish_update(update)
+                    self._send_update(update)
                 self._has_expired = False
             case Records(entries=entries, end_offset=end, confirmed_at=confirmed_at):
                 if entries:
                     read_to = entries[-1].offset + 1
                     update = DocumentUpdate(entries, entries[0].offset, read_to, False)
                     if self._apply_update(update, "store", now):
-                        self.publish_update(update)
+                        self._send_update(update)
                 if self.offset is not None and self.offset < end:
                     return True
             case OffsetExpired():
@@ -124,6 +124,10 @@
             self._config_view.confirm(confirmed_at)
         return True
 
+    def _send_update(self, update: DocumentUpdate) -> None:
+        if self.reader.sends_to_zone:
+            self.publish_update(update)
+
     async def _read(self) -> LatestRecords | Records | OffsetExpired | Refused | NoAnswer:
         if self.offset is None:
             return await self._store.read_latest(OPERATOR_TOPIC)
--- a/poplarrun/gateway/_listing_follower.py
+++ b/poplarrun/gateway/_listing_follower.py
@@ -135,7 +135,8 @@
         if entries:
             # Some of them may have arrived from a peer while the read was in progress.
             self._directory.next_offset = max(self._directory.next_offset, entries[-1].offset + 1)
-            self.publish_changes(entries, is_lapse)
+            if self.reader.sends_to_zone:
+                self.publish_changes(entries, is_lapse)
 
     def record_proof(self, end: int, confirmed_at: float, peer: str) -> None:
         """Record that a peer, given by its address, had read all records at a time."""
--- a/poplarrun/gateway/_reading.py
+++ b/poplarrun/gateway/_reading.py
@@ -9,6 +9,9 @@
 from poplarrun.peers import DEFAULT_READ_TIMEOUTS, PeerTable, ReadSchedule, ReadTimeouts
 from poplarrun.transport import seconds_since_boot
 
+# Hosts of a zone that send the others what they read: its reader, and the next one in rank, which
+# reads first if the reader is silent. Then the others read at about the same time.
+MAX_SENDERS = 2
 # Least time in seconds between two log lines about a silent reader.
 SILENCE_LOG_INTERVAL_S = 5.0
 
@@ -54,6 +57,11 @@
         """
         return self.timeouts.long_poll_s if self._rank() == 0 and not self.has_failed else 0.0
 
+    @property
+    def sends_to_zone(self) -> bool:
+        """Whether this host sends the others of its zone what it reads."""
+        return self._rank() < MAX_SENDERS
+
     def read_now(self) -> None:
         """Read at once, because a peer has newer state than this host."""
         self._schedule.is_behind = True
