Tell hosts only what is new between two digests, and prove reads without the rest

Each crash, each part that an answer clears, and each endpoint that says that it leaves sent whole digests with all totals to all hosts in every round of 0.2 s, and each read of the list sent the same lists as its proof. Proofs that waited seconds made all hosts read for themselves.

News now goes by itself, and a proof holds only how far the host has read. A host that starts waits for a digest with everything, as before.

--- a/poplarrun/gateway/_crash_exchange.py
+++ b/poplarrun/gateway/_crash_exchange.py
@@ -1,8 +1,11 @@
 """Exchange of the crashes of endpoints, and of the parts of prompts that cause them."""
 
 import math
+from collections.abc import Iterable
 
-from poplarrun.crashes import CrashWatch, EndpointStart, Quarantine
+import msgspec
+
+from poplarrun.crashes import Crash, CrashWatch, EndpointStart, Quarantine
 from poplarrun.gateway._crash_probe import log_crash
 from poplarrun.logging import events, write_event
 from poplarrun.peers import BegunPart, Digest, EndpointCrash, QuarantinedParts
@@ -30,7 +33,7 @@
         self._watch = watch
         self._placement = placement
         self._next_index = 0
-        self._has_news = False
+        self._has_new_quarantines = False
         self._told_at = -math.inf
         self._told_cleared: frozenset[str] = frozenset()
         self._known: dict[frozenset[str], Quarantine] = {}
@@ -46,22 +49,29 @@
         for parts in active.keys() - self._known.keys():
             count = self._watch.evidence.count_crashes(parts)
             write_event(events.PartsQuarantined(sorted(parts), count, source))
-            self._has_news = True
+            self._has_new_quarantines = True
         for parts, known in self._known.items():
             if parts not in active:
                 reason = "began" if known.is_active(now) else "lapsed"
                 write_event(events.PartsReleased(sorted(parts), reason))
-                self._has_news = True
+                self._has_new_quarantines = True
         self._known = active
 
-    def has_news(self, now: float) -> bool:
-        """Return whether anything was learned since the last call that can't wait."""
+    def add_news(self, digest: Digest, now: float) -> Digest:
+        """Return a digest with what was learned of crashes since the last call."""
         told_at, self._told_at = self._told_at, now
-        has_news, self._has_news = self._has_news, False
-        cleared = frozenset(each.part for each in self.begun_parts(now))
-        is_cleared = not cleared <= self._told_cleared
-        self._told_cleared = cleared
-        return has_news or is_cleared or any(self._watch.evidence.changed_since(told_at))
+        crashes = _describe_crashes(self._watch.evidence.changed_since(told_at), now)
+        known = self.begun_parts(now)
+        begun = [each for each in known if each.part not in self._told_cleared]
+        self._told_cleared = frozenset(each.part for each in known)
+        if crashes or begun:
+            digest = msgspec.structs.replace(
+                digest, crashes=crashes[:MAX_CRASHES_PER_DIGEST], begun_parts=begun
+            )
+        if self._has_new_quarantines:
+            self._has_new_quarantines = False
+            digest = msgspec.structs.replace(digest, quarantined=self.quarantined(now))
+        return digest
 
     def crashes(self, now: float) -> list[EndpointCrash]:
         """Return the crashes that a digest carries."""
@@ -70,10 +80,7 @@
             start = self._next_index % len(known)
             self._next_index = start + MAX_CRASHES_PER_DIGEST
             known = [*known[start:], *known[:start]][:MAX_CRASHES_PER_DIGEST]
-        return [
-            EndpointCrash(start.instance_id, start.started_ms, now - crash.at, sorted(crash.parts))
-            for start, crash in known
-        ]
+        return _describe_crashes(known, now)
 
     def begun_parts(self, now: float) -> list[BegunPart]:
         """Return what this host knows to clear suspected parts."""
@@ -107,6 +114,15 @@
                 self._note_quarantines(now, digest.address)
 
 
+def _describe_crashes(
+    crashes: Iterable[tuple[EndpointStart, Crash]], now: float
+) -> list[EndpointCrash]:
+    return [
+        EndpointCrash(start.instance_id, start.started_ms, now - crash.at, sorted(crash.parts))
+        for start, crash in crashes
+    ]
+
+
 def _is_valid(parts: list[str], age_s: float) -> bool:
     if not math.isfinite(age_s) or age_s < 0.0 or len(parts) > MAX_PARTS_PER_MESSAGE:
         return False
--- a/poplarrun/gateway/_leaving_exchange.py
+++ b/poplarrun/gateway/_leaving_exchange.py
@@ -1,5 +1,7 @@
 """Exchange of the endpoints that say in their answers that they are leaving."""
 
+import msgspec
+
 from poplarrun.logging import events, write_event
 from poplarrun.peers import Digest, LeavingStart
 from poplarrun.placement import LeavingEndpoint, Placement
@@ -38,12 +40,15 @@
             return now - leaving.learned_at < UNLISTED_NEWS_TTL_S
         return not endpoint.record.is_leaving
 
-    def has_news(self) -> bool:
-        """Return whether a further endpoint is known to leave since the last call."""
+    def add_news(self, digest: Digest, now: float) -> Digest:
+        """Return a digest with the endpoints that are known to leave since the last call."""
         known = frozenset(self._placement.leaving.known())
-        has_news = not known <= self._told
+        news = [each for each in known - self._told if self._is_news(each, now)]
         self._told = known
-        return has_news
+        if not news:
+            return digest
+        leaving = [LeavingStart(each.instance_id, each.started_ms) for each in news]
+        return msgspec.structs.replace(digest, leaving=leaving[:MAX_LEAVING_PER_DIGEST])
 
     def apply_digest(self, digest: Digest, now: float) -> None:
         """Apply the leaving endpoints that another host knows."""
--- a/poplarrun/gateway/_peering.py
+++ b/poplarrun/gateway/_peering.py
@@ -3,7 +3,7 @@
 import asyncio
 import json
 import random
-from collections.abc import Callable
+from collections.abc import Callable, Container
 
 import msgspec
 
@@ -163,9 +163,9 @@
     def publish_proof(self) -> None:
         """Send a digest that proves this host's latest read to the hosts of its zone."""
         now = seconds_since_boot()
-        digest = self._make_digest(now)
+        proof = self._make_proof(now)
         for peer in self.peer_table.reporting_peers(now):
-            self._send(digest, peer, now)
+            self._send(proof, peer, now)
 
     def publish_load(self, estimate: EndpointEstimate) -> None:
         """Tell the hosts of this zone of a prompt that was just sent, if it occupies an endpoint.
@@ -278,11 +278,7 @@
         active = self._rollouts.active()
         zone_interval_s = ROLLOUT_ZONE_INTERVAL_S if active else ZONE_INTERVAL_S
         self._update_rollout_states(now)
-        has_new_limits = self._shared_limits.has_news(now)
         self._crashes.update(now)
-        has_new_crashes = self._crashes.has_news(now)
-        if self._leaving.has_news() or has_new_limits or has_new_crashes:
-            self._changed_at = now
         self._rosters.expire(now)
         self._reachability.update_placement(now)
         for peer, notice in self._reachability.due_notices(now):
@@ -296,6 +292,7 @@
         )
         if due:
             self._send_digests(due, now)
+        self._send_news({each.peer.address for each in due}, now)
         self._activity.apply_totals(now)
         self.sessions.publish()
         self._update_alive(now)
@@ -336,6 +333,18 @@
                 self._activity.record_sent(own, now)
             self._send(digests[key], due.peer, now)
 
+    def _send_news(self, told: Container[str], now: float) -> None:
+        """Send what can't wait for the next digest, and nothing else, to the hosts not yet told."""
+        proof = self._make_proof(now)
+        news = proof
+        for exchange in (self._leaving, self._shared_limits, self._crashes):
+            news = exchange.add_news(news, now)
+        if news is proof:
+            return
+        for peer in self.peer_table.digest_receivers(now):
+            if peer.address not in told:
+                self._send(news, peer, now)
+
     def _send(self, digest: Digest, peer: PeerState, now: float) -> None:
         """Send a digest, completed by the stamps for its receiver."""
         included_stamp = (
@@ -361,6 +370,21 @@
 
     def _make_digest(self, now: float) -> Digest:
         """Return a digest with the fields that are the same for all receivers."""
+        return msgspec.structs.replace(
+            self._make_proof(now),
+            rollouts=self._activity.rollout_progress(now),
+            evacuations=self._state.evacuations(),
+            rate_limits=self._shared_limits.rate_limits(now),
+            brittle=self._shared_limits.brittle_services(now),
+            leaving=self._leaving.announced(now),
+            crashes=self._crashes.crashes(now),
+            begun_parts=self._crashes.begun_parts(now),
+            quarantined=self._crashes.quarantined(now),
+            is_complete=True,
+        )
+
+    def _make_proof(self, now: float) -> Digest:
+        """Return a digest of nothing but how far this host has read, and that it is alive."""
         catalogue = self._config_view.catalogue
         return Digest(
             address=self.peer_table.address,
@@ -374,14 +398,7 @@
             documents_end_offset=-1 if self._documents.offset is None else self._documents.offset,
             listing_end_offset=self._directory.next_offset if self._listings.has_read_store else -1,
             store_available_s=self._listings.available_s(now),
-            rollouts=self._activity.rollout_progress(now),
-            evacuations=self._state.evacuations(),
-            rate_limits=self._shared_limits.rate_limits(now),
-            brittle=self._shared_limits.brittle_services(now),
-            leaving=self._leaving.announced(now),
-            crashes=self._crashes.crashes(now),
-            begun_parts=self._crashes.begun_parts(now),
-            quarantined=self._crashes.quarantined(now),
+            is_complete=False,
         )
 
     def _receive(self, data: bytes) -> None:
--- a/poplarrun/gateway/_shared_limits.py
+++ b/poplarrun/gateway/_shared_limits.py
@@ -2,6 +2,8 @@
 
 import math
 
+import msgspec
+
 from poplarrun.logging import events, write_event
 from poplarrun.peers import BrittleService, Digest, EndpointRateLimit, PeerTable
 from poplarrun.placement import EndpointState, Placement
@@ -24,8 +26,8 @@
         self._peer_table = peer_table
         self._placement = placement
         self._next_index = 0
-        self._limited: frozenset[str] = frozenset()
-        self._brittle: frozenset[str] = frozenset()
+        self._told_limits: frozenset[str] = frozenset()
+        self._told_brittle: frozenset[str] = frozenset()
 
     def rate_limits(self, now: float) -> list[EndpointRateLimit]:
         """Return the rate limits that a digest carries."""
@@ -48,22 +50,24 @@
             for service, each in sorted(self._placement.brittle.current(now).items())
         ]
 
-    def has_news(self, now: float) -> bool:
-        """Return whether a new limit or brittle service is known since the last call."""
-        brittle = frozenset(self._placement.brittle.current(now))
-        is_newly_brittle = not brittle <= self._brittle
-        self._brittle = brittle
-        return self._has_new_limits() or is_newly_brittle
-
-    def _has_new_limits(self) -> bool:
-        limited = frozenset(
-            endpoint.record.instance_id
+    def add_news(self, digest: Digest, now: float) -> Digest:
+        """Return a digest with the limits and brittle services known since the last call."""
+        brittle = self.brittle_services(now)
+        services = frozenset(each.service for each in brittle)
+        if not services <= self._told_brittle:
+            digest = msgspec.structs.replace(digest, brittle=brittle)
+        self._told_brittle = services
+        named = {
+            endpoint.record.instance_id: endpoint
             for endpoint in self._placement.endpoints()
             if endpoint.rate_limit_per_s is not None
-        )
-        has_news = not limited <= self._limited
-        self._limited = limited
-        return has_news
+        }
+        news = [each for name, each in named.items() if name not in self._told_limits]
+        self._told_limits = frozenset(named)
+        if news:
+            limits = [_describe(each, now) for each in news[:MAX_LIMITS_PER_DIGEST]]
+            digest = msgspec.structs.replace(digest, rate_limits=limits)
+        return digest
 
     def apply_digest(self, digest: Digest, now: float) -> None:
         """Apply the rate limits and brittle services that another host knows."""
--- a/poplarrun/peers/_messages.py
+++ b/poplarrun/peers/_messages.py
@@ -187,6 +187,8 @@
         What clears parts that are suspected of crashes.
     quarantined : list of QuarantinedParts
         Parts that crash endpoints.
+    is_complete : bool
+        Whether the lists are all that the sender has to tell, not only what is new.
     """
 
     address: str
@@ -214,6 +216,7 @@
     crashes: list[EndpointCrash] = []
     begun_parts: list[BegunPart] = []
     quarantined: list[QuarantinedParts] = []
+    is_complete: bool = True
 
 
 class ReachabilityNotice(msgspec.Struct, frozen=True, array_like=True, tag=13):
--- a/poplarrun/peers/_peer_table.py
+++ b/poplarrun/peers/_peer_table.py
@@ -98,6 +98,7 @@
     _report_targets: set[str] = field(default_factory=set)
     _last_liveness: _Liveness | None = None
     _last_expiry_at: float = -math.inf
+    _has_heard: bool = False
 
     def add_address(self, address: str, now: float, zone: str = "") -> None:
         """Record that a host may be at an address: a seed, or one registered in the store."""
@@ -131,6 +132,7 @@
         peer.zone = digest.zone
         peer.heard_at = now
         peer.last_stamp = digest.stamp
+        self._has_heard = self._has_heard or digest.is_complete
         if digest.scope is Scope.HOST:
             peer.report_received_at = now
         self._record_zone(digest.zone, now)
@@ -159,8 +161,8 @@
 
     @property
     def has_heard(self) -> bool:
-        """Whether a digest of any other host has arrived."""
-        return any(peer.last_stamp > 0.0 for peer in self._peers.values())
+        """Whether a complete digest of any other host has arrived."""
+        return self._has_heard
 
     @property
     def is_alone(self) -> bool:
@@ -349,6 +351,13 @@
             digest.peer.last_sent_at = now
         return due
 
+    def digest_receivers(self, now: float) -> list[PeerState]:
+        """Return the hosts to which this one sends digests, but for probes."""
+        receivers = [*self.other_aggregators(now), *self.served_peers(now)]
+        if self.is_aggregator(now):
+            receivers += self._other_zones_aggregators(now)
+        return receivers
+
     def other_aggregators(self, now: float) -> list[PeerState]:
         """Return the aggregators of this host's zone, without this host."""
         found = self.aggregators(self.zone, now)
@@ -377,14 +386,16 @@
     def _due_zone_digests(
         self, now: float, zone_interval_s: float, changed_at: float
     ) -> list[DueDigest]:
-        zones = sorted(self._liveness(now).zones - {"", self.zone})
-        peers = [self._peers[address] for zone in zones for address in self.aggregators(zone, now)]
         return [
             DueDigest(peer, Scope.ZONE)
-            for peer in peers
+            for peer in self._other_zones_aggregators(now)
             if peer.is_due(now, zone_interval_s, changed_at)
         ]
 
+    def _other_zones_aggregators(self, now: float) -> list[PeerState]:
+        zones = sorted(self._liveness(now).zones - {"", self.zone})
+        return [self._peers[address] for zone in zones for address in self.aggregators(zone, now)]
+
     def _choose_probes(self, now: float) -> list[DueDigest]:
         """Return hosts not known to be alive to probe, in zones where an alive one is needed."""
         liveness = self._liveness(now)
