--- a/features/rate_limits.feature
+++ b/features/rate_limits.feature
@@ -89,3 +89,11 @@
       | is gone and comes back                   | 1.0   | 4     |
       | is gone and comes back after a new start | none  | 0     |
       | is renewed                               | 1.0   | 4     |
+
+  Scenario: An endpoint that never named a limit is not told of
+    # Guards against digests that tell of every answer without a limit.
+    Given an endpoint state
+    When an answer names no limit
+    Then digests tell nothing of it
+    When an older limit becomes known, which that answer has lifted
+    Then digests tell that it names no limit
--- a/features/steps/rate_limits.py
+++ b/features/steps/rate_limits.py
@@ -7,7 +7,9 @@
 from features.steps.warm_up import assert_at_most, make_dispatcher
 from poplarrun.dispatch import ConnectionBroke
 from poplarrun.errors import NotRun, Refusal, response_for
-from poplarrun.placement import EndpointState
+from poplarrun.gateway._shared_limits import SharedLimitsExchange
+from poplarrun.peers import PeerTable
+from poplarrun.placement import EndpointState, Placement
 from poplarrun.platform import decode_answer
 from poplarrun.routing import PromptPart, RolloutOrder, WarmUpLimit
 from standins.limited_fleet import LimitedFleet
@@ -324,3 +326,32 @@
 @then("{count:d} sends to it in the last {seconds:d} s are known")
 def step_known_sends(context, count, seconds):
     assert context.endpoint.count_sends(100.0, float(seconds)) == count
+
+
+@given("an endpoint state")
+def step_endpoint_state(context):
+    context.placement = Placement("a", None)
+    context.placement.update_endpoints([make_endpoint_record("engine-1")], 0.0)
+    (context.endpoint,) = context.placement.endpoints()
+    context.exchange = SharedLimitsExchange(PeerTable("a1", "a"), context.placement)
+
+
+@when("an answer names no limit")
+def step_no_limit(context):
+    context.endpoint.record_rate_limit(None, 10.0, 10.0)
+
+
+@when("an older limit becomes known, which that answer has lifted")
+def step_older_limit(context):
+    assert not context.endpoint.apply_rate_limit(5.0, 9.0)
+
+
+@then("digests tell nothing of it")
+def step_nothing_told(context):
+    assert not context.exchange.rate_limits(11.0)
+
+
+@then("digests tell that it names no limit")
+def step_lift_told(context):
+    (told,) = context.exchange.rate_limits(11.0)
+    assert told.rate_per_s is None and told.age_s == 1.0, told
--- a/poplarrun/gateway/_shared_limits.py
+++ b/poplarrun/gateway/_shared_limits.py
@@ -35,7 +35,7 @@
             endpoint
             for endpoint in self._placement.endpoints()
             if endpoint.rate_limit_per_s is not None
-            or now - endpoint.rate_limit_at < LIFTED_LIMIT_TTL_S
+            or (endpoint.has_named_limit and now - endpoint.rate_limit_at < LIFTED_LIMIT_TTL_S)
         ]
         if len(known) > MAX_LIMITS_PER_DIGEST:
             start = self._next_index % len(known)
--- a/poplarrun/placement/_endpoint_state.py
+++ b/poplarrun/placement/_endpoint_state.py
@@ -69,6 +69,8 @@
         Requests a second that it takes from all hosts together, by its latest answers.
     rate_limit_at : float
         As of when that is known.
+    has_named_limit : bool
+        Whether it is known to have named a limit since its start.
     room_at_rejection : int
         Requests that this host had there when it last rejected one as not run.
     hold_off : HoldOff
@@ -97,6 +99,7 @@
     returned_at: float = -math.inf
     rate_limit_per_s: float | None = None
     rate_limit_at: float = -math.inf
+    has_named_limit: bool = False
     room_at_rejection: int = 0
     hold_off: HoldOff = NO_HOLD_OFF
     relay_hold_off: HoldOff = NO_HOLD_OFF
@@ -152,6 +155,7 @@
 
     def apply_rate_limit(self, rate_per_s: float | None, as_of: float) -> bool:
         """Apply the rate limit as of a time, unless a later one is known; True if it changes."""
+        self.has_named_limit = self.has_named_limit or rate_per_s is not None
         if as_of <= self.rate_limit_at:
             return False
         is_change = rate_per_s != self.rate_limit_per_s
