--- a/poplarrun/gateway/_listing_follower.py
+++ b/poplarrun/gateway/_listing_follower.py
@@ -122,6 +122,16 @@
         if confirmed_at > self.confirmed_at:
             self.confirmed_at, self._proven_by = confirmed_at, proven_by
 
+    def needs_peer_listing(self, peer_age_s: float, now: float) -> bool:
+        """Return whether to ask a peer for its whole list, which was current ``peer_age_s`` ago.
+
+        The list of a host that reaches the store is read there, in part.
+        """
+        if self.has_read_store and not self.reader.has_failed:
+            return False
+        max_age_s = self.reader.timeouts.proof_timeout_s
+        return now - self.confirmed_at > max_age_s > peer_age_s
+
     def describe(self, instance_id: str, now: float) -> ListingState:
         """Return what is known of the list, and of an endpoint's place in it."""
         return ListingState(
--- a/poplarrun/gateway/_state_exchange.py
+++ b/poplarrun/gateway/_state_exchange.py
@@ -12,6 +12,7 @@
     DocumentChanges,
     EndpointChanges,
     ListedEndpoint,
+    ListingBudget,
     OffsetRecord,
     PeerTable,
     StateRequest,
@@ -24,8 +25,6 @@
 from poplarrun.platform import Entry, MalformedDocument
 from poplarrun.transport import seconds_since_boot
 
-# If this host's list of endpoints is older than this, it requests that of a peer with a newer one.
-MAX_LISTING_AGE_S = 1.8
 # If a peer has had a newer configuration for this long, and this host could not read it from the
 # store, it requests it from the peer.
 CONFIG_READ_GRACE_S = 0.3
@@ -58,6 +57,7 @@
         self._directory = directory
         self._placement = placement
         self._state_requested_at = float("-inf")
+        self._listing_budget = ListingBudget()
         self._outdated_version: int | None = None
         self._outdated_since = 0.0
         listings.publish_changes = self.publish_changes
@@ -119,8 +119,7 @@
         if listed_at is not None:
             self._listings.record_proof(digest.listing_end_offset, listed_at, digest.address)
         wants_config = self._is_config_overdue(digest.config_version, version, now)
-        is_listing_old = now - self._listings.confirmed_at > MAX_LISTING_AGE_S
-        wants_listing = is_listing_old and digest.listing_age_s < MAX_LISTING_AGE_S
+        wants_listing = self._listings.needs_peer_listing(digest.listing_age_s, now)
         if (
             wants_config or wants_listing
         ) and now - self._state_requested_at > STATE_REQUEST_INTERVAL_S:
@@ -164,7 +163,8 @@
         """Return the state that a peer requests."""
         listed = []
         now = seconds_since_boot()
-        if request.wants_listing:
+        records = self._directory.records()
+        if request.wants_listing and self._listing_budget.try_spend(len(records), now):
             listed = [
                 ListedEndpoint(
                     record.instance_id,
@@ -178,12 +178,11 @@
                     record.sequence,
                     int(self._placement.warm_up_s(record.instance_id, now) * MILLISECONDS_PER_S),
                 )
-                for record in self._directory.records()
+                for record in records
             ]
         config = self._documents.raw_config if request.wants_config else b""
-        return StateResponse(
-            self._peer_table.address, config, listed, self._directory.removed_ids()
-        )
+        removed = self._directory.removed_ids() if listed else []
+        return StateResponse(self._peer_table.address, config, listed, removed)
 
     def apply_response(self, response: StateResponse, now: float) -> None:
         """Apply the state that this host requested."""
--- a/poplarrun/peers/__init__.py
+++ b/poplarrun/peers/__init__.py
@@ -18,6 +18,7 @@
     CopyStop,
 )
 from poplarrun.peers._crash_messages import BegunPart, EndpointCrash, QuarantinedParts
+from poplarrun.peers._listing_budget import ListingBudget
 from poplarrun.peers._loan_messages import LentShare, LoanAnswer, LoanAsk, ShareWant
 from poplarrun.peers._messages import (
     BrittleService,
@@ -84,6 +85,7 @@
     "LeavingStart",
     "LentShare",
     "ListedEndpoint",
+    "ListingBudget",
     "LoadNotice",
     "LoanAnswer",
     "LoanAsk",
