Let the next host read for a zone whose reader can't reach the store

Hosts now tell which topics their latest read didn't get, and are passed over as readers; at the failed host its own rank is as before, so it tries on and takes the role back. In virtual time only one host reads from 4 s after the cut on, at 2, 27 and 56 hosts; before, all did at 27 and 56 (the test failed).

--- a/features/listing_zones.feature
+++ b/features/listing_zones.feature
@@ -23,3 +23,17 @@
       | hosts | endpoints |
       | 27    | 140       |
       | 56    | 830       |
+
+  Scenario Outline: A reader that can't reach the store is replaced
+    # Guards against a zone whose hosts all read for themselves as long as its reader is cut off.
+    Given a zone of <hosts> hosts before <endpoints> endpoints, with links of 625 KB a second
+    When its reader is cut off from the store for 8.0 s
+    Then in the last 3.0 s of these only one host has read the store
+    When the reader has reached the store again for 3.0 s
+    Then it is the zone's reader
+
+    Examples:
+      | hosts | endpoints |
+      | 2     | 6         |
+      | 27    | 140       |
+      | 56    | 830       |
--- a/features/steps/listing_zones.py
+++ b/features/steps/listing_zones.py
@@ -14,6 +14,7 @@
 # Time until what the crashes and replacements cause is over.
 SETTLE_S = 12.0
 QUIET_S = 8.0
+READ_WINDOW_S = 3.0
 
 
 def run(context, coroutine):
@@ -43,9 +44,14 @@
 
 @when("its reader is cut off from the store for {seconds:f} s")
 def step_cut(context, seconds):
+    def count_reads():
+        context.reads = {address: store.reads for address, store in context.zone.stores.items()}
+
     async def cut():
-        readers = context.zone.readers()
-        context.zone.cut_from_store(readers, True)
+        zone = context.zone
+        readers = context.readers = zone.readers()
+        zone.cut_from_store(readers, True)
+        asyncio.get_running_loop().call_later(seconds - STEP_S - READ_WINDOW_S, count_reads)
         # The replacements begin, and the crashes fall, while the reader is back or comes back.
         await asyncio.sleep(seconds - STEP_S)
         asyncio.get_running_loop().call_later(STEP_S, context.zone.cut_from_store, readers, False)
@@ -80,3 +86,24 @@
     sent = sum(context.zone.network.sent.values()) - before
     rate = sent / 1000.0 / QUIET_S / len(context.zone.hosts)
     assert rate <= kilobytes, rate
+
+
+@then("in the last {seconds:f} s of these only one host has read the store")
+def step_one_read(context, seconds):
+    assert seconds == READ_WINDOW_S
+    stores = context.zone.stores
+    read = [address for address, before in context.reads.items() if stores[address].reads > before]
+    assert len(read) == 1, read
+
+
+@when("the reader has reached the store again for {seconds:f} s")
+def step_back(context, seconds):
+    run(context, asyncio.sleep(STEP_S + seconds))
+
+
+@then("it is the zone's reader")
+def step_is_reader(context):
+    async def readers():
+        return context.zone.readers()
+
+    assert run(context, readers()) == context.readers
--- a/poplarrun/gateway/_peering.py
+++ b/poplarrun/gateway/_peering.py
@@ -23,6 +23,8 @@
 from poplarrun.links import Links
 from poplarrun.logging import events, write_event
 from poplarrun.peers import (
+    DOCUMENTS,
+    ENDPOINTS,
     CopyAnnouncement,
     CopyGrant,
     CopyOffer,
@@ -399,8 +401,13 @@
             listing_end_offset=self._directory.next_offset if self._listings.has_read_store else -1,
             store_available_s=self._listings.available_s(now),
             is_complete=False,
+            failed_topics=self._failed_topics(),
         )
 
+    def _failed_topics(self) -> list[str]:
+        readers = {DOCUMENTS: self._documents.reader, ENDPOINTS: self._listings.reader}
+        return [topic for topic, reader in readers.items() if reader.has_failed]
+
     def _receive(self, data: bytes) -> None:
         now = seconds_since_boot()
         match decode_message(data):
--- a/poplarrun/peers/_messages.py
+++ b/poplarrun/peers/_messages.py
@@ -189,6 +189,8 @@
         Parts that crash endpoints.
     is_complete : bool
         Whether the lists are all that the sender has to tell, not only what is new.
+    failed_topics : list of str
+        Topics that the sender's latest read didn't get from the store.
     """
 
     address: str
@@ -217,6 +219,7 @@
     begun_parts: list[BegunPart] = []
     quarantined: list[QuarantinedParts] = []
     is_complete: bool = True
+    failed_topics: list[str] = []
 
 
 class ReachabilityNotice(msgspec.Struct, frozen=True, array_like=True, tag=13):
--- a/poplarrun/peers/_peer.py
+++ b/poplarrun/peers/_peer.py
@@ -38,6 +38,8 @@
         When its last report arrived, which hosts send to their aggregators.
     reporting_since : float
         Since when this host has sent reports to it; infinite if it doesn't.
+    failed_topics : frozenset of str
+        Topics that it didn't get from the store when it last read them.
     """
 
     address: str
@@ -51,6 +53,7 @@
     last_sent_at: float = -math.inf
     report_received_at: float = -math.inf
     reporting_since: float = math.inf
+    failed_topics: frozenset[str] = frozenset()
 
     @property
     def last_known_alive_at(self) -> float:
--- a/poplarrun/peers/_peer_table.py
+++ b/poplarrun/peers/_peer_table.py
@@ -127,8 +127,14 @@
         # was replaced may have an earlier one.
         if digest.stamp <= peer.last_stamp and now - peer.heard_at < ALIVE_TIMEOUT_S:
             return False
-        if peer.zone != digest.zone or not peer.is_alive(now):
+        failed_topics = frozenset(digest.failed_topics)
+        if (
+            peer.zone != digest.zone
+            or peer.failed_topics != failed_topics
+            or not peer.is_alive(now)
+        ):
             self._last_liveness = None
+        peer.failed_topics = failed_topics
         peer.zone = digest.zone
         peer.heard_at = now
         peer.last_stamp = digest.stamp
@@ -244,24 +250,28 @@
             hosts.append(self.address)
         if not hosts:
             return []
-        orders = [self._rank(topic, zone, hosts) for topic in READ_TOPICS]
-        found = {address for order in orders for address in self._first_responsive(order, 1, now)}
+        found = {
+            address
+            for topic in READ_TOPICS
+            for address in self._first_readers(topic, hosts, 1, now)
+        }
         if len(found) < MIN_AGGREGATORS:
-            found.update(self._first_responsive(orders[0], MIN_AGGREGATORS, now))
+            found.update(self._first_readers(READ_TOPICS[0], hosts, MIN_AGGREGATORS, now))
         return sorted(found)
 
-    def _first_responsive(self, order: list[str], responsive: int, now: float) -> list[str]:
-        """Return the first hosts in order until ``responsive`` of them respond.
+    def _first_readers(self, topic: str, hosts: list[str], readers: int, now: float) -> list[str]:
+        """Return the first hosts in rank until ``readers`` of them respond and reach the store.
 
-        An unresponsive host is included until it is known to be dead: a host that is alive but
-        hears nothing would not learn which host replaces it.
+        The others are included until they are known to be dead: a host that is alive but hears
+        nothing would not learn which host replaces it.
         """
         found = []
-        for address in order:
+        for address in self._rank(topic, self.zone, hosts):
             found.append(address)
             peer = self._peers.get(address)
-            responsive -= peer is None or not peer.is_unresponsive(now)
-            if responsive == 0:
+            is_able = peer is None or topic not in peer.failed_topics
+            readers -= is_able and (peer is None or not peer.is_unresponsive(now))
+            if readers == 0:
                 break
         return found
 
@@ -434,9 +444,13 @@
     # Ranks
 
     def reader_rank(self, topic: str, now: float) -> int:
-        """Return how many alive hosts of the own zone precede this one as reader of a topic."""
-        hosts = [self.address, *(peer.address for peer in self.zone_peers(now))]
-        return self._rank(topic, self.zone, hosts).index(self.address)
+        """Return how many hosts of the own zone precede this one as reader of a topic.
+
+        Hosts that are alive and whose latest read didn't fail. What this host itself failed to read
+        doesn't count: it goes on to try, and so finds that it reaches the store again.
+        """
+        hosts = [peer.address for peer in self.zone_peers(now) if topic not in peer.failed_topics]
+        return self._rank(topic, self.zone, [self.address, *hosts]).index(self.address)
 
     def session_owners(self, session: str) -> list[str]:
         """Return the addresses of the hosts that own a session, possibly including this one.
--- a/standins/listing_zone.py
+++ b/standins/listing_zone.py
@@ -106,10 +106,13 @@
     ----------
     is_cut : bool
         Whether no call reaches the store.
+    reads : int
+        Calls that reached the store so far.
     """
 
     def __init__(self, log: ListingLog, network: NarrowNetwork, address: str) -> None:
         self.is_cut = False
+        self.reads = 0
         self._log = log
         self._network = network
         self._address = address
@@ -142,6 +145,7 @@
         try:
             async with asyncio.timeout(timeout_s):
                 await self._pass_link("out", 0)
+                self.reads += 1
                 await self._log.wait_beyond(offset, wait_s)
                 entries = self._log.newest() if is_latest else tuple(self._log.entries[offset:])
                 await self._pass_link("in", sum(len(each.value or b"") + 20 for each in entries))
