End a lapse by each host's own clock, and by what other peers know of the store

A removal that a peer marks as a lapse kept its endpoint listed until this host's next own read, and a host whose peers prove its list makes none. Whether there was an outage was asked of the own health only, so a reader that was cut off alone made its whole zone keep endpoints that had left. A host that had lost the store itself took it for lost until its next own read, however often its peers proved the list, and dropped no lapsed endpoint.

Lapses now end when a proof arrives; a reported outage that other peers didn't see ends at once, as one's own did; a proof ends an outage. The three tests failed before (the endpoint stayed listed, the store stayed lost).

--- a/features/shared_reading.feature
+++ b/features/shared_reading.feature
@@ -165,3 +165,30 @@
       | 2     | 2       |
       | 27    | 2       |
       | 56    | 2       |
+
+  Scenario: A lapse that a peer reported ends by this host's clock
+    # Guards against an endpoint that has left and stays listed at a host that makes no reads.
+    Given a listing follower that has read records 0 to 1
+    When it receives from a peer that record 2 removes endpoint 0 after an outage
+    And a peer that has read up to record 2 proves its list current each 0.25 s for 3.0 s
+    Then it lists the endpoints of records 1 to 1, each once
+
+  Scenario Outline: A lapse that a peer reported by mistake ends at once
+    # Guards against requests to an endpoint that left while one host was cut off from the store.
+    Given a listing follower that has read records 0 to 1
+    When it receives from a peer that record 2 removes endpoint 0 after an outage
+    And a peer reports that the store has answered it for the last <answered> s
+    Then it lists the endpoints of records <first> to 1, each once
+
+    Examples:
+      | answered | first |
+      | 0.5      | 0     |
+      | 60.0     | 1     |
+
+  Scenario: An outage ends with the proof of a peer
+    # Guards against a host that takes the store for lost as long as its peers read for it.
+    Given a listing follower that has read records 0 to 1
+    When the store answers none of its reads for 8.0 s
+    Then it takes the store for lost
+    When a peer that has read up to record 1 proves its list current 0.0 s ago
+    Then it takes the store for available again
--- a/features/steps/shared_reading.py
+++ b/features/steps/shared_reading.py
@@ -491,3 +491,33 @@
 def step_senders(context, senders, again):
     assert len(context.sent_records) == senders, len(context.sent_records)
     assert len(context.sent_documents) == again, len(context.sent_documents)
+
+
+@when(
+    "a peer that has read up to record {last:d} proves its list current each {pause:f} s for {seconds:f} s"
+)
+def step_proves_on(context, last, pause, seconds):
+    start = seconds_since_boot()
+    for number in range(1, round(seconds / pause) + 1):
+        at = start + number * pause
+        with patch.object(_listing_follower, "seconds_since_boot", lambda at=at: at):
+            context.follower.record_proof(last + 1, at - pause, PEER)
+
+
+@when("the store answers none of its reads for {seconds:f} s")
+def step_unanswered(context, seconds):
+    health, now = context.follower._health, seconds_since_boot()
+    health.answered_at = now - seconds
+    assert health.record_failure(now)
+
+
+@then("it takes the store for lost")
+def step_store_lost(context):
+    assert context.follower.available_s(seconds_since_boot()) == 0.0
+    assert context.follower._health.is_outage
+
+
+@then("it takes the store for available again")
+def step_store_available(context):
+    assert not context.follower._health.is_outage
+    assert 0.0 <= context.follower.available_s(seconds_since_boot()) < 1.0
--- a/poplarrun/gateway/_document_follower.py
+++ b/poplarrun/gateway/_document_follower.py
@@ -163,7 +163,7 @@
     def record_proof(self, confirmed_at: float) -> None:
         """Record that a peer proved this host's configuration to be current."""
         self._config_view.confirm(confirmed_at)
-        self._health.record_proof(confirmed_at)
+        self._health.record_proof(confirmed_at, seconds_since_boot())
 
     def _apply_entry(self, entry: Entry, source: str, now: float) -> None:
         try:
--- a/poplarrun/gateway/_listing_follower.py
+++ b/poplarrun/gateway/_listing_follower.py
@@ -155,8 +155,11 @@
         if end > self._directory.next_offset:
             self.reader.read_now()
         elif end == self._directory.next_offset:
+            now = seconds_since_boot()
             self._confirm(confirmed_at, peer)
-            self._health.record_proof(confirmed_at)
+            self._health.record_proof(confirmed_at, now)
+            # A host whose peers prove its list makes no reads of its own.
+            self._expire(now)
 
     def available_s(self, now: float) -> float:
         """Return for how long the store has answered without an outage."""
@@ -182,6 +185,8 @@
         if not new_entries:
             return
         now = seconds_since_boot()
+        if is_lapse:
+            self._health.record_reported_outage(now)
         for entry in new_entries:
             self._apply_entry(entry, now, is_lapse)
         self._directory.next_offset = new_entries[-1].offset + 1
--- a/poplarrun/gateway/_store_health.py
+++ b/poplarrun/gateway/_store_health.py
@@ -39,19 +39,28 @@
 
     def record_answer(self, now: float) -> bool:
         """Record an answer; return True if it ends an outage."""
-        was_outage = self.is_outage or now - self.answered_at > self.outage_timeout_s + READ_PAUSE_S
+        return self._record_available_at(now, now)
+
+    def record_proof(self, confirmed_at: float, now: float) -> None:
+        """Record that a peer had read all records of the store at a time."""
+        if confirmed_at > self.answered_at:
+            self._record_available_at(confirmed_at, now)
+
+    def _record_available_at(self, at: float, now: float) -> bool:
+        was_outage = self.is_outage or at - self.answered_at > self.outage_timeout_s + READ_PAUSE_S
         if was_outage:
             self.outage_began_at = self.answered_at
             self.outage_ended_at = now
         if was_outage or self.available_since == math.inf:
-            self.available_since = now
-        self.answered_at = now
+            self.available_since = at
+        self.answered_at = at
         self.is_outage = False
         return was_outage
 
-    def record_proof(self, confirmed_at: float) -> None:
-        """Record that a peer had read all records of the store at a time."""
-        self.answered_at = max(self.answered_at, confirmed_at)
+    def record_reported_outage(self, now: float) -> None:
+        """Record that a peer takes records for removed in an outage that has just ended."""
+        self.outage_began_at = min(self.answered_at, now - self.outage_timeout_s)
+        self.outage_ended_at = now
 
     def record_failure(self, now: float) -> bool:
         """Record a failed call; return True if an outage begins."""
