Close connections whose endpoint sends bytes without end

An idle connection went on to be read and its bytes dropped, at the link's full speed, until a request found it unusable; and interim heads were read until the request's time was over. An idle connection is closed at the first such byte, and an answer with more than 32 interim heads is broken. Both tests failed before (no close within 20 s). Relays, status checks, slow and many such endpoints have no test yet.

--- /dev/null
+++ b/features/steps/endless_bytes.py
@@ -0,0 +1,105 @@
+import asyncio
+
+from behave import then, when
+
+from poplarrun.transport import ConnectionBroken
+from poplarrun.transport._client import open_connection
+
+# More than a host may take, and the longest wait for it to close.
+MAX_SENT_BYTES = 64 * 1024 * 1024
+TIMEOUT_S = 20.0
+STATUS_LINE = b"HTTP/1.1 200 OK\r\n"
+CHUNKED_HEAD = STATUS_LINE + b"Transfer-Encoding: chunked\r\n\r\n"
+WHOLE_ANSWER = STATUS_LINE + b"Content-Length: 2\r\n\r\nok"
+BEGINNINGS = {
+    "nothing": b"",
+    "a status line": STATUS_LINE,
+    "the head of a chunked one": CHUNKED_HEAD,
+    "a chunk": CHUNKED_HEAD + b"2\r\nok\r\n",
+    "the last chunk": CHUNKED_HEAD + b"2\r\nok\r\n0\r\n",
+}
+BLOCKS = {
+    "letters": b"x" * 4096,
+    "zeros": bytes(4096),
+    "digits": b"1" * 4096,
+    "interim heads": b"HTTP/1.1 103 Early Hints\r\n\r\n" * 160,
+    "header lines": b"X-More: yes\r\n" * 320,
+}
+
+
+class EndlessEndpoint:
+    """Endpoint that answers each request with a beginning, and writes on until it is closed."""
+
+    def __init__(self, beginning, block):
+        self.sent = 0
+        self.closed = asyncio.Event()
+        self._beginning = beginning
+        self._block = block
+
+    async def serve(self, reader, writer):
+        await reader.readuntil(b"\r\n\r\n")
+        writer.write(self._beginning)
+        try:
+            while self.sent < MAX_SENT_BYTES:
+                writer.write(self._block)
+                await writer.drain()
+                self.sent += len(self._block)
+                await asyncio.sleep(0)
+        except ConnectionError:
+            self.closed.set()
+        finally:
+            writer.close()
+
+
+async def ask(endpoint, read):
+    """Send a request to an endpoint, read the answer, and wait until the connection is closed."""
+    server = await asyncio.start_server(endpoint.serve, "127.0.0.1", 0)
+    async with server, asyncio.timeout(TIMEOUT_S):
+        address = "127.0.0.1:%d" % server.sockets[0].getsockname()[1]
+        connection = await open_connection(address, 1.0)
+        assert connection.send(b"GET", b"/", [(b"Host", b"x")], b"")
+        await read(connection)
+        await endpoint.closed.wait()
+
+
+async def read_broken(connection):
+    try:
+        await connection.read_head()
+        while await connection.read_data() is not None:
+            pass
+    except ConnectionBroken:
+        connection.abort()
+        return
+    raise AssertionError("the answer was taken for whole")
+
+
+async def read_whole(connection):
+    await connection.read_head()
+    while await connection.read_data() is not None:
+        pass
+    # The connection is kept for other requests, and none comes.
+
+
+@when("an endpoint answers with {begin}, and then {rest} without end")
+def step_endless(context, begin, rest):
+    async def run():
+        context.endpoint = EndlessEndpoint(BEGINNINGS[begin], BLOCKS[rest])
+        await ask(context.endpoint, read_broken)
+
+    asyncio.run(run())
+
+
+@when("an endpoint has answered whole, and goes on with letters without end")
+def step_after_end(context):
+    async def run():
+        context.endpoint = EndlessEndpoint(WHOLE_ANSWER, BLOCKS["letters"])
+        await ask(context.endpoint, read_whole)
+
+    asyncio.run(run())
+
+
+@then("the answer is broken before the endpoint has sent {kilobytes:d} KB")
+@then("the connection is closed before the endpoint has sent {kilobytes:d} KB")
+def step_bounded(context, kilobytes):
+    assert context.endpoint.closed.is_set()
+    assert context.endpoint.sent <= 1000 * kilobytes, context.endpoint.sent
--- a/poplarrun/transport/_client.py
+++ b/poplarrun/transport/_client.py
@@ -14,6 +14,8 @@
 
 # Received bytes not yet read by the caller above which reading from the socket is paused.
 MAX_UNREAD_BYTES = 256 * 1024
+# Heads of interim responses before the one of the answer.
+MAX_INTERIM_HEADS = 32
 FRAMING_HEADERS = frozenset((b"content-length", b"transfer-encoding"))
 KEEP_ALIVE_TIMEOUT = re.compile(rb"timeout=(\d{1,6})")
 # How long an idle connection may be reused if the peer sends no Keep-Alive timeout: shorter
@@ -95,9 +97,9 @@
         self._stall_guard = StallGuard(transport, ENDPOINT_UNACKED_TIMEOUT_MS)
 
     def data_received(self, data: bytes) -> None:
-        """Buffer received bytes; unsolicited ones make the connection unusable."""
+        """Buffer received bytes; unsolicited ones end the connection, since nobody reads them."""
         if self._is_response_complete:
-            self._must_close = True
+            self.abort()
             return
         self._unread_bytes += len(data)
         self._parse(data)
@@ -154,7 +156,7 @@
         ConnectionBroken
             When the connection ends first, or the response is not valid HTTP.
         """
-        while True:
+        for _ in range(MAX_INTERIM_HEADS):
             event = await self._next_event()
             if isinstance(event, h11.Response):
                 self._apply_keep_alive(event)
@@ -163,6 +165,7 @@
                 return ResponseHead(event.status_code, headers, is_framed)
             if not isinstance(event, h11.InformationalResponse):
                 raise ConnectionBroken(f"unexpected {type(event).__name__}")
+        raise ConnectionBroken("too many interim responses")
 
     async def read_data(self) -> bytes | None:
         """Wait for the next bytes of the body; None at the end of the response.
