--- a/features/steps/endless_bytes.py
+++ b/features/steps/endless_bytes.py
@@ -55,7 +55,7 @@
     """Send a request to an endpoint, read the answer, and wait until the connection is closed."""
     server = await asyncio.start_server(endpoint.serve, "127.0.0.1", 0)
     async with server, asyncio.timeout(TIMEOUT_S):
-        address = "127.0.0.1:%d" % server.sockets[0].getsockname()[1]
+        address = f"127.0.0.1:{server.sockets[0].getsockname()[1]}"
         connection = await open_connection(address, 1.0)
         assert connection.send(b"GET", b"/", [(b"Host", b"x")], b"")
         await read(connection)
--- a/features/steps/shared_reading.py
+++ b/features/steps/shared_reading.py
@@ -494,7 +494,8 @@
 
 
 @when(
-    "a peer that has read up to record {last:d} proves its list current each {pause:f} s for {seconds:f} s"
+    "a peer that has read up to record {last:d} proves its list current each {pause:f} s "
+    "for {seconds:f} s"
 )
 def step_proves_on(context, last, pause, seconds):
     start = seconds_since_boot()
