Give a version all sessions only once its answers are shown to be fast

That nothing had shown it to be slow by the end was taken for speed: 11 of 19 and 14 of 31 answers of callers were slow at two completions, where two fifths are tolerated from the shift on, and 54 to 58 copies, whose answers count for failures only, had taken the exposure that would have told.

A version that bears its load gets all sessions, and is completed, only if one with two fifths of slow answers would give so few of them by a chance under 0.05; and load tests, whose copies say nothing of the speed, begin only then. Otherwise it is rolled back when the time of the load test is over.

--- a/features/rollouts.feature
+++ b/features/rollouts.feature
@@ -156,3 +156,17 @@
     Given 200 good answers of the old version, and 10 of the new one to each of 4 kinds of work, 7 slow
     When 48 answers of the new version come under load, of which 0 fail
     Then the new version is judged bad in the stage "shift"
+
+  Scenario Outline: Only a version whose answers are shown to be fast gets all sessions
+    # Guards against a slow version that is completed since too little tells that it is slow.
+    When a version has answered <answers> callers, <slow> of them slowly, and borne its load
+    Then it is <verdict> to be fast
+
+    Examples:
+      | answers | slow | verdict   |
+      | 0       | 0    | not shown |
+      | 5       | 0    | not shown |
+      | 8       | 0    | shown     |
+      | 31      | 5    | shown     |
+      | 31      | 14   | not shown |
+      | 19      | 11   | not shown |
--- a/features/steps/rollouts.py
+++ b/features/steps/rollouts.py
@@ -12,6 +12,7 @@
 from poplarrun.dispatch import AnswerFailed, ConfigView, ConnectionBroke, SendDecision, TookTooLong
 from poplarrun.placement import EndpointEstimate
 from poplarrun.rollouts import (
+    FULL_LOAD,
     AnswerStatistics,
     AnswerTimes,
     ComparisonStage,
@@ -408,3 +409,16 @@
     for kind in range(kinds):
         context.statistics.local[("engines", "v1", f"kind-{kind}")] = Tally(old // kinds)
         context.statistics.local[("engines", "v2", f"kind-{kind}")] = Tally(count, 0, slow)
+
+
+@when("a version has answered {answers:d} callers, {slow:d} of them slowly, and borne its load")
+def step_answered_callers(context, answers, slow):
+    context.statistics = AnswerStatistics()
+    context.statistics.local["engines", "v2", "draft/small"] = Tally(answers=answers, slow=slow)
+    # Answers of loaded endpoints say nothing of the speed.
+    context.statistics.local["engines", "v2", FULL_LOAD] = Tally(answers=58)
+
+
+@then("it is {verdict} to be fast")
+def step_shown_fast(context, verdict):
+    assert context.statistics.is_fast("engines", "v2") is (verdict == "shown")
--- a/poplarrun/dispatch/_load_tests.py
+++ b/poplarrun/dispatch/_load_tests.py
@@ -122,7 +122,9 @@
         open_requests : iterable of InFlightRequest
             This host's requests.
         """
-        endpoint = self.find_endpoint(rollout, now) if rollout.is_load_test_due(now) else None
+        # Copies say nothing of the speed, and a slow version gets as few requests as possible.
+        is_due = rollout.is_load_test_due(now) and self._dispatcher.rollouts.is_fast(rollout)
+        endpoint = self.find_endpoint(rollout, now) if is_due else None
         if endpoint is None:
             return None
         eligible = [
--- a/poplarrun/rollouts/_evidence.py
+++ b/poplarrun/rollouts/_evidence.py
@@ -40,6 +40,9 @@
 # shifts to its endpoints: endpoints with cold caches begin a sixth of their answers late.
 MAX_SLOW_FRACTION = 0.12
 MAX_COLD_SLOW_FRACTION = 0.4
+# A version is fast enough when one with this fraction of slow answers would return so few of them
+# with less than this probability.
+MAX_FAST_CHANCE_PROBABILITY = 0.05
 
 
 @dataclass(frozen=True, slots=True)
@@ -279,6 +282,19 @@
             return True
         return any(self._is_worse_in(merged, target, kind, stage) for kind in kinds)
 
+    def is_fast(self, service: str, target: str) -> bool:
+        """Tell whether a version's answers to callers show that it isn't several times slower.
+
+        Too few answers show nothing. Those of loaded endpoints don't count, because a full batch
+        slows each.
+        """
+        total = Tally()
+        for (version, kind), tally in self.merge_tallies(service).items():
+            if version == target and kind not in LOADED_KINDS:
+                total.add(tally)
+        more_slow = _binomial_tail(total.slow + 1, total.answers, MAX_COLD_SLOW_FRACTION)
+        return 1.0 - more_slow < MAX_FAST_CHANCE_PROBABILITY
+
     def is_failing(self, service: str, target: str) -> bool:
         """Tell whether more answers of a version fail than a good one would let fail."""
         tally = self.merge_version_tallies(service, target)
--- a/poplarrun/rollouts/_rollouts.py
+++ b/poplarrun/rollouts/_rollouts.py
@@ -120,7 +120,7 @@
     shift_decided_at : float, optional
         When any host first decided that sessions may change versions.
     proven_at : float, optional
-        When any host first knew that the version bears load.
+        When any host first knew that the version is fast enough and bears load.
     announced_copies : int
         Copies that hosts have announced for its load tests.
     """
@@ -420,7 +420,8 @@
         )
         if rollout.is_shift_due(now) and has_enough_answers:
             rollout.record_shift(now)
-        if rollout.has_shift_begun(now) and self._bears_load(rollout):
+        is_proven = self.is_fast(rollout) and self._bears_load(rollout)
+        if rollout.has_shift_begun(now) and is_proven:
             rollout.record_proof(now)
         is_over = rollout.proven_at is None and rollout.is_load_test_over(now)
         if is_over or (not rollout.has_all_sessions(now) and self._fails_under_load(rollout)):
@@ -436,6 +437,10 @@
             RolloutVerdict.NOTHING if rollout.recorded_phase is not None else RolloutVerdict.ACTIVE
         )
 
+    def is_fast(self, rollout: Rollout) -> bool:
+        """Tell whether the version's answers show that it isn't several times slower."""
+        return self.statistics.is_fast(rollout.order.service, rollout.order.target)
+
     def _bears_load(self, rollout: Rollout) -> bool:
         """Tell whether an almost full endpoint of the version has answered often enough."""
         order = rollout.order
