Complete a version only once its answers, failed and slow, show that it is good

Cause: completion asked for a proof of speed only. Failures were judged by evidence against a good version (3 of 14 are no proof at the chance of 0.002), so that a version neither shown good nor bad passed. The proof was also asked for once: answers after it couldn't undo it, though a completion is final. Change: is_shown_good asks for both, before the load test, before all sessions and again at the completion: fewer failures than a version that fails three in ten would give but for a chance of 0.05 (all answers, copies too), and the same for slow and failed answers to callers together at the fraction that stood for the slow ones. Without it the version is rolled back at the end of its time. Measured: rollouts.feature failed before (3 of 14 and 2 of 11 with a lost copy counted as good; a version with 5 of 10 later failures was completed); the roll-out features pass.

--- a/features/rollouts.feature
+++ b/features/rollouts.feature
@@ -170,3 +170,27 @@
       | 31      | 5    | shown     |
       | 31      | 14   | not shown |
       | 19      | 11   | not shown |
+
+  Scenario Outline: Only a version whose answers are shown not to fail gets all sessions
+    # Guards against a version that is completed with a few failures, which neither show it good nor bad.
+    When a version has answered <answers> callers, of which <bad> failed and <slow> were slow, and <copies> copies, of which <lost> failed
+    Then it is <verdict> to be good
+
+    Examples: a version that fails three in ten would give so few failures by a chance of one in twenty
+      | answers | bad | slow | copies | lost | verdict   |
+      | 14      | 3   | 0    | 0      | 0    | not shown |
+      | 11      | 2   | 0    | 3      | 1    | not shown |
+      | 14      | 1   | 0    | 0      | 0    | shown     |
+      | 40      | 6   | 0    | 0      | 0    | shown     |
+      | 40      | 10  | 0    | 0      | 0    | not shown |
+
+    Examples: slow and failed answers to callers count together
+      | answers | bad | slow | copies | lost | verdict   |
+      | 31      | 0   | 5    | 58     | 0    | shown     |
+      | 31      | 4   | 5    | 58     | 0    | not shown |
+
+  Scenario: A version that fails after it got all sessions is rolled back in place of completed
+    # Guards against a completion, which is final, on evidence that no longer shows a good version.
+    Given a roll-out whose version got all sessions after 12 good answers
+    When 5 of its next 10 answers fail, and 3 of the old version's 10
+    Then it is not completed, and is rolled back at the end of its time
--- a/features/steps/rollouts.py
+++ b/features/steps/rollouts.py
@@ -420,5 +420,44 @@
 
 
 @then("it is {verdict} to be fast")
-def step_shown_fast(context, verdict):
-    assert context.statistics.is_fast("engines", "v2") is (verdict == "shown")
+@then("it is {verdict} to be good")
+def step_shown_good(context, verdict):
+    assert context.statistics.is_shown_good("engines", "v2") is (verdict == "shown")
+
+
+@when(
+    "a version has answered {answers:d} callers, of which {bad:d} failed and {slow:d} were slow,"
+    " and {copies:d} copies, of which {lost:d} failed"
+)
+def step_answered_copies(context, answers, bad, slow, copies, lost):
+    context.statistics = AnswerStatistics()
+    context.statistics.local["engines", "v2", "draft/small"] = Tally(answers, bad, slow)
+    context.statistics.local["engines", "v2", FULL_LOAD] = Tally(copies, lost)
+
+
+@given("a roll-out whose version got all sessions after {good:d} good answers")
+def step_all_sessions(context, good):
+    context.rollouts = Rollouts(find_slots=lambda service, version: 8)
+    context.rollouts.apply_order(RolloutOrder("engines", "v2", 20.0, 7), 100.0)
+    rollout = context.rollouts.find("engines")
+    tallies = context.rollouts.statistics.local
+    tallies["engines", "v2", "draft/small"] = Tally(good)
+    tallies["engines", "v2", FULL_LOAD] = Tally(4)
+    rollout.record_shift(109.0)
+    context.rollouts.compute_verdict(rollout, 111.0)
+    assert rollout.has_all_sessions(115.0)
+
+
+@when("{bad:d} of its next {ended:d} answers fail, and {old_bad:d} of the old version's {old:d}")
+def step_later_failures(context, bad, ended, old_bad, old):
+    tallies = context.rollouts.statistics.local
+    tallies["engines", "v2", "draft/small"].add(Tally(ended, bad))
+    tallies["engines", "v1", "draft/small"] = Tally(old, old_bad)
+
+
+@then("it is not completed, and is rolled back at the end of its time")
+def step_rolled_back_late(context):
+    rollout = context.rollouts.find("engines")
+    for at in (117.0, 118.0, 119.0, 119.9):
+        assert context.rollouts.compute_verdict(rollout, at) is RolloutVerdict.ACTIVE
+    assert context.rollouts.compute_verdict(rollout, 120.0) is RolloutVerdict.ROLLED_BACK
--- a/poplarrun/dispatch/_load_tests.py
+++ b/poplarrun/dispatch/_load_tests.py
@@ -122,8 +122,8 @@
         open_requests : iterable of InFlightRequest
             This host's requests.
         """
-        # Copies say nothing of the speed, and a slow version gets as few requests as possible.
-        is_due = rollout.is_load_test_due(now) and self._dispatcher.rollouts.is_fast(rollout)
+        # Copies say nothing of the speed, and a bad version gets as few requests as possible.
+        is_due = rollout.is_load_test_due(now) and self._dispatcher.rollouts.is_shown_good(rollout)
         endpoint = self.find_endpoint(rollout, now) if is_due else None
         if endpoint is None:
             return None
--- a/poplarrun/rollouts/_evidence.py
+++ b/poplarrun/rollouts/_evidence.py
@@ -40,9 +40,11 @@
 # shifts to its endpoints: endpoints with cold caches begin a sixth of their answers late.
 MAX_SLOW_FRACTION = 0.12
 MAX_COLD_SLOW_FRACTION = 0.4
-# A version is fast enough when one with this fraction of slow answers would return so few of them
-# with less than this probability.
-MAX_FAST_CHANCE_PROBABILITY = 0.05
+# Fraction of failed answers of a version that is bad.
+BAD_VERSION_FRACTION = 0.3
+# A version is shown to be good when a bad one would return so few bad answers with less than this
+# probability.
+MAX_GOOD_CHANCE_PROBABILITY = 0.05
 
 
 @dataclass(frozen=True, slots=True)
@@ -282,18 +284,23 @@
             return True
         return any(self._is_worse_in(merged, target, kind, stage) for kind in kinds)
 
-    def is_fast(self, service: str, target: str) -> bool:
-        """Tell whether a version's answers to callers show that it isn't several times slower.
+    def is_shown_good(self, service: str, target: str) -> bool:
+        """Tell whether a version's answers show that it neither fails nor is several times slower.
 
-        Too few answers show nothing. Those of loaded endpoints don't count, because a full batch
-        slows each.
+        Too few answers show nothing. Slow ones count only on endpoints that are not loaded, because
+        a full batch slows each; an answer that was slow and then failed counts as both.
         """
-        total = Tally()
+        all_answers, unloaded = Tally(), Tally()
         for (version, kind), tally in self.merge_tallies(service).items():
-            if version == target and kind not in LOADED_KINDS:
-                total.add(tally)
-        more_slow = _binomial_tail(total.slow + 1, total.answers, MAX_COLD_SLOW_FRACTION)
-        return 1.0 - more_slow < MAX_FAST_CHANCE_PROBABILITY
+            if version == target:
+                all_answers.add(tally)
+                if kind not in LOADED_KINDS:
+                    unloaded.add(tally)
+        return _is_shown_below(
+            BAD_VERSION_FRACTION, all_answers.bad, all_answers.answers
+        ) and _is_shown_below(
+            MAX_COLD_SLOW_FRACTION, unloaded.slow + unloaded.bad, unloaded.answers
+        )
 
     def is_failing(self, service: str, target: str) -> bool:
         """Tell whether more answers of a version fail than a good one would let fail."""
@@ -358,6 +365,12 @@
     return _binomial_tail(bad, answers, fraction) < MAX_CHANCE_PROBABILITY
 
 
+def _is_shown_below(fraction: float, bad: int, answers: int) -> bool:
+    """Tell whether a version with this fraction of bad answers would hardly return so few."""
+    more_bad = _binomial_tail(bad + 1, answers, fraction)
+    return 1.0 - more_bad < MAX_GOOD_CHANCE_PROBABILITY
+
+
 def _binomial_tail(bad: int, answers: int, probability: float) -> float:
     """Return the probability of at least ``bad`` bad answers among independent ones."""
     if bad > answers:
--- a/poplarrun/rollouts/_rollouts.py
+++ b/poplarrun/rollouts/_rollouts.py
@@ -120,7 +120,7 @@
     shift_decided_at : float, optional
         When any host first decided that sessions may change versions.
     proven_at : float, optional
-        When any host first knew that the version is fast enough and bears load.
+        When any host first knew that the version is good and bears load.
     announced_copies : int
         Copies that hosts have announced for its load tests.
     """
@@ -420,16 +420,15 @@
         )
         if rollout.is_shift_due(now) and has_enough_answers:
             rollout.record_shift(now)
-        is_proven = self.is_fast(rollout) and self._bears_load(rollout)
-        if rollout.has_shift_begun(now) and is_proven:
+        is_good = self.is_shown_good(rollout)
+        if rollout.has_shift_begun(now) and is_good and self._bears_load(rollout):
             rollout.record_proof(now)
         is_over = rollout.proven_at is None and rollout.is_load_test_over(now)
         if is_over or (not rollout.has_all_sessions(now) and self._fails_under_load(rollout)):
             return RolloutVerdict.ROLLED_BACK
-        if (
-            rollout.has_all_sessions(now)
-            and rollout.elapsed_fraction(now) >= COMPLETION_TIME_FRACTION
-        ):
+        is_completion_due = rollout.elapsed_fraction(now) >= COMPLETION_TIME_FRACTION
+        # Answers since the proof may have undone it, and a completion is final.
+        if rollout.has_all_sessions(now) and is_completion_due and is_good:
             return RolloutVerdict.COMPLETED
         if rollout.elapsed_fraction(now) >= 1.0:
             return RolloutVerdict.ROLLED_BACK
@@ -437,9 +436,9 @@
             RolloutVerdict.NOTHING if rollout.recorded_phase is not None else RolloutVerdict.ACTIVE
         )
 
-    def is_fast(self, rollout: Rollout) -> bool:
-        """Tell whether the version's answers show that it isn't several times slower."""
-        return self.statistics.is_fast(rollout.order.service, rollout.order.target)
+    def is_shown_good(self, rollout: Rollout) -> bool:
+        """Tell whether the version's answers show that it neither fails nor is much slower."""
+        return self.statistics.is_shown_good(rollout.order.service, rollout.order.target)
 
     def _bears_load(self, rollout: Rollout) -> bool:
         """Tell whether an almost full endpoint of the version has answered often enough."""
