Wait for a whole answer or event, not for its next byte

Cause: the timeouts of a stream began anew with each read, so that any byte counted as progress; that of a plain answer ended with its head. Change: AnswerReader waits for something whole: an answer from its send on, an event since the one before. Beyond the timeout it waits on only if no other endpoint may go on, as streams did.

--- a/features/steps/unframed_answers.py
+++ b/features/steps/unframed_answers.py
@@ -103,3 +103,17 @@
     assert b"\r\n\r\nanswer of stock-" in data, data
     step_one_ran(context)
     assert find_run(context, context.request_id)
+
+
+@then("no endpoint goes on with an answer")
+def step_none_goes_on(context):
+    requests = [
+        request
+        for endpoint in context.installation.endpoints.values()
+        for request in endpoint.received_requests
+        if request.headers["x-attempt-id"] == context.request_id
+    ]
+    until = time.monotonic() + 10.0
+    while not any(request.is_disconnected for request in requests):
+        assert time.monotonic() < until, requests
+        time.sleep(0.02)
--- a/features/unframed_answers.feature
+++ b/features/unframed_answers.feature
@@ -85,3 +85,36 @@
       | order | killed             | gets 502, and the order ran once         |
       | draft | stopped as planned | gets all events of the draft in order    |
       | order | stopped as planned | gets the whole answer, and the order ran once |
+
+  @each.installation
+  Scenario Outline: A <request> whose answer <end> gets <seen>
+    # Guards against callers held until their deadline by bytes that never become an answer.
+    Given a second endpoint "<second>" of "<service>"
+    When a caller sends a <request> whose answer <end>
+    Then it gets <seen>
+    And its connection serves 5 more lookups, each with one send
+
+    Examples:
+      | request | service | second   | end                             | seen                                                  |
+      | lookup  | stock   | stock-2  | goes on without end             | 200 after 2 sends, and a whole answer of one endpoint |
+      | lookup  | stock   | stock-2  | trickles without end            | 200 after 2 sends, and a whole answer of one endpoint |
+      | order   | stock   | stock-2  | goes on without end             | 502 after 1 sends, and a whole answer of one endpoint |
+      | draft   | engines | engine-2 | goes on without end             | the events 1 to 5 after 2 sends                       |
+      | draft   | engines | engine-2 | trickles without end            | the events 1 to 5 after 2 sends                       |
+      | draft   | engines | engine-2 | begins and goes on without end  | the events 1 to 5 after 2 sends                       |
+      | draft   | engines | engine-2 | begins and trickles without end | the events 1 to 5 after 2 sends                       |
+
+  @fixture.cuttable_hosts
+  Scenario Outline: Through a helper, a <request> whose answer <end> comes from another endpoint
+    # Guards against bytes without end that a helper passes on or keeps for ever.
+    Given host 0 reaches endpoints through helpers only
+    When a caller sends a <request> whose answer <end>
+    Then it gets <seen>
+    And no endpoint goes on with an answer
+
+    Examples:
+      | request | end                             | seen                                                  |
+      | lookup  | goes on without end             | 200 after 2 sends, and a whole answer of one endpoint |
+      | lookup  | trickles without end            | 200 after 2 sends, and a whole answer of one endpoint |
+      | draft   | goes on without end             | the events 1 to 5 after 2 sends                       |
+      | draft   | begins and trickles without end | the events 1 to 5 after 2 sends                       |
--- a/poplarrun/gateway/_forwarder.py
+++ b/poplarrun/gateway/_forwarder.py
@@ -20,6 +20,7 @@
     first_event_timeout_s,
 )
 from poplarrun.errors import ErrorKind, NotRun, Refusal, response_for
+from poplarrun.gateway._answer_reader import AnswerReader, WaitEnded
 from poplarrun.gateway._connector import EndpointConnector, EndpointWithheld
 from poplarrun.gateway._crash_probe import CrashProbe
 from poplarrun.gateway._event_stream import Event, EventParser, MalformedStream
@@ -294,30 +295,32 @@
         raise AttemptError(AnswerFailed(open_answer.answer.status))
 
     async def _read_body(self, open_answer: _OpenAnswer) -> bytes:
+        reader = self._create_reader(open_answer, open_answer.attempt.sent_at)
         parts: list[bytes] = []
         size = 0
         try:
-            while (data := await open_answer.connection.read_data()) is not None:
+            while (data := await reader.read()) is not None:
                 parts.append(data)
                 size += len(data)
                 if size > MAX_ANSWER_BYTES:
                     raise AttemptError(Garbled("the answer exceeds the size limit"))
+        except WaitEnded as error:
+            raise AttemptError(TookTooLong(error.waited_s)) from error
         except ConnectionBroken as error:
             raise AttemptError(ConnectionBroke(str(error))) from error
         return b"".join(parts)
 
     async def _forward_stream(self, open_answer: _OpenAnswer) -> None:
         parser = EventParser()
-        timeout_s = first_event_timeout_s(self._work, open_answer.attempt.estimate)
+        reader = self._create_reader(open_answer, seconds_since_boot())
         try:
-            while True:
-                data = await self._read_stream(open_answer.connection, timeout_s)
-                if data is None:
-                    break
+            while (data := await reader.read()) is not None:
                 events = parser.feed(data)
                 if events:
                     await self._forward_events(open_answer, events)
-                    timeout_s = event_gap_timeout_s(self._work)
+                    reader.wait_anew(event_gap_timeout_s(self._work))
+        except WaitEnded as error:
+            raise AttemptError(TookTooLong(error.waited_s)) from error
         except (ConnectionBroken, MalformedStream) as error:
             raise AttemptError(ConnectionBroke(str(error))) from error
         if not parser.is_at_boundary:
@@ -330,19 +333,14 @@
         self._complete(open_answer, seconds_since_boot())
         self._caller.end_response()
 
-    async def _read_stream(
-        self, connection: ClientConnection, timeout_s: float | None
-    ) -> bytes | None:
-        """Wait for the next bytes, beyond the timeout if no other endpoint may go on."""
-        while True:
-            try:
-                async with asyncio.timeout(timeout_s):
-                    return await connection.read_data()
-            except TimeoutError as error:
-                now = seconds_since_boot()
-                budget = self._dispatcher.retry_budgets.budget(self._work.service, now)
-                if can_abandon(self._work, budget, now):
-                    raise AttemptError(TookTooLong(timeout_s or 0.0)) from error
+    def _create_reader(self, open_answer: _OpenAnswer, waits_since: float) -> AnswerReader:
+        timeout_s = first_event_timeout_s(self._work, open_answer.attempt.estimate)
+        return AnswerReader(open_answer.connection, waits_since, timeout_s, self._can_abandon)
+
+    def _can_abandon(self) -> bool:
+        now = seconds_since_boot()
+        budget = self._dispatcher.retry_budgets.budget(self._work.service, now)
+        return can_abandon(self._work, budget, now)
 
     def _is_without_event(self, attempt: Attempt) -> bool:
         """Return whether a stream from its beginning has brought no event; a resumed one may."""
--- a/standins/installation/_endpoint.py
+++ b/standins/installation/_endpoint.py
@@ -12,7 +12,7 @@
 from dataclasses import dataclass, field
 
 from poplarrun.transport import CallerConnection, CallerServer, RequestHead
-from standins.installation._unframed import send_unframed
+from standins.installation._unframed import send_unframed, send_without_end
 
 EVENT_INTERVAL_S = 0.01
 PAUSE_S = 4.0
@@ -51,9 +51,15 @@
     UNFRAMED_EMPTY = "is unframed and ends after its head"
     UNFRAMED_RESET = "is unframed and is reset after its last byte"
     UNFRAMED_RESET_INSIDE = "is unframed and is reset in its middle"
+    ENDLESS = "begins and goes on without end"
+    ENDLESS_SLOW = "begins and trickles without end"
+    ENDLESS_AT_ONCE = "goes on without end"
+    ENDLESS_SLOW_AT_ONCE = "trickles without end"
 
 
 UNFRAMED_FAULTS = frozenset(fault for fault in Fault if fault.name.startswith("UNFRAMED"))
+ENDLESS_FAULTS = frozenset(fault for fault in Fault if fault.name.startswith("ENDLESS"))
+ENDLESS_PIECE = b"x" * 4096
 
 
 @dataclass
@@ -260,6 +266,8 @@
                 caller.abort_response()
             case _ if fault in UNFRAMED_FAULTS:
                 await self._answer_unframed(caller, headers, answer_headers, fault)
+            case _ if fault in ENDLESS_FAULTS:
+                await self._answer_without_end(caller, headers, answer_headers, fault)
             case Fault.MUTE:
                 await asyncio.sleep(30.0)
             case Fault.ERROR:
@@ -306,6 +314,22 @@
                 pieces[2:], is_reset = [piece[:7] for piece in pieces[2:3]], True
         await send_unframed(caller, answer_headers, pieces, interval_s, is_reset)
 
+    async def _answer_without_end(
+        self,
+        caller: CallerConnection,
+        headers: dict[str, str],
+        answer_headers: list[tuple[bytes, bytes]],
+        fault: Fault | None,
+    ) -> None:
+        beginning = b""
+        if fault in (Fault.ENDLESS, Fault.ENDLESS_SLOW):
+            first = int(headers.get("last-event-id", "0")) + 1
+            event = _encode_event(headers.get("x-model", ""), first)
+            beginning = event if self.is_engine else b"answer "
+        is_slow = fault in (Fault.ENDLESS_SLOW, Fault.ENDLESS_SLOW_AT_ONCE)
+        piece, interval_s = (b"x", EVENT_INTERVAL_S) if is_slow else (ENDLESS_PIECE, 0.0)
+        await send_without_end(caller, answer_headers, beginning, piece, interval_s)
+
     def _create_headers(
         self, headers: dict[str, str], fault: Fault | None
     ) -> list[tuple[bytes, bytes]]:
--- a/standins/installation/_unframed.py
+++ b/standins/installation/_unframed.py
@@ -7,6 +7,10 @@
 
 from poplarrun.transport import CallerConnection
 
+# Bytes that the other side has not taken yet, above which no more are written.
+MAX_UNSENT_BYTES = 256 * 1024
+WAIT_S = 0.001
+
 Headers = list[tuple[bytes, bytes]]
 
 
@@ -43,3 +47,23 @@
     linger = struct.pack("ii", 1, 0)
     transport.get_extra_info("socket").setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, linger)
     transport.abort()
+
+
+async def send_without_end(
+    caller: CallerConnection, headers: Headers, beginning: bytes, piece: bytes, interval_s: float
+) -> None:
+    """Send a head, the beginning of a body, and a piece again and again until this is cancelled.
+
+    Parameters
+    ----------
+    interval_s : float
+        Time before each piece; 0 to send as fast as the other side takes them.
+    """
+    transport = caller._transport
+    assert transport is not None
+    transport.write(_encode_head(headers) + beginning)
+    while True:
+        await asyncio.sleep(interval_s)
+        while transport.is_closing() or transport.get_write_buffer_size() > MAX_UNSENT_BYTES:
+            await asyncio.sleep(WAIT_S)
+        transport.write(piece)
