Search each byte of an unfinished event once

What callers saw: nothing yet. An endpoint that sends an event without end in chunks of one byte blocks the host, with all its requests, for seconds: 65,536 such pieces took 3.6 s of processor time, 262,144 took 48 s, 524,288 took 195 s. Cause: EventParser copied and searched all that it kept of an event anew with each piece, and the bytes that were received meanwhile are read without a pause. Change: it keeps a byte array, and searches what is new only.

--- a/features/endless_bytes.feature
+++ b/features/endless_bytes.feature
@@ -33,3 +33,20 @@
       | 2     | 7992  | 16016 | 3992  |
       | 59    | 392   | 23616 | 192   |
       | 599   | 36    | 23960 | 16    |
+
+  Scenario: An event without end that comes byte by byte takes little processor time
+    # Guards against a host that searches and copies a whole event anew for each byte.
+    When 1048577 bytes of an event come one by one, after one whole event
+    Then one event is read, and the rest is no stream
+
+  Scenario Outline: Events are read whole, however they are cut into pieces
+    When 3 events come in pieces of <bytes> bytes
+    Then these 3 events are read in order
+
+    Examples:
+      | bytes |
+      | 1     |
+      | 2     |
+      | 3     |
+      | 7     |
+      | 1000  |
--- a/features/steps/endless_bytes.py
+++ b/features/steps/endless_bytes.py
@@ -3,6 +3,7 @@
 from behave import then, when
 
 from poplarrun.gateway._answer_room import AnswerRoom
+from poplarrun.gateway._event_stream import Event, EventParser, MalformedStream
 from poplarrun.transport import ConnectionBroken
 from poplarrun.transport._client import open_connection
 
@@ -134,3 +135,36 @@
         with kept:
             pass
     assert context.room.free == context.room_bytes
+
+
+@when("{count:d} bytes of an event come one by one, after one whole event")
+def step_byte_by_byte(context, count):
+    parser = EventParser()
+    events, is_malformed = parser.feed(b"id: 1\ndata: 1\n\n"), False
+    for _ in range(count):
+        try:
+            events += parser.feed(b"x")
+        except MalformedStream:
+            is_malformed = True
+    context.events, context.is_malformed = events, is_malformed
+
+
+@then("one event is read, and the rest is no stream")
+def step_malformed(context):
+    assert context.events == [Event(b"id: 1\ndata: 1\n\n", 1)] and context.is_malformed
+
+
+@when("3 events come in pieces of {size:d} bytes")
+def step_pieces(context, size):
+    context.sent = [Event(f"id: {number}\ndata: a\n\n".encode(), number) for number in (1, 2, 3)]
+    data = b"".join(event.data for event in context.sent)
+    parser = EventParser()
+    context.events = []
+    for begin in range(0, len(data), size):
+        context.events += parser.feed(data[begin : begin + size])
+    context.is_whole = parser.is_at_boundary
+
+
+@then("these 3 events are read in order")
+def step_events_read(context):
+    assert context.events == context.sent and context.is_whole
--- a/poplarrun/gateway/_event_stream.py
+++ b/poplarrun/gateway/_event_stream.py
@@ -37,7 +37,7 @@
     """
 
     def __init__(self) -> None:
-        self._remainder = b""
+        self._remainder = bytearray()
 
     @property
     def is_at_boundary(self) -> bool:
@@ -57,16 +57,19 @@
         MalformedStream
             If an event exceeds the maximum size.
         """
-        remainder = self._remainder + data
+        # What was searched before is not searched again: an event may come in a million pieces.
+        searched = max(0, len(self._remainder) - len(EVENT_END) + 1)
+        self._remainder += data
         events = []
-        while (end := remainder.find(EVENT_END)) >= 0:
-            event_bytes, remainder = (
-                remainder[: end + len(EVENT_END)],
-                remainder[end + len(EVENT_END) :],
-            )
+        begin = 0
+        while (end := self._remainder.find(EVENT_END, max(begin, searched))) >= 0:
+            event_end = end + len(EVENT_END)
+            event_bytes = bytes(self._remainder[begin:event_end])
             match = EVENT_ID_PATTERN.search(event_bytes)
             events.append(Event(event_bytes, int(match.group(1)) if match else None))
-        if len(remainder) > MAX_EVENT_BYTES:
+            begin = event_end
+        if begin:
+            del self._remainder[:begin]
+        if len(self._remainder) > MAX_EVENT_BYTES:
             raise MalformedStream("an event exceeds the size limit")
-        self._remainder = remainder
         return events
