Give other work a turn while an endpoint always has more bytes

What callers saw: nothing yet. Cause: a read that finds bytes doesn't suspend, and nothing else did. Change: AnswerReader gives all other work a turn each 32 reads. Measured: endless_bytes, "A host goes on with other work while an endpoint always has more bytes": no turn in 10,000 reads before.

--- a/features/endless_bytes.feature
+++ b/features/endless_bytes.feature
@@ -50,3 +50,8 @@
       | 3     |
       | 7     |
       | 1000  |
+
+  Scenario: A host goes on with other work while an endpoint always has more bytes
+    # Guards against a host that reads one answer only, as long as its bytes come fast enough.
+    When 10000 reads of an answer never have to wait
+    Then other work has had a turn at least each 50 reads
--- a/features/steps/endless_bytes.py
+++ b/features/steps/endless_bytes.py
@@ -2,6 +2,7 @@
 
 from behave import then, when
 
+from poplarrun.gateway._answer_reader import AnswerReader
 from poplarrun.gateway._answer_room import AnswerRoom
 from poplarrun.gateway._event_stream import Event, EventParser, MalformedStream
 from poplarrun.transport import ConnectionBroken
@@ -168,3 +169,34 @@
 @then("these 3 events are read in order")
 def step_events_read(context):
     assert context.events == context.sent and context.is_whole
+
+
+class FullConnection:
+    """Connection that always has more bytes of an answer."""
+
+    async def read_data(self):
+        return b"x"
+
+
+@when("{count:d} reads of an answer never have to wait")
+def step_read_all(context, count):
+    async def work(turns):
+        while True:
+            turns.append(1)
+            await asyncio.sleep(0)
+
+    async def run():
+        turns = []
+        other = asyncio.create_task(work(turns))
+        reader = AnswerReader(FullConnection(), 0.0, None, lambda: True)
+        for _ in range(count):
+            await reader.read()
+        other.cancel()
+        return len(turns)
+
+    context.reads, context.turns = count, asyncio.run(run())
+
+
+@then("other work has had a turn at least each {reads:d} reads")
+def step_turns(context, reads):
+    assert reads * context.turns >= context.reads, context.turns
--- a/poplarrun/gateway/_answer_reader.py
+++ b/poplarrun/gateway/_answer_reader.py
@@ -5,6 +5,9 @@
 
 from poplarrun.transport import ClientConnection, seconds_since_boot
 
+# Reads after which all other work of the host has its turn.
+MAX_READS_AT_ONCE = 32
+
 
 class WaitEnded(Exception):
     """What was waited for did not arrive in time, and another endpoint may go on."""
@@ -38,6 +41,7 @@
         self._waits_since = waits_since
         self._timeout_s = timeout_s
         self._can_abandon = can_abandon
+        self._reads_at_once = 0
 
     def wait_anew(self, timeout_s: float | None) -> None:
         """Wait for the next whole thing, from now on."""
@@ -54,6 +58,11 @@
         ConnectionBroken
             When the connection ends first, or the answer is not valid HTTP.
         """
+        self._reads_at_once += 1
+        if self._reads_at_once >= MAX_READS_AT_ONCE:
+            # Reading doesn't wait while an endpoint sends faster than its bytes are read.
+            self._reads_at_once = 0
+            await asyncio.sleep(0)
         while True:
             try:
                 async with asyncio.timeout(self._remaining_s()):
