Bound the answers that the own interface reads, in size and time

What callers saw: nothing yet. An engine, service or store that sends bytes without end took memory for as long as it sent (256 MB in the test, then it stopped), or held a thread of the host for ever with a byte each 50 ms: a chat's, a call's, or that which reads an engine's load and models, the list of hosts, the log or the ratings. Cause: whole answers were read by the library without a limit, with a timeout of each read only; a chunk, a trailer, a line of an answer and the body of an error had no limit. Change: fetch and read_whole read a body until a deadline and a size; chunks are bounded by 8 MB, trailers by 16 KB, events by 1 MB, error answers by 64 KB and 0.2 s; an event must come within the timeout, not a byte. Lines are no longer copied anew with each read. Open: heads that come slowly and without end; the export of a cache that is moved.

--- a/poplarrun/clients/_engines.py
+++ b/poplarrun/clients/_engines.py
@@ -1,6 +1,8 @@
 """Client of model engines: generates answers as streams, reads load and cache events."""
 
+import contextlib
 import hashlib
+import time
 from collections.abc import Iterator
 from dataclasses import dataclass
 from typing import Protocol
@@ -8,6 +10,7 @@
 import msgspec
 import urllib3
 
+from poplarrun.clients._answers import fetch, read_whole
 from poplarrun.clients._http import base_url, get_pool_manager, pool_for_address
 from poplarrun.clients._streams import StreamedBody
 from poplarrun.contracts import VersionId
@@ -16,6 +19,11 @@
 REPORT_TIMEOUT_S = 1.0
 CANCEL_TIMEOUT_S = 1.0
 MOVE_TIMEOUT_S = 2.0
+# What is read of an answer that is an error.
+ERROR_TIMEOUT_S = 0.2
+MAX_ERROR_BYTES = 64 * 1024
+# Longest line of an answer, which is one event.
+MAX_LINE_BYTES = 1024 * 1024
 OK = 200
 # Statuses that an engine returns before it starts to generate.
 NOT_STARTED_STATUSES = frozenset({404, 409, 429, 503})
@@ -229,19 +237,18 @@
             yield [EngineFailed(started=True, reason="broken")]
             return
         if response.status != OK:
-            response.drain_conn()
-            response.release_conn()
+            with contextlib.suppress(urllib3.exceptions.HTTPError):
+                # A connection whose answer was read may be used again.
+                read_whole(response, ERROR_TIMEOUT_S, MAX_ERROR_BYTES)
             started = response.status not in NOT_STARTED_STATUSES
             yield [EngineFailed(started, f"status_{response.status}")]
             return
-        yield from _read_events(response)
+        yield from _read_events(response, timeout_s)
 
     def cancel(self, address: str, request_id: str) -> None:
         """Cancel a stream. If the request is lost, the engine generates unused tokens."""
         try:
-            get_pool_manager().request(
-                "DELETE", f"{base_url(address)}/v1/generate/{request_id}", timeout=CANCEL_TIMEOUT_S
-            )
+            fetch("DELETE", f"{base_url(address)}/v1/generate/{request_id}", CANCEL_TIMEOUT_S)
         except urllib3.exceptions.HTTPError:
             return
 
@@ -264,9 +271,7 @@
     def fetch_load(self, address: str) -> LoadReport | EngineFailed:
         """Fetch the engine's load."""
         try:
-            response = get_pool_manager().request(
-                "GET", f"{base_url(address)}/v1/load", timeout=REPORT_TIMEOUT_S
-            )
+            response = fetch("GET", f"{base_url(address)}/v1/load", REPORT_TIMEOUT_S)
             return msgspec.json.decode(response.data, type=LoadReport)
         except (urllib3.exceptions.NewConnectionError, urllib3.exceptions.ConnectTimeoutError):
             return EngineFailed(started=False, reason="connect")
@@ -276,25 +281,27 @@
     def list_cache_events(self, address: str, after: int) -> list[CacheEvent] | EngineFailed:
         """Fetch the engine's cache events with a number above ``after``, in order."""
         try:
-            response = get_pool_manager().request(
-                "GET",
-                f"{base_url(address)}/v1/cache-events?after={after}",
-                timeout=REPORT_TIMEOUT_S,
-            )
+            url = f"{base_url(address)}/v1/cache-events?after={after}"
+            response = fetch("GET", url, REPORT_TIMEOUT_S)
             return _cache_events_decoder.decode(response.data)
         except (urllib3.exceptions.HTTPError, msgspec.DecodeError) as error:
             return EngineFailed(started=False, reason=type(error).__name__)
 
 
-def _read_events(response: urllib3.BaseHTTPResponse) -> Iterator[list[GenerationEvent]]:
+def _read_events(
+    response: urllib3.BaseHTTPResponse, timeout_s: float
+) -> Iterator[list[GenerationEvent]]:
     body = StreamedBody(response)
-    remainder = b""
+    buffer = _LineBuffer()
     finished = False
+    until = time.monotonic() + timeout_s
     try:
-        while not finished and (received := body.read()):
-            lines, end, remainder = (remainder + received).rpartition(b"\n")
-            if not end:
+        while not finished and (received := body.read(until)):
+            if not (lines := buffer.feed(received)):
+                if time.monotonic() > until:
+                    raise urllib3.exceptions.ProtocolError("no event came in time")
                 continue
+            until = time.monotonic() + timeout_s
             answers: list[GenerationEvent] = [*_event_decoder.decode_lines(lines)]
             finished = any(isinstance(answer, Usage) for answer in answers)
             if answers:
@@ -306,15 +313,40 @@
         # of this one. The end of the body is read after the last events were yielded, so
         # that the caller doesn't wait for it.
         if finished:
-            _read_to_end(body)
+            _read_to_end(body, timeout_s)
         body.release()
     if not finished:
         yield [EngineFailed(started=True, reason="broken")]
 
 
-def _read_to_end(body: StreamedBody) -> None:
+class _LineBuffer:
+    """Collects received bytes into whole lines."""
+
+    def __init__(self) -> None:
+        self._parts: list[bytes] = []
+        self._size = 0
+
+    def feed(self, received: bytes) -> bytes:
+        """Add received bytes; return the lines that they complete, without the last line end."""
+        lines, end, rest = received.rpartition(b"\n")
+        if not end:
+            self._keep(received)
+            return b""
+        whole = b"".join((*self._parts, lines))
+        self._parts, self._size = [], 0
+        self._keep(rest)
+        return whole
+
+    def _keep(self, rest: bytes) -> None:
+        self._parts.append(rest)
+        self._size += len(rest)
+        if self._size > MAX_LINE_BYTES:
+            raise urllib3.exceptions.ProtocolError("a line is too long")
+
+
+def _read_to_end(body: StreamedBody, timeout_s: float) -> None:
     """Read up to the end of the body, which contains no more events."""
     try:
-        body.read()
+        body.read(time.monotonic() + timeout_s)
     except (urllib3.exceptions.HTTPError, OSError):
         return
--- a/poplarrun/clients/_hostlist.py
+++ b/poplarrun/clients/_hostlist.py
@@ -7,7 +7,8 @@
 import msgspec
 import urllib3
 
-from poplarrun.clients._http import base_url, get_pool_manager
+from poplarrun.clients._answers import fetch
+from poplarrun.clients._http import base_url
 
 READ_TIMEOUT_S = 2.0
 OK = 200
@@ -92,7 +93,7 @@
     def read(self) -> tuple[ListedHost, ...] | ListUnavailable:
         """Read the whole list."""
         try:
-            response = get_pool_manager().request("GET", self._url, timeout=READ_TIMEOUT_S)
+            response = fetch("GET", self._url, READ_TIMEOUT_S)
         except urllib3.exceptions.HTTPError as error:
             return ListUnavailable(type(error).__name__)
         if response.status != OK:
--- a/poplarrun/clients/_log.py
+++ b/poplarrun/clients/_log.py
@@ -5,7 +5,8 @@
 import msgspec
 import urllib3
 
-from poplarrun.clients._http import base_url, get_pool_manager
+from poplarrun.clients._answers import fetch
+from poplarrun.clients._http import base_url
 from poplarrun.log import (
     Appended,
     AppendOutcome,
@@ -50,12 +51,12 @@
     def append(self, stream: str, data: bytes) -> AppendOutcome:
         """Append one record to a stream."""
         try:
-            response = get_pool_manager().request(
+            response = fetch(
                 "POST",
                 f"{self._base}/{stream}/records",
+                APPEND_TIMEOUT_S,
                 body=data,
                 headers={"Content-Type": "application/octet-stream"},
-                timeout=APPEND_TIMEOUT_S,
             )
         except (urllib3.exceptions.NewConnectionError, urllib3.exceptions.ConnectTimeoutError):
             return AppendRefused("no connection to the log")
@@ -70,11 +71,11 @@
     def read(self, stream: str, from_offset: int, limit: int) -> ReadOutcome:
         """Read at most ``limit`` records of a stream, starting at an offset."""
         try:
-            response = get_pool_manager().request(
+            response = fetch(
                 "GET",
                 f"{self._base}/{stream}/records",
+                READ_TIMEOUT_S,
                 fields={"from": str(from_offset), "limit": str(limit)},
-                timeout=READ_TIMEOUT_S,
             )
         except urllib3.exceptions.HTTPError as error:
             return ReadFailed(type(error).__name__)
--- a/poplarrun/clients/_orders.py
+++ b/poplarrun/clients/_orders.py
@@ -7,7 +7,8 @@
 import msgspec
 import urllib3
 
-from poplarrun.clients._http import base_url, get_pool_manager
+from poplarrun.clients._answers import fetch
+from poplarrun.clients._http import base_url
 
 REQUEST_TIMEOUT_S = 1.0
 # Longer than other timeouts, because weights are large files: a slow transfer must not count
@@ -104,9 +105,7 @@
     def read_models(self, address: str) -> EngineModels | OrdersUnsupported | OrderFailed:
         """Fetch an engine's loaded, loading and wanted versions, its room and fencing number."""
         try:
-            response = get_pool_manager().request(
-                "GET", f"{base_url(address)}/v1/models", timeout=REQUEST_TIMEOUT_S
-            )
+            response = fetch("GET", f"{base_url(address)}/v1/models", REQUEST_TIMEOUT_S)
             if response.status == NOT_FOUND:
                 return OrdersUnsupported()
             if response.status != OK:
@@ -118,12 +117,12 @@
     def send(self, address: str, order: ModelsOrder) -> OrderAccepted | OrderFenced | OrderFailed:
         """Send an order to an engine."""
         try:
-            response = get_pool_manager().request(
+            response = fetch(
                 "POST",
                 f"{base_url(address)}/v1/orders",
+                REQUEST_TIMEOUT_S,
                 body=msgspec.json.encode(order),
                 headers={"Content-Type": "application/json"},
-                timeout=REQUEST_TIMEOUT_S,
             )
         except urllib3.exceptions.HTTPError as error:
             return OrderFailed(type(error).__name__)
@@ -144,7 +143,7 @@
         """Transfer a version's weights to an engine; return '' or the reason of a failure."""
         path = f"{self._base}/{version}?engine={engine}"
         try:
-            response = get_pool_manager().request("GET", path, timeout=WEIGHT_TRANSFER_TIMEOUT_S)
+            response = fetch("GET", path, WEIGHT_TRANSFER_TIMEOUT_S)
         except urllib3.exceptions.HTTPError as error:
             return type(error).__name__
         return "" if response.status == OK else f"status_{response.status}"
--- a/poplarrun/clients/_ratings.py
+++ b/poplarrun/clients/_ratings.py
@@ -6,7 +6,8 @@
 import msgspec
 import urllib3
 
-from poplarrun.clients._http import base_url, get_pool_manager
+from poplarrun.clients._answers import fetch
+from poplarrun.clients._http import base_url
 
 REQUEST_TIMEOUT_S = 2.0
 OK = 200
@@ -68,12 +69,12 @@
 
     def _post(self, path: str, body: msgspec.Struct) -> tuple[int, bytes]:
         try:
-            response = get_pool_manager().request(
+            response = fetch(
                 "POST",
                 f"{self._base}/{path}",
+                REQUEST_TIMEOUT_S,
                 body=msgspec.json.encode(body),
                 headers={"Content-Type": "application/json"},
-                timeout=REQUEST_TIMEOUT_S,
             )
         except urllib3.exceptions.HTTPError:
             return 0, b""
--- a/poplarrun/clients/_services.py
+++ b/poplarrun/clients/_services.py
@@ -11,6 +11,7 @@
 
 import urllib3
 
+from poplarrun.clients._answers import read_whole
 from poplarrun.clients._http import PlatformTls
 
 CONNECT_TIMEOUT_S = 0.5
@@ -123,10 +124,11 @@
             self._connection.sock.settimeout(max(0.001, timeout_s))
             self._connection.sock.sendall(self._connection.buffered[self._sent :])
             response = self._connection.getresponse()
+            body = read_whole(response, timeout_s)
         except (urllib3.exceptions.HTTPError, OSError) as error:
             return ServiceOutcomeUnknown(type(error).__name__)
         content_type = response.headers.get("Content-Type", "application/octet-stream")
-        return ServiceResponse(response.status, response.data, content_type)
+        return ServiceResponse(response.status, body, content_type)
 
     def close(self) -> None:
         """Close the connection; without ``start_sending`` nothing was sent."""
@@ -156,6 +158,7 @@
                 f"/v1/operations/{call.operation}",
                 body=call.body,
                 headers={"Content-Type": call.content_type, "X-Request-Id": call.request_id},
+                preload_content=False,
             )
         except (urllib3.exceptions.HTTPError, OSError):
             connection.close()
--- a/poplarrun/clients/_streams.py
+++ b/poplarrun/clients/_streams.py
@@ -1,7 +1,9 @@
 """Reads streamed response bodies, all received chunks per system call."""
 
+import math
 import socket
 import struct
+import time
 from typing import Any
 
 import urllib3
@@ -14,6 +16,8 @@
 BODY_END = b"\r\n\r\n"
 # Upper bound of a chunk's size line: the hexadecimal size with its extensions.
 MAX_SIZE_LINE_BYTES = 256
+MAX_CHUNK_BYTES = 8 * 1024 * 1024
+MAX_TRAILER_BYTES = 16 * 1024
 
 
 class StreamedBody:
@@ -42,9 +46,14 @@
         self._socket: socket.socket | None = None
         self._timeout_s: float | None = None
 
-    def read(self) -> bytes:
+    def read(self, until: float = math.inf) -> bytes:
         """Wait for data and return all that was received; empty at the end of the body.
 
+        Parameters
+        ----------
+        until : float
+            Monotonic time after which bytes that complete no data are not waited for any more.
+
         Raises
         ------
         OSError, urllib3.exceptions.HTTPError
@@ -62,6 +71,8 @@
                 )
             if data := self._decoder.decode(received):
                 return data
+            if time.monotonic() > until:
+                raise urllib3.exceptions.ProtocolError("no data came in time")
         self.is_drained = self._decoder.ended_cleanly
         return b""
 
@@ -128,7 +139,11 @@
                 if end >= 0:
                     self.is_ended = True
                     position = end + len(BODY_END)
+                elif len(data) - start > MAX_TRAILER_BYTES:
+                    raise urllib3.exceptions.ProtocolError("the trailer is too long")
                 break
+            if size > MAX_CHUNK_BYTES:
+                raise urllib3.exceptions.ProtocolError("a chunk is too long")
             end = start + size
             if len(data) < end + len(LINE_END):
                 break
