End a host although a message of a peer comes at the moment of its end

The platform kills such a host at the end of its grace. Cause: a read of pynng that completes while it is cancelled returns its message and consumes the cancellation. The receiver of messages then waits for the next one, and the end of the process waits for the receiver, for ever. Evidence: gateway_parts, "A host ends although a message of a peer comes at the moment of its end", with real links and the loop held up while the message arrives, failed before: the receiver was still running 5 s after it was cancelled. Change: the receiver ends once its task has been cancelled, whatever the read returned.

--- a/features/gateway_parts.feature
+++ b/features/gateway_parts.feature
@@ -81,3 +81,9 @@
       | with 100000 nested lists                 |
       | that is truncated                        |
       | whose slots are a string                 |
+
+  Scenario: A host ends although a message of a peer comes at the moment of its end
+    # Guards against a planned stop that waits for ever for the receiver of messages.
+    Given links that receive the messages of peers
+    When they are cancelled at the moment at which a message arrives
+    Then they have ended
--- a/features/steps/gateway_parts.py
+++ b/features/steps/gateway_parts.py
@@ -4,6 +4,7 @@
 import random
 import re
 import socket
+import time
 from pathlib import Path
 
 from behave import given, then, when
@@ -14,6 +15,7 @@
 from poplarrun.gateway._document_follower import DocumentFollower
 from poplarrun.gateway._event_stream import EventParser
 from poplarrun.gateway._reading import SharedReader
+from poplarrun.links import NngLinks
 from poplarrun.logging import EVENTS, NonBlockingHandler
 from poplarrun.metrics import Metrics
 from poplarrun.peers import DOCUMENTS, Digest, PeerTable
@@ -276,3 +278,33 @@
 @then("no endpoint is derived from it")
 def step_no_endpoint(context):
     assert decode_endpoint_record("engine-1", context.record) is None
+
+
+@given("links that receive the messages of peers")
+def step_links(context):
+    context.link_address = f"127.0.0.1:{free_port()}"
+
+
+@when("they are cancelled at the moment at which a message arrives")
+def step_cancel_links(context):
+    async def run():
+        links, peer = NngLinks(context.link_address), NngLinks(f"127.0.0.1:{free_port()}")
+        received = asyncio.Event()
+        links.start(lambda data: received.set())
+        peer.send(context.link_address, b"first")
+        await received.wait()
+        peer.send(context.link_address, b"last")
+        # The message arrives while the loop is held up, and the cancellation comes before it.
+        time.sleep(0.3)
+        links._task.cancel()
+        _, pending = await asyncio.wait((links._task,), timeout=5.0)
+        context.has_ended = not pending
+        for each in (links, peer):
+            each.stop()
+
+    asyncio.run(run())
+
+
+@then("they have ended")
+def step_links_ended(context):
+    assert context.has_ended
--- a/poplarrun/links/_nng.py
+++ b/poplarrun/links/_nng.py
@@ -117,7 +117,10 @@
         self._close_connections()
 
     async def _receive_loop(self, receive: ReceiveCallback) -> None:
-        while not self._stopped:
+        task = asyncio.current_task()
+        assert task is not None
+        # A read that completes while it is cancelled returns, as if it had not been cancelled.
+        while not self._stopped and not task.cancelling():
             try:
                 if self._listener is None:
                     self._listener = self._listen()
