--- a/features/steps/unframed_answers.py
+++ b/features/steps/unframed_answers.py
@@ -85,7 +85,7 @@
 
 
 def ask_alone(address, kind):
-    """Send a request over a connection of its own; None if its answer was cut off."""
+    """Send a request over a connection of its own, and read its answer."""
     asking = SimpleNamespace(connection=http.client.HTTPConnection(address, timeout=20.0))
     with contextlib.closing(asking.connection):
         return ask(asking, kind)
