Ask whether a second run is allowed before a larger model is asked

Callers of a streaming route with sizes that may not be resumed had their request run twice under one id: the smallest model's answer of low confidence was dropped and the largest model asked.

Cause: Dispatcher.try_escalate looked at the number of attempts and not at Route.can_repeat. The record of the case shows one run of each model for every doubled request. Ruled out: a repeated failed send (it would keep the model) and an old configuration (the route is new).

InFlightRequest.can_run_again now answers whether another run may begin, for low confidence, silence and load tests alike. Dispatcher.recheck, in the step that sends, refuses a request that may have run and may not run again, whatever began the second send, as one that may have run. `poplarrun where` named the largest model as the one that would be asked; it now tells why not. Failed sends and the copies of load tests at peers asked before; the own interface repeats by contract, and cascades of chats only.

Such streams keep the smallest model's answer now.

--- a/features/relay_faults.feature
+++ b/features/relay_faults.feature
@@ -19,6 +19,14 @@
     When its helper is killed
     Then the caller gets 502, and the order ran once
 
+  @fixture.cuttable_hosts
+  Scenario: A stream that may not be resumed runs once if its helper is killed
+    # Guards against a second run that begins because a peer carried the first one.
+    Given drafts may not be resumed
+    And a draft that host 0 serves through a helper, of long intervals
+    When its helper is killed
+    Then the caller's answer breaks off, and one endpoint ran it
+
   @fixture.cuttable_hosts
   Scenario: A helper that is stopped as planned first ends what it relays
     Given a draft that host 0 serves through a helper, of long intervals
--- a/features/steps/relays.py
+++ b/features/steps/relays.py
@@ -224,7 +224,10 @@
 def receive_all(context):
     data = getattr(context, "received", b"")
     while not data.endswith(b"0\r\n\r\n"):
-        more = context.connection.recv(65536)
+        try:
+            more = context.connection.recv(65536)
+        except ConnectionResetError:
+            break
         if not more:
             break
         data += more
@@ -263,6 +266,13 @@
     step_one_ran(context)
 
 
+@then("the caller's answer breaks off, and one endpoint ran it")
+def step_broken_off(context):
+    data = receive_all(context)
+    assert data.startswith(b"HTTP/1.1 200") and not data.endswith(b"0\r\n\r\n"), data
+    step_one_ran(context)
+
+
 @then("the timeline of each of them names the helper, and has a line of the helper")
 def step_timeline(context):
     installation = context.installation
--- a/features/steps/where.py
+++ b/features/steps/where.py
@@ -140,6 +140,14 @@
     context.below = escalation["below_confidence"]
 
 
+@then('the model "{first}" answers, since "{obstacle}"')
+def step_obstacle(context, first, obstacle):
+    assert context.explanation["model"] == first, context.explanation
+    escalation = context.explanation["escalation"]
+    assert escalation["obstacle"] == obstacle, escalation
+    assert escalation["below_confidence"] is None, escalation
+
+
 @then("an answer whose confidence is just below it is replaced, and one just above is not")
 def step_threshold(context):
     installation = context.installation
--- a/poplarrun/dispatch/_dispatcher.py
+++ b/poplarrun/dispatch/_dispatcher.py
@@ -189,6 +189,8 @@
         While a request waits for a connection, its key may be revoked or the host be
         suspended. Sent without this check, it would run seconds after it had to be refused.
         """
+        if work.may_have_run and not work.route.can_repeat:
+            return Refusal(ErrorKind.ENDPOINT_FAILED, "it may have run")
         if work.remaining_s(now) < MIN_TIME_LEFT_S:
             return self._refuse_in_flight(work, ErrorKind.DEADLINE_UNREACHABLE, "no time is left")
         quarantined = self.crash_guard.refuse_in_flight(work, now)
@@ -357,7 +359,7 @@
         service = self._find_service(work)
         if largest is None or service is None or self.crash_guard.is_suspect(work, now):
             return SizeDecision(KeepReason.NOT_ALLOWED)
-        if work.possible_runs + 1 >= work.route.max_attempts or work.last_event_id is not None:
+        if not work.can_run_again or work.last_event_id is not None:
             return SizeDecision(KeepReason.NOT_ALLOWED)
         if not self.can_spend_on_escalation(work, now):
             return self._keep_answer(work, confidence, service, KeepReason.BUDGET)
--- a/poplarrun/dispatch/_load_tests.py
+++ b/poplarrun/dispatch/_load_tests.py
@@ -170,11 +170,10 @@
         return (
             work.service == rollout.order.service
             and work.session_version == rollout.order.target
-            and work.route.can_repeat
+            and work.can_run_again
             and work.sends > 0
             and work.request.resume_after is None
             and len(work.request.body) <= MAX_BODY_BYTES
-            and work.possible_runs + 1 < work.route.max_attempts
             and self._dispatcher.recheck(work, now) is None
             and self._dispatcher.crash_guard.is_cleared(work, now)
             and self._dispatcher.may_send(work, endpoint, now)
--- a/poplarrun/dispatch/_timeouts.py
+++ b/poplarrun/dispatch/_timeouts.py
@@ -24,7 +24,7 @@
 
     None if no retry is possible, so that the attempt may use all the remaining time.
     """
-    if not _has_attempts_left(work):
+    if not work.can_run_again:
         return None
     match work.route.repeat_policy:
         case RepeatPolicy.STREAM:
@@ -47,9 +47,4 @@
 
     If not, waiting is all that is left: its silent endpoint may still be at work.
     """
-    return _has_attempts_left(work) and budget.remaining(now) >= 1.0
-
-
-def _has_attempts_left(work: InFlightRequest) -> bool:
-    """Return whether a further send is possible once the current one has failed."""
-    return work.route.can_repeat and work.possible_runs + 1 < work.route.max_attempts
+    return work.can_run_again and budget.remaining(now) >= 1.0
--- a/poplarrun/gateway/_explanations.py
+++ b/poplarrun/gateway/_explanations.py
@@ -318,7 +318,9 @@
         largest = dispatcher.sizes.escalation_size(work)
         if largest is None:
             return None
-        if work.route.max_attempts < 2:
+        if not work.route.can_repeat:
+            return Escalation(largest, obstacle="a stream that may not be resumed runs once")
+        if not work.can_run_again:
             return Escalation(largest, obstacle="the route allows one attempt")
         if dispatcher.crash_guard.is_suspect(work, self._now):
             return Escalation(
--- a/poplarrun/routing/_requests.py
+++ b/poplarrun/routing/_requests.py
@@ -134,6 +134,11 @@
             return self.account.priority
         return self.route.priority
 
+    @property
+    def can_run_again(self) -> bool:
+        """Whether another run may follow the one that an endpoint may be at work on."""
+        return self.route.can_repeat and self.possible_runs + 1 < self.route.max_attempts
+
     def remaining_s(self, now: float) -> float:
         """Return the time until the caller's deadline, in seconds."""
         return self.deadline_at - now
--- a/standins/loaded_rollout.py
+++ b/standins/loaded_rollout.py
@@ -67,6 +67,8 @@
         Requests that reached each version.
     failures : Counter of str
         Those that failed.
+    copies : int
+        Copies among the requests.
     """
 
     failing_load: float
@@ -75,6 +77,7 @@
     running: Counter[str] = field(default_factory=Counter)
     arrivals: Counter[str] = field(default_factory=Counter)
     failures: Counter[str] = field(default_factory=Counter)
+    copies: int = 0
 
 
 class LoadedRolloutHost:
@@ -92,6 +95,7 @@
         record = copy.endpoint.record
         copy.endpoint.in_flight += 1
         copy.record_sent()
+        self._fleet.endpoints.copies += 1
         is_failure = self._fleet.begin(record.instance_id, record.version, record.slots)
         failure = self._fleet.endpoints.failure if is_failure else None
         outcome = CopyOutcome.UNANSWERED
