End a stream that may not be resumed when its caller leaves

Cause: after the send the request was shielded from its caller's end wherever Route.can_repeat was false. The shield is for orders, of which it would stay unknown whether they ran; a stream that may not be resumed got it with them.

Route.can_repeat answered three questions. Whether a request goes on without its caller is now Route.outlives_caller, and whether it may go over a used connection Route.can_reuse_connection, with the answers as before.

--- a/features/relay_faults.feature
+++ b/features/relay_faults.feature
@@ -6,6 +6,14 @@
     When its caller disconnects
     Then the endpoint of the draft is disconnected
 
+  @fixture.cuttable_hosts
+  Scenario: A caller that leaves a stream that may not be resumed ends the work behind a helper
+    # Guards against an endpoint that works on for nobody because a peer carries the request.
+    Given drafts may not be resumed
+    And a draft that host 0 serves through a helper, of long intervals
+    When its caller disconnects
+    Then the endpoint of the draft is disconnected
+
   @fixture.cuttable_hosts
   Scenario: A draft goes on after its helper is killed
     # Guards against events that are missing, or come twice, when the link between two hosts breaks.
--- a/features/steps/single_runs.py
+++ b/features/steps/single_runs.py
@@ -28,9 +28,9 @@
 POOR_CONFIDENCE = 0.05
 
 
-def forbid_resuming(installation):
-    """Publish a configuration in which drafts may not be resumed; wait until hosts follow it."""
-    installation.config["routes"][0]["resumable"] = False
+def publish_resumability(installation, is_resumable):
+    """Publish whether drafts may be resumed; wait until all hosts follow that."""
+    installation.config["routes"][0]["resumable"] = is_resumable
     installation.publish()
     text = f'"version": {installation.config["version"]}'
     for number in installation.processes:
@@ -41,7 +41,7 @@
 
 @given("drafts may not be resumed")
 def step_not_resumable(context):
-    forbid_resuming(context.installation)
+    publish_resumability(context.installation, False)
 
 
 @given("{request} that an endpoint runs")
--- a/features/steps/slow_readers.py
+++ b/features/steps/slow_readers.py
@@ -1,6 +1,5 @@
 import asyncio
 import contextlib
-import json
 import re
 import resource
 import socket
@@ -422,9 +421,7 @@
 
 
 def read_events(context, event, number=0):
-    lines = context.installation.read_log(number).splitlines()
-    found = [json.loads(line) for line in lines if line.startswith("{")]
-    return [line for line in found if line.get("event") == event]
+    return context.installation.read_events(event, number)
 
 
 def read_metric(context, name):
--- a/poplarrun/gateway/_forwarder.py
+++ b/poplarrun/gateway/_forwarder.py
@@ -253,9 +253,7 @@
             raise AttemptError(NoConnection("connection closed before the send"))
         attempt = self._dispatcher.record_sent(work, decision, now)
         self._attempt = attempt
-        # A request that may run only once is completed even if its caller disconnects, because
-        # otherwise it would stay unknown whether it ran.
-        self._caller.is_shielded = not work.route.can_repeat
+        self._caller.is_shielded = work.route.outlives_caller
         self._recorder.record_send(work, decision, now, is_resumed, way.helper)
         timeout_s = first_event_timeout_s(work, decision.estimate)
         try:
@@ -274,15 +272,12 @@
 
     async def _connect(self, decision: SendDecision) -> EndpointConnection:
         record = decision.estimate.endpoint.record
-        # A retry gets a new connection as well: the one before may have failed because the path is
-        # lost, and only a new connection tells that.
-        if self._work.route.can_repeat and self._work.failures == 0:
+        # A retry gets a new connection: the one before may have failed because the path is lost,
+        # and only a new connection tells that.
+        if self._work.route.can_reuse_connection and self._work.failures == 0:
             idle = self._connector.acquire_idle(record)
             if idle is not None:
                 return idle
-        # A request that may run only once gets a new connection. The endpoint may be closing a
-        # reused one, and a late second answer to the previous request could be mistaken for the
-        # answer to this one.
         try:
             return await self._connector.open(record, self._work.request.id)
         except EndpointWithheld as error:
--- a/poplarrun/routing/_catalogue.py
+++ b/poplarrun/routing/_catalogue.py
@@ -173,6 +173,28 @@
             case RepeatPolicy.ONCE:
                 return False
 
+    @property
+    def outlives_caller(self) -> bool:
+        """Whether a request that was sent is completed even if its caller disconnects.
+
+        An order is, because otherwise it would stay unknown whether it ran. The rest of a stream
+        is of use to nobody.
+        """
+        match self.repeat_policy:
+            case RepeatPolicy.IDEMPOTENT | RepeatPolicy.STREAM:
+                return False
+            case RepeatPolicy.ONCE:
+                return True
+
+    @property
+    def can_reuse_connection(self) -> bool:
+        """Whether a request may be sent over a connection that has carried others.
+
+        The endpoint may be closing it, or send a late second answer to the request before, and
+        either may cost the request the one send that it has.
+        """
+        return self.can_repeat
+
     def choose_service(self, point: float) -> str:
         """Return the service at a point from 0 to 1 of the cumulative distribution of weights."""
         total_weight = sum(service_weight.weight for service_weight in self.service_weights)
--- a/standins/installation/_installation.py
+++ b/standins/installation/_installation.py
@@ -171,6 +171,11 @@
         """Return what a host wrote to standard output and standard error."""
         return self.log_path(number).read_text()
 
+    def read_events(self, event: str, number: int = 0) -> list[dict[str, Any]]:
+        """Return the lines of one event in a host's log."""
+        lines = [line for line in self.read_log(number).splitlines() if line.startswith("{")]
+        return [line for line in map(json.loads, lines) if line.get("event") == event]
+
     def log_path(self, number: int = 0) -> Path:
         """Return the path of a host's output."""
         return Path(self._folder.name) / f"host-{number}.log"
