Follow an endpoint's starts in the order of the log, not of its clock

An endpoint that starts while its machine's clock is ahead, crashes and starts again under its id when the clock is right names an earlier time for the later start.

Cause: EndpointDirectory.apply ordered records by (time of start, sequence). Ruled out: a peer's list or a lapse that lists the endpoint again, which would come after a "leaving".

Within a start the sequence still decides, since a delayed write may come later. A record of a start that was never seen is of a new start whatever its time, because the log has it later. One of an earlier start is late unless that start writes twice in a row, which only a living one does. Records that are read once more change nothing. Lists of peers have no place in the log; there a later start still needs a later time.

--- /dev/null
+++ b/features/steps/stepped_clocks.py
@@ -0,0 +1,65 @@
+from dataclasses import replace
+
+from behave import given, then, when
+
+from features.steps.gateway_world import make_endpoint_record
+from poplarrun.placement import DirectoryEvent, EndpointDirectory
+
+INSTANCE_ID = "e1"
+REMOVAL = "removed"
+LEAVING_SUFFIX = "-leaving"
+NOW = 10.0
+
+
+def parse_record(text):
+    """Return the record of a start that ``time/number`` stands for."""
+    started_ms, number = text.removesuffix(LEAVING_SUFFIX).split("/")
+    record = make_endpoint_record(INSTANCE_ID, sequence=int(number), started_ms=int(started_ms))
+    return replace(record, is_leaving=text.endswith(LEAVING_SUFFIX))
+
+
+@given('the records "{records}" of one endpoint, each of a start, at a time in ms, with a number')
+def step_records(context, records):
+    context.directory = EndpointDirectory()
+    context.records = records.split(" ")
+
+
+@when("they are applied in this order")
+def step_apply(context):
+    context.events = [
+        (
+            context.directory.remove(INSTANCE_ID, NOW)
+            if text == REMOVAL
+            else context.directory.apply(parse_record(text), NOW)
+        )
+        for text in context.records
+    ]
+
+
+@then('the directory tells "{events}"')
+def step_events(context, events):
+    assert [event.value for event in context.events] == events.split(", "), context.events
+
+
+@then("a peer's record {older} of it changes nothing, and {newer} does")
+def step_peer_records(context, older, newer):
+    directory = context.directory
+    before = directory.find(INSTANCE_ID)
+    event = directory.apply(parse_record(older), NOW, is_in_order=False)
+    assert event is DirectoryEvent.NOTHING and directory.find(INSTANCE_ID) == before, event
+    event = directory.apply(parse_record(newer), NOW, is_in_order=False)
+    assert event is DirectoryEvent.RESTARTED, event
+
+
+@when('"{instance_id}" crashes, and starts again with a time of start {step_ms:d} ms earlier')
+def step_restart(context, instance_id, step_ms):
+    installation = context.installation
+    endpoint = installation.endpoints[instance_id]
+    installation.run(end(endpoint))
+    installation.run(endpoint.start())
+    endpoint.started_at_ms, endpoint.sequence = endpoint.started_at_ms - step_ms, 0
+    installation.publish_endpoint(endpoint)
+
+
+async def end(endpoint):
+    endpoint.end_process()
--- a/poplarrun/gateway/_listing_follower.py
+++ b/poplarrun/gateway/_listing_follower.py
@@ -206,7 +206,7 @@
         The read offset stays, so that this host reads the peer's records again.
         """
         for record in records:
-            self._apply_record(record, now)
+            self._apply_record(record, now, is_in_order=False)
         for instance_id in removed:
             self._remove(instance_id, now, False)
         self.is_usable = True
@@ -245,8 +245,8 @@
             return
         self._apply_record(record, now)
 
-    def _apply_record(self, record: EndpointRecord, now: float) -> None:
-        event = self._directory.apply(record, now)
+    def _apply_record(self, record: EndpointRecord, now: float, is_in_order: bool = True) -> None:
+        event = self._directory.apply(record, now, is_in_order)
         if event not in (DirectoryEvent.NOTHING, DirectoryEvent.CHANGED):
             change = events.EndpointChanged(
                 record.instance_id, event.value, record.service, record.address, record.version
--- a/poplarrun/placement/_endpoint_directory.py
+++ b/poplarrun/placement/_endpoint_directory.py
@@ -3,12 +3,15 @@
 import enum
 from dataclasses import dataclass, field
 
-# Time for which the last revision of a removed endpoint is remembered, in seconds, so
+# Time for which the last record of a removed endpoint is remembered, in seconds, so
 # that a late record of before its removal doesn't list it again.
 TOMBSTONE_TTL_S = 60.0
 # Time in seconds that a lapsed endpoint stays listed after an outage of the store. The
 # platform guarantees that the records of live endpoints are back within about two seconds.
 LAPSE_GRACE_S = 2.2
+# Earlier starts of an endpoint that are remembered, so that their late records aren't taken for
+# those of a new start.
+MAX_EARLIER_STARTS = 8
 
 
 @dataclass(frozen=True, slots=True)
@@ -42,11 +45,6 @@
     started_ms: int = 0
     sequence: int = 0
 
-    @property
-    def revision(self) -> tuple[int, int]:
-        """Position of the record among those of the same instance id."""
-        return self.started_ms, self.sequence
-
 
 class DirectoryEvent(enum.Enum):
     """The change that a record made to the directory."""
@@ -61,8 +59,63 @@
 
 @dataclass(slots=True)
 class _Entry:
+    """The latest start of an endpoint, and those that it has followed.
+
+    The order of starts is that of the log. Their times of start don't tell it, because an
+    endpoint's clock may be stepped back between two of them.
+
+    Attributes
+    ----------
+    lapsed_at : float, optional
+        When its record was removed although the endpoint may be up.
+    earlier_starts : dict of int to int
+        The latest sequence of each earlier start, by its time.
+    returning_start : int, optional
+        The earlier start that wrote the last record; None if the latest start did.
+    """
+
     record: EndpointRecord
     lapsed_at: float | None = None
+    earlier_starts: dict[int, int] = field(default_factory=dict)
+    returning_start: int | None = None
+
+    def is_followed_by(self, record: EndpointRecord, is_in_order: bool) -> bool:
+        """Return whether a record is newer than the latest one; see ``EndpointDirectory.apply``.
+
+        A write that was delayed may come after those of a later start. Only a start that is alive
+        writes once more before the later one does.
+        """
+        if record.started_ms == self.record.started_ms:
+            self.returning_start = None
+            return record.sequence >= self.record.sequence
+        sequence = self.earlier_starts.get(record.started_ms)
+        if sequence is None:
+            return is_in_order or record.started_ms > self.record.started_ms
+        if not is_in_order or record.sequence <= sequence:
+            return False
+        self.earlier_starts[record.started_ms] = record.sequence
+        is_returning = self.returning_start == record.started_ms
+        self.returning_start = record.started_ms
+        return is_returning
+
+    def replace(self, record: EndpointRecord) -> EndpointRecord:
+        """Replace the latest record; return the one before."""
+        previous, self.record = self.record, record
+        if record.started_ms != previous.started_ms:
+            self.returning_start = None
+            self.earlier_starts.pop(record.started_ms, None)
+            self.earlier_starts[previous.started_ms] = previous.sequence
+            if len(self.earlier_starts) > MAX_EARLIER_STARTS:
+                del self.earlier_starts[next(iter(self.earlier_starts))]
+        return previous
+
+
+@dataclass(frozen=True, slots=True)
+class _Tombstone:
+    """What is remembered of a removed endpoint."""
+
+    entry: _Entry
+    removed_at: float
 
 
 @dataclass
@@ -77,7 +130,7 @@
 
     next_offset: int = 0
     _entries: dict[str, _Entry] = field(default_factory=dict)
-    _tombstones: dict[str, tuple[tuple[int, int], float]] = field(default_factory=dict)
+    _tombstones: dict[str, _Tombstone] = field(default_factory=dict)
 
     def records(self) -> list[EndpointRecord]:
         """Return the records of the listed endpoints, including those that are leaving."""
@@ -97,27 +150,44 @@
         entry = self._entries.get(instance_id)
         return entry is not None and entry.lapsed_at is not None
 
-    def apply(self, record: EndpointRecord, now: float) -> DirectoryEvent:
-        """Apply an endpoint's record, unless it is older than the latest one."""
+    def apply(self, record: EndpointRecord, now: float, is_in_order: bool = True) -> DirectoryEvent:
+        """Apply an endpoint's record, unless it is older than the latest one.
+
+        Parameters
+        ----------
+        is_in_order : bool
+            Whether the log has it after the records before, or it is one of these. If not, only
+            its time of start tells whether another start is a later one.
+        """
         entry = self._entries.get(record.instance_id)
         if entry is None:
-            tombstone = self._tombstones.get(record.instance_id)
-            if tombstone is not None and record.revision <= tombstone[0]:
-                return DirectoryEvent.NOTHING
-            self._tombstones.pop(record.instance_id, None)
-            self._entries[record.instance_id] = _Entry(record)
-            return DirectoryEvent.ADDED
+            return self._add(record, is_in_order)
         entry.lapsed_at = None
-        previous = entry.record
-        if record.revision < previous.revision:
+        if not entry.is_followed_by(record, is_in_order):
             return DirectoryEvent.NOTHING
-        entry.record = record
+        previous = entry.replace(record)
         if record.started_ms != previous.started_ms:
             return DirectoryEvent.RESTARTED
         if record.is_leaving and not previous.is_leaving:
             return DirectoryEvent.LEAVING
         return DirectoryEvent.NOTHING if record == previous else DirectoryEvent.CHANGED
 
+    def _add(self, record: EndpointRecord, is_in_order: bool) -> DirectoryEvent:
+        """List an endpoint, unless the record is from before its removal."""
+        tombstone = self._tombstones.get(record.instance_id)
+        if tombstone is None:
+            self._entries[record.instance_id] = _Entry(record)
+            return DirectoryEvent.ADDED
+        entry, last = tombstone.entry, tombstone.entry.record
+        is_late = record.started_ms == last.started_ms and record.sequence <= last.sequence
+        if is_late or not entry.is_followed_by(record, is_in_order):
+            return DirectoryEvent.NOTHING
+        del self._tombstones[record.instance_id]
+        entry.replace(record)
+        entry.lapsed_at = None
+        self._entries[record.instance_id] = entry
+        return DirectoryEvent.ADDED
+
     def remove(self, instance_id: str, now: float, is_lapse: bool = False) -> DirectoryEvent:
         """Apply the removal of an endpoint's record.
 
@@ -136,7 +206,7 @@
                 entry.lapsed_at = now
             return DirectoryEvent.NOTHING
         del self._entries[instance_id]
-        self._tombstones[instance_id] = (entry.record.revision, now)
+        self._tombstones[instance_id] = _Tombstone(entry, now)
         return DirectoryEvent.REMOVED
 
     def expire(self, now: float, grace_s: float = LAPSE_GRACE_S) -> list[str]:
@@ -148,7 +218,7 @@
         ]
         for instance_id in expired:
             self.remove(instance_id, now)
-        for instance_id, (_, removed_at) in list(self._tombstones.items()):
-            if now - removed_at > TOMBSTONE_TTL_S:
+        for instance_id, tombstone in list(self._tombstones.items()):
+            if now - tombstone.removed_at > TOMBSTONE_TTL_S:
                 del self._tombstones[instance_id]
         return expired
