Let concurrent runs of the tests select ports from ranges of their own

A process now reserves its range by an abstract socket, which ends with it, and takes the next one where that is taken.

--- a/features/standins.feature
+++ b/features/standins.feature
@@ -19,3 +19,8 @@
     Given another process has bound 25 of the candidate ports
     When 1000 free ports are allocated
     Then any 40 in a row differ
+
+  Scenario: Processes that run at the same time select ports from separate ranges
+    # Guards against a host that can't listen because another run's process has bound its port.
+    When 3 processes whose first choice is the same range of ports reserve one each
+    Then the ranges differ, and one that is given back is reserved again
--- a/features/steps/standins.py
+++ b/features/steps/standins.py
@@ -3,7 +3,7 @@
 from behave import given, then, when
 
 from standins import LogStandIn
-from standins._ports import free_port
+from standins._ports import free_port, reserve_port_range
 from standins.fleet import get_json
 
 
@@ -46,3 +46,20 @@
         # is still in TIME_WAIT can be bound.
         listener = socket.create_server(("127.0.0.1", free_port()))
         context.add_cleanup(listener.close)
+
+
+@when("{count:d} processes whose first choice is the same range of ports reserve one each")
+def step_reserve(context, count):
+    context.reserved = [reserve_port_range(7) for _ in range(count)]
+    for _, reservation in context.reserved:
+        context.add_cleanup(reservation.close)
+
+
+@then("the ranges differ, and one that is given back is reserved again")
+def step_ranges_differ(context):
+    ports = [port for port, _ in context.reserved]
+    assert len(set(ports)) == len(ports), ports
+    context.reserved[0][1].close()
+    again, reservation = reserve_port_range(7)
+    context.add_cleanup(reservation.close)
+    assert again == ports[0], (again, ports)
