Leave out records of endpoints whose address or key can't be one

Cause: the pattern of addresses took any five digits for a port, and open_connection expected OSError and ValueError, not the OverflowError of a port beyond 16 bits. The request ended by an unexpected error, no failure was counted, and the endpoint stayed the least loaded.

Addresses now have numbers up to 255 and ports from 1 to 65535. A key is an instance id only if a header can carry it. A record that lacks fields for which there are defaults still counts: whether all endpoints write them could not be tried here.

Tests that failed before: gateway_parts, six records and keys and two of three addresses; gateway_faults, orders beside a record with such a port at a real host. Now all pass.

--- a/features/gateway_faults.feature
+++ b/features/gateway_faults.feature
@@ -113,3 +113,13 @@
     # No endpoint is listed any more. The caller must learn that now, not at its time limit.
     When all endpoints of "stock" are removed
     Then a lookup is answered with 503 within one second
+
+  Scenario Outline: A record of another writer with <what> costs no caller an answer
+    # Guards against requests that end without an answer at an endpoint that is none.
+    When another writer lists "<key>" of "stock" at "<address>"
+    Then 40 orders of 8 callers at a time are all answered with 200
+
+    Examples:
+      | what                         | key     | address         |
+      | a port of 70000              | stock-9 | 127.0.0.1:70000 |
+      | a key that no header carries | склад-9 | 127.0.0.1:9     |
--- a/features/gateway_parts.feature
+++ b/features/gateway_parts.feature
@@ -81,6 +81,26 @@
       | with 100000 nested lists                 |
       | that is truncated                        |
       | whose slots are a string                 |
+      | whose port exceeds 16 bits               |
+      | whose port is 0                          |
+      | whose address has a number above 255     |
+      | whose key has a line break               |
+      | whose key is in no Latin script          |
+      | whose key is empty                       |
+
+  Scenario: The bounds of addresses leave out no endpoint
+    Then the largest address with a port is that of an endpoint
+
+  Scenario Outline: A connection to <address> fails like one that is refused
+    # Guards against an error that ends requests without a failure of the endpoint, which is then
+    # chosen again and again.
+    Then a connection to "<address>" fails
+
+    Examples:
+      | address         |
+      | 127.0.0.1:70000 |
+      | 127.0.0.1:-1    |
+      | 127.0.0.1:port  |
 
   Scenario: A host ends although a message of a peer comes at the moment of its end
     # Guards against a planned stop that waits for ever for the receiver of messages.
--- a/features/steps/gateway_faults.py
+++ b/features/steps/gateway_faults.py
@@ -1,10 +1,15 @@
+import json
 import time
+from concurrent.futures import ThreadPoolExecutor
 
 from behave import given, then, when
 
 from features.steps.gateway import draft, open_raw, step_second
 from standins.installation import Fault
 
+# For so long an endpoint works on an order, so that orders at a time load it.
+ORDER_S = 0.05
+
 
 def requests_of(context, service):
     endpoints = [r for r in context.installation.endpoints.values() if r.service == service]
@@ -164,6 +169,32 @@
     )
 
 
+@when('another writer lists "{key}" of "{service}" at "{address}"')
+def step_other_writer(context, key, service, address):
+    installation = context.installation
+    fields = {"zone": "a", "version": "v1", "slots": 8, "phase": "ready"}
+    record = {"service": service, "address": address, **fields}
+    installation.append("keyed.servers", key, json.dumps(record).encode())
+
+    def is_read():
+        lines = [
+            *installation.read_events("RecordIgnored"),
+            *installation.read_events("EndpointChanged"),
+        ]
+        return any(line["endpoint"] == key for line in lines)
+
+    installation.wait_for(is_read, "the record is read")
+
+
+@then("{count:d} orders of {callers:d} callers at a time are all answered with {status:d}")
+def step_orders(context, count, callers, status):
+    for endpoint in context.installation.endpoints.values():
+        endpoint.first_event_delay_s = ORDER_S
+    with ThreadPoolExecutor(callers) as pool:
+        answers = list(pool.map(lambda _: context.installation.call("/order/ring"), range(count)))
+    assert [answer.status for answer in answers] == [status] * count, answers
+
+
 @when('all endpoints of "{service}" are removed')
 def step_all_removed(context, service):
     installation = context.installation
--- a/features/steps/gateway_parts.py
+++ b/features/steps/gateway_parts.py
@@ -29,7 +29,7 @@
 from poplarrun.peers import DOCUMENTS, Digest, PeerTable
 from poplarrun.platform import LatestRecords, NoAnswer, Records, decode_endpoint_record
 from poplarrun.rollouts import Rollouts
-from poplarrun.transport import CallerServer, ConnectionPool
+from poplarrun.transport import CallerServer, ConnectFailed, ConnectionPool, open_connection
 from standins._ports import free_port
 
 ROOT = Path(__file__).resolve().parents[2]
@@ -274,18 +274,42 @@
     "with 100000 nested lists": '{"x":' + "[" * 100_000 + "]" * 100_000 + "}",
     "that is truncated": json.dumps(RECORD)[:-5],
     "whose slots are a string": json.dumps(RECORD | {"slots": "8"}),
+    "whose port exceeds 16 bits": json.dumps(RECORD | {"address": "10.0.0.1:65536"}),
+    "whose port is 0": json.dumps(RECORD | {"address": "10.0.0.1:0"}),
+    "whose address has a number above 255": json.dumps(RECORD | {"address": "10.0.0.256:80"}),
+}
+INVALID_KEYS = {
+    "whose key has a line break": "engine\n1",
+    "whose key is in no Latin script": "двигатель-1",
+    "whose key is empty": "",
 }
 
 
 @given("a record of an endpoint {kind}")
 def step_record(context, kind):
     assert decode_endpoint_record("engine-1", json.dumps(RECORD).encode()) is not None
-    context.record = INVALID_RECORDS[kind].encode()
+    context.key = INVALID_KEYS.get(kind, "engine-1")
+    context.record = INVALID_RECORDS.get(kind, json.dumps(RECORD)).encode()
 
 
 @then("no endpoint is derived from it")
 def step_no_endpoint(context):
-    assert decode_endpoint_record("engine-1", context.record) is None
+    assert decode_endpoint_record(context.key, context.record) is None
+
+
+@then("the largest address with a port is that of an endpoint")
+def step_largest_address(context):
+    record = json.dumps(RECORD | {"address": "255.255.255.255:65535"}).encode()
+    assert decode_endpoint_record("engine-1", record) is not None
+
+
+@then('a connection to "{address}" fails')
+def step_connection_fails(context, address):
+    try:
+        asyncio.run(open_connection(address, 1.0))
+    except ConnectFailed:
+        return
+    raise AssertionError(f"connected to {address}")
 
 
 @given("links that receive the messages of peers")
--- a/poplarrun/platform/_records.py
+++ b/poplarrun/platform/_records.py
@@ -1,5 +1,6 @@
 """Decoding of the records of endpoints in the store."""
 
+import re
 from typing import Annotated
 
 from msgspec import DecodeError, Meta, Struct, ValidationError
@@ -11,6 +12,8 @@
 READY = "ready"
 DRAINING = "draining"
 MILLISECONDS_PER_S = 1000.0
+# An instance id is sent to its endpoint as the value of a header.
+_INSTANCE_ID = re.compile(r"[\x21-\x7e]+")
 
 
 class _Record(Struct, frozen=True, rename="camel"):
@@ -46,9 +49,11 @@
 def decode_endpoint_record(instance_id: str, value: bytes) -> EndpointRecord | None:
     """Decode an endpoint's record; ``instance_id`` is its key in the store.
 
-    Returns None if the record is malformed, or if its phase is neither ready nor draining. A
-    negative warm-up time counts as 0.
+    Returns None if the record or the key is malformed, or if its phase is neither ready nor
+    draining. A negative warm-up time counts as 0.
     """
+    if _INSTANCE_ID.fullmatch(instance_id) is None:
+        return None
     try:
         record = _DECODER.decode(value)
     # Deeply nested JSON exceeds the decoder's recursion limit.
--- a/poplarrun/platform/_validation.py
+++ b/poplarrun/platform/_validation.py
@@ -6,8 +6,10 @@
 import msgspec
 
 M = TypeVar("M", bound=msgspec.Struct)
+_OCTET = r"(25[0-5]|2[0-4]\d|1\d\d|[1-9]?\d)"
+_PORT = r"(6553[0-5]|655[0-2]\d|65[0-4]\d\d|6[0-4]\d{3}|[1-5]\d{4}|[1-9]\d{0,3})"
 # ``\Z`` because ``$`` also matches before a final line break.
-Address = Annotated[str, msgspec.Meta(pattern=r"^\d{1,3}(\.\d{1,3}){3}:\d{1,5}\Z")]
+Address = Annotated[str, msgspec.Meta(pattern=rf"^{_OCTET}(\.{_OCTET}){{3}}:{_PORT}\Z")]
 _MESSAGE_PATTERN = re.compile(
     r"(?P<text>.*?)(?: - at `(?:key in )?\$\.?(?P<place>.*)`)?", re.DOTALL
 )
--- a/poplarrun/relays/_server.py
+++ b/poplarrun/relays/_server.py
@@ -149,7 +149,7 @@
         try:
             async with asyncio.timeout(request.timeout_ms / 1000.0):
                 await loop.create_connection(lambda: endpoint, host, int(port))
-        except (TimeoutError, OSError, ValueError):
+        except (TimeoutError, OSError, ValueError, OverflowError):
             endpoint.abort()
         if side.is_closed or endpoint.is_closed:
             endpoint.abort()
--- a/poplarrun/transport/_client.py
+++ b/poplarrun/transport/_client.py
@@ -320,6 +320,7 @@
         raise ConnectFailed("timeout") from error
     except ConnectionRefusedError as error:
         raise ConnectRefused(str(error)) from error
-    except (OSError, ValueError) as error:
+    # A port that doesn't fit into 16 bits is an overflow.
+    except (OSError, ValueError, OverflowError) as error:
         raise ConnectFailed(str(error)) from error
     return connection
