--- a/poplarrun/placement/_endpoint_directory.py
+++ b/poplarrun/placement/_endpoint_directory.py
@@ -79,8 +79,8 @@
     earlier_starts: dict[int, int] = field(default_factory=dict)
     returning_start: int | None = None
 
-    def is_followed_by(self, record: EndpointRecord, is_in_order: bool) -> bool:
-        """Return whether a record is newer than the latest one; see ``EndpointDirectory.apply``.
+    def observe(self, record: EndpointRecord, is_in_order: bool) -> bool:
+        """Note a record; return whether it is newer than the latest one.
 
         A write that was delayed may come after those of a later start. Only a start that is alive
         writes once more before the later one does.
@@ -163,7 +163,7 @@
         if entry is None:
             return self._add(record, is_in_order)
         entry.lapsed_at = None
-        if not entry.is_followed_by(record, is_in_order):
+        if not entry.observe(record, is_in_order):
             return DirectoryEvent.NOTHING
         previous = entry.replace(record)
         if record.started_ms != previous.started_ms:
@@ -180,7 +180,7 @@
             return DirectoryEvent.ADDED
         entry, last = tombstone.entry, tombstone.entry.record
         is_late = record.started_ms == last.started_ms and record.sequence <= last.sequence
-        if is_late or not entry.is_followed_by(record, is_in_order):
+        if is_late or not entry.observe(record, is_in_order):
             return DirectoryEvent.NOTHING
         del self._tombstones[record.instance_id]
         entry.replace(record)
