Check copies of requests, too, for second runs in the step that sends

The last check before a send took a copy of a load test for a request that had not run, as it is a new one to its host. A copy now counts as one whose request may have run, so that the check stops copies of requests that may run only once, whatever chose them. After a failure and before a send one function decides it, and the pause between events asks the same question as other silences.

--- a/features/abandoned_requests.feature
+++ b/features/abandoned_requests.feature
@@ -5,7 +5,7 @@
     # Guards against an endpoint that works on for nobody.
     Given streams are <kind>, and a second endpoint of each service
     When <request> is answered with the faults "<faults>", and its caller leaves during run <run>
-    Then the endpoint of that run is disconnected because of that
+    Then the endpoint of that run is disconnected since its caller has left
 
     Examples:
       | request  | kind          | moment                          | faults        | run |
@@ -23,7 +23,7 @@
     Given streams are resumable, and a second endpoint of each service
     And the model "small" has confidence 5 and the model "large" 95
     When a draft is answered with the faults "SLOW, SLOW", and its caller leaves during run 2
-    Then the endpoint of that run is disconnected because of that
+    Then the endpoint of that run is disconnected since its caller has left
 
   @each.installation
   Scenario: An order that an endpoint has got is completed although its caller has left
--- a/features/single_runs.feature
+++ b/features/single_runs.feature
@@ -45,7 +45,7 @@
       | a stream that is resumable | may | a broken connection |
       | a stream that is resumable | may | silence             |
       | a stream that is resumable | may | a peer's copy       |
-      | a stream that is resumable | may | an answer in doubt  |
+      | a stream that is resumable | may | low confidence      |
 
     Examples: Requests that may not
       | request                        | may     | event               |
@@ -55,7 +55,7 @@
       | a stream that is not resumable | may not | a broken connection |
       | a stream that is not resumable | may not | silence             |
       | a stream that is not resumable | may not | a peer's copy       |
-      | a stream that is not resumable | may not | an answer in doubt  |
+      | a stream that is not resumable | may not | low confidence      |
 
   Scenario Outline: The last check before a send <does> <request> that may have run
     # Guards against a second run, whatever begins it, of a request that may run only once.
@@ -69,6 +69,18 @@
       | stops  | an order                       |
       | stops  | a stream that is not resumable |
 
+  Scenario Outline: The last check before a send <does> a copy of <request>
+    # Guards against a load test that has a request run again which may run only once.
+    Given <request> that an endpoint runs
+    Then the last check before a send <does> a copy of it
+
+    Examples:
+      | does   | request                        |
+      | passes | a lookup                       |
+      | passes | a stream that is resumable     |
+      | stops  | an order                       |
+      | stops  | a stream that is not resumable |
+
   Scenario Outline: A load test copies requests that <may> run more than once: <copies>
     # Guards against copies of a request that may run only once.
     Given 6 hosts before endpoints of a good version, and streams that are <kind>
--- a/features/steps/abandoned_requests.py
+++ b/features/steps/abandoned_requests.py
@@ -41,7 +41,7 @@
     context.run = max(executions_of(context, service), key=lambda each: each.received_at)
 
 
-@then("the endpoint of that run is disconnected because of that")
+@then("the endpoint of that run is disconnected since its caller has left")
 def step_disconnected(context):
     installation = context.installation
     installation.wait_for(lambda: context.run.is_disconnected, "the endpoint is left")
--- a/features/steps/single_runs.py
+++ b/features/steps/single_runs.py
@@ -9,6 +9,7 @@
     ConfigView,
     ConnectionBroke,
     can_abandon,
+    copy_request,
     event_gap_timeout_s,
     first_event_timeout_s,
 )
@@ -84,7 +85,7 @@
     "a broken connection": survives_broken_connection,
     "silence": is_abandoned,
     "a peer's copy": is_copied,
-    "an answer in doubt": is_escalated,
+    "low confidence": is_escalated,
 }
 
 
@@ -107,6 +108,12 @@
     assert refusal is None or response_for(refusal.kind).not_run is not NotRun.YES, refusal
 
 
+@then("the last check before a send {does:w} a copy of it")
+def step_last_check_of_copy(context, does):
+    refusal = context.dispatch.recheck(copy_request(context.work), NOW)
+    assert (refusal is None) == (does == "passes"), refusal
+
+
 @given("{hosts:d} hosts before endpoints of a good version, and streams that are {kind}")
 def step_good_version(context, hosts, kind):
     context.fleet = LoadedRolloutFleet(SEED, hosts, NEVER_FAILING_LOAD)
--- a/poplarrun/dispatch/_dispatcher.py
+++ b/poplarrun/dispatch/_dispatcher.py
@@ -189,8 +189,9 @@
         While a request waits for a connection, its key may be revoked or the host be
         suspended. Sent without this check, it would run seconds after it had to be refused.
         """
-        if work.may_have_run and not work.route.can_repeat:
-            return Refusal(ErrorKind.ENDPOINT_FAILED, "it may have run")
+        second_run = self._refuse_second_run(work)
+        if second_run is not None:
+            return second_run
         if work.remaining_s(now) < MIN_TIME_LEFT_S:
             return self._refuse_in_flight(work, ErrorKind.DEADLINE_UNREACHABLE, "no time is left")
         quarantined = self.crash_guard.refuse_in_flight(work, now)
@@ -523,9 +524,10 @@
         work.failed_zones[endpoint.record.zone] = now - ZONE_ANSWER_WINDOW_S
 
     def _check_retry(self, work: InFlightRequest, failure: Failure, now: float) -> Refusal | None:
+        second_run = self._refuse_second_run(work)
+        if second_run is not None:
+            return second_run
         kind = ErrorKind.ENDPOINT_FAILED if work.may_have_run else ErrorKind.NO_ENDPOINT
-        if may_have_run(failure) and not work.route.can_repeat:
-            return Refusal(kind, "it may have run")
         if may_have_run(failure) and self.crash_guard.is_suspect(work, now):
             return Refusal(kind, "an endpoint crashed that held a prompt with a part of this one")
         if work.possible_runs >= work.route.max_attempts:
@@ -543,6 +545,12 @@
             return self._refuse_in_flight(work, ErrorKind.NO_ENDPOINT, "too many second sends")
         return None
 
+    def _refuse_second_run(self, work: InFlightRequest) -> Refusal | None:
+        """Refuse a request that may have run and may not run again."""
+        if work.may_have_run and not work.route.can_repeat:
+            return Refusal(ErrorKind.ENDPOINT_FAILED, "it may have run")
+        return None
+
     def _refuse_without_endpoint(
         self, work: InFlightRequest, service: Service, now: float
     ) -> Refusal:
--- a/poplarrun/dispatch/_load_tests.py
+++ b/poplarrun/dispatch/_load_tests.py
@@ -189,7 +189,7 @@
 
 
 def copy_request(work: InFlightRequest) -> InFlightRequest:
-    """Return a copy of a request that has not been sent yet."""
+    """Return a copy of a request that has not been sent yet; the request itself may have run."""
     return InFlightRequest(
         work.request,
         work.route,
@@ -197,5 +197,6 @@
         work.service,
         work.arrived_at,
         work.deadline_at,
+        may_have_run=True,
         model_size=work.model_size,
     )
--- a/poplarrun/dispatch/_timeouts.py
+++ b/poplarrun/dispatch/_timeouts.py
@@ -37,7 +37,7 @@
 
 def event_gap_timeout_s(work: InFlightRequest) -> float | None:
     """Return the timeout between two events of a stream, in seconds; None for no limit."""
-    if not work.route.can_repeat:
+    if not work.can_run_again:
         return None
     return GAP_TIMEOUT_FACTOR * work.route.latency.event_gap_s
 
