--- a/features/gateway_parts.feature
+++ b/features/gateway_parts.feature
@@ -88,6 +88,17 @@
       | whose key is in no Latin script          |
       | whose key is empty                       |
 
+  Scenario Outline: Settings with the address <address> are refused by an error that operators understand
+    # Guards against an error that shows how addresses are matched, and not what is expected.
+    Given settings of a host whose address for callers is "<address>"
+    Then they are refused with "listen.frontend: Expected `ip:port` with a port from 1 to 65535"
+
+    Examples:
+      | address         |
+      | 127.0.0.1:70000 |
+      | 127.0.0.256:80  |
+      | shop.example:80 |
+
   Scenario: The bounds of addresses leave out no endpoint
     Then the largest address with a port is that of an endpoint
 
--- a/features/steps/gateway_parts.py
+++ b/features/steps/gateway_parts.py
@@ -4,6 +4,7 @@
 import random
 import re
 import socket
+import tempfile
 import time
 from pathlib import Path
 
@@ -27,7 +28,14 @@
 )
 from poplarrun.metrics import Metrics
 from poplarrun.peers import DOCUMENTS, Digest, PeerTable
-from poplarrun.platform import LatestRecords, NoAnswer, Records, decode_endpoint_record
+from poplarrun.platform import (
+    InvalidSettings,
+    LatestRecords,
+    NoAnswer,
+    Records,
+    decode_endpoint_record,
+    load_node_settings,
+)
 from poplarrun.rollouts import Rollouts
 from poplarrun.transport import CallerServer, ConnectFailed, ConnectionPool, open_connection
 from standins._ports import free_port
@@ -297,6 +305,26 @@
     assert decode_endpoint_record(context.key, context.record) is None
 
 
+@given('settings of a host whose address for callers is "{address}"')
+def step_settings(context, address):
+    settings = {
+        "nodeName": "edge-0",
+        "ip": "127.0.0.1",
+        "zone": "a",
+        "listen": {"frontend": address, "readiness": "127.0.0.1:81"},
+        "platform": {"address": "127.0.0.1:82"},
+    }
+    with tempfile.TemporaryDirectory() as folder:
+        path = Path(folder) / "host.yaml"
+        path.write_text(json.dumps(settings))
+        context.settings = load_node_settings(path)
+
+
+@then('they are refused with "{problem}"')
+def step_refused(context, problem):
+    assert context.settings == InvalidSettings((problem,)), context.settings
+
+
 @then("the largest address with a port is that of an endpoint")
 def step_largest_address(context):
     record = json.dumps(RECORD | {"address": "255.255.255.255:65535"}).encode()
--- a/poplarrun/platform/_validation.py
+++ b/poplarrun/platform/_validation.py
@@ -9,7 +9,9 @@
 _OCTET = r"(25[0-5]|2[0-4]\d|1\d\d|[1-9]?\d)"
 _PORT = r"(6553[0-5]|655[0-2]\d|65[0-4]\d\d|6[0-4]\d{3}|[1-5]\d{4}|[1-9]\d{0,3})"
 # ``\Z`` because ``$`` also matches before a final line break.
-Address = Annotated[str, msgspec.Meta(pattern=rf"^{_OCTET}(\.{_OCTET}){{3}}:{_PORT}\Z")]
+_ADDRESS_PATTERN = rf"^{_OCTET}(\.{_OCTET}){{3}}:{_PORT}\Z"
+Address = Annotated[str, msgspec.Meta(pattern=_ADDRESS_PATTERN)]
+_ADDRESS_MISMATCH = f"`str` matching regex {_ADDRESS_PATTERN!r}"
 _MESSAGE_PATTERN = re.compile(
     r"(?P<text>.*?)(?: - at `(?:key in )?\$\.?(?P<place>.*)`)?", re.DOTALL
 )
@@ -33,4 +35,5 @@
         match = _MESSAGE_PATTERN.fullmatch(str(error))
         assert match is not None, error
         field_path = (match["place"] or "document").replace("[", ".").replace("]", "")
-        raise InvalidDocument(f"{field_path}: {match['text']}") from error
+        text = match["text"].replace(_ADDRESS_MISMATCH, "`ip:port` with a port from 1 to 65535")
+        raise InvalidDocument(f"{field_path}: {text}") from error
