--- a/poplarrun/placement/_endpoint_directory.py
+++ b/poplarrun/placement/_endpoint_directory.py
@@ -156,8 +156,8 @@
         Parameters
         ----------
         is_in_order : bool
-            Whether the log has it after the records before, or it is one of these. If not, only
-            its time of start tells whether another start is a later one.
+            Whether it is read from the log, which may be read twice in part. The list of a peer has
+            no such order: there only the time of a start tells that it is later.
         """
         entry = self._entries.get(record.instance_id)
         if entry is None:
