Use an endpoint again that said it leaves and started with an earlier time

An endpoint that says in an answer that it leaves, and starts again under its id while its clock is stepped back, counted as leaving at all hosts until its next start: LeavingEndpoints takes a start for leaving if it or a later one is, and knew a start's place by its time alone, the same cause as in the list. It lost the capacity of that endpoint; no caller was harmed.

When the list has another start in place of one, that one has ended, whatever its time: it is forgotten, and peers that still tell of it are not believed. A start that a host lists late is still held to what is known of a later one.

--- a/features/stepped_clocks.feature
+++ b/features/stepped_clocks.feature
@@ -36,6 +36,13 @@
     When they are applied in this order
     Then a peer's record 3000/9 of it changes nothing, and 6000/1 does
 
+  Scenario: An endpoint that said that it leaves is used again after a start with an earlier time
+    # Guards against a start that gets nothing because the one before it was leaving.
+    Given a placement that lists the start 5000 of an endpoint, which says that it leaves
+    When the start 3000 is listed in its place
+    Then the endpoint may be used, also when a peer tells once more that the start 5000 leaves
+    And it may not be used once the start 3000 says that it leaves
+
   @each.installation
   Scenario: An endpoint that started again with its clock stepped back gets nothing once it leaves
     # Guards against orders that are lost at the end of an endpoint whose drain was ignored.
--- a/features/steps/stepped_clocks.py
+++ b/features/steps/stepped_clocks.py
@@ -1,9 +1,10 @@
+import random
 from dataclasses import replace
 
 from behave import given, then, when
 
 from features.steps.gateway_world import make_endpoint_record
-from poplarrun.placement import DirectoryEvent, EndpointDirectory
+from poplarrun.placement import DirectoryEvent, EndpointDirectory, Placement
 
 INSTANCE_ID = "e1"
 REMOVAL = "removed"
@@ -59,3 +60,36 @@
     installation.run(endpoint.start())
     endpoint.started_at_ms, endpoint.sequence = endpoint.started_at_ms - step_ms, 0
     installation.publish_endpoint(endpoint)
+
+
+def list_start(context, started_ms):
+    context.placement.update_endpoints(
+        [make_endpoint_record(INSTANCE_ID, started_ms=started_ms)], NOW
+    )
+
+
+@given("a placement that lists the start {started_ms:d} of an endpoint, which says that it leaves")
+def step_leaving_start(context, started_ms):
+    context.placement = Placement("a", random.Random(3))
+    list_start(context, started_ms)
+    assert context.placement.leaving.record(INSTANCE_ID, started_ms, NOW)
+
+
+@when("the start {started_ms:d} is listed in its place")
+def step_list_start(context, started_ms):
+    list_start(context, started_ms)
+    context.started_ms = started_ms
+
+
+@then("the endpoint may be used, also when a peer tells once more that the start {ended:d} leaves")
+def step_usable(context, ended):
+    leaving = context.placement.leaving
+    assert not leaving.includes(INSTANCE_ID, context.started_ms)
+    assert not leaving.record(INSTANCE_ID, ended, NOW)
+    assert not leaving.includes(INSTANCE_ID, context.started_ms)
+
+
+@then("it may not be used once the start {started_ms:d} says that it leaves")
+def step_unusable(context, started_ms):
+    assert context.placement.leaving.record(INSTANCE_ID, started_ms, NOW)
+    assert context.placement.leaving.includes(INSTANCE_ID, started_ms)
--- a/poplarrun/placement/_leaving.py
+++ b/poplarrun/placement/_leaving.py
@@ -40,18 +40,32 @@
 
     is_any: bool = False
     _endpoints: dict[str, LeavingEndpoint] = field(default_factory=dict)
+    _ended_starts: dict[str, int] = field(default_factory=dict)
 
     def record(self, instance_id: str, started_ms: int, now: float) -> bool:
         """Record that a start of an endpoint is leaving; True if that is new."""
         known = self._endpoints.get(instance_id)
         if known is not None and known.started_ms >= started_ms:
             return False
+        if self._ended_starts.get(instance_id) == started_ms:
+            return False
         if len(self._endpoints) >= MAX_REMEMBERED:
             del self._endpoints[next(iter(self._endpoints))]
         self._endpoints[instance_id] = LeavingEndpoint(instance_id, started_ms, now)
         self.is_any = True
         return True
 
+    def record_end(self, instance_id: str, started_ms: int) -> None:
+        """Record that the list has another start of an endpoint in place of one.
+
+        Its time may be earlier, if the endpoint's clock was stepped back in between.
+        """
+        self._ended_starts[instance_id] = started_ms
+        known = self._endpoints.get(instance_id)
+        if known is not None and known.started_ms == started_ms:
+            del self._endpoints[instance_id]
+            self.is_any = bool(self._endpoints)
+
     def includes(self, instance_id: str, started_ms: int) -> bool:
         """Return whether this start of an endpoint, or a later one, is leaving."""
         known = self._endpoints.get(instance_id)
@@ -68,4 +82,9 @@
             for instance_id, each in self._endpoints.items()
             if instance_id in listed or now - each.learned_at <= UNLISTED_TTL_S
         }
+        self._ended_starts = {
+            instance_id: started_ms
+            for instance_id, started_ms in self._ended_starts.items()
+            if instance_id in listed
+        }
         self.is_any = bool(self._endpoints)
--- a/poplarrun/placement/_placement.py
+++ b/poplarrun/placement/_placement.py
@@ -177,7 +177,10 @@
         """
         endpoint = self._unlisted.pop(record.instance_id, None)
         endpoint = self._endpoints.get(record.instance_id, endpoint)
-        if endpoint is None or endpoint.record.started_ms != record.started_ms:
+        if endpoint is None:
+            return None
+        if endpoint.record.started_ms != record.started_ms:
+            self.leaving.record_end(record.instance_id, endpoint.record.started_ms)
             return None
         return endpoint
 
