Send nothing to an endpoint that was removed while a request waited for a connection

Callers' requests reached an endpoint whose record had been removed, if they had chosen it before and then waited for a connection. The check just before the send asked the state that the choice had kept, which still said ready: only a record that says that the endpoint leaves changed that state, not one that is gone, or that of a later start under the same id. Endpoints that never report that they leave are removed only.

Placement.may_send now asks whether that state is still the listed one.

Evidence: three of the four new examples in leaving.feature failed before (removed, removed and started again, started again); all pass now.

--- a/features/leaving.feature
+++ b/features/leaving.feature
@@ -50,3 +50,16 @@
     When one host gets an answer in which "v1-9" says that it leaves
     And 80 s pass in the fleet
     Then no host remembers a leaving endpoint
+
+  Scenario Outline: A request that waited for a connection isn't sent to an endpoint that <change>
+    # Guards against sends by the state of an endpoint that the list had when it was chosen.
+    Given a request that waits for a connection to the endpoint that was chosen for it
+    When the chosen endpoint <change>
+    Then that endpoint does not get the request
+
+    Examples:
+      | change                       |
+      | says in its record so        |
+      | is removed from the list     |
+      | is removed and starts again  |
+      | starts again under its id    |
--- a/features/steps/leaving.py
+++ b/features/steps/leaving.py
@@ -4,7 +4,14 @@
 
 from behave import given, then, use_step_matcher, when
 
+from features.steps.gateway_world import (
+    make_catalogue,
+    make_dispatch,
+    make_endpoint_record,
+    make_request,
+)
 from features.steps.relays import send
+from poplarrun.dispatch import ConfigView
 from poplarrun.platform import decode_answer
 from standins.rollout_fleet import ENGINES
 
@@ -13,6 +20,7 @@
 TOLD_DELAY_S = 1.0
 START_MS = 0
 LATER_START_MS = 5
+CHOSEN_AT_S = 100.0
 
 
 @given('another endpoint "{instance_id}" of "{service}" serves as well')
@@ -178,3 +186,45 @@
 def step_none_remembered(context):
     known = {host.address: host.placement.leaving.known() for host in context.fleet.hosts}
     assert not any(known.values()), known
+
+
+@given("a request that waits for a connection to the endpoint that was chosen for it")
+def step_waits(context):
+    view = ConfigView()
+    view.apply_catalogue(make_catalogue())
+    view.confirm(CHOSEN_AT_S)
+    context.dispatcher = make_dispatch(view, engines=1)
+    context.work = context.dispatcher.admit(make_request(), CHOSEN_AT_S)
+    decision = context.dispatcher.choose_endpoint(context.work, CHOSEN_AT_S)
+    context.endpoint = decision.estimate.endpoint
+    assert context.dispatcher.may_send(context.work, context.endpoint, CHOSEN_AT_S)
+
+
+@when("the chosen endpoint {change}")
+def step_changes(context, change):
+    instance_id = context.endpoint.record.instance_id
+    restarted = make_endpoint_record(instance_id, started_ms=LATER_START_MS)
+    match change:
+        case "says in its record so":
+            lists = [[dataclasses.replace(context.endpoint.record, is_leaving=True)]]
+        case "is removed from the list":
+            lists = [[]]
+        case "is removed and starts again":
+            lists = [[], [restarted]]
+        case "starts again under its id":
+            lists = [[restarted]]
+        case _:
+            raise AssertionError(change)
+    for records in lists:
+        context.dispatcher.placement.update_endpoints(records, CHOSEN_AT_S)
+
+
+@then("that endpoint does not get the request")
+def step_not_sent(context):
+    assert not context.dispatcher.may_send(context.work, context.endpoint, CHOSEN_AT_S)
+
+
+@when("the record of the endpoint says that it leaves")
+def step_record_leaves(context):
+    record = dataclasses.replace(make_endpoint_record("engine-0", sequence=2), is_leaving=True)
+    context.placement.update_endpoints([record], time.monotonic())
--- a/poplarrun/placement/_placement.py
+++ b/poplarrun/placement/_placement.py
@@ -216,11 +216,13 @@
     def may_send(self, endpoint: EndpointState, service: Service, now: float) -> bool:
         """Return whether this host may send to an endpoint now.
 
-        Not to one that is leaving, asked this host to stay away, or is in an evacuated zone, nor
-        beyond this host's share of the rate of one that is warming up or names a rate limit, or of
-        the slots of one that is brittle.
+        Not to one that is listed no more or is leaving, asked this host to stay away, or is in an
+        evacuated zone, nor beyond this host's share of the rate of one that is warming up or names
+        a rate limit, or of the slots of one that is brittle.
         """
         record = endpoint.record
+        if self._endpoints.get(record.instance_id) is not endpoint:
+            return False
         if record.is_leaving or record.zone in self.evacuated_zones:
             return False
         if (self._held_off or self.leaving.is_any) and not self._is_welcome(endpoint, now):
