--- a/features/leaving.feature
+++ b/features/leaving.feature
@@ -63,3 +63,9 @@
       | is removed from the list     |
       | is removed and starts again  |
       | starts again under its id    |
+
+  Scenario: A helper relays nothing to an endpoint whose record says that it leaves
+    # Guards against a host with an old list that reaches the endpoint through one that knows better.
+    Given a helper that relays "request-1" to an endpoint
+    When the record of the endpoint says that it leaves
+    Then the helper keeps away from it
--- a/poplarrun/gateway/_relay_desk.py
+++ b/poplarrun/gateway/_relay_desk.py
@@ -101,7 +101,8 @@
         return replace(
             state,
             has_path=self._placement.paths.can_relay_to(record.instance_id, group_of(record), now),
-            is_leaving=self._placement.leaving.includes(record.instance_id, record.started_ms),
+            is_leaving=record.is_leaving
+            or self._placement.leaving.includes(record.instance_id, record.started_ms),
             hold_off_s=max(0.0, endpoint.hold_off.until - now),
         )
 
