Apply records of endpoints once, whoever read them first

An endpoint that was removed and listed again got nothing from a host, until its record changed. The host had read the store while a peer sent it the same records: it applied its own read after them, from the offset at which that had begun. The removal took the endpoint away a second time, and the record that lists it again was taken for a late one of before the removal.

Own reads now leave out what has been applied, like the changes of peers.

Evidence: the new scenario of shared_reading.feature failed before, with one endpoint of two listed.

--- a/features/shared_reading.feature
+++ b/features/shared_reading.feature
@@ -25,6 +25,13 @@
     Then it lists the endpoints of records 0 to 3, each once
     And it reads the store at once from record 4
 
+  Scenario: A read that was under way changes nothing that a peer has sent meanwhile
+    # Guards against an endpoint that is lost until its next record, since its removal was read twice.
+    Given a listing follower that has read records 0 to 1
+    When a peer sends that record 2 removes endpoint 0, and record 3 lists its next start
+    And a read that began before that brings records 2 to 3
+    Then it lists the endpoints of records 0 to 1, each once
+
   Scenario: A proof counts only for a host that has read as far
     # A peer proves that there were no records after those that it had read. A host that has read
     # fewer must not take its list for current, or it would use an endpoint that has left.
--- a/features/steps/shared_reading.py
+++ b/features/steps/shared_reading.py
@@ -156,6 +156,29 @@
     context.follower.apply_changes((Entry(f"engine-{gone}", None, number),), True)
 
 
+@when(
+    "a peer sends that record {number:d} removes endpoint {gone:d}, "
+    "and record {again:d} lists its next start"
+)
+def step_restart(context, number, gone, again):
+    (entry,) = make_entries(gone, gone)
+    fields = json.loads(entry.value) | {"born": 1}
+    listed = Entry(entry.key, json.dumps(fields).encode(), again)
+    context.sent = (Entry(entry.key, None, number), listed)
+    context.follower.apply_changes(context.sent, False)
+
+
+@when("a read that began before that brings records {first:d} to {last:d}")
+def step_read_late(context, first, last):
+    assert [entry.offset for entry in context.sent] == [first, last]
+
+    async def read(topic, offset, wait_s=0.0):
+        return Records(context.sent, last + 1, 0, seconds_since_boot())
+
+    context.store.read = read
+    assert asyncio.run(context.follower._read_once())
+
+
 @then("it lists the endpoints of records {first:d} to {last:d}, each once")
 def step_listed(context, first, last):
     known = [listing.instance_id for listing in context.directory.records()]
--- a/poplarrun/gateway/_listing_follower.py
+++ b/poplarrun/gateway/_listing_follower.py
@@ -144,14 +144,21 @@
 
     def _apply_records(self, entries: tuple[Entry, ...], now: float) -> None:
         is_lapse = self._may_have_expired(now)
-        for entry in entries:
+        # Some of them may have arrived from a peer while the read was in progress.
+        for entry in self._select_new(entries):
             self._apply_entry(entry, now, is_lapse)
         if entries:
-            # Some of them may have arrived from a peer while the read was in progress.
             self._directory.next_offset = max(self._directory.next_offset, entries[-1].offset + 1)
             if self.reader.sends_to_zone:
                 self.publish_changes(entries, is_lapse)
 
+    def _select_new(self, entries: tuple[Entry, ...]) -> list[Entry]:
+        """Return the records that were not applied yet.
+
+        A removal that is applied twice takes away an endpoint that was listed again after it.
+        """
+        return [entry for entry in entries if entry.offset >= self._directory.next_offset]
+
     def record_proof(self, end: int, confirmed_at: float, peer: str) -> None:
         """Record that a peer, given by its address, had read all records at a time."""
         if not self.has_read_store:
@@ -186,7 +193,7 @@
         if entries[0].offset > self._directory.next_offset:
             self.reader.read_now()
             return
-        new_entries = [entry for entry in entries if entry.offset >= self._directory.next_offset]
+        new_entries = self._select_new(entries)
         if not new_entries:
             return
         now = seconds_since_boot()
