Take the list of endpoints for current only after all records are read

The store limits the bytes of an answer. A host that had read a part of the new records took its list for current as of that read, logged so, and proved it to the hosts that had read as far: while it is behind by more than one answer, after a cut or with many changes, they send by a list whose age they don't know.

The follower now compares where it has read to with the log's end, as that of the documents does, and reads on at once.

Evidence: the new scenario of shared_reading.feature failed before.

--- a/features/shared_reading.feature
+++ b/features/shared_reading.feature
@@ -32,6 +32,14 @@
     And a read that began before that brings records 2 to 3
     Then it lists the endpoints of records 0 to 1, each once
 
+  Scenario: A read that brings only a part of the new records doesn't prove the list current
+    # Guards against a list that is taken for current, and proven to others, while changes are unread.
+    Given a listing follower that has read records 0 to 1
+    When it reads records 2 to 3 of a log that ends after record 5
+    Then its list is proven current as of 0.0
+    When it reads records 4 to 5 of a log that ends after record 5
+    Then its list is current
+
   Scenario: A proof counts only for a host that has read as far
     # A peer proves that there were no records after those that it had read. A host that has read
     # fewer must not take its list for current, or it would use an endpoint that has left.
--- a/features/steps/shared_reading.py
+++ b/features/steps/shared_reading.py
@@ -179,6 +179,21 @@
     assert asyncio.run(context.follower._read_once())
 
 
+@when("it reads records {first:d} to {last:d} of a log that ends after record {end:d}")
+def step_read_part(context, first, last, end):
+    async def read(topic, offset, wait_s=0.0):
+        return Records(make_entries(first, last), end + 1, 0, seconds_since_boot())
+
+    context.store.read = read
+    assert asyncio.run(context.follower._read_once())
+
+
+@then("its list is current")
+def step_is_current(context):
+    age_s = context.follower.describe("engine-0", seconds_since_boot()).age_s
+    assert 0.0 <= age_s < 1.0, age_s
+
+
 @then("it lists the endpoints of records {first:d} to {last:d}, each once")
 def step_listed(context, first, last):
     known = [listing.instance_id for listing in context.directory.records()]
--- a/poplarrun/gateway/_listing_follower.py
+++ b/poplarrun/gateway/_listing_follower.py
@@ -104,9 +104,13 @@
                 self._directory.next_offset = end
                 self.has_read_store = True
                 self.is_usable = True
-            case Records(entries=entries, confirmed_at=confirmed_at):
+            case Records(entries=entries, end_offset=end, confirmed_at=confirmed_at):
                 self._record_answer(now)
                 self._apply_records(entries, now)
+                if self._directory.next_offset < end:
+                    # An answer holds a limited number of bytes.
+                    confirmed_at = self.confirmed_at
+                    self.reader.read_now()
             case OffsetExpired():
                 write_event(events.HistoryDropped("endpoints"))
                 self.has_read_store = False
