Read the list of endpoints again before the send that follows a 421

An address is given to another endpoint only some time after the end of the first, so a 421 shows that the sender's list may lack the changes of that time. The host marked the one endpoint as failed, and chose the next one from the same list.

ListingCheck reads what is new before the next choice. The request waits 0.1 s at most; requests that need it at the same time share a read, and a store that did not answer the last one is not asked, so that the check adds no calls where the store is away. Direct and relayed sends, first and later ones, and resumed streams pass it; copies are sent once. ListingOutdated tells the age of the list that was found old, how long the request waited, and whether the list was current then; no line told these apart before.

--- a/features/leaving.feature
+++ b/features/leaving.feature
@@ -16,6 +16,17 @@
     And "stock-1" says in its answers that it leaves, and callers at host 0 send 10 lookups
     Then from 1 s after its first such answer "stock-1" gets no request
 
+  @fixture.zone_trio
+  Scenario: A host reads its list anew once an answer shows that it is old
+    # Guards against a second send by the list whose first endpoint has just proven it old.
+    Given all hosts list another endpoint "stock-1" of "stock"
+    And callers at the host that is the last to read for its zone were served
+    When its peers are suspended
+    And the one that served last is replaced at its address, the other one says that it leaves, and "stock-2" starts
+    And callers at that host send 4 lookups
+    Then none of those that were answered 421 came to the leaving endpoint later
+    And all lookups were answered
+
   Scenario Outline: <hosts> hosts know soon that an endpoint leaves, and keep to it
     # Guards against a host that starts with an older list, and records that say less than answers.
     Given <hosts> hosts in the zones "<zones>" that know each other
--- a/features/shared_reading.feature
+++ b/features/shared_reading.feature
@@ -40,6 +40,14 @@
     When it reads records 4 to 5 of a log that ends after record 5
     Then its list is current
 
+  Scenario: Requests that find the list old at the same time share one read
+    # Guards against calls of the store that grow with the requests to endpoints that were replaced.
+    Given a listing follower that has read records 0 to 1
+    When 10 requests need a list of now
+    Then all have one, after 1 reads
+    When the last read fails, and 10 requests need a list of now
+    Then none has one, after 1 reads
+
   Scenario: A proof counts only for a host that has read as far
     # A peer proves that there were no records after those that it had read. A host that has read
     # fewer must not take its list for current, or it would use an endpoint that has left.
--- a/features/steps/leaving.py
+++ b/features/steps/leaving.py
@@ -83,6 +83,85 @@
     assert all(answer.status == 200 for _, answer in context.answers), context.answers
 
 
+@given('all hosts list another endpoint "{instance_id}" of "{service}"')
+def step_list_another(context, instance_id, service):
+    installation = context.installation
+    installation.add_endpoint(instance_id, service)
+    # The two hosts that read first tell the third, and only they log it.
+    installation.wait_for(
+        lambda: len(find_writers(installation, instance_id)) == 2, f"hosts know {instance_id}"
+    )
+    time.sleep(TOLD_DELAY_S)
+    (context.host,) = installation.processes.keys() - find_writers(installation, instance_id)
+
+
+def find_writers(installation, instance_id):
+    """Return the hosts whose logs tell of an endpoint."""
+    return {
+        number
+        for number in installation.processes
+        if any(
+            event["endpoint"] == instance_id
+            for event in installation.read_events("EndpointChanged", number)
+        )
+    }
+
+
+@given("callers at the host that is the last to read for its zone were served")
+def step_served(context):
+    context.answers = []
+    for number in range(16):
+        assert send(context, "lookup", context.host, number).status == 200, context.answers
+
+
+@when("its peers are suspended")
+def step_suspend_peers(context):
+    for number in set(context.installation.processes) - {context.host}:
+        context.installation.signal_host(number, "SIGSTOP")
+
+
+@when(
+    "the one that served last is replaced at its address, the other one says that it leaves, "
+    'and "{new}" starts'
+)
+def step_replace(context, new):
+    installation = context.installation
+    serving = [each for each in installation.endpoints.values() if each.service == "stock"]
+    context.leaving, context.replaced = sorted(
+        serving, key=lambda each: max((r.received_at for r in each.received_requests), default=0.0)
+    )
+    context.replaced.instance_id += "-successor"
+    context.leaving.is_draining = True
+    installation.publish_endpoint(context.leaving)
+    installation.add_endpoint(new, "stock")
+
+
+@when("callers at that host send {count:d} lookups")
+def step_lookups(context, count):
+    context.answers = []
+    for number in range(count):
+        send(context, "lookup", context.host, number)
+
+
+@then("none of those that were answered 421 came to the leaving endpoint later")
+def step_none_later(context):
+    sent = {request_id for request_id, _ in context.answers}
+    refused_at = find_arrivals(context.replaced, sent)
+    arrived_at = find_arrivals(context.leaving, sent)
+    assert refused_at, "no request came to the address of the endpoint that was replaced"
+    late = [each for each in refused_at.keys() & arrived_at if arrived_at[each] > refused_at[each]]
+    assert not late, late
+
+
+def find_arrivals(endpoint, request_ids):
+    """Return when requests came to an endpoint, by request id."""
+    arrivals = {
+        request.headers["x-attempt-id"]: request.received_at
+        for request in endpoint.received_requests
+    }
+    return {request_id: at for request_id, at in arrivals.items() if request_id in request_ids}
+
+
 @when('one host gets an answer in which "{instance_id}" says that it leaves')
 def step_one_told(context, instance_id):
     fleet = context.fleet
--- a/features/steps/shared_reading.py
+++ b/features/steps/shared_reading.py
@@ -194,6 +194,32 @@
     assert 0.0 <= age_s < 1.0, age_s
 
 
+def need_list(context, count):
+    async def refresh_all():
+        since = seconds_since_boot()
+        return await asyncio.gather(*(context.follower.refresh(since) for _ in range(count)))
+
+    context.refreshed = asyncio.run(refresh_all())
+
+
+@when("{count:d} requests need a list of now")
+def step_need(context, count):
+    need_list(context, count)
+
+
+@when("the last read fails, and {count:d} requests need a list of now")
+def step_need_without(context, count):
+    context.follower.reader.has_failed = True
+    need_list(context, count)
+
+
+@then("{who} one, after {reads:d} reads")
+def step_refreshed(context, who, reads):
+    expected = {"all have": True, "none has": False}[who]
+    assert set(context.refreshed) == {expected}, context.refreshed
+    assert len(context.store.reads) == reads, context.store.reads
+
+
 @then("it lists the endpoints of records {first:d} to {last:d}, each once")
 def step_listed(context, first, last):
     known = [listing.instance_id for listing in context.directory.records()]
--- a/features/steps/zone_placement.py
+++ b/features/steps/zone_placement.py
@@ -547,6 +547,11 @@
         pass
 
 
+class NoListingCheck:
+    async def check(self, work, attempt, failure):
+        pass
+
+
 def start_forwarding(context, time_left_s=None, failing=0, doubtful=0):
     """Start to forward a request at a host of the zone "a" whose engines are busy."""
     asking = context.asking = hosts_of(context, "a")[0]
@@ -566,6 +571,7 @@
         asking.peering.sessions,
         asking.peering.offers,
         NoProbe(),
+        NoListingCheck(),
         AnswerRoom(1_000_000),
     )
     return asyncio.ensure_future(forwarder.run())
--- a/poplarrun/gateway/_forwarder.py
+++ b/poplarrun/gateway/_forwarder.py
@@ -29,6 +29,7 @@
 from poplarrun.gateway._crash_probe import CrashProbe
 from poplarrun.gateway._endpoint_offers import EndpointOffers
 from poplarrun.gateway._event_stream import Event, EventParser, MalformedStream
+from poplarrun.gateway._listing_check import ListingCheck
 from poplarrun.gateway._records import RequestRecorder
 from poplarrun.gateway._sessions import SessionLookup
 from poplarrun.gateway._statements import StatementReader
@@ -117,6 +118,7 @@
         sessions: SessionLookup,
         offers: EndpointOffers,
         crash_probe: CrashProbe,
+        listing_check: ListingCheck,
         room: AnswerRoom,
     ) -> None:
         self._dispatcher = dispatcher
@@ -129,6 +131,7 @@
         self._sessions = sessions
         self._offers = offers
         self._crash_probe = crash_probe
+        self._listing_check = listing_check
         self._room = room
         self._is_started = False
         self._is_caller_slow = False
@@ -179,6 +182,7 @@
             except AttemptError as error:
                 record = decision.estimate.endpoint.record
                 await self._crash_probe.check(self._work, record, self._attempt, error.failure)
+                await self._listing_check.check(self._work, self._attempt, error.failure)
                 refusal = self._handle_failure(decision, error.failure)
                 if refusal is not None:
                     return refusal
--- a/poplarrun/gateway/_host.py
+++ b/poplarrun/gateway/_host.py
@@ -18,6 +18,7 @@
 from poplarrun.gateway._document_follower import DocumentFollower
 from poplarrun.gateway._explanations import WHERE_PATH, answer_where
 from poplarrun.gateway._forwarder import RequestForwarder, respond_refusal
+from poplarrun.gateway._listing_check import ListingCheck
 from poplarrun.gateway._listing_follower import ListingFollower
 from poplarrun.gateway._load_tester import LoadTester
 from poplarrun.gateway._peering import Peering
@@ -158,6 +159,7 @@
             self._placement,
             SharedReader(ENDPOINTS, peer_table, timeouts),
         )
+        self._listing_check = ListingCheck(self._listings, self.metrics)
         self._recorder.describe_listing = self._listings.describe
         self._peering = Peering(
             peer_table,
@@ -287,6 +289,7 @@
                     self._peering.sessions,
                     self._peering.offers,
                     self._crash_probe,
+                    self._listing_check,
                     self._answer_room,
                 ).run()
         finally:
--- a/poplarrun/gateway/_listing_follower.py
+++ b/poplarrun/gateway/_listing_follower.py
@@ -82,12 +82,13 @@
         self._placement = placement
         self._changes = ListingChanges(reader)
         self._health = StoreHealth(seconds_since_boot(), reader.timeouts.outage_timeout_s)
+        self._refresh_lock = asyncio.Lock()
 
     async def run(self) -> None:
         """Follow the topic forever."""
         while True:
             await self.reader.wait_until_due(lambda: self.confirmed_at)
-            has_succeeded = await self._read_once()
+            has_succeeded = await self._read_once(self.reader.long_poll_s)
             now = seconds_since_boot()
             self._expire(now)
             self._changes.flush(now)
@@ -95,8 +96,19 @@
                 self.publish_proof()
             await asyncio.sleep(READ_PAUSE_S if has_succeeded else RETRY_DELAY_S)
 
-    async def _read_once(self) -> bool:
-        answer = await self._read()
+    async def refresh(self, since: float) -> bool:
+        """Read what is new in the list unless it is known as of a time; return whether it is then.
+
+        Requests that need the list at the same time share a read. A store that didn't answer the
+        last one isn't asked.
+        """
+        async with self._refresh_lock:
+            if self.confirmed_at < since and self.has_read_store and not self.reader.has_failed:
+                await self._read_once()
+        return self.confirmed_at >= since
+
+    async def _read_once(self, long_poll_s: float = 0.0) -> bool:
+        answer = await self._read(long_poll_s)
         now = seconds_since_boot()
         match answer:
             case LatestRecords(entries=entries, end_offset=end, confirmed_at=confirmed_at):
@@ -114,7 +126,7 @@
             case OffsetExpired():
                 write_event(events.HistoryDropped("endpoints"))
                 self.has_read_store = False
-                return await self._read_once()
+                return await self._read_once(long_poll_s)
             case Refused() | NoAnswer():
                 self.reader.has_failed = True
                 if self._health.record_failure(now):
@@ -223,11 +235,12 @@
         self.is_usable = True
         self._placement.update_endpoints(self._directory.records(), now)
 
-    async def _read(self) -> LatestRecords | Records | OffsetExpired | Refused | NoAnswer:
+    async def _read(
+        self, long_poll_s: float
+    ) -> LatestRecords | Records | OffsetExpired | Refused | NoAnswer:
         if not self.has_read_store:
             return await self._store.read_latest(ENDPOINT_TOPIC)
-        offset, long_poll_s = self._directory.next_offset, self.reader.long_poll_s
-        return await self._store.read(ENDPOINT_TOPIC, offset, long_poll_s)
+        return await self._store.read(ENDPOINT_TOPIC, self._directory.next_offset, long_poll_s)
 
     def _record_answer(self, now: float) -> None:
         if self._health.record_answer(now):
--- a/poplarrun/logging/_endpoint_events.py
+++ b/poplarrun/logging/_endpoint_events.py
@@ -253,6 +253,30 @@
     reason: str
 
 
+class ListingOutdated(Event, frozen=True):
+    """A request reached another endpoint than this host's list has at the address; it reads again.
+
+    Attributes
+    ----------
+    endpoint : str
+        The endpoint that was meant.
+    age_s : float
+        How long ago the list was surely current.
+    waited_s : float
+        How long the request waited for the list.
+    is_current : bool
+        Whether the next endpoint is chosen by a list that was read after the send.
+    """
+
+    component: ClassVar[str] = "endpoints"
+    message: ClassVar[str] = "Another endpoint has the address; reading the list again."
+    request: str
+    endpoint: str
+    age_s: float
+    waited_s: float
+    is_current: bool
+
+
 class ZoneReaderSilent(Event, frozen=True):
     """No host of the zone has proven this host's state current, so it reads the store itself.
 
