Ignore records of endpoints whose values no endpoint can have

A host that the store turned away no longer followed the list of endpoints once another writer had listed one with a number beyond 64 bits: it kept endpoints that had left and learned of no new ones. It asks a peer for the whole list then, and that peer could not encode the one record, so that it sent none. A name of a megabyte has the same effect, by the bound on the size of messages.

What passes can be encoded, and 100 of the largest records fit into a message.

Evidence: with the bounds taken out, the nine new examples of gateway_parts.feature failed (numbers, a warm-up of 1e308 ms, long names); all pass now, and a list of the largest records reaches a peer as it is.

--- a/features/gateway_parts.feature
+++ b/features/gateway_parts.feature
@@ -87,6 +87,21 @@
       | whose key has a line break               |
       | whose key is in no Latin script          |
       | whose key is empty                       |
+      | with more slots than 64 bits             |
+      | with a sequence of 2 to the power of 70  |
+      | with a negative sequence                 |
+      | that was born in 2 to the power of 70 ms |
+      | that was born long before all clocks     |
+      | that warms up for 1e308 ms               |
+      | whose version has a million letters      |
+      | whose service has a million letters      |
+      | whose zone has a million letters         |
+
+  Scenario: A list of the largest records can be told to a peer
+    # Guards against one odd record that keeps a host from sending, or from getting, the whole list.
+    Given endpoints whose records hold the largest values that are accepted
+    When a host that lists 100 such endpoints is asked for its list
+    Then the asking host lists the same endpoints
 
   Scenario Outline: Settings with the address <address> are refused by an error that operators understand
     # Guards against an error that shows how addresses are matched, and not what is expected.
--- a/poplarrun/platform/_records.py
+++ b/poplarrun/platform/_records.py
@@ -7,11 +7,14 @@
 from msgspec.json import Decoder
 
 from poplarrun.placement import EndpointRecord
-from poplarrun.platform._validation import Address
+from poplarrun.platform._validation import MAX_WHOLE_NUMBER, Address, WholeNumber
 
 READY = "ready"
 DRAINING = "draining"
 MILLISECONDS_PER_S = 1000.0
+# Longest name in a record: whole lists are sent between hosts in one message.
+MAX_NAME_LENGTH = 255
+MAX_WARM_UP_MS = 24 * 3600 * MILLISECONDS_PER_S
 # An instance id is sent to its endpoint as the value of a header.
 _INSTANCE_ID = re.compile(r"[\x21-\x7e]+")
 
@@ -20,7 +23,8 @@
     """The JSON fields of a record.
 
     They are decoded without conversions between types: a record with a field of another type was
-    not written by an endpoint, and none is derived from it.
+    not written by an endpoint, and none is derived from it. The same holds for values beyond those
+    that an endpoint can have.
 
     Attributes
     ----------
@@ -32,15 +36,15 @@
         When the endpoint started, in milliseconds by its own clock; 0 if it doesn't report that.
     """
 
-    service: Annotated[str, Meta(min_length=1)]
+    service: Annotated[str, Meta(min_length=1, max_length=MAX_NAME_LENGTH)]
     address: Address
-    zone: str
-    version: str
-    slots: Annotated[int, Meta(gt=0)]
+    zone: Annotated[str, Meta(max_length=MAX_NAME_LENGTH)]
+    version: Annotated[str, Meta(max_length=MAX_NAME_LENGTH)]
+    slots: Annotated[int, Meta(gt=0, le=MAX_WHOLE_NUMBER)]
     phase: str
-    cold_left_ms: float = 0.0
-    sequence: int = 0
-    born: int = 0
+    cold_left_ms: Annotated[float, Meta(le=MAX_WARM_UP_MS)] = 0.0
+    sequence: WholeNumber = 0
+    born: WholeNumber = 0
 
 
 _DECODER = Decoder(_Record)
