Log an error in the handling of a peer's message, with the message's kind

A host that was asked for its list, and could not encode it, left a bare traceback of the event loop on its output each time: no structured line, nothing counted, and nothing that names the message. Any error in the handling of a message ended there.

Evidence: the new scenario of large_fleets.feature ended with the OverflowError before.

--- a/features/large_fleets.feature
+++ b/features/large_fleets.feature
@@ -94,3 +94,11 @@
       | with damaged totals      | unreadable |
       | older than the last one  | ignored    |
       | an unrequested roster    | ignored    |
+
+  Scenario: A message whose handling fails is logged and counted, and the next one is handled
+    # Guards against a host that answers no more messages, of which only a bare traceback tells.
+    Given a host that exchanges digests with a peer
+    And it lists an endpoint that no message can tell of
+    When the peer asks it for its list, and then sends a digest
+    Then the failure is logged with the kind "StateRequest" of the message
+    And the digest has been applied
--- a/features/steps/large_fleets.py
+++ b/features/steps/large_fleets.py
@@ -13,6 +13,7 @@
     ReceivedTotals,
     Roster,
     Scope,
+    StateRequest,
     TotalsTable,
     encode_message,
     encode_totals,
@@ -362,3 +363,40 @@
     assert is_same and not sums, sums
     is_unreadable = any(isinstance(event, events.MessageUnreadable) for event in context.written)
     assert is_unreadable == (outcome == "unreadable"), context.written
+
+
+@given("it lists an endpoint that no message can tell of")
+def step_untellable(context):
+    async def list_endpoint():
+        host = context.fleet.hosts[0]
+        record = EndpointRecord("odd", "engines", "10.0.0.1:1", "a", "v1", 8, False, 0.0, 2**70)
+        host.peering._directory.apply(record, context.fleet.now)
+
+    run(context, list_endpoint())
+
+
+@when("the peer asks it for its list, and then sends a digest")
+def step_ask_list(context):
+    host, peer = context.fleet.hosts
+    context.written = []
+
+    async def receive():
+        peer_state = host.peering.peer_table.find(peer.address)
+        context.heard_before = peer_state.heard_at
+        with patch.object(_peering, "write_event", context.written.append):
+            host.peering._receive(encode_message(StateRequest(peer.address, False, True)))
+            await asyncio.sleep(1.0)
+        context.heard_after = peer_state.heard_at
+
+    run(context, receive())
+
+
+@then('the failure is logged with the kind "{kind}" of the message')
+def step_failure_logged(context, kind):
+    (event,) = [each for each in context.written if isinstance(each, events.MessageFailed)]
+    assert event.kind == kind and "OverflowError" in event.error, event
+
+
+@then("the digest has been applied")
+def step_digest_applied(context):
+    assert context.heard_after > context.heard_before
--- a/poplarrun/gateway/_peering.py
+++ b/poplarrun/gateway/_peering.py
@@ -3,6 +3,7 @@
 import asyncio
 import json
 import random
+import traceback
 from collections.abc import Callable, Container
 
 import msgspec
@@ -41,6 +42,7 @@
     LoadNotice,
     LoanAnswer,
     LoanAsk,
+    Message,
     NoticeBudget,
     PeerState,
     PeerTable,
@@ -430,8 +432,18 @@
         return [topic for topic, reader in readers.items() if reader.has_failed]
 
     def _receive(self, data: bytes) -> None:
-        now = seconds_since_boot()
-        match decode_message(data):
+        message = decode_message(data)
+        if message is None:
+            write_event(events.MessageUnreadable(len(data)))
+            return
+        try:
+            self._handle(message, seconds_since_boot())
+        except Exception as error:
+            text = "".join(traceback.format_exception(error))
+            write_event(events.MessageFailed(type(message).__name__, text))
+
+    def _handle(self, message: Message, now: float) -> None:
+        match message:
             case Digest() as digest:
                 self._handle_digest(digest, now)
             case ReachabilityNotice() as reachability_notice:
@@ -456,8 +468,8 @@
                 | CopyOrder()
                 | CopyReport()
                 | CopyStop()
-            ) as message:
-                self.handle_load_test(message, now)
+            ) as load_test:
+                self.handle_load_test(load_test, now)
             case DocumentChanges() as documents:
                 self._state.apply_documents(documents)
             case PinnedSessions() as pinned:
@@ -475,8 +487,6 @@
                 self.offers.handle_query(endpoint_query, now)
             case EndpointOffer() as offer:
                 self.offers.handle_offer(offer)
-            case None:
-                write_event(events.MessageUnreadable(len(data)))
 
     def _handle_digest(self, digest: Digest, now: float) -> None:
         known = self.peer_table.find(digest.address)
--- a/poplarrun/logging/_events.py
+++ b/poplarrun/logging/_events.py
@@ -405,6 +405,22 @@
     size: int
 
 
+class MessageFailed(Event, frozen=True):
+    """An unexpected exception ended the handling of a peer's message.
+
+    Attributes
+    ----------
+    kind : str
+        The message's type.
+    """
+
+    component: ClassVar[str] = "peers"
+    message: ClassVar[str] = "An unexpected exception ended the handling of a peer's message."
+    level: ClassVar[int] = logging.ERROR
+    kind: str
+    error: str
+
+
 class LinesLeftOut(Event, frozen=True):
     """Log lines were dropped since the last such event; their counts by event."""
 
--- a/poplarrun/platform/_validation.py
+++ b/poplarrun/platform/_validation.py
@@ -10,8 +10,8 @@
 _PORT = r"(6553[0-5]|655[0-2]\d|65[0-4]\d\d|6[0-4]\d{3}|[1-5]\d{4}|[1-9]\d{0,3})"
 # ``\Z`` because ``$`` also matches before a final line break.
 _ADDRESS_PATTERN = rf"^{_OCTET}(\.{_OCTET}){{3}}:{_PORT}\Z"
-# The largest whole number that all readers and writers of JSON agree on. MessagePack, in which hosts
-# tell each other what they have read, has none beyond 64 bits.
+# The largest whole number that all readers and writers of JSON agree on. Messages between hosts,
+# in MessagePack, hold none beyond 64 bits.
 MAX_WHOLE_NUMBER = 2**53 - 1
 WholeNumber = Annotated[int, msgspec.Meta(ge=0, le=MAX_WHOLE_NUMBER)]
 Address = Annotated[str, msgspec.Meta(pattern=_ADDRESS_PATTERN)]
