Read on past a registered host whose entry is deeply nested

An entry of 100,000 nested lists among the registered hosts ended each host that read it, at its start and each few seconds after it: the decoder's RecursionError was none of the errors that stand for an unreadable entry, and a task that fails ends the process.

Evidence: the first of four new examples in large_fleets.feature failed before.

--- a/features/large_fleets.feature
+++ b/features/large_fleets.feature
@@ -95,6 +95,19 @@
       | older than the last one  | ignored    |
       | an unrequested roster    | ignored    |
 
+  Scenario Outline: An odd entry among the registered hosts ends none that reads it: <entry>
+    # Guards against hosts that end again and again while another writer's entry is registered.
+    Given a host that exchanges digests with a peer
+    When it reads that "10.9.9.9:1" is registered with <entry>
+    Then it still hears the peer
+
+    Examples:
+      | entry                  |
+      | 100000 nested lists    |
+      | a list in place of all |
+      | bytes that are no text |
+      | nothing                |
+
   Scenario: A message whose handling fails is logged and counted, and the next one is handled
     # Guards against a host that answers no more messages, of which only a bare traceback tells.
     Given a host that exchanges digests with a peer
--- a/features/steps/large_fleets.py
+++ b/features/steps/large_fleets.py
@@ -19,6 +19,7 @@
     encode_totals,
 )
 from poplarrun.placement import EndpointRecord
+from poplarrun.platform import Entry
 from standins.peer_fleet import PeerFleet
 from standins.rollout_fleet import SERVICE, virtual_clock
 from standins.virtual_time import VirtualTimeLoop
@@ -28,6 +29,12 @@
 POLL_INTERVAL_S = 0.25
 ENDPOINT = "engine-1"
 OWN_STAMPS = (1.0, 2.0)
+ODD_REGISTRATIONS = {
+    "100000 nested lists": b'{"zone":' + b"[" * 100_000 + b"]" * 100_000 + b"}",
+    "a list in place of all": b"[]",
+    "bytes that are no text": b"\xff\xfe",
+    "nothing": b"",
+}
 
 
 def run(context, coroutine):
@@ -400,3 +407,23 @@
 @then("the digest has been applied")
 def step_digest_applied(context):
     assert context.heard_after > context.heard_before
+
+
+@when('it reads that "{address}" is registered with {kind}')
+def step_registered(context, address, kind):
+    async def read():
+        entry = Entry(address, ODD_REGISTRATIONS[kind], 7)
+        await context.fleet.hosts[0].peering._apply_addresses((entry,), context.fleet.now)
+
+    run(context, read())
+
+
+@then("it still hears the peer")
+def step_hears(context):
+    async def hear():
+        host, peer = context.fleet.hosts
+        before = host.peering.peer_table.find(peer.address).heard_at
+        await asyncio.sleep(1.0)
+        return host.peering.peer_table.find(peer.address).heard_at > before
+
+    assert run(context, hear())
--- a/poplarrun/gateway/_peering.py
+++ b/poplarrun/gateway/_peering.py
@@ -544,7 +544,7 @@
     """Return the zone in the record of a host's address; empty if it can't be decoded."""
     try:
         return str(json.loads(entry.value or b"")["zone"])
-    except (ValueError, KeyError, TypeError):
+    except (ValueError, KeyError, TypeError, RecursionError):
         return ""
 
 
