Take an answer that ends inside its head for none, at the own interface

A caller of an operation got a 200 with an empty body, framed as whole, when the plain service had stopped inside the head of its answer and closed: the library reads the end of the connection as the end of the head, and an answer without a length is complete when its connection is. An order whose outcome is not known was reported as done. A cache that is moved between engines was imported empty.

The connections of all clients now read their answers with a response that wants the empty line. The platform's interface parses heads with another library, which does that already.

--- a/poplarrun/clients/_http.py
+++ b/poplarrun/clients/_http.py
@@ -6,6 +6,8 @@
 
 import urllib3
 
+from poplarrun.clients._connections import PlainPool, TlsPool
+
 MAX_CONNECTIONS_PER_ADDRESS = 64
 MAX_POOLS = 2000
 
@@ -36,13 +38,15 @@
             "ca_certs": str(tls.authority),
             "cert_file": identity,
         }
-    return urllib3.PoolManager(
+    manager = urllib3.PoolManager(
         num_pools=MAX_POOLS,
         maxsize=MAX_CONNECTIONS_PER_ADDRESS,
         block=False,
         retries=False,
         **options,
     )
+    manager.pool_classes_by_scheme = {"http": PlainPool, "https": TlsPool}
+    return manager
 
 
 _manager = _make_manager(None)
--- a/poplarrun/clients/_services.py
+++ b/poplarrun/clients/_services.py
@@ -12,6 +12,7 @@
 import urllib3
 
 from poplarrun.clients._answers import read_whole
+from poplarrun.clients._connections import PlainConnection, TlsConnection
 from poplarrun.clients._http import PlatformTls
 
 CONNECT_TIMEOUT_S = 0.5
@@ -78,7 +79,7 @@
         """Connect, and encode the call without sending any byte of it."""
 
 
-class _BufferingConnection(urllib3.connection.HTTPConnection):
+class _BufferingConnection(PlainConnection):
     """A connection that buffers the bytes it would send."""
 
     buffered = b""
@@ -87,7 +88,7 @@
         self.buffered += bytes(data)
 
 
-class _BufferingTlsConnection(urllib3.connection.HTTPSConnection):
+class _BufferingTlsConnection(TlsConnection):
     """The same over TLS; the handshake is complete before any byte is buffered."""
 
     buffered = b""
