Treat a plain service's answer without a valid status line as an unknown outcome

A call never raises, by its contract; one whose service answered no HTTP, or stopped inside the status line, raised the library's BadStatusLine, which is none of the errors that were caught. The task of the operation ended without an outcome.

Evidence: three scenarios of cut_heads.feature (after the version, in the status, a status line of no HTTP) ended with BadStatusLine before.

--- a/features/cut_heads.feature
+++ b/features/cut_heads.feature
@@ -7,6 +7,9 @@
 
     Examples: where it stops
       | what            | where                              |
+      | a plain service | after its version                  |
+      | a plain service | in its status                      |
+      | a plain service | in a status line of no HTTP        |
       | a plain service | in its status line                 |
       | a plain service | after its status line              |
       | a plain service | in a header                        |
--- a/features/steps/cut_heads.py
+++ b/features/steps/cut_heads.py
@@ -13,6 +13,7 @@
 HEADS = {
     "after its version": b"HTTP/1.1",
     "in its status": b"HTTP/1.1 20",
+    "in a status line of no HTTP": b"SSH-2.0-service\r\n\r\n",
     "in its status line": b"HTTP/1.1 200 O",
     "after its status line": STATUS_LINE,
     "in a header": STATUS_LINE + b"Content-Type: applic",
--- a/poplarrun/clients/_services.py
+++ b/poplarrun/clients/_services.py
@@ -5,6 +5,7 @@
 """
 
 import contextlib
+import http.client
 import ssl
 from dataclasses import dataclass
 from typing import Any, Protocol
@@ -126,7 +127,7 @@
             self._connection.sock.sendall(self._connection.buffered[self._sent :])
             response = self._connection.getresponse()
             body = read_whole(response, timeout_s)
-        except (urllib3.exceptions.HTTPError, OSError) as error:
+        except (urllib3.exceptions.HTTPError, http.client.HTTPException, OSError) as error:
             return ServiceOutcomeUnknown(type(error).__name__)
         content_type = response.headers.get("Content-Type", "application/octet-stream")
         return ServiceResponse(response.status, body, content_type)
