--- a/features/unframed_answers.feature
+++ b/features/unframed_answers.feature
@@ -53,6 +53,30 @@
     When a caller that has event 5 sends a draft whose answer is unframed and ends after its head
     Then it gets the events 6 to 5 after 1 sends
 
+  @each.installation
+  Scenario Outline: A <request> whose answer <end> gets <seen>
+    # Guards against an answer without a whole head that callers get as a whole one.
+    Given a second endpoint "stock-2" of "stock"
+    And a second endpoint "engine-2" of "engines"
+    When a caller sends a <request> whose answer <end>
+    Then it gets <seen>
+    And its connection serves 5 more lookups, each with one send
+
+    Examples:
+      | request | end                                         | seen                                                  |
+      | lookup  | ends inside its status line                 | 200 after 2 sends, and a whole answer of one endpoint |
+      | lookup  | ends inside a header                        | 200 after 2 sends, and a whole answer of one endpoint |
+      | lookup  | ends before the last empty line of its head | 200 after 2 sends, and a whole answer of one endpoint |
+      | lookup  | ends inside its head, after an interim one  | 200 after 2 sends, and a whole answer of one endpoint |
+      | order   | ends inside its status line                 | 502 after 1 sends, and a whole answer of one endpoint |
+      | order   | ends inside a header                        | 502 after 1 sends, and a whole answer of one endpoint |
+      | order   | ends before the last empty line of its head | 502 after 1 sends, and a whole answer of one endpoint |
+      | order   | ends inside its head, after an interim one  | 502 after 1 sends, and a whole answer of one endpoint |
+      | draft   | ends inside its status line                 | the events 1 to 5 after 2 sends                       |
+      | draft   | ends inside a header                        | the events 1 to 5 after 2 sends                       |
+      | draft   | ends before the last empty line of its head | the events 1 to 5 after 2 sends                       |
+      | draft   | ends inside its head, after an interim one  | the events 1 to 5 after 2 sends                       |
+
   @fixture.cuttable_hosts
   Scenario Outline: Through a helper, a <request> whose answer <end> gets <seen>
     # Guards against a relay that makes a broken answer look whole, or loses a whole one.
@@ -71,6 +95,12 @@
       | draft   | is unframed and ends in order                | the events 1 to 5 after 1 sends                          |
       | draft   | is unframed and ends inside its third event  | the events 1 to 5 after 2 sends                          |
       | draft   | is unframed and is reset in its middle       | the events 1 to 5 after 2 sends                          |
+      | lookup  | ends inside a header                         | 200 after 2 sends, and a whole answer of one endpoint    |
+      | lookup  | ends before the last empty line of its head  | 200 after 2 sends, and a whole answer of one endpoint    |
+      | order   | ends inside a header                         | 502 after 1 sends, and a whole answer of one endpoint    |
+      | order   | ends before the last empty line of its head  | 502 after 1 sends, and a whole answer of one endpoint    |
+      | draft   | ends inside a header                         | the events 1 to 5 after 2 sends                          |
+      | draft   | ends before the last empty line of its head  | the events 1 to 5 after 2 sends                          |
 
   @fixture.cuttable_hosts
   Scenario Outline: An unframed <kind> whose helper is <end> <seen>
--- a/standins/installation/_endpoint.py
+++ b/standins/installation/_endpoint.py
@@ -12,7 +12,7 @@
 from dataclasses import dataclass, field
 
 from poplarrun.transport import CallerConnection, CallerServer, RequestHead
-from standins.installation._unframed import send_unframed, send_without_end
+from standins.installation._unframed import send_cut_head, send_unframed, send_without_end
 
 EVENT_INTERVAL_S = 0.01
 PAUSE_S = 4.0
@@ -51,6 +51,10 @@
     UNFRAMED_EMPTY = "is unframed and ends after its head"
     UNFRAMED_RESET = "is unframed and is reset after its last byte"
     UNFRAMED_RESET_INSIDE = "is unframed and is reset in its middle"
+    CUT_STATUS = "ends inside its status line"
+    CUT_HEADER = "ends inside a header"
+    CUT_HEAD = "ends before the last empty line of its head"
+    CUT_HEAD_AFTER_INTERIM = "ends inside its head, after an interim one"
     ENDLESS = "begins and goes on without end"
     ENDLESS_SLOW = "begins and trickles without end"
     ENDLESS_AT_ONCE = "goes on without end"
@@ -59,6 +63,13 @@
 
 UNFRAMED_FAULTS = frozenset(fault for fault in Fault if fault.name.startswith("UNFRAMED"))
 ENDLESS_FAULTS = frozenset(fault for fault in Fault if fault.name.startswith("ENDLESS"))
+# The last byte of the head that is sent.
+CUT_HEADS = {
+    Fault.CUT_STATUS: 11,
+    Fault.CUT_HEADER: -9,
+    Fault.CUT_HEAD: -2,
+    Fault.CUT_HEAD_AFTER_INTERIM: -2,
+}
 ENDLESS_PIECE = b"x" * 4096
 
 
@@ -269,6 +280,9 @@
                 caller.abort_response()
             case _ if fault in UNFRAMED_FAULTS:
                 await self._answer_unframed(caller, headers, answer_headers, fault)
+            case _ if fault in CUT_HEADS:
+                has_interim = fault is Fault.CUT_HEAD_AFTER_INTERIM
+                send_cut_head(caller, answer_headers, CUT_HEADS[fault], has_interim)
             case _ if fault in ENDLESS_FAULTS:
                 await self._answer_without_end(caller, headers, answer_headers, fault)
             case Fault.MUTE:
--- a/standins/installation/_unframed.py
+++ b/standins/installation/_unframed.py
@@ -49,6 +49,15 @@
     transport.abort()
 
 
+def send_cut_head(caller: CallerConnection, headers: Headers, end: int, has_interim: bool) -> None:
+    """Send a head up to a byte, counted from its end if negative, and end the connection."""
+    transport = caller._transport
+    assert transport is not None
+    interim = b"HTTP/1.1 103 Early Hints\r\n\r\n" if has_interim else b""
+    transport.write(interim + _encode_head(headers)[:end])
+    transport.close()
+
+
 async def send_without_end(
     caller: CallerConnection, headers: Headers, beginning: bytes, piece: bytes, interval_s: float
 ) -> None:
