Give up answers of deeply nested JSON like others that can't be read

An engine, the host list or the log of the own interface that answered with 100,000 nested lists raised the decoder's RecursionError from clients that never raise, by their contract: the thread that reads the list, or the loads, ended with it.

One list of errors now stands for JSON that can't be decoded, and all clients use it.

Evidence: five of seven new examples of cut_heads.feature failed before; the answers of engines and the ratings refuse the field by its type.

--- a/features/cut_heads.feature
+++ b/features/cut_heads.feature
@@ -34,3 +34,18 @@
     # Guards against a cache that is imported empty at the engine that takes a stream over.
     When an engine stops before its length while its cache is moved
     Then nothing is imported
+
+  Scenario Outline: <what> that answers with a field of nested lists has given no answer
+    # Guards against threads that end because of what an engine or a store answers.
+    When <what> answers with a field of 100000 nested lists
+    Then the call fails
+
+    Examples:
+      | what               |
+      | an engine's answer |
+      | an engine's load   |
+      | an engine's cache  |
+      | an engine's models |
+      | the host list      |
+      | the log            |
+      | the ratings        |
--- a/features/steps/cut_heads.py
+++ b/features/steps/cut_heads.py
@@ -23,7 +23,8 @@
     "after an interim head": INTERIM_HEAD,
     "in the head after an interim head": INTERIM_HEAD + STATUS_LINE + TYPE_LINE,
 }
-NESTED = b"[" * 100_000 + b"]" * 100_000
+NESTED = b'{"x":' + b"[" * 100_000 + b"]" * 100_000 + b"}"
+ANSWER_LISTS = ("an engine's cache", "the ratings")
 
 
 class OneAnswerServer:
@@ -72,10 +73,11 @@
     call(context, what, HEADS[where])
 
 
-@when("{what:What} answers 100000 nested lists")
+@when("{what:What} answers with a field of 100000 nested lists")
 def step_nested(context, what):
-    length = b"Content-Length: %d\r\n\r\n" % len(NESTED)
-    call(context, what, STATUS_LINE + TYPE_LINE + length + NESTED)
+    body = b"[" + NESTED + b"]" if what in ANSWER_LISTS else NESTED + b"\n"
+    length = b"Content-Length: %d\r\n\r\n" % len(body)
+    call(context, what, STATUS_LINE + TYPE_LINE + length + body)
 
 
 @when("an engine stops {where} while its cache is moved")
--- a/poplarrun/clients/_answers.py
+++ b/poplarrun/clients/_answers.py
@@ -4,6 +4,7 @@
 from dataclasses import dataclass
 from typing import Any
 
+import msgspec
 import urllib3
 
 from poplarrun.clients._http import get_pool_manager
@@ -11,6 +12,8 @@
 
 # Largest answer of a call, which is kept until it is complete.
 MAX_ANSWER_BYTES = 16 * 1024 * 1024
+# Errors of JSON that can't be decoded. Deeply nested JSON exceeds the decoder's recursion limit.
+UNREADABLE_JSON = (msgspec.DecodeError, UnicodeDecodeError, RecursionError)
 
 
 @dataclass(frozen=True, slots=True)
--- a/poplarrun/clients/_engines.py
+++ b/poplarrun/clients/_engines.py
@@ -10,7 +10,7 @@
 import msgspec
 import urllib3
 
-from poplarrun.clients._answers import fetch, read_whole
+from poplarrun.clients._answers import UNREADABLE_JSON, fetch, read_whole
 from poplarrun.clients._http import base_url, get_pool_manager, pool_for_address
 from poplarrun.clients._streams import StreamedBody
 from poplarrun.contracts import VersionId
@@ -275,7 +275,7 @@
             return msgspec.json.decode(response.data, type=LoadReport)
         except (urllib3.exceptions.NewConnectionError, urllib3.exceptions.ConnectTimeoutError):
             return EngineFailed(started=False, reason="connect")
-        except (urllib3.exceptions.HTTPError, msgspec.DecodeError) as error:
+        except (urllib3.exceptions.HTTPError, *UNREADABLE_JSON) as error:
             return EngineFailed(started=False, reason=type(error).__name__)
 
     def list_cache_events(self, address: str, after: int) -> list[CacheEvent] | EngineFailed:
@@ -284,7 +284,7 @@
             url = f"{base_url(address)}/v1/cache-events?after={after}"
             response = fetch("GET", url, REPORT_TIMEOUT_S)
             return _cache_events_decoder.decode(response.data)
-        except (urllib3.exceptions.HTTPError, msgspec.DecodeError) as error:
+        except (urllib3.exceptions.HTTPError, *UNREADABLE_JSON) as error:
             return EngineFailed(started=False, reason=type(error).__name__)
 
 
@@ -306,7 +306,7 @@
             finished = any(isinstance(answer, Usage) for answer in answers)
             if answers:
                 yield answers
-    except (urllib3.exceptions.HTTPError, msgspec.DecodeError, OSError):
+    except (urllib3.exceptions.HTTPError, *UNREADABLE_JSON, OSError):
         finished = False
     finally:
         # A connection with unread bytes must not be reused: the next call would read chunks
--- a/poplarrun/clients/_hostlist.py
+++ b/poplarrun/clients/_hostlist.py
@@ -7,7 +7,7 @@
 import msgspec
 import urllib3
 
-from poplarrun.clients._answers import fetch
+from poplarrun.clients._answers import UNREADABLE_JSON, fetch
 from poplarrun.clients._http import base_url
 
 READ_TIMEOUT_S = 2.0
@@ -100,7 +100,7 @@
             return ListUnavailable(f"the host list answered {response.status}")
         try:
             body = msgspec.json.decode(response.data, type=_ListBody)
-        except msgspec.DecodeError:
+        except UNREADABLE_JSON:
             return ListUnavailable("the host list could not be read")
         return tuple(
             ListedHost(h.name, h.kind, h.zone, h.address, h.state, h.service) for h in body.hosts
--- a/poplarrun/clients/_log.py
+++ b/poplarrun/clients/_log.py
@@ -5,7 +5,7 @@
 import msgspec
 import urllib3
 
-from poplarrun.clients._answers import fetch
+from poplarrun.clients._answers import UNREADABLE_JSON, fetch
 from poplarrun.clients._http import base_url
 from poplarrun.log import (
     Appended,
@@ -87,7 +87,7 @@
 def _read_appended(data: bytes) -> AppendOutcome:
     try:
         return Appended(msgspec.json.decode(data, type=_AppendedBody).offset)
-    except msgspec.DecodeError:
+    except UNREADABLE_JSON:
         return AppendUnknown("the log's answer could not be read")
 
 
@@ -95,6 +95,6 @@
     try:
         body = msgspec.json.decode(data, type=_PageBody)
         entries = tuple(Entry(e.offset, base64.b64decode(e.data)) for e in body.entries)
-    except (msgspec.DecodeError, ValueError):
+    except (*UNREADABLE_JSON, ValueError):
         return ReadFailed("the log's answer could not be read")
     return Page(entries, body.horizon, body.end)
--- a/poplarrun/clients/_orders.py
+++ b/poplarrun/clients/_orders.py
@@ -7,7 +7,7 @@
 import msgspec
 import urllib3
 
-from poplarrun.clients._answers import fetch
+from poplarrun.clients._answers import UNREADABLE_JSON, fetch
 from poplarrun.clients._http import base_url
 
 REQUEST_TIMEOUT_S = 1.0
@@ -111,7 +111,7 @@
             if response.status != OK:
                 return OrderFailed(f"status_{response.status}")
             return msgspec.json.decode(response.data, type=EngineModels)
-        except (urllib3.exceptions.HTTPError, msgspec.MsgspecError) as error:
+        except (urllib3.exceptions.HTTPError, *UNREADABLE_JSON) as error:
             return OrderFailed(type(error).__name__)
 
     def send(self, address: str, order: ModelsOrder) -> OrderAccepted | OrderFenced | OrderFailed:
--- a/poplarrun/clients/_ratings.py
+++ b/poplarrun/clients/_ratings.py
@@ -6,7 +6,7 @@
 import msgspec
 import urllib3
 
-from poplarrun.clients._answers import fetch
+from poplarrun.clients._answers import UNREADABLE_JSON, fetch
 from poplarrun.clients._http import base_url
 
 REQUEST_TIMEOUT_S = 2.0
@@ -64,7 +64,7 @@
             return RatingsUnavailable(f"status {status}")
         try:
             return msgspec.json.decode(data, type=list[AnswerRating])
-        except msgspec.DecodeError:
+        except UNREADABLE_JSON:
             return RatingsUnavailable("the ratings could not be read")
 
     def _post(self, path: str, body: msgspec.Struct) -> tuple[int, bytes]:
