Refuse configurations with numbers that no host can hold or tell

A configuration with a version beyond 64 bits could not be told in a digest: each host that had read it ended with the OverflowError of its round. One with a cache size of 1e999, which JSON reads as infinite, ended the follower of documents in the same way. Both numbers passed the model, which bounded them on one side only.

The model now bounds them to the whole numbers of JSON, and the error names the field.

Evidence: six new examples of gateway_parts.feature failed before.

--- a/features/gateway_parts.feature
+++ b/features/gateway_parts.feature
@@ -97,6 +97,20 @@
       | whose service has a million letters      |
       | whose zone has a million letters         |
 
+  Scenario Outline: A configuration whose <field> is <value> is refused by an error that names it
+    # Guards against hosts that all end, or tell each other nothing, because of one number.
+    When an operator writes a configuration whose <field> is <value>
+    Then it is refused with an error that begins with "<field>: Expected"
+
+    Examples:
+      | field                      | value                  |
+      | version                    | 1180591620717411303424 |
+      | services.0.maxConns        | 1180591620717411303424 |
+      | services.0.engine.slots    | 1180591620717411303424 |
+      | services.0.engine.kvBytes  | 1e999                  |
+      | services.0.engine.linkMbps | 1e999                  |
+      | services.0.coldPerS        | 1e999                  |
+
   Scenario: A list of the largest records can be told to a peer
     # Guards against one odd record that keeps a host from sending, or from getting, the whole list.
     Given endpoints whose records hold the largest values that are accepted
--- a/features/steps/gateway_parts.py
+++ b/features/steps/gateway_parts.py
@@ -42,8 +42,10 @@
 from poplarrun.platform import (
     InvalidSettings,
     LatestRecords,
+    MalformedDocument,
     NoAnswer,
     Records,
+    decode_catalogue,
     decode_endpoint_record,
     load_node_settings,
 )
@@ -343,6 +345,29 @@
     assert decode_endpoint_record(context.key, context.record) is None
 
 
+@when("an operator writes a configuration whose {field} is {value}")
+def step_write_config(context, field, value):
+    service = {"name": "engines", "engine": {}}
+    config = {"version": 1, "routes": [], "services": [service]}
+    *path, name = field.split(".")
+    place = config
+    for part in path:
+        place = place[int(part) if part.isdigit() else part]
+    place[name] = 0
+    marked = json.dumps(config).replace(f'"{name}": 0', f'"{name}": {value}')
+    try:
+        decode_catalogue(marked.encode())
+    except MalformedDocument as error:
+        context.problem = str(error)
+    else:
+        context.problem = ""
+
+
+@then('it is refused with an error that begins with "{beginning}"')
+def step_config_refused(context, beginning):
+    assert context.problem.startswith(beginning), context.problem
+
+
 @given("endpoints whose records hold the largest values that are accepted")
 def step_largest_record(context):
     context.record = json.dumps(LARGEST_RECORD).encode()
--- a/poplarrun/platform/_documents.py
+++ b/poplarrun/platform/_documents.py
@@ -7,7 +7,12 @@
 
 from poplarrun.evacuations import ZoneOrder
 from poplarrun.platform._names import EVACUATION_PREFIX
-from poplarrun.platform._validation import InvalidDocument, validate
+from poplarrun.platform._validation import (
+    MAX_WHOLE_NUMBER,
+    InvalidDocument,
+    WholeNumber,
+    validate,
+)
 from poplarrun.routing import (
     Account,
     CacheTransfer,
@@ -35,9 +40,11 @@
 DEFAULT_GAP_MS = 1000.0
 
 M = TypeVar("M", bound=Struct)
-PositiveFloat = Annotated[float, Meta(gt=0)]
-NonNegativeFloat = Annotated[float, Meta(ge=0)]
-PositiveInt = Annotated[int, Meta(gt=0)]
+# Documents may hold numbers that are infinite as floats.
+Float = Annotated[float, Meta(le=MAX_WHOLE_NUMBER)]
+PositiveFloat = Annotated[float, Meta(gt=0, le=MAX_WHOLE_NUMBER)]
+NonNegativeFloat = Annotated[float, Meta(ge=0, le=MAX_WHOLE_NUMBER)]
+PositiveInt = Annotated[int, Meta(gt=0, le=MAX_WHOLE_NUMBER)]
 
 
 class _Model(Struct, frozen=True, rename="camel"):
@@ -46,7 +53,7 @@
 
 class _Split(_Model, frozen=True):
     service: str
-    weight: Annotated[float, Meta(ge=0)]
+    weight: NonNegativeFloat
 
 
 class _Route(_Model, frozen=True):
@@ -62,18 +69,18 @@
     max_attempts: PositiveInt = 1
     public: bool = False
     resumable: bool = False
-    gap_goal_ms: float | None = None
+    gap_goal_ms: Float | None = None
     sizes: tuple[str, ...] = ()
 
 
 class _EngineModel(_Model, frozen=True):
     name: str
-    cost: float = 0.0
+    cost: Float = 0.0
 
 
 class _Engine(_Model, frozen=True):
-    slots: int = 0
-    kv_capacity: int = 0
+    slots: WholeNumber = 0
+    kv_capacity: WholeNumber = 0
     kv_bytes: NonNegativeFloat = 0.0
     link_mbps: NonNegativeFloat = 0.0
     models: tuple[_EngineModel, ...] = ()
@@ -101,7 +108,7 @@
 
 
 class _Config(_Model, frozen=True):
-    version: int
+    version: WholeNumber
     routes: tuple[_Route, ...]
     services: tuple[_Service, ...]
     limits: _Limits = _Limits()
