Keep a refused refresh from marking a host as one that can't read the store

A refusal of the read that follows a 421 counted as a failed read of the follower. A host that relies on its zone's reader makes no reads of its own, so that the mark stayed: no later 421 had its list read again, and peers took the host for one that can't read for the zone.

A refresh reads for itself now; after one that brought nothing the store isn't asked for a second. The answers of both kinds of reads are applied in one place.

Evidence: the last step of the scenario in shared_reading.feature failed before.

--- a/features/shared_reading.feature
+++ b/features/shared_reading.feature
@@ -45,8 +45,9 @@
     Given a listing follower that has read records 0 to 1
     When 10 requests need a list of now
     Then all have one, after 1 reads
-    When the last read fails, and 10 requests need a list of now
-    Then none has one, after 1 reads
+    When the store refuses to be read, and 10 requests need a list of now
+    Then none has one, after 2 reads
+    And the host still counts as one that can read for its zone
 
   Scenario: A proof counts only for a host that has read as far
     # A peer proves that there were no records after those that it had read. A host that has read
--- a/features/steps/shared_reading.py
+++ b/features/steps/shared_reading.py
@@ -23,7 +23,7 @@
 from poplarrun.peers import DOCUMENTS, ENDPOINTS, Digest, DocumentChanges, PeerTable, ReadSchedule
 from poplarrun.peers import _messages as messages
 from poplarrun.placement import EndpointDirectory, Placement
-from poplarrun.platform import Entry, LatestRecords, Records
+from poplarrun.platform import Entry, LatestRecords, Records, Refused
 from poplarrun.rollouts import Rollouts
 from poplarrun.transport import seconds_since_boot
 from standins.peer_fleet import PeerFleet
@@ -207,12 +207,21 @@
     need_list(context, count)
 
 
-@when("the last read fails, and {count:d} requests need a list of now")
+@when("the store refuses to be read, and {count:d} requests need a list of now")
 def step_need_without(context, count):
-    context.follower.reader.has_failed = True
+    async def refuse(topic, offset, wait_s=0.0):
+        context.store.reads.append(offset)
+        return Refused(429, "too many reads")
+
+    context.store.read = refuse
     need_list(context, count)
 
 
+@then("the host still counts as one that can read for its zone")
+def step_can_read(context):
+    assert not context.follower.reader.has_failed
+
+
 @then("{who} one, after {reads:d} reads")
 def step_refreshed(context, who, reads):
     expected = {"all have": True, "none has": False}[who]
--- a/poplarrun/gateway/_listing_follower.py
+++ b/poplarrun/gateway/_listing_follower.py
@@ -30,6 +30,8 @@
 
 # Records removed within this time after an outage may be those of live endpoints.
 LAPSE_WINDOW_S = 0.8
+# Least time in seconds from a refresh that brought nothing to the next one.
+REFRESH_RETRY_S = 1.0
 # What proved the list current, if this host read the store itself.
 OWN_READ = "store"
 
@@ -83,12 +85,13 @@
         self._changes = ListingChanges(reader)
         self._health = StoreHealth(seconds_since_boot(), reader.timeouts.outage_timeout_s)
         self._refresh_lock = asyncio.Lock()
+        self._next_refresh_at = float("-inf")
 
     async def run(self) -> None:
         """Follow the topic forever."""
         while True:
             await self.reader.wait_until_due(lambda: self.confirmed_at)
-            has_succeeded = await self._read_once(self.reader.long_poll_s)
+            has_succeeded = await self._read_once()
             now = seconds_since_boot()
             self._expire(now)
             self._changes.flush(now)
@@ -99,16 +102,36 @@
     async def refresh(self, since: float) -> bool:
         """Read what is new in the list unless it is known as of a time; return whether it is then.
 
-        Requests that need the list at the same time share a read. A store that didn't answer the
-        last one isn't asked.
+        Requests that need the list at the same time share a read. After one that brought nothing,
+        the store isn't asked for a while.
         """
         async with self._refresh_lock:
-            if self.confirmed_at < since and self.has_read_store and not self.reader.has_failed:
-                await self._read_once()
+            now = seconds_since_boot()
+            is_needed = self.has_read_store and self.confirmed_at < since
+            if is_needed and now >= self._next_refresh_at:
+                self._next_refresh_at = now + REFRESH_RETRY_S
+                answer = await self._store.read(ENDPOINT_TOPIC, self._directory.next_offset)
+                if isinstance(answer, Records):
+                    self._next_refresh_at = now
+                    self._apply_answer(answer)
         return self.confirmed_at >= since
 
-    async def _read_once(self, long_poll_s: float = 0.0) -> bool:
-        answer = await self._read(long_poll_s)
+    async def _read_once(self) -> bool:
+        answer = await self._read()
+        if isinstance(answer, OffsetExpired):
+            write_event(events.HistoryDropped("endpoints"))
+            self.has_read_store = False
+            answer = await self._store.read_latest(ENDPOINT_TOPIC)
+        if isinstance(answer, LatestRecords | Records):
+            self.reader.has_failed = False
+            self._apply_answer(answer)
+            return True
+        self.reader.has_failed = True
+        if self._health.record_failure(seconds_since_boot()):
+            write_event(events.StoreLost("endpoints", repr(answer)))
+        return False
+
+    def _apply_answer(self, answer: LatestRecords | Records) -> None:
         now = seconds_since_boot()
         match answer:
             case LatestRecords(entries=entries, end_offset=end, confirmed_at=confirmed_at):
@@ -116,27 +139,16 @@
                 self._directory.next_offset = end
                 self.has_read_store = True
                 self.is_usable = True
+                self._record_answer(now)
             case Records(entries=entries, end_offset=end, confirmed_at=confirmed_at):
                 self._record_answer(now)
                 self._apply_records(entries, now)
-                if self._directory.next_offset < end:
-                    # An answer holds a limited number of bytes.
-                    confirmed_at = self.confirmed_at
-                    self.reader.read_now()
-            case OffsetExpired():
-                write_event(events.HistoryDropped("endpoints"))
-                self.has_read_store = False
-                return await self._read_once(long_poll_s)
-            case Refused() | NoAnswer():
-                self.reader.has_failed = True
-                if self._health.record_failure(now):
-                    write_event(events.StoreLost("endpoints", repr(answer)))
-                return False
-        self.reader.has_failed = False
-        self._record_answer(now)
-        self._confirm(confirmed_at, OWN_READ)
+        if self._directory.next_offset >= end:
+            self._confirm(confirmed_at, OWN_READ)
+        else:
+            # An answer holds a limited number of bytes.
+            self.reader.read_now()
         self._placement.update_endpoints(self._directory.records(), now)
-        return True
 
     def _confirm(self, confirmed_at: float, proven_by: str) -> None:
         if confirmed_at > self.confirmed_at:
@@ -235,12 +247,11 @@
         self.is_usable = True
         self._placement.update_endpoints(self._directory.records(), now)
 
-    async def _read(
-        self, long_poll_s: float
-    ) -> LatestRecords | Records | OffsetExpired | Refused | NoAnswer:
+    async def _read(self) -> LatestRecords | Records | OffsetExpired | Refused | NoAnswer:
         if not self.has_read_store:
             return await self._store.read_latest(ENDPOINT_TOPIC)
-        return await self._store.read(ENDPOINT_TOPIC, self._directory.next_offset, long_poll_s)
+        offset, long_poll_s = self._directory.next_offset, self.reader.long_poll_s
+        return await self._store.read(ENDPOINT_TOPIC, offset, long_poll_s)
 
     def _record_answer(self, now: float) -> None:
         if self._health.record_answer(now):
