--- a/features/evacuation.feature
+++ b/features/evacuation.feature
@@ -79,3 +79,11 @@
     Given a dispatcher with endpoints in the zones "a, b"
     When a request fails once, and its second send is withheld 3 times
     Then one retry is spent
+
+  Scenario: A helper relays nothing to an endpoint in a zone that it knows to be evacuated
+    # Guards against requests to an evacuated zone by a host that hears of the order later.
+    Given a helper that relays "request-1" to an endpoint
+    When the helper learns that the zone of the endpoint is evacuated
+    Then the helper keeps away from it
+    When the helper learns that the zone is taken back
+    Then the helper does not keep away from it
--- a/features/steps/evacuation.py
+++ b/features/steps/evacuation.py
@@ -19,6 +19,7 @@
 from poplarrun.routing import PromptPart
 from poplarrun.shares import Budget
 from poplarrun.sizes import SizePolicy
+from poplarrun.transport import seconds_since_boot
 from standins.peer_fleet import PeerFleet
 from standins.rollout_fleet import virtual_clock
 from standins.virtual_time import VirtualTimeLoop
@@ -306,3 +307,14 @@
 def step_one_retry(context):
     spent = context.remaining - context.budget.remaining(100.2)
     assert abs(spent - 1.0) < 1e-6, spent
+
+
+@when("the helper learns that the zone of the endpoint is evacuated")
+def step_helper_evacuated(context):
+    zone = context.placement.find("engine-0").record.zone
+    context.placement.update_evacuated(frozenset((zone,)), seconds_since_boot())
+
+
+@when("the helper learns that the zone is taken back")
+def step_helper_taken_back(context):
+    context.placement.update_evacuated(frozenset(), seconds_since_boot())
--- a/poplarrun/gateway/_relay_desk.py
+++ b/poplarrun/gateway/_relay_desk.py
@@ -18,6 +18,10 @@
 from poplarrun.relays import AnswerHead, OpenRelay, RelayEnd, RelayTarget
 from poplarrun.transport import seconds_since_boot
 
+# For how long a peer asks for no connection to an endpoint in an evacuated zone, in seconds. It may
+# not know the order yet, or this host not that the zone is taken back.
+EVACUATED_RETRY_S = 1.0
+
 
 def ignore_closed(_: EndpointRecord) -> None:
     """Do nothing; for hosts that don't watch endpoints."""
@@ -103,7 +107,10 @@
             has_path=self._placement.paths.can_relay_to(record.instance_id, group_of(record), now),
             is_leaving=record.is_leaving
             or self._placement.leaving.includes(record.instance_id, record.started_ms),
-            hold_off_s=max(0.0, endpoint.hold_off.until - now),
+            hold_off_s=max(
+                EVACUATED_RETRY_S if record.zone in self._placement.evacuated_zones else 0.0,
+                endpoint.hold_off.until - now,
+            ),
         )
 
     def record_answer(self, request: OpenRelay, head: AnswerHead) -> None:
