Log under which requests an endpoint ended, with what their repeats have in common

An operator saw a request under which three endpoints had ended go on to further ones. EndpointCrashed counts what an endpoint held, and names parts of prompts; nothing tells which requests these were, nor that two ids are the same request: each attempt of a caller has its own. So repeats at several hosts, streams that are resumed, and plain crashes beside them look alike.

EndpointEndedUnderRequest names each request, at most eight an end, with a fingerprint of account, method, host, path, body, model and prompt, which is the same on all hosts.

--- a/poplarrun/crashes/__init__.py
+++ b/poplarrun/crashes/__init__.py
@@ -3,7 +3,7 @@
 from poplarrun.crashes._begun import BegunParts
 from poplarrun.crashes._evidence import MAX_SUSPECTS, Crash, CrashEvidence, EndpointStart
 from poplarrun.crashes._quarantine import MAX_QUARANTINES, Quarantine, Quarantines
-from poplarrun.crashes._watch import CrashReport, CrashWatch
+from poplarrun.crashes._watch import CrashReport, CrashWatch, HeldRequest, SentRequest
 
 __all__ = [
     "MAX_QUARANTINES",
@@ -14,6 +14,8 @@
     "CrashReport",
     "CrashWatch",
     "EndpointStart",
+    "HeldRequest",
     "Quarantine",
     "Quarantines",
+    "SentRequest",
 ]
--- a/poplarrun/crashes/_watch.py
+++ b/poplarrun/crashes/_watch.py
@@ -17,24 +17,57 @@
 MAX_PARTS = 32
 
 
-@dataclass(slots=True)
-class _OpenSend:
-    """A request that an endpoint is working on."""
+@dataclass(frozen=True, slots=True)
+class SentRequest:
+    """A request as it was sent to an endpoint.
 
-    start: EndpointStart
-    parts: tuple[str, ...]
-    is_begun: bool = False
+    Attributes
+    ----------
+    id : str
+        The caller's id of this attempt.
+    fingerprint : int
+        The same for each repeat of the request.
+    sent_at : float
+        When it was sent, in seconds.
+    """
+
+    id: str
+    fingerprint: int
+    sent_at: float
 
 
 @dataclass(frozen=True, slots=True)
-class _BrokenSend:
-    """A request that broke off."""
+class HeldRequest:
+    """A request that an endpoint was working on when its process ended.
 
-    at: float
-    parts: tuple[str, ...]
+    Attributes
+    ----------
+    ended_at : float
+        When its connection broke, or the end of the process was found.
+    """
+
+    request: SentRequest
+    ended_at: float
     is_begun: bool
 
 
+@dataclass(slots=True)
+class _Send:
+    """A send to an endpoint that has not been answered whole.
+
+    Attributes
+    ----------
+    broke_at : float, optional
+        When its connection broke; None while it is open.
+    """
+
+    start: EndpointStart
+    parts: tuple[str, ...]
+    request: SentRequest | None
+    is_begun: bool = False
+    broke_at: float | None = None
+
+
 @dataclass(frozen=True, slots=True)
 class CrashReport:
     """What this host knows of a crash.
@@ -45,12 +78,15 @@
         Requests of this host that the endpoint held, and those that it had begun to answer.
     suspects : list of str
         Parts of the others on which no answer has begun lately.
+    held : list of HeldRequest
+        The requests.
     """
 
     start: EndpointStart
     requests: int
     begun: int
     suspects: list[str]
+    held: list[HeldRequest]
 
 
 @dataclass
@@ -58,15 +94,21 @@
     """The requests of this host at endpoints, and the evidence of all hosts."""
 
     begun: BegunParts = field(default_factory=BegunParts)
-    _open: dict[Hashable, _OpenSend] = field(default_factory=dict)
+    _open: dict[Hashable, _Send] = field(default_factory=dict)
     _by_start: dict[EndpointStart, set[Hashable]] = field(default_factory=dict)
-    _broken: OrderedDict[EndpointStart, deque[_BrokenSend]] = field(default_factory=OrderedDict)
+    _broken: OrderedDict[EndpointStart, deque[_Send]] = field(default_factory=OrderedDict)
 
     def __post_init__(self) -> None:
         self.evidence = CrashEvidence(self.begun)
         self.quarantines = Quarantines(self.begun)
 
-    def record_sent(self, send: Hashable, start: EndpointStart, prompt: Sequence[str]) -> None:
+    def record_sent(
+        self,
+        send: Hashable,
+        start: EndpointStart,
+        prompt: Sequence[str],
+        request: SentRequest | None = None,
+    ) -> None:
         """Record that a request was sent.
 
         Parameters
@@ -76,7 +118,7 @@
         prompt : sequence of str
             All parts of its prompt. The last one is the request's own and no cause.
         """
-        self._open[send] = _OpenSend(start, tuple(prompt[:-1][:MAX_PARTS]))
+        self._open[send] = _Send(start, tuple(prompt[:-1][:MAX_PARTS]), request)
         self._by_start.setdefault(start, set()).add(send)
 
     def record_begun(self, send: Hashable, now: float) -> None:
@@ -103,7 +145,8 @@
         if not is_broken:
             return
         broken = self._broken.setdefault(opened.start, deque(maxlen=MAX_BROKEN_REQUESTS))
-        broken.append(_BrokenSend(now, opened.parts, opened.is_begun))
+        opened.broke_at = now
+        broken.append(opened)
         self._broken.move_to_end(opened.start)
         while len(self._broken) > MAX_BROKEN_ENDPOINTS:
             self._broken.popitem(last=False)
@@ -114,27 +157,30 @@
 
     def record_ended(self, start: EndpointStart, now: float) -> CrashReport | None:
         """Record that the process of an endpoint has ended; return what is new of it here."""
-        broken = [each for each in self._broken.pop(start, ()) if now - each.at <= BROKEN_TTL_S]
-        held = [
-            *((each.parts, each.is_begun) for each in broken),
-            *(
-                (self._open[send].parts, self._open[send].is_begun)
-                for send in self._by_start.get(start, ())
-            ),
+        sends = [
+            *(each for each in self._broken.pop(start, ()) if _broke_lately(each, now)),
+            *(self._open[send] for send in self._by_start.get(start, ())),
         ]
         suspects = dict.fromkeys(
             part
-            for parts, is_begun in held
-            if not is_begun
-            for part in parts
+            for send in sends
+            if not send.is_begun
+            for part in send.parts
             if not self.begun.is_cleared(part, now)
         )
         is_news = self.evidence.record(start, now, suspects, now)
         if not is_news:
             return None
-        is_begun_count = sum(is_begun for _, is_begun in held)
+        begun_count = sum(send.is_begun for send in sends)
+        held = [
+            HeldRequest(
+                send.request, now if send.broke_at is None else send.broke_at, send.is_begun
+            )
+            for send in sends
+            if send.request is not None
+        ]
         self._requarantine(list(suspects), now)
-        return CrashReport(start, len(held), is_begun_count, list(suspects))
+        return CrashReport(start, len(sends), begun_count, list(suspects), held)
 
     def apply_crash(
         self, start: EndpointStart, at: float, parts: Sequence[str], now: float
@@ -182,3 +228,7 @@
             return False
         active = [each.parts for each in self.quarantines.active(now)]
         return self.evidence.is_suspect(prompt[:-1], active, now)
+
+
+def _broke_lately(send: _Send, now: float) -> bool:
+    return send.broke_at is not None and now - send.broke_at <= BROKEN_TTL_S
--- a/poplarrun/dispatch/_crash_guard.py
+++ b/poplarrun/dispatch/_crash_guard.py
@@ -1,6 +1,6 @@
 """Refuses requests that crash endpoints, and watches which endpoint works on what."""
 
-from poplarrun.crashes import CrashWatch, EndpointStart
+from poplarrun.crashes import CrashWatch, EndpointStart, SentRequest
 from poplarrun.dispatch._failures import Attempt, ConnectionBroke, CutOffUnread, Failure
 from poplarrun.errors import ErrorKind, Refusal
 from poplarrun.placement import EndpointRecord
@@ -23,7 +23,8 @@
     def record_sent(self, work: InFlightRequest, attempt: Attempt) -> None:
         """Record that a request was sent to an endpoint."""
         start = start_of(attempt.estimate.endpoint.record)
-        self.watch.record_sent(attempt, start, _prompt_of(work.request))
+        sent = SentRequest(work.request.id, work.fingerprint, attempt.sent_at)
+        self.watch.record_sent(attempt, start, _prompt_of(work.request), sent)
 
     def record_begun(self, attempt: Attempt, now: float) -> None:
         """Record that an endpoint has begun to answer."""
--- a/poplarrun/gateway/_crash_probe.py
+++ b/poplarrun/gateway/_crash_probe.py
@@ -31,6 +31,7 @@
 # Shortest interval between two probes of an endpoint, in seconds.
 PROBE_INTERVAL_S = 1.0
 MAX_LOGGED_SUSPECTS = 8
+MAX_LOGGED_REQUESTS = 8
 
 
 def log_crash(report: CrashReport, service: str) -> None:
@@ -45,6 +46,16 @@
             report.suspects[:MAX_LOGGED_SUSPECTS],
         )
     )
+    for held in report.held[:MAX_LOGGED_REQUESTS]:
+        write_event(
+            events.EndpointEndedUnderRequest(
+                held.request.id,
+                f"{held.request.fingerprint:016x}",
+                report.start.instance_id,
+                held.ended_at - held.request.sent_at,
+                held.is_begun,
+            )
+        )
 
 
 class CrashProbe:
--- a/poplarrun/logging/_endpoint_events.py
+++ b/poplarrun/logging/_endpoint_events.py
@@ -111,6 +111,29 @@
     suspects: list[str]
 
 
+class EndpointEndedUnderRequest(Event, frozen=True):
+    """The process of an endpoint ended while it was working on a request of this host.
+
+    Attributes
+    ----------
+    fingerprint : str
+        The same for each repeat of the request, on all hosts.
+    held_s : float
+        How long the endpoint had had the request.
+    is_begun : bool
+        Whether it had begun to answer.
+    """
+
+    component: ClassVar[str] = "endpoints"
+    message: ClassVar[str] = "An endpoint ended under a request."
+    level: ClassVar[int] = logging.WARNING
+    request: str
+    fingerprint: str
+    endpoint: str
+    held_s: float
+    is_begun: bool
+
+
 class PartsQuarantined(Event, frozen=True):
     """Requests with certain parts in their prompts crash endpoints, and are refused.
 
--- a/poplarrun/logging/_events.py
+++ b/poplarrun/logging/_events.py
@@ -11,6 +11,7 @@
 from poplarrun.logging._endpoint_events import (
     EndpointChanged,
     EndpointCrashed,
+    EndpointEndedUnderRequest,
     EndpointRateLimited,
     EndpointsAvoided,
     EndpointsGone,
@@ -50,6 +51,7 @@
     "CopiesSent",
     "EndpointChanged",
     "EndpointCrashed",
+    "EndpointEndedUnderRequest",
     "EndpointRateLimited",
     "EndpointsAvoided",
     "EndpointsGone",
--- a/poplarrun/routing/_requests.py
+++ b/poplarrun/routing/_requests.py
@@ -1,11 +1,13 @@
 """Requests, independent of the protocol that they arrive by."""
 
+import hashlib
 import zlib
 from dataclasses import dataclass, field
 
 from poplarrun.routing._catalogue import Account, Route
 
 Headers = tuple[tuple[bytes, bytes], ...]
+FINGERPRINT_BYTES = 8
 
 
 @dataclass(frozen=True, slots=True)
@@ -108,6 +110,9 @@
         Endpoint version that its session keeps.
     model_size : str, optional
         Model size of the current attempt.
+    fingerprint : int
+        Hash of the request's account and content, 64 bits. It is the same on all hosts, and for
+        each repeat of the request, whose id, key, deadline and resumed event may differ.
     """
 
     request: Request
@@ -126,6 +131,10 @@
     last_event_id: int | None = None
     session_version: str | None = None
     model_size: str | None = None
+    fingerprint: int = field(init=False)
+
+    def __post_init__(self) -> None:
+        self.fingerprint = _compute_fingerprint(self.request, self.account)
 
     @property
     def priority(self) -> int:
@@ -142,3 +151,13 @@
     def remaining_s(self, now: float) -> float:
         """Return the time until the caller's deadline, in seconds."""
         return self.deadline_at - now
+
+
+def _compute_fingerprint(request: Request, account: Account | None) -> int:
+    digest = hashlib.blake2b(digest_size=FINGERPRINT_BYTES)
+    prompt = ",".join(f"{part.key}:{part.tokens}" for part in request.prompt_parts)
+    texts = (request.host, request.model or "", prompt, "" if account is None else account.name)
+    for value in (request.method, request.target, request.body, *map(str.encode, texts)):
+        digest.update(len(value).to_bytes(FINGERPRINT_BYTES))
+        digest.update(value)
+    return int.from_bytes(digest.digest())
