--- a/standins/installation/_endpoint.py
+++ b/standins/installation/_endpoint.py
@@ -140,6 +140,8 @@
         Time between the arrival of a request and the begin of its answer.
     is_fatal : callable, optional
         Whether the process ends when it begins to answer a request.
+    fatal_after_events : int
+        Events of such an answer that it sends before; plain answers have none.
     resets_at_end : bool
         Whether the end of the process resets its connections, and else closes them.
     report_end : callable
@@ -169,6 +171,7 @@
     unread_timeout_s: float | None = None
     first_event_delay_s: float = 0.0
     is_fatal: Callable[[ReceivedRequest], bool] | None = None
+    fatal_after_events: int = 0
     resets_at_end: bool = True
     report_end: Callable[["Endpoint"], None] = lambda _: None
     has_ended: bool = False
@@ -271,9 +274,7 @@
         answer_headers = self._create_headers(headers, fault)
         await asyncio.sleep(self.first_event_delay_s)
         if self.is_fatal is not None and self.is_fatal(request):
-            caller.start_stream(200, answer_headers)
-            await caller.send_chunk(EVENT_BEGIN)
-            self.end_process()
+            await self._end_inside(caller, headers, answer_headers)
             return
         match fault:
             case Fault.LOST:
@@ -301,6 +302,21 @@
                 if fault is Fault.EXTRA and caller._transport is not None:
                     caller._transport.write(b"HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nextra")
 
+    async def _end_inside(
+        self,
+        caller: CallerConnection,
+        headers: dict[str, str],
+        answer_headers: list[tuple[bytes, bytes]],
+    ) -> None:
+        """End the process inside an event of the answer."""
+        caller.start_stream(200, answer_headers)
+        first = int(headers.get("last-event-id", "0")) + 1
+        for number in range(first, first + self.fatal_after_events):
+            await caller.send_chunk(_encode_event(headers.get("x-model", ""), number))
+            await asyncio.sleep(EVENT_INTERVAL_S)
+        await caller.send_chunk(EVENT_BEGIN)
+        self.end_process()
+
     async def _answer_unframed(
         self,
         caller: CallerConnection,
