Refuse a request under which three endpoints have ended, at all hosts

Callers saw whole services go down under one request: its repeats, under new ids and at other hosts, ended one endpoint after the other, and stopped only while none was left for anybody.

Cause: a failure that a request causes, and that comes again by itself, was counted for shared parts of prompts only. The last part of a prompt, a body, an operation of a plain service and streams that had begun were nobody's: each repeat looked like a new request, each end like a plain crash.

Now ends of endpoints are counted under the whole request, by a fingerprint of account and content that all its repeats share. Hosts tell each other; three ends one after the other without a whole answer since refuse it, on every way of sending. Ends while an attempt was given up count, those of leaving endpoints don't; copies that load a version count, and are not made of such a request.

--- a/features/crashing_fleets.feature
+++ b/features/crashing_fleets.feature
@@ -29,6 +29,30 @@
       | 6     | 6       | 15.0  |
       | 79    | 24      | 60.0  |
 
+  Scenario Outline: A request that ends engines is refused by <hosts> hosts, <count> of them at once
+    # Guards against a request that each of its callers' repeats takes to another host.
+    Given <hosts> hosts before <engines> engines, and <sound> sound requests a second
+    When <count> requests that end engines are repeated each 0.5 s at any host for 8 s, and <plain> engines a second crash
+    Then none of them reached an engine later than 1 s after the third end under it
+    And all hosts refuse these requests, and hardly any other that three engines ended under
+
+    Examples:
+      | hosts | engines | sound | count | plain |
+      | 6     | 6       | 15.0  | 1     | 0.0   |
+      | 6     | 12      | 15.0  | 3     | 0.5   |
+      | 79    | 24      | 60.0  | 1     | 0.0   |
+      | 79    | 24      | 60.0  | 4     | 1.0   |
+
+  Scenario: A request that ends engines is refused by a host that starts, or was cut off
+    # Guards against hosts that missed the messages about the ends.
+    Given 6 hosts before 12 engines, and 15.0 sound requests a second
+    When host 0 is cut off from the other hosts
+    And 2 requests that end engines are repeated each 0.5 s at any host for 4 s, and 0.0 engines a second crash
+    And the links between the hosts are mended, and 8 s go by
+    Then all hosts refuse these requests, and hardly any other that three engines ended under
+    When host 0 starts again with nothing of what it knew, and 3 s go by
+    Then all hosts refuse these requests, and hardly any other that three engines ended under
+
   Scenario: A host that starts refuses what the others do
     Given 6 hosts before 6 engines, and 15.0 sound requests a second
     When 4.0 requests a second with a part that crashes engines come at any host for 6 s
--- a/features/steps/crashing_fleets.py
+++ b/features/steps/crashing_fleets.py
@@ -4,7 +4,7 @@
 from behave import given, then, use_step_matcher, when
 
 from features.steps.hold_off_fleets import start
-from poplarrun.crashes import MAX_QUARANTINES, MAX_SUSPECTS
+from poplarrun.crashes import MAX_ENDS_PER_REQUEST, MAX_QUARANTINES, MAX_SUSPECTS
 from standins.crashing_fleet import CrashingFleet
 
 use_step_matcher("parse")
@@ -18,6 +18,8 @@
 COUNTED_CRASHES = 5
 STABLE_WINDOW_S = 3.0
 HALF = 0.5
+# Of sound requests, while engines crash for a reason of their own.
+MAX_OTHERS_FRACTION = 0.01
 MIN_COUNTED = 20
 
 
@@ -135,6 +137,62 @@
     assert refused <= {BAD}, refused
 
 
+@when(
+    "{count:d} requests that end engines are repeated each {delay_s:g} s at any host "
+    "for {seconds:d} s, and {plain:f} engines a second crash"
+)
+def step_repeated(context, count, delay_s, seconds, plain):
+    fleet = context.fleet
+    context.own_parts = [f"own-bad-{number}" for number in range(count)]
+    others = [fleet.run_repeated(context.own_parts, delay_s, float(seconds))]
+    if plain:
+        others.append(fleet.run_plain_crashes(plain, float(seconds)))
+    run(context, disturb(context, float(seconds), *others))
+
+
+@then("none of them reached an engine later than {seconds:g} s after the third end under it")
+def step_repeats_late(context, seconds):
+    fleet = context.fleet
+    for own in context.own_parts:
+        ends = fleet.crashes[own]
+        # Engines that crash for a reason of their own end under it as well.
+        third = ends[:MAX_ENDS_PER_REQUEST][-1]
+        late = [each.at - third for each in fleet.arrivals if each.part == own]
+        late = [each for each in late if each > seconds]
+        print(own, len(ends), "ends,", len(late), "late")
+        assert not late, (own, late)
+
+
+@then("all hosts refuse these requests, and hardly any other that three engines ended under")
+def step_only_repeats(context):
+    fleet, now = context.fleet, context.loop.time()
+    refused = [
+        {each.fingerprint for each in host.dispatch.crash_guard.watch.requests.refused(now)}
+        for host in fleet.hosts
+    ]
+    assert all(each == refused[0] for each in refused), [len(each) for each in refused]
+    ends = [len(fleet.ends_under.get(each, ())) for each in refused[0]]
+    assert all(each >= MAX_ENDS_PER_REQUEST for each in ends), ends
+    others = len(refused[0]) - len(context.own_parts)
+    print(others, "others of", len(fleet.results))
+    assert 0 <= others <= MAX_OTHERS_FRACTION * len(fleet.results), others
+
+
+@when("host 0 starts again with nothing of what it knew, and {seconds:g} s go by")
+def step_start_again(context, seconds):
+    async def restart():
+        context.fleet.restart(context.fleet.hosts[0])
+        await asyncio.sleep(seconds)
+
+    run(context, restart())
+
+
+@when("the links between the hosts are mended, and {seconds:g} s go by")
+def step_mend(context, seconds):
+    context.fleet.heal()
+    run(context, asyncio.sleep(seconds))
+
+
 @then("all hosts refuse the part, and nothing else")
 def step_all_refuse(context):
     now = context.loop.time()
--- a/features/steps/repeated_requests.py
+++ b/features/steps/repeated_requests.py
@@ -74,17 +74,25 @@
         self._operations = Operations(installation)
         self._stopped = threading.Event()
         self._threads = []
+        self._repeating = []
 
     def start_sound(self, what, hosts, per_s):
         self._start(self._send_sound, what, hosts, per_s)
 
     def start_repeating(self, what, hosts, until):
-        self._start(self._repeat, what, hosts, until)
+        self._repeating.append(self._start(self._repeat, what, hosts, until))
+
+    def start_asking_for(self, content, hosts, per_s):
+        self._start(self._ask_for, content, hosts, per_s)
 
     def stop(self):
         self._stopped.set()
         self.join()
 
+    def join_repeating(self):
+        for thread in self._repeating:
+            thread.join()
+
     def join(self):
         for thread in self._threads:
             thread.join()
@@ -93,6 +101,7 @@
         thread = threading.Thread(target=target, args=arguments)
         self._threads.append(thread)
         thread.start()
+        return thread
 
     def _send_sound(self, what, hosts, per_s):
         numbers = random.Random(len(self._threads))
@@ -103,8 +112,18 @@
             host = numbers.choice(hosts)
             self.sound.append(self._operations.send(what, f"{number:x}", request_id, host))
 
-    def _repeat(self, what, hosts, until):
+    def _ask_for(self, content, hosts, per_s):
         caller = len(self._threads)
+        numbers = random.Random(caller)
+        for number in itertools.count():
+            if self._stopped.wait(numbers.uniform(0.5, 1.5) / per_s):
+                return
+            request_id = f"{content}-{caller}-{number:x}"
+            host = numbers.choice(hosts)
+            self.sound.append(self._operations.send("a lookup", content, request_id, host))
+
+    def _repeat(self, what, hosts, until):
+        caller = threading.get_ident()
         for number in itertools.count():
             if time.monotonic() > until:
                 return
@@ -140,7 +159,57 @@
     for _ in range(2 if "two callers" in what else 1):
         context.repeating.start_repeating(what, parse_hosts(hosts), until)
     time.sleep(seconds)
-    context.repeating.stop()
+    context.repeating.join_repeating()
+
+
+@when(
+    "host {host:d} starts, and {what} that ends each endpoint is repeated for {seconds:d} s "
+    "at hosts {hosts}"
+)
+def step_start_and_repeat(context, host, what, seconds, hosts):
+    context.installation.start_host(host)
+    step_repeat(context, what, seconds, hosts)
+
+
+@when(
+    "host {host:d} is asked to stop, and {what} that ends each endpoint is repeated "
+    "for {seconds:d} s at hosts {hosts}"
+)
+def step_stop_and_repeat(context, host, what, seconds, hosts):
+    context.installation.signal_host(host, "SIGTERM")
+    step_repeat(context, what, seconds, hosts)
+
+
+@when(
+    "the same lookup comes {per_s:d} times a second at hosts {hosts}, "
+    "and all endpoints end at once, twice"
+)
+def step_hot(context, per_s, hosts):
+    for endpoint in context.installation.endpoints.values():
+        endpoint.first_event_delay_s = 0.1
+    callers = context.repeating
+    for _ in range(per_s // 4):
+        callers.start_asking_for("hot", parse_hosts(hosts), 4)
+    time.sleep(1.0)
+    endpoints = [
+        each for each in context.installation.endpoints.values() if each.service == "stock"
+    ]
+    for _ in range(2):
+        for endpoint in endpoints:
+            context.crashing.end(endpoint)
+        time.sleep(DOWN_S + 1.0)
+    time.sleep(3.0)
+    callers.stop()
+
+
+@then("from {seconds:d} s after the last end on each of them was answered")
+def step_hot_answered(context, seconds):
+    last = context.crashing.crashes[-1].at
+    hot = [each for each in context.repeating.sound if each.request_id.startswith("hot")]
+    after = [each for each in hot if each.at > last + seconds]
+    failed = [each for each in after if each.answer.status != 200]
+    print(len(context.crashing.crashes), "ends,", len(hot), "lookups,", len(after), "later")
+    assert len(after) > 20 and not failed, (len(after), failed[:3])
 
 
 def find_third_end(context):
--- a/features/steps/urgent_sizes.py
+++ b/features/steps/urgent_sizes.py
@@ -81,7 +81,7 @@
     estimate = EndpointEstimate(endpoint, prefill_s, prefill_s, 1000)
     send = SendDecision(estimate, "large", 2)
     attempt = context.dispatcher.record_sent(admit(context, route), send, context.now)
-    context.dispatcher.record_cancelled(attempt)
+    context.dispatcher.record_cancelled(attempt, context.now)
 
 
 def send(context, work):
@@ -100,7 +100,7 @@
     decision = context.dispatcher.try_escalate(work, attempt, confidence, context.now)
     set_queue(context, 0.0)
     if not decision.is_asked:
-        context.dispatcher.record_cancelled(attempt)
+        context.dispatcher.record_cancelled(attempt, context.now)
     return decision
 
 
@@ -260,7 +260,7 @@
             attempt = send(context, work)
             context.placement.update_endpoints([make_endpoint_record("other", version="v2")])
             decision = context.dispatcher.try_escalate(work, attempt, confidence, context.now)
-            context.dispatcher.record_cancelled(attempt)
+            context.dispatcher.record_cancelled(attempt, context.now)
             return decision
     return decide(context, work, queue_s, confidence)
 
--- a/features/steps/version_evidence.py
+++ b/features/steps/version_evidence.py
@@ -71,7 +71,7 @@
 
     def leave(self, seconds):
         self.wait(seconds)
-        self.dispatcher.record_cancelled(self.attempt)
+        self.dispatcher.record_cancelled(self.attempt, self.now)
 
 
 def answer_late(answer):
@@ -126,14 +126,14 @@
 
 
 def miss_connection(answer):
-    answer.dispatcher.record_cancelled(answer.attempt)
+    answer.dispatcher.record_cancelled(answer.attempt, answer.now)
     answer.dispatcher.handle_failure(
         answer.work, answer.endpoint, None, NoConnection("refused"), answer.now
     )
 
 
 def replace_by_larger_model(answer):
-    answer.dispatcher.record_cancelled(answer.attempt)
+    answer.dispatcher.record_cancelled(answer.attempt, answer.now)
     answer.dispatcher.evidence.record_answer(answer.work, answer.attempt, False, AnswerTimes(0.1))
 
 
--- a/poplarrun/crashes/_watch.py
+++ b/poplarrun/crashes/_watch.py
@@ -1,18 +1,19 @@
 """What each endpoint is working on, and what that says of its crashes."""
 
 from collections import OrderedDict, deque
-from collections.abc import Hashable, Sequence
+from collections.abc import Callable, Hashable, Sequence
 from dataclasses import dataclass, field
 
 from poplarrun.crashes._begun import BegunParts
 from poplarrun.crashes._evidence import CrashEvidence, EndpointStart
 from poplarrun.crashes._quarantine import Quarantine, Quarantines
+from poplarrun.crashes._request_ends import RequestEnd, RequestEnds, identify_end
 
-# A request that broke off this long before its endpoint was found to have ended was there at the
-# crash, in seconds.
-BROKEN_TTL_S = 5.0
-MAX_BROKEN_ENDPOINTS = 256
-MAX_BROKEN_REQUESTS = 64
+# A request that broke off, or was given up, this long before its endpoint was found to have ended
+# was there at the crash, in seconds.
+LEFT_TTL_S = 5.0
+MAX_LEFT_ENDPOINTS = 256
+MAX_LEFT_REQUESTS = 64
 # Parts of one prompt that are looked at. The suspects of a crash are bounded as well.
 MAX_PARTS = 32
 
@@ -57,15 +58,22 @@
 
     Attributes
     ----------
-    broke_at : float, optional
-        When its connection broke; None while it is open.
+    left_at : float, optional
+        When its connection broke, or this host closed it; None while it is open.
+    is_broken : bool
+        Whether the connection broke.
     """
 
     start: EndpointStart
     parts: tuple[str, ...]
     request: SentRequest | None
     is_begun: bool = False
-    broke_at: float | None = None
+    left_at: float | None = None
+    is_broken: bool = False
+
+    def was_left_lately(self, now: float) -> bool:
+        """Return whether the endpoint may still have been at work on the request."""
+        return self.left_at is not None and now - self.left_at <= LEFT_TTL_S
 
 
 @dataclass(frozen=True, slots=True)
@@ -79,7 +87,7 @@
     suspects : list of str
         Parts of the others on which no answer has begun lately.
     held : list of HeldRequest
-        The requests.
+        Requests that it was working on, those included that this host had given up.
     """
 
     start: EndpointStart
@@ -89,14 +97,27 @@
     held: list[HeldRequest]
 
 
+def leaves_never(_: EndpointStart) -> bool:
+    """Return that no endpoint leaves; for hosts without a list of endpoints."""
+    return False
+
+
 @dataclass
 class CrashWatch:
-    """The requests of this host at endpoints, and the evidence of all hosts."""
+    """The requests of this host at endpoints, and the evidence of all hosts.
+
+    Attributes
+    ----------
+    is_leaving : callable
+        Whether a start of an endpoint is about to end in order, which no request is the cause of.
+    """
 
     begun: BegunParts = field(default_factory=BegunParts)
     _open: dict[Hashable, _Send] = field(default_factory=dict)
     _by_start: dict[EndpointStart, set[Hashable]] = field(default_factory=dict)
-    _broken: OrderedDict[EndpointStart, deque[_Send]] = field(default_factory=OrderedDict)
+    _left: OrderedDict[EndpointStart, deque[_Send]] = field(default_factory=OrderedDict)
+    requests: RequestEnds = field(default_factory=RequestEnds)
+    is_leaving: Callable[[EndpointStart], bool] = leaves_never
 
     def __post_init__(self) -> None:
         self.evidence = CrashEvidence(self.begun)
@@ -135,21 +156,36 @@
 
     def record_closed(self, send: Hashable, is_broken: bool, now: float) -> None:
         """Record the end of a send, and whether its connection broke."""
+        closed = self._pop_open(send)
+        if closed is not None and is_broken:
+            closed.is_broken = True
+            self._keep_left(closed, now)
+
+    def record_given_up(self, send: Hashable, now: float) -> None:
+        """Record that this host closed a send at which the endpoint may still be at work."""
+        closed = self._pop_open(send)
+        if closed is not None:
+            self._keep_left(closed, now)
+
+    def _pop_open(self, send: Hashable) -> _Send | None:
         opened = self._open.pop(send, None)
-        if opened is None:
-            return
-        sends = self._by_start[opened.start]
-        sends.discard(send)
-        if not sends:
-            del self._by_start[opened.start]
-        if not is_broken:
-            return
-        broken = self._broken.setdefault(opened.start, deque(maxlen=MAX_BROKEN_REQUESTS))
-        opened.broke_at = now
-        broken.append(opened)
-        self._broken.move_to_end(opened.start)
-        while len(self._broken) > MAX_BROKEN_ENDPOINTS:
-            self._broken.popitem(last=False)
+        if opened is not None:
+            sends = self._by_start[opened.start]
+            sends.discard(send)
+            if not sends:
+                del self._by_start[opened.start]
+        return opened
+
+    def _keep_left(self, closed: _Send, now: float) -> None:
+        closed.left_at = now
+        self._left.setdefault(closed.start, deque(maxlen=MAX_LEFT_REQUESTS)).append(closed)
+        self._left.move_to_end(closed.start)
+        while len(self._left) > MAX_LEFT_ENDPOINTS:
+            self._left.popitem(last=False)
+
+    def holds_any(self, start: EndpointStart) -> bool:
+        """Return whether an endpoint may be at work on requests of this host."""
+        return start in self._by_start or start in self._left
 
     def has_unbegun(self, start: EndpointStart) -> bool:
         """Return whether an endpoint holds requests of this host that it has not begun."""
@@ -157,10 +193,9 @@
 
     def record_ended(self, start: EndpointStart, now: float) -> CrashReport | None:
         """Record that the process of an endpoint has ended; return what is new of it here."""
-        sends = [
-            *(each for each in self._broken.pop(start, ()) if _broke_lately(each, now)),
-            *(self._open[send] for send in self._by_start.get(start, ())),
-        ]
+        left = [each for each in self._left.pop(start, ()) if each.was_left_lately(now)]
+        open_sends = [self._open[send] for send in self._by_start.get(start, ())]
+        sends = [*(each for each in left if each.is_broken), *open_sends]
         suspects = dict.fromkeys(
             part
             for send in sends
@@ -169,26 +204,36 @@
             if not self.begun.is_cleared(part, now)
         )
         is_news = self.evidence.record(start, now, suspects, now)
-        if not is_news:
+        held = self._record_held(start, [*left, *open_sends], now)
+        if not is_news and not held:
             return None
         begun_count = sum(send.is_begun for send in sends)
-        held = [
-            HeldRequest(
-                send.request, now if send.broke_at is None else send.broke_at, send.is_begun
-            )
-            for send in sends
-            if send.request is not None
-        ]
         self._requarantine(list(suspects), now)
         return CrashReport(start, len(sends), begun_count, list(suspects), held)
 
+    def _record_held(
+        self, start: EndpointStart, sends: Sequence[_Send], now: float
+    ) -> list[HeldRequest]:
+        """Record an end under the requests of some sends; return those of which it is new."""
+        if self.is_leaving(start):
+            return []
+        found = []
+        for send in sends:
+            if send.request is None:
+                continue
+            request, ended_at = send.request, now if send.left_at is None else send.left_at
+            end = RequestEnd(identify_end(start), request.sent_at, ended_at, "", request.id)
+            if self.requests.record(request.fingerprint, end, now):
+                found.append(HeldRequest(request, ended_at, send.is_begun))
+        return found
+
     def apply_crash(
         self, start: EndpointStart, at: float, parts: Sequence[str], now: float
     ) -> CrashReport | None:
         """Apply what another host knows of a crash; return what this one adds."""
         self.evidence.record(start, at, parts, now)
         self._requarantine(parts, at)
-        if start in self._broken or start in self._by_start:
+        if self.holds_any(start):
             return self.record_ended(start, now)
         return None
 
@@ -228,7 +273,3 @@
             return False
         active = [each.parts for each in self.quarantines.active(now)]
         return self.evidence.is_suspect(prompt[:-1], active, now)
-
-
-def _broke_lately(send: _Send, now: float) -> bool:
-    return send.broke_at is not None and now - send.broke_at <= BROKEN_TTL_S
--- a/poplarrun/dispatch/_dispatcher.py
+++ b/poplarrun/dispatch/_dispatcher.py
@@ -176,12 +176,10 @@
                 return Refusal(ErrorKind.UNAUTHENTICATED, "the key is not known")
             if not self.config_view.can_trust_keys(now):
                 return self._refuse(ErrorKind.NOT_READY, "keys are old", STALE_CONFIG_RETRY_DELAY_S)
-        quarantined = self.crash_guard.refuse(request, now)
-        if quarantined is not None:
-            return quarantined
         service = route.choose_service(hash_to_unit_interval(request.session_id or request.id))
         timeout_s = min(request.time_left_s, route.latency.timeout_s)
-        return InFlightRequest(request, route, account, service, now, now + timeout_s)
+        work = InFlightRequest(request, route, account, service, now, now + timeout_s)
+        return self.crash_guard.refuse(work, now) or work
 
     def recheck(self, work: InFlightRequest, now: float) -> Refusal | None:
         """Return why a request may no longer be sent; called immediately before the send.
@@ -194,7 +192,7 @@
             return second_run
         if work.remaining_s(now) < MIN_TIME_LEFT_S:
             return self._refuse_in_flight(work, ErrorKind.DEADLINE_UNREACHABLE, "no time is left")
-        quarantined = self.crash_guard.refuse_in_flight(work, now)
+        quarantined = self.crash_guard.refuse(work, now)
         if quarantined is not None:
             return quarantined
         if work.account is None:
@@ -373,6 +371,7 @@
         if not decision.is_asked:
             return decision
         self.retry_budgets.budget(work.service, now).try_spend(now)
+        self.crash_guard.record_given_up(attempt, now)
         self._close_attempt(attempt)
         attempt.first_event_at = now
         self.evidence.record_answer(work, attempt, False, attempt.compute_times(now))
@@ -451,13 +450,15 @@
 
     def record_completed(self, work: InFlightRequest, attempt: Attempt, now: float) -> None:
         """Record that an answer is complete."""
+        self.crash_guard.record_answered(work, attempt, now)
         self._close_attempt(attempt)
         attempt.estimate.endpoint.record_success()
         self.evidence.record_answer(work, attempt, False, attempt.compute_times(now))
         self.rollouts.record_end(work, attempt.estimate.endpoint.record.version, now)
 
-    def record_cancelled(self, attempt: Attempt) -> None:
+    def record_cancelled(self, attempt: Attempt, now: float) -> None:
         """Record that this host cancelled an attempt."""
+        self.crash_guard.record_given_up(attempt, now)
         self._close_attempt(attempt)
 
     def handle_failure(
@@ -476,7 +477,7 @@
             None if nothing was sent.
         """
         if attempt is not None:
-            self.crash_guard.record_failed(attempt, failure, now)
+            self.crash_guard.record_failed(work, attempt, failure, now)
             self._close_attempt(attempt)
         match failure:
             case SaidNotRun(is_other_lifetime=True):
@@ -587,7 +588,6 @@
 
     def _close_attempt(self, attempt: Attempt) -> None:
         self.evidence.record_closed(attempt)
-        self.crash_guard.record_closed(attempt)
         endpoint = attempt.estimate.endpoint
         endpoint.in_flight = max(0, endpoint.in_flight - 1)
         if attempt.first_event_at is None:
--- a/poplarrun/errors/_kinds.py
+++ b/poplarrun/errors/_kinds.py
@@ -31,6 +31,7 @@
     SPEND_EXHAUSTED = "spend_exhausted"
     NO_ENDPOINT = "no_endpoint"
     PROMPT_QUARANTINED = "prompt_quarantined"
+    REQUEST_QUARANTINED = "request_quarantined"
     ENDPOINT_SILENT = "endpoint_silent"
     ENDPOINT_FAILED = "endpoint_failed"
     RETRY_BUDGET_EXHAUSTED = "retry_budget_exhausted"
--- a/poplarrun/errors/_table.py
+++ b/poplarrun/errors/_table.py
@@ -59,6 +59,7 @@
     ErrorKind.SPEND_EXHAUSTED: ErrorResponse(429, _LIMITED, NotRun.YES, 3600.0),
     ErrorKind.NO_ENDPOINT: ErrorResponse(503, _OVERLOADED, NotRun.YES, 2.0),
     ErrorKind.PROMPT_QUARANTINED: ErrorResponse(503, _OVERLOADED, NotRun.YES),
+    ErrorKind.REQUEST_QUARANTINED: ErrorResponse(503, _OVERLOADED, NotRun.YES),
     ErrorKind.ENDPOINT_SILENT: ErrorResponse(504, _SERVER, NotRun.UNKNOWN),
     ErrorKind.ENDPOINT_FAILED: ErrorResponse(502, _SERVER, NotRun.UNKNOWN, 1.0),
     ErrorKind.RETRY_BUDGET_EXHAUSTED: ErrorResponse(503, _OVERLOADED, NotRun.UNKNOWN, 2.0),
--- a/poplarrun/gateway/_copy_sender.py
+++ b/poplarrun/gateway/_copy_sender.py
@@ -3,8 +3,16 @@
 import asyncio
 from dataclasses import dataclass
 
-from poplarrun.dispatch import Attempt, CopyOutcome, CopySend, Dispatcher
+from poplarrun.dispatch import (
+    Attempt,
+    ConnectionBroke,
+    CopyOutcome,
+    CopySend,
+    Dispatcher,
+    SaidNotRun,
+)
 from poplarrun.gateway._connector import EndpointConnector
+from poplarrun.gateway._crash_probe import CrashProbe
 from poplarrun.gateway._records import RequestRecorder
 from poplarrun.gateway._statements import StatementReader
 from poplarrun.metrics import Metrics
@@ -30,8 +38,10 @@
         connector: EndpointConnector,
         recorder: RequestRecorder,
         metrics: Metrics,
+        crash_probe: CrashProbe,
     ) -> None:
         self._dispatcher = dispatcher
+        self._crash_probe = crash_probe
         self._connector = connector
         self._statements = StatementReader(dispatcher, recorder)
         self._metrics = metrics
@@ -45,11 +55,11 @@
             async with asyncio.timeout(max(0.0, copy.ends_at - seconds_since_boot())):
                 way = await self._connector.open(endpoint.record, copy.work.request.id)
                 exchange.connection = way.connection
-                exchange.is_sent = self._start(copy, way.connection)
-                if exchange.is_sent:
-                    await self._read(copy, exchange)
+                exchange.attempt = self._start(copy, way.connection)
+                if exchange.attempt is not None:
+                    await self._read(copy, exchange, exchange.attempt)
         except TimeoutError:
-            if exchange.is_sent and not copy.has_begun:
+            if exchange.attempt is not None and not copy.has_begun:
                 exchange.outcome = copy.outcome_of_silence
         except ConnectFailed:
             # Nothing was sent, which tells nothing.
@@ -58,33 +68,35 @@
             endpoint.in_flight = max(0, endpoint.in_flight - 1)
             if exchange.connection is not None:
                 exchange.connection.abort()
+            self._record_closed(copy, exchange)
             self._record_outcome(copy, exchange.outcome)
             self._metrics.count_event(f"copy_{exchange.outcome.value}")
         return exchange.outcome
 
-    def _start(self, copy: CopySend, connection: ClientConnection) -> bool:
-        """Hand the copy to the socket, unless it must not be sent any more."""
+    def _start(self, copy: CopySend, connection: ClientConnection) -> Attempt | None:
+        """Hand the copy to the socket; None if it must not be sent any more."""
         now = seconds_since_boot()
         work, endpoint = copy.work, copy.endpoint
         is_allowed = self._dispatcher.recheck(work, now) is None and self._dispatcher.may_send(
             work, endpoint, now
         )
         if not is_allowed:
-            return False
+            return None
         headers = encode_request_headers(
             work, endpoint.record.instance_id, work.remaining_s(now), LOWEST_PRIORITY
         )
         request = work.request
         if not connection.send(request.method, request.target, headers, request.body):
-            return False
+            return None
         endpoint.record_send(now)
         copy.record_sent()
-        return True
+        attempt = Attempt(EndpointEstimate(endpoint, 0.0, 0.0, 0), work.model_size, now)
+        self._dispatcher.crash_guard.record_sent(work, attempt)
+        return attempt
 
-    async def _read(self, copy: CopySend, exchange: "_Exchange") -> None:
+    async def _read(self, copy: CopySend, exchange: "_Exchange", attempt: Attempt) -> None:
         assert exchange.connection is not None
-        estimate = EndpointEstimate(copy.endpoint, 0.0, 0.0, 0)
-        attempt = Attempt(estimate, copy.work.model_size, seconds_since_boot())
+        guard = self._dispatcher.crash_guard
         try:
             head = await exchange.connection.read_head()
             answer = decode_answer(head.status, head.headers)
@@ -93,6 +105,8 @@
             self._statements.read(copy.work, attempt, answer)
             if answer.is_not_run:
                 self._record_rejected(copy)
+                rejected = SaidNotRun(answer.status)
+                guard.record_failed(copy.work, attempt, rejected, seconds_since_boot())
                 return
             if answer.status not in SUCCESS_STATUSES:
                 exchange.outcome = CopyOutcome.FAILED
@@ -100,10 +114,19 @@
             while await exchange.connection.read_data() is not None:
                 exchange.outcome = CopyOutcome.BEGUN
                 copy.has_begun = True
+            guard.record_answered(copy.work, attempt, seconds_since_boot())
         except RequestWithheld:
             return
-        except ConnectionBroken:
+        except ConnectionBroken as error:
             exchange.outcome = CopyOutcome.FAILED
+            broke = ConnectionBroke(str(error))
+            guard.record_failed(copy.work, attempt, broke, seconds_since_boot())
+            self._crash_probe.start(copy.endpoint.record)
+
+    def _record_closed(self, copy: CopySend, exchange: "_Exchange") -> None:
+        """Record that a copy has ended, or was cancelled while its endpoint was at work on it."""
+        if exchange.attempt is not None:
+            self._dispatcher.crash_guard.record_given_up(exchange.attempt, seconds_since_boot())
 
     def _record_rejected(self, copy: CopySend) -> None:
         now = seconds_since_boot()
@@ -120,8 +143,8 @@
 
 @dataclass(slots=True)
 class _Exchange:
-    """The connection of a copy, and how it has ended so far."""
+    """The connection of a copy, its send, and how it has ended so far."""
 
     connection: ClientConnection | None = None
-    is_sent: bool = False
+    attempt: Attempt | None = None
     outcome: CopyOutcome = CopyOutcome.UNANSWERED
--- a/poplarrun/gateway/_crash_exchange.py
+++ b/poplarrun/gateway/_crash_exchange.py
@@ -106,7 +106,7 @@
                 report = self._watch.apply_crash(start, now - crash.age_s, crash.parts, now)
                 endpoint = self._placement.recall(crash.instance_id)
                 if report is not None and endpoint is not None:
-                    log_crash(report, endpoint.record.service)
+                    log_crash(self._watch, report, endpoint.record.service, now)
         for each in digest.quarantined[:MAX_QUARANTINED_PER_DIGEST]:
             if not each.parts or not _is_valid(each.parts, each.age_s):
                 continue
--- a/poplarrun/gateway/_crash_probe.py
+++ b/poplarrun/gateway/_crash_probe.py
@@ -2,13 +2,14 @@
 
 import asyncio
 
-from poplarrun.crashes import CrashReport
+from poplarrun.crashes import CrashReport, CrashWatch
 from poplarrun.dispatch import (
     Attempt,
     ConnectionBroke,
     CrashGuard,
     CutOffUnread,
     Failure,
+    NoConnection,
     start_of,
 )
 from poplarrun.logging import events, write_event
@@ -34,8 +35,8 @@
 MAX_LOGGED_REQUESTS = 8
 
 
-def log_crash(report: CrashReport, service: str) -> None:
-    """Log what this host knows of a crash."""
+def log_crash(watch: CrashWatch, report: CrashReport, service: str, now: float) -> None:
+    """Log what this host knows of a crash, and of the requests that the endpoint worked on."""
     write_event(
         events.EndpointCrashed(
             report.start.instance_id,
@@ -47,6 +48,7 @@
         )
     )
     for held in report.held[:MAX_LOGGED_REQUESTS]:
+        known = watch.requests.find(held.request.fingerprint)
         write_event(
             events.EndpointEndedUnderRequest(
                 held.request.id,
@@ -54,6 +56,8 @@
                 report.start.instance_id,
                 held.ended_at - held.request.sent_at,
                 held.is_begun,
+                0 if known is None else known.count(now),
+                [] if known is None else known.known_from(),
             )
         )
 
@@ -82,11 +86,12 @@
         failure: Failure,
     ) -> None:
         """Probe an endpoint after a failed attempt, and wait for it if that decides on a retry."""
+        if isinstance(failure, NoConnection) and self._guard.watch.holds_any(start_of(record)):
+            self._find_probe(record)
         if attempt is None or not isinstance(failure, ConnectionBroke | CutOffUnread):
             return
         probe = self._find_probe(record)
-        is_cleared = self._guard.is_cleared(work, seconds_since_boot())
-        if probe is not None and attempt.first_event_at is None and not is_cleared:
+        if probe is not None and self._guard.decides_on_retry(work, attempt, seconds_since_boot()):
             await asyncio.wait((probe,), timeout=MAX_WAIT_S)
 
     def start(self, record: EndpointRecord) -> None:
@@ -125,7 +130,8 @@
             connection.abort()
 
     def _record_crash(self, record: EndpointRecord) -> None:
-        report = self._guard.watch.record_ended(start_of(record), seconds_since_boot())
+        now = seconds_since_boot()
+        report = self._guard.watch.record_ended(start_of(record), now)
         if report is not None:
             self._metrics.count_event("endpoint_crashed")
-            log_crash(report, record.service)
+            log_crash(self._guard.watch, report, record.service, now)
--- a/poplarrun/gateway/_forwarder.py
+++ b/poplarrun/gateway/_forwarder.py
@@ -479,7 +479,7 @@
     def _cancel_attempt(self) -> None:
         """Cancel what is still in progress at an endpoint, since nobody waits for it."""
         if self._attempt is not None:
-            self._dispatcher.record_cancelled(self._attempt)
+            self._dispatcher.record_cancelled(self._attempt, seconds_since_boot())
             self._attempt = None
         self._abort_connection()
 
--- a/poplarrun/gateway/_host.py
+++ b/poplarrun/gateway/_host.py
@@ -8,6 +8,7 @@
 from pathlib import Path
 from typing import Any
 
+from poplarrun.crashes import EndpointStart
 from poplarrun.dispatch import ConfigView, Dispatcher
 from poplarrun.errors import ErrorKind, Refusal
 from poplarrun.gateway._answer_room import AnswerRoom
@@ -128,6 +129,7 @@
         self._connector = EndpointConnector(
             self._pool, self._placement, peer_table, relay_port, self.metrics
         )
+        self._dispatcher.crash_guard.watch.is_leaving = self._is_leaving
         self._crash_probe = CrashProbe(
             self._dispatcher.crash_guard, self._pool, self._placement, self.metrics
         )
@@ -187,7 +189,13 @@
             self._dispatcher,
             self._rollouts,
             self._peering,
-            CopySender(self._dispatcher, self._connector, self._recorder, self.metrics).send,
+            CopySender(
+                self._dispatcher,
+                self._connector,
+                self._recorder,
+                self.metrics,
+                self._crash_probe,
+            ).send,
             self._report_crash,
         )
         self._open_count = 0
@@ -315,6 +323,18 @@
         self.metrics.count_event("connection_unread")
         return False
 
+    def _is_leaving(self, start: EndpointStart) -> bool:
+        """Return whether a start of an endpoint said that it leaves, or its record was removed."""
+        endpoint = self._placement.find(start.instance_id)
+        if endpoint is None:
+            return True
+        record = endpoint.record
+        if record.started_ms != start.started_ms:
+            return False
+        return record.is_leaving or self._placement.leaving.includes(
+            start.instance_id, start.started_ms
+        )
+
     def _update_config_state(self, now: float) -> None:
         catalogue = self._config_view.catalogue
         self._recorder.config_version = -1 if catalogue is None else catalogue.version
--- a/poplarrun/gateway/_peering.py
+++ b/poplarrun/gateway/_peering.py
@@ -18,6 +18,7 @@
 from poplarrun.gateway._listing_follower import ListingFollower
 from poplarrun.gateway._message_sender import MessageSender
 from poplarrun.gateway._reachability import ReachabilityExchange
+from poplarrun.gateway._request_end_exchange import RequestEndExchange
 from poplarrun.gateway._sessions import SessionLookup
 from poplarrun.gateway._share_loans import ShareLoanExchange
 from poplarrun.gateway._shared_limits import SharedLimitsExchange
@@ -155,6 +156,7 @@
         self._share_loans = ShareLoanExchange(peer_table.address, placement, config_view)
         self._leaving = LeavingExchange(placement)
         self._crashes = CrashExchange(crash_watch, placement)
+        self._request_ends = RequestEndExchange(crash_watch.requests)
         self._notice_budget = NoticeBudget()
         self._activity = ActivityExchange(peer_table.zone, placement, rollouts)
         self.sessions = SessionLookup(peer_table, self.sender, rollouts)
@@ -362,7 +364,7 @@
         """Send what can't wait for the next digest, and nothing else, to the hosts not yet told."""
         proof = self._make_proof(now)
         news = proof
-        for exchange in (self._leaving, self._shared_limits, self._crashes):
+        for exchange in (self._leaving, self._shared_limits, self._crashes, self._request_ends):
             news = exchange.add_news(news, now)
         if news is proof:
             return
@@ -405,6 +407,8 @@
             crashes=self._crashes.crashes(now),
             begun_parts=self._crashes.begun_parts(now),
             quarantined=self._crashes.quarantined(now),
+            requests_with_ends=self._request_ends.requests_with_ends(now),
+            answered_requests=self._request_ends.answered_requests(now),
             is_complete=True,
         )
 
@@ -509,6 +513,7 @@
         self._shared_limits.apply_digest(digest, now)
         self._leaving.apply_digest(digest, now)
         self._crashes.apply_digest(digest, now)
+        self._request_ends.apply_digest(digest, now)
         if self._update_rollout_states(now):
             # A change passes three hosts on its way to another zone; none may wait for a round.
             self._run_round(now)
--- a/poplarrun/logging/_endpoint_events.py
+++ b/poplarrun/logging/_endpoint_events.py
@@ -122,6 +122,10 @@
         How long the endpoint had had the request.
     is_begun : bool
         Whether it had begun to answer.
+    ends : int
+        Endpoints that have ended under the request one after the other, at all hosts.
+    known_from : list of str
+        The attempts of this host, and the peers, from which it knows these.
     """
 
     component: ClassVar[str] = "endpoints"
@@ -132,6 +136,26 @@
     endpoint: str
     held_s: float
     is_begun: bool
+    ends: int
+    known_from: list[str]
+
+
+class RequestQuarantined(Event, frozen=True):
+    """By what a peer told, endpoints have ended under a request that is refused from now on.
+
+    Attributes
+    ----------
+    detail : str
+        The request's fingerprint, the ends, and from whom they are known.
+    source : str
+        The peer.
+    """
+
+    component: ClassVar[str] = "endpoints"
+    message: ClassVar[str] = "A request crashes endpoints, and is refused."
+    level: ClassVar[int] = logging.WARNING
+    detail: str
+    source: str
 
 
 class PartsQuarantined(Event, frozen=True):
--- a/poplarrun/peers/__init__.py
+++ b/poplarrun/peers/__init__.py
@@ -17,7 +17,14 @@
     CopyReport,
     CopyStop,
 )
-from poplarrun.peers._crash_messages import BegunPart, EndpointCrash, QuarantinedParts
+from poplarrun.peers._crash_messages import (
+    AnsweredRequest,
+    BegunPart,
+    EndpointCrash,
+    EndUnderRequest,
+    QuarantinedParts,
+    RequestWithEnds,
+)
 from poplarrun.peers._listing_budget import ListingBudget
 from poplarrun.peers._loan_messages import LentShare, LoanAnswer, LoanAsk, ShareWant
 from poplarrun.peers._messages import (
@@ -64,6 +71,7 @@
     "ENDPOINTS",
     "READ_TOPICS",
     "ActivityTotals",
+    "AnsweredRequest",
     "BegunPart",
     "BrittleService",
     "CopiedRequest",
@@ -76,6 +84,7 @@
     "Digest",
     "DocumentChanges",
     "DueDigest",
+    "EndUnderRequest",
     "EndpointChanges",
     "EndpointCrash",
     "EndpointLoad",
@@ -102,6 +111,7 @@
     "ReadSchedule",
     "ReadTimeouts",
     "ReceivedTotals",
+    "RequestWithEnds",
     "RolloutProgress",
     "Roster",
     "RosterFingerprint",
--- a/poplarrun/peers/_crash_messages.py
+++ b/poplarrun/peers/_crash_messages.py
@@ -1,4 +1,4 @@
-"""What digests tell of crashes of endpoints, and of the parts of prompts that cause them."""
+"""What digests tell of crashes of endpoints, and of the requests and parts that cause them."""
 
 import msgspec
 
@@ -38,3 +38,39 @@
 
     parts: list[str]
     age_s: float
+
+
+class EndUnderRequest(msgspec.Struct, frozen=True, array_like=True):
+    """The end of an endpoint that was working on a request.
+
+    Attributes
+    ----------
+    end_id : int
+        Identifies the start of the endpoint, on all hosts.
+    age_ms, held_ms : int
+        How long ago it ended, and how long it had had the request by then.
+    """
+
+    end_id: int
+    age_ms: int
+    held_ms: int
+
+
+class RequestWithEnds(msgspec.Struct, frozen=True, array_like=True):
+    """A request, and the ends of endpoints under it since it was last answered whole.
+
+    Attributes
+    ----------
+    fingerprint : int
+        The same for each repeat of the request.
+    """
+
+    fingerprint: int
+    ends: list[EndUnderRequest]
+
+
+class AnsweredRequest(msgspec.Struct, frozen=True, array_like=True):
+    """A request that was answered whole after an endpoint had ended under it."""
+
+    fingerprint: int
+    age_ms: int
--- a/poplarrun/peers/_messages.py
+++ b/poplarrun/peers/_messages.py
@@ -13,7 +13,13 @@
     CopyReport,
     CopyStop,
 )
-from poplarrun.peers._crash_messages import BegunPart, EndpointCrash, QuarantinedParts
+from poplarrun.peers._crash_messages import (
+    AnsweredRequest,
+    BegunPart,
+    EndpointCrash,
+    QuarantinedParts,
+    RequestWithEnds,
+)
 from poplarrun.peers._loan_messages import LoanAnswer, LoanAsk
 from poplarrun.peers._offer_messages import EndpointOffer, EndpointQuery
 from poplarrun.routing import RolloutPhase
@@ -192,6 +198,10 @@
         Whether the lists are all that the sender has to tell, not only what is new.
     failed_topics : list of str
         Topics that the sender's latest read didn't get from the store.
+    requests_with_ends : list of RequestWithEnds
+        Requests under which endpoints ended lately, and some of those that are refused for it.
+    answered_requests : list of AnsweredRequest
+        Requests that were answered whole after such an end.
     """
 
     address: str
@@ -221,6 +231,8 @@
     quarantined: list[QuarantinedParts] = []
     is_complete: bool = True
     failed_topics: list[str] = []
+    requests_with_ends: list[RequestWithEnds] = []
+    answered_requests: list[AnsweredRequest] = []
 
 
 class ReachabilityNotice(msgspec.Struct, frozen=True, array_like=True, tag=13):
--- a/standins/crashing_fleet.py
+++ b/standins/crashing_fleet.py
@@ -97,6 +97,8 @@
         When an engine ended by a part.
     refused_bad : int
         Requests with such a part that were refused for it.
+    ends_under : dict of int to set of str
+        Engines that ended while they were working on a request, by the request's fingerprint.
     """
 
     def __init__(self, seed: int, hosts: int, engines: int) -> None:
@@ -108,6 +110,7 @@
         self.results: list[SoundResult] = []
         self.crashes: dict[str, list[float]] = {}
         self.refused: list[Refusal] = []
+        self.ends_under: dict[int, set[str]] = {}
         self._list_engines(self.hosts)
 
     def _list_engines(self, hosts: Iterable[RolloutHost]) -> None:
@@ -159,6 +162,16 @@
             prompt.insert(place, self.random.choice(parts))
             self._start(self._run_caller(prompt))
 
+    async def run_repeated(self, own_parts: list[str], delay_s: float, seconds: float) -> None:
+        """Repeat some requests that end engines, which only their own last parts tell apart."""
+        self.bad_parts.update(own_parts)
+        prompts = [[*self._make_prompt()[:-1], own] for own in own_parts]
+        until = self.now + seconds
+        while self.now < until:
+            for prompt in prompts:
+                self._start(self._run_caller(prompt))
+            await asyncio.sleep(delay_s)
+
     async def run_new_parts(self, requests_per_s: float, seconds: float, bad: list[str]) -> None:
         """Send requests with ever new parts, some of which crash engines as well."""
         self.bad_parts.update(bad)
@@ -229,15 +242,18 @@
         if bad is not None and not ended.is_set():
             self.arrivals.append(Arrival(self.now, host.address, bad))
         if await self._is_broken(ended, self.random.uniform(*FIRST_EVENT_BOUNDS_S)):
+            self._note_end(work, record)
             await self._probe(host, record)
             return self._fail(host, work, decision, attempt, ConnectionBroke("ended"))
         if bad is not None:
             self.crashes.setdefault(bad, []).append(self.now)
             self.crash_engines([engine])
+            self._note_end(work, record)
             await self._probe(host, record)
             return self._fail(host, work, decision, attempt, ConnectionBroke("ended"))
         host.dispatch.record_first_event(work, attempt, self.now)
         if await self._is_broken(ended, self.random.uniform(*ANSWER_BOUNDS_S)):
+            self._note_end(work, record)
             await self._probe(host, record)
             self._fail(host, work, decision, attempt, ConnectionBroke("ended"))
         else:
@@ -258,6 +274,9 @@
             return False
         return True
 
+    def _note_end(self, work: InFlightRequest, record: EndpointRecord) -> None:
+        self.ends_under.setdefault(work.fingerprint, set()).add(record.instance_id)
+
     async def _probe(self, host: RolloutHost, record: EndpointRecord) -> None:
         await asyncio.sleep(PROBE_S)
         host.dispatch.crash_guard.watch.record_ended(start_of(record), self.now)
