Bound what a stream may send without an event that continues it, and the work of one read

Another operator: a faulty endpoint sent bytes that were no answer without end, and the host that had called it kept them all. Memory holds here. But four engines that send blank lines, comments or their first event again and again held a host's only loop: with 40 drafts at them, 40, 16 and 12 of 40 lookups at the same host were not answered within their second (some took 5 s), and the drafts went on until their deadline, since each of these events counted as progress.

Cause: one read of up to 256 KB was split into an event for each two bytes, without a turn for other work; the bound was on the length of an event, and the wait for the next one began anew with each. The class: work that an endpoint causes, bounded by its size in one place and by nothing in number.

What continues an answer is an event whose id is higher than that of the one before; only that ends a wait or counts as an event, and after 64 KB without, or the time of a silent engine, the stream goes on at another one. Answers are taken in parts of 8 KB, with a turn for other work after each; those to copies too, which had no turn at all.

--- a/features/environment.py
+++ b/features/environment.py
@@ -234,8 +234,23 @@
         yield installation
 
 
+@fixture
+def endless_engines(context):
+    """One host before four engines, and three endpoints of a plain service."""
+    with Installation() as installation:
+        installation.publish()
+        for number in range(4):
+            installation.add_endpoint(f"engine-{number}", "engines", slots=64)
+        for number in range(3):
+            installation.add_endpoint(f"stock-{number}", "stock")
+        installation.start_host()
+        context.installation = installation
+        yield installation
+
+
 FIXTURES = {
     "fixture.crash_hosts": crash_hosts,
+    "fixture.endless_engines": endless_engines,
     "fixture.cuttable_hosts": cuttable_hosts,
     "fixture.host_pair": host_pair,
     "fixture.zone_trio": zone_trio,
--- a/poplarrun/gateway/_answer_reader.py
+++ b/poplarrun/gateway/_answer_reader.py
@@ -5,8 +5,9 @@
 
 from poplarrun.transport import ClientConnection, seconds_since_boot
 
-# Reads after which all other work of the host has its turn.
+# Reads, and bytes, after which all other work of the host has its turn.
 MAX_READS_AT_ONCE = 32
+MAX_BYTES_AT_ONCE = 8 * 1024
 
 
 class WaitEnded(Exception):
@@ -42,6 +43,8 @@
         self._timeout_s = timeout_s
         self._can_abandon = can_abandon
         self._reads_at_once = 0
+        self._bytes_at_once = 0
+        self._arrived = memoryview(b"")
 
     def wait_anew(self, timeout_s: float | None) -> None:
         """Wait for the next whole thing, from now on."""
@@ -49,7 +52,7 @@
         self._timeout_s = timeout_s
 
     async def read(self) -> bytes | None:
-        """Wait for the next bytes; None at the end of the answer.
+        """Wait for the next bytes, 8 KB at most; None at the end of the answer.
 
         Raises
         ------
@@ -59,10 +62,22 @@
             When the connection ends first, or the answer is not valid HTTP.
         """
         self._reads_at_once += 1
-        if self._reads_at_once >= MAX_READS_AT_ONCE:
+        is_full = self._bytes_at_once >= MAX_BYTES_AT_ONCE
+        if is_full or self._reads_at_once >= MAX_READS_AT_ONCE:
             # Reading doesn't wait while an endpoint sends faster than its bytes are read.
-            self._reads_at_once = 0
+            self._reads_at_once = self._bytes_at_once = 0
             await asyncio.sleep(0)
+        if not self._arrived:
+            data = await self._read_more()
+            if data is None:
+                return None
+            self._arrived = memoryview(data)
+        part = bytes(self._arrived[:MAX_BYTES_AT_ONCE])
+        self._arrived = self._arrived[MAX_BYTES_AT_ONCE:]
+        self._bytes_at_once += len(part)
+        return part
+
+    async def _read_more(self) -> bytes | None:
         while True:
             try:
                 return await self._connection.read_data(self._remaining_s())
--- a/poplarrun/gateway/_copy_sender.py
+++ b/poplarrun/gateway/_copy_sender.py
@@ -11,6 +11,7 @@
     Dispatcher,
     SaidNotRun,
 )
+from poplarrun.gateway._answer_reader import AnswerReader
 from poplarrun.gateway._connector import EndpointConnector
 from poplarrun.gateway._crash_probe import CrashProbe
 from poplarrun.gateway._records import RequestRecorder
@@ -111,7 +112,8 @@
             if answer.status not in SUCCESS_STATUSES:
                 exchange.outcome = CopyOutcome.FAILED
                 return
-            while await exchange.connection.read_data() is not None:
+            reader = AnswerReader(exchange.connection, attempt.sent_at, None, lambda: False)
+            while await reader.read() is not None:
                 exchange.outcome = CopyOutcome.BEGUN
                 copy.has_begun = True
             guard.record_answered(copy.work, attempt, seconds_since_boot())
--- a/poplarrun/gateway/_forwarder.py
+++ b/poplarrun/gateway/_forwarder.py
@@ -56,6 +56,8 @@
 # which they may lose their answers.
 MAX_ROOM_WAIT_S = 1.0
 ROOM_POLL_INTERVAL_S = 0.05
+# Bytes of an answer without an event that continues it, after which it isn't read any more.
+MAX_STALE_BYTES = 64 * 1024
 
 
 class AttemptError(Exception):
@@ -82,12 +84,31 @@
     ----------
     is_framed : bool
         Whether a length or chunks tell the answer's end.
+    last_event_id : int, optional
+        Id of the last event of this answer.
+    stale_bytes : int
+        Bytes since then of which no event came that continues the answer.
     """
 
     attempt: Attempt
     connection: ClientConnection
     answer: EndpointAnswer
     is_framed: bool
+    last_event_id: int | None = None
+    stale_bytes: int = 0
+
+    def count_progress(self, events: list[Event]) -> int:
+        """Return how many of some events continue the answer, and count the other bytes."""
+        progress = 0
+        for event in events:
+            if event.id is not None and (
+                self.last_event_id is None or event.id > self.last_event_id
+            ):
+                self.last_event_id, self.stale_bytes = event.id, 0
+                progress += 1
+            else:
+                self.stale_bytes += len(event.data)
+        return progress
 
 
 @dataclass(frozen=True, slots=True)
@@ -359,8 +380,7 @@
             try:
                 while (data := await reader.read()) is not None:
                     events = parser.feed(data)
-                    if events:
-                        await self._forward_events(open_answer, events)
+                    if events and await self._forward_events(open_answer, events):
                         reader.wait_anew(event_gap_timeout_s(self._work))
                     if not await self._try_keep(open_answer, kept, parser.incomplete_bytes):
                         raise AttemptError(Garbled("an event exceeds the size limit"))
@@ -398,15 +418,31 @@
         is_resumed = work.last_event_id is not None or work.request.resume_after is not None
         return attempt.event_count == 0 and not is_resumed
 
-    async def _forward_events(self, open_answer: _OpenAnswer, events: list[Event]) -> None:
-        """Forward complete events to the caller, each once and in order."""
-        if open_answer.attempt.first_event_at is None:
-            self._dispatcher.record_first_event(
-                self._work, open_answer.attempt, seconds_since_boot()
-            )
-            self._recorder.record_first_event(self._work, open_answer.attempt)
-        open_answer.attempt.record_events(len(events), seconds_since_boot())
-        new_events = self._select_new_events(events)
+    async def _forward_events(self, open_answer: _OpenAnswer, events: list[Event]) -> bool:
+        """Forward complete events to the caller, each once and in order.
+
+        Returns
+        -------
+        bool
+            Whether any of them continues the answer. Others are passed on, up to a size.
+        """
+        progress = open_answer.count_progress(events)
+        if progress:
+            self._record_progress(open_answer.attempt, progress)
+        elif open_answer.stale_bytes > MAX_STALE_BYTES:
+            raise AttemptError(Garbled(f"no further event in {open_answer.stale_bytes} bytes"))
+        await self._pass_on(open_answer, self._select_new_events(events))
+        return progress > 0
+
+    def _record_progress(self, attempt: Attempt, events: int) -> None:
+        now = seconds_since_boot()
+        if attempt.first_event_at is None:
+            self._dispatcher.record_first_event(self._work, attempt, now)
+            self._recorder.record_first_event(self._work, attempt)
+        attempt.record_events(events, now)
+
+    async def _pass_on(self, open_answer: _OpenAnswer, new_events: list[Event]) -> None:
+        """Send events to the caller, once it has read enough."""
         if not new_events:
             return
         if not self._is_started:
--- a/standins/installation/_endpoint.py
+++ b/standins/installation/_endpoint.py
@@ -59,6 +59,12 @@
     ENDLESS_SLOW = "begins and trickles without end"
     ENDLESS_AT_ONCE = "goes on without end"
     ENDLESS_SLOW_AT_ONCE = "trickles without end"
+    ENDLESS_BLANK = "goes on with blank lines without end"
+    ENDLESS_COMMENTS = "goes on with comments without end"
+    ENDLESS_UNNUMBERED = "goes on with events without an id without end"
+    ENDLESS_REPEATED = "goes on with its first event without end"
+    ENDLESS_COMMENTS_SLOW = "trickles comments without end"
+    ENDLESS_REPEATED_SLOW = "trickles its first event without end"
 
 
 UNFRAMED_FAULTS = frozenset(fault for fault in Fault if fault.name.startswith("UNFRAMED"))
@@ -71,6 +77,18 @@
     Fault.CUT_HEAD_AFTER_INTERIM: -2,
 }
 ENDLESS_PIECE = b"x" * 4096
+# Complete events of which no end comes, and the interval between two writes of them in seconds.
+ENDLESS_EVENTS = {
+    Fault.ENDLESS_BLANK: b"\n" * 4096,
+    Fault.ENDLESS_COMMENTS: b": c\n\n" * 800,
+    Fault.ENDLESS_UNNUMBERED: b"data: x\n\n" * 450,
+    Fault.ENDLESS_REPEATED: b"id: 1\ndata: small 1\n\n" * 260,
+    Fault.ENDLESS_COMMENTS_SLOW: b": c\n\n",
+    Fault.ENDLESS_REPEATED_SLOW: b"id: 1\ndata: small 1\n\n",
+}
+SLOW_FAULTS = frozenset(
+    fault for fault in Fault if fault.name.startswith("ENDLESS") and "SLOW" in fault.name
+)
 
 
 @dataclass
@@ -359,8 +377,10 @@
             first = int(headers.get("last-event-id", "0")) + 1
             event = _encode_event(headers.get("x-model", ""), first)
             beginning = event if self.is_engine else b"answer "
-        is_slow = fault in (Fault.ENDLESS_SLOW, Fault.ENDLESS_SLOW_AT_ONCE)
-        piece, interval_s = (b"x", EVENT_INTERVAL_S) if is_slow else (ENDLESS_PIECE, 0.0)
+        interval_s = EVENT_INTERVAL_S if fault in SLOW_FAULTS else 0.0
+        piece = b"x" if fault in SLOW_FAULTS else ENDLESS_PIECE
+        if fault in ENDLESS_EVENTS:
+            piece = ENDLESS_EVENTS[fault]
         await send_without_end(caller, answer_headers, beginning, piece, interval_s)
 
     def _create_headers(
