Answer requests that a stopping host can't finish, instead of cutting them

Another operator: requests that came late in a planned stop in calm were taken, passed on and cut with no answer at its end, orders among them. So here: of orders, lookups and drafts that came up to 2.2 s after SIGTERM, with work of 8 s, all were cut; with work of 3 s all lookups and drafts were, since a silent run was given up after 2.0 or 2.5 s and begun again, three times, the last time without a chance to end.

Cause: a stop knew its own end, and no request did. Their deadline, the wait for a silent endpoint and the choice to begin another run went by the caller's time.

When a stop begins, each request gets the host's end as its deadline, and those that come later have it from the start; endpoints are told it with each send. 0.2 s before the end a request whose answer has not begun gets 502 if it was sent and 503 if not. A silent run is given up in a stop only while twice the time that it was waited for is left.

features/late_in_stop.feature before: 3 of 3 failed, with 6 of 9, 9 of 9 and 3 of 3 requests without an answer and up to 3 runs each. After: 3 of 3 passed, and 102 of 102 scenarios of gateway, its faults and peers, relay_faults, evacuation and abandoned_requests.

--- a/features/environment.py
+++ b/features/environment.py
@@ -248,11 +248,28 @@
         yield installation
 
 
+@fixture
+def stopping_host(context):
+    """One host before three engines and three endpoints of a plain service; routes of 12 s."""
+    with Installation() as installation:
+        for route in installation.config["routes"]:
+            route["timeoutMs"] = 12_000
+        installation.publish()
+        for number in range(3):
+            installation.add_endpoint(f"engine-{number}", "engines")
+            installation.add_endpoint(f"stock-{number}", "stock")
+        installation.start_host()
+        installation.wait_until_settled(0)
+        context.installation = installation
+        yield installation
+
+
 FIXTURES = {
     "fixture.crash_hosts": crash_hosts,
     "fixture.endless_engines": endless_engines,
     "fixture.cuttable_hosts": cuttable_hosts,
     "fixture.host_pair": host_pair,
+    "fixture.stopping_host": stopping_host,
     "fixture.zone_trio": zone_trio,
     "fixture.order_fleet": order_fleet,
     "fixture.few_threads": few_threads,
--- a/poplarrun/gateway/_forwarder.py
+++ b/poplarrun/gateway/_forwarder.py
@@ -48,6 +48,7 @@
     ConnectionBroken,
     ConnectionPool,
     RequestWithheld,
+    ResponseHead,
     seconds_since_boot,
 )
 
@@ -56,6 +57,9 @@
 # which they may lose their answers.
 MAX_ROOM_WAIT_S = 1.0
 ROOM_POLL_INTERVAL_S = 0.05
+# Time that must be left for another run when a host is stopping, as a multiple of the time for
+# which the one before was waited for.
+RERUN_TIME_FACTOR = 2.0
 # Bytes of an answer without an event that continues it, after which it isn't read any more.
 MAX_STALE_BYTES = 64 * 1024
 
@@ -156,6 +160,8 @@
         self._room = room
         self._is_started = False
         self._is_caller_slow = False
+        self._timeout: asyncio.Timeout | None = None
+        self._host_ends_at: float | None = None
         self._error_answer: _CompleteAnswer | None = None
         self._attempt: Attempt | None = None
         self._connection: ClientConnection | None = None
@@ -164,10 +170,13 @@
         """Answer the caller with a complete answer, a refusal, or an aborted answer."""
         work = self._work
         try:
-            async with asyncio.timeout(max(0.0, work.remaining_s(seconds_since_boot()))):
+            remaining_s = max(0.0, work.remaining_s(seconds_since_boot()))
+            async with asyncio.timeout(remaining_s) as self._timeout:
                 refusal = await self._try_endpoints()
         except TimeoutError:
-            if self._is_caller_slow:
+            if self._host_ends_at == work.deadline_at:
+                refusal = self._stop_refusal()
+            elif self._is_caller_slow:
                 self._recorder.record_slow_caller()
                 refusal = Refusal(ErrorKind.ANSWER_INCOMPLETE, "the caller reads too slowly")
             else:
@@ -181,6 +190,21 @@
         if refusal is not None:
             self._refuse(refusal)
 
+    def end_by(self, at: float) -> None:
+        """Have the caller answered by a time, since this host is stopping.
+
+        Parameters
+        ----------
+        at : float
+            By ``seconds_since_boot``. An earlier deadline of the caller stays.
+        """
+        if at >= self._work.deadline_at:
+            return
+        self._host_ends_at = self._work.deadline_at = at
+        if self._timeout is not None and not self._timeout.expired():
+            loop = asyncio.get_running_loop()
+            self._timeout.reschedule(loop.time() + at - seconds_since_boot())
+
     async def _try_endpoints(self) -> Refusal | None:
         """Send until the caller has a complete answer, or no further send is allowed.
 
@@ -280,12 +304,8 @@
         self._attempt = attempt
         self._caller.is_shielded = work.route.outlives_caller
         self._recorder.record_send(work, decision, now, is_resumed, way.helper)
-        timeout_s = first_event_timeout_s(work, decision.estimate)
         try:
-            async with asyncio.timeout(timeout_s):
-                head = await connection.read_head()
-        except TimeoutError as error:
-            raise AttemptError(TookTooLong(seconds_since_boot() - attempt.sent_at)) from error
+            head = await self._wait_for_head(connection, attempt)
         except RequestWithheld as error:
             raise AttemptError(Withheld()) from error
         except ConnectionBroken as error:
@@ -295,6 +315,28 @@
         self._check_answer(answer, connection)
         return _OpenAnswer(attempt, connection, answer, head.is_framed)
 
+    async def _wait_for_head(self, connection: ClientConnection, attempt: Attempt) -> ResponseHead:
+        timeout_s = first_event_timeout_s(self._work, attempt.estimate)
+        while True:
+            try:
+                async with asyncio.timeout(timeout_s):
+                    return await connection.read_head()
+            except TimeoutError as error:
+                waited_s = seconds_since_boot() - attempt.sent_at
+                if self._can_begin_anew(attempt):
+                    raise AttemptError(TookTooLong(waited_s)) from error
+
+    def _can_begin_anew(self, attempt: Attempt) -> bool:
+        """Return whether another run may end in time, if the host stops before the deadline.
+
+        It takes longer than this one was waited for.
+        """
+        if self._host_ends_at is None or attempt.first_event_at is not None:
+            return True
+        now = seconds_since_boot()
+        waited_s = now - attempt.sent_at
+        return self._work.remaining_s(now) >= RERUN_TIME_FACTOR * waited_s
+
     async def _connect(self, decision: SendDecision) -> EndpointConnection:
         record = decision.estimate.endpoint.record
         # A retry gets a new connection: the one before may have failed because the path is lost,
@@ -404,13 +446,16 @@
         self._caller.end_response()
 
     def _create_reader(self, open_answer: _OpenAnswer, waits_since: float) -> AnswerReader:
-        timeout_s = first_event_timeout_s(self._work, open_answer.attempt.estimate)
-        return AnswerReader(open_answer.connection, waits_since, timeout_s, self._can_abandon)
+        attempt = open_answer.attempt
+        timeout_s = first_event_timeout_s(self._work, attempt.estimate)
+        return AnswerReader(
+            open_answer.connection, waits_since, timeout_s, lambda: self._can_abandon(attempt)
+        )
 
-    def _can_abandon(self) -> bool:
+    def _can_abandon(self, attempt: Attempt) -> bool:
         now = seconds_since_boot()
         budget = self._dispatcher.retry_budgets.budget(self._work.service, now)
-        return can_abandon(self._work, budget, now)
+        return can_abandon(self._work, budget, now) and self._can_begin_anew(attempt)
 
     def _is_without_event(self, attempt: Attempt) -> bool:
         """Return whether a stream from its beginning has brought no event; a resumed one may."""
@@ -529,6 +574,12 @@
             return Refusal(ErrorKind.ENDPOINT_SILENT, "no answer in time")
         return Refusal(ErrorKind.DEADLINE_UNREACHABLE, "no endpoint in time", retry_after_s=0.0)
 
+    def _stop_refusal(self) -> Refusal:
+        """Refuse a request that is not answered before this host ends."""
+        if self._attempt is not None or self._work.may_have_run:
+            return Refusal(ErrorKind.ENDPOINT_FAILED, "the host stops, the answer is incomplete")
+        return Refusal(ErrorKind.STOPPING, "host stops")
+
     def _refuse(self, refusal: Refusal) -> None:
         """Refuse the request, or abort the answer if it has begun."""
         if self._is_started:
--- a/poplarrun/gateway/_host.py
+++ b/poplarrun/gateway/_host.py
@@ -1,6 +1,7 @@
 """A gateway host: its components, their tasks, and the planned stop."""
 
 import asyncio
+import math
 import random
 import signal
 import traceback
@@ -60,6 +61,8 @@
 BALANCER_GRACE_S = 2.6
 # Margin before the platform kills a stopping host.
 STOP_MARGIN_S = 0.7
+# Time in which errors in place of incomplete answers are sent before a stopping host ends.
+STOP_ANSWERS_S = 0.2
 HOUSEKEEPING_INTERVAL_S = 1.0
 STOP_POLL_INTERVAL_S = 0.05
 
@@ -199,6 +202,8 @@
             self._report_crash,
         )
         self._open_count = 0
+        self._forwarders: set[RequestForwarder] = set()
+        self._answers_until = math.inf
         self._refuses_new = False
         self._was_ready = False
         self._stop_requested = asyncio.Event()
@@ -250,10 +255,13 @@
         self._callers.is_stopping = True
         self._relay_desk.is_stopping = True
         self._start_task(self._peering.deregister())
+        stop_at = stop_started_at + self.settings.stop_grace_s - STOP_MARGIN_S
+        self._answers_until = stop_at - STOP_ANSWERS_S
+        for forwarder in self._forwarders:
+            forwarder.end_by(self._answers_until)
         await asyncio.sleep(BALANCER_GRACE_S)
         self._refuses_new = True
         self._callers.close_idle()
-        stop_at = stop_started_at + self.settings.stop_grace_s - STOP_MARGIN_S
         while self._is_busy and seconds_since_boot() < stop_at:
             await asyncio.sleep(STOP_POLL_INTERVAL_S)
             self._callers.close_idle()
@@ -284,23 +292,27 @@
             respond_refusal(caller, work)
             return
         self._recorder.record_admitted(work, now)
+        forwarder = RequestForwarder(
+            self._dispatcher,
+            self._pool,
+            self._connector,
+            caller,
+            work,
+            self._recorder,
+            self._peering.sessions,
+            self._peering.offers,
+            self._crash_probe,
+            self._listing_check,
+            self._answer_room,
+        )
+        forwarder.end_by(self._answers_until)
         self._open_count += 1
+        self._forwarders.add(forwarder)
         try:
             with self._load_tester.follow(work):
-                await RequestForwarder(
-                    self._dispatcher,
-                    self._pool,
-                    self._connector,
-                    caller,
-                    work,
-                    self._recorder,
-                    self._peering.sessions,
-                    self._peering.offers,
-                    self._crash_probe,
-                    self._listing_check,
-                    self._answer_room,
-                ).run()
+                await forwarder.run()
         finally:
+            self._forwarders.discard(forwarder)
             self._open_count -= 1
 
     def _admit(self, request: Request, now: float) -> InFlightRequest | Refusal:
