Give up an engine's answer of blank lines without end, at the own interface

The same cause as in streams of the platform: whatever lines came began the wait for the next event anew, also those without an event.

--- a/features/steps/endless_own_answers.py
+++ b/features/steps/endless_own_answers.py
@@ -43,7 +43,9 @@
     "letters": b"x" * 4096,
     "whole chunks": b"800\r\n" + b"x" * 2048 + b"\r\n",
     "header lines": b"X-More: yes\r\n" * 320,
+    "blank lines": b"800\r\n" + b"\n" * 2048 + b"\r\n",
     "slow letters": b"x",
+    "slow blank lines": b"1\r\n\n\r\n",
     "slow chunks": b"1\r\nx\r\n",
 }
 
--- a/poplarrun/clients/_engines.py
+++ b/poplarrun/clients/_engines.py
@@ -294,18 +294,20 @@
     body = StreamedBody(response)
     buffer = _LineBuffer()
     finished = False
+    empty_bytes = 0
     until = time.monotonic() + timeout_s
     try:
         while not finished and (received := body.read(until)):
-            if not (lines := buffer.feed(received)):
-                if time.monotonic() > until:
+            lines = buffer.feed(received)
+            answers: list[GenerationEvent] = [*_event_decoder.decode_lines(lines)] if lines else []
+            if not answers:
+                empty_bytes += len(received)
+                if empty_bytes > MAX_LINE_BYTES or time.monotonic() > until:
                     raise urllib3.exceptions.ProtocolError("no event came in time")
                 continue
-            until = time.monotonic() + timeout_s
-            answers: list[GenerationEvent] = [*_event_decoder.decode_lines(lines)]
+            empty_bytes, until = 0, time.monotonic() + timeout_s
             finished = any(isinstance(answer, Usage) for answer in answers)
-            if answers:
-                yield answers
+            yield answers
     except (urllib3.exceptions.HTTPError, *UNREADABLE_JSON, OSError):
         finished = False
     finally:
