Test that a chat that ends engines is kept from them at the own interface, known to fail

The own interface has nothing that tells an engine's end from a broken connection, and nothing that ties repeats together.

--- a/features/environment.py
+++ b/features/environment.py
@@ -128,6 +128,18 @@
         yield fleet
 
 
+@fixture
+def fatal_fleet(context):
+    """Two zones of one host, and eight engines that end on one word."""
+    settings = {"quality": VERSIONS, "tokens_per_s": 2000.0, "fatal_word": "fatal"}
+    engines = [EnginePlan(f"engine-{number}", "ab"[number % 2], settings) for number in range(8)]
+    with Fleet(engines, zones=("a", "b"), hosts_per_zone=1) as fleet:
+        context.fleet = fleet
+        fleet.wait_in_force(fleet.publish((EXAMPLES / "thistledown.yaml").read_text()))
+        fleet.wait_versions("larch:1", "spruce:1")
+        yield fleet
+
+
 @fixture
 def cascade_fleet(context):
     """Three zones of one host, engines that give a confidence, answers good or poor."""
@@ -272,6 +284,7 @@
     "fixture.stopping_host": stopping_host,
     "fixture.zone_trio": zone_trio,
     "fixture.order_fleet": order_fleet,
+    "fixture.fatal_fleet": fatal_fleet,
     "fixture.few_threads": few_threads,
     "fixture.keyed_host": keyed_host,
     "fixture.tls_host": tls_host,
--- a/standins/engine.py
+++ b/standins/engine.py
@@ -3,6 +3,7 @@
 import hashlib
 import heapq
 import itertools
+import os
 import random
 import threading
 import time
@@ -104,6 +105,8 @@
         Number of versions that fit into memory; None if the engine doesn't report it.
     load_s : float
         Time to load a version, in seconds.
+    fatal_word : str
+        The process ends when it begins to answer a prompt with this word; empty for none.
     """
 
     quality: dict[str, float]
@@ -118,6 +121,7 @@
     answer_tokens: int = 40
     room: int | None = None
     load_s: float = 0.0
+    fatal_word: str = ""
 
 
 class GenerateBody(msgspec.Struct):
@@ -227,6 +231,8 @@
             cached = self._update_prefix_cache(body.version, prompt_words)
             self.record("start", request_id=body.request_id, version=body.version)
             time.sleep((len(prompt_words) - cached) * self.settings.prefill_s_per_token)
+            if self.settings.fatal_word in prompt_words:
+                os._exit(1)
             yield from self._generate_tokens(body)
             yield _encode_line(
                 {
