Don't blame a request in demand for an outage that its second sends follow

With processor time scarce the four ends lay some milliseconds apart, and the second sends of an attempt reached one endpoint after the other just before it ended. These count as ends one after the other, since a request that ends endpoints looks the same within one attempt; and as no endpoint was left, no whole answer came that would clear it.

What tells them apart is whether endpoints have borne the request lately. If it was answered whole in the 60 s before, at any host, ends within 0.3 s count once now. Hosts tell each other when it was answered last, beside the ends.

The one that says that an answer before the first end lets nothing through says so of an answer 70 s before it.

--- a/features/request_ends.feature
+++ b/features/request_ends.feature
@@ -15,6 +15,19 @@
       | 0.0-0.1, 0.2-0.3, 899.0-899.2          | 3     | refused  |
       | 0.0-0.1, 0.2-0.3, 901.0-901.2          | 1     | admitted |
 
+  Scenario Outline: A request that was answered <answered> s before is <taken> after ends <apart> s apart
+    # Guards against a request in demand whose second sends follow an outage from endpoint to endpoint.
+    Given a request that was answered whole <answered> s before at the first host
+    When three endpoints end under it <apart> s apart, one after the other
+    Then the first host has it <taken>, and the second one <taken>
+
+    Examples:
+      | answered | apart | taken    |
+      | 1        | 0.002 | admitted |
+      | 59       | 0.002 | admitted |
+      | 61       | 0.002 | refused  |
+      | 1        | 0.4   | refused  |
+
   Scenario Outline: What lets a refused request through: <event>
     # Guards against a request that stays refused though endpoints bear it, or goes on though they don't.
     Given a request that is refused at two hosts since three endpoints ended under it
@@ -22,14 +35,14 @@
     Then the first host has it <first>, and the second one <second>
 
     Examples:
-      | event                                               | first    | second   |
-      | an attempt is answered whole at the first host      | admitted | admitted |
-      | an attempt ends with an endpoint's error            | admitted | admitted |
-      | an attempt has only begun to be answered            | refused  | refused  |
-      | an attempt was answered whole before the first end  | refused  | refused  |
-      | 890 s are over                                      | refused  | refused  |
-      | 910 s are over                                      | admitted | admitted |
-      | 890 s are over, and one more endpoint ends under it | refused  | refused  |
+      | event                                                   | first    | second   |
+      | an attempt is answered whole at the first host          | admitted | admitted |
+      | an attempt ends with an endpoint's error                | admitted | admitted |
+      | an attempt has only begun to be answered                | refused  | refused  |
+      | an attempt was answered whole 70 s before the first end | refused  | refused  |
+      | 890 s are over                                          | refused  | refused  |
+      | 910 s are over                                          | admitted | admitted |
+      | 890 s are over, and one more endpoint ends under it     | refused  | refused  |
 
   Scenario Outline: What counts as an end under a request: <attempt>
     # Guards against ends that nobody counts, and against those of endpoints that had not the request.
--- a/features/steps/request_ends.py
+++ b/features/steps/request_ends.py
@@ -98,6 +98,21 @@
         assert each.find_refused(context.fingerprint, context.now) is not None
 
 
+@given("a request that was answered whole {seconds:d} s before at the first host")
+def step_answered_lately(context, seconds):
+    context.first, context.second, context.fingerprint = RequestEnds(), RequestEnds(), REQUEST
+    context.first.record_answered(REQUEST, NOW - seconds, NOW - seconds)
+
+
+@when("three endpoints end under it {apart:g} s apart, one after the other")
+def step_quick_ends(context, apart):
+    context.now = NOW + 1.0
+    for number in range(3):
+        sent_at = NOW + apart * number
+        end = RequestEnd(number, sent_at, sent_at + 0.001)
+        context.first.record(REQUEST, end, context.now)
+
+
 @when("an attempt is answered whole at the first host")
 def step_answered(context):
     context.dispatcher.record_completed(context.work, context.attempt, context.now)
@@ -113,9 +128,9 @@
     context.dispatcher.record_first_event(context.work, context.attempt, context.now)
 
 
-@when("an attempt was answered whole before the first end")
+@when("an attempt was answered whole 70 s before the first end")
 def step_answered_before(context):
-    context.first.record_answered(context.fingerprint, NOW - 1.0, context.now)
+    context.first.record_answered(context.fingerprint, NOW - 70.0, context.now)
 
 
 @when("{seconds:d} s are over")
--- a/poplarrun/crashes/_request_ends.py
+++ b/poplarrun/crashes/_request_ends.py
@@ -14,6 +14,8 @@
 MAX_KEPT_ENDS = 8
 MAX_ENDED_REQUESTS = 4096
 MAX_ANSWERED_REQUESTS = 4096
+# For how long a whole answer makes it unlikely that the request is the cause of an end, in seconds.
+ANSWERED_TTL_S = 60.0
 # Error of the times that other hosts tell, in seconds: what their messages took.
 MESSAGE_DELAY_S = 0.02
 
@@ -49,11 +51,14 @@
     ----------
     changed_at : float
         When this host last learned of a further end.
+    answered_at : float
+        When the request was last answered whole, at any host; -inf if that isn't known.
     """
 
     fingerprint: int
     ends: dict[int, RequestEnd] = field(default_factory=dict)
     changed_at: float = -math.inf
+    answered_at: float = -math.inf
 
     def list_ends(self, now: float) -> list[RequestEnd]:
         """Return the ends that still count, in time order."""
@@ -63,13 +68,16 @@
     def count(self, now: float) -> int:
         """Return how many ends one after the other the request was there for.
 
-        Attempts that were under way at the same time, and ended at the same moment, count once:
-        what ends a zone ends many endpoints, and a request that is in demand may be at each.
+        Ends at the same moment count once if the attempts were under way at the same time, or if
+        the request was answered lately: what ends a zone ends many endpoints, a request that is in
+        demand may be at each, and its second sends follow the outage.
         """
         count, last_end = 0, -math.inf
         for end in self.list_ends(now):
+            was_answered = end.ended_at - self.answered_at <= ANSWERED_TTL_S
             is_sent_after = end.sent_at >= last_end - MESSAGE_DELAY_S
-            if is_sent_after or end.ended_at - last_end > SAME_MOMENT_S:
+            is_later = end.ended_at - last_end > SAME_MOMENT_S
+            if is_later or (is_sent_after and not was_answered):
                 count, last_end = count + 1, end.ended_at
         return count
 
@@ -109,6 +117,7 @@
             self._clear(fingerprint, now)
             return False
         request = self._requests.setdefault(fingerprint, EndedRequest(fingerprint))
+        request.answered_at = self._answered.get(fingerprint, -math.inf)
         self._requests.move_to_end(fingerprint)
         known = request.ends.get(end.end_id)
         if known is not None:
@@ -134,6 +143,7 @@
         request = self._requests.get(fingerprint)
         if request is None:
             return False
+        request.answered_at = self._answered[fingerprint]
         cleared = [end_id for end_id, end in request.ends.items() if end.ended_at <= at]
         for end_id in cleared:
             del request.ends[end_id]
--- a/poplarrun/gateway/_request_end_exchange.py
+++ b/poplarrun/gateway/_request_end_exchange.py
@@ -62,6 +62,9 @@
                 at = now - answered.age_ms / MILLISECONDS_PER_S
                 self._requests.record_answered(answered.fingerprint, at, now)
         for request in digest.requests_with_ends[:MAX_REQUESTS_PER_DIGEST]:
+            if request.answered_ms is not None and request.answered_ms >= 0:
+                at = now - request.answered_ms / MILLISECONDS_PER_S
+                self._requests.record_answered(request.fingerprint, at, now)
             was_refused = self._requests.find_refused(request.fingerprint, now) is not None
             for end in request.ends[:MAX_KEPT_ENDS]:
                 if end.age_ms >= 0 and end.held_ms >= 0:
@@ -94,6 +97,7 @@
                 )
                 for end in each.list_ends(now)
             ],
+            None if each.answered_at == -math.inf else _to_milliseconds(now - each.answered_at),
         )
         for each in requests
     ]
--- a/poplarrun/peers/_crash_messages.py
+++ b/poplarrun/peers/_crash_messages.py
@@ -63,10 +63,13 @@
     ----------
     fingerprint : int
         The same for each repeat of the request.
+    answered_ms : int, optional
+        How long ago it was last answered whole; None if the sender doesn't know that.
     """
 
     fingerprint: int
     ends: list[EndUnderRequest]
+    answered_ms: int | None = None
 
 
 class AnsweredRequest(msgspec.Struct, frozen=True, array_like=True):
