Tell the model that the caller named when another host is asked for copies

The fingerprint of a request covers it, and a copy's request had none at a host that is asked for copies: there a refused request was sent as a copy all the same, and ends under copies counted under another request.

--- a/features/request_ends.feature
+++ b/features/request_ends.feature
@@ -110,6 +110,11 @@
       | is a stream that is resumed       | endpoint_failed     |
       | is to be asked of a larger model  | endpoint_failed     |
 
+  Scenario: A copy that another host is asked for is the same request there
+    # Guards against copies that go on to endpoints, and end them uncounted, at hosts that only copy.
+    Given a request that is refused since three endpoints ended under it
+    Then a copy of it that another host is asked for has the same fingerprint
+
   Scenario: A refused request gets no time to come back
     Then the answer to a refused request is 503, not run, without a time to come back
 
--- a/features/steps/request_ends.py
+++ b/features/steps/request_ends.py
@@ -5,7 +5,12 @@
 import msgspec
 from behave import given, then, use_step_matcher, when
 
-from features.steps.gateway_world import make_catalogue, make_dispatch, make_request
+from features.steps.gateway_world import (
+    make_catalogue,
+    make_dispatch,
+    make_request,
+    make_route,
+)
 from poplarrun.crashes import (
     MAX_ENDED_REQUESTS,
     RequestEnd,
@@ -24,6 +29,7 @@
 )
 from poplarrun.errors import ErrorKind, NotRun, Refusal, response_for
 from poplarrun.gateway import _crash_probe
+from poplarrun.gateway._copied_requests import describe_request, recall_request
 from poplarrun.gateway._crash_probe import CrashProbe
 from poplarrun.gateway._request_end_exchange import RequestEndExchange
 from poplarrun.metrics import Metrics
@@ -263,6 +269,16 @@
     add_ends(requests, fingerprint, 3, NOW - 1.0)
 
 
+@then("a copy of it that another host is asked for has the same fingerprint")
+def step_copied(context):
+    work = InFlightRequest(
+        context.request, make_route(), Account("acme"), "engines", NOW, NOW + 60.0
+    )
+    catalogue = context.dispatcher.config_view.catalogue
+    copied = recall_request(describe_request(work, NOW), "engines", catalogue, NOW)
+    assert copied.fingerprint == work.fingerprint, copied
+
+
 CHANGES = {
     "another id": {"id": "req-again"},
     "another key of its account": {"api_key": "second"},
--- a/poplarrun/gateway/_copied_requests.py
+++ b/poplarrun/gateway/_copied_requests.py
@@ -20,6 +20,7 @@
         "" if work.account is None else work.account.name,
         [(part.key, part.tokens) for part in request.prompt_parts],
         work.model_size or "",
+        request.model or "",
     )
 
 
@@ -47,6 +48,7 @@
         copied.time_left_s,
         api_key=api_key,
         prompt_parts=tuple(PromptPart(key, tokens) for key, tokens in copied.prompt_parts),
+        model=copied.model or None,
     )
     deadline_at = now + copied.time_left_s
     work = InFlightRequest(request, route, account, service, now, deadline_at)
--- a/poplarrun/peers/_copy_messages.py
+++ b/poplarrun/peers/_copy_messages.py
@@ -58,6 +58,8 @@
         Key and length in tokens of each part.
     model_size : str
         The model size that is asked; empty for a plain service.
+    model : str
+        What the caller named as its model; empty for none.
     """
 
     id: str
@@ -70,6 +72,7 @@
     account: str
     prompt_parts: list[tuple[str, int]]
     model_size: str
+    model: str = ""
 
 
 class CopyOrder(msgspec.Struct, frozen=True, array_like=True, tag=16):
