--- a/review/rig_2.py
+++ b/review/rig_2.py
@@ -28,6 +28,7 @@
 HELD, BROKEN, NOT_RUN = 0, 1, 2
 START_TIMEOUT_S = 20.0
 SETTLE_S = 3.0
+RESTART_DELAY_S = 0.3
 PIECE_INTERVAL_S = 0.01
 MAX_PLAY_S = 110.0
 
@@ -242,6 +243,22 @@
         self.writer.transport.abort()
 
 
+    def begin_stream(self) -> None:
+        """Send the head of a stream of events, which comes in chunks."""
+        head = {**self.signed, "Content-Type": "text/event-stream", "Transfer-Encoding": "chunked"}
+        lines = ["HTTP/1.1 200 -", *(f"{name}: {value}" for name, value in head.items())]
+        self.writer.write(("\r\n".join(lines) + "\r\n\r\n").encode())
+
+    def send_event(self, number: int) -> None:
+        """Send one event of a stream."""
+        event = f"id: {number}\ndata: piece {number} of {self.id}\n\n".encode()
+        self.writer.write(b"%x\r\n%s\r\n" % (len(event), event))
+
+    def end_stream(self) -> None:
+        """Complete a stream."""
+        self.writer.write(b"0\r\n\r\n")
+
+
 Behaviour = Callable[[Run], Awaitable[None]]
 
 
@@ -250,6 +267,15 @@
     run.respond()
 
 
+async def stream_at_once(run: Run) -> None:
+    """Answer a request with a short stream."""
+    run.begin_stream()
+    for number in range(int(run.request.headers.get("last-event-id", "0")) + 1, 4):
+        await asyncio.sleep(0.03)
+        run.send_event(number)
+    run.end_stream()
+
+
 class Runner:
     """A runner of a service.
 
@@ -496,6 +522,17 @@
             await self.wait_until_ready(host)
         await asyncio.sleep(SETTLE_S)
 
+    async def restart_host(self, host: Host) -> None:
+        """Stop a host with SIGTERM, and start it again as soon as it has ended."""
+        assert host.process is not None
+        self.record.note(f"{host.name} gets SIGTERM")
+        host.process.terminate()
+        await host.process.wait()
+        self.record.note(f"{host.name} has ended with {host.process.returncode}")
+        await asyncio.sleep(RESTART_DELAY_S)
+        await self.start_host(host)
+        await self.wait_until_ready(host)
+
     async def wait_until_ready(self, host: Host) -> None:
         """Wait until a host says that it is ready.
 
