--- a/review/9/case.py
+++ b/review/9/case.py
@@ -22,8 +22,10 @@
 STABLE_WINDOW_S = 3.0
 DURATION_S = 24
 FIRST_HALF_S = DURATION_S / 2
-# As in the site's entries for ``roll_term``: all machines, one at a time.
-ROLL_GAP_S = 1.3
+# The defaults of ``roll_term``: all machines, one at a time, one second apart.
+ROLL_GAP_S = 1.0
+# All hosts have heard of the order by then.
+FIRST_RESTART_S = 0.5
 ALLOWED = 3
 
 
@@ -135,7 +137,7 @@
             await rig.add_runner(f"new-{number}", "engines", stream_at_once, version="v2")
         restarts = []
         if has_trouble:
-            await asyncio.sleep(0.6)
+            await asyncio.sleep(FIRST_RESTART_S)
             for host in rig.hosts:
                 restarts.append(asyncio.ensure_future(rolling.restart(host)))
                 await asyncio.sleep(ROLL_GAP_S)
