Answer an order that has run with 502 where its endpoint says 503

Cause: the host keeps an error answer of an endpoint and passes it on as it is. An endpoint that runs an order and fails afterwards may say 408, 429 or 503 without stating that it ran nothing. The host counted that as a run, rightly, and passed the status on, which its caller reads as a promise.

Evidence: the log has AnswerFailed(503), no second send, and RequestAnswered with 503 for each such order; SaidNotRun, which another cause would show, comes nowhere.

Now the caller of a request that may run only once gets an unsigned 502 in place of such a status. It leaves nothing to misread, and a failure without a signature may have another status than the endpoint's. Requests that may be repeated keep the endpoint's answer.

Before: five new scenarios of gateway_faults (three statuses, a second send, a stream that may not be resumed) and one of relay_faults failed.

--- a/features/gateway_faults.feature
+++ b/features/gateway_faults.feature
@@ -21,6 +21,44 @@
     Then the caller's order gets 500
     And the answer is signed by "stock-1"
 
+  Scenario Outline: An order that ran and is answered <ran> gets 502
+    # Guards against an endpoint's failure that promises the caller that its order has not run.
+    When the endpoints of "stock" answer the next order with the fault "RAN_<ran>"
+    Then the caller's order gets 502
+    And the answer is not signed
+    And exactly one endpoint ran it
+
+    Examples:
+      | ran |
+      | 408 |
+      | 429 |
+      | 503 |
+
+  Scenario: An order that ran at the endpoint of a second send and is answered 503 gets 502
+    # Guards against a second send that passes on what a first one would not.
+    Given a second endpoint "stock-2" of "stock"
+    When the endpoints of "stock" answer the next order with the faults "NOT_RUN, RAN_503"
+    Then the caller's order gets 502
+    And exactly one endpoint ran it
+
+  Scenario: A stream that may not be resumed, ran and is answered 503 gets 502
+    # Guards against a rule for orders that forgets the other requests that may run only once.
+    Given drafts may not be resumed
+    When the endpoints of "engines" answer the next draft with the fault "RAN_503"
+    Then the caller's draft gets 502
+    And 1 runs of "engines" were needed
+
+  Scenario Outline: A <request> that may be repeated and is answered 503 gets that failure
+    # Guards against a failure of an endpoint that is replaced although its caller may repeat.
+    When the endpoints of "<service>" answer the next 9 <request>s with the fault "RAN_503"
+    Then the caller's <request> gets 503
+    And the answer is signed by "<endpoint>"
+
+    Examples:
+      | request | service | endpoint |
+      | lookup  | stock   | stock-1  |
+      | draft   | engines | engine-1 |
+
   Scenario: An order that was not run is sent to another endpoint
     # The first endpoint is full and states that it ran nothing, so a second send can't run the
     # order twice. The caller must get one good answer.
--- a/features/relay_faults.feature
+++ b/features/relay_faults.feature
@@ -97,3 +97,11 @@
     Given a helper that has opened a connection for a peer that reads slowly
     When the endpoint sends an answer of 200000 bytes with their number, and resets the connection
     Then the peer gets a whole answer of 200000 bytes
+
+  @fixture.cuttable_hosts
+  Scenario: Through a helper, an order that ran and is answered 503 gets 502
+    # Guards against an endpoint's false promise that reaches the caller by way of a relay.
+    Given host 0 reaches endpoints through helpers only
+    When the endpoints of "stock" answer the next order with the fault "RAN_503"
+    Then the caller's order gets 502
+    And exactly one endpoint ran it
--- a/features/steps/gateway_faults.py
+++ b/features/steps/gateway_faults.py
@@ -103,6 +103,11 @@
     assert context.answer.headers["x-instance-signature"] == f"signed-{instance_id}", context.answer
 
 
+@then("the answer is not signed")
+def step_unsigned(context):
+    assert "x-instance-signature" not in context.answer.headers, context.answer
+
+
 @then("the second endpoint was asked to resume after event {number:d}")
 def step_resumed(context, number):
     asked = [s.headers.get("last-event-id") for r in context.endpoints for s in r.received_requests]
--- a/poplarrun/gateway/_forwarder.py
+++ b/poplarrun/gateway/_forwarder.py
@@ -34,6 +34,7 @@
 from poplarrun.gateway._sessions import SessionLookup
 from poplarrun.gateway._statements import StatementReader
 from poplarrun.platform import (
+    NOT_RUN_STATUSES,
     OTHER_INSTANCE_STATUS,
     EndpointAnswer,
     decode_answer,
@@ -588,12 +589,23 @@
             return
         if self._error_answer is not None:
             answer = self._error_answer.answer
-            self._recorder.record_answer(self._work, answer.status)
-            self._caller.respond(answer.status, list(answer.headers), self._error_answer.body)
-            return
+            if self._may_pass_on(answer.status):
+                self._recorder.record_answer(self._work, answer.status)
+                self._caller.respond(answer.status, list(answer.headers), self._error_answer.body)
+                return
+            text = f"an endpoint ran it and answered {answer.status}"
+            refusal = Refusal(ErrorKind.ENDPOINT_FAILED, text)
         self._recorder.record_refusal(self._work, refusal, False)
         respond_refusal(self._caller, refusal)
 
+    def _may_pass_on(self, status: int) -> bool:
+        """Return whether the caller may get an endpoint's error status as it is.
+
+        The caller of a request that may run only once takes some statuses as leave to send it
+        again, although the endpoint has run it.
+        """
+        return self._work.route.can_repeat or status not in NOT_RUN_STATUSES
+
 
 def _explain_break(attempt: Attempt, error: ConnectionBroken) -> Failure:
     """Return why an answer broke: its endpoint, or its caller who did not read it."""
--- a/poplarrun/platform/__init__.py
+++ b/poplarrun/platform/__init__.py
@@ -20,6 +20,7 @@
 from poplarrun.platform._records import decode_endpoint_record
 from poplarrun.platform._requests import (
     LOWEST_PRIORITY,
+    NOT_RUN_STATUSES,
     OTHER_INSTANCE_STATUS,
     BadRequest,
     EndpointAnswer,
@@ -52,6 +53,7 @@
     "EVACUATION_PREFIX",
     "HOST_TOPIC",
     "LOWEST_PRIORITY",
+    "NOT_RUN_STATUSES",
     "OPERATOR_TOPIC",
     "OTHER_INSTANCE_STATUS",
     "PATH_VARIABLE",
--- a/poplarrun/platform/_requests.py
+++ b/poplarrun/platform/_requests.py
@@ -20,6 +20,8 @@
 LEAVING_VALUE = "1"
 # An answer of another process at the endpoint's address.
 OTHER_INSTANCE_STATUS = 421
+# Statuses that tell a caller that its request has not run and never will.
+NOT_RUN_STATUSES = frozenset((408, 421, 429, 503))
 # A header of HTTP; this platform gives it in seconds only.
 HOLD_OFF_HEADER = "retry-after"
 # Priorities at an endpoint range from 0, the highest, to 9.
--- a/standins/installation/_endpoint.py
+++ b/standins/installation/_endpoint.py
@@ -34,6 +34,9 @@
     NOT_RUN = "rejects the request as not executed"
     NOT_RUN_LATE = "rejects the request as not executed after a second"
     ERROR = "executes the request and answers with an error"
+    RAN_408 = "executes the request and answers 408"
+    RAN_429 = "executes the request and answers 429"
+    RAN_503 = "executes the request and answers 503"
     LOST = "executes the request and closes the connection without an answer"
     CUT = "aborts the answer in the middle"
     OTHER_ID = "answers with another request's id"
@@ -67,6 +70,8 @@
     ENDLESS_REPEATED_SLOW = "trickles its first event without end"
 
 
+# Statuses that promise that a request has not run, of answers to requests that have.
+RAN_STATUSES = {Fault.RAN_408: 408, Fault.RAN_429: 429, Fault.RAN_503: 503}
 UNFRAMED_FAULTS = frozenset(fault for fault in Fault if fault.name.startswith("UNFRAMED"))
 ENDLESS_FAULTS = frozenset(fault for fault in Fault if fault.name.startswith("ENDLESS"))
 # The last byte of the head that is sent.
@@ -308,6 +313,8 @@
                 await asyncio.sleep(30.0)
             case Fault.ERROR:
                 caller.respond(500, answer_headers, b"failed")
+            case _ if fault in RAN_STATUSES:
+                caller.respond(RAN_STATUSES[fault], answer_headers, b"ran, and failed")
             case _ if self.is_engine:
                 await self._stream(caller, headers, answer_headers, fault)
             case Fault.CUT:
