Apply limits that were raised to connections that are open

Cause: h11 takes the limit for incomplete events when a connection is created, so the one of the accept stayed; the check of a complete head used the limit in force. On the code before, such a head got 200 in one packet and 431 in eight.

Now the parser has no limit of its own, and the connection checks what is incomplete against the limit in force at each packet. The same cause elsewhere in the same place: a body that was proper when it began got 413 after a cut of maxBodyBytes, and timers ran out by times that had been raised since. A request under way is now held to the larger of the limits at its first byte and now, and a timer that runs out is set again for the rest of a raised time.

--- a/features/gateway.feature
+++ b/features/gateway.feature
@@ -31,6 +31,12 @@
     Then a call of "/new/ring" is answered with 200
     And a call of "/new/ring" is answered with 200
 
+  Scenario: A raised limit on headers holds for connections that are open
+    # Guards against a caller that keeps its connection and is refused by a limit of the past.
+    Given a caller that has a connection open
+    When the operators allow headers of 16384 bytes
+    Then a request over that connection with a header of 10000 bytes in 8 parts gets 200
+
   Scenario: A malformed configuration has no effect
     When the operators write a configuration without services
     Then a call of "/lookup/ring" is answered with 200
--- a/features/steps/caller_connections.py
+++ b/features/steps/caller_connections.py
@@ -1,13 +1,34 @@
 import asyncio
 import contextlib
+import dataclasses
 
 from behave import given, then, when
 
-from poplarrun.transport import CallerServer
+from poplarrun.transport import CallerServer, ServerBounds
 from standins._ports import free_port
 
 REQUEST = b"POST / HTTP/1.1\r\nHost: shop.example\r\nContent-Length: 0\r\n\r\n"
 WAIT_TIMEOUT_S = 10.0
+LARGE_BYTES = 10_000
+PIECE_INTERVAL_S = 0.01
+LARGE_HEAD = REQUEST[:-2] + b"X-Trace: " + b"t" * LARGE_BYTES + b"\r\n\r\n"
+LARGE_BODY = (
+    b"POST / HTTP/1.1\r\nHost: shop.example\r\nTransfer-Encoding: chunked\r\n\r\n"
+    + b"%x\r\n%s\r\n" % (LARGE_BYTES // 2, b"b" * (LARGE_BYTES // 2)) * 2
+    + b"0\r\n\r\n"
+)
+SHORT_S, LONG_S = 0.3, 30.0
+TIMES = {
+    "the next request": "idle_timeout_s",
+    "heads": "header_timeout_s",
+    "bodies": "idle_timeout_s",
+}
+# What a caller sends, and how many parts of two it has sent by then.
+SENT_PARTS = {
+    "waits": (REQUEST, 0),
+    "has sent half of a head": (LARGE_HEAD, 1),
+    "has sent half of a body": (LARGE_BODY, 1),
+}
 
 
 class Server:
@@ -138,3 +159,104 @@
     assert context.head.startswith(f"HTTP/1.1 {one}".encode()), context.head
     assert context.whole.startswith(f"HTTP/1.1 {other}".encode()), context.whole
     assert not context.server.crashes, context.server.crashes
+
+
+def serve_caller(context, **bounds):
+    """Start a server with some bounds, and serve a first request of a caller."""
+    start_loop(context)
+
+    async def serve():
+        context.server = await Server().start()
+        context.server.may_answer.set()
+        context.server.server.bounds = ServerBounds(**bounds)
+        context.reader, context.writer = await context.server.connect(REQUEST)
+        await context.reader.readuntil(b"answer")
+        # The server prepares for the next request after it has written the answer.
+        await asyncio.sleep(PIECE_INTERVAL_S)
+
+    run(context, serve())
+
+
+def change_bounds(context, **bounds):
+    context.server.server.bounds = dataclasses.replace(context.server.server.bounds, **bounds)
+
+
+def send(context, data, parts=1):
+    """Send bytes in several parts, which the server receives one by one."""
+
+    async def write():
+        size = -(-len(data) // parts)
+        for begin in range(0, len(data), max(1, size)):
+            context.writer.write(data[begin : begin + size])
+            await context.writer.drain()
+            await asyncio.sleep(PIECE_INTERVAL_S)
+
+    run(context, write())
+
+
+def halve(data):
+    return data[: len(data) // 2], data[len(data) // 2 :]
+
+
+@given("a server that allows heads of {size:d} bytes, and a caller that it has served")
+def step_heads(context, size):
+    serve_caller(context, header_bytes=size)
+
+
+@when("heads of {changes} bytes are allowed while that caller {does}")
+def step_change_heads(context, changes, does):
+    context.unsent = LARGE_HEAD
+    if does == "has sent half of one":
+        sent, context.unsent = halve(LARGE_HEAD)
+        send(context, sent, 4)
+    for size in changes.split(", "):
+        change_bounds(context, header_bytes=int(size))
+
+
+@when("it has sent a head of {size:d} bytes in {parts:d} parts")
+def step_send_head(context, size, parts):
+    send(context, context.unsent, parts if context.unsent is LARGE_HEAD else parts // 2)
+
+
+@given("a server that allows bodies of {size:d} bytes, and a caller that it has served")
+def step_bodies(context, size):
+    serve_caller(context, body_bytes=size)
+
+
+@when("bodies of {size:d} bytes are allowed while half of that caller's body has arrived")
+def step_change_bodies(context, size):
+    sent, context.unsent = halve(LARGE_BODY)
+    send(context, sent)
+    change_bounds(context, body_bytes=size)
+
+
+@when("the rest of it arrives")
+def step_send_rest(context):
+    send(context, context.unsent)
+
+
+@given("a server that allows a short time for {what}, and a caller that it has served")
+def step_short_time(context, what):
+    context.bound = TIMES[what]
+    serve_caller(context, **{context.bound: SHORT_S})
+
+
+@when("a long time is allowed while that caller {does}")
+def step_long_time(context, does):
+    data, parts = SENT_PARTS[does]
+    sent, context.unsent = halve(data) if parts else (b"", data)
+    send(context, sent)
+    change_bounds(context, **{context.bound: LONG_S})
+
+
+@when("the short time has passed, and the caller sends what it has left")
+def step_after_short_time(context):
+    run(context, asyncio.sleep(2.0 * SHORT_S))
+    send(context, context.unsent)
+
+
+@then("it gets the status {status:d}")
+def step_status(context, status):
+    line = run(context, context.reader.readline())
+    assert line.startswith(f"HTTP/1.1 {status} ".encode()), line
+    assert not context.server.crashes, context.server.crashes
--- a/features/steps/gateway.py
+++ b/features/steps/gateway.py
@@ -12,6 +12,8 @@
 from standins.installation._installation import API_KEY, HOST_NAME
 
 FLOOD_TIMEOUT_MS = 60_000
+# Between two parts of a request that arrive apart.
+PART_INTERVAL_S = 0.01
 EVENT = re.compile(rb"id: (\d+)\ndata: (\w+) \d+\n\n")
 
 
@@ -153,6 +155,35 @@
     installation.append("keyed.op", "config", old)
 
 
+@given("a caller that has a connection open")
+def step_open_connection(context):
+    context.connection = open_raw(context, "/lookup/ring")
+    assert read_status(context.connection) == 200
+
+
+@when("the operators allow headers of {size:d} bytes")
+def step_allow_headers(context, size):
+    context.installation.config["limits"]["maxHeaderBytes"] = size
+    context.installation.publish_and_wait()
+
+
+@then(
+    "a request over that connection with a header of {size:d} bytes in {parts:d} parts"
+    " gets {status:d}"
+)
+def step_large_header(context, size, parts, status):
+    head = (
+        f"GET /lookup/ring HTTP/1.1\r\nHost: {HOST_NAME}\r\nX-Attempt-Id: raw-2\r\n"
+        f"Authorization: Bearer {API_KEY}\r\nX-Trace: {'t' * size}\r\n\r\n"
+    ).encode()
+    part_size = -(-len(head) // parts)
+    for begin in range(0, len(head), part_size):
+        context.connection.sendall(head[begin : begin + part_size])
+        time.sleep(PART_INTERVAL_S)
+    assert read_status(context.connection) == status
+    context.connection.close()
+
+
 @when("the operators write a configuration without services")
 def step_malformed(context):
     config = {**context.installation.config, "version": 99}
--- a/poplarrun/gateway/_host.py
+++ b/poplarrun/gateway/_host.py
@@ -51,6 +51,7 @@
     CallerServer,
     ConnectionPool,
     RequestHead,
+    ServerBounds,
     seconds_since_boot,
 )
 
@@ -386,11 +387,13 @@
         catalogue = self._config_view.catalogue
         if catalogue is None:
             return
-        bounds, limits = self._callers.bounds, catalogue.limits
-        bounds.header_bytes = limits.header_bytes
-        bounds.body_bytes = limits.body_bytes
-        bounds.header_timeout_s = limits.header_timeout_s
-        bounds.idle_timeout_s = limits.idle_timeout_s
+        limits = catalogue.limits
+        self._callers.bounds = ServerBounds(
+            limits.header_bytes,
+            limits.body_bytes,
+            limits.header_timeout_s,
+            limits.idle_timeout_s,
+        )
 
     async def _run_housekeeping(self) -> None:
         changed_at = self._modified_at()
--- a/poplarrun/transport/_server.py
+++ b/poplarrun/transport/_server.py
@@ -7,6 +7,7 @@
 import asyncio
 import contextlib
 import operator
+import sys
 from collections.abc import Callable, Coroutine
 from dataclasses import dataclass
 from typing import Any
@@ -38,9 +39,9 @@
 FIRST_REQUEST_TIMEOUT_S = 1.0
 
 
-@dataclass(slots=True)
+@dataclass(frozen=True, slots=True)
 class ServerBounds:
-    """Limits on the size and the duration of callers' requests; updated in place.
+    """Limits on the size and the duration of callers' requests.
 
     Attributes
     ----------
@@ -67,6 +68,25 @@
     headers: list[tuple[bytes, bytes]]
 
 
+@dataclass(frozen=True, slots=True)
+class _TimedBound:
+    """What a timer measures by one of the bounds.
+
+    Attributes
+    ----------
+    seconds_of : callable
+        Returns the bound.
+    started_at : float
+        Since when, by the event loop's clock.
+    """
+
+    seconds_of: Callable[[ServerBounds], float]
+    started_at: float
+
+
+_HEADER_TIMEOUT = operator.attrgetter("header_timeout_s")
+_IDLE_TIMEOUT = operator.attrgetter("idle_timeout_s")
+
 Handler = Callable[["CallerConnection", RequestHead, bytes], Coroutine[Any, Any, None]]
 
 
@@ -82,10 +102,13 @@
     def __init__(self, server: "CallerServer") -> None:
         self.is_shielded = False
         self._server = server
-        self._h11 = h11.Connection(h11.SERVER, server.bounds.header_bytes + HEAD_FRAMING_BYTES)
+        # The library takes its limit once, but the bounds change while a connection is open.
+        self._h11 = h11.Connection(h11.SERVER, max_incomplete_event_size=sys.maxsize)
+        self._begun_bounds = server.bounds
         self._transport: asyncio.Transport | None = None
         self._stall_guard: StallGuard | None = None
         self._timer: asyncio.TimerHandle | None = None
+        self._timed_bound: _TimedBound | None = None
         self._task: asyncio.Task[None] | None = None
         self._head: RequestHead | None = None
         self._body: list[bytes] = []
@@ -108,7 +131,7 @@
         self._backlog = Backlog(transport, self._server.count_unsent)
         detect_dead_peers(transport.get_extra_info("socket"), CALLER_UNACKED_TIMEOUT_MS)
         self._stall_guard = StallGuard(transport, CALLER_UNACKED_TIMEOUT_MS)
-        self._set_timer(self._server.bounds.idle_timeout_s)
+        self._start_timer(_IDLE_TIMEOUT)
         self._server.add_connection(self)
 
     def data_received(self, data: bytes) -> None:
@@ -116,8 +139,8 @@
         if self._is_discarding:
             return
         if not self._has_partial_request and self._task is None:
-            self._has_partial_request = True
-            self._set_timer(self._server.bounds.header_timeout_s)
+            self._begin_request()
+            self._start_timer(_HEADER_TIMEOUT)
         try:
             self._h11.receive_data(data)
         except h11.RemoteProtocolError:
@@ -321,7 +344,7 @@
                         return
                     self._keep_body(self._body_bytes)
                     self._body.append(bytes(event.data))
-                    if self._body_bytes > self._server.bounds.body_bytes:
+                    if self._body_bytes > self._max_body_bytes:
                         self._reject_request(413, "body: is too large")
                         return
                 case h11.EndOfMessage():
@@ -331,15 +354,36 @@
                     self.close()
                     return
                 case _:
+                    self._check_incomplete()
                     return
 
+    def _begin_request(self) -> None:
+        """Note that the first bytes of a request have arrived, and by which bounds it was sent."""
+        self._has_partial_request = True
+        self._begun_bounds = self._server.bounds
+
+    @property
+    def _max_header_bytes(self) -> int:
+        """Size that the headers may have: a request under way is not held to lowered bounds."""
+        return max(self._begun_bounds.header_bytes, self._server.bounds.header_bytes)
+
+    @property
+    def _max_body_bytes(self) -> int:
+        return max(self._begun_bounds.body_bytes, self._server.bounds.body_bytes)
+
+    def _check_incomplete(self) -> None:
+        """Reject a request of which the received part is too large without being complete."""
+        unparsed, _ = self._h11.trailing_data
+        if len(unparsed) > self._max_header_bytes + HEAD_FRAMING_BYTES:
+            self._reject_request(431, "headers: are too large")
+
     def _check_head(self, head: h11.Request) -> bool:
         self._cancel_timer()
         # The body may arrive slowly, but must be complete within the idle timeout.
-        self._set_timer(self._server.bounds.idle_timeout_s)
+        self._start_timer(_IDLE_TIMEOUT)
         names = [name for name, _ in head.headers]
         size = sum(len(name) + len(value) + 4 for name, value in head.headers)
-        if size > self._server.bounds.header_bytes:
+        if size > self._max_header_bytes:
             self._reject_request(431, "headers: are too large")
             return False
         if b"transfer-encoding" in names and b"content-length" in names:
@@ -348,7 +392,7 @@
             self._reject_request(400, "body: has two framings")
             return False
         length = dict(head.headers).get(b"content-length", b"0")
-        if length.isdigit() and int(length) > self._server.bounds.body_bytes:
+        if length.isdigit() and int(length) > self._max_body_bytes:
             self._reject_request(413, "body: is too large")
             return False
         if length.isdigit() and not self._server.has_body_room(int(length), 0):
@@ -396,9 +440,9 @@
         assert self._transport is not None
         self._h11.start_next_cycle()
         self._transport.resume_reading()
-        self._set_timer(self._server.bounds.idle_timeout_s)
+        self._start_timer(_IDLE_TIMEOUT)
         if self._h11.trailing_data[0]:
-            self._has_partial_request = True
+            self._begin_request()
             self._read_request()
 
     def _reject_body(self) -> None:
@@ -432,12 +476,31 @@
         self._cancel_timer()
         self._timer = asyncio.get_running_loop().call_later(seconds, self._handle_timeout)
 
+    def _start_timer(self, seconds_of: Callable[[ServerBounds], float]) -> None:
+        """Set the timer by one of the bounds, which may be raised until it runs out."""
+        self._set_timer(seconds_of(self._server.bounds))
+        self._timed_bound = _TimedBound(seconds_of, asyncio.get_running_loop().time())
+
     def _cancel_timer(self) -> None:
+        self._timed_bound = None
         if self._timer is not None:
             self._timer.cancel()
             self._timer = None
 
+    def _extend_timer(self) -> bool:
+        """Set the timer for the rest of a bound that was raised meanwhile; False if none was."""
+        if self._timed_bound is None:
+            return False
+        bound, loop = self._timed_bound, asyncio.get_running_loop()
+        remaining_s = bound.started_at + bound.seconds_of(self._server.bounds) - loop.time()
+        if remaining_s <= 0.0:
+            return False
+        self._timer = loop.call_later(remaining_s, self._handle_timeout)
+        return True
+
     def _handle_timeout(self) -> None:
+        if self._extend_timer():
+            return
         if self._closes_when_sent or self._is_next_delayed:
             self._server.on_slow_ended()
             self._abort_transport()
@@ -480,7 +543,7 @@
     Attributes
     ----------
     bounds : ServerBounds
-        Apply to all connections from their next request on.
+        Apply to all connections from their next request on; what they raise applies at once.
     is_stopping : bool
         Whether responses ask callers to close their connections.
     max_connections : int, optional
--- a/standins/installation/_store.py
+++ b/standins/installation/_store.py
@@ -8,7 +8,7 @@
 from dataclasses import dataclass, field
 from urllib.parse import parse_qs, urlsplit
 
-from poplarrun.transport import CallerConnection, CallerServer, RequestHead
+from poplarrun.transport import CallerConnection, CallerServer, RequestHead, ServerBounds
 
 RECORD_LENGTH = struct.Struct(">I")
 END_AND_FIRST_OFFSET = struct.Struct(">QQ")
@@ -70,7 +70,7 @@
             await self._serve(caller, head, body)
 
         server = CallerServer(serve, self.handler_errors.append)
-        server.bounds.body_bytes = 4 * 1024 * 1024
+        server.bounds = ServerBounds(body_bytes=4 * 1024 * 1024)
         self._servers.append(server)
         await server.listen(address)
 
