Keep sessions on their version while all hosts are restarted in turn

Cause: a pin was told once, to three owners. An owner that stopped gave its pins to nobody and one that started asked nobody, so that a pin was gone with the third restart.

Now a host that stops hands its pins, and the sessions that it has served lately, to their other owners, and is passed over as an owner; one that starts asks for what it owns, and its denials don't count until it was answered. All owners that are alive are awaited. Owners are neighbours on a circle, so that a stop and a start take 12 messages at any number of hosts, and a pin three as before. A host connects anew to one that has started, whose connection would else wait up to 2 s. SessionQueried and SessionsHandedOver tell of it in the log.

--- a/poplarrun/gateway/_host.py
+++ b/poplarrun/gateway/_host.py
@@ -64,6 +64,8 @@
 STOP_MARGIN_S = 0.7
 # Time in which errors in place of incomplete answers are sent before a stopping host ends.
 STOP_ANSWERS_S = 0.2
+# Time in which the sessions that a stopping host hands over at its end are sent.
+HANDOVER_SENDING_S = 0.1
 HOUSEKEEPING_INTERVAL_S = 1.0
 STOP_POLL_INTERVAL_S = 0.05
 
@@ -256,6 +258,7 @@
         self._callers.is_stopping = True
         self._relay_desk.is_stopping = True
         self._start_task(self._peering.deregister())
+        self._peering.handover.stop(stop_started_at)
         stop_at = stop_started_at + self.settings.stop_grace_s - STOP_MARGIN_S
         self._answers_until = stop_at - STOP_ANSWERS_S
         for forwarder in self._forwarders:
@@ -267,6 +270,8 @@
             await asyncio.sleep(STOP_POLL_INTERVAL_S)
             self._callers.close_idle()
         self._callers.stop_accepting()
+        self._peering.handover.hand_over(seconds_since_boot())
+        await asyncio.sleep(HANDOVER_SENDING_S)
         write_event(events.HostStopped(self._open_total))
 
     @property
--- a/poplarrun/gateway/_message_sender.py
+++ b/poplarrun/gateway/_message_sender.py
@@ -20,6 +20,10 @@
         self.bytes_by_kind: Counter[str] = Counter()
         self._links = links
 
+    def reconnect(self, address: str) -> None:
+        """Connect anew to a host that has started, at the next message to it."""
+        self._links.reconnect(address)
+
     def send(self, address: str, message: Message) -> None:
         """Send a message to one host."""
         self.send_to_all([address], message)
--- a/poplarrun/gateway/_peering.py
+++ b/poplarrun/gateway/_peering.py
@@ -19,6 +19,7 @@
 from poplarrun.gateway._message_sender import MessageSender
 from poplarrun.gateway._reachability import ReachabilityExchange
 from poplarrun.gateway._request_end_exchange import RequestEndExchange
+from poplarrun.gateway._session_handover import SessionHandover
 from poplarrun.gateway._sessions import SessionLookup
 from poplarrun.gateway._share_loans import ShareLoanExchange
 from poplarrun.gateway._shared_limits import SharedLimitsExchange
@@ -40,6 +41,8 @@
     EndpointChanges,
     EndpointOffer,
     EndpointQuery,
+    HostStart,
+    HostStop,
     LoadNotice,
     LoanAnswer,
     LoanAsk,
@@ -49,6 +52,7 @@
     PeerTable,
     PinnedSessions,
     ReachabilityNotice,
+    RecentSessions,
     Roster,
     RosterFingerprint,
     RosterRequest,
@@ -56,6 +60,7 @@
     Scope,
     SessionAnswer,
     SessionQuery,
+    SessionsSent,
     StateRequest,
     StateResponse,
     decode_message,
@@ -120,6 +125,8 @@
         Sends all messages of this host to others.
     sessions : SessionLookup
         Asks which sessions stay on their version.
+    handover : SessionHandover
+        Keeps what is known of sessions while hosts are stopped and started.
     offers : EndpointOffers
         Asks hosts of other zones for endpoints, and answers them.
     handle_load_test : callable
@@ -159,7 +166,8 @@
         self._request_ends = RequestEndExchange(crash_watch.requests)
         self._notice_budget = NoticeBudget()
         self._activity = ActivityExchange(peer_table.zone, placement, rollouts)
-        self.sessions = SessionLookup(peer_table, self.sender, rollouts)
+        self.handover = SessionHandover(peer_table, self.sender, rollouts)
+        self.sessions = SessionLookup(peer_table, self.sender, rollouts, self.handover)
         self.offers = EndpointOffers(
             peer_table,
             self.sender,
@@ -242,6 +250,7 @@
         for seed in seeds:
             self.peer_table.add_address(seed, self._started_at)
         self._links.start(self._receive)
+        self.handover.start(self._started_at)
         await self.run_rounds()
 
     async def run_rounds(self) -> None:
@@ -322,6 +331,7 @@
         self._send_news({each.peer.address for each in due}, now)
         self._activity.apply_totals(now)
         self.sessions.publish()
+        self.handover.ask(now)
         self._update_alive(now)
         for lender, ask in self._share_loans.plan_asks(now).items():
             self.sender.send(lender, ask)
@@ -487,6 +497,14 @@
                 self.sessions.handle_query(session_query)
             case SessionAnswer() as session_answer:
                 self.sessions.handle_answer(session_answer)
+            case HostStart() as start:
+                self.handover.handle_start(start, now)
+            case SessionsSent() as sent:
+                self.handover.handle_sent(sent)
+            case HostStop() as stop:
+                self.handover.handle_stop(stop, now)
+            case RecentSessions() as recent:
+                self.handover.apply_recent(recent, now)
             case EndpointQuery() as endpoint_query:
                 self.offers.handle_query(endpoint_query, now)
             case EndpointOffer() as offer:
--- a/poplarrun/gateway/_sessions.py
+++ b/poplarrun/gateway/_sessions.py
@@ -4,25 +4,41 @@
 import contextlib
 import itertools
 from collections import defaultdict
-from dataclasses import dataclass
+from dataclasses import dataclass, field
 
 from poplarrun.gateway._message_sender import MessageSender
+from poplarrun.gateway._session_handover import SessionHandover
+from poplarrun.logging import events, write_event
 from poplarrun.peers import PeerTable, PinnedSessions, SessionAnswer, SessionQuery
 from poplarrun.rollouts import PinnedSession, Rollouts, SessionKey
 from poplarrun.routing import InFlightRequest
 from poplarrun.transport import seconds_since_boot
 
-# Number of owners whose answers are awaited, and for how long: one owner may be dead, or may have
-# started after the session.
-MIN_ANSWERS = 2
+# How long answers are awaited: an owner that counts as alive may be dead.
 ANSWER_TIMEOUT_S = 0.1
 
 
 @dataclass(slots=True)
 class _PendingQuery:
+    """A query of which not all answers have arrived.
+
+    Attributes
+    ----------
+    awaited : set of str
+        Owners whose answers are awaited.
+    denials, informed_denials : int
+        Answers that don't know the session as pinned, and those of owners that would know it.
+    answer : asyncio.Future
+        Whether the session is pinned; done once an owner says so, or none is awaited any more.
+    """
+
     pin: PinnedSession
-    awaited_answers: int
-    answer: asyncio.Future[bool]
+    awaited: set[str]
+    denials: int = 0
+    informed_denials: int = 0
+    answer: asyncio.Future[bool] = field(
+        default_factory=lambda: asyncio.get_running_loop().create_future()
+    )
 
 
 class SessionLookup:
@@ -32,18 +48,26 @@
     grow with the number of hosts.
     """
 
-    def __init__(self, peer_table: PeerTable, sender: MessageSender, rollouts: Rollouts) -> None:
+    def __init__(
+        self,
+        peer_table: PeerTable,
+        sender: MessageSender,
+        rollouts: Rollouts,
+        handover: SessionHandover,
+    ) -> None:
         self._peer_table = peer_table
         self._sender = sender
         self._rollouts = rollouts
+        self._handover = handover
         self._query_ids = itertools.count(1)
         self._pending_queries: dict[int, _PendingQuery] = {}
 
     def publish(self) -> None:
         """Send newly pinned sessions to their owners."""
+        now = seconds_since_boot()
         hashes_by_receiver: dict[tuple[str, str, int], list[int]] = defaultdict(list)
         for pin in self._rollouts.sessions.drain_unpublished():
-            for owner in self._owners(pin.key):
+            for owner in self._handover.find_owners(pin.key, now):
                 hashes_by_receiver[owner, pin.key.service, pin.order_offset].append(
                     pin.key.session_hash
                 )
@@ -59,34 +83,46 @@
     def handle_query(self, query: SessionQuery) -> None:
         """Answer another host's query."""
         pin = PinnedSession(SessionKey(query.service, query.session_hash), query.offset)
-        is_pinned = self._rollouts.sessions.is_pinned(pin)
-        self._sender.send(query.address, SessionAnswer(query.query_id, is_pinned))
+        answer = SessionAnswer(
+            query.query_id,
+            self._rollouts.sessions.is_pinned(pin),
+            self._peer_table.address,
+            self._handover.is_informed(seconds_since_boot()),
+        )
+        self._sender.send(query.address, answer)
 
     def handle_answer(self, answer: SessionAnswer) -> None:
         """Apply an answer; one owner that knows the session as pinned suffices."""
         pending = self._pending_queries.get(answer.query_id)
         if pending is None or pending.answer.done():
             return
-        pending.awaited_answers -= 1
+        pending.awaited.discard(answer.address)
         if answer.is_pinned:
             self._rollouts.sessions.apply_pin(pending.pin)
-        if answer.is_pinned or pending.awaited_answers <= 0:
+            if pending.denials:
+                self._rollouts.sessions.publish_again(pending.pin)
+        else:
+            pending.denials += 1
+            pending.informed_denials += answer.is_informed
+        if answer.is_pinned or not pending.awaited:
             pending.answer.set_result(answer.is_pinned)
 
     async def resolve(self, work: InFlightRequest) -> bool:
-        """Query whether a request's session is pinned; return False without an answer in time.
+        """Query whether a request's session is pinned; return False if no owner could tell in time.
 
-        Only sessions that would take part in the trial are queried.
+        Only sessions that would take part in the trial are queried. All owners that are alive are
+        awaited: one that has just started may not know a session that another one knows.
         """
-        pin = self._rollouts.find_session_to_query(work, seconds_since_boot())
+        now = seconds_since_boot()
+        pin = self._rollouts.find_session_to_query(work, now)
         if pin is None:
             return True
-        owners = self._owners(pin.key)
+        owners = self._handover.find_owners(pin.key, now)
         if not owners:
             return True
-        awaited_answers = min(MIN_ANSWERS, len(owners))
+        alive = {peer.address for peer in self._peer_table.alive_peers(now)}
         query_id = next(self._query_ids)
-        pending = _PendingQuery(pin, awaited_answers, asyncio.get_running_loop().create_future())
+        pending = _PendingQuery(pin, alive.intersection(owners) or set(owners))
         self._pending_queries[query_id] = pending
         service, session_hash = pin.key.service, pin.key.session_hash
         query = SessionQuery(
@@ -99,9 +135,14 @@
                     await pending.answer
         finally:
             del self._pending_queries[query_id]
-        return pending.answer.done() and not pending.answer.cancelled()
-
-    def _owners(self, key: SessionKey) -> list[str]:
-        """Return the addresses of a session's owners other than this host."""
-        owners = self._peer_table.session_owners(f"{key.service}/{key.session_hash}")
-        return [owner for owner in owners if owner != self._peer_table.address]
+        is_pinned = self._rollouts.sessions.is_pinned(pin)
+        write_event(
+            events.SessionQueried(
+                work.request.id,
+                is_pinned,
+                pending.denials,
+                pending.denials - pending.informed_denials,
+                sorted(pending.awaited),
+            )
+        )
+        return is_pinned or pending.informed_denials > 0
--- a/poplarrun/links/_interface.py
+++ b/poplarrun/links/_interface.py
@@ -32,6 +32,9 @@
     def send(self, address: str, data: bytes) -> bool:
         """Queue a message; return False if it was dropped at once."""
 
+    def reconnect(self, address: str) -> None:
+        """Connect anew at the next message, without the delay that follows failed attempts."""
+
     def close_idle(self, now: float) -> int:
         """Close connections that have been idle for long; return how many."""
 
--- a/poplarrun/links/_memory.py
+++ b/poplarrun/links/_memory.py
@@ -110,6 +110,9 @@
         self._network.transmit(self, address, data)
         return True
 
+    def reconnect(self, address: str) -> None:
+        """Do nothing: this transport has no connections."""
+
     def close_idle(self, now: float) -> int:
         """Return 0: this transport has no connections."""
         return 0
--- a/poplarrun/links/_nng.py
+++ b/poplarrun/links/_nng.py
@@ -104,6 +104,12 @@
         self.bytes_sent += len(data)
         return True
 
+    def reconnect(self, address: str) -> None:
+        """Connect anew at the next message, without the delay that follows failed attempts."""
+        connection = self._connections.pop(address, None)
+        if connection is not None:
+            connection.socket.close()
+
     def close_idle(self, now: float) -> int:
         """Close idle connections, and reload certificates that have changed."""
         self._reload_certificates()
--- a/poplarrun/logging/_events.py
+++ b/poplarrun/logging/_events.py
@@ -400,6 +400,37 @@
     found: list[str]
 
 
+class SessionQueried(Event, frozen=True):
+    """The owners of a session were asked whether it stays on its version during a roll-out.
+
+    Attributes
+    ----------
+    denials, uninformed : int
+        Owners that don't know it as one that stays, and those of them that have just started.
+    silent : list of str
+        Owners that are alive and have not answered; those that would have come too late included.
+    """
+
+    component: ClassVar[str] = "peers"
+    message: ClassVar[str] = "The owners of a session were asked for its version."
+    is_usual: ClassVar[bool] = True
+    request: str
+    is_held: bool
+    denials: int
+    uninformed: int
+    silent: list[str]
+
+
+class SessionsHandedOver(Event, frozen=True):
+    """A stopping host sent the sessions that it knows to their other owners."""
+
+    component: ClassVar[str] = "peers"
+    message: ClassVar[str] = "The sessions of this host were handed over."
+    pinned: int
+    recent: int
+    receivers: list[str]
+
+
 class MessageUnreadable(Event, frozen=True):
     """A message of a peer could not be decoded."""
 
--- a/poplarrun/peers/__init__.py
+++ b/poplarrun/peers/__init__.py
@@ -25,6 +25,7 @@
     QuarantinedParts,
     RequestWithEnds,
 )
+from poplarrun.peers._handover_messages import HostStart, HostStop, RecentSessions, SessionsSent
 from poplarrun.peers._listing_budget import ListingBudget
 from poplarrun.peers._loan_messages import LentShare, LoanAnswer, LoanAsk, ShareWant
 from poplarrun.peers._messages import (
@@ -92,6 +93,8 @@
     "EndpointQuery",
     "EndpointRateLimit",
     "EndpointReach",
+    "HostStart",
+    "HostStop",
     "LeavingStart",
     "LentShare",
     "ListedEndpoint",
@@ -111,6 +114,7 @@
     "ReadSchedule",
     "ReadTimeouts",
     "ReceivedTotals",
+    "RecentSessions",
     "RequestWithEnds",
     "RolloutProgress",
     "Roster",
@@ -120,6 +124,7 @@
     "Scope",
     "SessionAnswer",
     "SessionQuery",
+    "SessionsSent",
     "ShareWant",
     "StateRequest",
     "StateResponse",
--- a/poplarrun/peers/_messages.py
+++ b/poplarrun/peers/_messages.py
@@ -20,6 +20,7 @@
     QuarantinedParts,
     RequestWithEnds,
 )
+from poplarrun.peers._handover_messages import HostStart, HostStop, RecentSessions, SessionsSent
 from poplarrun.peers._loan_messages import LoanAnswer, LoanAsk
 from poplarrun.peers._offer_messages import EndpointOffer, EndpointQuery
 from poplarrun.routing import RolloutPhase
@@ -418,10 +419,18 @@
 
 
 class SessionAnswer(msgspec.Struct, frozen=True, array_like=True, tag=7):
-    """Answers a ``SessionQuery``."""
+    """Answers a ``SessionQuery``.
+
+    Attributes
+    ----------
+    is_informed : bool
+        Whether the sender would know of an older pin; one that has just started may not.
+    """
 
     query_id: int
     is_pinned: bool
+    address: str = ""
+    is_informed: bool = True
 
 
 Message = (
@@ -441,6 +450,10 @@
     | PinnedSessions
     | SessionQuery
     | SessionAnswer
+    | HostStart
+    | HostStop
+    | RecentSessions
+    | SessionsSent
     | RosterRequest
     | Roster
     | LoanAsk
--- a/poplarrun/peers/_peer_table.py
+++ b/poplarrun/peers/_peer_table.py
@@ -5,8 +5,9 @@
 from dataclasses import dataclass, field
 
 from poplarrun.peers._messages import Digest, Scope
+from poplarrun.peers._owner_ring import OwnerRing
 from poplarrun.peers._peer import AGGREGATOR_SILENCE_TIMEOUT_S, ALIVE_TIMEOUT_S, PeerState
-from poplarrun.rendezvous import RankingCache, rank_hosts
+from poplarrun.rendezvous import RankingCache
 
 # A zone from which nothing was heard for this long counts as cut off. It allows for the loss of
 # one digest from the only host of a zone; a false alarm only ranks the zone's endpoints last.
@@ -33,6 +34,12 @@
 EXPIRY_INTERVAL_S = 1.0
 # Hosts that store the state of one session.
 OWNERS_PER_SESSION = 3
+# Places on either side within which hosts share sessions, also while as many of them as a session
+# has owners are stopping.
+NEIGHBOUR_DISTANCE = 2 * OWNERS_PER_SESSION
+# A host that has said that it is stopping, and not since that it has started, owns no session for
+# so long.
+STOPPING_TIMEOUT_S = PEER_TTL_S
 # What one host of a zone reads from the store on behalf of the others.
 DOCUMENTS = "documents"
 ENDPOINTS = "endpoints"
@@ -88,10 +95,13 @@
     ----------
     address, zone : str
         Address at which this host receives, and its availability zone.
+    is_stopping : bool
+        Whether this host is stopping, and therefore owns no session any more.
     """
 
     address: str
     zone: str
+    is_stopping: bool = False
     _peers: dict[str, PeerState] = field(default_factory=dict)
     _zone_heard_at: dict[str, float] = field(default_factory=dict)
     _rankings: dict[str, RankingCache] = field(default_factory=dict)
@@ -99,6 +109,7 @@
     _last_liveness: _Liveness | None = None
     _last_expiry_at: float = -math.inf
     _has_heard: bool = False
+    _ring: OwnerRing = field(default_factory=OwnerRing)
 
     def add_address(self, address: str, now: float, zone: str = "") -> None:
         """Record that a host may be at an address: a seed, or one registered in the store."""
@@ -452,13 +463,37 @@
         hosts = [peer.address for peer in self.zone_peers(now) if topic not in peer.failed_topics]
         return self._rank(topic, self.zone, [self.address, *hosts]).index(self.address)
 
-    def session_owners(self, session: str) -> list[str]:
+    def session_owners(self, session: str, now: float) -> list[str]:
         """Return the addresses of the hosts that own a session, possibly including this one.
 
         Hosts that are silent count as well: two hosts that see different sets of alive hosts
-        must still find the same owners.
+        must still find the same owners. Hosts that have said that they are stopping count only if
+        no other is left.
         """
-        return rank_hosts(session, [self.address, *self._peers])[:OWNERS_PER_SESSION]
+        stopping = {peer.address for peer in self._peers.values() if now < peer.stopping_until}
+        if self.is_stopping:
+            stopping.add(self.address)
+        self._update_ring()
+        owners = self._ring.find_owners(session, OWNERS_PER_SESSION, stopping)
+        return owners or self._ring.find_owners(session, OWNERS_PER_SESSION, frozenset())
+
+    def session_neighbours(self) -> list[str]:
+        """Return the addresses of the hosts that may own sessions that this host owns."""
+        self._update_ring()
+        return self._ring.find_neighbours(self.address, NEIGHBOUR_DISTANCE)
+
+    def _update_ring(self) -> None:
+        self._ring.update(self._peers.keys() | {self.address})
+
+    def record_stop(self, address: str, now: float) -> None:
+        """Record that a host has said that it is stopping."""
+        self.add_address(address, now)
+        self._peers[address].stopping_until = now + STOPPING_TIMEOUT_S
+
+    def record_start(self, address: str, now: float) -> None:
+        """Record that a host has said that it has started."""
+        self.add_address(address, now)
+        self._peers[address].stopping_until = -math.inf
 
     def job_owner(self, job: str, now: float) -> str:
         """Return the address of the alive host that comes first for a job."""
--- a/poplarrun/rollouts/_rollouts.py
+++ b/poplarrun/rollouts/_rollouts.py
@@ -356,6 +356,51 @@
         session = PinnedSession(_session_key(work), rollout.order.offset)
         return None if self.sessions.is_pinned(session) else session
 
+    def held_sessions(self, now: float) -> list[PinnedSession]:
+        """Return the sessions known to be pinned, of roll-outs that have not begun to shift."""
+        return [
+            PinnedSession(SessionKey(rollout.order.service, session_hash), rollout.order.offset)
+            for rollout in self.active()
+            if not rollout.has_shift_begun(now)
+            for session_hash in self.sessions.pinned_hashes(
+                rollout.order.service, rollout.order.offset
+            )
+        ]
+
+    def recent_sessions(self, now: float) -> list[tuple[SessionKey, float]]:
+        """Return the sessions that an order would pin if it came now, and until when they ran.
+
+        Sessions of a service whose trial has begun may have run on the new version.
+        """
+        fraction = TRIAL_LIMIT_FRACTION * self.exposure_limit
+        return [
+            (key, busy_until)
+            for key, busy_until in self.sessions.recent(now - self.session_timeout_s)
+            if _hash_fraction(key.session_hash) < fraction
+            and not self._has_trial_begun(key.service, now)
+        ]
+
+    def apply_recent(self, key: SessionKey, busy_until: float, now: float) -> None:
+        """Apply a session that a host which stops has served lately, and pin it if one is ordered.
+
+        Parameters
+        ----------
+        busy_until : float
+            When its last request ended, or will end at the latest.
+        """
+        self.sessions.record_send(key, busy_until)
+        rollout = self._rollouts.get(key.service)
+        if rollout is None or not rollout.is_in_progress or self._has_trial_begun(key.service, now):
+            return
+        was_recent = busy_until > rollout.started_at - self.session_timeout_s
+        if was_recent and _hash_fraction(key.session_hash) < rollout.trial_fraction:
+            self.sessions.pin(PinnedSession(key, rollout.order.offset))
+
+    def _has_trial_begun(self, service: str, now: float) -> bool:
+        """Tell whether sessions of a service may have used the new version of a roll-out."""
+        rollout = self._rollouts.get(service)
+        return rollout is not None and rollout.is_in_progress and not rollout.is_settling(now)
+
     def _is_in_trial(self, rollout: Rollout, work: InFlightRequest, now: float) -> bool:
         """Tell whether a request's session takes part in the trial."""
         if rollout.has_shift_begun(now):
--- a/poplarrun/rollouts/_sessions.py
+++ b/poplarrun/rollouts/_sessions.py
@@ -66,6 +66,18 @@
             self.apply_pin(session)
             self._unpublished.append(session)
 
+    def publish_again(self, session: PinnedSession) -> None:
+        """Queue a pin for publication that was published before, for owners that lack it."""
+        self._unpublished.append(session)
+
+    def pinned_hashes(self, service: str, offset: int) -> list[int]:
+        """Return the hashes of the sessions that are known to be pinned for an order."""
+        return list(self._pinned.get((service, offset), ()))
+
+    def recent(self, since: float) -> list[tuple[SessionKey, float]]:
+        """Return the sessions that had a request running after a time, and until when."""
+        return [(key, until) for key, until in self._busy_until.items() if until > since]
+
     def pin_recent(
         self, service: str, offset: int, since: float, is_in_trial: Callable[[int], bool]
     ) -> None:
@@ -76,8 +88,8 @@
         is_in_trial : callable
             Tells whether a session with a given hash takes part in the trial.
         """
-        for key, busy_until in self._busy_until.items():
-            if key.service == service and busy_until > since and is_in_trial(key.session_hash):
+        for key, _ in self.recent(since):
+            if key.service == service and is_in_trial(key.session_hash):
                 self.pin(PinnedSession(key, offset))
 
     def apply_pin(self, session: PinnedSession) -> None:
--- a/standins/rollout_fleet.py
+++ b/standins/rollout_fleet.py
@@ -69,6 +69,10 @@
     "_records",
 )
 FIRST_EVENT_DELAY_S = 0.15
+LONGEST_REQUEST_S = 3.0
+# From a host's SIGTERM until its last request has ended, and how long its process is gone then.
+STOP_DURATION_S = LONGEST_REQUEST_S
+DOWN_TIME_S = 1.0
 VERDICT_INTERVAL_S = 0.25
 LATENCY_TARGETS = LatencyTargets(timeout_s=12.0, target_s=2.0, event_gap_s=1.2)
 ROUTE = Route(
@@ -125,6 +129,7 @@
     ) -> None:
         self.address = address
         self.zone = zone
+        self.links = MemoryLinks(network, address, zone)
         self.config_view = ConfigView(None)
         self.placement = Placement(zone, random.Random(seed))
         self.rollouts = Rollouts(SESSION_TIMEOUT_S, find_slots=self.placement.find_slots)
@@ -155,7 +160,7 @@
         )
         self.peering = Peering(
             peer_table,
-            MemoryLinks(network, address, zone),
+            self.links,
             store,
             self.config_view,
             documents,
@@ -239,14 +244,59 @@
         ]
         self.completed_requests: list[CompletedRequest] = []
         self._tasks: list[asyncio.Task[None]] = []
+        self._host_tasks: dict[str, list[asyncio.Task[None]]] = {}
+        self._ready = {host.address for host in self.hosts}
+        self._order: RolloutOrder | None = None
         self._request_count = 0
 
     def start(self) -> None:
         """Start peering and verdicts at all hosts."""
         for host in self.hosts:
-            self._start(host.peering.run(self._seeds))
-            self._start(host.run_verdicts(self.random.uniform(0.0, VERDICT_INTERVAL_S)))
-            self._start(host.load_tester.run())
+            self._start_host(host)
+
+    def _start_host(self, host: RolloutHost) -> None:
+        self._host_tasks[host.address] = [
+            self._start(host.peering.run(self._seeds)),
+            self._start(host.run_verdicts(self.random.uniform(0.0, VERDICT_INTERVAL_S))),
+            self._start(host.load_tester.run()),
+        ]
+
+    async def restart_host(self, number: int, is_killed: bool = False) -> None:
+        """Stop or kill a host, and start it again; return once it is ready.
+
+        Parameters
+        ----------
+        is_killed : bool
+            Whether its process ends at once and tells nobody.
+        """
+        clock = asyncio.get_running_loop().time
+        stopped = self.hosts[number]
+        self._ready.discard(stopped.address)
+        if not is_killed:
+            stopped.peering.handover.stop(clock())
+            await asyncio.sleep(STOP_DURATION_S)
+            stopped.peering.handover.hand_over(clock())
+            # The last messages arrive.
+            await asyncio.sleep(0.0)
+        for task in self._host_tasks[stopped.address]:
+            task.cancel()
+        stopped.links.stop()
+        await asyncio.sleep(DOWN_TIME_S)
+        host = RolloutHost(
+            self._network, stopped.address, stopped.zone, self.random.getrandbits(32)
+        )
+        self.hosts[number] = host
+        # What it reads from the store: who is registered, the order, and the list of endpoints.
+        for address in self._ready:
+            host.peering.peer_table.add_address(address, clock())
+        if self._order is not None:
+            host.rollouts.apply_order(self._order, clock())
+            host.list_new_version()
+        self._start_host(host)
+        await asyncio.sleep(0)
+        while not host.peering.is_informed(clock()):
+            await asyncio.sleep(0.01)
+        self._ready.add(host.address)
 
     @property
     def _seeds(self) -> tuple[str, ...]:
@@ -255,7 +305,7 @@
     def apply_order(self, duration_s: float) -> RolloutOrder:
         """Apply a new order at the host of each zone that reads the store."""
         now = asyncio.get_running_loop().time()
-        order = RolloutOrder(SERVICE, NEW, duration_s, 7)
+        order = self._order = RolloutOrder(SERVICE, NEW, duration_s, 7)
         for host in self.hosts[:3]:
             host.rollouts.apply_order(order, now)
         return order
@@ -288,8 +338,8 @@
         session = f"session-{self.random.getrandbits(48):x}"
         for _ in range(self.random.randint(1, 6)):
             self._request_count += 1
-            host = self.random.choice(self.hosts)
-            duration_s = self.random.uniform(0.2, 3.0)
+            host = self.random.choice([each for each in self.hosts if each.address in self._ready])
+            duration_s = self.random.uniform(0.2, LONGEST_REQUEST_S)
             self.completed_requests.append(
                 await host.serve(session, self._request_count, duration_s)
             )
@@ -297,8 +347,10 @@
             if loop.time() > until:
                 return
 
-    def _start(self, work: Any) -> None:
-        self._tasks.append(asyncio.get_running_loop().create_task(work))
+    def _start(self, work: Any) -> asyncio.Task[None]:
+        task = asyncio.get_running_loop().create_task(work)
+        self._tasks.append(task)
+        return task
 
     def version_changes(
         self, since: float, until: float
