Take no answer for whole that ends before its request was taken

Callers got a part of an answer as a whole one: an endpoint that answers a long upload early, without a length, and shuts its side, ends such an answer for this host, although most of the request is unsent. An order of 1 MB got a 200 with 4,000 bytes.

Cause: an answer that neither a length nor chunks frame ends with its connection, and the end of the peer's side was taken for that whatever had become of the request.

Now the end of the peer's side completes an unframed answer only if the peer has acknowledged the whole request.

--- a/poplarrun/gateway/_connector.py
+++ b/poplarrun/gateway/_connector.py
@@ -170,6 +170,7 @@
             record.instance_id,
             record.started_ms,
             int(HELPER_CONNECT_TIMEOUT_S * MILLISECONDS_PER_S),
+            wants_taken=True,
         )
         host = helper.address.rpartition(":")[0]
         address = f"{host}:{self._relay_port}"
--- a/poplarrun/relays/_messages.py
+++ b/poplarrun/relays/_messages.py
@@ -2,9 +2,10 @@
 
 The asking host sends one ``OpenRelay`` and, once it has ``RelayOpened``, the bytes for the endpoint
 as they are. The helper sends frames: its reply first, then the endpoint's bytes. An empty frame
-says that the endpoint has closed its side. A connection that ends without one was broken: an answer
-without a length must not look complete then. A ``RelayDeclined`` after ``RelayOpened`` says that no
-byte reached the endpoint.
+says that the endpoint has closed its side, and a ``RelayEnded`` before it how much of the request
+the endpoint had taken. A connection that ends without an empty frame was broken: an answer without
+a length must not look complete then. A ``RelayDeclined`` after ``RelayOpened`` says that no byte
+reached the endpoint.
 """
 
 import struct
@@ -32,6 +33,8 @@
         The start of the endpoint that is meant.
     timeout_ms : int
         Time within which the connection must be established.
+    wants_taken : bool
+        Whether the asking host understands ``RelayEnded``.
     """
 
     origin: str
@@ -39,6 +42,7 @@
     instance_id: str
     started_ms: int
     timeout_ms: int
+    wants_taken: bool = False
 
 
 class RelayOpened(msgspec.Struct, frozen=True, array_like=True, tag=2):
@@ -62,7 +66,19 @@
     reason: str
 
 
-Message = OpenRelay | RelayOpened | RelayDeclined
+class RelayEnded(msgspec.Struct, frozen=True, array_like=True, tag=4):
+    """The endpoint has closed its side.
+
+    Attributes
+    ----------
+    taken_bytes : int
+        Bytes of the asking host that had reached the endpoint by then.
+    """
+
+    taken_bytes: int
+
+
+Message = OpenRelay | RelayOpened | RelayDeclined | RelayEnded
 _decoder = msgspec.msgpack.Decoder(Message)
 
 
--- a/poplarrun/relays/_server.py
+++ b/poplarrun/relays/_server.py
@@ -14,12 +14,18 @@
     MalformedFrame,
     OpenRelay,
     RelayDeclined,
+    RelayEnded,
     RelayOpened,
     decode_message,
     encode_frame,
     encode_message,
 )
-from poplarrun.transport import ENDPOINT_UNACKED_TIMEOUT_MS, StallGuard, detect_dead_endpoint
+from poplarrun.transport import (
+    ENDPOINT_UNACKED_TIMEOUT_MS,
+    StallGuard,
+    count_unacknowledged,
+    detect_dead_endpoint,
+)
 
 # Time within which a peer must say what it wants.
 OPEN_TIMEOUT_S = 1.0
@@ -344,10 +350,20 @@
         self.is_closed = True
         self._has_ended = True
         if self.is_relaying and self.other is not None:
+            if self._request.wants_taken:
+                self.other.write(encode_message(RelayEnded(self._count_taken())))
             self.other.write(encode_frame(b""))
             self.other.close()
         return False
 
+    def _count_taken(self) -> int:
+        """Return how many bytes of the asking host have reached the endpoint."""
+        if self.transport is None:
+            return 0
+        untaken = self.transport.get_write_buffer_size()
+        untaken += count_unacknowledged(self.transport.get_extra_info("socket"))
+        return max(0, self._sent_bytes - untaken)
+
     def connection_lost(self, exc: Exception | None) -> None:
         super().connection_lost(exc)
         self.is_closed = True
--- a/poplarrun/relays/_tunnel.py
+++ b/poplarrun/relays/_tunnel.py
@@ -10,6 +10,7 @@
     MalformedFrame,
     OpenRelay,
     RelayDeclined,
+    RelayEnded,
     RelayOpened,
     decode_message,
     encode_message,
@@ -90,6 +91,8 @@
                 self.reply.set_exception(RelayFailed(_decode_decline(declined)))
             case RelayDeclined(reason=reason) if self._is_open and not self._has_data:
                 self.connection.withhold(f"relay: {reason}")
+            case RelayEnded(taken_bytes) if self._is_open:
+                self.connection.record_taken(taken_bytes)
             case _:
                 raise MalformedFrame("no reply")
 
--- a/poplarrun/transport/__init__.py
+++ b/poplarrun/transport/__init__.py
@@ -17,7 +17,11 @@
     RequestHead,
     ServerBounds,
 )
-from poplarrun.transport._sockets import ENDPOINT_UNACKED_TIMEOUT_MS, detect_dead_endpoint
+from poplarrun.transport._sockets import (
+    ENDPOINT_UNACKED_TIMEOUT_MS,
+    count_unacknowledged,
+    detect_dead_endpoint,
+)
 from poplarrun.transport._stalls import SendState, StallGuard, decode_send_state
 
 __all__ = [
@@ -35,6 +39,7 @@
     "SendState",
     "ServerBounds",
     "StallGuard",
+    "count_unacknowledged",
     "decode_send_state",
     "detect_dead_endpoint",
     "open_connection",
--- a/poplarrun/transport/_client.py
+++ b/poplarrun/transport/_client.py
@@ -9,7 +9,11 @@
 from poplarrun.transport._backlog import PIECE_BYTES, Backlog
 from poplarrun.transport._clock import seconds_since_boot
 from poplarrun.transport._receiving import BoundedReceiver
-from poplarrun.transport._sockets import ENDPOINT_UNACKED_TIMEOUT_MS, detect_dead_endpoint
+from poplarrun.transport._sockets import (
+    ENDPOINT_UNACKED_TIMEOUT_MS,
+    count_unacknowledged,
+    detect_dead_endpoint,
+)
 from poplarrun.transport._stalls import StallGuard
 
 Headers = list[tuple[bytes, bytes]]
@@ -87,6 +91,8 @@
         self._backlog: Backlog | None = None
         self._waiter: asyncio.Future[None] | None = None
         self._unread_bytes = 0
+        self._request_bytes = 0
+        self._taken_bytes: int | None = None
         self._is_response_complete = True
         self._must_close = is_single_use
         self._end_reason: str | None = None
@@ -111,12 +117,33 @@
             self._transport.pause_reading()
 
     def eof_received(self) -> bool:
-        """Wake the reader after the peer has closed its side of the connection."""
+        """Wake the reader after the peer has closed its side of the connection.
+
+        A peer that has not taken the whole request has not answered it either: the end of its side
+        doesn't complete an answer that neither a length nor chunks frame.
+        """
         if not self._is_response_complete:
-            self._parse(b"")
+            if self._has_untaken_bytes():
+                self._record_end("the peer closed before it had taken the request")
+            else:
+                self._parse(b"")
         self._record_end("the peer closed")
         return False
 
+    def record_taken(self, taken_bytes: int) -> None:
+        """Record how many bytes of the request a helper has seen the endpoint take."""
+        self._taken_bytes = taken_bytes
+
+    def _has_untaken_bytes(self) -> bool:
+        """Return whether a part of the request has not reached the endpoint."""
+        if self._transport is None or self._backlog is None:
+            return True
+        if self._backlog.size or self._transport.get_write_buffer_size():
+            return True
+        if self._taken_bytes is not None:
+            return self._taken_bytes < self._request_bytes
+        return count_unacknowledged(self._transport.get_extra_info("socket")) > 0
+
     def connection_lost(self, exc: Exception | None) -> None:
         """Wake the reader after the connection was closed or reset."""
         if self._stall_guard is not None:
@@ -167,6 +194,7 @@
         data = self._h11.send(head) or b""
         sent_body = (self._h11.send(h11.Data(data=body)) or b"") if body else b""
         end = self._h11.send(h11.EndOfMessage()) or b""
+        self._request_bytes = len(data) + len(sent_body) + len(end)
         if len(sent_body) <= PIECE_BYTES:
             self._backlog.write(data + sent_body + end)
         else:
--- a/poplarrun/transport/_sockets.py
+++ b/poplarrun/transport/_sockets.py
@@ -2,7 +2,10 @@
 
 import asyncio
 import contextlib
+import fcntl
 import socket
+import struct
+import termios
 
 # A peer that lost power sends nothing, and a connection to it would hang for minutes. The kernel's
 # keep-alive probes detect it within IDLE + INTERVAL = 3 s: where TCP_USER_TIMEOUT is set, which is
@@ -20,6 +23,7 @@
 # connection.
 CALLER_UNACKED_TIMEOUT_MS = 2000
 
+_NUMBER = struct.Struct("i")
 _OPTIONS = (
     (socket.SOL_SOCKET, socket.SO_KEEPALIVE, 1),
     (socket.IPPROTO_TCP, socket.TCP_NODELAY, 1),
@@ -45,6 +49,18 @@
             sock.setsockopt(level, option, value)
 
 
+def count_unacknowledged(sock: socket.socket) -> int:
+    """Return how many sent bytes the peer of a connection has not acknowledged.
+
+    0 if the connection has ended, or the kernel doesn't tell.
+    """
+    try:
+        answer = fcntl.ioctl(sock.fileno(), termios.TIOCOUTQ, bytes(_NUMBER.size))
+    except (OSError, ValueError):
+        return 0
+    return int(_NUMBER.unpack(answer)[0])
+
+
 def detect_dead_endpoint(transport: asyncio.BaseTransport) -> None:
     """Let the kernel close a connection on the way to an endpoint whose peer doesn't respond."""
     detect_dead_peers(transport.get_extra_info("socket"), ENDPOINT_UNACKED_TIMEOUT_MS)
