Find the owners of a session without a pass over all hosts

A stopping host looks up the owners of each session that it knows. Each look-up built two sets of all hosts; now the stopping ones are kept apart, and the circle is compared with the table as it is. A host's number of its last start stands with the rest of what is known of it, and goes with it.

--- a/poplarrun/clients/_connections.py
+++ b/poplarrun/clients/_connections.py
@@ -132,7 +132,7 @@
             When the request was not sent, and nothing tells the end of the answer.
         """
         response = super().getresponse()
-        original: Any = getattr(response, "_original_response", None)
+        original: Any = response._original_response
         if self._has_send_failed and not original.is_framed:
             response.close()
             raise http.client.RemoteDisconnected("the connection ended inside the request")
--- a/poplarrun/gateway/_session_handover.py
+++ b/poplarrun/gateway/_session_handover.py
@@ -18,8 +18,9 @@
 
 # Interval between two questions to a host that has not answered.
 ASK_INTERVAL_S = 0.4
-# A host that has started learns of all others, and hears from those that are alive, within these.
+# Time in which a host that has started learns which other hosts there are.
 DISCOVERY_TIME_S = 0.5
+# Time after which it no longer waits for those that have not answered.
 ASK_TIMEOUT_S = 3.0
 # Sessions in one message, of which the hashes take 5 bytes each.
 MAX_SESSIONS_PER_MESSAGE = 10_000
@@ -41,7 +42,6 @@
         self._started_at = float("inf")
         self._asked_at: dict[str, float] = {}
         self._answered: set[str] = set()
-        self._lifetimes: dict[str, int] = {}
         self._is_informed = False
 
     def start(self, now: float) -> None:
@@ -69,9 +69,7 @@
     def handle_start(self, message: HostStart, now: float) -> None:
         """Send a host that has started the pinned sessions that it owns."""
         address = message.address
-        self._peer_table.record_start(address, now)
-        if self._lifetimes.get(address) != message.lifetime:
-            self._lifetimes[address] = message.lifetime
+        if self._peer_table.record_start(address, message.lifetime, now):
             self._sender.reconnect(address)
         owned = [
             pin
--- a/poplarrun/gateway/_sessions.py
+++ b/poplarrun/gateway/_sessions.py
@@ -120,9 +120,9 @@
         owners = self._handover.find_owners(pin.key, now)
         if not owners:
             return True
-        alive = {peer.address for peer in self._peer_table.alive_peers(now)}
+        alive = {owner for owner in owners if self._is_alive(owner, now)}
         query_id = next(self._query_ids)
-        pending = _PendingQuery(pin, alive.intersection(owners) or set(owners))
+        pending = _PendingQuery(pin, alive or set(owners))
         self._pending_queries[query_id] = pending
         service, session_hash = pin.key.service, pin.key.session_hash
         query = SessionQuery(
@@ -146,3 +146,7 @@
             )
         )
         return is_pinned or pending.informed_denials > 0
+
+    def _is_alive(self, address: str, now: float) -> bool:
+        peer = self._peer_table.find(address)
+        return peer is not None and peer.is_alive(now)
--- a/poplarrun/peers/_owner_ring.py
+++ b/poplarrun/peers/_owner_ring.py
@@ -12,18 +12,25 @@
     The owners of a key are the hosts that follow its hash. The hosts that share keys with one host
     are therefore its neighbours, and few of them however many hosts there are. Hosts that disagree
     on one host of the circle still agree on the other owners.
+
+    Parameters
+    ----------
+    own_address : str
+        The host that is always on the circle.
     """
 
-    def __init__(self) -> None:
-        self._hosts: Set[str] = frozenset()
-        self._addresses: list[str] = []
-        self._hashes: list[int] = []
+    def __init__(self, own_address: str) -> None:
+        self._own_address = own_address
+        self._others: Set[str] = frozenset()
+        self._addresses = [own_address]
+        self._hashes = [hash_name(own_address)]
 
-    def update(self, hosts: Set[str]) -> None:
-        """Set the hosts of the circle."""
-        if hosts == self._hosts:
+    def update(self, others: Set[str]) -> None:
+        """Set the other hosts of the circle."""
+        if others == self._others:
             return
-        self._hosts = frozenset(hosts)
+        self._others = frozenset(others)
+        hosts = self._others | {self._own_address}
         self._addresses = sorted(hosts, key=lambda address: (hash_name(address), address))
         self._hashes = [hash_name(address) for address in self._addresses]
 
@@ -38,11 +45,9 @@
                     break
         return owners
 
-    def find_neighbours(self, address: str, distance: int) -> list[str]:
-        """Return the other hosts that are at most so many places away from a host."""
+    def find_neighbours(self, distance: int) -> list[str]:
+        """Return the other hosts that are at most so many places away from the own one."""
         count = len(self._addresses)
-        if address not in self._hosts or count <= 1:
-            return []
-        place = self._addresses.index(address)
+        place = self._addresses.index(self._own_address)
         places = {(place + offset) % count for offset in range(-distance, distance + 1)}
         return [self._addresses[each] for each in sorted(places - {place})]
--- a/poplarrun/peers/_peer.py
+++ b/poplarrun/peers/_peer.py
@@ -40,8 +40,8 @@
         Since when this host has sent reports to it; infinite if it doesn't.
     failed_topics : frozenset of str
         Topics that it didn't get from the store when it last read them.
-    stopping_until : float
-        Until when it counts as stopping, since it said that it was.
+    lifetime : int, optional
+        Number of its last start, if it has told one.
     """
 
     address: str
@@ -56,7 +56,7 @@
     report_received_at: float = -math.inf
     reporting_since: float = math.inf
     failed_topics: frozenset[str] = frozenset()
-    stopping_until: float = -math.inf
+    lifetime: int | None = None
 
     @property
     def last_known_alive_at(self) -> float:
--- a/poplarrun/peers/_peer_table.py
+++ b/poplarrun/peers/_peer_table.py
@@ -109,7 +109,10 @@
     _last_liveness: _Liveness | None = None
     _last_expiry_at: float = -math.inf
     _has_heard: bool = False
-    _ring: OwnerRing = field(default_factory=OwnerRing)
+    _stopping_until: dict[str, float] = field(default_factory=dict)
+
+    def __post_init__(self) -> None:
+        self._ring = OwnerRing(self.address)
 
     def add_address(self, address: str, now: float, zone: str = "") -> None:
         """Record that a host may be at an address: a seed, or one registered in the store."""
@@ -451,6 +454,7 @@
         for address, peer in list(self._peers.items()):
             if now - max(peer.last_listed_at, peer.last_known_alive_at) > PEER_TTL_S:
                 del self._peers[address]
+                self._stopping_until.pop(address, None)
 
     # Ranks
 
@@ -470,30 +474,31 @@
         must still find the same owners. Hosts that have said that they are stopping count only if
         no other is left.
         """
-        stopping = {peer.address for peer in self._peers.values() if now < peer.stopping_until}
+        stopping = {address for address, until in self._stopping_until.items() if now < until}
         if self.is_stopping:
             stopping.add(self.address)
-        self._update_ring()
+        self._ring.update(self._peers.keys())
         owners = self._ring.find_owners(session, OWNERS_PER_SESSION, stopping)
         return owners or self._ring.find_owners(session, OWNERS_PER_SESSION, frozenset())
 
     def session_neighbours(self) -> list[str]:
         """Return the addresses of the hosts that may own sessions that this host owns."""
-        self._update_ring()
-        return self._ring.find_neighbours(self.address, NEIGHBOUR_DISTANCE)
-
-    def _update_ring(self) -> None:
-        self._ring.update(self._peers.keys() | {self.address})
+        self._ring.update(self._peers.keys())
+        return self._ring.find_neighbours(NEIGHBOUR_DISTANCE)
 
     def record_stop(self, address: str, now: float) -> None:
         """Record that a host has said that it is stopping."""
         self.add_address(address, now)
-        self._peers[address].stopping_until = now + STOPPING_TIMEOUT_S
+        self._stopping_until[address] = now + STOPPING_TIMEOUT_S
 
-    def record_start(self, address: str, now: float) -> None:
-        """Record that a host has said that it has started."""
+    def record_start(self, address: str, lifetime: int, now: float) -> bool:
+        """Record that a host has said that it has started; True if that is new."""
         self.add_address(address, now)
-        self._peers[address].stopping_until = -math.inf
+        self._stopping_until.pop(address, None)
+        peer = self._peers[address]
+        was_known = peer.lifetime == lifetime
+        peer.lifetime = lifetime
+        return not was_known
 
     def job_owner(self, job: str, now: float) -> str:
         """Return the address of the alive host that comes first for a job."""
