Take no proof from a peer that echoes a stamp of before this start

Cause: a proof between hosts is an echo of the receiver's own time since boot. After a loss of power its peers still echoed the stamps of the boot before, which lay in the future, and a later proof always wins.

Evidence: the host lines of the case have ages of -9,000 s and less; the peers reject digests with a lower stamp for up to 3.2 s.

Now a digest bears the start to which each of its two stamps belongs. An echo of another start proves nothing, and a digest of a new start is heard at once, whatever its stamp.

The scenario of large_fleets with a message "older than the last one" gets the peer's start: without one the message would be of another start, which is not what it is about.

Before: two scenarios of gateway_parts fail where the two conditions are left out.

--- a/features/gateway_parts.feature
+++ b/features/gateway_parts.feature
@@ -1,5 +1,18 @@
 Feature: Components of the gateway: peer table, event streams, log output
 
+  Scenario: An echo of a stamp from before this host's start proves nothing
+    # Guards against proofs that lie in the future once the machine's time since boot begins anew.
+    Given an empty peer table
+    When a digest arrives at 5.0 that echoes the stamp 9000.0 of the start before
+    Then it proves nothing
+
+  Scenario: A peer that has started again is heard at once, whatever its time since boot
+    # Guards against a peer that is ignored, and echoed by its clock of before a loss of power.
+    Given an empty peer table
+    When a peer's digest with the stamp 9000.0 arrives, and then one of its next start with 3.0
+    Then both are applied, and the peer's stamp 3.0 is echoed
+    And a digest of the start before with the stamp 9000.4 is ignored
+
   Scenario: A peer's proof is no more recent than its facts
     # A peer's digest was unread while this host was suspended. Its facts must count from the stamp
     # that it echoes, not from the time at which it is read.
--- a/features/steps/gateway_parts.py
+++ b/features/steps/gateway_parts.py
@@ -58,10 +58,53 @@
 
 @when("a digest with facts {age:f} s old arrives at {at:f} and echoes {stamp:f} after {held:f} s")
 def step_digest(context, at, stamp, held, age):
-    context.digest = Digest("10.0.0.2:1", "b", 5000.0, stamp, held, 3, age, 0.1)
+    lifetime = context.peer_table.lifetime
+    context.digest = Digest(
+        "10.0.0.2:1", "b", 5000.0, stamp, held, 3, age, 0.1, echoed_lifetime=lifetime
+    )
+    assert context.peer_table.apply_digest(context.digest, at)
+
+
+@when("a digest arrives at {at:f} that echoes the stamp {stamp:f} of the start before")
+def step_old_echo(context, at, stamp):
+    before = PeerTable("10.0.0.1:1", "a").lifetime
+    context.digest = Digest(
+        "10.0.0.2:1", "b", 5000.0, stamp, 0.5, 3, 0.2, 0.1, echoed_lifetime=before
+    )
     assert context.peer_table.apply_digest(context.digest, at)
 
 
+@then("it proves nothing")
+def step_unproven(context):
+    assert context.peer_table.proven_at(context.digest, 0.2) is None
+
+
+@when(
+    "a peer's digest with the stamp {first:f} arrives, and then one of its next start with"
+    " {second:f}"
+)
+def step_restarted_peer(context, first, second):
+    context.applied = [
+        context.peer_table.apply_digest(
+            Digest("10.0.0.2:1", "b", stamp, 0.0, 0.0, 1, 0.0, 0.0, lifetime=lifetime), at
+        )
+        for lifetime, stamp, at in ((1, first, 100.0), (2, second, 100.5))
+    ]
+
+
+@then("both are applied, and the peer's stamp {stamp:f} is echoed")
+def step_echoed(context, stamp):
+    peer = context.peer_table.find("10.0.0.2:1")
+    assert context.applied == [True, True], context.applied
+    assert (peer.last_stamp, peer.lifetime) == (stamp, 2), peer
+
+
+@then("a digest of the start before with the stamp {stamp:f} is ignored")
+def step_late_digest(context, stamp):
+    late = Digest("10.0.0.2:1", "b", stamp, 0.0, 0.0, 1, 0.0, 0.0, lifetime=1)
+    assert not context.peer_table.apply_digest(late, 100.6)
+
+
 @then("the facts are proven as of {at:f}")
 def step_proven(context, at):
     assert (
--- a/features/steps/large_fleets.py
+++ b/features/steps/large_fleets.py
@@ -325,9 +325,22 @@
         """)
 
 
-def make_invalid_message(kind, peer, now):
+def make_invalid_message(kind, sender, now):
     totals = encode_totals(make_totals(1, 50))
-    digest = Digest(peer, "b", now + 1.0, 0.0, 0.0, 9, 0.0, 0.0, scope=Scope.ZONE, totals=totals)
+    peer, lifetime = sender.address, sender.peering.peer_table.lifetime
+    digest = Digest(
+        peer,
+        "b",
+        now + 1.0,
+        0.0,
+        0.0,
+        9,
+        0.0,
+        0.0,
+        scope=Scope.ZONE,
+        totals=totals,
+        lifetime=lifetime,
+    )
     match kind:
         case "truncated":
             return encode_message(digest)[:-9]
@@ -349,7 +362,7 @@
 
     async def get():
         written = context.written.append
-        message = make_invalid_message(kind, peer.address, context.fleet.now)
+        message = make_invalid_message(kind, peer, context.fleet.now)
         with (
             patch.object(_peering, "write_event", written),
             patch.object(_activity, "write_event", written),
--- a/poplarrun/gateway/_peering.py
+++ b/poplarrun/gateway/_peering.py
@@ -390,6 +390,7 @@
         message = msgspec.structs.replace(
             digest,
             echoed_stamp=peer.last_stamp,
+            echoed_lifetime=peer.lifetime,
             echo_delay_s=now - peer.heard_at if peer.last_stamp else 0.0,
             included_stamp=included_stamp,
         )
@@ -439,6 +440,7 @@
             store_available_s=self._listings.available_s(now),
             is_complete=False,
             failed_topics=self._failed_topics(),
+            lifetime=self.peer_table.lifetime,
         )
 
     def _failed_topics(self) -> list[str]:
--- a/poplarrun/gateway/_session_handover.py
+++ b/poplarrun/gateway/_session_handover.py
@@ -1,6 +1,5 @@
 """Keeps what is known of sessions while the hosts that own them are stopped and started."""
 
-import random
 from collections import defaultdict
 from collections.abc import Iterable
 
@@ -24,7 +23,6 @@
 ASK_TIMEOUT_S = 3.0
 # Sessions in one message, of which the hashes take 5 bytes each.
 MAX_SESSIONS_PER_MESSAGE = 10_000
-LIFETIME_BITS = 48
 
 
 class SessionHandover:
@@ -38,7 +36,6 @@
         self._peer_table = peer_table
         self._sender = sender
         self._rollouts = rollouts
-        self._lifetime = random.getrandbits(LIFETIME_BITS)
         self._started_at = float("inf")
         self._asked_at: dict[str, float] = {}
         self._answered: set[str] = set()
@@ -59,7 +56,7 @@
         """Ask the hosts that have not answered yet, also those that are found later."""
         if self._peer_table.is_stopping or now - self._started_at >= ASK_TIMEOUT_S:
             return
-        question = HostStart(self._peer_table.address, self._lifetime)
+        question = HostStart(self._peer_table.address, self._peer_table.lifetime)
         for address in self._peer_table.session_neighbours():
             is_due = now - self._asked_at.get(address, float("-inf")) >= ASK_INTERVAL_S
             if address not in self._answered and is_due:
@@ -81,7 +78,7 @@
 
     def handle_sent(self, message: SessionsSent) -> None:
         """Record that a host has sent all that this one has asked it for."""
-        if message.lifetime == self._lifetime:
+        if message.lifetime == self._peer_table.lifetime:
             self._answered.add(message.address)
 
     def stop(self, now: float) -> None:
--- a/poplarrun/peers/_messages.py
+++ b/poplarrun/peers/_messages.py
@@ -203,6 +203,9 @@
         Requests under which endpoints ended lately, and some of those that are refused for it.
     answered_requests : list of AnsweredRequest
         Requests that were answered whole after such an end.
+    lifetime, echoed_lifetime : int
+        The starts of the sender and of the receiver to which the two stamps belong. The clock of a
+        machine that has lost power begins anew.
     """
 
     address: str
@@ -234,6 +237,8 @@
     failed_topics: list[str] = []
     requests_with_ends: list[RequestWithEnds] = []
     answered_requests: list[AnsweredRequest] = []
+    lifetime: int = 0
+    echoed_lifetime: int = 0
 
 
 class ReachabilityNotice(msgspec.Struct, frozen=True, array_like=True, tag=13):
--- a/poplarrun/peers/_peer.py
+++ b/poplarrun/peers/_peer.py
@@ -40,8 +40,12 @@
         Since when this host has sent reports to it; infinite if it doesn't.
     failed_topics : frozenset of str
         Topics that it didn't get from the store when it last read them.
-    lifetime : int, optional
-        Number of its last start, if it has told one.
+    lifetime : int
+        The start to which that stamp belongs.
+    past_lifetime : int, optional
+        The start before, of which digests may still arrive.
+    announced_lifetime : int, optional
+        The last start that it has announced.
     """
 
     address: str
@@ -56,7 +60,9 @@
     report_received_at: float = -math.inf
     reporting_since: float = math.inf
     failed_topics: frozenset[str] = frozenset()
-    lifetime: int | None = None
+    lifetime: int = 0
+    past_lifetime: int | None = None
+    announced_lifetime: int | None = None
 
     @property
     def last_known_alive_at(self) -> float:
@@ -80,6 +86,21 @@
             or now - self.attested_at < ATTESTED_ALIVE_TIMEOUT_S
         )
 
+    def is_late(self, stamp: float, lifetime: int) -> bool:
+        """Return whether a digest was sent before the last one that arrived.
+
+        A host that has started again may have an earlier stamp: its machine may have lost power.
+        """
+        if lifetime != self.lifetime:
+            return lifetime == self.past_lifetime
+        return stamp <= self.last_stamp
+
+    def record_stamp(self, stamp: float, lifetime: int) -> None:
+        """Record the stamp of a digest that has arrived."""
+        if lifetime != self.lifetime:
+            self.past_lifetime, self.lifetime = self.lifetime, lifetime
+        self.last_stamp = stamp
+
     def is_unresponsive(self, now: float) -> bool:
         """Return whether it sends nothing although this host reports to it."""
         return now - max(self.heard_at, self.reporting_since) > AGGREGATOR_SILENCE_TIMEOUT_S
--- a/poplarrun/peers/_peer_table.py
+++ b/poplarrun/peers/_peer_table.py
@@ -1,6 +1,7 @@
 """Table of the other hosts: liveness, choice of aggregators, and digests that are due."""
 
 import math
+import random
 from collections.abc import Iterable
 from dataclasses import dataclass, field
 
@@ -32,6 +33,7 @@
 LIVENESS_TTL_S = 0.2
 # Interval between two removals of expired hosts.
 EXPIRY_INTERVAL_S = 1.0
+LIFETIME_BITS = 48
 # Hosts that store the state of one session.
 OWNERS_PER_SESSION = 3
 # Places on either side within which hosts share sessions, also while as many of them as a session
@@ -97,11 +99,14 @@
         Address at which this host receives, and its availability zone.
     is_stopping : bool
         Whether this host is stopping, and therefore owns no session any more.
+    lifetime : int
+        Tells this start of the host from its others.
     """
 
     address: str
     zone: str
     is_stopping: bool = False
+    lifetime: int = field(default_factory=lambda: random.getrandbits(LIFETIME_BITS))
     _peers: dict[str, PeerState] = field(default_factory=dict)
     _zone_heard_at: dict[str, float] = field(default_factory=dict)
     _rankings: dict[str, RankingCache] = field(default_factory=dict)
@@ -137,9 +142,8 @@
         if digest.address == self.address:
             return False
         peer = self._peers.setdefault(digest.address, PeerState(digest.address))
-        # A restarted host has a later stamp too, since its clock doesn't go back; a host that
-        # was replaced may have an earlier one.
-        if digest.stamp <= peer.last_stamp and now - peer.heard_at < ALIVE_TIMEOUT_S:
+        is_late = peer.is_late(digest.stamp, digest.lifetime)
+        if is_late and now - peer.heard_at < ALIVE_TIMEOUT_S:
             return False
         failed_topics = frozenset(digest.failed_topics)
         if (
@@ -151,7 +155,7 @@
         peer.failed_topics = failed_topics
         peer.zone = digest.zone
         peer.heard_at = now
-        peer.last_stamp = digest.stamp
+        peer.record_stamp(digest.stamp, digest.lifetime)
         self._has_heard = self._has_heard or digest.is_complete
         if digest.scope is Scope.HOST:
             peer.report_received_at = now
@@ -168,14 +172,14 @@
         The sender measured by its own clock how long it had held this host's stamp, so it sent
         the digest at least that long after the stamp. Time that the digest spent in transit, or
         unread while this host was suspended, therefore can't make its facts look younger than
-        they are. None if the digest echoes no stamp.
+        they are. None if the digest echoes no stamp of this start of the host.
 
         Parameters
         ----------
         age_s : float
             Age of the fact when the digest was sent.
         """
-        if digest.echoed_stamp <= 0.0:
+        if digest.echoed_stamp <= 0.0 or digest.echoed_lifetime != self.lifetime:
             return None
         return digest.echoed_stamp + digest.echo_delay_s - age_s
 
@@ -496,8 +500,8 @@
         self.add_address(address, now)
         self._stopping_until.pop(address, None)
         peer = self._peers[address]
-        was_known = peer.lifetime == lifetime
-        peer.lifetime = lifetime
+        was_known = peer.announced_lifetime == lifetime
+        peer.announced_lifetime = lifetime
         return not was_known
 
     def job_owner(self, job: str, now: float) -> str:
