--- a/scripts/capacity_roles.py
+++ b/scripts/capacity_roles.py
@@ -188,7 +188,8 @@
     ),
     Role(
         "Gateway (sessions during a roll-out)",
-        "three owners for each session, by rendezvous hashing over the known hosts",
+        "three owners for each session, neighbours on a circle of the known hosts; a stop and a "
+        "start take 12 messages each",
         "connections: each query may go to any host, and 128 are kept open",
         state=f"{TRIAL_REQUESTS_PER_S * SESSION_REQUEST_INTERVAL_S * SESSION_OWNERS:.0f} "
         "sessions in memory",
