Log when a host learns how a roll-out ended

A line told which host recorded a phase, and none when the others knew it. Whether a request reached a version before or after its host knew of the rollback could not be told.

--- a/poplarrun/cli/_timeline.py
+++ b/poplarrun/cli/_timeline.py
@@ -29,6 +29,7 @@
         "HostReady",
         "RolloutJudged",
         "RolloutOrdered",
+        "RolloutPhaseLearnt",
         "LinesLeftOut",
     )
 )
--- a/poplarrun/gateway/_activity.py
+++ b/poplarrun/gateway/_activity.py
@@ -222,7 +222,16 @@
                 )
             if progress.phase is not None:
                 status = RolloutStatus(progress.service, progress.target, progress.phase)
-                self._rollouts.apply_status(status)
+                if self._rollouts.apply_status(status):
+                    write_event(
+                        events.RolloutPhaseLearnt(
+                            order.service,
+                            order.target,
+                            status.phase.value,
+                            digest.address,
+                            now - rollout.started_at,
+                        )
+                    )
 
 
 def _age_s(at: float | None, now: float) -> float | None:
--- a/poplarrun/gateway/_status_follower.py
+++ b/poplarrun/gateway/_status_follower.py
@@ -10,6 +10,7 @@
     decode_status,
 )
 from poplarrun.rollouts import Rollouts
+from poplarrun.transport import seconds_since_boot
 
 
 class StatusFollower:
@@ -33,6 +34,13 @@
             except MalformedDocument as error:
                 write_event(events.DocumentIgnored(entry.key, str(error)))
                 continue
-            self._rollouts.apply_status(status)
+            rollout = self._rollouts.find(status.service)
+            if rollout is not None and self._rollouts.apply_status(status):
+                age_s = seconds_since_boot() - rollout.started_at
+                write_event(
+                    events.RolloutPhaseLearnt(
+                        status.service, status.target, status.phase.value, "store", age_s
+                    )
+                )
         self.offset = answer.end_offset
         return True
--- a/poplarrun/logging/_events.py
+++ b/poplarrun/logging/_events.py
@@ -39,6 +39,7 @@
     CopiesSent,
     RolloutJudged,
     RolloutOrdered,
+    RolloutPhaseLearnt,
     RolloutShifted,
     VersionProven,
 )
@@ -70,6 +71,7 @@
     "RequestQuarantined",
     "RolloutJudged",
     "RolloutOrdered",
+    "RolloutPhaseLearnt",
     "RolloutShifted",
     "ServiceBrittle",
     "ServicesUnreached",
--- a/poplarrun/logging/_rollout_events.py
+++ b/poplarrun/logging/_rollout_events.py
@@ -105,6 +105,26 @@
     answer: str
 
 
+class RolloutPhaseLearnt(Event, frozen=True):
+    """The host learnt of a recorded phase, and sends by it from now on.
+
+    Attributes
+    ----------
+    source : str
+        Where it was read: the store, or the address of a peer.
+    age_s : float
+        Time since any host first saw the order, as far as known.
+    """
+
+    component: ClassVar[str] = "rollouts"
+    message: ClassVar[str] = "A recorded phase of a roll-out was learnt."
+    service: str
+    target: str
+    phase: str
+    source: str
+    age_s: float
+
+
 class CompletedVersionBad(Event, frozen=True):
     """A version turns out to be bad after its roll-out was completed; no other one is left."""
 
