Roll back completed versions that turn bad

Cause: the judgement ended with the record.

Now counts are exchanged for 120 s after the order's time, a cumulative sum over the newest answers decides, and rolled_back may follow completed. Failures at fewer than half of the endpoints decide nothing. Hosts publish it until the next order.

features/completed_versions: with the judgement left out three scenarios fail, with the counts of roll-outs in progress alone two of them, with the completion as the last word one more; without the count of endpoints the scenario of a faulty endpoint fails. All pass with this change, and load_tests, rollouts, rollout_controller, documents.

--- /dev/null
+++ b/features/completed_versions.feature
@@ -0,0 +1,35 @@
+Feature: Versions that turn bad late in a roll-out, or after its completion
+
+  Scenario Outline: A version that turns bad after its completion gets no more requests
+    # Guards against a completed version that goes on getting requests whatever it answers.
+    Given <hosts> hosts before a version that fails <fraction> of its requests from 34 s on
+    When a roll-out of 24 s is carried out amid <rate> requests a second, which go on for 30 s
+    Then it is first recorded as "completed", then as "rolled_back"
+    And no request reaches the new version over 5.0 s after its failure number 50
+
+    Examples:
+      | hosts | rate | fraction |
+      | 6     | 21   | 0.4      |
+      | 6     | 21   | 0.3      |
+      | 66    | 24   | 0.4      |
+
+  Scenario Outline: A completed version stays in use although an endpoint of it fails
+    # Guards against a service that refuses everything because of one faulty endpoint.
+    Given <hosts> hosts before a good version, one of whose endpoints fails <fraction> of its requests from 34 s on
+    When a roll-out of 24 s is carried out amid 21 requests a second, which go on for 30 s
+    Then it is recorded as "completed"
+
+    Examples:
+      | hosts | fraction |
+      | 6     | 0.5      |
+      | 6     | 1.0      |
+
+  Scenario: Good versions are not taken for bad ones in hundreds of roll-outs
+    # Guards against false alarms of a test that is repeated with every answer.
+    Then of 400 completed versions that fail 0.1 of 1000 answers, none is rolled back
+
+  Scenario: A rollback after the completion reaches a host that was cut off meanwhile
+    # Guards against a host that takes the completion for the end of the roll-out for good.
+    Given a host that was cut off after a completion, and one that knows of the later rollback
+    When they meet again after 600.0 s
+    Then both send nothing to the version, and a late record of "completed" changes nothing
--- /dev/null
+++ b/features/steps/completed_versions.py
@@ -0,0 +1,119 @@
+import random
+
+from behave import given, then, when
+
+from features.steps.load_tests import NEVER_FAILING_LOAD
+from poplarrun.rollouts import ChangeDetector, Rollouts
+from poplarrun.rollouts._rollouts import (
+    COMPLETED_BAD_EVIDENCE,
+    MAX_COMPLETED_BAD_FRACTION,
+)
+from poplarrun.routing import RolloutOrder, RolloutPhase, RolloutStatus
+from standins.loaded_rollout import LoadedRolloutFleet
+from standins.rollout_fleet import run_by_virtual_clock
+
+SEED = 4109
+ANSWERS_A_ROUND = 5
+
+
+def make_rollouts(seconds):
+    rollouts = Rollouts()
+    rollouts.apply_order(RolloutOrder("engines", "v2", float(seconds), 7), 100.0)
+    return rollouts
+
+
+@given("{hosts:d} hosts before a version that fails {fraction:f} of its requests from {at:d} s on")
+def step_turns_bad(context, hosts, fraction, at):
+    context.fleet = LoadedRolloutFleet(SEED, hosts, NEVER_FAILING_LOAD)
+    context.fleet.turns_bad_after_s = float(at)
+    context.fleet.endpoints.failed_fraction = fraction
+
+
+@given(
+    "{hosts:d} hosts before a good version, one of whose endpoints fails {fraction:f} of its"
+    " requests from {at:d} s on"
+)
+def step_faulty_endpoint(context, hosts, fraction, at):
+    step_turns_bad(context, hosts, fraction, at)
+    context.fleet.endpoints.faulty_endpoint = "v2-1"
+
+
+@when(
+    "a roll-out of {seconds:d} s is carried out amid {rate:d} requests a second, which go on for"
+    " {more:d} s"
+)
+def step_carry_out(context, seconds, rate, more):
+    run_by_virtual_clock(context.fleet.carry_out(float(seconds), float(rate), float(more)))
+
+
+@then('it is first recorded as "{first}", then as "{last}"')
+def step_recorded(context, first, last):
+    assert context.fleet.recorded == [
+        RolloutPhase(first),
+        RolloutPhase(last),
+    ], context.fleet.recorded
+
+
+@then("no request reaches the new version over {seconds:f} s after its failure number {count:d}")
+def step_stopped(context, seconds, count):
+    endpoints = context.fleet.endpoints
+    failed_at = endpoints.failed_at
+    if len(failed_at) >= count:
+        late_s = endpoints.last_arrival_at - failed_at[count - 1]
+        assert late_s <= seconds, (late_s, len(failed_at))
+
+
+def count_alarms(versions, threshold, good_fraction, fraction, answers):
+    """Return how many versions that fail a fraction of their answers are taken for bad."""
+    source = random.Random(SEED)
+    alarms = 0
+    for _ in range(versions):
+        detector = ChangeDetector(threshold)
+        bad = 0
+        detector.record_totals(0, 0, good_fraction)
+        has_turned_bad = False
+        for answered in range(ANSWERS_A_ROUND, answers + 1, ANSWERS_A_ROUND):
+            bad += sum(source.random() < fraction for _ in range(ANSWERS_A_ROUND))
+            detector.record_totals(answered, bad, good_fraction)
+            has_turned_bad = has_turned_bad or detector.has_turned_bad
+        alarms += has_turned_bad
+    return alarms
+
+
+@then(
+    "of {versions:d} completed versions that fail {fraction:f} of {answers:d} answers, none is"
+    " rolled back"
+)
+def step_completed_alarms(context, versions, fraction, answers):
+    assert (
+        count_alarms(
+            versions, COMPLETED_BAD_EVIDENCE, MAX_COMPLETED_BAD_FRACTION, fraction, answers
+        )
+        == 0
+    )
+
+
+@given("a host that was cut off after a completion, and one that knows of the later rollback")
+def step_cut_off(context):
+    context.cut_off, context.informed = make_rollouts(24), make_rollouts(24)
+    for rollouts in (context.cut_off, context.informed):
+        rollouts.apply_status(RolloutStatus("engines", "v2", RolloutPhase.COMPLETED))
+    context.informed.apply_status(RolloutStatus("engines", "v2", RolloutPhase.ROLLED_BACK))
+
+
+@when("they meet again after {seconds:f} s")
+def step_meet(context, seconds):
+    for one, other in (
+        (context.informed, context.cut_off),
+        (context.cut_off, context.informed),
+    ):
+        for rollout in one.recent(100.0 + seconds):
+            other.apply_status(RolloutStatus("engines", "v2", rollout.recorded_phase))
+
+
+@then('both send nothing to the version, and a late record of "{phase}" changes nothing')
+def step_both_know(context, phase):
+    for rollouts in (context.informed, context.cut_off):
+        status = RolloutStatus("engines", "v2", RolloutPhase(phase))
+        assert not rollouts.apply_status(status)
+        assert rollouts.find_rolled_back("engines") == "v2"
--- a/features/steps/load_tests.py
+++ b/features/steps/load_tests.py
@@ -33,7 +33,7 @@
 @then('it is recorded as "{phase}"')
 def step_recorded(context, phase):
     fleet = context.fleet
-    assert fleet.recorded is RolloutPhase(phase), (fleet.recorded, fleet.endpoints)
+    assert fleet.recorded == [RolloutPhase(phase)], (fleet.recorded, fleet.endpoints)
 
 
 @then("the new version got at most {fraction:f} of all requests and {count:d} more")
--- a/poplarrun/dispatch/_evidence.py
+++ b/poplarrun/dispatch/_evidence.py
@@ -63,11 +63,12 @@
         latencies : AnswerTimes
             Times of the answer, without those that are not known.
         """
-        version = attempt.estimate.endpoint.record.version
+        record = attempt.estimate.endpoint.record
+        version = record.version
         key = (work.service, version, _evidence_kind(work, attempt))
         if attempt.is_counted:
             if is_failure:
-                self._rollouts.statistics.record_failure_of_slow_answer(key)
+                self._rollouts.statistics.record_failure_of_slow_answer(key, record.instance_id)
             return
         attempt.is_counted = True
         if attempt.is_under_load:
@@ -76,7 +77,9 @@
         is_trial = (
             rollout is not None and rollout.is_in_progress and version == rollout.order.target
         )
-        self._rollouts.statistics.record_answer(key, is_failure, latencies, is_trial)
+        self._rollouts.statistics.record_answer(
+            key, is_failure, latencies, is_trial, record.instance_id
+        )
 
     def record_copy(self, service: str, version: str, load: float, is_failure: bool) -> None:
         """Count the answer to a copy that loads an endpoint, by the load when it was sent.
--- a/poplarrun/gateway/_activity.py
+++ b/poplarrun/gateway/_activity.py
@@ -4,6 +4,7 @@
 
 from poplarrun.logging import events, write_event
 from poplarrun.peers import (
+    MAX_FAILING_ENDPOINTS,
     ActivityTotals,
     Digest,
     EndpointLoad,
@@ -58,9 +59,9 @@
         self._has_new_totals = False
         self._last_sum_at = float("-inf")
 
-    def own_totals(self) -> ActivityTotals:
+    def own_totals(self, now: float) -> ActivityTotals:
         """Return the totals of this host alone."""
-        return ActivityTotals(1, self._loads(), self._tallies())
+        return ActivityTotals(1, self._loads(), self._tallies(now))
 
     def record_sent(self, totals: ActivityTotals, stamp: float) -> None:
         """Remember the own totals that were sent, to subtract them from received totals."""
@@ -127,13 +128,14 @@
                 tally.paced_answers,
                 tally.log_pace_sum,
                 set(tally.interrupting_endpoints),
+                set(tally.failing_endpoints),
             )
             for tally in others.tallies
         }
         self._rollouts.statistics.apply_host_tallies(OTHERS, tallies)
 
-    def rollout_states(self) -> list[RolloutState]:
-        """Return the state of the roll-outs in progress."""
+    def rollout_states(self, now: float) -> list[RolloutState]:
+        """Return the state of the roll-outs whose versions are judged."""
         return [
             RolloutState(
                 rollout.order.offset,
@@ -141,7 +143,7 @@
                 rollout.shift_decided_at is not None,
                 rollout.proven_at is not None,
             )
-            for rollout in self._rollouts.active()
+            for rollout in self._rollouts.judged(now)
         ]
 
     def rollout_progress(self, now: float) -> list[RolloutProgress]:
@@ -171,8 +173,8 @@
             if endpoint.in_flight
         ]
 
-    def _tallies(self) -> list[VersionTally]:
-        active = {rollout.order.service for rollout in self._rollouts.active()}
+    def _tallies(self, now: float) -> list[VersionTally]:
+        judged = {rollout.order.service for rollout in self._rollouts.judged(now)}
         return [
             VersionTally(
                 *key,
@@ -182,9 +184,10 @@
                 tally.paced_answers,
                 round(tally.log_pace_sum, 2),
                 sorted(tally.interrupting_endpoints),
+                sorted(tally.failing_endpoints)[:MAX_FAILING_ENDPOINTS],
             )
             for key, tally in self._rollouts.statistics.local.items()
-            if key[0] in active
+            if key[0] in judged
         ]
 
     def _apply_rollouts(self, digest: Digest, now: float) -> None:
--- a/poplarrun/gateway/_peering.py
+++ b/poplarrun/gateway/_peering.py
@@ -338,7 +338,7 @@
 
     def _update_rollout_states(self, now: float) -> bool:
         """Return whether the state of a roll-out has changed since the last call."""
-        states = self._activity.rollout_states()
+        states = self._activity.rollout_states(now)
         if states == self._rollout_states:
             return False
         self._rollout_states = states
@@ -346,7 +346,7 @@
         return True
 
     def _send_digests(self, due_digests: list[DueDigest], now: float) -> None:
-        own = self._activity.own_totals()
+        own = self._activity.own_totals(now)
         template = self._make_digest(now)
         digests: dict[tuple[Scope, bool], Digest] = {}
         for due in due_digests:
--- a/poplarrun/gateway/_rollout_controller.py
+++ b/poplarrun/gateway/_rollout_controller.py
@@ -64,16 +64,17 @@
         self._job_rank = job_rank
         self._record_open_evidence = record_open_evidence
         self._follower = StatusFollower(store, rollouts)
-        self._wanted_since: dict[tuple[str, RolloutVerdict], float] = {}
+        self._wanted_since: dict[tuple[int, RolloutVerdict], float] = {}
         self._read_at = float("-inf")
         self._reported_bad: set[str] = set()
 
     async def run(self) -> None:
         """Judge and record the roll-outs forever."""
         while True:
-            if self._rollouts.active():
+            judged = self._rollouts.judged(seconds_since_boot())
+            if judged:
                 self._record_open_evidence(seconds_since_boot())
-            for rollout in self._rollouts.active():
+            for rollout in judged:
                 await self._evaluate(rollout)
             self._report_bad_completions()
             await asyncio.sleep(EVALUATION_INTERVAL_S)
@@ -97,7 +98,8 @@
         now = seconds_since_boot()
         job_rank = self._job_rank(rollout.order.service)
         interval_s = READ_INTERVAL_S if job_rank == 0 else LATER_READ_INTERVAL_S
-        if job_rank < MAX_READERS and now - self._read_at > interval_s:
+        is_read_due = job_rank < MAX_READERS and now - self._read_at > interval_s
+        if rollout.is_in_progress and is_read_due:
             self._read_at = now
             if not await self._follower.read():
                 return
@@ -116,15 +118,18 @@
             write_event(events.VersionProven(order.service, order.target, "own", age_s))
         if verdict is RolloutVerdict.NOTHING:
             return
-        wanted_since = self._wanted_since.setdefault((rollout.order.target, verdict), now)
+        wanted_since = self._wanted_since.setdefault((rollout.order.offset, verdict), now)
         if now - wanted_since < TAKEOVER_DELAY_S * job_rank:
             return
         await self._record(rollout, verdict)
 
     async def _record(self, rollout: Rollout, verdict: RolloutVerdict) -> None:
-        if not await self._follower.read() or rollout not in self._rollouts.active():
+        phase, order = rollout.recorded_phase, rollout.order
+        if not await self._follower.read():
+            return
+        is_latest = self._rollouts.find(order.service) is rollout
+        if not is_latest or (rollout.recorded_phase is not phase and not rollout.is_in_progress):
             return
-        order = rollout.order
         status = RolloutStatus(order.service, order.target, PHASE_BY_VERDICT[verdict])
         key = ROLLOUT_PREFIX + order.service
         value = encode_status(status)
--- a/poplarrun/peers/__init__.py
+++ b/poplarrun/peers/__init__.py
@@ -1,6 +1,7 @@
 """State that gateway hosts exchange: liveness, totals, roll-outs, and who reads the store."""
 
 from poplarrun.peers._activity_messages import (
+    MAX_FAILING_ENDPOINTS,
     ActivityTotals,
     EndpointLoad,
     UnlistedLoad,
@@ -70,6 +71,7 @@
     "DEFAULT_READ_TIMEOUTS",
     "DOCUMENTS",
     "ENDPOINTS",
+    "MAX_FAILING_ENDPOINTS",
     "READ_TOPICS",
     "ActivityTotals",
     "AnsweredRequest",
--- a/poplarrun/peers/_activity_messages.py
+++ b/poplarrun/peers/_activity_messages.py
@@ -2,6 +2,9 @@
 
 import msgspec
 
+# Endpoints with failed answers that a tally names. More tell nothing more of a version.
+MAX_FAILING_ENDPOINTS = 12
+
 
 class EndpointLoad(msgspec.Struct, frozen=True, array_like=True):
     """Requests that a group of hosts runs at an endpoint.
@@ -34,6 +37,8 @@
         Sum of the logarithms of the ratios of these paces.
     interrupting_endpoints : list of str
         Endpoints that broke off answers.
+    failing_endpoints : list of str
+        Some of the endpoints whose answers failed, at most ``MAX_FAILING_ENDPOINTS``.
     """
 
     service: str
@@ -45,6 +50,7 @@
     paced_answers: int
     log_pace_sum: float
     interrupting_endpoints: list[str] = []
+    failing_endpoints: list[str] = []
 
 
 class UnlistedLoad(msgspec.Struct, frozen=True, array_like=True):
--- a/poplarrun/peers/_totals.py
+++ b/poplarrun/peers/_totals.py
@@ -5,6 +5,7 @@
 from dataclasses import dataclass, field
 
 from poplarrun.peers._activity_messages import (
+    MAX_FAILING_ENDPOINTS,
     ActivityTotals,
     EndpointLoad,
     UnlistedLoad,
@@ -92,6 +93,7 @@
 def _add_tallies(one: VersionTally, other: VersionTally, sign: int) -> VersionTally:
     # Endpoints that broke off are a set: subtracting them would lose those that others saw too.
     interrupting_endpoints = sorted({*one.interrupting_endpoints, *other.interrupting_endpoints})
+    failing_endpoints = sorted({*one.failing_endpoints, *other.failing_endpoints})
     return VersionTally(
         one.service,
         one.version,
@@ -102,6 +104,7 @@
         max(0, one.paced_answers + sign * other.paced_answers),
         round(one.log_pace_sum + sign * other.log_pace_sum, 2),
         interrupting_endpoints,
+        failing_endpoints[:MAX_FAILING_ENDPOINTS],
     )
 
 
--- a/poplarrun/rollouts/__init__.py
+++ b/poplarrun/rollouts/__init__.py
@@ -1,5 +1,6 @@
 """Roll-outs of endpoint versions: operators order them and the hosts carry them out."""
 
+from poplarrun.rollouts._changes import ChangeDetector
 from poplarrun.rollouts._evidence import (
     FULL_LOAD,
     UNDER_LOAD,
@@ -35,6 +36,7 @@
     "UNDER_LOAD",
     "AnswerStatistics",
     "AnswerTimes",
+    "ChangeDetector",
     "ComparisonStage",
     "PinnedSession",
     "Rollout",
--- a/poplarrun/rollouts/_evidence.py
+++ b/poplarrun/rollouts/_evidence.py
@@ -129,6 +129,8 @@
         Sum of the logarithms of their ratios to the baseline.
     interrupting_endpoints : set of str
         Endpoints that broke off answers.
+    failing_endpoints : set of str
+        Endpoints whose answers failed.
     """
 
     answers: int = 0
@@ -137,6 +139,7 @@
     paced_answers: int = 0
     log_pace_sum: float = 0.0
     interrupting_endpoints: set[str] = field(default_factory=set)
+    failing_endpoints: set[str] = field(default_factory=set)
 
     @property
     def bad(self) -> int:
@@ -153,6 +156,7 @@
         self.answers += other.answers
         self.failures += other.failures
         self.interrupting_endpoints |= other.interrupting_endpoints
+        self.failing_endpoints |= other.failing_endpoints
         self.slow += other.slow
         self.paced_answers += other.paced_answers
         self.log_pace_sum += other.log_pace_sum
@@ -210,7 +214,7 @@
         return self._highest_loads.get((service, version), 0.0)
 
     def record_answer(
-        self, key: TallyKey, is_bad: bool, times: AnswerTimes, is_trial: bool
+        self, key: TallyKey, is_bad: bool, times: AnswerTimes, is_trial: bool, endpoint: str = ""
     ) -> None:
         """Count an answer that has ended.
 
@@ -218,12 +222,16 @@
         ----------
         is_trial : bool
             Whether its version is the one that is being rolled out.
+        endpoint : str
+            The endpoint that gave it; empty if it is not known.
         """
         service, _, kind = key
         baseline = self._baselines.setdefault((service, kind), TimesBaseline())
         tally = self.local.setdefault(key, Tally())
         tally.answers += 1
         tally.failures += is_bad
+        if is_bad and endpoint:
+            tally.failing_endpoints.add(endpoint)
         tally.slow += baseline.is_slow(times)
         log_ratio = baseline.log_interval_ratio(times)
         if log_ratio is not None:
@@ -232,9 +240,11 @@
         if not is_trial:
             baseline.record_answer(times)
 
-    def record_failure_of_slow_answer(self, key: TallyKey) -> None:
+    def record_failure_of_slow_answer(self, key: TallyKey, endpoint: str) -> None:
         """Count the failure of an answer that was already counted as slow."""
-        self.local.setdefault(key, Tally()).failures += 1
+        tally = self.local.setdefault(key, Tally())
+        tally.failures += 1
+        tally.failing_endpoints.add(endpoint)
 
     def record_interruption(self, key: TallyKey, endpoint: str, is_counted: bool) -> None:
         """Record that an endpoint broke off an answer.
--- a/poplarrun/rollouts/_rollouts.py
+++ b/poplarrun/rollouts/_rollouts.py
@@ -1,10 +1,12 @@
 """Assigns sessions to versions during a roll-out and decides when it completes or rolls back."""
 
 import enum
+import math
 from collections.abc import Callable
 from dataclasses import dataclass, field
 
 from poplarrun.rollouts import _load_tests as load_tests
+from poplarrun.rollouts._changes import ChangeDetector
 from poplarrun.rollouts._evidence import FULL_LOAD, AnswerStatistics, ComparisonStage, Tally
 from poplarrun.rollouts._sessions import PinnedSession, SessionKey, SessionPins
 from poplarrun.routing import InFlightRequest, RolloutOrder, RolloutPhase, RolloutStatus
@@ -34,6 +36,18 @@
 # Delay of the shift past the middle of the order's duration, in seconds, for clocks and times
 # of reading the order that differ between hosts.
 SHIFT_MARGIN_S = 0.4
+# Evidence, as a logarithm of likelihoods, that a version has turned bad once the old one is gone
+# and nothing else can answer.
+COMPLETED_BAD_EVIDENCE = 20.0
+# Fraction of bad answers that is tolerated of a completed version: endpoints that fail or crash
+# cause as many.
+MAX_COMPLETED_BAD_FRACTION = 0.1
+# Fraction of its endpoints that must have returned failed answers, and the number that is enough.
+# A few faulty endpoints tell nothing of their version.
+FAILING_ENDPOINTS_FRACTION = 0.5
+ENOUGH_FAILING_ENDPOINTS = 10
+# How long a completed version is judged after the order's duration, in seconds.
+JUDGE_AFTER_END_S = 120.0
 # How long a roll-out is still published to other hosts after the order's duration, in seconds.
 PUBLISH_AFTER_END_S = 20.0
 # Delay from the order to the first session on the new version, in seconds. Within it, all
@@ -123,6 +137,10 @@
         When any host first knew that the version is good and bears load.
     announced_copies : int
         Copies that hosts have announced for its load tests.
+    was_completed : bool
+        Whether the store has held its completion, after which the old version is gone.
+    changes : ChangeDetector
+        Tells whether the newest answers are those of a bad version.
     """
 
     order: RolloutOrder
@@ -132,6 +150,28 @@
     shift_decided_at: float | None = None
     proven_at: float | None = None
     announced_copies: int = 0
+    was_completed: bool = False
+    changes: ChangeDetector = field(default_factory=lambda: ChangeDetector(COMPLETED_BAD_EVIDENCE))
+
+    def record_phase(self, phase: RolloutPhase) -> bool:
+        """Record the phase that the store holds; True when it changes the roll-out.
+
+        A final phase is never replaced, so that a late record of a host that was paused can't
+        reactivate a version that was rolled back. Only a completed version may still be rolled
+        back.
+        """
+        is_rolled_back_late = self.was_completed and phase is RolloutPhase.ROLLED_BACK
+        if self.recorded_phase is phase or not (self.is_in_progress or is_rolled_back_late):
+            return False
+        self.recorded_phase = phase
+        if phase is RolloutPhase.COMPLETED:
+            self.was_completed = True
+        return True
+
+    @property
+    def is_rolled_back_late(self) -> bool:
+        """Whether the version was rolled back after its completion."""
+        return self.was_completed and self.recorded_phase is RolloutPhase.ROLLED_BACK
 
     def record_shift(self, at: float) -> bool:
         """Record the decision to shift; True when it was not known. The earliest time counts."""
@@ -234,12 +274,15 @@
     ----------
     find_slots : callable
         Returns the slots of an endpoint of a service's version; 0 if it has none.
+    count_endpoints : callable
+        Returns how many endpoints a service's version has.
     """
 
     session_timeout_s: float = 5.0
     exposure_limit: float = DEFAULT_EXPOSURE_LIMIT
     exposure_allowance: float = 0.0
     find_slots: Callable[[str, str], int] = lambda service, version: 0
+    count_endpoints: Callable[[str, str], int] = lambda service, version: 0
     statistics: AnswerStatistics = field(default_factory=AnswerStatistics)
     _rollouts: dict[str, Rollout] = field(default_factory=dict)
     sessions: SessionPins = field(default_factory=SessionPins)
@@ -252,21 +295,38 @@
         """Return the roll-outs that are in progress."""
         return [rollout for rollout in self._rollouts.values() if rollout.is_in_progress]
 
+    def judged(self, now: float) -> list[Rollout]:
+        """Return the roll-outs whose versions are judged: in progress or recently completed."""
+        return [
+            rollout
+            for rollout in self._rollouts.values()
+            if rollout.is_in_progress
+            or (
+                rollout.recorded_phase is RolloutPhase.COMPLETED
+                and now - rollout.started_at < rollout.order.duration_s + JUDGE_AFTER_END_S
+            )
+        ]
+
     def completed_bad(self, now: float) -> list[Rollout]:
         """Return the recently completed roll-outs whose versions have turned out to be bad."""
         return [
             rollout
-            for rollout in self.recent(now)
+            for rollout in self.judged(now)
             if rollout.recorded_phase is RolloutPhase.COMPLETED
             and self.statistics.is_failing(rollout.order.service, rollout.order.target)
         ]
 
     def recent(self, now: float) -> list[Rollout]:
-        """Return the roll-outs to publish to other hosts: in progress or recently ended."""
+        """Return the roll-outs to publish to other hosts: in progress or recently ended.
+
+        One that was rolled back after its completion is always published, because hosts that were
+        cut off still take the completion for its end.
+        """
         return [
             rollout
             for rollout in self._rollouts.values()
             if now - rollout.started_at < rollout.order.duration_s + PUBLISH_AFTER_END_S
+            or rollout.is_rolled_back_late
         ]
 
     def apply_order(self, order: RolloutOrder, now: float, age_s: float = 0.0) -> bool:
@@ -298,20 +358,18 @@
         return True
 
     def apply_status(self, status: RolloutStatus) -> bool:
-        """Apply a phase that the store holds; True when it changes the roll-out.
-
-        A final phase is never replaced: a late record of a host that was paused can't
-        reactivate a version that was rolled back.
-        """
+        """Apply a phase that the store holds; True when it changes the roll-out."""
         rollout = self._rollouts.get(status.service)
         if rollout is None or rollout.order.target != status.target:
             return False
-        if rollout.recorded_phase is status.phase:
-            return False
-        if not rollout.is_in_progress:
-            return False
-        rollout.recorded_phase = status.phase
-        return True
+        return rollout.record_phase(status.phase)
+
+    def find_rolled_back(self, service: str) -> str | None:
+        """Return the version of a service that was rolled back last and may get no request."""
+        rollout = self._rollouts.get(service)
+        if rollout is None or rollout.recorded_phase is not RolloutPhase.ROLLED_BACK:
+            return None
+        return rollout.order.target
 
     def choose_version(self, work: InFlightRequest, now: float) -> VersionChoice:
         """Return the versions that may answer a request.
@@ -450,20 +508,20 @@
         """Return the phase that is due to be recorded, and decide whether the shift begins.
 
         Recording the completion stops the old endpoints at once. All traffic moves well before
-        that, so that their last answers can end, and only to a version that bears load.
+        that, so that their last answers can end, and only to a version that bears load. A version
+        that turns bad after it is rolled back too, although nothing else can answer then.
         """
         order = rollout.order
+        if rollout.recorded_phase is RolloutPhase.COMPLETED:
+            return self._judge_completed(rollout)
         if not rollout.is_in_progress:
             return RolloutVerdict.NOTHING
         if self.statistics.is_bad(order.service, order.target, rollout.stage(now)):
             return RolloutVerdict.ROLLED_BACK
+        total = self.statistics.merge_version_tallies(order.service, order.target)
         answers = self.statistics.count_answers(order.service)
         min_answers = max(1.0, min(MIN_ANSWERS, MIN_ANSWERS_FRACTION * answers))
-        has_enough_answers = (
-            self.statistics.merge_version_tallies(order.service, order.target).answers
-            >= min_answers
-        )
-        if rollout.is_shift_due(now) and has_enough_answers:
+        if rollout.is_shift_due(now) and total.answers >= min_answers:
             rollout.record_shift(now)
         is_good = self.is_shown_good(rollout)
         if rollout.has_shift_begun(now) and is_good and self._bears_load(rollout):
@@ -481,6 +539,17 @@
             RolloutVerdict.NOTHING if rollout.recorded_phase is not None else RolloutVerdict.ACTIVE
         )
 
+    def _judge_completed(self, rollout: Rollout) -> RolloutVerdict:
+        order = rollout.order
+        total = self.statistics.merge_version_tallies(order.service, order.target)
+        rollout.changes.record_totals(total.answers, total.bad, MAX_COMPLETED_BAD_FRACTION)
+        endpoints = self.count_endpoints(order.service, order.target)
+        needed = min(ENOUGH_FAILING_ENDPOINTS, math.ceil(FAILING_ENDPOINTS_FRACTION * endpoints))
+        is_widespread = len(total.failing_endpoints) >= needed
+        if rollout.changes.has_turned_bad and is_widespread:
+            return RolloutVerdict.ROLLED_BACK
+        return RolloutVerdict.NOTHING
+
     def is_shown_good(self, rollout: Rollout) -> bool:
         """Tell whether the version's answers show that it neither fails nor is much slower."""
         return self.statistics.is_shown_good(rollout.order.service, rollout.order.target)
--- a/standins/loaded_rollout.py
+++ b/standins/loaded_rollout.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import enum
+import math
 from collections import Counter
 from dataclasses import dataclass, field
 
@@ -69,6 +70,14 @@
         Those that failed.
     copies : int
         Copies among the requests.
+    turns_bad_at : float
+        From when the new version fails at any load.
+    faulty_endpoint : str, optional
+        An endpoint that fails from then on in place of the version.
+    failed_at : list of float
+        When requests failed that reached the new version.
+    last_arrival_at : float
+        When the last request reached it.
     """
 
     failing_load: float
@@ -78,6 +87,10 @@
     arrivals: Counter[str] = field(default_factory=Counter)
     failures: Counter[str] = field(default_factory=Counter)
     copies: int = 0
+    turns_bad_at: float = math.inf
+    faulty_endpoint: str | None = None
+    failed_at: list[float] = field(default_factory=list)
+    last_arrival_at: float = -math.inf
 
 
 class LoadedRolloutHost:
@@ -176,8 +189,10 @@
 
     Attributes
     ----------
-    recorded : RolloutPhase, optional
-        The final phase.
+    recorded : list of RolloutPhase
+        The final phases, in order.
+    turns_bad_after_s : float
+        Time from the order until the new version fails at any load, in seconds.
     """
 
     def __init__(self, seed: int, hosts: int, failing_load: float) -> None:
@@ -185,7 +200,8 @@
         for host in self.hosts:
             host.rollouts.exposure_allowance = EXPOSURE_ALLOWANCE
         self.endpoints = LoadedEndpoints(failing_load)
-        self.recorded: RolloutPhase | None = None
+        self.recorded: list[RolloutPhase] = []
+        self.turns_bad_after_s = math.inf
         self.loaded_hosts = [LoadedRolloutHost(self, host) for host in self.hosts]
 
     def begin(self, instance_id: str, version: str, slots: int) -> bool:
@@ -193,44 +209,61 @@
         endpoints = self.endpoints
         endpoints.running[instance_id] += 1
         endpoints.arrivals[version] += 1
+        if version != NEW:
+            return False
+        endpoints.last_arrival_at = now = asyncio.get_running_loop().time()
         is_overloaded = endpoints.running[instance_id] > endpoints.failing_load * slots
+        is_faulty = endpoints.faulty_endpoint in (None, instance_id)
+        has_turned_bad = is_faulty and now >= endpoints.turns_bad_at
         is_failure = (
-            version == NEW and is_overloaded and self.random.random() < endpoints.failed_fraction
-        )
+            is_overloaded or has_turned_bad
+        ) and self.random.random() < endpoints.failed_fraction
         endpoints.failures[version] += is_failure
+        if is_failure:
+            endpoints.failed_at.append(now)
         return is_failure
 
-    async def carry_out(self, duration_s: float, requests_per_s: float) -> None:
-        """Order a roll-out amid even traffic, and let the hosts judge it until its time is over."""
+    async def carry_out(
+        self, duration_s: float, requests_per_s: float, more_s: float = 0.0
+    ) -> None:
+        """Order a roll-out amid even traffic, and let the hosts judge it.
+
+        Parameters
+        ----------
+        more_s : float
+            How long the traffic goes on after the order's duration, in seconds.
+        """
         self.start()
         traffic = asyncio.ensure_future(self._send_requests(requests_per_s))
         await asyncio.sleep(3.0)
         self.endpoints.arrivals.clear()
         self.apply_order(duration_s)
+        loop = asyncio.get_running_loop()
+        self.endpoints.turns_bad_at = loop.time() + self.turns_bad_after_s
         await asyncio.sleep(0.3)
         self.list_new_version()
-        loop = asyncio.get_running_loop()
-        ends_at = loop.time() + duration_s
+        ends_at = loop.time() + duration_s + more_s
         while loop.time() < ends_at:
             await asyncio.sleep(VERDICT_INTERVAL_S)
-            if self.recorded is None:
-                await self._record_verdict()
+            await self._record_verdict()
         traffic.cancel()
 
     async def _record_verdict(self) -> None:
         now = asyncio.get_running_loop().time()
         for host in self.hosts:
-            for rollout in host.rollouts.active():
+            for rollout in host.rollouts.judged(now):
                 verdict = host.rollouts.compute_verdict(rollout, now)
                 if verdict in FINAL_PHASES:
                     await self._record(FINAL_PHASES[verdict])
                     return
 
     async def _record(self, phase: RolloutPhase) -> None:
-        self.recorded = phase
+        self.recorded.append(phase)
         await asyncio.sleep(READ_DELAY_S)
         for host in self.hosts:
             host.rollouts.apply_status(RolloutStatus(SERVICE, NEW, phase))
+            if phase is RolloutPhase.COMPLETED:
+                host.list_only_new_version()
 
     async def _send_requests(self, requests_per_s: float) -> None:
         number = 0
--- a/standins/rollout_fleet.py
+++ b/standins/rollout_fleet.py
@@ -132,7 +132,11 @@
         self.links = MemoryLinks(network, address, zone)
         self.config_view = ConfigView(None)
         self.placement = Placement(zone, random.Random(seed))
-        self.rollouts = Rollouts(SESSION_TIMEOUT_S, find_slots=self.placement.find_slots)
+        self.rollouts = Rollouts(
+            SESSION_TIMEOUT_S,
+            find_slots=self.placement.find_slots,
+            count_endpoints=self.placement.count_endpoints,
+        )
         self.dispatch = Dispatcher(
             self.config_view,
             self.placement,
@@ -195,6 +199,10 @@
         """Add endpoints of the new version to those of the old one."""
         self.placement.update_endpoints([*_list_endpoints(OLD), *_list_endpoints(NEW)])
 
+    def list_only_new_version(self) -> None:
+        """Remove the endpoints of the old version."""
+        self.placement.update_endpoints(list(_list_endpoints(NEW)))
+
     async def run_verdicts(self, initial_delay_s: float) -> None:
         """Compute verdicts of active roll-outs periodically, without recording them."""
         clock = asyncio.get_running_loop().time
