Resume no stream on a version that was rolled back

A stream is resumed on the version that it began on, so one that broke after the rollback of its version went to that version again, however long after: the operators' bound on requests to a bad version counts it.

completed_versions, 'A stream is not resumed on a version that was rolled back', fails on the code before; completed_versions, dispatch and rollouts pass.

--- a/features/completed_versions.feature
+++ b/features/completed_versions.feature
@@ -33,3 +33,9 @@
     Given a host that was cut off after a completion, and one that knows of the later rollback
     When they meet again after 600.0 s
     Then both send nothing to the version, and a late record of "completed" changes nothing
+
+  Scenario: A stream is not resumed on a version that was rolled back
+    # Guards against requests that reach a bad version long after its rollback because they began on it.
+    Given a stream that began on the new version before its rollback was recorded
+    When the stream breaks after its first event
+    Then its next send goes to the old version
--- a/features/steps/completed_versions.py
+++ b/features/steps/completed_versions.py
@@ -2,7 +2,15 @@
 
 from behave import given, then, when
 
+from features.steps.gateway_world import (
+    make_catalogue,
+    make_dispatch,
+    make_endpoint_record,
+    make_request,
+)
 from features.steps.load_tests import NEVER_FAILING_LOAD
+from poplarrun.dispatch import ConfigView, ConnectionBroke, SendDecision
+from poplarrun.placement import EndpointEstimate
 from poplarrun.rollouts import ChangeDetector, Rollouts
 from poplarrun.rollouts._rollouts import (
     COMPLETED_BAD_EVIDENCE,
@@ -117,3 +125,38 @@
         status = RolloutStatus("engines", "v2", RolloutPhase(phase))
         assert not rollouts.apply_status(status)
         assert rollouts.find_rolled_back("engines") == "v2"
+
+
+@given("a stream that began on the new version before its rollback was recorded")
+def step_stream(context):
+    view = ConfigView(None)
+    view.apply_catalogue(make_catalogue())
+    dispatcher = context.dispatcher = make_dispatch(view)
+    dispatcher.placement.update_endpoints(
+        [make_endpoint_record("old", "v1"), make_endpoint_record("new", "v2")]
+    )
+    dispatcher.rollouts.apply_order(RolloutOrder("engines", "v2", 24.0, 7), 100.0)
+    context.work = dispatcher.admit(make_request(), 110.0)
+    estimate = EndpointEstimate(dispatcher.placement.find("new"), 0.0, 0.1, 0)
+    send = SendDecision(estimate, "small", 3)
+    context.attempt = dispatcher.record_sent(context.work, send, 110.0)
+    dispatcher.record_first_event(context.work, context.attempt, 110.2)
+    context.work.last_event_id = b"1"
+    dispatcher.rollouts.apply_status(RolloutStatus("engines", "v2", RolloutPhase.ROLLED_BACK))
+
+
+@when("the stream breaks after its first event")
+def step_breaks(context):
+    endpoint = context.attempt.estimate.endpoint
+    failure = ConnectionBroke("reset")
+    refusal = context.dispatcher.handle_failure(
+        context.work, endpoint, context.attempt, failure, 116.0
+    )
+    assert refusal is None, refusal
+
+
+@then("its next send goes to the old version")
+def step_resumed_elsewhere(context):
+    send = context.dispatcher.choose_endpoint(context.work, 116.1)
+    assert isinstance(send, SendDecision), send
+    assert send.estimate.endpoint.record.version == "v1"
--- a/poplarrun/dispatch/_dispatcher.py
+++ b/poplarrun/dispatch/_dispatcher.py
@@ -574,10 +574,12 @@
         return None if catalogue is None else catalogue.services.get(work.service)
 
     def _choose_versions(self, work: InFlightRequest, now: float) -> VersionChoice:
+        version = work.session_version
+        rolled_back = self.rollouts.find_rolled_back(work.service)
+        if version is None or work.last_event_id is None or version == rolled_back:
+            return self.rollouts.choose_version(work, now)
         # A stream is resumed on the version that it began on.
-        if work.session_version is not None and work.last_event_id is not None:
-            return VersionChoice(frozenset((work.session_version,)), None, VersionReason.STREAM)
-        return self.rollouts.choose_version(work, now)
+        return VersionChoice(frozenset((version,)), rolled_back, VersionReason.STREAM)
 
     def _compute_urgency(self, work: InFlightRequest) -> int:
         match work.route.repeat_policy:
