Judge a version on trial by its newest answers too

A version that turned bad in its roll-out was judged by all of its answers since the order: after 190 good ones it took about eight failures, and as many callers more, to outweigh them.

Now a cumulative sum over the answers compares the fraction that a good version may have beside the old one with three in ten. It decides at a likelihood ratio of e^6.5: after 15 answers on the mean of a version that fails 0.4 of them, after 21 of one that fails 0.3.

--- a/features/completed_versions.feature
+++ b/features/completed_versions.feature
@@ -26,7 +26,14 @@
 
   Scenario: Good versions are not taken for bad ones in hundreds of roll-outs
     # Guards against false alarms of a test that is repeated with every answer.
-    Then of 400 completed versions that fail 0.1 of 1000 answers, none is rolled back
+    Then of 400 versions that fail 0.02 of 300 answers, at most 1 is taken for one that has turned bad
+    And of 400 completed versions that fail 0.1 of 1000 answers, none is rolled back
+
+  Scenario: A version that turns bad after many good answers is rolled back by its newest ones
+    # Guards against evidence summed since the order, in which good answers of the past outweigh bad ones of now.
+    Given a roll-out of 30 s whose version has given 190 good answers
+    When 5 of its next 8 answers fail
+    Then its verdict is "rolled_back"
 
   Scenario: A rollback after the completion reaches a host that was cut off meanwhile
     # Guards against a host that takes the completion for the end of the roll-out for good.
--- a/features/steps/completed_versions.py
+++ b/features/steps/completed_versions.py
@@ -11,10 +11,12 @@
 from features.steps.load_tests import NEVER_FAILING_LOAD
 from poplarrun.dispatch import ConfigView, ConnectionBroke, SendDecision
 from poplarrun.placement import EndpointEstimate
-from poplarrun.rollouts import ChangeDetector, Rollouts
+from poplarrun.rollouts import ChangeDetector, Rollouts, RolloutVerdict, Tally
+from poplarrun.rollouts._evidence import MAX_GOOD_FRACTION
 from poplarrun.rollouts._rollouts import (
     COMPLETED_BAD_EVIDENCE,
     MAX_COMPLETED_BAD_FRACTION,
+    TURNED_BAD_EVIDENCE,
 )
 from poplarrun.routing import RolloutOrder, RolloutPhase, RolloutStatus
 from standins.loaded_rollout import LoadedRolloutFleet
@@ -88,6 +90,15 @@
     return alarms
 
 
+@then(
+    "of {versions:d} versions that fail {fraction:f} of {answers:d} answers, at most {most:d} is"
+    " taken for one that has turned bad"
+)
+def step_false_alarms(context, versions, fraction, answers, most):
+    alarms = count_alarms(versions, TURNED_BAD_EVIDENCE, MAX_GOOD_FRACTION, fraction, answers)
+    assert alarms <= most, alarms
+
+
 @then(
     "of {versions:d} completed versions that fail {fraction:f} of {answers:d} answers, none is"
     " rolled back"
@@ -101,6 +112,28 @@
     )
 
 
+@given("a roll-out of {seconds:d} s whose version has given {good:d} good answers")
+def step_good_so_far(context, seconds, good):
+    context.rollouts = make_rollouts(seconds)
+    tallies = context.rollouts.statistics.local
+    tallies["engines", "v1", "draft/small"] = Tally(4 * good)
+    tallies["engines", "v2", "draft/small"] = Tally(good)
+    rollout = context.rollouts.find("engines")
+    assert context.rollouts.compute_verdict(rollout, 110.0) is RolloutVerdict.ACTIVE
+
+
+@when("{bad:d} of its next {answers:d} answers fail")
+def step_next_fail(context, bad, answers):
+    tallies = context.rollouts.statistics.local
+    tallies["engines", "v2", "draft/small"].add(Tally(answers, bad))
+
+
+@then('its verdict is "{verdict}"')
+def step_verdict(context, verdict):
+    rollout = context.rollouts.find("engines")
+    assert context.rollouts.compute_verdict(rollout, 111.0) is RolloutVerdict(verdict)
+
+
 @given("a host that was cut off after a completion, and one that knows of the later rollback")
 def step_cut_off(context):
     context.cut_off, context.informed = make_rollouts(24), make_rollouts(24)
--- a/poplarrun/rollouts/_evidence.py
+++ b/poplarrun/rollouts/_evidence.py
@@ -40,6 +40,8 @@
 # shifts to its endpoints: endpoints with cold caches begin a sixth of their answers late.
 MAX_SLOW_FRACTION = 0.12
 MAX_COLD_SLOW_FRACTION = 0.4
+# Fraction of bad answers that a good version may have for a while.
+MAX_GOOD_FRACTION = 0.04
 # Fraction of failed answers of a version that is bad.
 BAD_VERSION_FRACTION = 0.3
 # A version is shown to be good when a bad one would return so few bad answers with less than this
@@ -312,6 +314,14 @@
             MAX_COLD_SLOW_FRACTION, unloaded.slow + unloaded.bad, unloaded.answers
         )
 
+    def max_good_fraction(self, service: str, target: str) -> float:
+        """Return the fraction of bad answers that a good version may have beside the others."""
+        others = Tally()
+        for (version, _), tally in self.merge_tallies(service).items():
+            if version != target:
+                others.add(tally)
+        return max(MAX_GOOD_FRACTION, _upper_fraction(others.bad, others.answers))
+
     def is_failing(self, service: str, target: str) -> bool:
         """Tell whether more answers of a version fail than a good one would let fail."""
         tally = self.merge_version_tallies(service, target)
@@ -368,10 +378,15 @@
     return new.mean_log_pace - max(0.0, old.mean_log_pace) > math.log(factor)
 
 
+def _upper_fraction(bad: int, answers: int) -> float:
+    """Return a fraction of bad answers that leans upwards where there are few."""
+    return (bad + 1.0) / (answers + 10.0)
+
+
 def _is_worse(bad: int, answers: int, old_bad: int, old_answers: int, min_fraction: float) -> bool:
     if bad < MIN_BAD_ANSWERS:
         return False
-    fraction = max(min_fraction, (old_bad + 1.0) / (old_answers + 10.0))
+    fraction = max(min_fraction, _upper_fraction(old_bad, old_answers))
     return _binomial_tail(bad, answers, fraction) < MAX_CHANCE_PROBABILITY
 
 
--- a/poplarrun/rollouts/_rollouts.py
+++ b/poplarrun/rollouts/_rollouts.py
@@ -36,8 +36,9 @@
 # Delay of the shift past the middle of the order's duration, in seconds, for clocks and times
 # of reading the order that differ between hosts.
 SHIFT_MARGIN_S = 0.4
-# Evidence, as a logarithm of likelihoods, that a version has turned bad once the old one is gone
-# and nothing else can answer.
+# Evidence, as a logarithm of likelihoods, that a version has turned bad: while the old one still
+# runs, and once it is gone and nothing else can answer.
+TURNED_BAD_EVIDENCE = 6.5
 COMPLETED_BAD_EVIDENCE = 20.0
 # Fraction of bad answers that is tolerated of a completed version: endpoints that fail or crash
 # cause as many.
@@ -151,7 +152,7 @@
     proven_at: float | None = None
     announced_copies: int = 0
     was_completed: bool = False
-    changes: ChangeDetector = field(default_factory=lambda: ChangeDetector(COMPLETED_BAD_EVIDENCE))
+    changes: ChangeDetector = field(default_factory=lambda: ChangeDetector(TURNED_BAD_EVIDENCE))
 
     def record_phase(self, phase: RolloutPhase) -> bool:
         """Record the phase that the store holds; True when it changes the roll-out.
@@ -166,6 +167,7 @@
         self.recorded_phase = phase
         if phase is RolloutPhase.COMPLETED:
             self.was_completed = True
+            self.changes = ChangeDetector(COMPLETED_BAD_EVIDENCE)
         return True
 
     @property
@@ -519,6 +521,10 @@
         if self.statistics.is_bad(order.service, order.target, rollout.stage(now)):
             return RolloutVerdict.ROLLED_BACK
         total = self.statistics.merge_version_tallies(order.service, order.target)
+        good_fraction = self.statistics.max_good_fraction(order.service, order.target)
+        rollout.changes.record_totals(total.answers, total.bad, good_fraction)
+        if rollout.changes.has_turned_bad:
+            return RolloutVerdict.ROLLED_BACK
         answers = self.statistics.count_answers(order.service)
         min_answers = max(1.0, min(MIN_ANSWERS, MIN_ANSWERS_FRACTION * answers))
         if rollout.is_shift_due(now) and total.answers >= min_answers:
