Move all sessions to a new version only just before its completion

Sessions moved as soon as the version was proven and a fifth of the time was over, and the completion was due at 0.88 of it. Both now come at the end of the time: the completion 1.6 s before the limit (0.88 of a short order), all sessions 2 s before that. Until then a fifth of them is there, and the old version can serve.

completed_versions, 'A version gets all sessions only shortly before its completion', fails for three of four orders on the code before. Two scenarios looked at moments of the old course and look at the same ones of the new: a version that 'got all sessions' has them at 116.5 in place of 115 s, and the last 1.5 s before the completion end at 0.93 in place of 0.85 of the time.

--- a/features/completed_versions.feature
+++ b/features/completed_versions.feature
@@ -35,6 +35,19 @@
     When 5 of its next 8 answers fail
     Then its verdict is "rolled_back"
 
+  Scenario Outline: A version gets all sessions only shortly before its completion
+    # Guards against a version that turns bad while nothing of its exposure is left.
+    Given a proven version in a roll-out of <seconds> s
+    Then it gets all sessions for at most <most> s before the end of the time
+    And all of them at least <least> s before its completion is due
+
+    Examples:
+      | seconds | most | least |
+      | 8       | 2.4  | 0.8   |
+      | 16      | 4.0  | 1.8   |
+      | 24      | 4.0  | 1.8   |
+      | 30      | 4.0  | 1.8   |
+
   Scenario: A rollback after the completion reaches a host that was cut off meanwhile
     # Guards against a host that takes the completion for the end of the roll-out for good.
     Given a host that was cut off after a completion, and one that knows of the later rollback
--- a/features/steps/completed_versions.py
+++ b/features/steps/completed_versions.py
@@ -134,6 +134,32 @@
     assert context.rollouts.compute_verdict(rollout, 111.0) is RolloutVerdict(verdict)
 
 
+@given("a proven version in a roll-out of {seconds:d} s")
+def step_proven(context, seconds):
+    context.seconds = seconds
+    context.rollout = make_rollouts(seconds).find("engines")
+    at = 100.0
+    while not context.rollout.is_shift_due(at):
+        at += 0.1
+    context.rollout.record_shift(at)
+    context.rollout.record_proof(at + 1.0)
+
+
+def find_first(is_true):
+    return next(step / 10.0 for step in range(10_000) if is_true(100.0 + step / 10.0))
+
+
+@then("it gets all sessions for at most {most:f} s before the end of the time")
+def step_moves_late(context, most):
+    context.moved_after_s = find_first(context.rollout.has_all_sessions)
+    assert context.seconds - context.moved_after_s <= most, context.moved_after_s
+
+
+@then("all of them at least {least:f} s before its completion is due")
+def step_answers_end(context, least):
+    assert context.rollout.completion_delay_s - context.moved_after_s >= least
+
+
 @given("a host that was cut off after a completion, and one that knows of the later rollback")
 def step_cut_off(context):
     context.cut_off, context.informed = make_rollouts(24), make_rollouts(24)
--- a/features/steps/rollout_sessions.py
+++ b/features/steps/rollout_sessions.py
@@ -11,7 +11,7 @@
 
 SEED = 2541
 # Fraction of the order's duration in which callers send: the old endpoints are stopped soon after.
-OBSERVED_FRACTION = 0.85
+OBSERVED_FRACTION = 0.93
 # From an order until the endpoints of its version are listed.
 LISTED_AFTER_S = 0.3
 
--- a/poplarrun/rollouts/_rollouts.py
+++ b/poplarrun/rollouts/_rollouts.py
@@ -31,8 +31,13 @@
 # so that a service with little traffic can begin the shift.
 MIN_ANSWERS_FRACTION = 0.03
 # Fraction of the order's duration after which the roll-out completes, which stops the old
-# endpoints even if some of their answers are still running.
+# endpoints even if some of their answers are still running, and how long before its end a longer
+# one does, in seconds. A version that turns bad before the completion can still be rolled back.
 COMPLETION_TIME_FRACTION = 0.88
+COMPLETION_MARGIN_S = 1.6
+# Time from the move of all sessions to the completion, in which the old endpoints end most of
+# their answers, in seconds.
+OLD_ANSWERS_TIME_S = 2.0
 # Delay of the shift past the middle of the order's duration, in seconds, for clocks and times
 # of reading the order that differ between hosts.
 SHIFT_MARGIN_S = 0.4
@@ -237,7 +242,10 @@
             return False
         if self.proven_at is None or now - self.proven_at < SHIFT_DELAY_S:
             return False
-        return now - self.shift_decided_at >= SHIFT_TIME_FRACTION * self.order.duration_s
+        is_shift_over = now - self.shift_decided_at >= SHIFT_TIME_FRACTION * self.order.duration_s
+        return (
+            is_shift_over and now - self.started_at >= self.completion_delay_s - OLD_ANSWERS_TIME_S
+        )
 
     def stage(self, now: float) -> ComparisonStage:
         """Return how far the new version can be compared with the old one."""
@@ -254,6 +262,12 @@
         """Return the elapsed fraction of the order's duration, 1 at its end."""
         return (now - self.started_at) / self.order.duration_s
 
+    @property
+    def completion_delay_s(self) -> float:
+        """Time from the order to the completion, in seconds."""
+        duration_s = self.order.duration_s
+        return max(COMPLETION_TIME_FRACTION * duration_s, duration_s - COMPLETION_MARGIN_S)
+
     def is_shift_due(self, now: float) -> bool:
         """Tell whether the time of the trial is over."""
         return now - self.started_at > TRIAL_TIME_FRACTION * self.order.duration_s + SHIFT_MARGIN_S
@@ -535,7 +549,7 @@
         is_over = rollout.proven_at is None and rollout.is_load_test_over(now)
         if is_over or (not rollout.has_all_sessions(now) and self._fails_under_load(rollout)):
             return RolloutVerdict.ROLLED_BACK
-        is_completion_due = rollout.elapsed_fraction(now) >= COMPLETION_TIME_FRACTION
+        is_completion_due = now - rollout.started_at >= rollout.completion_delay_s
         # Answers since the proof may have undone it, and a completion is final.
         if rollout.has_all_sessions(now) and is_completion_due and is_good:
             return RolloutVerdict.COMPLETED
