Tell faulty endpoints from a bad version by how often each of them fails

Hosts now count the answers of some endpoints of a completed version one by one, and add them up. The version is rolled back if the better half of the endpoints failed too often since the change began; a change that isn't shown within 20 s is dropped.

completed_versions, 'Faulty endpoints are told from a bad version ...': the rows with two or three faulty of six are rolled back by the count of before.

--- a/features/completed_versions.feature
+++ b/features/completed_versions.feature
@@ -24,6 +24,20 @@
       | 6     | 0.5      |
       | 6     | 1.0      |
 
+  Scenario Outline: Faulty endpoints are told from a bad version by how often each of them fails
+    # Guards against a good version that is refused since its sound endpoints fail now and then beside faulty ones.
+    Given a completed version with endpoints that fail <failures> of each 10 answers
+    When each of them has given 60 more answers
+    Then the verdict on the completed version is "<verdict>"
+
+    Examples:
+      | failures    | verdict     |
+      | 4,4,4,4,4,4 | rolled_back |
+      | 3,5,4,3,5,4 | rolled_back |
+      | 5,5,1,1,1,1 | nothing     |
+      | 9,9,9,1,1,1 | nothing     |
+      | 8           | rolled_back |
+
   Scenario: Good versions are not taken for bad ones in hundreds of roll-outs
     # Guards against false alarms of a test that is repeated with every answer.
     Then of 400 versions that fail 0.02 of 300 answers, at most 1 is taken for one that has turned bad
--- a/features/steps/completed_versions.py
+++ b/features/steps/completed_versions.py
@@ -11,7 +11,7 @@
 from features.steps.load_tests import NEVER_FAILING_LOAD
 from poplarrun.dispatch import ConfigView, ConnectionBroke, SendDecision
 from poplarrun.placement import EndpointEstimate
-from poplarrun.rollouts import ChangeDetector, Rollouts, RolloutVerdict, Tally
+from poplarrun.rollouts import AnswerTimes, ChangeDetector, Rollouts, RolloutVerdict, Tally
 from poplarrun.rollouts._evidence import MAX_GOOD_FRACTION
 from poplarrun.rollouts._rollouts import (
     COMPLETED_BAD_EVIDENCE,
@@ -73,6 +73,36 @@
         assert late_s <= seconds, (late_s, len(failed_at))
 
 
+@given("a completed version with endpoints that fail {failures} of each 10 answers")
+def step_completed(context, failures):
+    context.failures = [int(each) for each in failures.split(",")]
+    context.rollouts = make_rollouts(24)
+    context.rollouts.apply_status(RolloutStatus("engines", "v2", RolloutPhase.COMPLETED))
+    context.rollouts.compute_verdict(context.rollouts.find("engines"), 125.0)
+
+
+@when("each of them has given {answers:d} more answers")
+def step_more_answers(context, answers):
+    context.verdicts = []
+    for number in range(answers):
+        for endpoint, failures in enumerate(context.failures):
+            is_bad = number % 10 < failures
+            key = ("engines", "v2", "draft/small")
+            context.rollouts.statistics.record_answer(
+                key, is_bad, AnswerTimes(), False, f"engine-{endpoint}"
+            )
+        verdict = context.rollouts.compute_verdict(
+            context.rollouts.find("engines"), 126.0 + 0.2 * number
+        )
+        context.verdicts.append(verdict)
+
+
+@then('the verdict on the completed version is "{verdict}"')
+def step_completed_verdict(context, verdict):
+    found = RolloutVerdict.ROLLED_BACK in context.verdicts
+    assert found is (verdict == "rolled_back"), len(context.verdicts)
+
+
 def count_alarms(versions, threshold, good_fraction, fraction, answers):
     """Return how many versions that fail a fraction of their answers are taken for bad."""
     source = random.Random(SEED)
--- a/poplarrun/gateway/_activity.py
+++ b/poplarrun/gateway/_activity.py
@@ -1,13 +1,15 @@
 """Exchange of load totals and roll-out progress between this host's components and digests."""
 
+import zlib
 from dataclasses import dataclass
 
 from poplarrun.logging import events, write_event
 from poplarrun.peers import (
-    MAX_FAILING_ENDPOINTS,
+    MAX_COUNTED_ENDPOINTS,
     ActivityTotals,
     Digest,
     EndpointLoad,
+    EndpointTally,
     ReceivedTotals,
     RolloutProgress,
     Scope,
@@ -16,7 +18,7 @@
     decode_totals,
 )
 from poplarrun.placement import Placement
-from poplarrun.rollouts import Rollouts, Tally
+from poplarrun.rollouts import EndpointCounts, Rollouts, Tally
 from poplarrun.routing import RolloutOrder, RolloutPhase, RolloutStatus
 
 # Name of the entry for the totals of all other hosts among loads and tallies.
@@ -61,7 +63,9 @@
 
     def own_totals(self, now: float) -> ActivityTotals:
         """Return the totals of this host alone."""
-        return ActivityTotals(1, self._loads(), self._tallies(now))
+        return ActivityTotals(
+            1, self._loads(), self._tallies(now), endpoints=self._endpoint_tallies(now)
+        )
 
     def record_sent(self, totals: ActivityTotals, stamp: float) -> None:
         """Remember the own totals that were sent, to subtract them from received totals."""
@@ -128,11 +132,14 @@
                 tally.paced_answers,
                 tally.log_pace_sum,
                 set(tally.interrupting_endpoints),
-                set(tally.failing_endpoints),
             )
             for tally in others.tallies
         }
-        self._rollouts.statistics.apply_host_tallies(OTHERS, tallies)
+        endpoints = {
+            each.instance_id: EndpointCounts(each.answers, each.failures)
+            for each in others.endpoints
+        }
+        self._rollouts.statistics.apply_host_tallies(OTHERS, tallies, endpoints)
 
     def rollout_states(self, now: float) -> list[RolloutState]:
         """Return the state of the roll-outs whose versions are judged."""
@@ -184,12 +191,24 @@
                 tally.paced_answers,
                 round(tally.log_pace_sum, 2),
                 sorted(tally.interrupting_endpoints),
-                sorted(tally.failing_endpoints)[:MAX_FAILING_ENDPOINTS],
             )
             for key, tally in self._rollouts.statistics.local.items()
             if key[0] in judged
         ]
 
+    def _endpoint_tallies(self, now: float) -> list[EndpointTally]:
+        """Return the counts of some endpoints of completed versions, the same ones at all hosts."""
+        tallies = []
+        for rollout in self._rollouts.judged(now):
+            if rollout.is_in_progress:
+                continue
+            key = (rollout.order.service, rollout.order.target)
+            counts = self._rollouts.statistics.local_endpoints.get(key, {})
+            for endpoint in sorted(counts, key=_sampling_rank)[:MAX_COUNTED_ENDPOINTS]:
+                each = counts[endpoint]
+                tallies.append(EndpointTally(endpoint, each.answers, each.failures))
+        return tallies
+
     def _apply_rollouts(self, digest: Digest, now: float) -> None:
         for progress in digest.rollouts:
             order = RolloutOrder(
@@ -237,5 +256,9 @@
                     )
 
 
+def _sampling_rank(endpoint: str) -> int:
+    return zlib.crc32(endpoint.encode())
+
+
 def _age_s(at: float | None, now: float) -> float | None:
     return None if at is None else now - at
--- a/poplarrun/gateway/_host.py
+++ b/poplarrun/gateway/_host.py
@@ -106,7 +106,6 @@
             settings.max_exposure_fraction,
             settings.exposure_allowance,
             self._placement.find_slots,
-            self._placement.count_endpoints,
         )
         self._dispatcher = Dispatcher(
             self._config_view,
--- a/poplarrun/peers/__init__.py
+++ b/poplarrun/peers/__init__.py
@@ -1,9 +1,10 @@
 """State that gateway hosts exchange: liveness, totals, roll-outs, and who reads the store."""
 
 from poplarrun.peers._activity_messages import (
-    MAX_FAILING_ENDPOINTS,
+    MAX_COUNTED_ENDPOINTS,
     ActivityTotals,
     EndpointLoad,
+    EndpointTally,
     UnlistedLoad,
     VersionTally,
     decode_totals,
@@ -71,7 +72,7 @@
     "DEFAULT_READ_TIMEOUTS",
     "DOCUMENTS",
     "ENDPOINTS",
-    "MAX_FAILING_ENDPOINTS",
+    "MAX_COUNTED_ENDPOINTS",
     "READ_TOPICS",
     "ActivityTotals",
     "AnsweredRequest",
@@ -95,6 +96,7 @@
     "EndpointQuery",
     "EndpointRateLimit",
     "EndpointReach",
+    "EndpointTally",
     "HostStart",
     "HostStop",
     "LeavingStart",
--- a/poplarrun/peers/_activity_messages.py
+++ b/poplarrun/peers/_activity_messages.py
@@ -2,8 +2,9 @@
 
 import msgspec
 
-# Endpoints with failed answers that a tally names. More tell nothing more of a version.
-MAX_FAILING_ENDPOINTS = 12
+# Endpoints of a version whose answers hosts count one by one. All hosts choose the same ones; more
+# tell nothing more of a version.
+MAX_COUNTED_ENDPOINTS = 24
 
 
 class EndpointLoad(msgspec.Struct, frozen=True, array_like=True):
@@ -37,8 +38,6 @@
         Sum of the logarithms of the ratios of these paces.
     interrupting_endpoints : list of str
         Endpoints that broke off answers.
-    failing_endpoints : list of str
-        Some of the endpoints whose answers failed, at most ``MAX_FAILING_ENDPOINTS``.
     """
 
     service: str
@@ -50,7 +49,14 @@
     paced_answers: int
     log_pace_sum: float
     interrupting_endpoints: list[str] = []
-    failing_endpoints: list[str] = []
+
+
+class EndpointTally(msgspec.Struct, frozen=True, array_like=True):
+    """Outcomes of one endpoint of a version that is judged, summed over a group of hosts."""
+
+    instance_id: str
+    answers: int
+    failures: int
 
 
 class UnlistedLoad(msgspec.Struct, frozen=True, array_like=True):
@@ -77,12 +83,15 @@
         The highest loads.
     unlisted : UnlistedLoad
         The sum of the others.
+    endpoints : list of EndpointTally
+        Some endpoints of versions that were completed lately.
     """
 
     hosts: int
     loads: list[EndpointLoad] = []
     tallies: list[VersionTally] = []
     unlisted: UnlistedLoad = UnlistedLoad()
+    endpoints: list[EndpointTally] = []
 
 
 _ENCODER = msgspec.msgpack.Encoder()
--- a/poplarrun/peers/_totals.py
+++ b/poplarrun/peers/_totals.py
@@ -5,9 +5,9 @@
 from dataclasses import dataclass, field
 
 from poplarrun.peers._activity_messages import (
-    MAX_FAILING_ENDPOINTS,
     ActivityTotals,
     EndpointLoad,
+    EndpointTally,
     UnlistedLoad,
     VersionTally,
 )
@@ -47,6 +47,7 @@
         self._loads: dict[str, tuple[int, int]] = {}
         self._tallies: dict[tuple[str, str, str], VersionTally] = {}
         self._unlisted = UnlistedLoad()
+        self._endpoints: dict[str, tuple[int, int]] = {}
 
     def add(self, totals: ActivityTotals, sign: int = 1) -> None:
         """Add totals.
@@ -67,6 +68,12 @@
             max(0, self._unlisted.in_flight + sign * totals.unlisted.in_flight),
             max(0, self._unlisted.pending_prefill_ms + sign * totals.unlisted.pending_prefill_ms),
         )
+        for counts in totals.endpoints:
+            answers, failures = self._endpoints.get(counts.instance_id, (0, 0))
+            self._endpoints[counts.instance_id] = (
+                max(0, answers + sign * counts.answers),
+                max(0, failures + sign * counts.failures),
+            )
         for tally in totals.tallies:
             key = (tally.service, tally.version, tally.kind)
             known = self._tallies.get(key)
@@ -87,13 +94,13 @@
             self._unlisted.pending_prefill_ms + sum(load.pending_prefill_ms for load in others),
         )
         tallies = list(self._tallies.values())
-        return ActivityTotals(self.hosts, loads[:MAX_LISTED_LOADS], tallies, unlisted)
+        endpoints = [EndpointTally(each, *counts) for each, counts in self._endpoints.items()]
+        return ActivityTotals(self.hosts, loads[:MAX_LISTED_LOADS], tallies, unlisted, endpoints)
 
 
 def _add_tallies(one: VersionTally, other: VersionTally, sign: int) -> VersionTally:
     # Endpoints that broke off are a set: subtracting them would lose those that others saw too.
     interrupting_endpoints = sorted({*one.interrupting_endpoints, *other.interrupting_endpoints})
-    failing_endpoints = sorted({*one.failing_endpoints, *other.failing_endpoints})
     return VersionTally(
         one.service,
         one.version,
@@ -104,7 +111,6 @@
         max(0, one.paced_answers + sign * other.paced_answers),
         round(one.log_pace_sum + sign * other.log_pace_sum, 2),
         interrupting_endpoints,
-        failing_endpoints[:MAX_FAILING_ENDPOINTS],
     )
 
 
--- a/poplarrun/placement/_placement.py
+++ b/poplarrun/placement/_placement.py
@@ -590,10 +590,6 @@
             default=0,
         )
 
-    def count_endpoints(self, service: str, version: str) -> int:
-        """Return how many endpoints of a version are known."""
-        return sum(endpoint.record.version == version for endpoint in self.endpoints(service))
-
     def _sample(self, candidates: list[EndpointState], owner: str | None) -> list[EndpointState]:
         """Return the endpoints to compare, in random order: all, or a sample of very many.
 
--- a/poplarrun/rollouts/__init__.py
+++ b/poplarrun/rollouts/__init__.py
@@ -7,6 +7,7 @@
     AnswerStatistics,
     AnswerTimes,
     ComparisonStage,
+    EndpointCounts,
     Tally,
 )
 from poplarrun.rollouts._load_tests import (
@@ -38,6 +39,7 @@
     "AnswerTimes",
     "ChangeDetector",
     "ComparisonStage",
+    "EndpointCounts",
     "PinnedSession",
     "Rollout",
     "RolloutVerdict",
--- a/poplarrun/rollouts/_evidence.py
+++ b/poplarrun/rollouts/_evidence.py
@@ -44,6 +44,10 @@
 MAX_GOOD_FRACTION = 0.04
 # Fraction of failed answers of a version that is bad.
 BAD_VERSION_FRACTION = 0.3
+# Fraction of failed answers of sound endpoints beside faulty ones, and the probability below which
+# more failures are no chance.
+MAX_SOUND_ENDPOINT_FRACTION = 0.12
+MAX_WIDESPREAD_CHANCE_PROBABILITY = 0.005
 # A version is shown to be good when a bad one would return so few bad answers with less than this
 # probability.
 MAX_GOOD_CHANCE_PROBABILITY = 0.05
@@ -131,8 +135,6 @@
         Sum of the logarithms of their ratios to the baseline.
     interrupting_endpoints : set of str
         Endpoints that broke off answers.
-    failing_endpoints : set of str
-        Endpoints whose answers failed.
     """
 
     answers: int = 0
@@ -141,7 +143,6 @@
     paced_answers: int = 0
     log_pace_sum: float = 0.0
     interrupting_endpoints: set[str] = field(default_factory=set)
-    failing_endpoints: set[str] = field(default_factory=set)
 
     @property
     def bad(self) -> int:
@@ -158,7 +159,6 @@
         self.answers += other.answers
         self.failures += other.failures
         self.interrupting_endpoints |= other.interrupting_endpoints
-        self.failing_endpoints |= other.failing_endpoints
         self.slow += other.slow
         self.paced_answers += other.paced_answers
         self.log_pace_sum += other.log_pace_sum
@@ -173,6 +173,40 @@
         )
 
 
+@dataclass(slots=True)
+class EndpointCounts:
+    """Answers of one endpoint, and how many of them failed."""
+
+    answers: int = 0
+    failures: int = 0
+
+    def add(self, answers: int, failures: int) -> None:
+        """Add answers, and failures of these or earlier ones."""
+        self.answers += answers
+        self.failures += failures
+
+    def since(self, before: "EndpointCounts") -> "EndpointCounts":
+        """Return what has come since an earlier count; totals shrink when a host is lost."""
+        return EndpointCounts(
+            max(0, self.answers - before.answers), max(0, self.failures - before.failures)
+        )
+
+
+def is_widespread(counts: list[EndpointCounts]) -> bool:
+    """Tell whether endpoints fail too often even without the worse half of them.
+
+    A few faulty endpoints may cause as many failures as a bad version does.
+    """
+    answering = sorted(
+        (each for each in counts if each.answers > 0), key=lambda each: each.failures / each.answers
+    )
+    better = answering[: (len(answering) + 1) // 2]
+    answers = sum(each.answers for each in better)
+    failures = sum(each.failures for each in better)
+    probability = _binomial_tail(failures, answers, MAX_SOUND_ENDPOINT_FRACTION)
+    return probability < MAX_WIDESPREAD_CHANCE_PROBABILITY
+
+
 class ComparisonStage(enum.Enum):
     """How far a new version can be compared with the old one.
 
@@ -186,6 +220,7 @@
 
 
 TallyKey = tuple[str, str, str]
+VersionKey = tuple[str, str]
 
 
 @dataclass
@@ -199,10 +234,14 @@
     ----------
     local : dict of (service, version, kind) to Tally
         Tallies of the answers that this host forwarded.
+    local_endpoints : dict of (service, version) to dict of str to EndpointCounts
+        The same by endpoint.
     """
 
     local: dict[TallyKey, Tally] = field(default_factory=dict)
+    local_endpoints: dict[VersionKey, dict[str, EndpointCounts]] = field(default_factory=dict)
     _remote: dict[str, dict[TallyKey, Tally]] = field(default_factory=dict)
+    _remote_endpoints: dict[str, dict[str, EndpointCounts]] = field(default_factory=dict)
     _highest_loads: dict[tuple[str, str], float] = field(default_factory=dict)
     _baselines: dict[tuple[str, str], TimesBaseline] = field(default_factory=dict)
 
@@ -232,8 +271,8 @@
         tally = self.local.setdefault(key, Tally())
         tally.answers += 1
         tally.failures += is_bad
-        if is_bad and endpoint:
-            tally.failing_endpoints.add(endpoint)
+        if endpoint:
+            self._endpoint_counts(key).setdefault(endpoint, EndpointCounts()).add(1, is_bad)
         tally.slow += baseline.is_slow(times)
         log_ratio = baseline.log_interval_ratio(times)
         if log_ratio is not None:
@@ -244,9 +283,8 @@
 
     def record_failure_of_slow_answer(self, key: TallyKey, endpoint: str) -> None:
         """Count the failure of an answer that was already counted as slow."""
-        tally = self.local.setdefault(key, Tally())
-        tally.failures += 1
-        tally.failing_endpoints.add(endpoint)
+        self.local.setdefault(key, Tally()).failures += 1
+        self._endpoint_counts(key).setdefault(endpoint, EndpointCounts()).add(0, 1)
 
     def record_interruption(self, key: TallyKey, endpoint: str, is_counted: bool) -> None:
         """Record that an endpoint broke off an answer.
@@ -265,17 +303,37 @@
         baseline = self._baselines.get((service, kind))
         return baseline is not None and baseline.is_slow(times)
 
-    def apply_host_tallies(self, host: str, tallies: dict[TallyKey, Tally]) -> None:
-        """Replace the tallies of another host."""
+    def _endpoint_counts(self, key: TallyKey) -> dict[str, EndpointCounts]:
+        return self.local_endpoints.setdefault(key[:2], {})
+
+    def apply_host_tallies(
+        self,
+        host: str,
+        tallies: dict[TallyKey, Tally],
+        endpoints: dict[str, EndpointCounts] | None = None,
+    ) -> None:
+        """Replace the tallies of another host, and its counts by endpoint."""
         self._remote[host] = tallies
+        self._remote_endpoints[host] = endpoints or {}
+
+    def merge_endpoints(self, service: str, version: str) -> dict[str, EndpointCounts]:
+        """Return the sums over all hosts by endpoint, for those that answered this host."""
+        merged = {}
+        for endpoint, own in self.local_endpoints.get((service, version), {}).items():
+            counts = merged[endpoint] = EndpointCounts(own.answers, own.failures)
+            for remote in self._remote_endpoints.values():
+                if endpoint in remote:
+                    counts.add(remote[endpoint].answers, remote[endpoint].failures)
+        return merged
 
     def forget(self, service: str) -> None:
         """Delete the tallies of a service before a new roll-out of it."""
         for tallies in (self.local, *self._remote.values()):
             for key in [key for key in tallies if key[0] == service]:
                 del tallies[key]
-        for version_key in [key for key in self._highest_loads if key[0] == service]:
-            del self._highest_loads[version_key]
+        for by_version in (self._highest_loads, self.local_endpoints):
+            for version_key in [key for key in by_version if key[0] == service]:
+                del by_version[version_key]
 
     def merge_tallies(self, service: str) -> dict[tuple[str, str], Tally]:
         """Return the sums over all hosts, by version and kind of work."""
--- a/poplarrun/rollouts/_rollouts.py
+++ b/poplarrun/rollouts/_rollouts.py
@@ -1,13 +1,19 @@
 """Assigns sessions to versions during a roll-out and decides when it completes or rolls back."""
 
 import enum
-import math
 from collections.abc import Callable
 from dataclasses import dataclass, field
 
 from poplarrun.rollouts import _load_tests as load_tests
 from poplarrun.rollouts._changes import ChangeDetector
-from poplarrun.rollouts._evidence import FULL_LOAD, AnswerStatistics, ComparisonStage, Tally
+from poplarrun.rollouts._evidence import (
+    FULL_LOAD,
+    AnswerStatistics,
+    ComparisonStage,
+    EndpointCounts,
+    Tally,
+    is_widespread,
+)
 from poplarrun.rollouts._sessions import PinnedSession, SessionKey, SessionPins
 from poplarrun.routing import InFlightRequest, RolloutOrder, RolloutPhase, RolloutStatus
 
@@ -48,10 +54,8 @@
 # Fraction of bad answers that is tolerated of a completed version: endpoints that fail or crash
 # cause as many.
 MAX_COMPLETED_BAD_FRACTION = 0.1
-# Fraction of its endpoints that must have returned failed answers, and the number that is enough.
-# A few faulty endpoints tell nothing of their version.
-FAILING_ENDPOINTS_FRACTION = 0.5
-ENOUGH_FAILING_ENDPOINTS = 10
+# Time in which the answers since a change must show it at most endpoints, in seconds.
+CHANGE_WINDOW_S = 20.0
 # How long a completed version is judged after the order's duration, in seconds.
 JUDGE_AFTER_END_S = 120.0
 # How long a roll-out is still published to other hosts after the order's duration, in seconds.
@@ -147,6 +151,10 @@
         Whether the store has held its completion, after which the old version is gone.
     changes : ChangeDetector
         Tells whether the newest answers are those of a bad version.
+    changed_at : float
+        When the evidence that a completed version has turned bad began.
+    counts_before_change : dict of str to EndpointCounts
+        What its endpoints had answered by then.
     """
 
     order: RolloutOrder
@@ -158,6 +166,8 @@
     announced_copies: int = 0
     was_completed: bool = False
     changes: ChangeDetector = field(default_factory=lambda: ChangeDetector(TURNED_BAD_EVIDENCE))
+    changed_at: float = 0.0
+    counts_before_change: dict[str, EndpointCounts] = field(default_factory=dict)
 
     def record_phase(self, phase: RolloutPhase) -> bool:
         """Record the phase that the store holds; True when it changes the roll-out.
@@ -290,15 +300,12 @@
     ----------
     find_slots : callable
         Returns the slots of an endpoint of a service's version; 0 if it has none.
-    count_endpoints : callable
-        Returns how many endpoints a service's version has.
     """
 
     session_timeout_s: float = 5.0
     exposure_limit: float = DEFAULT_EXPOSURE_LIMIT
     exposure_allowance: float = 0.0
     find_slots: Callable[[str, str], int] = lambda service, version: 0
-    count_endpoints: Callable[[str, str], int] = lambda service, version: 0
     statistics: AnswerStatistics = field(default_factory=AnswerStatistics)
     _rollouts: dict[str, Rollout] = field(default_factory=dict)
     sessions: SessionPins = field(default_factory=SessionPins)
@@ -529,7 +536,7 @@
         """
         order = rollout.order
         if rollout.recorded_phase is RolloutPhase.COMPLETED:
-            return self._judge_completed(rollout)
+            return self._judge_completed(rollout, now)
         if not rollout.is_in_progress:
             return RolloutVerdict.NOTHING
         if self.statistics.is_bad(order.service, order.target, rollout.stage(now)):
@@ -559,16 +566,21 @@
             RolloutVerdict.NOTHING if rollout.recorded_phase is not None else RolloutVerdict.ACTIVE
         )
 
-    def _judge_completed(self, rollout: Rollout) -> RolloutVerdict:
+    def _judge_completed(self, rollout: Rollout, now: float) -> RolloutVerdict:
         order = rollout.order
         total = self.statistics.merge_version_tallies(order.service, order.target)
+        counts = self.statistics.merge_endpoints(order.service, order.target)
         rollout.changes.record_totals(total.answers, total.bad, MAX_COMPLETED_BAD_FRACTION)
-        endpoints = self.count_endpoints(order.service, order.target)
-        needed = min(ENOUGH_FAILING_ENDPOINTS, math.ceil(FAILING_ENDPOINTS_FRACTION * endpoints))
-        is_widespread = len(total.failing_endpoints) >= needed
-        if rollout.changes.has_turned_bad and is_widespread:
-            return RolloutVerdict.ROLLED_BACK
-        return RolloutVerdict.NOTHING
+        if rollout.changes.score == 0.0 or now - rollout.changed_at > CHANGE_WINDOW_S:
+            rollout.changes.score = 0.0
+            rollout.changed_at, rollout.counts_before_change = now, counts
+        if not rollout.changes.has_turned_bad:
+            return RolloutVerdict.NOTHING
+        since_change = [
+            each.since(rollout.counts_before_change.get(endpoint, EndpointCounts()))
+            for endpoint, each in counts.items()
+        ]
+        return RolloutVerdict.ROLLED_BACK if is_widespread(since_change) else RolloutVerdict.NOTHING
 
     def is_shown_good(self, rollout: Rollout) -> bool:
         """Tell whether the version's answers show that it neither fails nor is much slower."""
--- a/standins/rollout_fleet.py
+++ b/standins/rollout_fleet.py
@@ -132,11 +132,7 @@
         self.links = MemoryLinks(network, address, zone)
         self.config_view = ConfigView(None)
         self.placement = Placement(zone, random.Random(seed))
-        self.rollouts = Rollouts(
-            SESSION_TIMEOUT_S,
-            find_slots=self.placement.find_slots,
-            count_endpoints=self.placement.count_endpoints,
-        )
+        self.rollouts = Rollouts(SESSION_TIMEOUT_S, find_slots=self.placement.find_slots)
         self.dispatch = Dispatcher(
             self.config_view,
             self.placement,
