Give the place of a caller that reads nothing to a new one

A crowd that sent ahead and read nothing held all connections of callers, and ordinary callers' connections were closed unanswered. A full host closed idle connections only; those of the crowd never counted as idle, since the kernel took some MB of answers for each of them before the host noticed that nobody reads.

The kernel now takes 64 KB beyond what the peer's window admits (TCP_NOTSENT_LOWAT). A full host parts first with idle connections, then with those whose caller has left an answer unread for 0.5 s, or was rejected, and closes the new one only if there are none. Connections that close and still have bytes to send count as open. The next request of a connection waits until nothing of the answer before is left here.

slow_readers and caller_connections pass.

--- a/poplarrun/transport/_server.py
+++ b/poplarrun/transport/_server.py
@@ -15,7 +15,11 @@
 import h11
 
 from poplarrun.transport._backlog import PIECE_BYTES, Backlog, ignore_change
-from poplarrun.transport._sockets import CALLER_UNACKED_TIMEOUT_MS, detect_dead_peers
+from poplarrun.transport._sockets import (
+    CALLER_UNACKED_TIMEOUT_MS,
+    detect_dead_peers,
+    limit_unsent,
+)
 from poplarrun.transport._stalls import STALLED_TIMEOUT_MS, StallGuard
 
 # Connections that may wait to be accepted. Callers that find the queue full retry to connect
@@ -129,7 +133,9 @@
         assert isinstance(transport, asyncio.Transport)
         self._transport = transport
         self._backlog = Backlog(transport, self._server.count_unsent)
-        detect_dead_peers(transport.get_extra_info("socket"), CALLER_UNACKED_TIMEOUT_MS)
+        sock = transport.get_extra_info("socket")
+        detect_dead_peers(sock, CALLER_UNACKED_TIMEOUT_MS)
+        limit_unsent(sock)
         self._stall_guard = StallGuard(transport, CALLER_UNACKED_TIMEOUT_MS)
         self._start_timer(_IDLE_TIMEOUT)
         self._server.add_connection(self)
@@ -171,7 +177,7 @@
         if self._stall_guard is not None:
             self._stall_guard.stop()
         self._server.connections.pop(self, None)
-        self._server.closing.discard(self)
+        self._server.closing.pop(self, None)
         self._server.forget_awaited(self)
         if self._task is None:
             self._keep_body(0)
@@ -210,6 +216,22 @@
         """Whether no byte of a request has been received since the last response."""
         return self._task is None and not self._has_partial_request
 
+    @property
+    def is_answering(self) -> bool:
+        """Whether a request of the caller is being answered."""
+        return self._task is not None
+
+    @property
+    def is_discarding(self) -> bool:
+        """Whether what the caller sends is read only so that it gets its last answer."""
+        return self._is_discarding
+
+    @property
+    def is_stalled(self) -> bool:
+        """Whether the caller has not gone on reading an answer that is complete."""
+        is_taking = asyncio.get_running_loop().time() - self._taken_at < STALLED_CALLER_S
+        return self._task is None and self.has_unsent and not is_taking
+
     @property
     def has_unsent(self) -> bool:
         """Whether bytes of an answer wait until the caller has read more."""
@@ -232,10 +254,7 @@
     @property
     def freeable_bytes(self) -> int:
         """Bytes of a whole answer that its caller has not gone on reading."""
-        is_taking = asyncio.get_running_loop().time() - self._taken_at < STALLED_CALLER_S
-        if self._task is not None or self._backlog is None or is_taking:
-            return 0
-        return self._backlog.size
+        return self._backlog.size if self._backlog is not None and self.is_stalled else 0
 
     def respond(self, status: int, headers: list[tuple[bytes, bytes]], body: bytes) -> None:
         """Send a complete response; to HEAD only its head."""
@@ -296,7 +315,7 @@
                 self._transport.close()
             # Its end is reported only later; until then it must not be closed for another one.
             self._server.connections.pop(self, None)
-            self._server.closing.add(self)
+            self._server.closing[self] = None
 
     def _encode_head(self, status: int, headers: list[tuple[bytes, bytes]]) -> bytes | None:
         if self._transport is None or self._transport.is_closing():
@@ -428,7 +447,7 @@
         if self._h11.our_state is not h11.DONE or self._h11.their_state is not h11.DONE:
             self._abort_transport()
             return
-        if self._backlog is not None and self._backlog.size:
+        if self.has_unsent:
             # A caller that sends requests and reads no answers gets one answer kept at a time.
             self._is_next_delayed = True
             self._transport.pause_reading()
@@ -548,6 +567,9 @@
         Whether responses ask callers to close their connections.
     max_connections : int, optional
         Maximum number of open connections; None for no limit.
+    prefers_new : bool
+        Whether a new connection beyond the maximum takes the place of one whose request has not
+        arrived yet, rather than being closed.
     may_accept : callable
         Returns whether a new connection may stay, given how many others have just been accepted and
         have sent no request yet. Otherwise it is closed unread, and its caller can go elsewhere.
@@ -564,7 +586,7 @@
         Bytes that they take, from their arrival to the end of their requests.
     connections : dict of CallerConnection to None
         Open connections in the order in which they were accepted.
-    closing : set of CallerConnection
+    closing : dict of CallerConnection to None
         Connections that end once all their bytes are sent.
     """
 
@@ -574,6 +596,7 @@
         self.bounds = ServerBounds()
         self.is_stopping = False
         self.max_connections: int | None = None
+        self.prefers_new = False
         self.may_accept: Callable[[int], bool] = accept_all
         self.count_unsent: Callable[[int], None] = ignore_change
         self.may_keep_unsent: Callable[[int], bool] = keep_little
@@ -582,7 +605,7 @@
         self.max_body_bytes: int | None = None
         self.kept_body_bytes = 0
         self.connections: dict[CallerConnection, None] = {}
-        self.closing: set[CallerConnection] = set()
+        self.closing: dict[CallerConnection, None] = {}
         self._servers: list[asyncio.Server] = []
         self._accepted_at: dict[CallerConnection, float] = {}
 
@@ -596,7 +619,7 @@
         self._servers.append(server)
 
     def add_connection(self, connection: CallerConnection) -> None:
-        """Register a new connection; above the maximum, close an idle one or else this one.
+        """Register a new connection; above the maximum, end another one or else this one.
 
         Otherwise, callers that connect and stay idle could use up all sockets of the host,
         which could then neither accept callers nor connect to endpoints.
@@ -606,24 +629,34 @@
             connection.close()
             return
         self._accepted_at[connection] = now
-        is_limited = self.max_connections is not None
-        if is_limited and len(self.connections) >= (self.max_connections or 0):
-            closed = self._find_idle() or connection
-            if closed.freeable_bytes:
+        open_count = len(self.connections) + sum(each.has_unsent for each in self.closing)
+        if self.max_connections is not None and open_count >= self.max_connections:
+            ended = self._find_replaceable()
+            if ended is None:
+                connection.close()
+                return
+            if ended.has_unsent:
                 # Closed in order, it would take its socket until its caller has read all.
                 self.on_slow_ended()
-                closed.abort_response()
+                ended.abort_response()
             else:
-                closed.close()
-            if closed is connection:
-                return
+                ended.close()
         self.connections[connection] = None
 
-    def _find_idle(self) -> CallerConnection | None:
-        """Return the oldest idle connection, if possible one whose caller waits for nothing."""
-        idle = [candidate for candidate in self.connections if candidate.is_idle]
-        free = (candidate for candidate in idle if not candidate.has_unsent)
-        return next(free, next(iter(idle), None))
+    def _find_replaceable(self) -> CallerConnection | None:
+        """Return the connection that a new one replaces; None if each is in use.
+
+        The oldest one that is idle, or whose caller does not read its answer, or was rejected.
+        """
+        for candidate in self.connections:
+            if candidate.is_idle and not candidate.has_unsent:
+                return candidate
+        for candidate in (*self.closing, *self.connections):
+            if candidate.is_stalled or candidate.is_discarding:
+                return candidate
+        if not self.prefers_new:
+            return None
+        return next((each for each in self.connections if not each.is_answering), None)
 
     @property
     def has_unsent(self) -> bool:
--- a/poplarrun/transport/_sockets.py
+++ b/poplarrun/transport/_sockets.py
@@ -23,6 +23,10 @@
 # connection.
 CALLER_UNACKED_TIMEOUT_MS = 2000
 
+# Bytes that the kernel takes for a caller beyond those on their way. A caller that reads nothing
+# would otherwise have some MB of answers there before the host notices.
+MAX_UNSENT_IN_KERNEL_BYTES = 64 * 1024
+
 _NUMBER = struct.Struct("i")
 _OPTIONS = (
     (socket.SOL_SOCKET, socket.SO_KEEPALIVE, 1),
@@ -49,6 +53,12 @@
             sock.setsockopt(level, option, value)
 
 
+def limit_unsent(sock: socket.socket) -> None:
+    """Let the kernel take few bytes beyond those that the peer's window admits."""
+    with contextlib.suppress(OSError):
+        sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NOTSENT_LOWAT, MAX_UNSENT_IN_KERNEL_BYTES)
+
+
 def count_unacknowledged(sock: socket.socket) -> int:
     """Return how many sent bytes the peer of a connection has not acknowledged.
 
