Bound the connections and bodies at the addresses of readiness and metrics

400 connections with half a request each at the readiness or metrics address had 418 descriptors open where the machine has 300, and bodies that never end there took 192 MB of 80: these addresses had no limits.

Each address is a server of its own now, with 3 in 100 of the sockets, at least 8; a new connection takes the place of one whose request hasn't arrived. Bodies there take 1 MB, 2 MB in all. The platform asks once a second, without a body; a planned request with a thousand parts fits.

--- a/poplarrun/gateway/_capacity.py
+++ b/poplarrun/gateway/_capacity.py
@@ -20,6 +20,9 @@
 # sockets leave enough for endpoints, peers and the store when many callers are idle.
 REQUEST_SOCKET_FRACTION = 0.35
 CALLER_SOCKET_FRACTION = 0.6
+# The same for the addresses of readiness checks and of metrics, each, and their least number.
+OBSERVER_SOCKET_FRACTION = 0.03
+MIN_OBSERVER_CONNECTIONS = 8
 # Fraction of the open requests from which on new connections count as requests.
 BUSY_FRACTION = 0.5
 
@@ -38,12 +41,15 @@
         Bytes of incomplete and unsent answers that may be kept.
     body_bytes : int
         Bytes of requests' bodies that may be kept.
+    max_observer_connections : int
+        Connections at the address of readiness checks, and at that of metrics.
     """
 
     max_open_requests: int
     max_caller_connections: int
     answer_bytes: int
     body_bytes: int = 0
+    max_observer_connections: int = MIN_OBSERVER_CONNECTIONS
 
     def has_room(self, open_requests: int, awaited_requests: int) -> bool:
         """Return whether a host may read one more request of a new connection.
@@ -69,4 +75,7 @@
         max_caller_connections=max(1, int(CALLER_SOCKET_FRACTION * max_sockets)),
         answer_bytes=int(ANSWER_MEMORY_FRACTION * room_mb * BYTES_PER_MB),
         body_bytes=int(BODY_MEMORY_FRACTION * room_mb * BYTES_PER_MB),
+        max_observer_connections=max(
+            MIN_OBSERVER_CONNECTIONS, int(OBSERVER_SOCKET_FRACTION * max_sockets)
+        ),
     )
--- a/poplarrun/gateway/_host.py
+++ b/poplarrun/gateway/_host.py
@@ -67,6 +67,10 @@
 # Time in which the sessions that a stopping host hands over at its end are sent.
 HANDOVER_SENDING_S = 0.1
 HOUSEKEEPING_INTERVAL_S = 1.0
+# Size of one body at the addresses of readiness checks and of metrics, which get planned requests
+# too, and of all bodies at each.
+MAX_OBSERVER_BODY_BYTES = 1024 * 1024
+OBSERVER_BODY_ROOM_BYTES = 2 * 1024 * 1024
 STOP_POLL_INTERVAL_S = 0.05
 
 
@@ -118,8 +122,10 @@
         self._pool = ConnectionPool()
         self._recorder = RequestRecorder(self.metrics)
         self._callers = CallerServer(self._serve, self._report_crash)
-        self._observers = CallerServer(self._serve_observer, self._report_crash)
         self._capacity = compute_capacity(settings.memory_mb, settings.max_sockets)
+        # Two servers, so that scrapes take no connection of readiness checks.
+        self._readiness_server = self._make_observer_server()
+        self._metrics_server = self._make_observer_server()
         self._answer_room = AnswerRoom(self._capacity.answer_bytes)
         self._answer_room.free_unsent = self._callers.free_unsent
         self._callers.count_unsent = self._answer_room.change_unsent
@@ -212,6 +218,14 @@
         self._stop_requested = asyncio.Event()
         self._tasks: set[asyncio.Task[None]] = set()
 
+    def _make_observer_server(self) -> CallerServer:
+        server = CallerServer(self._serve_observer, self._report_crash)
+        server.bounds = ServerBounds(body_bytes=MAX_OBSERVER_BODY_BYTES)
+        server.max_body_bytes = OBSERVER_BODY_ROOM_BYTES
+        server.max_connections = self._capacity.max_observer_connections
+        server.prefers_new = True
+        return server
+
     @property
     def is_ready(self) -> bool:
         """Whether callers may come: the host has the state that it needs, and is not stopping."""
@@ -233,7 +247,7 @@
         self._start_task(self._peering.keep_registered())
         self._start_task(self._run_housekeeping())
         await self._callers.listen(self.settings.caller_address)
-        await self._observers.listen(self.settings.readiness_address)
+        await self._readiness_server.listen(self.settings.readiness_address)
         if not self.settings.relay_address.endswith(":0"):
             await self._relays.listen(self.settings.relay_address)
         await self._listen_for_metrics()
@@ -246,7 +260,7 @@
 
     async def _listen_for_metrics(self) -> None:
         try:
-            await self._observers.listen(self.settings.metrics_address)
+            await self._metrics_server.listen(self.settings.metrics_address)
         except OSError as error:
             # Serving callers without metrics is better than not serving them.
             write_event(events.MetricsUnavailable(self.settings.metrics_address, str(error)))
@@ -455,6 +469,8 @@
         self._answer_room.resize(self._capacity.answer_bytes)
         self._callers.max_connections = self._capacity.max_caller_connections
         self._callers.max_body_bytes = self._capacity.body_bytes
+        for server in (self._readiness_server, self._metrics_server):
+            server.max_connections = self._capacity.max_observer_connections
         self._relay_desk.max_requests = self._capacity.max_open_requests
         self._store.address = loaded.store_address
 
