Own interface: hold no thread for callers that read nothing

Each answer that a caller didn't read held a thread for 10 s. With 2 threads, a small send buffer and 4 callers that send 400 requests ahead, an ordinary call had no answer within 5 s.

A connection is closed when its next request begins while 16 KB of its answers are not acknowledged, and the send buffer is set to 128 KB, so that an answer of usual size never waits. A caller that reads an answer before its next request has acknowledged it by then.

--- a/poplarrun/server/_connections.py
+++ b/poplarrun/server/_connections.py
@@ -1,13 +1,21 @@
 """HTTP server connections that write streamed answers directly to the socket."""
 
+import contextlib
 import os
 import socket
 from collections.abc import Iterator
-from contextlib import contextmanager
 from typing import Any
 
 from cheroot import makefile, server
 
+from poplarrun.transport import count_unacknowledged
+
+# Bytes of earlier answers that a caller may leave unread when its next request begins.
+MAX_UNREAD_BYTES = 16 * 1024
+# What the kernel takes for a caller: more than such answers and one more of usual size, so that a
+# thread seldom waits for a caller.
+SEND_BUFFER_BYTES = 128 * 1024
+
 
 class SocketWriter:
     """Writes directly to a socket.
@@ -28,7 +36,7 @@
         self._buffer = b""
         self._is_buffering = False
 
-    @contextmanager
+    @contextlib.contextmanager
     def buffering(self) -> Iterator[None]:
         """Buffer what is written in this context, to be sent with the next write."""
         self._is_buffering = True
@@ -104,11 +112,23 @@
 
     RequestHandlerClass = Request
 
+    def communicate(self) -> bool:
+        """Serve one request; return whether the connection is kept open.
+
+        A thread that answers a caller which reads nothing would wait for it, and serve no other.
+        """
+        if count_unacknowledged(self.socket) > MAX_UNREAD_BYTES:
+            return False
+        is_kept: bool = super().communicate()  # type: ignore[no-untyped-call]
+        return is_kept
+
     def __init__(
         self, http_server: Any, sock: socket.socket, make_file: Any = makefile.MakeFile
     ) -> None:
         is_plain = make_file is makefile.MakeFile
         super().__init__(http_server, sock, _make_file if is_plain else make_file)
+        with contextlib.suppress(OSError):
+            sock.setsockopt(socket.SOL_SOCKET, socket.SO_SNDBUF, SEND_BUFFER_BYTES)
 
 
 def _make_file(sock: socket.socket, mode: str, buffer_bytes: int) -> Any:
