--- a/poplarrun/transport/_receiving.py
+++ b/poplarrun/transport/_receiving.py
@@ -18,11 +18,19 @@
 
 
 class BoundedReceiver(asyncio.BufferedProtocol):
-    """A protocol that gets at most ``RECEIVE_BYTES`` with each call of ``data_received``."""
+    """A protocol that gets a bounded number of bytes with each call of ``data_received``.
 
-    def get_buffer(self, sizehint: int) -> bytearray:
+    Attributes
+    ----------
+    max_received_bytes : int
+        The bound, ``RECEIVE_BYTES`` at most.
+    """
+
+    max_received_bytes = RECEIVE_BYTES
+
+    def get_buffer(self, sizehint: int) -> memoryview:
         """Return the memory to receive into."""
-        return _SCRATCH.buffer
+        return memoryview(_SCRATCH.buffer)[: self.max_received_bytes]
 
     def buffer_updated(self, nbytes: int) -> None:
         """Pass on what was received."""
--- a/poplarrun/transport/_server.py
+++ b/poplarrun/transport/_server.py
@@ -15,6 +15,7 @@
 import h11
 
 from poplarrun.transport._backlog import PIECE_BYTES, Backlog, ignore_change
+from poplarrun.transport._receiving import BoundedReceiver
 from poplarrun.transport._sockets import (
     CALLER_UNACKED_TIMEOUT_MS,
     detect_dead_peers,
@@ -97,7 +98,7 @@
 Handler = Callable[["CallerConnection", RequestHead, bytes], Coroutine[Any, Any, None]]
 
 
-class CallerConnection(asyncio.BufferedProtocol):
+class CallerConnection(BoundedReceiver):
     """One connection of a caller; its requests are processed one after the other.
 
     Attributes
@@ -106,6 +107,8 @@
         Whether the current request continues if its caller disconnects.
     """
 
+    max_received_bytes = READ_BYTES
+
     def __init__(self, server: "CallerServer") -> None:
         self.is_shielded = False
         self._server = server
@@ -143,15 +146,10 @@
         self._start_timer(_IDLE_TIMEOUT)
         self._server.add_connection(self)
 
-    def get_buffer(self, sizehint: int) -> bytearray:
-        """Return where to put the next bytes; all connections use one buffer in turn."""
-        return self._server.read_buffer
-
-    def buffer_updated(self, nbytes: int) -> None:
+    def data_received(self, data: bytes) -> None:
         """Parse received bytes, and start the request once it is complete."""
         if self._is_discarding:
             return
-        data = bytes(memoryview(self._server.read_buffer)[:nbytes])
         if not self._has_partial_request and self._task is None:
             self._begin_request()
             self._start_timer(_HEADER_TIMEOUT)
@@ -597,8 +595,6 @@
         Open connections in the order in which they were accepted.
     closing : dict of CallerConnection to None
         Connections that end once all their bytes are sent.
-    read_buffer : bytearray
-        Where the bytes that are read of a connection stand until they are parsed.
     """
 
     def __init__(self, handler: Handler, report_crash: Callable[[BaseException | None], None]):
@@ -617,7 +613,6 @@
         self.kept_body_bytes = 0
         self.connections: dict[CallerConnection, None] = {}
         self.closing: dict[CallerConnection, None] = {}
-        self.read_buffer = bytearray(READ_BYTES)
         self._servers: list[asyncio.Server] = []
         self._accepted_at: dict[CallerConnection, float] = {}
 
