Count the endpoints of completed versions only, and a bounded number

Every answer was counted by its endpoint, for all versions, and endpoints that start again have new ids: a host would have kept one for each start.

--- a/poplarrun/dispatch/_evidence.py
+++ b/poplarrun/dispatch/_evidence.py
@@ -66,20 +66,19 @@
         record = attempt.estimate.endpoint.record
         version = record.version
         key = (work.service, version, _evidence_kind(work, attempt))
+        rollout = self._rollouts.find(work.service)
+        is_target = rollout is not None and version == rollout.order.target
+        is_trial = is_target and rollout is not None and rollout.is_in_progress
+        # Endpoints are told apart once there is no old version to compare with.
+        endpoint = record.instance_id if is_target and not is_trial else ""
         if attempt.is_counted:
             if is_failure:
-                self._rollouts.statistics.record_failure_of_slow_answer(key, record.instance_id)
+                self._rollouts.statistics.record_failure_of_slow_answer(key, endpoint)
             return
         attempt.is_counted = True
         if attempt.is_under_load:
             latencies = AnswerTimes()
-        rollout = self._rollouts.find(work.service)
-        is_trial = (
-            rollout is not None and rollout.is_in_progress and version == rollout.order.target
-        )
-        self._rollouts.statistics.record_answer(
-            key, is_failure, latencies, is_trial, record.instance_id
-        )
+        self._rollouts.statistics.record_answer(key, is_failure, latencies, is_trial, endpoint)
 
     def record_copy(self, service: str, version: str, load: float, is_failure: bool) -> None:
         """Count the answer to a copy that loads an endpoint, by the load when it was sent.
--- a/poplarrun/gateway/_activity.py
+++ b/poplarrun/gateway/_activity.py
@@ -5,7 +5,7 @@
 
 from poplarrun.logging import events, write_event
 from poplarrun.peers import (
-    MAX_COUNTED_ENDPOINTS,
+    MAX_TOLD_ENDPOINTS,
     ActivityTotals,
     Digest,
     EndpointLoad,
@@ -204,7 +204,7 @@
                 continue
             key = (rollout.order.service, rollout.order.target)
             counts = self._rollouts.statistics.local_endpoints.get(key, {})
-            for endpoint in sorted(counts, key=_sampling_rank)[:MAX_COUNTED_ENDPOINTS]:
+            for endpoint in sorted(counts, key=_sampling_rank)[:MAX_TOLD_ENDPOINTS]:
                 each = counts[endpoint]
                 tallies.append(EndpointTally(endpoint, each.answers, each.failures))
         return tallies
--- a/poplarrun/peers/__init__.py
+++ b/poplarrun/peers/__init__.py
@@ -1,7 +1,7 @@
 """State that gateway hosts exchange: liveness, totals, roll-outs, and who reads the store."""
 
 from poplarrun.peers._activity_messages import (
-    MAX_COUNTED_ENDPOINTS,
+    MAX_TOLD_ENDPOINTS,
     ActivityTotals,
     EndpointLoad,
     EndpointTally,
@@ -72,7 +72,7 @@
     "DEFAULT_READ_TIMEOUTS",
     "DOCUMENTS",
     "ENDPOINTS",
-    "MAX_COUNTED_ENDPOINTS",
+    "MAX_TOLD_ENDPOINTS",
     "READ_TOPICS",
     "ActivityTotals",
     "AnsweredRequest",
--- a/poplarrun/peers/_activity_messages.py
+++ b/poplarrun/peers/_activity_messages.py
@@ -2,9 +2,9 @@
 
 import msgspec
 
-# Endpoints of a version whose answers hosts count one by one. All hosts choose the same ones; more
-# tell nothing more of a version.
-MAX_COUNTED_ENDPOINTS = 24
+# Endpoints of a version whose answers hosts tell each other one by one. All hosts choose the same
+# ones; more tell nothing more of a version.
+MAX_TOLD_ENDPOINTS = 24
 
 
 class EndpointLoad(msgspec.Struct, frozen=True, array_like=True):
--- a/poplarrun/rollouts/_evidence.py
+++ b/poplarrun/rollouts/_evidence.py
@@ -48,6 +48,8 @@
 # more failures are no chance.
 MAX_SOUND_ENDPOINT_FRACTION = 0.12
 MAX_WIDESPREAD_CHANCE_PROBABILITY = 0.005
+# Endpoints whose answers a host counts one by one; an endpoint that starts again has a new id.
+MAX_COUNTED_ENDPOINTS = 500
 # A version is shown to be good when a bad one would return so few bad answers with less than this
 # probability.
 MAX_GOOD_CHANCE_PROBABILITY = 0.05
@@ -271,8 +273,7 @@
         tally = self.local.setdefault(key, Tally())
         tally.answers += 1
         tally.failures += is_bad
-        if endpoint:
-            self._endpoint_counts(key).setdefault(endpoint, EndpointCounts()).add(1, is_bad)
+        self._count_endpoint(key, endpoint, 1, int(is_bad))
         tally.slow += baseline.is_slow(times)
         log_ratio = baseline.log_interval_ratio(times)
         if log_ratio is not None:
@@ -282,9 +283,9 @@
             baseline.record_answer(times)
 
     def record_failure_of_slow_answer(self, key: TallyKey, endpoint: str) -> None:
-        """Count the failure of an answer that was already counted as slow."""
+        """Count the failure of an answer that was counted as slow; see ``record_answer``."""
         self.local.setdefault(key, Tally()).failures += 1
-        self._endpoint_counts(key).setdefault(endpoint, EndpointCounts()).add(0, 1)
+        self._count_endpoint(key, endpoint, 0, 1)
 
     def record_interruption(self, key: TallyKey, endpoint: str, is_counted: bool) -> None:
         """Record that an endpoint broke off an answer.
@@ -303,8 +304,13 @@
         baseline = self._baselines.get((service, kind))
         return baseline is not None and baseline.is_slow(times)
 
-    def _endpoint_counts(self, key: TallyKey) -> dict[str, EndpointCounts]:
-        return self.local_endpoints.setdefault(key[:2], {})
+    def _count_endpoint(self, key: TallyKey, endpoint: str, answers: int, failures: int) -> None:
+        if not endpoint:
+            return
+        counts = self.local_endpoints.setdefault(key[:2], {})
+        counts.setdefault(endpoint, EndpointCounts()).add(answers, failures)
+        if len(counts) > MAX_COUNTED_ENDPOINTS:
+            del counts[next(iter(counts))]
 
     def apply_host_tallies(
         self,
