--- a/features/environment.py
+++ b/features/environment.py
@@ -177,15 +177,6 @@
         yield installation
 
 
-@fixture
-def few_threads(context):
-    """One host whose own interface has few threads."""
-    more = {"limits": {"threads": 16}, "stop": {"balancer_time_s": 0}}
-    with Fleet([], zones=("a",), hosts_per_zone=1, more_settings=more) as fleet:
-        context.fleet = fleet
-        yield fleet
-
-
 @fixture
 def installation(context):
     """The users' platform with one host, one model engine and one plain service."""
@@ -330,5 +321,3 @@
         use_fixture(installation, context)
     if "small.installation" in scenario.effective_tags:
         use_fixture(small_installation, context)
-    if "few.threads" in scenario.effective_tags:
-        use_fixture(few_threads, context)
--- a/features/unread_answers_ahead.feature
+++ b/features/unread_answers_ahead.feature
@@ -52,7 +52,7 @@
       | requests without a route | callers   |
       | lookups                  | callers   |
 
-  @few.threads
+  @fixture.few_threads
   Scenario Outline: Callers that send <what> ahead to a host's own interface, and read nothing, leave threads for others
     # Guards against threads that all wait until such callers have read their answers.
     When 40 callers send <what> to the own interface without end, read nothing, and come back when they are closed
